--- a/src/agent/_fake_engine.ts
+++ b/src/agent/_fake_engine.ts
@@ -10,7 +10,7 @@
   EngineLoad,
   EngineOrder,
   EngineStep,
-} from "../platform/engine.ts";
+} from "../backends/engine.ts";
 import { Wakeup } from "./wakeup.ts";
 
 type Snapshot = Extract<CacheFeedStep, { kind: "snapshot" }>;
--- a/src/agent/_fake_service.ts
+++ b/src/agent/_fake_service.ts
@@ -5,7 +5,7 @@
   ServiceCall,
   ServiceFailure,
   ServiceStep,
-} from "../platform/service.ts";
+} from "../backends/service.ts";
 import { Wakeup } from "./wakeup.ts";
 
 type Step = Result<ServiceStep, ServiceFailure>;
--- a/src/agent/admission.ts
+++ b/src/agent/admission.ts
@@ -5,7 +5,7 @@
  */
 import { Result } from "true-myth";
 import type { Clock } from "../base/mod.ts";
-import type { EngineLoad } from "../platform/engine.ts";
+import type { EngineLoad } from "../backends/engine.ts";
 import {
   type Priority,
   type Refusal,
--- a/src/agent/cache_follower.ts
+++ b/src/agent/cache_follower.ts
@@ -1,6 +1,6 @@
 /** Keeps a {@link CacheView} up to date: a snapshot, then events, and a new snapshot after a gap. */
 import type { Clock, Logger } from "../base/mod.ts";
-import type { CacheFeedStep, Engine } from "../platform/engine.ts";
+import type { CacheFeedStep, Engine } from "../backends/engine.ts";
 import type { CacheView } from "./cache_view.ts";
 
 /** What {@link CacheFollower} needs. */
--- a/src/agent/cache_view.ts
+++ b/src/agent/cache_view.ts
@@ -10,7 +10,7 @@
   CacheEvent,
   CacheFeedStep,
   LoadedModel,
-} from "../platform/engine.ts";
+} from "../backends/engine.ts";
 import {
   cacheSalt,
   CHAIN_BLOCK_TOKENS,
--- a/src/agent/cache_view_test.ts
+++ b/src/agent/cache_view_test.ts
@@ -6,7 +6,7 @@
   promptChain,
   selectPoints,
 } from "../placement/chain.ts";
-import type { CacheEvent } from "../platform/engine.ts";
+import type { CacheEvent } from "../backends/engine.ts";
 import { CacheView } from "./cache_view.ts";
 import { testAsk } from "./_test_kit.ts";
 
--- a/src/agent/engine_backlog.ts
+++ b/src/agent/engine_backlog.ts
@@ -3,7 +3,7 @@
  * A report speaks of a moment in the past, so it is compared with what was on the engine by then;
  * requests admitted since count on top.
  */
-import type { EngineLoad } from "../platform/engine.ts";
+import type { EngineLoad } from "../backends/engine.ts";
 
 /** A request that was passed to the engine. */
 export interface PlacedWork {
--- a/src/agent/engine_refusals.ts
+++ b/src/agent/engine_refusals.ts
@@ -1,5 +1,5 @@
 /** Refusals that come from the engine's state or answers. */
-import type { EngineFailure } from "../platform/engine.ts";
+import type { EngineFailure } from "../backends/engine.ts";
 import { type Refusal, RefusalCode } from "../wire/gen/cicadahitch.ts";
 import { refuse } from "./refusals.ts";
 import { describeFailure } from "./run.ts";
--- a/src/agent/engine_watch.ts
+++ b/src/agent/engine_watch.ts
@@ -1,6 +1,6 @@
 /** Knows whether the engine is up and which incarnation it is. */
 import type { Clock, Logger } from "../base/mod.ts";
-import type { Engine, EngineInfo, EngineLoad } from "../platform/engine.ts";
+import type { Engine, EngineInfo, EngineLoad } from "../backends/engine.ts";
 
 /** What the watch reports. */
 export interface EngineListener {
--- a/src/agent/model_server.ts
+++ b/src/agent/model_server.ts
@@ -10,7 +10,7 @@
   EngineLoad,
   EngineStep,
   LoadedModel,
-} from "../platform/engine.ts";
+} from "../backends/engine.ts";
 import {
   type AskRequest,
   type ModelCall,
--- a/src/agent/orders.ts
+++ b/src/agent/orders.ts
@@ -14,7 +14,7 @@
   EngineFailure,
   EngineOrder,
   LoadedModel,
-} from "../platform/engine.ts";
+} from "../backends/engine.ts";
 import type { OrderReply, OrderRequest } from "../wire/gen/cicadahitch.ts";
 import type { Replicas, Retirement } from "./replicas.ts";
 import { describeFailure } from "./run.ts";
--- a/src/agent/plain_server.ts
+++ b/src/agent/plain_server.ts
@@ -20,7 +20,7 @@
   RunOutcome,
 } from "../wire/gen/cicadahitch.ts";
 import { KeptAnswers } from "./kept_answers.ts";
-import type { PlainService } from "../platform/service.ts";
+import type { PlainService } from "../backends/service.ts";
 import { refuse } from "./refusals.ts";
 import type { Relay } from "./relay.ts";
 import { describeFailure, type Run, RunState } from "./run.ts";
--- a/src/agent/replicas.ts
+++ b/src/agent/replicas.ts
@@ -1,7 +1,7 @@
 /** The engine's models, and which of them take requests: none that is to be unloaded. */
 import type { Clock } from "../base/mod.ts";
 import { modelKey } from "../planner/pool_view.ts";
-import type { LoadedModel } from "../platform/engine.ts";
+import type { LoadedModel } from "../backends/engine.ts";
 import { ReplicaPhase, type ReplicaReport } from "../wire/gen/cicadahitch.ts";
 import type { Run } from "./run.ts";
 
--- a/src/agent/run.ts
+++ b/src/agent/run.ts
@@ -1,5 +1,5 @@
 /** One run: what was asked, its output and who is attached to it. */
-import type { EngineFailure } from "../platform/engine.ts";
+import type { EngineFailure } from "../backends/engine.ts";
 import {
   type AskRequest,
   type Refusal,
--- a/src/base/log.ts
+++ b/src/base/log.ts
@@ -1,4 +1,4 @@
-/** Logs: JSON lines on standard error. Prompts, answers and keys are never logged. */
+/** Logs: JSON lines. Prompts, answers and keys are never logged. */
 import { destination, type Logger as PinoLogger, pino } from "pino";
 
 /** A logger of JSON lines. */
@@ -25,11 +25,16 @@
   role: string;
   /** Bound to each line: the process's id. */
   processId: string;
+  /** Standard output, written without waiting; else standard error, line by line. */
+  toStdout?: boolean;
 }
 
+/** Bytes of log lines that are written at once. */
+const LOG_BATCH_BYTES = 4096;
+
 /**
- * @param options Level and bound fields.
- * @returns A logger on standard error, so that standard output stays free for results.
+ * @param options Level, bound fields and destination.
+ * @returns A logger.
  */
 export function createLogger(options: LoggerOptions): Logger {
   return pino(
@@ -37,7 +42,9 @@
       level: options.level,
       base: { role: options.role, processId: options.processId },
     },
-    destination({ dest: 2, sync: true }),
+    options.toStdout
+      ? destination({ dest: 1, sync: false, minLength: LOG_BATCH_BYTES })
+      : destination({ dest: 2, sync: true }),
   );
 }
 
--- a/src/capacity/_event_engine.ts
+++ b/src/capacity/_event_engine.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from "node:net";
 import { SAMPLE_MODEL } from "../cli/sample_team.ts";
 import { cacheSalt } from "../placement/chain.ts";
-import type { CacheEvent } from "../platform/engine.ts";
+import type { CacheEvent } from "../backends/engine.ts";
 
 /** Whose blocks the events speak of. */
 export const TEAM = "lakeshore";
--- a/src/capacity/measure_state.ts
+++ b/src/capacity/measure_state.ts
@@ -15,7 +15,7 @@
   type PlacementRequest,
   PolicyName,
 } from "../placement/mod.ts";
-import type { CacheEvent } from "../platform/engine.ts";
+import type { CacheEvent } from "../backends/engine.ts";
 import { heapSlope, processorSlope, type Series } from "./_measure.ts";
 import type { Slope } from "./slopes.ts";
 
--- a/src/cli/serve_dev.ts
+++ b/src/cli/serve_dev.ts
@@ -8,7 +8,7 @@
 } from "../base/mod.ts";
 import { encodeBranch, teamKey } from "../config/stored_branch.ts";
 import { Entry } from "../entry/mod.ts";
-import type { Instance } from "../platform/mod.ts";
+import type { Instance } from "../backends/mod.ts";
 import { PolicyName } from "../placement/policy_name.ts";
 import {
   StandinEngine,
--- a/src/e2e/_fleet.ts
+++ b/src/e2e/_fleet.ts
@@ -9,7 +9,7 @@
   sha256Hex,
 } from "../cli/sample_team.ts";
 import { encodeBranch, teamKey } from "../config/stored_branch.ts";
-import type { Instance } from "../platform/mod.ts";
+import type { Instance } from "../backends/mod.ts";
 import { EtcdStore } from "../store/mod.ts";
 import { Child, ChildError } from "./_child.ts";
 
--- a/src/entry/entry_parts.ts
+++ b/src/entry/entry_parts.ts
@@ -10,7 +10,7 @@
 } from "../config/mod.ts";
 import { DemandMeter } from "../planner/mod.ts";
 import { createPolicy, type Policy } from "../placement/mod.ts";
-import { HttpInstanceList } from "../platform/http_instance_list.ts";
+import { HttpInstanceList } from "../backends/http_instance_list.ts";
 import { EtcdStore, type KeyValueStore } from "../store/mod.ts";
 import { PeerService, RefusalCode } from "../wire/gen/cicadahitch.ts";
 import { ChannelPool, GrpcListener } from "../wire/mod.ts";
--- a/src/entry/instance_follower.ts
+++ b/src/entry/instance_follower.ts
@@ -9,7 +9,7 @@
   type InstanceList,
   InstanceRole,
   InstanceState,
-} from "../platform/instances.ts";
+} from "../backends/instances.ts";
 import { callUnary, type ChannelPool } from "../wire/mod.ts";
 import type {
   DumpStateReply,
--- a/src/entry/members.ts
+++ b/src/entry/members.ts
@@ -9,7 +9,7 @@
   type InstanceChanges,
   InstanceRole,
   InstanceState,
-} from "../platform/instances.ts";
+} from "../backends/instances.ts";
 
 /** A backend server that requests can be sent to. */
 export interface ServerMember extends Member {
--- a/src/entry/retry_budget.ts
+++ b/src/entry/retry_budget.ts
@@ -26,6 +26,14 @@
     this.#credits.set(team, Math.min(RETRY_BURST, credit + retryShare));
   }
 
+  /**
+   * @param team The team.
+   * @returns Whether one more try is within the budget.
+   */
+  has(team: string): boolean {
+    return (this.#credits.get(team) ?? RETRY_BURST) >= 1;
+  }
+
   /**
    * @param team The team.
    * @returns Whether one more try is within the budget; it is then spent.
--- a/src/entry/version_memory.ts
+++ b/src/entry/version_memory.ts
@@ -1,7 +1,7 @@
 /** Which weights versions no server was seen to have a moment ago, so that they aren't searched. */
 import type { Clock } from "../base/mod.ts";
 import { modelKey } from "../planner/mod.ts";
-import type { LoadedModel } from "../platform/engine.ts";
+import type { LoadedModel } from "../backends/engine.ts";
 
 /** A new version is found this soon after it was loaded. */
 const MISSING_MS = 500;
--- a/src/experiment/virtual_cache.ts
+++ b/src/experiment/virtual_cache.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock } from "../base/mod.ts";
 import { cacheSalt } from "../placement/mod.ts";
-import type { CacheEvent, LoadedModel } from "../platform/engine.ts";
+import type { CacheEvent, LoadedModel } from "../backends/engine.ts";
 import type { Random } from "./random.ts";
 import type { RequestPlan } from "./workload.ts";
 
--- a/src/experiment/virtual_engine.ts
+++ b/src/experiment/virtual_engine.ts
@@ -13,7 +13,7 @@
   EngineLoad,
   EngineStep,
   LoadedModel,
-} from "../platform/engine.ts";
+} from "../backends/engine.ts";
 import type { Random } from "./random.ts";
 import { VirtualCache } from "./virtual_cache.ts";
 import type { RequestPlan } from "./workload.ts";
--- a/src/planner/_test_pool.ts
+++ b/src/planner/_test_pool.ts
@@ -1,5 +1,5 @@
 /** A pool whose servers carry out moves in two steps; for tests. */
-import type { LoadedModel } from "../platform/engine.ts";
+import type { LoadedModel } from "../backends/engine.ts";
 import {
   modelKey,
   type Move,
--- a/src/planner/pool_view.ts
+++ b/src/planner/pool_view.ts
@@ -1,5 +1,5 @@
 /** What a planner sees of a pool, and the moves it can decide on. */
-import type { LoadedModel } from "../platform/engine.ts";
+import type { LoadedModel } from "../backends/engine.ts";
 
 /** States of a model on a server. */
 export const ReplicaState = {
--- a/src/planner/wanted_models.ts
+++ b/src/planner/wanted_models.ts
@@ -1,6 +1,6 @@
 /** What the teams' branches want of a pool. */
 import type { BranchInForce } from "../config/branch_set.ts";
-import type { LoadedModel } from "../platform/engine.ts";
+import type { LoadedModel } from "../backends/engine.ts";
 import { modelKey, type WantedModel } from "./pool_view.ts";
 
 /** Replicas kept of an adapter whose model has a minimum of at least that. */
--- /dev/null
+++ b/src/platform/decode.ts
@@ -0,0 +1,243 @@
+/** Decodes what lies in the platform's store into the router's types. */
+import { Result } from "true-myth";
+import {
+  type BackendServer,
+  type ClientLimits,
+  type EngineLimits,
+  RequestKind,
+  type Route,
+  type RoutingConfig,
+  type Service,
+  type ServiceShare,
+  type WantedWeights,
+  type Workspace,
+} from "../router/model.ts";
+import { CONFIG_KEY, SERVERS_PREFIX, WEIGHTS_PREFIX } from "./names.ts";
+
+/** What one key of the store tells. */
+export type StoreFact =
+  | { kind: "config"; config: RoutingConfig }
+  | { kind: "server"; server: BackendServer }
+  | { kind: "weights"; wanted: WantedWeights }
+  /** A key that the router doesn't read, its own ones included. */
+  | { kind: "other" };
+
+/** What a deleted key told. */
+export type RemovedFact =
+  | { kind: "server"; serverId: string }
+  | { kind: "other" };
+
+/** A value that doesn't have the published form. */
+export interface MalformedValue {
+  kind: "malformed";
+  key: string;
+  /** What is wrong, without the value itself. */
+  reason: string;
+}
+
+type Json = Record<string, unknown>;
+
+class ShapeError extends Error {}
+
+/**
+ * @param key The store's key.
+ * @param value Its value.
+ * @returns What it tells, or what is wrong with it.
+ */
+export function decodeFact(
+  key: string,
+  value: Uint8Array,
+): Result<StoreFact, MalformedValue> {
+  try {
+    return Result.ok(readFact(key, value));
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : "Unreadable";
+    return Result.err({ kind: "malformed", key, reason });
+  }
+}
+
+/**
+ * @param key A key that was deleted.
+ * @returns What it told.
+ */
+export function decodeRemoval(key: string): RemovedFact {
+  if (!key.startsWith(SERVERS_PREFIX)) return { kind: "other" };
+  return { kind: "server", serverId: key.slice(SERVERS_PREFIX.length) };
+}
+
+/**
+ * Reads the list of loaded models that servers give in their entries and reports.
+ *
+ * @param value The list as sent.
+ * @returns Version of the weights by model.
+ */
+export function readWeights(value: unknown): ReadonlyMap<string, number> {
+  const weights = new Map<string, number>();
+  if (!Array.isArray(value)) return weights;
+  for (const row of value) {
+    const model = asObject(row, "models");
+    weights.set(text(model, "name"), number(model, "version"));
+  }
+  return weights;
+}
+
+function readFact(key: string, value: Uint8Array): StoreFact {
+  if (key === CONFIG_KEY) return { kind: "config", config: readConfig(value) };
+  if (key.startsWith(WEIGHTS_PREFIX)) {
+    return { kind: "weights", wanted: readWanted(value) };
+  }
+  if (!key.startsWith(SERVERS_PREFIX)) return { kind: "other" };
+  const id = key.slice(SERVERS_PREFIX.length);
+  return { kind: "server", server: readServer(id, value) };
+}
+
+function readConfig(value: Uint8Array): RoutingConfig {
+  const config = parse(value);
+  return {
+    version: number(config, "version"),
+    routes: list(config, "routes").map(readRoute),
+    services: list(config, "services").map(readService),
+    limits: readLimits(asObject(config["limits"], "limits")),
+    workspaces: optionalList(config, "tenants").map(readWorkspace),
+  };
+}
+
+function readRoute(value: unknown): Route {
+  const route = asObject(value, "routes");
+  return {
+    name: text(route, "name"),
+    host: text(route, "host").toLowerCase(),
+    pathPrefix: text(route, "prefix"),
+    kind: readKind(text(route, "kind")),
+    timeoutMs: number(route, "timeout_ms"),
+    targetLatencyMs: optionalNumber(route, "target_latency_ms") ??
+      number(route, "timeout_ms"),
+    priority: optionalNumber(route, "priority") ?? 0,
+    shares: readShares(route),
+    maxAttempts: optionalNumber(route, "max_attempts") ?? 1,
+    anonymous: route["allow_anonymous"] === true,
+    resumable: route["allow_resume"] === true,
+  };
+}
+
+/** A route names either one service or a split over several. */
+function readShares(route: Json): ServiceShare[] {
+  const split = optionalList(route, "traffic_split");
+  if (split.length === 0) {
+    return [{ service: text(route, "service"), weight: 1 }];
+  }
+  return split.map((value) => {
+    const share = asObject(value, "traffic_split");
+    return { service: text(share, "service"), weight: number(share, "weight") };
+  });
+}
+
+function readKind(kind: string): RequestKind {
+  switch (kind) {
+    case "safe":
+      return RequestKind.safe;
+    case "unsafe":
+      return RequestKind.unsafe;
+    case "streaming":
+      return RequestKind.stream;
+    default:
+      throw new ShapeError(`Kind of a route: ${kind}`);
+  }
+}
+
+function readService(value: unknown): Service {
+  const service = asObject(value, "services");
+  const engine = service["engine"];
+  return {
+    name: text(service, "name"),
+    connectionLimit: optionalNumber(service, "max_connections") ?? 0,
+    engine: engine === undefined ? undefined : readEngine(engine),
+  };
+}
+
+function readEngine(value: unknown): EngineLimits {
+  const engine = asObject(value, "engine");
+  return {
+    slots: number(engine, "slots"),
+    cacheTokens: number(engine, "kv_capacity_tokens"),
+  };
+}
+
+function readLimits(limits: Json): ClientLimits {
+  return {
+    headerBytes: number(limits, "max_header_bytes"),
+    bodyBytes: number(limits, "max_body_bytes"),
+    headerTimeoutMs: number(limits, "header_timeout_ms"),
+    idleTimeoutMs: number(limits, "idle_timeout_ms"),
+  };
+}
+
+/** The platform's tenant is our workspace. */
+function readWorkspace(value: unknown): Workspace {
+  const tenant = asObject(value, "tenants");
+  return {
+    name: text(tenant, "name"),
+    keys: optionalList(tenant, "api_keys").map(String),
+    priority: optionalNumber(tenant, "priority"),
+    isolated: tenant["isolated"] === true,
+  };
+}
+
+function readServer(id: string, value: Uint8Array): BackendServer {
+  const entry = parse(value);
+  return {
+    id,
+    service: text(entry, "service"),
+    address: text(entry, "address"),
+    zone: text(entry, "zone"),
+    draining: text(entry, "state") === "draining",
+    slots: optionalNumber(entry, "slots") ?? 1,
+    weights: readWeights(entry["models"]),
+  };
+}
+
+/** `version` here counts weights; the configuration's own `version` is another count. */
+function readWanted(value: Uint8Array): WantedWeights {
+  const wanted = parse(value);
+  return { model: text(wanted, "model"), version: number(wanted, "version") };
+}
+
+function parse(value: Uint8Array): Json {
+  return asObject(JSON.parse(new TextDecoder().decode(value)), "value");
+}
+
+function asObject(value: unknown, name: string): Json {
+  if (typeof value === "object" && value !== null && !Array.isArray(value)) {
+    return value as Json;
+  }
+  throw new ShapeError(`No object: ${name}`);
+}
+
+function text(object: Json, name: string): string {
+  const value = object[name];
+  if (typeof value !== "string") throw new ShapeError(`No text: ${name}`);
+  return value;
+}
+
+function number(object: Json, name: string): number {
+  const value = optionalNumber(object, name);
+  if (value === undefined) throw new ShapeError(`No number: ${name}`);
+  return value;
+}
+
+function optionalNumber(object: Json, name: string): number | undefined {
+  const value = object[name];
+  return typeof value === "number" && Number.isFinite(value)
+    ? value
+    : undefined;
+}
+
+function list(object: Json, name: string): unknown[] {
+  const value = object[name];
+  if (!Array.isArray(value)) throw new ShapeError(`No list: ${name}`);
+  return value;
+}
+
+function optionalList(object: Json, name: string): unknown[] {
+  return object[name] === undefined ? [] : list(object, name);
+}
--- a/src/platform/mod.ts
+++ b/src/platform/mod.ts
@@ -1,41 +1,27 @@
-/** Outside systems that the processes meet over HTTP. */
-export type {
-  CacheEvent,
-  CacheFeedStep,
-  Engine,
-  EngineCall,
-  EngineFailure,
-  EngineInfo,
-  EngineLoad,
-  EngineOrder,
-  EngineStep,
-  LoadedModel,
-} from "./engine.ts";
-export { HttpEngine, type HttpEngineOptions } from "./http_engine.ts";
+/** The users' platform: names, formats and calls. Nothing here decides anything. */
 export {
-  HttpInstanceList,
-  type HttpInstanceListOptions,
-} from "./http_instance_list.ts";
-export { HttpService, type HttpServiceOptions } from "./http_service.ts";
+  decodeFact,
+  decodeRemoval,
+  type MalformedValue,
+  type RemovedFact,
+  type StoreFact,
+} from "./decode.ts";
 export {
-  HttpWeightStore,
-  type HttpWeightStoreOptions,
-  type WeightsInfo,
-  type WeightStore,
-  type WeightStoreFailure,
-} from "./http_weight_store.ts";
+  answerHeaders,
+  type ClientRequest,
+  echoHeaders,
+  forwardHeaders,
+  readAnswer,
+  readRequest,
+  retryHeaders,
+} from "./headers.ts";
+export { type CallFailure, HttpCaller } from "./http_call.ts";
+export { READINESS_PATH } from "./names.ts";
 export {
-  type Instance,
-  type InstanceChanges,
-  type InstanceList,
-  type InstanceListFailure,
-  InstanceRole,
-  InstanceState,
-} from "./instances.ts";
-export type {
-  HeaderField,
-  PlainService,
-  ServiceCall,
-  ServiceFailure,
-  ServiceStep,
-} from "./service.ts";
+  fetchReport,
+  type OrderAnswer,
+  sendOrder,
+  type ServerAddress,
+  type WeightsOrder,
+} from "./server_calls.ts";
+export { PlatformStore, type PlatformStoreOptions } from "./store.ts";
--- /dev/null
+++ b/src/platform/server_calls.ts
@@ -0,0 +1,144 @@
+/** Calls to a backend server besides clients' requests: its report, and orders to it. */
+import { Result } from "true-myth";
+import type { ServerReport } from "../router/model.ts";
+import { readWeights } from "./decode.ts";
+import { type CallFailure, HttpCaller } from "./http_call.ts";
+import { Header, ServerPath } from "./names.ts";
+
+/** Which server is called; another one at its address refuses. */
+export interface ServerAddress {
+  id: string;
+  address: string;
+}
+
+/** An order to load another version of a model's weights. */
+export interface WeightsOrder {
+  model: string;
+  version: number;
+  /** What becomes of requests that run. */
+  runs: "finish" | "cut" | "continue";
+  /** Process that gives the order. */
+  holderId: string;
+  fencingNumber: bigint;
+  /** Orders that the server had accepted when it was decided; it refuses if there are more. */
+  orderSequence: number;
+}
+
+/** What a server said to an order. */
+export type OrderAnswer =
+  | { kind: "accepted" }
+  /** It has these weights already. */
+  | { kind: "holds" }
+  /** Another order is in progress, or was accepted since. */
+  | { kind: "conflict" }
+  /** A higher fencing number has been seen. */
+  | { kind: "fenced" }
+  /** Another server has the address. */
+  | { kind: "wrong_server" }
+  | { kind: "refused"; status: number };
+
+/** The platform's word for what becomes of requests that run. */
+const RUNS_WORD = {
+  finish: "wait",
+  cut: "truncate",
+  continue: "retain",
+} as const;
+
+/**
+ * Asks a server for its report.
+ *
+ * @param server Whom to ask.
+ * @param callMs Time for the connection, and for the call.
+ * @returns What it says of itself.
+ */
+export async function fetchReport(
+  server: ServerAddress,
+  callMs: number,
+): Promise<Result<ServerReport, CallFailure>> {
+  const caller = HttpCaller.create(server.address, callMs);
+  try {
+    const answer = await caller.send({
+      method: "GET",
+      path: ServerPath.report,
+      headers: { [Header.expectedServer]: server.id },
+      callMs,
+    });
+    if (answer.isErr) return Result.err(answer.error);
+    const { status, body } = answer.value;
+    if (status !== 200) return Result.err(malformed(`Status ${status}`));
+    return Result.ok(readReport(body));
+  } catch (error) {
+    return Result.err(malformed(String(error)));
+  } finally {
+    await caller.close();
+  }
+}
+
+/**
+ * Gives an order once.
+ *
+ * @param server Whom to give it.
+ * @param order What to do.
+ * @param callMs Time for the connection, and for the call.
+ * @returns Its answer. Without one, the order may be carried out, also later.
+ */
+export async function sendOrder(
+  server: ServerAddress,
+  order: WeightsOrder,
+  { callMs }: { callMs: number },
+): Promise<Result<OrderAnswer, CallFailure>> {
+  const caller = HttpCaller.create(server.address, callMs);
+  const answer = await caller.send({
+    method: "POST",
+    path: ServerPath.order,
+    headers: { [Header.expectedServer]: server.id },
+    body: {
+      op: "version",
+      model: order.model,
+      version: order.version,
+      mode: RUNS_WORD[order.runs],
+      holder: order.holderId,
+      fencing_token: Number(order.fencingNumber),
+      expected: order.orderSequence,
+    },
+    callMs,
+  });
+  await caller.close();
+  return answer.map(({ status }) => readOrderAnswer(status));
+}
+
+function readReport(body: Record<string, unknown>): ServerReport {
+  return {
+    weights: readWeights(body["models"]),
+    busy: body["busy"] === true,
+    orderSequence: count(body["sequence"]),
+    waiting: count(body["queued"]),
+    running: count(body["running"]),
+  };
+}
+
+function readOrderAnswer(status: number): OrderAnswer {
+  switch (status) {
+    case 202:
+      return { kind: "accepted" };
+    case 200:
+      return { kind: "holds" };
+    case 409:
+      return { kind: "conflict" };
+    case 412:
+      return { kind: "fenced" };
+    case 421:
+      return { kind: "wrong_server" };
+    default:
+      return { kind: "refused", status };
+  }
+}
+
+function count(value: unknown): number {
+  if (typeof value === "number" && Number.isFinite(value)) return value;
+  throw new TypeError("Report without a count");
+}
+
+function malformed(message: string): CallFailure {
+  return { kind: "malformed", message };
+}
--- /dev/null
+++ b/src/platform/store.ts
@@ -0,0 +1,363 @@
+/** The platform's store, as a {@link KeyValueStore}: HTTP with JSON bodies, watches as long polls. */
+import { Result } from "true-myth";
+import type {
+  CommitOutcome,
+  Expectation,
+  KeyValueEntry,
+  KeyValueStore,
+  Listing,
+  StoreFailure,
+  StoreLease,
+  WatchStep,
+  Write,
+} from "../store/store.ts";
+import {
+  type Call,
+  type CallAnswer,
+  type CallFailure,
+  HttpCaller,
+} from "./http_call.ts";
+import { StorePath } from "./names.ts";
+
+/** Settings of a {@link PlatformStore}. */
+export interface PlatformStoreOptions {
+  /** `ip:port`. */
+  address: string;
+  connectMs: number;
+  /** Time for each call but a watch. */
+  callMs: number;
+  /** Longest time that a watch waits for an event. */
+  watchWaitMs: number;
+  /** Time beyond `watchWaitMs` after which a watch counts as silent. */
+  watchSlackMs: number;
+}
+
+type Json = Record<string, unknown>;
+
+/** A client of the platform's store. */
+export class PlatformStore implements KeyValueStore {
+  readonly #caller: HttpCaller;
+  readonly #options: PlatformStoreOptions;
+  #calls = 0;
+
+  private constructor(options: PlatformStoreOptions) {
+    this.#options = options;
+    this.#caller = HttpCaller.create(options.address, options.connectMs);
+  }
+
+  /**
+   * @param options Address and times.
+   * @returns A client without connections yet.
+   */
+  static create(options: PlatformStoreOptions): PlatformStore {
+    return new PlatformStore(options);
+  }
+
+  /** Calls sent so far, watches included. */
+  get calls(): number {
+    return this.#calls;
+  }
+
+  async get(
+    key: string,
+  ): Promise<Result<KeyValueEntry | undefined, StoreFailure>> {
+    const path = `${StorePath.key}?key=${encodeURIComponent(key)}`;
+    const answer = await this.#read(path);
+    if (answer.isErr) return Result.err(answer.error);
+    if (answer.value.status === 404) return Result.ok(undefined);
+    return guarded(() => readEntry(answer.value.body));
+  }
+
+  async list(prefix: string): Promise<Result<Listing, StoreFailure>> {
+    const entries: KeyValueEntry[] = [];
+    let after = "";
+    // Pages are no snapshot: a watch from the first page's revision brings what changed meanwhile.
+    let revision: bigint | undefined;
+    while (true) {
+      const answer = await this.#read(rangePath(prefix, after));
+      if (answer.isErr) return Result.err(answer.error);
+      const page = guarded(() => readPage(answer.value.body));
+      if (page.isErr) return Result.err(page.error);
+      revision ??= page.value.revision;
+      entries.push(...page.value.entries);
+      const last = page.value.entries.at(-1);
+      if (!page.value.hasMore || !last) break;
+      after = last.key;
+    }
+    return Result.ok({ entries, revision });
+  }
+
+  async commit(
+    expect: Expectation[],
+    writes: Write[],
+  ): Promise<Result<CommitOutcome, StoreFailure>> {
+    const expanded = await this.#expandRanges(writes);
+    if (expanded.isErr) return Result.err(expanded.error);
+    const answer = await this.#send({
+      method: "POST",
+      path: StorePath.commit,
+      body: commitBody(expect, expanded.value),
+      callMs: this.#options.callMs,
+    });
+    if (answer.isErr) return Result.err(writeFailure(answer.error));
+    const { status, body } = answer.value;
+    if (status === 200) {
+      return guarded(() => ({
+        kind: "committed",
+        revision: revisionOf(body, "revision"),
+      }));
+    }
+    if (status === 412) return guarded(() => readConflict(body));
+    return Result.err(refused(status));
+  }
+
+  async *watch(
+    prefix: string,
+    fromRevision: bigint,
+    signal: AbortSignal,
+  ): AsyncIterable<Result<WatchStep, StoreFailure>> {
+    let after = fromRevision - 1n;
+    while (!signal.aborted) {
+      const answer = await this.#poll(prefix, after, signal);
+      if (signal.aborted) return;
+      if (answer.isErr) {
+        yield Result.err(answer.error);
+        return;
+      }
+      const { steps, revision } = answer.value;
+      for (const step of steps) yield Result.ok(step);
+      if (revision > after) after = revision;
+      yield Result.ok({ kind: "progress", revision: after });
+    }
+  }
+
+  async grantLease(ttlMs: number): Promise<Result<StoreLease, StoreFailure>> {
+    const answer = await this.#send({
+      method: "POST",
+      path: StorePath.lease,
+      body: { ttl_ms: ttlMs },
+      callMs: this.#options.callMs,
+    });
+    if (answer.isErr) return Result.err(writeFailure(answer.error));
+    const { status, body } = answer.value;
+    if (status !== 200) return Result.err(refused(status));
+    return guarded(() => ({
+      leaseId: revisionOf(body, "lease"),
+      ttlMs: Number(body["ttl_ms"]),
+    }));
+  }
+
+  async renewLease(
+    leaseId: bigint,
+  ): Promise<Result<StoreLease, StoreFailure>> {
+    const answer = await this.#send({
+      method: "POST",
+      path: `${StorePath.renew}${leaseId}`,
+      callMs: this.#options.callMs,
+    });
+    if (answer.isErr) return Result.err(writeFailure(answer.error));
+    const { status, body } = answer.value;
+    if (status === 404) return Result.ok({ leaseId, ttlMs: 0 });
+    if (status !== 200) return Result.err(refused(status));
+    return guarded(() => ({ leaseId, ttlMs: Number(body["ttl_ms"]) }));
+  }
+
+  async revokeLease(leaseId: bigint): Promise<Result<void, StoreFailure>> {
+    const answer = await this.#send({
+      method: "DELETE",
+      path: `${StorePath.revoke}${leaseId}`,
+      callMs: this.#options.callMs,
+    });
+    if (answer.isErr) return Result.err(writeFailure(answer.error));
+    const { status } = answer.value;
+    return status < 300 || status === 404
+      ? Result.ok(undefined)
+      : Result.err(refused(status));
+  }
+
+  close(): void {
+    // Nothing waits for the connections' end: calls under way have failed by then.
+    void this.#caller.close();
+  }
+
+  async #poll(
+    prefix: string,
+    after: bigint,
+    signal: AbortSignal,
+  ): Promise<Result<{ steps: WatchStep[]; revision: bigint }, StoreFailure>> {
+    const { watchWaitMs, watchSlackMs } = this.#options;
+    const query = new URLSearchParams({
+      prefix,
+      after: String(after),
+      wait_ms: String(watchWaitMs),
+    });
+    const answer = await this.#send({
+      method: "GET",
+      path: `${StorePath.watch}?${query}`,
+      callMs: watchWaitMs + watchSlackMs,
+      signal,
+    });
+    if (answer.isErr) return Result.err(readFailure(answer.error));
+    const { status, body } = answer.value;
+    if (status === 410) {
+      return Result.err({ kind: "compacted", oldestRevision: after + 1n });
+    }
+    if (status !== 200) return Result.err(refused(status));
+    return guarded(() => ({
+      steps: items(body, "events").map(readStep),
+      revision: revisionOf(body, "current_rev"),
+    }));
+  }
+
+  async #read(path: string): Promise<Result<CallAnswer, StoreFailure>> {
+    const { callMs } = this.#options;
+    const answer = await this.#send({ method: "GET", path, callMs });
+    if (answer.isErr) return Result.err(readFailure(answer.error));
+    const { status } = answer.value;
+    return status === 200 || status === 404
+      ? Result.ok(answer.value)
+      : Result.err(refused(status));
+  }
+
+  #send(call: Call): Promise<Result<CallAnswer, CallFailure>> {
+    this.#calls++;
+    return this.#caller.send(call);
+  }
+
+  /** The platform deletes single keys only. */
+  async #expandRanges(
+    writes: Write[],
+  ): Promise<Result<Exclude<Write, { kind: "delete_range" }>[], StoreFailure>> {
+    const expanded: Exclude<Write, { kind: "delete_range" }>[] = [];
+    for (const write of writes) {
+      if (write.kind !== "delete_range") {
+        expanded.push(write);
+        continue;
+      }
+      const listing = await this.list("");
+      if (listing.isErr) return Result.err(listing.error);
+      for (const { key } of listing.value.entries) {
+        if (key < write.from || key >= write.to) continue;
+        expanded.push({ kind: "delete", key });
+      }
+    }
+    return Result.ok(expanded);
+  }
+}
+
+function rangePath(prefix: string, after: string): string {
+  const query = new URLSearchParams({ prefix });
+  if (after !== "") query.set("after", after);
+  return `${StorePath.range}?${query}`;
+}
+
+function commitBody(
+  expect: Expectation[],
+  writes: Exclude<Write, { kind: "delete_range" }>[],
+): Json {
+  const puts: Json[] = [];
+  const deletes: string[] = [];
+  for (const write of writes) {
+    if (write.kind === "delete") {
+      deletes.push(write.key);
+      continue;
+    }
+    puts.push({
+      key: write.key,
+      value: Buffer.from(write.value).toString("base64"),
+      lease: Number(write.leaseId ?? 0n),
+    });
+  }
+  return {
+    expected: expect.map(({ key, modRevision }) => ({
+      key,
+      revision: Number(modRevision),
+    })),
+    writes: puts,
+    deletes,
+  };
+}
+
+function readPage(body: Json): {
+  entries: KeyValueEntry[];
+  revision: bigint;
+  hasMore: boolean;
+} {
+  return {
+    entries: items(body, "items").map(readEntry),
+    revision: revisionOf(body, "current_rev"),
+    hasMore: body["more_pages"] === true,
+  };
+}
+
+function readConflict(body: Json): CommitOutcome {
+  const current = items(body, "items")
+    // A key that doesn't exist is listed without a value.
+    .filter((item) => typeof item["value"] === "string")
+    .map(readEntry);
+  const revision = body["current_rev"] === undefined
+    ? current.reduce((max, { modRevision }) =>
+      modRevision > max ? modRevision : max, 0n)
+    : revisionOf(body, "current_rev");
+  return { kind: "conflict", current, revision };
+}
+
+function readStep(event: Json): WatchStep {
+  if (event["deleted"] === true) {
+    const revision = revisionOf(event, "revision");
+    return { kind: "delete", key: String(event["key"]), revision };
+  }
+  return { kind: "put", entry: readEntry(event) };
+}
+
+function readEntry(item: Json): KeyValueEntry {
+  if (typeof item["key"] !== "string" || typeof item["value"] !== "string") {
+    throw new TypeError("Item without key or value");
+  }
+  return {
+    key: item["key"],
+    value: Buffer.from(item["value"], "base64"),
+    modRevision: revisionOf(item, "revision"),
+    createRevision: revisionOf(item, "created"),
+  };
+}
+
+function items(body: Json, name: string): Json[] {
+  const value = body[name];
+  if (Array.isArray(value)) return value as Json[];
+  throw new TypeError(`No list: ${name}`);
+}
+
+function revisionOf(body: Json, name: string): bigint {
+  const value = body[name];
+  if (typeof value === "number" && Number.isSafeInteger(value)) {
+    return BigInt(value);
+  }
+  throw new TypeError(`No whole number: ${name}`);
+}
+
+/** An answer of another form counts as none: of a write, the effect is unknown then. */
+function guarded<T>(read: () => T): Result<T, StoreFailure> {
+  try {
+    return Result.ok(read());
+  } catch (error) {
+    const message = error instanceof Error ? error.message : String(error);
+    return Result.err({ kind: "effect_unknown", message });
+  }
+}
+
+/** The store vouches that a call it refuses has done nothing. */
+function refused(status: number): StoreFailure {
+  return { kind: "unavailable", message: `Refused with status ${status}` };
+}
+
+function readFailure(failure: CallFailure): StoreFailure {
+  return { kind: "unavailable", message: failure.message };
+}
+
+function writeFailure(failure: CallFailure): StoreFailure {
+  const kind = failure.kind === "unreachable"
+    ? "unavailable"
+    : "effect_unknown";
+  return { kind, message: failure.message };
+}
--- a/src/proof/_fleet.ts
+++ b/src/proof/_fleet.ts
@@ -13,7 +13,7 @@
 import { Entry, type EntryOptions, type EntryTuning } from "../entry/mod.ts";
 import type { ClaimsJournal } from "../journal/mod.ts";
 import { PolicyName } from "../placement/policy_name.ts";
-import type { Instance } from "../platform/mod.ts";
+import type { Instance } from "../backends/mod.ts";
 import {
   StandinEngine,
   type StandinEngineOptions,
--- /dev/null
+++ b/src/router/choose.ts
@@ -0,0 +1,198 @@
+/** Chooses the backend server for one attempt of a request. */
+import type { Chain } from "./cache_book.ts";
+import type { Server } from "./server.ts";
+
+/** Ways of choosing; all but `cost` are baselines to compare with. */
+export const ChoiceName = {
+  cost: "cost",
+  leastLoaded: "least_loaded",
+  random: "random",
+} as const;
+
+/** One of {@link ChoiceName}. */
+export type ChoiceName = typeof ChoiceName[keyof typeof ChoiceName];
+
+/** Prompt tokens that an engine reads in a ms: the size sheet of the deployments, 81.9. */
+const READ_TOKENS_PER_MS = 80;
+/** Time to a first token with nothing to read: the sheet's 41 ms and one step. */
+const FIRST_TOKEN_MS = 45;
+/** What one more running request adds to each step, over the steps that a first token waits. */
+const RUNNING_MS = 1.5;
+/** Time to copy a cached token from another server in the same zone: 18.4 KB over 130 Gbit/s. */
+const COPY_MS_PER_TOKEN = 0.0012;
+/** A copy between zones takes twice as long. */
+const FAR_COPY_FACTOR = 2;
+/** Time to set up a copy. */
+const COPY_SETUP_MS = 7;
+/** Copies of less than this are not worth their set-up. */
+const COPY_MIN_TOKENS = 256;
+/** Price of reading a shared token again, against waiting: 1.2 of worth for a thousand tokens. */
+const REREAD_MS_PER_TOKEN = 0.03;
+/** Price of a first token on weights that have been replaced: a fifth of the answer's worth. */
+const OLD_WEIGHTS_MS = 250;
+/** Round trip to another zone, beside the same zone. */
+const FAR_MS = 2;
+/** Price of each recent failure at the server. */
+const FAILURE_MS = 150;
+/** Price of a server that can't be reached; chosen only if there is no other. */
+const DOWN_MS = 20_000;
+/** Price of a server that takes nothing new because its weights change. */
+const HELD_BACK_MS = 10_000;
+/** Time that a plain call takes before anything is known: the sheets' 21 to 86 ms. */
+const PLAIN_CALL_MS = 60;
+
+/** What is to be placed. */
+export interface Placement {
+  servers: Server[];
+  zone: string;
+  nowMs: number;
+  /** Servers that this request was sent to before. */
+  tried: ReadonlySet<string>;
+  /** Left out for plain calls. */
+  prompt?: PromptPlacement;
+  random: () => number;
+  choice: ChoiceName;
+}
+
+/** A prompt that is to be placed. */
+export interface PromptPlacement {
+  model: string;
+  promptTokens: number;
+  /** The chain as a server with these weights keeps it. */
+  chainFor(weightsVersion: number): Chain;
+  /** Newest version of the weights that is to be used. */
+  wantedVersion: number;
+}
+
+/** Where a request goes, and what is expected there. */
+export interface Choice {
+  server: Server;
+  /** Expected time to the first byte of the answer. */
+  expectedMs: number;
+  /** Tokens that the server has to read. */
+  uncachedTokens: number;
+  weightsVersion?: number;
+  chain?: Chain;
+  /** A server whose cache has more of the prompt. */
+  copyFrom?: Server;
+}
+
+interface Candidate extends Choice {
+  score: number;
+}
+
+/**
+ * @param placement The request and the servers that may take it.
+ * @returns The server with the lowest expected cost, or nothing if there is none.
+ */
+export function choose(placement: Placement): Choice | undefined {
+  let best: Candidate | undefined;
+  for (const server of placement.servers) {
+    if (placement.tried.has(server.id)) continue;
+    const candidate = placement.prompt
+      ? weighPrompt(placement, placement.prompt, { server })
+      : weighCall(placement, server);
+    if (!best || candidate.score < best.score) best = candidate;
+  }
+  return best;
+}
+
+function weighCall(placement: Placement, server: Server): Candidate {
+  const { nowMs } = placement;
+  const { running } = server.load(nowMs);
+  const slots = Math.max(1, server.entry.slots);
+  const workMs = PLAIN_CALL_MS * server.health.slowness(nowMs);
+  const queued = Math.max(0, running + 1 - slots);
+  const expectedMs = workMs * (1 + queued / slots + running / (10 * slots));
+  return {
+    server,
+    expectedMs,
+    uncachedTokens: 0,
+    score: scoreOf(placement, server, expectedMs + running),
+  };
+}
+
+function weighPrompt(
+  placement: Placement,
+  prompt: PromptPlacement,
+  { server }: { server: Server },
+): Candidate {
+  const { nowMs } = placement;
+  const weightsVersion = server.weights(prompt.model) ?? prompt.wantedVersion;
+  const chain = prompt.chainFor(weightsVersion);
+  const cached = server.cache.cachedTokens(chain);
+  const copy = findCopy(placement, chain, { server, cached });
+  const held = copy ? copy.tokens : cached;
+  const uncachedTokens = Math.max(0, prompt.promptTokens - held);
+  const load = server.load(nowMs);
+  const readMs = (load.pendingTokens + uncachedTokens) / READ_TOKENS_PER_MS;
+  const expectedMs = server.health.slowness(nowMs) *
+      (FIRST_TOKEN_MS + readMs + load.running * RUNNING_MS) +
+    (copy?.copyMs ?? 0);
+  const reread = Math.max(0, sharedTokens(chain) - held);
+  const oldMs = weightsVersion < prompt.wantedVersion ? OLD_WEIGHTS_MS : 0;
+  const price = reread * REREAD_MS_PER_TOKEN + oldMs;
+  return {
+    server,
+    expectedMs,
+    uncachedTokens,
+    weightsVersion,
+    chain,
+    copyFrom: copy?.source,
+    score: scoreOf(placement, server, expectedMs + price),
+  };
+}
+
+function scoreOf(placement: Placement, server: Server, costMs: number): number {
+  const { nowMs, choice, random } = placement;
+  const isFar = server.entry.zone !== placement.zone;
+  const avoidMs = (server.health.isDown(nowMs) ? DOWN_MS : 0) +
+    (server.isHeldBack(nowMs) ? HELD_BACK_MS : 0) +
+    server.health.failures(nowMs) * FAILURE_MS;
+  switch (choice) {
+    case ChoiceName.cost:
+      return costMs + avoidMs + (isFar ? FAR_MS : 0) + random();
+    case ChoiceName.leastLoaded:
+      return server.load(nowMs).running + avoidMs + random();
+    case ChoiceName.random:
+      return avoidMs + random();
+  }
+}
+
+interface Copy {
+  source: Server;
+  /** Leading tokens that the source is expected to have. */
+  tokens: number;
+  copyMs: number;
+}
+
+/** The server of the same weights whose cache has most of the chain. */
+function findCopy(
+  placement: Placement,
+  chain: Chain,
+  target: { server: Server; cached: number },
+): Copy | undefined {
+  if (placement.choice !== ChoiceName.cost) return undefined;
+  let best: Copy | undefined;
+  for (const source of placement.servers) {
+    if (source === target.server) continue;
+    if (source.health.isDown(placement.nowMs)) continue;
+    const tokens = source.cache.cachedTokens(chain);
+    if (tokens < target.cached + COPY_MIN_TOKENS) continue;
+    if (best && tokens <= best.tokens) continue;
+    const isFar = source.entry.zone !== target.server.entry.zone;
+    const copyMs = COPY_SETUP_MS + (tokens - target.cached) *
+        COPY_MS_PER_TOKEN * (isFar ? FAR_COPY_FACTOR : 1);
+    best = { source, tokens, copyMs };
+  }
+  return best;
+}
+
+/** The last part belongs to the request alone. */
+function sharedTokens(chain: Chain): number {
+  let tokens = 0;
+  for (let i = 0; i < chain.parts.length - 1; i++) {
+    tokens += chain.parts[i]!.tokens;
+  }
+  return tokens;
+}
--- /dev/null
+++ b/src/router/control.ts
@@ -0,0 +1,92 @@
+/** The control address: other entries, metrics and the state dump. */
+import { createServer, type Server as HttpServer } from "node:http";
+import { RELAY_PATH } from "./relay.ts";
+import type { SocketAddress } from "./settings.ts";
+
+/** What the control address serves. */
+export interface ControlOptions {
+  /** What a peer lacks beyond a revision, as JSON. */
+  relay(after: bigint): string;
+  /** Prometheus text. */
+  metrics(): string;
+  /** State of the process. */
+  state(): unknown;
+}
+
+/** Path of the metrics. */
+export const METRICS_PATH = "/metrics";
+/** Path of the state dump. */
+export const STATE_PATH = "/state";
+
+/**
+ * @param address Where to listen.
+ * @param options What to serve.
+ * @returns The server, once it listens.
+ */
+export function serveControl(
+  address: SocketAddress,
+  options: ControlOptions,
+): Promise<HttpServer> {
+  const server = createServer((request, response) => {
+    const url = new URL(request.url ?? "/", "http://control");
+    const answer = answerOf(url, options);
+    response.writeHead(answer ? 200 : 404, {
+      "content-type": answer?.type ?? "text/plain",
+    });
+    response.end(answer?.text ?? "");
+  });
+  return listen(server, address);
+}
+
+/**
+ * @param address Where to listen.
+ * @param path The balancer's path.
+ * @param isReady Asked at each request.
+ * @returns The server, once it listens.
+ */
+export function serveReadiness(
+  address: SocketAddress,
+  path: string,
+  { isReady }: { isReady: () => boolean },
+): Promise<HttpServer> {
+  const server = createServer((request, response) => {
+    const isKnown = request.url === path;
+    response.writeHead(!isKnown ? 404 : isReady() ? 200 : 503);
+    response.end();
+  });
+  return listen(server, address);
+}
+
+interface Text {
+  type: string;
+  text: string;
+}
+
+function answerOf(url: URL, options: ControlOptions): Text | undefined {
+  switch (url.pathname) {
+    case RELAY_PATH: {
+      const after = url.searchParams.get("after") ?? "0";
+      if (!/^\d+$/.test(after)) return undefined;
+      return { type: "application/json", text: options.relay(BigInt(after)) };
+    }
+    case METRICS_PATH:
+      return { type: "text/plain; version=0.0.4", text: options.metrics() };
+    case STATE_PATH:
+      return {
+        type: "application/json",
+        text: JSON.stringify(options.state()),
+      };
+    default:
+      return undefined;
+  }
+}
+
+function listen(
+  server: HttpServer,
+  address: SocketAddress,
+): Promise<HttpServer> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(address.port, address.ipAddress, () => resolve(server));
+  });
+}
--- /dev/null
+++ b/src/router/fleet.ts
@@ -0,0 +1,133 @@
+/** The backend servers that are known, by id and by service. */
+import type { Clock, Logger } from "../base/mod.ts";
+import type { BackendServer } from "./model.ts";
+import { Server, type ServerOptions } from "./server.ts";
+
+/**
+ * A registration that lapsed in an outage of the store is written again within about two seconds
+ * of its end; the rest covers the way here.
+ */
+const LAPSED_KEPT_MS = 2500;
+
+/** What a {@link Fleet} works with. */
+export interface FleetOptions {
+  clock: Clock;
+  log: Logger;
+  /** Settings of a server of this service. */
+  serverOptions(service: string): ServerOptions;
+  /** Whether registrations may be missing that are about to be written again. */
+  isRecovering(): boolean;
+}
+
+/** All backend servers. */
+export class Fleet {
+  readonly #options: FleetOptions;
+  readonly #servers = new Map<string, Server>();
+  /** Servers whose registration is gone and may come back, with the time it went. */
+  readonly #lapsedAtMs = new Map<string, number>();
+
+  private constructor(options: FleetOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * @param options Clock and settings.
+   * @returns A fleet without servers.
+   */
+  static create(options: FleetOptions): Fleet {
+    return new Fleet(options);
+  }
+
+  /** All servers, those included that take nothing new. */
+  all(): IterableIterator<Server> {
+    return this.#servers.values();
+  }
+
+  /**
+   * @param id A server's id.
+   * @returns The server, if it is known.
+   */
+  get(id: string): Server | undefined {
+    return this.#servers.get(id);
+  }
+
+  /**
+   * @param service Name of a service.
+   * @returns Its servers that take new requests.
+   */
+  open(service: string): Server[] {
+    const open: Server[] = [];
+    for (const server of this.#servers.values()) {
+      const { entry } = server;
+      if (entry.service !== service || entry.draining) continue;
+      open.push(server);
+    }
+    return open;
+  }
+
+  /** @param entry A registration, new or changed. */
+  put(entry: BackendServer): void {
+    this.#lapsedAtMs.delete(entry.id);
+    const known = this.#servers.get(entry.id);
+    if (known && known.entry.address === entry.address) {
+      this.#tellDraining(known, entry);
+      known.update(entry);
+      return;
+    }
+    const options = this.#options.serverOptions(entry.service);
+    this.#servers.set(entry.id, Server.create(entry, options));
+    const { id: server, service, address, draining } = entry;
+    this.#options.log.info({
+      event: "server_joined",
+      server,
+      service,
+      address,
+      draining,
+    });
+  }
+
+  /**
+   * A registration is gone. Around an outage of the store it may only have lapsed.
+   *
+   * @param id The server's id.
+   */
+  remove(id: string): void {
+    if (!this.#servers.has(id)) return;
+    if (this.#options.isRecovering()) {
+      this.#lapsedAtMs.set(id, this.#options.clock.nowMs());
+      return;
+    }
+    this.drop(id, "registration_gone");
+  }
+
+  /**
+   * Forgets a server.
+   *
+   * @param id The server's id.
+   * @param reason Why, for the log.
+   */
+  drop(id: string, reason: string): void {
+    const server = this.#servers.get(id);
+    if (!server) return;
+    this.#servers.delete(id);
+    this.#lapsedAtMs.delete(id);
+    server.channels.closeIdle();
+    this.#options.log.info({ event: "server_left", server: id, reason });
+  }
+
+  /** Forgets servers whose registration lapsed in an outage and did not come back. */
+  sweep(): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const [id, atMs] of this.#lapsedAtMs) {
+      // While the store is away nothing can be written again.
+      const isAway = this.#options.isRecovering();
+      if (nowMs - atMs < LAPSED_KEPT_MS || isAway) continue;
+      this.drop(id, "registration_lapsed");
+    }
+  }
+
+  #tellDraining(known: Server, entry: BackendServer): void {
+    if (!entry.draining || known.entry.draining) return;
+    this.#options.log.info({ event: "server_draining", server: entry.id });
+  }
+}
--- /dev/null
+++ b/src/router/ingress.ts
@@ -0,0 +1,329 @@
+/**
+ * Takes clients' requests. The server is Node's own, which h3 builds on: paths and headers go to
+ * backend servers byte by byte, and a router over parsed URLs would change them.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server as HttpServer,
+  type ServerResponse,
+} from "node:http";
+import type { Clock } from "../base/mod.ts";
+import { readRequest, retryHeaders } from "../platform/mod.ts";
+import {
+  type AnswerSink,
+  type RoutedRequest,
+  type Served,
+  retryAfterMs,
+} from "./dispatch.ts";
+import type { RequestFacts, Route, ServiceShare } from "./model.ts";
+import type { RoutingTable } from "./routing_table.ts";
+
+/** Largest header section that is parsed at all; the configured bound is checked behind it. */
+const PARSED_HEADER_BYTES = 64 * 1024;
+/** Time that an answer needs to reach the client before its deadline. */
+const ANSWER_MARGIN_MS = 15;
+/** Without contact for longer, a route or key that isn't known may be a new one. */
+const SURE_MS = 4000;
+/** Clients come back this soon where no configuration is known yet. */
+const NOT_READY_LEFT_MS = 1500;
+/** Time from a stop until no connection is taken: two readiness questions missed, and a bit. */
+const LISTEN_ON_MS = 2600;
+/** Pause between looks at whether all requests are over. */
+const DRAIN_POLL_MS = 50;
+
+/** Why the router answered by itself. */
+export type LocalAnswer =
+  | "not_ready"
+  | "unknown_route"
+  | "unknown_key"
+  | "too_large"
+  | "unsure";
+
+/** What an {@link Ingress} works with. */
+export interface IngressOptions {
+  clock: Clock;
+  random: () => number;
+  /** The configuration in force, once one is known. */
+  table(): RoutingTable | undefined;
+  /** Time since the configuration was known to be the newest. */
+  knowledgeAgeMs(): number;
+  serve(request: RoutedRequest, sink: AnswerSink): Promise<Served>;
+  /** A request is over. */
+  onServed(request: RoutedRequest, served: Served): void;
+  /** The router answered a request by itself. */
+  onLocal(facts: RequestFacts, answer: LocalAnswer): void;
+}
+
+/** The address that clients connect to. */
+export class Ingress {
+  readonly #options: IngressOptions;
+  readonly #server: HttpServer;
+  #isDraining = false;
+  #active = 0;
+
+  private constructor(options: IngressOptions) {
+    this.#options = options;
+    this.#server = createServer(
+      { maxHeaderSize: PARSED_HEADER_BYTES, noDelay: true, keepAlive: true },
+      (request, response) => void this.#handle(request, response),
+    );
+    this.#server.requestTimeout = 0;
+  }
+
+  /**
+   * @param options Configuration and what serves requests.
+   * @returns An ingress that does not listen yet.
+   */
+  static create(options: IngressOptions): Ingress {
+    return new Ingress(options);
+  }
+
+  /** Requests under way. */
+  get active(): number {
+    return this.#active;
+  }
+
+  /** Whether a stop has begun. */
+  get draining(): boolean {
+    return this.#isDraining;
+  }
+
+  /**
+   * @param ipAddress Where to listen.
+   * @param port Where to listen.
+   */
+  async listen(ipAddress: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, ipAddress, 1024, resolve);
+    });
+  }
+
+  /** Puts the configured limits in force for connections. */
+  applyLimits(): void {
+    const limits = this.#options.table()?.limits;
+    if (!limits) return;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+  }
+
+  /**
+   * Ends in order: connections are taken until the balancer has noticed, requests are answered, and
+   * what is left at the end is broken off.
+   *
+   * @param graceMs Time for all of it.
+   */
+  async drain(graceMs: number): Promise<void> {
+    const { clock } = this.#options;
+    const endMs = clock.nowMs() + graceMs;
+    this.#isDraining = true;
+    await clock.sleep(Math.min(LISTEN_ON_MS, graceMs));
+    const closed = new Promise((resolve) => this.#server.close(resolve));
+    while (this.#active > 0 && clock.nowMs() < endMs) {
+      await clock.sleep(DRAIN_POLL_MS);
+    }
+    this.#server.closeAllConnections();
+    await closed;
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const arrivedAtMs = this.#options.clock.nowMs();
+    this.#active++;
+    response.once("close", () => this.#active--);
+    response.sendDate = false;
+    const facts = readRequest(request);
+    const sink = new ResponseSink(response, () => this.#isDraining);
+    request.on("error", () => {
+      // The client has gone: the response's end says so to whoever serves the request.
+    });
+    const table = this.#options.table();
+    const maxBytes = table?.limits.bodyBytes ?? 0;
+    const body = await readBody(request, table ? maxBytes : Infinity);
+    if (body.kind === "cut") return;
+    if (!table) return this.#refuse(facts, sink, "not_ready");
+    if (body.kind === "too_large") {
+      response.shouldKeepAlive = false;
+      return this.#answer(facts, sink, { status: 413, why: "too_large" });
+    }
+    // A newer version may have come while the body did.
+    const inForce = this.#options.table() ?? table;
+    const routed = this.#route(facts, inForce);
+    if (routed.kind === "refused") {
+      return this.#deny(facts, sink, routed.why);
+    }
+    const timeLeftMs = Math.min(
+      (facts.deadlineMs ?? Infinity) - ANSWER_MARGIN_MS,
+      routed.route.timeoutMs,
+    );
+    const ready: RoutedRequest = {
+      facts,
+      route: routed.route,
+      service: pickService(routed.route.shares, this.#options.random),
+      workspace: routed.workspace,
+      rawHeaders: request.rawHeaders,
+      body: body.bytes,
+      arrivedAtMs,
+      answerByMs: arrivedAtMs + timeLeftMs,
+    };
+    const served = await this.#options.serve(ready, sink);
+    this.#options.onServed(ready, served);
+  }
+
+  #route(facts: RequestFacts, table: RoutingTable): Routed {
+    const route = table.findRoute(facts.host, facts.target);
+    if (!route) return { kind: "refused", why: "unknown_route" };
+    const who = table.authenticate(route, facts.key);
+    switch (who.kind) {
+      case "unknown_key":
+        return { kind: "refused", why: "unknown_key" };
+      case "anonymous":
+        return { kind: "routed", route };
+      case "workspace":
+        return { kind: "routed", route, workspace: who.workspace };
+    }
+  }
+
+  /** Says that a route or key doesn't exist only if a newer configuration can't have brought it. */
+  #deny(
+    facts: RequestFacts,
+    sink: AnswerSink,
+    why: "unknown_route" | "unknown_key",
+  ): void {
+    if (this.#options.knowledgeAgeMs() > SURE_MS) {
+      return this.#refuse(facts, sink, "unsure");
+    }
+    const status = why === "unknown_route" ? 404 : 401;
+    this.#answer(facts, sink, { status, why });
+  }
+
+  #refuse(
+    facts: RequestFacts,
+    sink: AnswerSink,
+    why: "not_ready" | "unsure",
+  ): void {
+    const leftMs = Math.min(facts.deadlineMs ?? Infinity, NOT_READY_LEFT_MS);
+    const pauseMs = retryAfterMs(leftMs, this.#options.random);
+    sink.send(503, retryHeaders(pauseMs), Buffer.alloc(0));
+    this.#options.onLocal(facts, why);
+  }
+
+  #answer(
+    facts: RequestFacts,
+    sink: AnswerSink,
+    { status, why }: { status: number; why: LocalAnswer },
+  ): void {
+    sink.send(status, [], Buffer.alloc(0));
+    this.#options.onLocal(facts, why);
+  }
+}
+
+type Routed =
+  | { kind: "routed"; route: Route; workspace?: RoutedRequest["workspace"] }
+  | { kind: "refused"; why: "unknown_route" | "unknown_key" };
+
+type ReadBody =
+  | { kind: "whole"; bytes: Buffer | undefined }
+  | { kind: "too_large" }
+  /** The client went before the end. */
+  | { kind: "cut" };
+
+/** Reads a whole body, so that it can be sent once more; bodies are bounded by the configuration. */
+function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<ReadBody> {
+  const hasBody = request.headers["content-length"] !== undefined ||
+    request.headers["transfer-encoding"] !== undefined;
+  if (!hasBody) return Promise.resolve({ kind: "whole", bytes: undefined });
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    request.on("data", (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > maxBytes) resolve({ kind: "too_large" });
+      else chunks.push(chunk);
+    });
+    request.once(
+      "end",
+      () => resolve({ kind: "whole", bytes: Buffer.concat(chunks) }),
+    );
+    request.once("close", () => resolve({ kind: "cut" }));
+  });
+}
+
+function pickService(shares: ServiceShare[], random: () => number): string {
+  const total = shares.reduce((sum, { weight }) => sum + weight, 0);
+  let left = random() * total;
+  for (const { service, weight } of shares) {
+    left -= weight;
+    if (left < 0) return service;
+  }
+  return shares.at(-1)!.service;
+}
+
+/** An answer to a client. */
+class ResponseSink implements AnswerSink {
+  readonly #response: ServerResponse;
+  readonly #isDraining: () => boolean;
+  #gone = false;
+
+  constructor(response: ServerResponse, isDraining: () => boolean) {
+    this.#response = response;
+    this.#isDraining = isDraining;
+    response.once("close", () => {
+      if (!response.writableFinished) this.#gone = true;
+    });
+    response.on("error", () => {
+      this.#gone = true;
+    });
+  }
+
+  get gone(): boolean {
+    return this.#gone;
+  }
+
+  onGone(listener: () => void): void {
+    if (this.#gone) return listener();
+    this.#response.once("close", () => {
+      if (this.#gone) listener();
+    });
+  }
+
+  begin(status: number, headers: string[]): void {
+    this.#head(status, headers);
+  }
+
+  async write(bytes: Buffer): Promise<void> {
+    if (this.#gone || this.#response.write(bytes)) return;
+    await new Promise<void>((resolve) => {
+      this.#response.once("drain", resolve);
+      this.#response.once("close", resolve);
+    });
+  }
+
+  end(): void {
+    this.#response.end();
+  }
+
+  breakOff(): void {
+    this.#response.destroy();
+  }
+
+  send(status: number, headers: string[], body: Buffer): void {
+    if (this.#gone) return;
+    // A body that must not be there must not be announced either.
+    const isBodiless = status === 204 || status === 304;
+    const length = isBodiless ? [] : ["content-length", String(body.length)];
+    this.#head(status, [...headers, ...length]);
+    this.#response.end(body);
+  }
+
+  #head(status: number, headers: string[]): void {
+    if (this.#isDraining()) this.#response.shouldKeepAlive = false;
+    this.#response.writeHead(status, headers);
+  }
+}
--- /dev/null
+++ b/src/router/mirror.ts
@@ -0,0 +1,180 @@
+/**
+ * A process's copy of the platform's store, kept by a watch and by what other entries pass on. It
+ * never goes back: what is older than what it holds is ignored.
+ */
+import type { Clock } from "../base/mod.ts";
+import type { KeyValueEntry, Listing, WatchStep } from "../store/store.ts";
+
+/** Steps that are kept for peers that are a little behind; a peer further behind gets it all. */
+const KEPT_STEPS = 2000;
+
+/** A change of one key. */
+export type MirrorChange =
+  | { kind: "put"; entry: KeyValueEntry }
+  | { kind: "delete"; key: string; revision: bigint };
+
+/** Called for each change, in order. */
+export type ChangeListener = (change: MirrorChange) => void;
+
+/** What a peer needs to catch up. */
+export type Catchup =
+  | { kind: "steps"; revision: bigint; changes: MirrorChange[] }
+  | { kind: "all"; revision: bigint; entries: KeyValueEntry[] };
+
+/** Keys and values up to one revision of the store. */
+export class StoreMirror {
+  readonly #clock: Clock;
+  readonly #entries = new Map<string, KeyValueEntry>();
+  readonly #steps: MirrorChange[] = [];
+  readonly #listeners: ChangeListener[] = [];
+  /** Revision below which steps are no longer kept. */
+  #stepsFrom = 0n;
+  #revision = 0n;
+  #confirmedAtMs = -Infinity;
+
+  private constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /**
+   * @param clock Tells the age of what is known.
+   * @returns A mirror that knows nothing yet.
+   */
+  static create(clock: Clock): StoreMirror {
+    return new StoreMirror(clock);
+  }
+
+  /** Store revision up to which everything is known; 0: nothing is. */
+  get revision(): bigint {
+    return this.#revision;
+  }
+
+  /** Time since the store, or a peer that had just heard from it, vouched for the copy. */
+  get ageMs(): number {
+    return this.#clock.nowMs() - this.#confirmedAtMs;
+  }
+
+  /** @param listener Called for each change from now on. */
+  onChange(listener: ChangeListener): void {
+    this.#listeners.push(listener);
+  }
+
+  /**
+   * @param prefix Prefix of the keys.
+   * @returns The entries that are known.
+   */
+  entries(prefix: string): KeyValueEntry[] {
+    return [...this.#entries.values()].filter(({ key }) =>
+      key.startsWith(prefix)
+    );
+  }
+
+  /**
+   * Takes a whole list of the store: keys that it lacks are gone.
+   *
+   * @param listing The list.
+   * @param ageMs Its age.
+   */
+  replace(listing: Listing, ageMs = 0): void {
+    if (listing.revision < this.#revision) return;
+    const listed = new Set(listing.entries.map(({ key }) => key));
+    for (const [key, { modRevision }] of this.#entries) {
+      if (listed.has(key) || modRevision > listing.revision) continue;
+      this.#apply({ kind: "delete", key, revision: listing.revision });
+    }
+    for (const entry of listing.entries) this.#apply({ kind: "put", entry });
+    this.#revision = listing.revision;
+    // What lies between the last step and the list isn't known step by step.
+    this.#steps.length = 0;
+    this.#stepsFrom = listing.revision;
+    this.confirm(listing.revision, ageMs);
+  }
+
+  /**
+   * Takes one step of a watch.
+   *
+   * @param step The step; steps come in the order of their revisions.
+   */
+  follow(step: WatchStep): void {
+    switch (step.kind) {
+      case "progress":
+        this.#advance(step.revision);
+        this.confirm(step.revision, 0);
+        return;
+      case "put":
+        this.#step({ kind: "put", entry: step.entry }, step.entry.modRevision);
+        return;
+      case "delete":
+        this.#step(step, step.revision);
+        return;
+    }
+  }
+
+  /**
+   * Notes that all steps up to a revision were taken.
+   *
+   * @param revision The revision.
+   * @param ageMs How long ago it was the store's own.
+   */
+  catchUpTo(revision: bigint, ageMs: number): void {
+    this.#advance(revision);
+    this.confirm(revision, ageMs);
+  }
+
+  /**
+   * Notes that the copy was all there was a while ago.
+   *
+   * @param revision Revision of the store at that time.
+   * @param ageMs How long ago.
+   */
+  confirm(revision: bigint, ageMs: number): void {
+    if (revision > this.#revision) return;
+    const atMs = this.#clock.nowMs() - ageMs;
+    if (atMs > this.#confirmedAtMs) this.#confirmedAtMs = atMs;
+  }
+
+  /**
+   * @param after Revision that a peer has.
+   * @returns What the peer lacks.
+   */
+  catchup(after: bigint): Catchup {
+    const revision = this.#revision;
+    if (after < this.#stepsFrom) {
+      return { kind: "all", revision, entries: [...this.#entries.values()] };
+    }
+    const changes = this.#steps.filter((step) => revisionOf(step) > after);
+    return { kind: "steps", revision, changes };
+  }
+
+  #step(change: MirrorChange, revision: bigint): void {
+    // One commit may change several keys at one revision: equal ones are compared key by key.
+    if (revision < this.#revision) return;
+    this.#apply(change);
+    this.#steps.push(change);
+    if (this.#steps.length > KEPT_STEPS) {
+      this.#stepsFrom = revisionOf(this.#steps.shift()!);
+    }
+    this.#advance(revision);
+  }
+
+  #advance(revision: bigint): void {
+    if (revision > this.#revision) this.#revision = revision;
+  }
+
+  #apply(change: MirrorChange): void {
+    if (change.kind === "put") {
+      const known = this.#entries.get(change.entry.key);
+      if (known && known.modRevision >= change.entry.modRevision) return;
+      this.#entries.set(change.entry.key, change.entry);
+    } else {
+      const known = this.#entries.get(change.key);
+      if (!known || known.modRevision > change.revision) return;
+      this.#entries.delete(change.key);
+    }
+    for (const listener of this.#listeners) listener(change);
+  }
+}
+
+function revisionOf(change: MirrorChange): bigint {
+  return change.kind === "put" ? change.entry.modRevision : change.revision;
+}
--- /dev/null
+++ b/src/router/peers.ts
@@ -0,0 +1,240 @@
+/**
+ * What entries tell each other, by datagrams: how many requests each has under way at each server,
+ * which prompts it sent there, which servers are held back, and up to which revision of the store
+ * it knows everything. Datagrams may be lost; nothing that must hold depends on them.
+ */
+import { createSocket, type Socket } from "node:dgram";
+import type { Clock, Logger } from "../base/mod.ts";
+import type { Chain } from "./cache_book.ts";
+import type { Fleet } from "./fleet.ts";
+import type { Server } from "./server.ts";
+
+/** Pause between datagrams while something changes: a tenth of the time to a first token. */
+const TELL_MS = 50;
+/** Longest pause between datagrams. */
+const TELL_IDLE_MS = 400;
+/** A peer that says nothing for this long counts as gone. */
+const PEER_GONE_MS = 3000;
+/** A datagram stays below the usual size of a packet; prompts beyond it wait for the next. */
+const MAX_PROMPTS = 12;
+/** Prompts that wait to be told; the oldest are left out beyond it. */
+const MAX_QUEUED_PROMPTS = 100;
+/** A server is held back by a peer's word for this long after the last time it was said. */
+const HELD_BACK_MS = 1000;
+
+/** What a {@link Peers} works with. */
+export interface PeersOptions {
+  name: string;
+  ipAddress: string;
+  port: number;
+  clock: Clock;
+  log: Logger;
+  fleet: Fleet;
+  /** IP numbers of entries that may exist. */
+  knownAddresses(): string[];
+  /** Up to which revision of the store this entry knows everything, and how old that is. */
+  knowledge(): Knowledge;
+  /** A peer told of its own knowledge. */
+  onKnowledge(ipAddress: string, knowledge: Knowledge): void;
+}
+
+/** Up to which revision of the store a process knows everything. */
+export interface Knowledge {
+  revision: bigint;
+  ageMs: number;
+}
+
+/** One datagram. */
+interface Told {
+  name: string;
+  revision: string;
+  ageMs: number;
+  /** Server, pending tokens, requests under way. */
+  loads: [string, number, number][];
+  /** Server, salt, and the parts with their tokens. */
+  prompts: [string, string, [string, number][]][];
+  /** Servers that are to get nothing new. */
+  heldBack: string[];
+  /** Server, model, version: weights that were seen there. */
+  weights: [string, string, number][];
+}
+
+/** Tells other entries, and takes in what they tell. */
+export class Peers {
+  readonly #options: PeersOptions;
+  readonly #socket: Socket;
+  readonly #heardAtMs = new Map<string, number>();
+  readonly #prompts: Told["prompts"] = [];
+  readonly #weights: Told["weights"] = [];
+  #heldBack: () => string[] = () => [];
+  #lastText = "";
+  #lastAtMs = -Infinity;
+
+  private constructor(options: PeersOptions) {
+    this.#options = options;
+    this.#socket = createSocket("udp4");
+  }
+
+  /**
+   * @param options Address and what to tell of.
+   * @returns Peers that are not told anything yet.
+   */
+  static create(options: PeersOptions): Peers {
+    return new Peers(options);
+  }
+
+  /** Entries that live, this one included. */
+  get count(): number {
+    const nowMs = this.#options.clock.nowMs();
+    let count = 1;
+    for (const atMs of this.#heardAtMs.values()) {
+      if (nowMs - atMs < PEER_GONE_MS) count++;
+    }
+    return count;
+  }
+
+  /** @param heldBack Servers that every entry is to hold back. */
+  tellHeldBack(heldBack: () => string[]): void {
+    this.#heldBack = heldBack;
+  }
+
+  /**
+   * @param server Where a prompt was sent.
+   * @param chain Its parts.
+   */
+  tellPrompt(server: Server, chain: Chain): void {
+    const parts = chain.parts.map(({ id, tokens }): [string, number] => [
+      id,
+      tokens,
+    ]);
+    this.#prompts.push([server.id, chain.salt, parts]);
+    if (this.#prompts.length > MAX_QUEUED_PROMPTS) this.#prompts.shift();
+  }
+
+  /**
+   * @param serverId A server.
+   * @param model A model.
+   * @param version Version of its weights there.
+   */
+  tellWeights(serverId: string, model: string, version: number): void {
+    this.#weights.push([serverId, model, version]);
+  }
+
+  /** @param signal Ends the work. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { port, ipAddress, clock, log } = this.#options;
+    this.#socket.on("message", (bytes, from) => {
+      this.#hear(bytes, from.address);
+    });
+    this.#socket.on("error", (error) => {
+      log.warn({ event: "peer_socket_failed", reason: error.message });
+    });
+    this.#socket.bind(port, ipAddress);
+    while (!signal.aborted) {
+      this.#tell();
+      await clock.sleep(TELL_MS, signal);
+    }
+    this.#socket.close();
+  }
+
+  #tell(): void {
+    const { clock } = this.#options;
+    const told = this.#compose();
+    const text = JSON.stringify(told);
+    // The age alone is no news.
+    const news = JSON.stringify({ ...told, ageMs: 0 });
+    const nowMs = clock.nowMs();
+    const isNews = news !== this.#lastText;
+    if (!isNews && nowMs - this.#lastAtMs < TELL_IDLE_MS) return;
+    this.#lastText = news;
+    this.#lastAtMs = nowMs;
+    const bytes = Buffer.from(text);
+    for (const address of this.#addresses()) {
+      this.#socket.send(bytes, this.#options.port, address, (error) => {
+        if (error) this.#sendFailed(error);
+      });
+    }
+  }
+
+  /** A datagram that can't be sent is like one that is lost. */
+  #sendFailed(error: Error): void {
+    this.#options.log.debug({
+      event: "peer_not_told",
+      reason: error.message,
+    });
+  }
+
+  #compose(): Told {
+    const { name, fleet, knowledge } = this.#options;
+    const { revision, ageMs } = knowledge();
+    const loads: Told["loads"] = [];
+    for (const { id, ownLoad } of fleet.all()) {
+      if (ownLoad.running === 0) continue;
+      loads.push([id, ownLoad.pendingTokens, ownLoad.running]);
+    }
+    return {
+      name,
+      revision: String(revision),
+      ageMs: Math.round(Math.min(ageMs, Number.MAX_SAFE_INTEGER)),
+      loads,
+      prompts: this.#prompts.splice(0, MAX_PROMPTS),
+      heldBack: this.#heldBack(),
+      weights: this.#weights.splice(0),
+    };
+  }
+
+  #addresses(): Set<string> {
+    const { knownAddresses, ipAddress } = this.#options;
+    const addresses = new Set([
+      ...knownAddresses(),
+      ...this.#heardAtMs.keys(),
+    ]);
+    addresses.delete(ipAddress);
+    return addresses;
+  }
+
+  #hear(bytes: Buffer, ipAddress: string): void {
+    let told: Told;
+    try {
+      told = JSON.parse(bytes.toString());
+    } catch {
+      this.#options.log.warn({ event: "peer_malformed", peer: ipAddress });
+      return;
+    }
+    const nowMs = this.#options.clock.nowMs();
+    if (!this.#heardAtMs.has(ipAddress)) {
+      this.#options.log.info({ event: "peer_met", peer: told.name });
+    }
+    this.#heardAtMs.set(ipAddress, nowMs);
+    this.#take(told, nowMs);
+    const revision = BigInt(told.revision);
+    this.#options.onKnowledge(ipAddress, { revision, ageMs: told.ageMs });
+  }
+
+  #take(told: Told, nowMs: number): void {
+    const { fleet } = this.#options;
+    const loads = new Map(
+      told.loads.map(([id, pendingTokens, running]) => [
+        id,
+        { pendingTokens, running },
+      ]),
+    );
+    for (const server of fleet.all()) {
+      const load = loads.get(server.id) ?? { pendingTokens: 0, running: 0 };
+      server.setPeerLoad(told.name, load, nowMs);
+    }
+    for (const [id, salt, parts] of told.prompts) {
+      const chain = {
+        salt,
+        parts: parts.map(([id, tokens]) => ({ id, tokens })),
+      };
+      fleet.get(id)?.cache.use(chain, nowMs);
+    }
+    for (const id of told.heldBack) {
+      fleet.get(id)?.holdBack(nowMs + HELD_BACK_MS);
+    }
+    for (const [id, model, version] of told.weights) {
+      fleet.get(id)?.learnWeights(model, version);
+    }
+  }
+}
--- /dev/null
+++ b/src/router/relay.ts
@@ -0,0 +1,193 @@
+/**
+ * Passes on what this entry knows of the store to entries that the store doesn't serve. A peer that
+ * is behind for a moment catches up by its own watch; only one that stays behind asks.
+ */
+import type { Clock, Logger } from "../base/mod.ts";
+import { HttpCaller } from "../platform/mod.ts";
+import type { KeyValueEntry } from "../store/store.ts";
+import type { Catchup, MirrorChange, StoreMirror } from "./mirror.ts";
+import type { Knowledge } from "./peers.ts";
+
+/** Path of the call, on the control address. */
+export const RELAY_PATH = "/relay";
+/** Time that the own watch has to bring what a peer knows already. */
+const BEHIND_MS = 150;
+/** Time for one call to a peer. */
+const CALL_MS = 1000;
+
+interface WireEntry {
+  key: string;
+  value: string;
+  modRevision: string;
+  createRevision: string;
+}
+
+interface WireDelete {
+  key: string;
+  revision: string;
+}
+
+interface WireCatchup {
+  revision: string;
+  ageMs: number;
+  isAll: boolean;
+  entries: WireEntry[];
+  deletes: WireDelete[];
+}
+
+/** What a {@link RelayReader} works with. */
+export interface RelayOptions {
+  mirror: StoreMirror;
+  clock: Clock;
+  log: Logger;
+  /** Port of the control address, the same on every entry. */
+  controlPort: number;
+}
+
+/**
+ * @param mirror What this entry knows.
+ * @param after Revision that the peer has.
+ * @returns The answer to the peer.
+ */
+export function relayAnswer(mirror: StoreMirror, after: bigint): string {
+  const catchup = mirror.catchup(after);
+  return JSON.stringify(encode(catchup, mirror.ageMs));
+}
+
+/** Catches up by what peers know. */
+export class RelayReader {
+  readonly #options: RelayOptions;
+  #behindSinceMs: number | undefined;
+  #isAsking = false;
+
+  private constructor(options: RelayOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * @param options The copy to keep up.
+   * @returns A reader.
+   */
+  static create(options: RelayOptions): RelayReader {
+    return new RelayReader(options);
+  }
+
+  /**
+   * Takes in how much a peer knows, and asks it if this entry stays behind.
+   *
+   * @param ipAddress The peer.
+   * @param knowledge What it says.
+   */
+  async heard(ipAddress: string, knowledge: Knowledge): Promise<void> {
+    const { mirror, clock } = this.#options;
+    if (knowledge.revision <= mirror.revision) {
+      mirror.confirm(knowledge.revision, knowledge.ageMs);
+      if (knowledge.revision === mirror.revision) {
+        this.#behindSinceMs = undefined;
+      }
+      return;
+    }
+    this.#behindSinceMs ??= clock.nowMs();
+    if (clock.nowMs() - this.#behindSinceMs < BEHIND_MS) return;
+    await this.ask(ipAddress);
+  }
+
+  /**
+   * Asks a peer for what this entry lacks.
+   *
+   * @param ipAddress The peer.
+   * @returns Whether it answered.
+   */
+  async ask(ipAddress: string): Promise<boolean> {
+    if (this.#isAsking) return false;
+    this.#isAsking = true;
+    const { mirror, controlPort, log } = this.#options;
+    const caller = HttpCaller.create(`${ipAddress}:${controlPort}`, CALL_MS);
+    try {
+      const answer = await caller.send({
+        method: "GET",
+        path: `${RELAY_PATH}?after=${mirror.revision}`,
+        callMs: CALL_MS,
+      });
+      if (answer.isErr || answer.value.status !== 200) return false;
+      const before = mirror.revision;
+      apply(mirror, answer.value.body as unknown as WireCatchup);
+      this.#behindSinceMs = undefined;
+      log.info({
+        event: "caught_up_by_peer",
+        peer: ipAddress,
+        from: String(before),
+        to: String(mirror.revision),
+      });
+      return true;
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      log.warn({ event: "peer_malformed", peer: ipAddress, reason });
+      return false;
+    } finally {
+      this.#isAsking = false;
+      await caller.close();
+    }
+  }
+}
+
+function encode(catchup: Catchup, ageMs: number): WireCatchup {
+  const changes: MirrorChange[] = catchup.kind === "steps"
+    ? catchup.changes
+    : catchup.entries.map((entry) => ({ kind: "put", entry }));
+  const entries: WireEntry[] = [];
+  const deletes: WireDelete[] = [];
+  for (const change of changes) {
+    if (change.kind === "put") entries.push(encodeEntry(change.entry));
+    else deletes.push({ key: change.key, revision: String(change.revision) });
+  }
+  return {
+    revision: String(catchup.revision),
+    ageMs: Math.round(Math.min(ageMs, Number.MAX_SAFE_INTEGER)),
+    isAll: catchup.kind === "all",
+    entries,
+    deletes,
+  };
+}
+
+function apply(mirror: StoreMirror, told: WireCatchup): void {
+  const revision = BigInt(told.revision);
+  const entries = told.entries.map(decodeEntry);
+  if (told.isAll) {
+    mirror.replace({ entries, revision }, told.ageMs);
+    return;
+  }
+  const changes: MirrorChange[] = [
+    ...entries.map((entry): MirrorChange => ({ kind: "put", entry })),
+    ...told.deletes.map((row): MirrorChange => ({
+      kind: "delete",
+      key: row.key,
+      revision: BigInt(row.revision),
+    })),
+  ];
+  changes.sort((a, b) => Number(revisionOf(a) - revisionOf(b)));
+  for (const change of changes) mirror.follow(change);
+  mirror.catchUpTo(revision, told.ageMs);
+}
+
+function encodeEntry(entry: KeyValueEntry): WireEntry {
+  return {
+    key: entry.key,
+    value: Buffer.from(entry.value).toString("base64"),
+    modRevision: String(entry.modRevision),
+    createRevision: String(entry.createRevision),
+  };
+}
+
+function decodeEntry(entry: WireEntry): KeyValueEntry {
+  return {
+    key: entry.key,
+    value: Buffer.from(entry.value, "base64"),
+    modRevision: BigInt(entry.modRevision),
+    createRevision: BigInt(entry.createRevision),
+  };
+}
+
+function revisionOf(change: MirrorChange): bigint {
+  return change.kind === "put" ? change.entry.modRevision : change.revision;
+}
--- /dev/null
+++ b/src/router/router.ts
@@ -0,0 +1,366 @@
+/** One router process: everything it runs, put together. */
+import {
+  type Clock,
+  Lifecycle,
+  type Logger,
+  Metrics,
+  systemClock,
+} from "../base/mod.ts";
+import {
+  decodeFact,
+  decodeRemoval,
+  PlatformStore,
+  READINESS_PATH,
+} from "../platform/mod.ts";
+import { serveControl, serveReadiness } from "./control.ts";
+import { Dispatcher } from "./dispatch.ts";
+import { Fleet } from "./fleet.ts";
+import { StoreFollower } from "./follower.ts";
+import { Ingress } from "./ingress.ts";
+import { type MirrorChange, StoreMirror } from "./mirror.ts";
+import type { RoutingConfig, WantedWeights } from "./model.ts";
+import { Peers } from "./peers.ts";
+import { Registration } from "./registration.ts";
+import { relayAnswer, RelayReader } from "./relay.ts";
+import { RequestLog } from "./request_log.ts";
+import { RoutingTable } from "./routing_table.ts";
+import type { Server, ServerOptions } from "./server.ts";
+import type { RouterSettings, SocketAddress } from "./settings.ts";
+import { ROLL_LEASE_KEY, WeightsRoll } from "./weights_roll.ts";
+
+/** The store answers in 4 ms; a connection that takes longer than this is a lost one. */
+const STORE_CONNECT_MS = 500;
+/** A call without an answer by then is taken as lost; calls of a slow store take 60 times 4 ms. */
+const STORE_CALL_MS = 900;
+/** A watch is asked anew this often, so that a silent connection is noticed in time. */
+const WATCH_WAIT_MS = 2000;
+const WATCH_SLACK_MS = 700;
+/** Servers are a few ms away; a connection that takes longer is to a dead one. */
+const SERVER_CONNECT_MS = 300;
+/** Idle connections to servers are closed after this, unless the server names a shorter time. */
+const SERVER_IDLE_MS = 4000;
+/** Part of an engine's memory that is expected to hold cached prompts. */
+const CACHE_SHARE = 0.8;
+/** Pause between looks at registrations that lapsed. */
+const SWEEP_MS = 500;
+/** Pause between questions to seeds while nothing is known. */
+const SEED_MS = 250;
+/** Left of the grace time, for the process's own end. */
+const EXIT_MARGIN_MS = 700;
+
+/** What a {@link Router} runs with. */
+export interface RouterOptions {
+  settings: RouterSettings;
+  log: Logger;
+  clock?: Clock;
+  /** 0 to 1. */
+  random?: () => number;
+}
+
+/** A router process. */
+export class Router {
+  readonly #settings: RouterSettings;
+  readonly #log: Logger;
+  readonly #clock: Clock;
+  readonly #random: () => number;
+  readonly #lifecycle = Lifecycle.create("router");
+  readonly #metrics = Metrics.create();
+  readonly #mirror: StoreMirror;
+  readonly #store: PlatformStore;
+  readonly #follower: StoreFollower;
+  readonly #fleet: Fleet;
+  readonly #peers: Peers;
+  readonly #relay: RelayReader;
+  readonly #registration: Registration;
+  readonly #roll: WeightsRoll;
+  readonly #dispatcher: Dispatcher;
+  readonly #ingress: Ingress;
+  readonly #requestLog: RequestLog;
+  readonly #wanted = new Map<string, number>();
+  #table: RoutingTable | undefined;
+
+  private constructor(options: RouterOptions) {
+    this.#settings = options.settings;
+    this.#log = options.log;
+    this.#clock = options.clock ?? systemClock;
+    this.#random = options.random ?? Math.random;
+    this.#mirror = StoreMirror.create(this.#clock);
+    this.#store = PlatformStore.create({
+      address: textOf(options.settings.storeAddress),
+      connectMs: STORE_CONNECT_MS,
+      callMs: STORE_CALL_MS,
+      watchWaitMs: WATCH_WAIT_MS,
+      watchSlackMs: WATCH_SLACK_MS,
+    });
+    this.#follower = StoreFollower.create({ ...this.#parts() });
+    this.#fleet = this.#createFleet();
+    this.#relay = RelayReader.create({
+      ...this.#parts(),
+      controlPort: options.settings.controlAddress.port,
+    });
+    this.#registration = Registration.create({
+      ...this.#parts(),
+      instance: options.settings.instance,
+      ipAddress: options.settings.ipAddress,
+    });
+    this.#peers = this.#createPeers();
+    this.#roll = this.#createRoll();
+    this.#dispatcher = this.#createDispatcher();
+    this.#requestLog = RequestLog.create(this.#log, this.#metrics, {
+      clock: this.#clock,
+    });
+    this.#ingress = this.#createIngress();
+    this.#mirror.onChange((change) => this.#apply(change));
+    this.#peers.tellHeldBack(() => this.#roll.heldBack());
+  }
+
+  /**
+   * Starts a router. It listens at once, and answers 503 until it knows a configuration.
+   *
+   * @param options Settings and log.
+   * @returns The router, once it listens.
+   */
+  static async create(options: RouterOptions): Promise<Router> {
+    const router = new Router(options);
+    await router.#start();
+    return router;
+  }
+
+  /** Stops in order: requests under way are answered first, within the grace time. */
+  async drain(): Promise<void> {
+    this.#log.info({ event: "stopping", active: this.#ingress.active });
+    await this.#ingress.drain(this.#settings.graceMs - EXIT_MARGIN_MS);
+    await this.stop();
+    this.#log.info({ event: "stopped" });
+  }
+
+  /** Stops at once. */
+  stop(): Promise<void> {
+    return this.#lifecycle.stop();
+  }
+
+  /** @returns The state of the process, for dumps. */
+  state(): unknown {
+    const nowMs = this.#clock.nowMs();
+    return {
+      instance: this.#settings.instance,
+      configVersion: this.#table?.version,
+      storeRevision: String(this.#mirror.revision),
+      knowledgeAgeMs: Math.round(this.#mirror.ageMs),
+      storeConnected: this.#follower.connected,
+      storeCalls: this.#store.calls,
+      entries: this.#peers.count,
+      holdsRollLease: this.#roll.holdsLease,
+      active: this.#ingress.active,
+      wanted: Object.fromEntries(this.#wanted),
+      servers: [...this.#fleet.all()].map((server) => ({
+        id: server.id,
+        service: server.entry.service,
+        draining: server.entry.draining,
+        weights: Object.fromEntries(server.entry.weights),
+        load: server.load(nowMs),
+        slowness: server.health.slowness(nowMs),
+        failures: server.health.failures(nowMs),
+        isDown: server.health.isDown(nowMs),
+        heldBack: server.isHeldBack(nowMs),
+        channels: server.channels.opened,
+      })),
+    };
+  }
+
+  #parts() {
+    return {
+      store: this.#store,
+      mirror: this.#mirror,
+      clock: this.#clock,
+      log: this.#log,
+      random: this.#random,
+    };
+  }
+
+  #createFleet(): Fleet {
+    return Fleet.create({
+      ...this.#parts(),
+      serverOptions: (service) => this.#serverOptions(service),
+      isRecovering: () => this.#follower.recovering,
+    });
+  }
+
+  #createPeers(): Peers {
+    const { instance, ipAddress, peerPort, seedAddresses } = this.#settings;
+    return Peers.create({
+      ...this.#parts(),
+      name: instance,
+      ipAddress,
+      port: peerPort,
+      fleet: this.#fleet,
+      knownAddresses: () => [
+        ...seedAddresses.map((seed) => seed.ipAddress),
+        ...this.#registration.ipAddresses(),
+      ],
+      knowledge: () => ({
+        revision: this.#mirror.revision,
+        ageMs: this.#mirror.ageMs,
+      }),
+      onKnowledge: (peer, knowledge) =>
+        void this.#relay.heard(peer, knowledge),
+    });
+  }
+
+  #createRoll(): WeightsRoll {
+    return WeightsRoll.create({
+      ...this.#parts(),
+      fleet: this.#fleet,
+      holderId: this.#settings.instance,
+      turnMs: this.#settings.orderTurnMs,
+      isLeaseHeld: () =>
+        this.#mirror.revision === 0n || !this.#follower.connected ||
+        this.#mirror.entries(ROLL_LEASE_KEY).length > 0,
+      engineServices: () => this.#engineServices(),
+      wanted: () => this.#wantedWeights(),
+      onWeights: (server, model, version) =>
+        this.#peers.tellWeights(server.id, model, version),
+    });
+  }
+
+  #createDispatcher(): Dispatcher {
+    return Dispatcher.create({
+      ...this.#parts(),
+      fleet: this.#fleet,
+      zone: this.#settings.zone,
+      choice: this.#settings.choice,
+      wantedVersion: (model) => this.#wanted.get(model) ?? 0,
+      onPrompt: (server, chain) => this.#peers.tellPrompt(server, chain),
+    });
+  }
+
+  #createIngress(): Ingress {
+    return Ingress.create({
+      ...this.#parts(),
+      table: () => this.#table,
+      knowledgeAgeMs: () => this.#mirror.ageMs,
+      serve: (request, sink) => this.#dispatcher.serve(request, sink),
+      onServed: (request, served) => this.#requestLog.served(request, served),
+      onLocal: (facts, answer) =>
+        this.#requestLog.local(facts, answer, this.#table?.version),
+    });
+  }
+
+  async #start(): Promise<void> {
+    const { settings, lifecycle } = {
+      settings: this.#settings,
+      lifecycle: this.#lifecycle,
+    };
+    lifecycle.own({ name: "store", close: () => this.#store.close() });
+    const { clientAddress, readinessAddress, controlAddress } = settings;
+    const control = await serveControl(controlAddress, {
+      relay: (after) => relayAnswer(this.#mirror, after),
+      metrics: () => this.#metrics.render(),
+      state: () => this.state(),
+    });
+    lifecycle.own({ name: "control", close: () => void control.close() });
+    const readiness = await serveReadiness(readinessAddress, READINESS_PATH, {
+      isReady: () => this.#isReady(),
+    });
+    lifecycle.own({ name: "readiness", close: () => void readiness.close() });
+    await this.#ingress.listen(clientAddress.ipAddress, clientAddress.port);
+    lifecycle.task("follower", (signal) => this.#follower.run(signal));
+    lifecycle.task("peers", (signal) => this.#peers.run(signal));
+    lifecycle.task("seeds", (signal) => this.#askSeeds(signal));
+    lifecycle.task("registration", (signal) => this.#registration.run(signal));
+    lifecycle.task("roll", (signal) => this.#roll.run(signal));
+    lifecycle.task("sweep", (signal) => this.#sweep(signal));
+    this.#log.info({ event: "listening", zone: settings.zone });
+  }
+
+  #isReady(): boolean {
+    return this.#table !== undefined && !this.#ingress.draining;
+  }
+
+  /** While nothing is known, the store may be down: seeds may know. */
+  async #askSeeds(signal: AbortSignal): Promise<void> {
+    const { seedAddresses, ipAddress } = this.#settings;
+    const others = seedAddresses.filter((seed) => seed.ipAddress !== ipAddress);
+    await this.#clock.sleep(SEED_MS, signal);
+    for (let i = 0; !signal.aborted && this.#mirror.revision === 0n; i++) {
+      const seed = others[i % others.length];
+      if (!seed) return;
+      await this.#relay.ask(seed.ipAddress);
+      await this.#clock.sleep(SEED_MS, signal);
+    }
+  }
+
+  async #sweep(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#clock.sleep(SWEEP_MS, signal);
+      this.#fleet.sweep();
+    }
+  }
+
+  #apply(change: MirrorChange): void {
+    if (change.kind === "delete") {
+      const removed = decodeRemoval(change.key);
+      if (removed.kind === "server") this.#fleet.remove(removed.serverId);
+      return;
+    }
+    const fact = decodeFact(change.entry.key, change.entry.value);
+    if (fact.isErr) {
+      this.#log.error({ event: "store_malformed", ...fact.error });
+      return;
+    }
+    switch (fact.value.kind) {
+      case "config":
+        return this.#useConfig(fact.value.config);
+      case "server":
+        return this.#fleet.put(fact.value.server);
+      case "weights":
+        return this.#want(fact.value.wanted);
+      case "other":
+        return;
+    }
+  }
+
+  #useConfig(config: RoutingConfig): void {
+    if (this.#table && config.version <= this.#table.version) return;
+    const before = this.#table?.version;
+    this.#table = RoutingTable.create(config);
+    this.#ingress.applyLimits();
+    this.#log.info({
+      event: "config_in_force",
+      version: config.version,
+      before,
+      routes: config.routes.length,
+    });
+  }
+
+  #want({ model, version }: WantedWeights): void {
+    if ((this.#wanted.get(model) ?? 0) >= version) return;
+    this.#wanted.set(model, version);
+    this.#log.info({ event: "weights_wanted", model, version });
+  }
+
+  #wantedWeights(): WantedWeights[] {
+    return [...this.#wanted].map(([model, version]) => ({ model, version }));
+  }
+
+  #engineServices(): string[] {
+    const names: string[] = [];
+    for (const { name, engine } of this.#table?.services() ?? []) {
+      if (engine) names.push(name);
+    }
+    return names;
+  }
+
+  #serverOptions(service: string): ServerOptions {
+    const engine = this.#table?.findService(service)?.engine;
+    return {
+      connectMs: SERVER_CONNECT_MS,
+      idleMs: SERVER_IDLE_MS,
+      cacheTokens: (engine?.cacheTokens ?? 0) * CACHE_SHARE,
+    };
+  }
+}
+
+function textOf({ ipAddress, port }: SocketAddress): string {
+  return `${ipAddress}:${port}`;
+}
--- /dev/null
+++ b/src/router/routing_table.ts
@@ -0,0 +1,91 @@
+/** Looks up routes, services and keys in one version of the configuration. */
+import type {
+  ClientLimits,
+  Route,
+  RoutingConfig,
+  Service,
+  Workspace,
+} from "./model.ts";
+
+/** Who sent a request, as far as its key tells. */
+export type Authentication =
+  | { kind: "workspace"; workspace: Workspace }
+  | { kind: "anonymous" }
+  | { kind: "unknown_key" };
+
+/** An immutable index over a {@link RoutingConfig}. */
+export class RoutingTable {
+  readonly version: number;
+  readonly limits: ClientLimits;
+  /** By host, longest prefix first. */
+  readonly #routes = new Map<string, Route[]>();
+  readonly #services = new Map<string, Service>();
+  readonly #workspaces = new Map<string, Workspace>();
+  readonly #keyed: boolean;
+
+  private constructor(config: RoutingConfig) {
+    this.version = config.version;
+    this.limits = config.limits;
+    this.#keyed = config.workspaces.length > 0;
+    for (const service of config.services) {
+      this.#services.set(service.name, service);
+    }
+    for (const workspace of config.workspaces) {
+      for (const key of workspace.keys) this.#workspaces.set(key, workspace);
+    }
+    for (const route of config.routes) {
+      const routes = this.#routes.get(route.host) ?? [];
+      routes.push(route);
+      this.#routes.set(route.host, routes);
+    }
+    for (const routes of this.#routes.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+  }
+
+  /**
+   * @param config One version of the configuration.
+   * @returns Its index.
+   */
+  static create(config: RoutingConfig): RoutingTable {
+    return new RoutingTable(config);
+  }
+
+  /**
+   * @param host Host name in lower case.
+   * @param target Path, with or without a query.
+   * @returns The route with the longest prefix of the path.
+   */
+  findRoute(host: string, target: string): Route | undefined {
+    const queryAt = target.indexOf("?");
+    const path = queryAt < 0 ? target : target.slice(0, queryAt);
+    return this.#routes.get(host)?.find(({ pathPrefix }) =>
+      path.startsWith(pathPrefix)
+    );
+  }
+
+  /**
+   * @param name Name of a service.
+   * @returns The service, if it is configured.
+   */
+  findService(name: string): Service | undefined {
+    return this.#services.get(name);
+  }
+
+  /** All services. */
+  services(): IterableIterator<Service> {
+    return this.#services.values();
+  }
+
+  /**
+   * @param route Where the request goes.
+   * @param key The key that it carries, if any.
+   * @returns Who sent it.
+   */
+  authenticate(route: Route, key: string | undefined): Authentication {
+    if (!this.#keyed) return { kind: "anonymous" };
+    const workspace = key === undefined ? undefined : this.#workspaces.get(key);
+    if (workspace) return { kind: "workspace", workspace };
+    return { kind: route.anonymous ? "anonymous" : "unknown_key" };
+  }
+}
--- /dev/null
+++ b/src/router/server.ts
@@ -0,0 +1,186 @@
+/** A backend server as this entry sees it: its registration, load, health and expected cache. */
+import { CacheBook } from "./cache_book.ts";
+import { ChannelSet } from "./channel.ts";
+import { Health } from "./health.ts";
+import type { BackendServer } from "./model.ts";
+
+/** What another entry says of its own requests to a server is used for this long. */
+const PEER_LOAD_MS = 1500;
+
+/** Requests that are under way to a server. */
+export interface ServerLoad {
+  /** Tokens to be read before the first token of requests that wait for it. */
+  pendingTokens: number;
+  /** Requests under way. */
+  running: number;
+}
+
+/** What another entry said, and when. */
+interface PeerLoad extends ServerLoad {
+  atMs: number;
+}
+
+/** Settings of a {@link Server}. */
+export interface ServerOptions {
+  connectMs: number;
+  idleMs: number;
+  cacheTokens: number;
+}
+
+/** One request under way, in this entry's count of a server's load. */
+export interface LoadTicket {
+  /** The first token has come. */
+  started(): void;
+  /** The request is over. */
+  ended(): void;
+}
+
+/** One backend server. */
+export class Server {
+  readonly id: string;
+  readonly channels: ChannelSet;
+  readonly cache: CacheBook;
+  readonly health = Health.create();
+  #entry: BackendServer;
+  readonly #weights = new Map<string, number>();
+  readonly #own: ServerLoad = { pendingTokens: 0, running: 0 };
+  readonly #peers = new Map<string, PeerLoad>();
+  #heldBackUntilMs = -Infinity;
+  #heardAtMs = -Infinity;
+
+  private constructor(entry: BackendServer, options: ServerOptions) {
+    this.id = entry.id;
+    this.#entry = entry;
+    this.channels = ChannelSet.create({ address: entry.address, ...options });
+    this.cache = CacheBook.create(options.cacheTokens);
+    this.#learnAll(entry.weights);
+  }
+
+  /**
+   * @param entry How the server registered.
+   * @param options Times, and room for cached prompts.
+   * @returns The server, without load.
+   */
+  static create(entry: BackendServer, options: ServerOptions): Server {
+    return new Server(entry, options);
+  }
+
+  /** How it registered last. */
+  get entry(): BackendServer {
+    return this.#entry;
+  }
+
+  /** This entry's own requests. */
+  get ownLoad(): Readonly<ServerLoad> {
+    return this.#own;
+  }
+
+  /** When a byte of an answer last came from it. */
+  get heardAtMs(): number {
+    return this.#heardAtMs;
+  }
+
+  /**
+   * @param nowMs The time.
+   * @returns Requests of all entries.
+   */
+  load(nowMs: number): ServerLoad {
+    let { pendingTokens, running } = this.#own;
+    for (const peer of this.#peers.values()) {
+      if (nowMs - peer.atMs > PEER_LOAD_MS) continue;
+      pendingTokens += peer.pendingTokens;
+      running += peer.running;
+    }
+    return { pendingTokens, running };
+  }
+
+  /** @param entry A newer registration. */
+  update(entry: BackendServer): void {
+    this.#entry = entry;
+    this.#learnAll(entry.weights);
+  }
+
+  /**
+   * @param peer Name of another entry.
+   * @param load Its requests to this server.
+   * @param nowMs The time.
+   */
+  setPeerLoad(peer: string, load: ServerLoad, nowMs: number): void {
+    this.#peers.set(peer, { ...load, atMs: nowMs });
+  }
+
+  /**
+   * @param model Name of a model.
+   * @returns Version of its weights here, as far as known.
+   */
+  weights(model: string): number | undefined {
+    return this.#weights.get(model);
+  }
+
+  /**
+   * Versions only rise: what says less is older.
+   *
+   * @param model Name of a model.
+   * @param version Version of its weights here.
+   * @returns Whether this was news.
+   */
+  learnWeights(model: string, version: number): boolean {
+    const known = this.#weights.get(model);
+    if (known !== undefined && known >= version) return false;
+    this.#weights.set(model, version);
+    if (known !== undefined) this.cache.clear();
+    return true;
+  }
+
+  /**
+   * Sends it nothing new for a while, because its weights are about to change.
+   *
+   * @param untilMs Until when, unless said again.
+   */
+  holdBack(untilMs: number): void {
+    this.#heldBackUntilMs = untilMs;
+  }
+
+  /**
+   * @param nowMs The time.
+   * @returns Whether it is to get nothing new.
+   */
+  isHeldBack(nowMs: number): boolean {
+    return nowMs < this.#heldBackUntilMs;
+  }
+
+  /**
+   * @param nowMs The time.
+   */
+  heard(nowMs: number): void {
+    this.#heardAtMs = nowMs;
+  }
+
+  /**
+   * Counts a request.
+   *
+   * @param pendingTokens Tokens that it has to read first.
+   * @returns What to tell of its progress.
+   */
+  begin(pendingTokens: number): LoadTicket {
+    const own = this.#own;
+    let pending = pendingTokens;
+    let isRunning = true;
+    own.pendingTokens += pending;
+    own.running++;
+    const started = () => {
+      own.pendingTokens -= pending;
+      pending = 0;
+    };
+    const ended = () => {
+      started();
+      if (isRunning) own.running--;
+      isRunning = false;
+    };
+    return { started, ended };
+  }
+
+  #learnAll(weights: ReadonlyMap<string, number>): void {
+    for (const [model, version] of weights) this.learnWeights(model, version);
+  }
+}
--- /dev/null
+++ b/src/router/settings.ts
@@ -0,0 +1,140 @@
+/** Settings of a router process, from environment variables; all faults are named at once. */
+import { Result } from "true-myth";
+import { LOG_LEVELS, type LogLevel } from "../base/log.ts";
+import { ChoiceName } from "./choose.ts";
+
+/** An address to listen at, or to connect to. */
+export interface SocketAddress {
+  ipAddress: string;
+  port: number;
+}
+
+/** Settings of a router process. */
+export interface RouterSettings {
+  instance: string;
+  zone: string;
+  ipAddress: string;
+  /** Where clients connect. */
+  clientAddress: SocketAddress;
+  /** Where the balancer asks whether this process takes connections. */
+  readinessAddress: SocketAddress;
+  /** Where other entries, metrics and state dumps are served. */
+  controlAddress: SocketAddress;
+  /** UDP port of entries. */
+  peerPort: number;
+  /** Entries that may know the state when the store doesn't answer. */
+  seedAddresses: SocketAddress[];
+  storeAddress: SocketAddress;
+  /** Time from a planned stop to the end of the process. */
+  graceMs: number;
+  /** Holders of the weights lease may not take turns within this time. */
+  orderTurnMs: number;
+  logLevel: LogLevel;
+  choice: ChoiceName;
+}
+
+/** A variable that is missing or has a value that is not allowed. */
+export interface SettingsFault {
+  variable: string;
+  value: string | undefined;
+  allowed: string;
+}
+
+/** Environment variables by name. */
+export type Environment = Record<string, string | undefined>;
+
+const PREFIX = "CICADAHITCH_";
+const IP_PORT = "ip:port";
+
+/**
+ * @param env Environment variables; those without the prefix `CICADAHITCH_` are ignored.
+ * @returns The settings, or every fault.
+ */
+export function readSettings(
+  env: Environment,
+): Result<RouterSettings, SettingsFault[]> {
+  const faults: SettingsFault[] = [];
+  const read = <T>(
+    name: string,
+    allowed: string,
+    parse: (value: string) => T | undefined,
+  ): T => {
+    const variable = PREFIX + name;
+    const value = env[variable];
+    const parsed = value === undefined ? undefined : parse(value);
+    if (parsed === undefined) faults.push({ variable, value, allowed });
+    return parsed as T;
+  };
+  const settings: RouterSettings = {
+    instance: read("INSTANCE", "a name", nonEmpty),
+    zone: read("ZONE", "a name", nonEmpty),
+    ipAddress: read("IP_ADDRESS", "an IPv4 number", nonEmpty),
+    clientAddress: read("CLIENT_ADDRESS", IP_PORT, parseAddress),
+    readinessAddress: read("READINESS_ADDRESS", IP_PORT, parseAddress),
+    controlAddress: read("CONTROL_ADDRESS", IP_PORT, parseAddress),
+    peerPort: read("PEER_PORT", "a port", parsePort),
+    seedAddresses: read("SEED_ADDRESSES", `${IP_PORT},…`, parseAddresses),
+    storeAddress: read("STORE_ADDRESS", IP_PORT, parseAddress),
+    graceMs: read("GRACE_S", "seconds", parseSeconds),
+    orderTurnMs: read("ORDER_TURN_MS", "milliseconds", parseMs),
+    logLevel: readOr(env, "LOG_LEVEL", { faults, values: LOG_LEVELS }) ??
+      "info",
+    choice: readOr(env, "CHOICE", {
+      faults,
+      values: Object.values(ChoiceName),
+    }) ?? ChoiceName.cost,
+  };
+  return faults.length > 0 ? Result.err(faults) : Result.ok(settings);
+}
+
+function readOr<T extends string>(
+  env: Environment,
+  name: string,
+  { faults, values }: { faults: SettingsFault[]; values: readonly T[] },
+): T | undefined {
+  const variable = PREFIX + name;
+  const value = env[variable];
+  if (value === undefined || value === "") return undefined;
+  const known = values.find((one) => one === value);
+  if (!known) faults.push({ variable, value, allowed: values.join(", ") });
+  return known;
+}
+
+function nonEmpty(value: string): string | undefined {
+  return value === "" ? undefined : value;
+}
+
+function parsePort(value: string): number | undefined {
+  const port = Number(value);
+  return Number.isInteger(port) && port >= 0 && port < 65_536
+    ? port
+    : undefined;
+}
+
+function parseAddress(value: string): SocketAddress | undefined {
+  const at = value.lastIndexOf(":");
+  const port = parsePort(value.slice(at + 1));
+  if (at <= 0 || port === undefined) return undefined;
+  return { ipAddress: value.slice(0, at), port };
+}
+
+function parseAddresses(value: string): SocketAddress[] | undefined {
+  const addresses: SocketAddress[] = [];
+  for (const item of value.split(",")) {
+    if (item.trim() === "") continue;
+    const address = parseAddress(item.trim());
+    if (!address) return undefined;
+    addresses.push(address);
+  }
+  return addresses;
+}
+
+function parseMs(value: string): number | undefined {
+  const ms = Number(value);
+  return value !== "" && Number.isFinite(ms) && ms >= 0 ? ms : undefined;
+}
+
+function parseSeconds(value: string): number | undefined {
+  const seconds = parseMs(value);
+  return seconds === undefined ? undefined : seconds * 1000;
+}
--- /dev/null
+++ b/src/router/weights_roll.ts
@@ -0,0 +1,311 @@
+/**
+ * Brings the weights that the operator names to the engines: one entry at a time, under a lease,
+ * orders each engine that lacks them. An engine is sent nothing new for a moment before its order,
+ * so that few requests meet it while it loads.
+ */
+import type { Clock, Logger } from "../base/mod.ts";
+import { FencedLease } from "../lease/mod.ts";
+import { fetchReport, type OrderAnswer, sendOrder } from "../platform/mod.ts";
+import type { KeyValueStore } from "../store/store.ts";
+import type { Fleet } from "./fleet.ts";
+import type { ServerReport, WantedWeights } from "./model.ts";
+import type { Server } from "./server.ts";
+
+/** Key of the lease. */
+export const ROLL_LEASE_KEY = "cicadahitch/weights-roll";
+/** Time of the lease: a holder that is gone is followed within it and the turn's time. */
+const LEASE_MS = 1500;
+/** Beyond the time in which two holders may not take turns. */
+const TURN_MARGIN_MS = 200;
+/** Entries that see the lease free wait up to this long, so that one asks first. */
+const ACQUIRE_SPREAD_MS = 300;
+/** Pause between looks at what is to be done. */
+const LOOK_MS = 50;
+/** Time for one call to an engine. */
+const CALL_MS = 500;
+/** Engines that load at once; with more of them each takes longer. */
+const LOADS_AT_ONCE = 2;
+/** Share of a service's engines that may be out of use at once. */
+const OUT_SHARE = 0.4;
+/** Time that an engine gets to end its runs before the order; they end behind it all the same. */
+const DRAIN_MS = 900;
+/** Time that peers need to hear that an engine is held back. */
+const TOLD_MS = 110;
+/** Pause between reports of an engine that loads; they lag by some hundred ms. */
+const REPORT_MS = 200;
+/** An order that has no effect within this time is decided anew. */
+const ORDER_MS = 4000;
+/** An engine that could not be ordered is left alone for this long. */
+const RETRY_MS = 700;
+/** An engine is held back this long at a time, renewed while it is out of use. */
+const HOLD_MS = 1000;
+
+/** What a {@link WeightsRoll} works with. */
+export interface WeightsRollOptions {
+  store: KeyValueStore;
+  clock: Clock;
+  log: Logger;
+  fleet: Fleet;
+  holderId: string;
+  /** Holders may not take turns within this time. */
+  turnMs: number;
+  random: () => number;
+  /** Whether the store's copy shows the lease as held. */
+  isLeaseHeld(): boolean;
+  /** Services whose servers are engines. */
+  engineServices(): string[];
+  /** Weights that the operator wants. */
+  wanted(): WantedWeights[];
+  /** Weights were seen at a server; other entries are told. */
+  onWeights(server: Server, model: string, version: number): void;
+}
+
+/** Orders weights while it holds the lease. */
+export class WeightsRoll {
+  readonly #options: WeightsRollOptions;
+  /** Engines that are out of use, by id. */
+  readonly #out = new Map<string, Server>();
+  readonly #retryAtMs = new Map<string, number>();
+  #lease: FencedLease | undefined;
+  #notBeforeMs = 0;
+  #loading = 0;
+
+  private constructor(options: WeightsRollOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * @param options Lease, servers and what is wanted.
+   * @returns A roll that has not begun.
+   */
+  static create(options: WeightsRollOptions): WeightsRoll {
+    return new WeightsRoll(options);
+  }
+
+  /** Engines that no entry should send anything new. */
+  heldBack(): string[] {
+    return [...this.#out.keys()];
+  }
+
+  /** Whether this entry holds the lease. */
+  get holdsLease(): boolean {
+    return this.#lease?.isHeldFor(0) ?? false;
+  }
+
+  /** @param signal Ends the work; the lease is given up. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    while (!signal.aborted) {
+      await clock.sleep(LOOK_MS, signal);
+      if (this.holdsLease) this.#look(signal);
+      else if (!this.#options.isLeaseHeld()) await this.#acquire(signal);
+    }
+    await this.#lease?.release();
+  }
+
+  async #acquire(signal: AbortSignal): Promise<void> {
+    const { clock, random, store, holderId, isLeaseHeld, turnMs, log } =
+      this.#options;
+    await clock.sleep(random() * ACQUIRE_SPREAD_MS, signal);
+    if (signal.aborted || isLeaseHeld()) return;
+    const acquired = await FencedLease.acquire(store, {
+      key: ROLL_LEASE_KEY,
+      holderId,
+      ttlMs: LEASE_MS,
+      clock,
+      random,
+    });
+    if (acquired.isErr) {
+      await clock.sleep(LEASE_MS / 3, signal);
+      return;
+    }
+    this.#lease = acquired.value;
+    // The last holder may have given an order just before its lease ended.
+    this.#notBeforeMs = clock.nowMs() + turnMs + TURN_MARGIN_MS;
+    log.info({
+      event: "roll_lease_taken",
+      fencingNumber: String(acquired.value.fencingNumber),
+    });
+    void this.#keep(acquired.value, signal);
+  }
+
+  async #keep(lease: FencedLease, signal: AbortSignal): Promise<void> {
+    await lease.keepRenewed(signal);
+    if (signal.aborted) return;
+    this.#options.log.warn({ event: "roll_lease_lost" });
+    if (this.#lease === lease) this.#lease = undefined;
+  }
+
+  #look(signal: AbortSignal): void {
+    const { clock, fleet, engineServices, wanted } = this.#options;
+    const nowMs = clock.nowMs();
+    for (const server of this.#out.values()) server.holdBack(nowMs + HOLD_MS);
+    if (nowMs < this.#notBeforeMs) return;
+    for (const service of engineServices()) {
+      const servers = fleet.open(service);
+      const room = Math.max(1, Math.floor(servers.length * OUT_SHARE)) -
+        servers.filter(({ id }) => this.#out.has(id)).length;
+      const behind = servers.filter((server) =>
+        this.#lacks(server, wanted()) && this.#isDue(server, nowMs)
+      );
+      // An engine with little to do loses least.
+      behind.sort((a, b) => a.load(nowMs).running - b.load(nowMs).running);
+      for (const server of behind.slice(0, Math.max(0, room))) {
+        void this.#bring(server, signal);
+      }
+    }
+  }
+
+  #lacks(server: Server, wanted: WantedWeights[]): boolean {
+    return wanted.some(({ model, version }) => {
+      const has = server.weights(model);
+      return has !== undefined && has < version;
+    });
+  }
+
+  #isDue(server: Server, nowMs: number): boolean {
+    if (this.#out.has(server.id) || server.health.isDown(nowMs)) return false;
+    return nowMs >= (this.#retryAtMs.get(server.id) ?? 0);
+  }
+
+  /** Takes an engine out of use, orders what it lacks, and waits until it has it. */
+  async #bring(server: Server, signal: AbortSignal): Promise<void> {
+    const { clock, log, wanted } = this.#options;
+    this.#out.set(server.id, server);
+    server.holdBack(clock.nowMs() + HOLD_MS);
+    try {
+      await this.#awaitRuns(server, signal);
+      for (const target of wanted()) {
+        if (!this.#lacks(server, [target])) continue;
+        await this.#load(server, target, { signal });
+      }
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      log.error({ event: "roll_failed", server: server.id, reason });
+    } finally {
+      this.#out.delete(server.id);
+      server.holdBack(-Infinity);
+      this.#retryAtMs.set(server.id, clock.nowMs() + RETRY_MS);
+      if (!this.#lacks(server, wanted())) this.#retryAtMs.delete(server.id);
+    }
+  }
+
+  async #awaitRuns(server: Server, signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    const startMs = clock.nowMs();
+    await clock.sleep(TOLD_MS, signal);
+    while (!signal.aborted) {
+      const nowMs = clock.nowMs();
+      const isIdle = server.load(nowMs).running === 0;
+      const isLate = nowMs - startMs >= DRAIN_MS;
+      if (this.#loading < LOADS_AT_ONCE && (isIdle || isLate)) return;
+      await clock.sleep(LOOK_MS, signal);
+    }
+  }
+
+  async #load(
+    server: Server,
+    target: WantedWeights,
+    { signal }: { signal: AbortSignal },
+  ): Promise<void> {
+    this.#loading++;
+    try {
+      const report = await fetchReport(server.entry, CALL_MS);
+      if (report.isErr) return this.#unheard(server, report.error.kind);
+      if (this.#has(server, target, report.value)) return;
+      if (report.value.busy) {
+        await this.#awaitWeights(server, target, { signal });
+        return;
+      }
+      await this.#order(server, target, { signal, report: report.value });
+    } finally {
+      this.#loading--;
+    }
+  }
+
+  async #order(
+    server: Server,
+    target: WantedWeights,
+    { signal, report }: { signal: AbortSignal; report: ServerReport },
+  ): Promise<void> {
+    const lease = this.#lease;
+    if (!lease?.isHeldFor(CALL_MS)) return;
+    const { holderId, log, fleet } = this.#options;
+    const answer = await sendOrder(server.entry, {
+      ...target,
+      runs: "finish",
+      holderId,
+      fencingNumber: lease.fencingNumber,
+      orderSequence: report.orderSequence,
+    }, { callMs: CALL_MS });
+    const said: OrderAnswer["kind"] | "no_answer" = answer.isOk
+      ? answer.value.kind
+      : "no_answer";
+    log.info({
+      event: "weights_ordered",
+      server: server.id,
+      version: target.version,
+      sequence: report.orderSequence,
+      answer: said,
+    });
+    switch (said) {
+      case "accepted":
+      case "no_answer":
+        await this.#awaitWeights(server, target, { signal });
+        return;
+      case "holds":
+        this.#saw(server, target.model, target.version);
+        return;
+      case "fenced":
+        // Another holder has a higher number; this one is not used again.
+        this.#lease = undefined;
+        await lease.release();
+        return;
+      case "wrong_server":
+        fleet.drop(server.id, "address_has_another_server");
+        return;
+      case "conflict":
+      case "refused":
+        return;
+    }
+  }
+
+  async #awaitWeights(
+    server: Server,
+    target: WantedWeights,
+    { signal }: { signal: AbortSignal },
+  ): Promise<void> {
+    const { clock } = this.#options;
+    const untilMs = clock.nowMs() + ORDER_MS;
+    while (!signal.aborted && clock.nowMs() < untilMs) {
+      await clock.sleep(REPORT_MS, signal);
+      if (!this.#lacks(server, [target])) return;
+      const report = await fetchReport(server.entry, CALL_MS);
+      if (report.isErr) return this.#unheard(server, report.error.kind);
+      if (this.#has(server, target, report.value)) return;
+    }
+  }
+
+  #has(server: Server, target: WantedWeights, report: ServerReport): boolean {
+    for (const [model, version] of report.weights) {
+      this.#saw(server, model, version);
+    }
+    return !this.#lacks(server, [target]);
+  }
+
+  #saw(server: Server, model: string, version: number): void {
+    if (!server.learnWeights(model, version)) return;
+    this.#options.onWeights(server, model, version);
+    this.#options.log.info({
+      event: "weights_seen",
+      server: server.id,
+      version,
+    });
+  }
+
+  #unheard(server: Server, failure: string): void {
+    const { clock, log } = this.#options;
+    if (failure === "unreachable") server.health.unreachable(clock.nowMs());
+    log.warn({ event: "engine_unheard", server: server.id, failure });
+  }
+}
--- a/src/standin/_engine_cache.ts
+++ b/src/standin/_engine_cache.ts
@@ -1,6 +1,6 @@
 /** The stand-in engine's prefix cache: blocks in a chain, the least recently used evicted first. */
 import { hash } from "node:crypto";
-import type { CacheEvent, LoadedModel } from "../platform/mod.ts";
+import type { CacheEvent, LoadedModel } from "../backends/mod.ts";
 
 /** A cached block. */
 export interface CacheBlock {
--- a/src/standin/_engine_routes.ts
+++ b/src/standin/_engine_routes.ts
@@ -1,6 +1,6 @@
 /** HTTP routes of the stand-in engine. */
 import { setTimeout as delay } from "node:timers/promises";
-import type { LoadedModel } from "../platform/mod.ts";
+import type { LoadedModel } from "../backends/mod.ts";
 import type { CacheBlock } from "./_engine_cache.ts";
 import type { EngineRun } from "./_engine_scheduler.ts";
 import { EngineStream } from "./_engine_stream.ts";
--- a/src/standin/_model_set.ts
+++ b/src/standin/_model_set.ts
@@ -1,5 +1,5 @@
 /** Models that an engine serves, and the orders that change them. */
-import type { LoadedModel } from "../platform/mod.ts";
+import type { LoadedModel } from "../backends/mod.ts";
 
 /** The models of one engine; the last one loaded comes first. */
 export class ModelSet {
--- a/src/standin/engine_options.ts
+++ b/src/standin/engine_options.ts
@@ -1,5 +1,5 @@
 /** Settings and faults of the stand-in engine. */
-import type { LoadedModel } from "../platform/mod.ts";
+import type { LoadedModel } from "../backends/mod.ts";
 
 /** Settings of a {@link StandinEngine}. */
 export interface StandinEngineOptions {
--- a/src/standin/engine_server.ts
+++ b/src/standin/engine_server.ts
@@ -1,6 +1,6 @@
 /** Stand-in for a model engine: batches continuously, caches prefixes, and fails on demand. */
 import { randomUUID } from "node:crypto";
-import type { LoadedModel } from "../platform/mod.ts";
+import type { LoadedModel } from "../backends/mod.ts";
 import { CacheEventFeed } from "./_engine_events.ts";
 import { PrefixCache } from "./_engine_cache.ts";
 import { serveEngine } from "./_engine_routes.ts";
--- a/src/standin/engine_test.ts
+++ b/src/standin/engine_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { blockEnds, CHAIN_BLOCK_BYTES } from "../placement/chain.ts";
 import { renderPrompt } from "../placement/levels.ts";
-import { type EngineCall, HttpEngine } from "../platform/mod.ts";
+import { type EngineCall, HttpEngine } from "../backends/mod.ts";
 import { StandinEngine, type StandinEngineOptions } from "./mod.ts";
 
 const BLOCK_BYTES = 40;
--- a/src/standin/instance_list_server.ts
+++ b/src/standin/instance_list_server.ts
@@ -1,5 +1,5 @@
 /** Stand-in for the platform's list of instances, which lags. */
-import type { Instance, InstanceChanges } from "../platform/mod.ts";
+import type { Instance, InstanceChanges } from "../backends/mod.ts";
 import {
   answerJson,
   type HostRequest,
--- a/src/standin/main.ts
+++ b/src/standin/main.ts
@@ -1,7 +1,7 @@
 /** Runs one stand-in as a process of its own, until it is told to stop. */
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import type { LoadedModel } from "../platform/mod.ts";
+import type { LoadedModel } from "../backends/mod.ts";
 import {
   StandinEngine,
   StandinInstanceList,
--- a/src/standin/weight_store_server.ts
+++ b/src/standin/weight_store_server.ts
@@ -1,5 +1,5 @@
 /** Stand-in for the platform's weight store, which limits its rate. */
-import type { WeightsInfo } from "../platform/mod.ts";
+import type { WeightsInfo } from "../backends/mod.ts";
 import { answerJson, type HostRequest, HttpHost } from "./_http_host.ts";
 
 /** Settings of a {@link StandinWeightStore}. */
