Roll the oldest weights first, save prompts to the store, close kept connections when stopping

Cause: a fleet that gets versions every 4 s left some engines on the first version past its bound, since the least loaded was ordered first; a stopping entry went on taking requests over kept connections until its grace ended.

Change: engines with the oldest weights first, half of them out of use at once; weights replaced for 9 s begin nothing; the store of kept prompts is written where it lacks the shared parts, and copied from; a stopping entry closes kept connections once idle, and ends its roll first.

--- a/src/base/log.ts
+++ b/src/base/log.ts
@@ -29,9 +29,6 @@
   toStdout?: boolean;
 }
 
-/** Bytes of log lines that are written at once. */
-const LOG_BATCH_BYTES = 4096;
-
 /**
  * @param options Level, bound fields and destination.
  * @returns A logger.
@@ -43,7 +40,7 @@
       base: { role: options.role, processId: options.processId },
     },
     options.toStdout
-      ? destination({ dest: 1, sync: false, minLength: LOG_BATCH_BYTES })
+      ? destination({ dest: 1, sync: false })
       : destination({ dest: 2, sync: true }),
   );
 }
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -2,6 +2,7 @@
 import { Result } from "true-myth";
 import {
   type BackendServer,
+  type CacheStore,
   type ClientLimits,
   type EngineLimits,
   RequestKind,
@@ -152,6 +153,16 @@
     name: text(service, "name"),
     connectionLimit: optionalNumber(service, "max_connections") ?? 0,
     engine: engine === undefined ? undefined : readEngine(engine),
+    cacheStore: readCacheStore(service),
+  };
+}
+
+function readCacheStore(service: Json): CacheStore | undefined {
+  if (service["kv_store_addr"] === undefined) return undefined;
+  return {
+    address: text(service, "kv_store_addr"),
+    zone: text(service, "zone"),
+    cacheTokens: number(service, "kv_capacity_tokens"),
   };
 }
 
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -162,6 +162,9 @@
   if (facts.copyFrom !== undefined) {
     headers.push(Header.cacheSource, facts.copyFrom);
   }
+  if (facts.saveTo !== undefined) {
+    headers.push(Header.cacheTarget, facts.saveTo);
+  }
   if (facts.lastEventId !== undefined) {
     headers.push(Header.lastEventId, facts.lastEventId);
   }
--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -1,5 +1,5 @@
 /** Chooses the backend server for one attempt of a request. */
-import type { Chain } from "./cache_book.ts";
+import type { CacheBook, Chain } from "./cache_book.ts";
 import type { Server } from "./server.ts";
 
 /** Ways of choosing; all but `cost` are baselines to compare with. */
@@ -28,8 +28,15 @@
 const COPY_MIN_TOKENS = 256;
 /** Price of reading a shared token again, against waiting: 1.2 of worth for a thousand tokens. */
 const REREAD_MS_PER_TOKEN = 0.03;
-/** Price of a first token on weights that have been replaced: a fifth of the answer's worth. */
+/** An answer on weights that were replaced longer ago is worth a fifth less. */
+const OLD_WEIGHTS_FROM_MS = 1300;
+/** Price of that, against waiting. */
 const OLD_WEIGHTS_MS = 250;
+/** Weights that were replaced this long ago must soon begin no request any more. */
+const STALE_WEIGHTS_FROM_MS = 7000;
+const STALE_WEIGHTS_MS = 4000;
+/** From here on they begin none: a request that waits long would begin too late. */
+const RETIRED_WEIGHTS_FROM_MS = 9000;
 /** Round trip to another zone, beside the same zone. */
 const FAR_MS = 2;
 /** Price of each recent failure at the server. */
@@ -62,6 +69,17 @@
   chainFor(weightsVersion: number): Chain;
   /** Newest version of the weights that is to be used. */
   wantedVersion: number;
+  /** Time since a version was replaced; 0 if it wasn't. */
+  replacedForMs(weightsVersion: number): number;
+  /** Where prompts are kept beside the engines' own caches. */
+  store?: PromptStore;
+}
+
+/** A store of cached prompts, and what it is expected to hold. */
+export interface PromptStore {
+  address: string;
+  zone: string;
+  cache: CacheBook;
 }
 
 /** Where a request goes, and what is expected there. */
@@ -73,8 +91,10 @@
   uncachedTokens: number;
   weightsVersion?: number;
   chain?: Chain;
-  /** A server whose cache has more of the prompt. */
-  copyFrom?: Server;
+  /** Address of a server or store whose cache has more of the prompt. */
+  copyFrom?: string;
+  /** Address of a store that is to keep the prompt's parts. */
+  saveTo?: string;
 }
 
 interface Candidate extends Choice {
@@ -89,6 +109,7 @@
   let best: Candidate | undefined;
   for (const server of placement.servers) {
     if (placement.tried.has(server.id)) continue;
+    if (placement.prompt && isRetired(server, placement.prompt)) continue;
     const candidate = placement.prompt
       ? weighPrompt(placement, placement.prompt, { server })
       : weighCall(placement, server);
@@ -121,7 +142,7 @@
   const weightsVersion = server.weights(prompt.model) ?? prompt.wantedVersion;
   const chain = prompt.chainFor(weightsVersion);
   const cached = server.cache.cachedTokens(chain);
-  const copy = findCopy(placement, chain, { server, cached });
+  const copy = findCopy(placement, prompt.store, { chain, server, cached });
   const held = copy ? copy.tokens : cached;
   const uncachedTokens = Math.max(0, prompt.promptTokens - held);
   const load = server.load(nowMs);
@@ -130,15 +151,16 @@
       (FIRST_TOKEN_MS + readMs + load.running * RUNNING_MS) +
     (copy?.copyMs ?? 0);
   const reread = Math.max(0, sharedTokens(chain) - held);
-  const oldMs = weightsVersion < prompt.wantedVersion ? OLD_WEIGHTS_MS : 0;
-  const price = reread * REREAD_MS_PER_TOKEN + oldMs;
+  const price = reread * REREAD_MS_PER_TOKEN +
+    oldWeightsPrice(prompt.replacedForMs(weightsVersion));
   return {
     server,
     expectedMs,
     uncachedTokens,
     weightsVersion,
     chain,
-    copyFrom: copy?.source,
+    copyFrom: copy?.address,
+    saveTo: findStoreToSaveTo(placement, prompt.store, chain),
     score: scoreOf(placement, server, expectedMs + price),
   };
 }
@@ -160,32 +182,75 @@
 }
 
 interface Copy {
-  source: Server;
+  address: string;
   /** Leading tokens that the source is expected to have. */
   tokens: number;
   copyMs: number;
 }
 
-/** The server of the same weights whose cache has most of the chain. */
+interface CopyTarget {
+  chain: Chain;
+  server: Server;
+  /** Leading tokens that the server has itself. */
+  cached: number;
+}
+
+/** The server of the same weights, or the store, whose cache has most of the chain. */
 function findCopy(
   placement: Placement,
-  chain: Chain,
-  target: { server: Server; cached: number },
+  store: PromptStore | undefined,
+  target: CopyTarget,
 ): Copy | undefined {
   if (placement.choice !== ChoiceName.cost) return undefined;
   let best: Copy | undefined;
   for (const source of placement.servers) {
     if (source === target.server) continue;
     if (source.health.isDown(placement.nowMs)) continue;
-    const tokens = source.cache.cachedTokens(chain);
-    if (tokens < target.cached + COPY_MIN_TOKENS) continue;
-    if (best && tokens <= best.tokens) continue;
-    const isFar = source.entry.zone !== target.server.entry.zone;
-    const copyMs = COPY_SETUP_MS + (tokens - target.cached) *
-        COPY_MS_PER_TOKEN * (isFar ? FAR_COPY_FACTOR : 1);
-    best = { source, tokens, copyMs };
+    const { address, zone } = source.entry;
+    const copy = weighCopy(target, { address, zone, cache: source.cache });
+    if (copy && (!best || isBetter(copy, best))) best = copy;
   }
-  return best;
+  const stored = store && weighCopy(target, store);
+  return stored && (!best || isBetter(stored, best)) ? stored : best;
+}
+
+function weighCopy(target: CopyTarget, source: PromptStore): Copy | undefined {
+  const { chain, server, cached } = target;
+  const tokens = source.cache.cachedTokens(chain);
+  if (tokens < cached + COPY_MIN_TOKENS) return undefined;
+  const factor = source.zone === server.entry.zone ? 1 : FAR_COPY_FACTOR;
+  const copyMs = COPY_SETUP_MS +
+    (tokens - cached) * COPY_MS_PER_TOKEN * factor;
+  return { address: source.address, tokens, copyMs };
+}
+
+function isBetter(copy: Copy, other: Copy): boolean {
+  if (copy.tokens !== other.tokens) return copy.tokens > other.tokens;
+  return copy.copyMs < other.copyMs;
+}
+
+/** Prompts are saved whose shared parts the store doesn't have yet. */
+function findStoreToSaveTo(
+  placement: Placement,
+  store: PromptStore | undefined,
+  chain: Chain,
+): string | undefined {
+  if (!store || placement.choice !== ChoiceName.cost) return undefined;
+  const shared = sharedTokens(chain);
+  if (shared < COPY_MIN_TOKENS) return undefined;
+  return store.cache.cachedTokens(chain) < shared ? store.address : undefined;
+}
+
+/** Weights that were replaced too long ago begin nothing new. */
+function isRetired(server: Server, prompt: PromptPlacement): boolean {
+  const version = server.weights(prompt.model);
+  if (version === undefined) return false;
+  return prompt.replacedForMs(version) >= RETIRED_WEIGHTS_FROM_MS;
+}
+
+function oldWeightsPrice(replacedForMs: number): number {
+  if (replacedForMs >= STALE_WEIGHTS_FROM_MS) return STALE_WEIGHTS_MS;
+  return replacedForMs >= OLD_WEIGHTS_FROM_MS ? OLD_WEIGHTS_MS : 0;
 }
 
 /** The last part belongs to the request alone. */
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -15,6 +15,7 @@
   type ChoiceName,
   choose,
   type PromptPlacement,
+  type PromptStore,
 } from "./choose.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { Fleet } from "./fleet.ts";
@@ -25,7 +26,8 @@
   type Route,
   type Workspace,
 } from "./model.ts";
-import type { LoadTicket, Server } from "./server.ts";
+import type { LoadTicket } from "./server.ts";
+import type { WantedVersions } from "./wanted_weights.ts";
 
 /** Sends of one request, those included that were not run. */
 const MAX_SENDS = 4;
@@ -114,10 +116,11 @@
   zone: string;
   random: () => number;
   choice: ChoiceName;
-  /** Newest weights of a model that the operator wants in use. */
-  wantedVersion(model: string): number;
-  /** A prompt was sent to a server; other entries are told. */
-  onPrompt(server: Server, chain: Chain): void;
+  wanted: WantedVersions;
+  /** Where prompts are kept beside the engines' own caches. */
+  promptStore(): PromptStore | undefined;
+  /** A prompt was sent to a server or saved to a store, named by id; other entries are told. */
+  onPrompt(id: string, chain: Chain): void;
 }
 
 /** How one send ended. */
@@ -232,7 +235,10 @@
     return {
       model: prompt.model,
       promptTokens: prompt.promptTokens,
-      wantedVersion: this.#options.wantedVersion(prompt.model),
+      wantedVersion: this.#options.wanted.newest(prompt.model),
+      replacedForMs: (version) =>
+        this.#options.wanted.replacedForMs(prompt.model, version),
+      store: this.#options.promptStore(),
       chainFor: (version) => ({
         salt: saltOf(version, request.workspace),
         parts: prompt.parts,
@@ -259,10 +265,7 @@
       headers: this.#headers(request, progress, choice),
       body: request.body,
     });
-    if (choice.chain) {
-      server.cache.use(choice.chain, sentAtMs);
-      this.#options.onPrompt(server, choice.chain);
-    }
+    this.#notePrompt(choice, sentAtMs);
     sink.onGone(() => exchange.abort());
     const send = {
       request,
@@ -283,6 +286,17 @@
     }
   }
 
+  /** From now on the server is expected to have the prompt in its cache. */
+  #notePrompt({ server, chain, saveTo }: Choice, nowMs: number): void {
+    if (!chain) return;
+    const { onPrompt, promptStore } = this.#options;
+    server.cache.use(chain, nowMs);
+    onPrompt(server.id, chain);
+    if (saveTo === undefined) return;
+    promptStore()?.cache.use(chain, nowMs);
+    onPrompt(saveTo, chain);
+  }
+
   #headers(
     request: RoutedRequest,
     progress: Progress,
@@ -300,7 +314,8 @@
       enginePriority: choice.chain
         ? Math.min(ENGINE_PRIORITY_MAX, Math.max(0, priority))
         : undefined,
-      copyFrom: choice.copyFrom?.entry.address,
+      copyFrom: choice.copyFrom,
+      saveTo: choice.saveTo,
       lastEventId: isResumed ? progress.lastEventId : undefined,
     });
   }
@@ -417,7 +432,7 @@
     const { prompt } = request.facts;
     if (facts.status === 421 && prompt) {
       const version = facts.weightsVersion ??
-        this.#options.wantedVersion(prompt.model);
+        this.#options.wanted.newest(prompt.model);
       server.learnWeights(prompt.model, version);
       return { kind: "not_run", reason: "other_weights" };
     }
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -28,7 +28,7 @@
 /** Clients come back this soon where no configuration is known yet. */
 const NOT_READY_LEFT_MS = 1500;
 /** Time from a stop until no connection is taken: two readiness questions missed, and a bit. */
-const LISTEN_ON_MS = 2600;
+const LISTEN_ON_MS = 2200;
 /** Pause between looks at whether all requests are over. */
 const DRAIN_POLL_MS = 50;
 
@@ -113,14 +113,17 @@
    * what is left at the end is broken off.
    *
    * @param graceMs Time for all of it.
+   * @param isBusy Whether the process has other work that it should end first.
    */
-  async drain(graceMs: number): Promise<void> {
+  async drain(graceMs: number, isBusy: () => boolean): Promise<void> {
     const { clock } = this.#options;
     const endMs = clock.nowMs() + graceMs;
     this.#isDraining = true;
     await clock.sleep(Math.min(LISTEN_ON_MS, graceMs));
     const closed = new Promise((resolve) => this.#server.close(resolve));
-    while (this.#active > 0 && clock.nowMs() < endMs) {
+    while ((this.#active > 0 || isBusy()) && clock.nowMs() < endMs) {
+      // A kept connection whose last answer began before the stop would bring another request.
+      this.#server.closeIdleConnections();
       await clock.sleep(DRAIN_POLL_MS);
     }
     this.#server.closeAllConnections();
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -51,6 +51,14 @@
   cacheTokens: number;
 }
 
+/** A store of cached prompts that engines save to and copy from. */
+export interface CacheStore {
+  /** `ip:port`. */
+  address: string;
+  zone: string;
+  cacheTokens: number;
+}
+
 /** A group of backend servers that answer the same requests. */
 export interface Service {
   name: string;
@@ -58,6 +66,8 @@
   connectionLimit: number;
   /** Left out for plain services. */
   engine?: EngineLimits;
+  /** Given where the service is no group of servers but a store of cached prompts. */
+  cacheStore?: CacheStore;
 }
 
 /** Bounds on what a client may send. */
@@ -155,8 +165,10 @@
   weightsVersion?: number;
   /** 0 is admitted first, 9 last. */
   enginePriority?: number;
-  /** `ip:port` of a server from whose cache the prompt may be copied. */
+  /** `ip:port` of a server or store from whose cache the prompt may be copied. */
   copyFrom?: string;
+  /** `ip:port` of a store to which the prompt's parts are saved once they are read. */
+  saveTo?: string;
   /** Overrides the client's own. */
   lastEventId?: string;
 }
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -5,9 +5,8 @@
  */
 import { createSocket, type Socket } from "node:dgram";
 import type { Clock, Logger } from "../base/mod.ts";
-import type { Chain } from "./cache_book.ts";
+import type { CacheBook, Chain } from "./cache_book.ts";
 import type { Fleet } from "./fleet.ts";
-import type { Server } from "./server.ts";
 
 /** Pause between datagrams while something changes: a tenth of the time to a first token. */
 const TELL_MS = 50;
@@ -30,6 +29,8 @@
   clock: Clock;
   log: Logger;
   fleet: Fleet;
+  /** Expected cache of a server, by id, or of a store, by address. */
+  cacheOf(id: string): CacheBook | undefined;
   /** IP numbers of entries that may exist. */
   knownAddresses(): string[];
   /** Up to which revision of the store this entry knows everything, and how old that is. */
@@ -51,7 +52,7 @@
   ageMs: number;
   /** Server, pending tokens, requests under way. */
   loads: [string, number, number][];
-  /** Server, salt, and the parts with their tokens. */
+  /** Server or store, salt, and the parts with their tokens. */
   prompts: [string, string, [string, number][]][];
   /** Servers that are to get nothing new. */
   heldBack: string[];
@@ -99,15 +100,15 @@
   }
 
   /**
-   * @param server Where a prompt was sent.
+   * @param id The server that a prompt was sent to, or the address of the store that keeps it.
    * @param chain Its parts.
    */
-  tellPrompt(server: Server, chain: Chain): void {
+  tellPrompt(id: string, chain: Chain): void {
     const parts = chain.parts.map(({ id, tokens }): [string, number] => [
       id,
       tokens,
     ]);
-    this.#prompts.push([server.id, chain.salt, parts]);
+    this.#prompts.push([id, chain.salt, parts]);
     if (this.#prompts.length > MAX_QUEUED_PROMPTS) this.#prompts.shift();
   }
 
@@ -228,7 +229,7 @@
         salt,
         parts: parts.map(([id, tokens]) => ({ id, tokens })),
       };
-      fleet.get(id)?.cache.use(chain, nowMs);
+      this.#options.cacheOf(id)?.use(chain, nowMs);
     }
     for (const id of told.heldBack) {
       fleet.get(id)?.holdBack(nowMs + HELD_BACK_MS);
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -12,13 +12,15 @@
   PlatformStore,
   READINESS_PATH,
 } from "../platform/mod.ts";
+import { CacheBook } from "./cache_book.ts";
+import type { PromptStore } from "./choose.ts";
 import { serveControl, serveReadiness } from "./control.ts";
 import { Dispatcher } from "./dispatch.ts";
 import { Fleet } from "./fleet.ts";
 import { StoreFollower } from "./follower.ts";
 import { Ingress } from "./ingress.ts";
 import { type MirrorChange, StoreMirror } from "./mirror.ts";
-import type { RoutingConfig, WantedWeights } from "./model.ts";
+import type { RoutingConfig, Service, WantedWeights } from "./model.ts";
 import { Peers } from "./peers.ts";
 import { Registration } from "./registration.ts";
 import { relayAnswer, RelayReader } from "./relay.ts";
@@ -26,6 +28,7 @@
 import { RoutingTable } from "./routing_table.ts";
 import type { Server, ServerOptions } from "./server.ts";
 import type { RouterSettings, SocketAddress } from "./settings.ts";
+import { WantedVersions } from "./wanted_weights.ts";
 import { ROLL_LEASE_KEY, WeightsRoll } from "./weights_roll.ts";
 
 /** The store answers in 4 ms; a connection that takes longer than this is a lost one. */
@@ -76,7 +79,8 @@
   readonly #dispatcher: Dispatcher;
   readonly #ingress: Ingress;
   readonly #requestLog: RequestLog;
-  readonly #wanted = new Map<string, number>();
+  readonly #wanted: WantedVersions;
+  #promptStore: PromptStore | undefined;
   #table: RoutingTable | undefined;
 
   private constructor(options: RouterOptions) {
@@ -85,6 +89,7 @@
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
     this.#mirror = StoreMirror.create(this.#clock);
+    this.#wanted = WantedVersions.create(this.#clock);
     this.#store = PlatformStore.create({
       address: textOf(options.settings.storeAddress),
       connectMs: STORE_CONNECT_MS,
@@ -129,7 +134,11 @@
   /** Stops in order: requests under way are answered first, within the grace time. */
   async drain(): Promise<void> {
     this.#log.info({ event: "stopping", active: this.#ingress.active });
-    await this.#ingress.drain(this.#settings.graceMs - EXIT_MARGIN_MS);
+    this.#roll.retire();
+    await this.#ingress.drain(
+      this.#settings.graceMs - EXIT_MARGIN_MS,
+      () => this.#roll.busy,
+    );
     await this.stop();
     this.#log.info({ event: "stopped" });
   }
@@ -152,7 +161,7 @@
       entries: this.#peers.count,
       holdsRollLease: this.#roll.holdsLease,
       active: this.#ingress.active,
-      wanted: Object.fromEntries(this.#wanted),
+      wanted: this.#wanted.all(),
       servers: [...this.#fleet.all()].map((server) => ({
         id: server.id,
         service: server.entry.service,
@@ -194,6 +203,7 @@
       ipAddress,
       port: peerPort,
       fleet: this.#fleet,
+      cacheOf: (id) => this.#cacheOf(id),
       knownAddresses: () => [
         ...seedAddresses.map((seed) => seed.ipAddress),
         ...this.#registration.ipAddresses(),
@@ -217,7 +227,7 @@
         this.#mirror.revision === 0n || !this.#follower.connected ||
         this.#mirror.entries(ROLL_LEASE_KEY).length > 0,
       engineServices: () => this.#engineServices(),
-      wanted: () => this.#wantedWeights(),
+      wanted: () => this.#wanted.all(),
       onWeights: (server, model, version) =>
         this.#peers.tellWeights(server.id, model, version),
     });
@@ -229,8 +239,9 @@
       fleet: this.#fleet,
       zone: this.#settings.zone,
       choice: this.#settings.choice,
-      wantedVersion: (model) => this.#wanted.get(model) ?? 0,
-      onPrompt: (server, chain) => this.#peers.tellPrompt(server, chain),
+      wanted: this.#wanted,
+      promptStore: () => this.#promptStore,
+      onPrompt: (id, chain) => this.#peers.tellPrompt(id, chain),
     });
   }
 
@@ -325,6 +336,7 @@
     const before = this.#table?.version;
     this.#table = RoutingTable.create(config);
     this.#ingress.applyLimits();
+    this.#usePromptStore(config.services);
     this.#log.info({
       event: "config_in_force",
       version: config.version,
@@ -333,14 +345,25 @@
     });
   }
 
-  #want({ model, version }: WantedWeights): void {
-    if ((this.#wanted.get(model) ?? 0) >= version) return;
-    this.#wanted.set(model, version);
-    this.#log.info({ event: "weights_wanted", model, version });
+  #want(wanted: WantedWeights): void {
+    if (!this.#wanted.name(wanted)) return;
+    this.#log.info({ event: "weights_wanted", ...wanted });
   }
 
-  #wantedWeights(): WantedWeights[] {
-    return [...this.#wanted].map(([model, version]) => ({ model, version }));
+  #cacheOf(id: string): CacheBook | undefined {
+    if (id === this.#promptStore?.address) return this.#promptStore.cache;
+    return this.#fleet.get(id)?.cache;
+  }
+
+  /** What a store holds outlives changes of the configuration. */
+  #usePromptStore(services: Service[]): void {
+    const store = services.find(({ cacheStore }) => cacheStore)?.cacheStore;
+    if (store?.address === this.#promptStore?.address) return;
+    this.#promptStore = store && {
+      address: store.address,
+      zone: store.zone,
+      cache: CacheBook.create(store.cacheTokens * CACHE_SHARE),
+    };
   }
 
   #engineServices(): string[] {
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -18,7 +18,10 @@
 /** Beyond the time in which two holders may not take turns. */
 const TURN_MARGIN_MS = 200;
 /** Entries that see the lease free wait up to this long, so that one asks first. */
-const ACQUIRE_SPREAD_MS = 300;
+const ACQUIRE_SPREAD_MS = 60;
+/** In a rolling restart the youngest process lives longest, so the older ones wait longer. */
+const AGE_SPREAD_MS = 300;
+const OLD_AGE_MS = 30_000;
 /** Pause between looks at what is to be done. */
 const LOOK_MS = 50;
 /** Time for one call to an engine. */
@@ -26,7 +29,7 @@
 /** Engines that load at once; with more of them each takes longer. */
 const LOADS_AT_ONCE = 2;
 /** Share of a service's engines that may be out of use at once. */
-const OUT_SHARE = 0.4;
+const OUT_SHARE = 0.5;
 /** Time that an engine gets to end its runs before the order; they end behind it all the same. */
 const DRAIN_MS = 900;
 /** Time that peers need to hear that an engine is held back. */
@@ -67,11 +70,14 @@
   readonly #out = new Map<string, Server>();
   readonly #retryAtMs = new Map<string, number>();
   #lease: FencedLease | undefined;
+  readonly #startedAtMs: number;
   #notBeforeMs = 0;
+  #isRetiring = false;
   #loading = 0;
 
   private constructor(options: WeightsRollOptions) {
     this.#options = options;
+    this.#startedAtMs = options.clock.nowMs();
   }
 
   /**
@@ -92,13 +98,28 @@
     return this.#lease?.isHeldFor(0) ?? false;
   }
 
+  /** Whether this entry still has engines to order, as the holder of the lease. */
+  get busy(): boolean {
+    if (!this.holdsLease) return false;
+    if (this.#out.size > 0) return true;
+    const { fleet, engineServices, wanted } = this.#options;
+    return engineServices().some((service) =>
+      fleet.open(service).some((server) => this.#lacks(server, wanted()))
+    );
+  }
+
+  /** Takes the lease no more; one that is held is kept to the end of the work. */
+  retire(): void {
+    this.#isRetiring = true;
+  }
+
   /** @param signal Ends the work; the lease is given up. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.#options;
     while (!signal.aborted) {
       await clock.sleep(LOOK_MS, signal);
       if (this.holdsLease) this.#look(signal);
-      else if (!this.#options.isLeaseHeld()) await this.#acquire(signal);
+      else if (!this.#isRetiring && !this.#options.isLeaseHeld()) await this.#acquire(signal);
     }
     await this.#lease?.release();
   }
@@ -106,8 +127,10 @@
   async #acquire(signal: AbortSignal): Promise<void> {
     const { clock, random, store, holderId, isLeaseHeld, turnMs, log } =
       this.#options;
-    await clock.sleep(random() * ACQUIRE_SPREAD_MS, signal);
-    if (signal.aborted || isLeaseHeld()) return;
+    const age = Math.min(1, (clock.nowMs() - this.#startedAtMs) / OLD_AGE_MS);
+    const waitMs = random() * ACQUIRE_SPREAD_MS + age * AGE_SPREAD_MS;
+    await clock.sleep(waitMs, signal);
+    if (signal.aborted || this.#isRetiring || isLeaseHeld()) return;
     const acquired = await FencedLease.acquire(store, {
       key: ROLL_LEASE_KEY,
       holderId,
@@ -148,14 +171,22 @@
       const behind = servers.filter((server) =>
         this.#lacks(server, wanted()) && this.#isDue(server, nowMs)
       );
-      // An engine with little to do loses least.
-      behind.sort((a, b) => a.load(nowMs).running - b.load(nowMs).running);
+      behind.sort((a, b) => this.#compare(a, b, { nowMs }));
       for (const server of behind.slice(0, Math.max(0, room))) {
         void this.#bring(server, signal);
       }
     }
   }
 
+  /** Oldest weights first; of these, the engine with little to do loses least. */
+  #compare(a: Server, b: Server, { nowMs }: { nowMs: number }): number {
+    for (const { model } of this.#options.wanted()) {
+      const older = (a.weights(model) ?? 0) - (b.weights(model) ?? 0);
+      if (older !== 0) return older;
+    }
+    return a.load(nowMs).running - b.load(nowMs).running;
+  }
+
   #lacks(server: Server, wanted: WantedWeights[]): boolean {
     return wanted.some(({ model, version }) => {
       const has = server.weights(model);
