--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -28,12 +28,14 @@
 const CALL_MS = 500;
 /** Engines that load at once; with more of them each takes longer. */
 const LOADS_AT_ONCE = 2;
-/** Share of a service's engines that may be out of use at once. */
-const OUT_SHARE = 0.5;
+/** Share of a service's engines that may be out of use at once; the rest must carry the load. */
+const OUT_SHARE = 0.375;
 /** Time that an engine gets to end its runs before the order; they end behind it all the same. */
-const DRAIN_MS = 900;
+const DRAIN_MS = 1500;
 /** Time that peers need to hear that an engine is held back. */
 const TOLD_MS = 110;
+/** No engine has loaded by then: loads take 760 ms. */
+const FIRST_REPORT_MS = 750;
 /** Pause between reports of an engine that loads; they lag by some hundred ms. */
 const REPORT_MS = 200;
 /** An order that has no effect within this time is decided anew. */
@@ -166,7 +168,7 @@
     if (nowMs < this.#notBeforeMs) return;
     for (const service of engineServices()) {
       const servers = fleet.open(service);
-      const room = Math.max(1, Math.floor(servers.length * OUT_SHARE)) -
+      const room = Math.max(1, Math.round(servers.length * OUT_SHARE)) -
         servers.filter(({ id }) => this.#out.has(id)).length;
       const behind = servers.filter((server) =>
         this.#lacks(server, wanted()) && this.#isDue(server, nowMs)
@@ -202,14 +204,25 @@
   /** Takes an engine out of use, orders what it lacks, and waits until it has it. */
   async #bring(server: Server, signal: AbortSignal): Promise<void> {
     const { clock, log, wanted } = this.#options;
+    const startMs = clock.nowMs();
     this.#out.set(server.id, server);
     server.holdBack(clock.nowMs() + HOLD_MS);
     try {
       await this.#awaitRuns(server, signal);
+      const idleMs = clock.nowMs();
+      const left = server.load(idleMs).running;
       for (const target of wanted()) {
         if (!this.#lacks(server, [target])) continue;
         await this.#load(server, target, { signal });
       }
+      log.info({
+        event: "engine_back",
+        server: server.id,
+        drainedMs: Math.round(idleMs - startMs),
+        left,
+        loadedMs: Math.round(clock.nowMs() - idleMs),
+        behind: this.#lacks(server, wanted()),
+      });
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       log.error({ event: "roll_failed", server: server.id, reason });
@@ -308,9 +321,13 @@
   ): Promise<void> {
     const { clock } = this.#options;
     const untilMs = clock.nowMs() + ORDER_MS;
+    let reportAtMs = clock.nowMs() + FIRST_REPORT_MS;
     while (!signal.aborted && clock.nowMs() < untilMs) {
-      await clock.sleep(REPORT_MS, signal);
+      await clock.sleep(LOOK_MS, signal);
+      // The server's registration may tell before its report does.
       if (!this.#lacks(server, [target])) return;
+      if (clock.nowMs() < reportAtMs) continue;
+      reportAtMs = clock.nowMs() + REPORT_MS;
       const report = await fetchReport(server.entry, CALL_MS);
       if (report.isErr) return this.#unheard(server, report.error.kind);
       if (this.#has(server, target, report.value)) return;
