Ease engines of long requests before a roll, and believe deletions that a served peer tells

VERSION: each engine was out for 2 to 4 s.

Ruled out: the reset going unnoticed in the channel (test on real sockets).

Change: answers without framing are not passed on as successes; connections without a request are closed while stopping; deletions count as lapsed only while the store serves no entry; engines get no long requests for 1.2 s, then nothing new until what they have is read, then the order.

--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -106,7 +106,9 @@
     requestId: single(headers, Header.requestId),
     signed: headers[Header.signature] !== undefined,
     encoded: encoding !== undefined && encoding !== "identity",
-    closing: /\bclose\b/i.test(single(headers, "connection") ?? ""),
+    framed: status === 204 || status === 304 ||
+      headers["content-length"] !== undefined ||
+      headers["transfer-encoding"] !== undefined,
     serverId: single(headers, Header.serverId),
     weightsVersion: positive(single(headers, Header.weightsVersion)),
   };
--- /dev/null
+++ b/src/router/channel_test.ts
@@ -0,0 +1,126 @@
+import assert from "node:assert/strict";
+import { createServer, type Server, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { type AnswerStep, ChannelSet, type Exchange } from "./channel.ts";
+
+const WAIT_MS = 5000;
+const REQUEST = { method: "GET", target: "/", headers: [], body: undefined };
+
+/** A server that runs `answer` for each chunk of bytes it reads. */
+async function listen(
+  t: TestContext,
+  answer: (socket: Socket, asked: number) => void,
+): Promise<{ channels: ChannelSet; connections: () => number }> {
+  let asked = 0;
+  let connections = 0;
+  const sockets = new Set<Socket>();
+  const server: Server = createServer((socket) => {
+    connections++;
+    sockets.add(socket);
+    socket.on("error", () => {});
+    socket.on("data", () => answer(socket, asked++));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const address = server.address();
+  assert.ok(address && typeof address === "object");
+  const channels = ChannelSet.create({
+    address: `127.0.0.1:${address.port}`,
+    connectMs: 1000,
+    idleMs: 4000,
+  });
+  t.after(() => {
+    channels.closeIdle();
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  return { channels, connections: () => connections };
+}
+
+async function readAll(exchange: Exchange): Promise<AnswerStep[]> {
+  const steps: AnswerStep[] = [];
+  while (true) {
+    const step = await exchange.next(WAIT_MS);
+    assert.ok(step, "No step came");
+    steps.push(step);
+    if (step.kind === "end" || step.kind === "failed") return steps;
+  }
+}
+
+function kinds(steps: AnswerStep[]): string[] {
+  return steps.map(({ kind }) => kind);
+}
+
+const HEAD = "HTTP/1.1 200 OK\r\n";
+
+test("body without a length ends with its connection", async (t) => {
+  const { channels } = await listen(t, (socket) => {
+    socket.end(`${HEAD}connection: close\r\n\r\nwhole`);
+  });
+  const steps = await readAll(channels.send(REQUEST));
+  assert.deepEqual(kinds(steps), ["head", "data", "end"]);
+});
+
+test("body without a length that is reset is broken", async (t) => {
+  const { channels } = await listen(t, (socket) => {
+    socket.write(`${HEAD}connection: close\r\n\r\nhalf`, () => {
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+  });
+  const steps = await readAll(channels.send(REQUEST));
+  assert.deepEqual(kinds(steps), ["head", "data", "failed"]);
+});
+
+test("body shorter than announced is broken", async (t) => {
+  const { channels } = await listen(t, (socket) => {
+    socket.end(`${HEAD}content-length: 10\r\n\r\nhalf`);
+  });
+  const steps = await readAll(channels.send(REQUEST));
+  assert.equal(steps.at(-1)?.kind, "failed");
+});
+
+test("kept connection carries the next request", async (t) => {
+  const { channels, connections } = await listen(t, (socket) => {
+    socket.write(`${HEAD}content-length: 2\r\n\r\nok`);
+  });
+  await readAll(channels.send(REQUEST));
+  await readAll(channels.send(REQUEST));
+  assert.equal(connections(), 1);
+});
+
+test("bytes behind an answer end its connection", async (t) => {
+  const { channels, connections } = await listen(t, (socket, asked) => {
+    const answer = `${HEAD}content-length: 2\r\n\r\nok`;
+    socket.write(asked === 0 ? answer + answer : answer);
+  });
+  await readAll(channels.send(REQUEST));
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  const steps = await readAll(channels.send(REQUEST));
+  assert.deepEqual(kinds(steps), ["head", "data", "end"]);
+  assert.equal(connections(), 2);
+});
+
+test("connection that can't be made leaves the request unsent", async () => {
+  const channels = ChannelSet.create({
+    address: "127.0.0.1:1",
+    connectMs: 1000,
+    idleMs: 4000,
+  });
+  const exchange = channels.send(REQUEST);
+  const [step] = await readAll(exchange);
+  assert.ok(step?.kind === "failed");
+  assert.equal(step.failure.kind, "unreachable");
+  assert.equal(exchange.sent, false);
+});
+
+test("aborted exchange closes its connection", async (t) => {
+  let onClosed = () => {};
+  const closed = new Promise<void>((resolve) => onClosed = resolve);
+  const { channels } = await listen(t, (socket) => {
+    socket.on("close", () => onClosed());
+    socket.write(`${HEAD}content-length: 100\r\n\r\npart`);
+  });
+  const exchange = channels.send(REQUEST);
+  await exchange.next(WAIT_MS);
+  exchange.abort();
+  await closed;
+});
--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -45,6 +45,10 @@
 const DOWN_MS = 20_000;
 /** Price of a server that takes nothing new because its weights change. */
 const HELD_BACK_MS = 10_000;
+/** Price of sending a long request to a server whose weights are to change once its runs end. */
+const EASED_MS = 1500;
+/** Requests that generate more than this run for a second and longer. */
+const LONG_OUTPUT_TOKENS = 32;
 /** Time that a plain call takes before anything is known: the sheets' 21 to 86 ms. */
 const PLAIN_CALL_MS = 60;
 
@@ -67,6 +71,8 @@
   promptTokens: number;
   /** The chain as a server with these weights keeps it. */
   chainFor(weightsVersion: number): Chain;
+  /** Tokens that are generated at most. */
+  outputTokens: number;
   /** Newest version of the weights that is to be used. */
   wantedVersion: number;
   /** Time since a version was replaced; 0 if it wasn't. */
@@ -152,7 +158,8 @@
     (copy?.copyMs ?? 0);
   const reread = Math.max(0, sharedTokens(chain) - held);
   const price = reread * REREAD_MS_PER_TOKEN +
-    oldWeightsPrice(prompt.replacedForMs(weightsVersion));
+    oldWeightsPrice(prompt.replacedForMs(weightsVersion)) +
+    easedPrice(server, prompt, { nowMs });
   return {
     server,
     expectedMs,
@@ -253,6 +260,15 @@
   return replacedForMs >= OLD_WEIGHTS_FROM_MS ? OLD_WEIGHTS_MS : 0;
 }
 
+function easedPrice(
+  server: Server,
+  prompt: PromptPlacement,
+  { nowMs }: { nowMs: number },
+): number {
+  const isLong = prompt.outputTokens > LONG_OUTPUT_TOKENS;
+  return isLong && server.isEased(nowMs) ? EASED_MS : 0;
+}
+
 /** The last part belongs to the request alone. */
 function sharedTokens(chain: Chain): number {
   let tokens = 0;
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -235,6 +235,7 @@
     return {
       model: prompt.model,
       promptTokens: prompt.promptTokens,
+      outputTokens: prompt.outputTokens,
       wantedVersion: this.#options.wanted.newest(prompt.model),
       replacedForMs: (version) =>
         this.#options.wanted.replacedForMs(prompt.model, version),
@@ -625,6 +626,7 @@
   if (facts.encoded) return "encoded_answer";
   const isSuccess = facts.status >= 200 && facts.status < 300;
   if (isSuccess && !facts.signed) return "unsigned_answer";
+  if (isSuccess && !facts.framed) return "unframed_answer";
   // These would promise that the request did not run, which the server has not said.
   if ([408, 421, 429, 503].includes(facts.status)) {
     return `status_${facts.status}`;
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -8,6 +8,7 @@
   type Server as HttpServer,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import type { Clock } from "../base/mod.ts";
 import { readRequest, retryHeaders } from "../platform/mod.ts";
 import {
@@ -59,6 +60,8 @@
 export class Ingress {
   readonly #options: IngressOptions;
   readonly #server: HttpServer;
+  /** Open connections, with the requests under way on each. */
+  readonly #connections = new Map<Socket, number>();
   #isDraining = false;
   #active = 0;
 
@@ -69,6 +72,7 @@
       (request, response) => void this.#handle(request, response),
     );
     this.#server.requestTimeout = 0;
+    this.#server.on("connection", (socket) => this.#track(socket));
   }
 
   /**
@@ -122,21 +126,43 @@
     await clock.sleep(Math.min(LISTEN_ON_MS, graceMs));
     const closed = new Promise((resolve) => this.#server.close(resolve));
     while ((this.#active > 0 || isBusy()) && clock.nowMs() < endMs) {
-      // A kept connection whose last answer began before the stop would bring another request.
-      this.#server.closeIdleConnections();
+      this.#closeIdle();
       await clock.sleep(DRAIN_POLL_MS);
     }
     this.#server.closeAllConnections();
     await closed;
   }
 
+  /**
+   * Closes connections without a request under way, which would bring another one: kept ones whose
+   * last answer began before the stop, and ones on which nothing was asked yet. The server's own
+   * method leaves the latter open.
+   */
+  #closeIdle(): void {
+    for (const [socket, active] of this.#connections) {
+      if (active === 0) socket.destroy();
+    }
+  }
+
+  #track(socket: Socket): void {
+    this.#connections.set(socket, 0);
+    socket.once("close", () => this.#connections.delete(socket));
+  }
+
+  #count(socket: Socket, change: 1 | -1): void {
+    this.#active += change;
+    const active = this.#connections.get(socket);
+    if (active !== undefined) this.#connections.set(socket, active + change);
+  }
+
   async #handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     const arrivedAtMs = this.#options.clock.nowMs();
-    this.#active++;
-    response.once("close", () => this.#active--);
+    const { socket } = request;
+    this.#count(socket, 1);
+    response.once("close", () => this.#count(socket, -1));
     response.sendDate = false;
     const facts = readRequest(request);
     const sink = new ResponseSink(response, () => this.#isDraining);
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -184,8 +184,8 @@
   signed: boolean;
   /** The body is not the server's own bytes. */
   encoded: boolean;
-  /** The server takes no further requests on this connection. */
-  closing: boolean;
+  /** The body has a length or is chunked; without either, one cut short can look whole. */
+  framed: boolean;
   /** Id of the server that answered, where it says so. */
   serverId?: string;
   weightsVersion?: number;
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -18,6 +18,8 @@
 const MAX_PROMPTS = 12;
 /** Prompts that wait to be told; the oldest are left out beyond it. */
 const MAX_QUEUED_PROMPTS = 100;
+/** A peer's word that the store answers it counts for this long. */
+const STORE_WORD_MS = 1000;
 /** A server is held back by a peer's word for this long after the last time it was said. */
 const HELD_BACK_MS = 1000;
 
@@ -35,6 +37,8 @@
   knownAddresses(): string[];
   /** Up to which revision of the store this entry knows everything, and how old that is. */
   knowledge(): Knowledge;
+  /** Whether the store answers this entry, and has done so for a while. */
+  isStoreServing(): boolean;
   /** A peer told of its own knowledge. */
   onKnowledge(ipAddress: string, knowledge: Knowledge): void;
 }
@@ -45,6 +49,14 @@
   ageMs: number;
 }
 
+/** Servers whose weights are about to change. */
+export interface OutOfUse {
+  /** To get nothing new. */
+  heldBack: string[];
+  /** To get no long requests. */
+  eased: string[];
+}
+
 /** One datagram. */
 interface Told {
   name: string;
@@ -56,6 +68,10 @@
   prompts: [string, string, [string, number][]][];
   /** Servers that are to get nothing new. */
   heldBack: string[];
+  /** Servers that are to get no long requests. */
+  eased: string[];
+  /** The store answers this entry, and has done so for a while. */
+  storeServes: boolean;
   /** Server, model, version: weights that were seen there. */
   weights: [string, string, number][];
 }
@@ -67,7 +83,8 @@
   readonly #heardAtMs = new Map<string, number>();
   readonly #prompts: Told["prompts"] = [];
   readonly #weights: Told["weights"] = [];
-  #heldBack: () => string[] = () => [];
+  #outOfUse: () => OutOfUse = () => ({ heldBack: [], eased: [] });
+  #storeServedPeerAtMs = -Infinity;
   #lastText = "";
   #lastAtMs = -Infinity;
 
@@ -94,9 +111,15 @@
     return count;
   }
 
-  /** @param heldBack Servers that every entry is to hold back. */
-  tellHeldBack(heldBack: () => string[]): void {
-    this.#heldBack = heldBack;
+  /** Whether the store answers some other entry. */
+  get storeServesPeer(): boolean {
+    const nowMs = this.#options.clock.nowMs();
+    return nowMs - this.#storeServedPeerAtMs < STORE_WORD_MS;
+  }
+
+  /** @param outOfUse Servers that every entry is to spare. */
+  tellOutOfUse(outOfUse: () => OutOfUse): void {
+    this.#outOfUse = outOfUse;
   }
 
   /**
@@ -179,7 +202,8 @@
       ageMs: Math.round(Math.min(ageMs, Number.MAX_SAFE_INTEGER)),
       loads,
       prompts: this.#prompts.splice(0, MAX_PROMPTS),
-      heldBack: this.#heldBack(),
+      ...this.#outOfUse(),
+      storeServes: this.#options.isStoreServing(),
       weights: this.#weights.splice(0),
     };
   }
@@ -234,6 +258,8 @@
     for (const id of told.heldBack) {
       fleet.get(id)?.holdBack(nowMs + HELD_BACK_MS);
     }
+    for (const id of told.eased) fleet.get(id)?.ease(nowMs + HELD_BACK_MS);
+    if (told.storeServes) this.#storeServedPeerAtMs = nowMs;
     for (const [id, model, version] of told.weights) {
       fleet.get(id)?.learnWeights(model, version);
     }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -116,7 +116,7 @@
     });
     this.#ingress = this.#createIngress();
     this.#mirror.onChange((change) => this.#apply(change));
-    this.#peers.tellHeldBack(() => this.#roll.heldBack());
+    this.#peers.tellOutOfUse(() => this.#roll.outOfUse());
   }
 
   /**
@@ -191,7 +191,9 @@
     return Fleet.create({
       ...this.#parts(),
       serverOptions: (service) => this.#serverOptions(service),
-      isRecovering: () => this.#follower.recovering,
+      // What an entry says that the store serves well is no gap of an outage.
+      isRecovering: () =>
+        this.#follower.recovering && !this.#peers.storeServesPeer,
     });
   }
 
@@ -204,6 +206,7 @@
       port: peerPort,
       fleet: this.#fleet,
       cacheOf: (id) => this.#cacheOf(id),
+      isStoreServing: () => !this.#follower.recovering,
       knownAddresses: () => [
         ...seedAddresses.map((seed) => seed.ipAddress),
         ...this.#registration.ipAddresses(),
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -46,6 +46,7 @@
   readonly #own: ServerLoad = { pendingTokens: 0, running: 0 };
   readonly #peers = new Map<string, PeerLoad>();
   #heldBackUntilMs = -Infinity;
+  #easedUntilMs = -Infinity;
   #heardAtMs = -Infinity;
 
   private constructor(entry: BackendServer, options: ServerOptions) {
@@ -149,6 +150,23 @@
     return nowMs < this.#heldBackUntilMs;
   }
 
+  /**
+   * Sends it no long requests for a while, so that it has few runs when its weights change.
+   *
+   * @param untilMs Until when, unless said again.
+   */
+  ease(untilMs: number): void {
+    this.#easedUntilMs = untilMs;
+  }
+
+  /**
+   * @param nowMs The time.
+   * @returns Whether it is to get no long requests.
+   */
+  isEased(nowMs: number): boolean {
+    return nowMs < this.#easedUntilMs;
+  }
+
   /**
    * @param nowMs The time.
    */
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -9,6 +9,7 @@
 import type { KeyValueStore } from "../store/store.ts";
 import type { Fleet } from "./fleet.ts";
 import type { ServerReport, WantedWeights } from "./model.ts";
+import type { OutOfUse } from "./peers.ts";
 import type { Server } from "./server.ts";
 
 /** Key of the lease. */
@@ -28,10 +29,14 @@
 const CALL_MS = 500;
 /** Engines that load at once; with more of them each takes longer. */
 const LOADS_AT_ONCE = 2;
-/** Share of a service's engines that may be out of use at once; the rest must carry the load. */
-const OUT_SHARE = 0.375;
-/** Time that an engine gets to end its runs before the order; they end behind it all the same. */
-const DRAIN_MS = 1500;
+/** Share of a service's engines that get nothing new at once; the rest must carry the load. */
+const HELD_SHARE = 0.3;
+/** Share of a service's engines that get no long requests at once, those included. */
+const OUT_SHARE = 0.55;
+/** Time for long runs to end before an engine is held back; the answers' worth falls only later. */
+const EASE_MS = 1200;
+/** Time for the engine's queue to end before the order; runs end behind the order all the same. */
+const DRAIN_MS = 700;
 /** Time that peers need to hear that an engine is held back. */
 const TOLD_MS = 110;
 /** No engine has loaded by then: loads take 760 ms. */
@@ -65,11 +70,18 @@
   onWeights(server: Server, model: string, version: number): void;
 }
 
+/** An engine that is to change its weights. */
+interface OutEngine {
+  server: Server;
+  /** It gets nothing new; before that, no long requests. */
+  isHeld: boolean;
+}
+
 /** Orders weights while it holds the lease. */
 export class WeightsRoll {
   readonly #options: WeightsRollOptions;
-  /** Engines that are out of use, by id. */
-  readonly #out = new Map<string, Server>();
+  /** Engines that are to change, by id. */
+  readonly #out = new Map<string, OutEngine>();
   readonly #retryAtMs = new Map<string, number>();
   #lease: FencedLease | undefined;
   readonly #startedAtMs: number;
@@ -90,9 +102,14 @@
     return new WeightsRoll(options);
   }
 
-  /** Engines that no entry should send anything new. */
-  heldBack(): string[] {
-    return [...this.#out.keys()];
+  /** Engines that every entry should spare. */
+  outOfUse(): OutOfUse {
+    const heldBack: string[] = [];
+    const eased: string[] = [];
+    for (const [id, { isHeld }] of this.#out) {
+      (isHeld ? heldBack : eased).push(id);
+    }
+    return { heldBack, eased };
   }
 
   /** Whether this entry holds the lease. */
@@ -164,7 +181,7 @@
   #look(signal: AbortSignal): void {
     const { clock, fleet, engineServices, wanted } = this.#options;
     const nowMs = clock.nowMs();
-    for (const server of this.#out.values()) server.holdBack(nowMs + HOLD_MS);
+    this.#spare(nowMs);
     if (nowMs < this.#notBeforeMs) return;
     for (const service of engineServices()) {
       const servers = fleet.open(service);
@@ -175,11 +192,19 @@
       );
       behind.sort((a, b) => this.#compare(a, b, { nowMs }));
       for (const server of behind.slice(0, Math.max(0, room))) {
-        void this.#bring(server, signal);
+        void this.#bring(server, { signal, count: servers.length });
       }
     }
   }
 
+  /** Keeps this entry's own requests away; the others are told by {@link outOfUse}. */
+  #spare(nowMs: number): void {
+    for (const { server, isHeld } of this.#out.values()) {
+      if (isHeld) server.holdBack(nowMs + HOLD_MS);
+      else server.ease(nowMs + HOLD_MS);
+    }
+  }
+
   /** Oldest weights first; of these, the engine with little to do loses least. */
   #compare(a: Server, b: Server, { nowMs }: { nowMs: number }): number {
     for (const { model } of this.#options.wanted()) {
@@ -202,15 +227,21 @@
   }
 
   /** Takes an engine out of use, orders what it lacks, and waits until it has it. */
-  async #bring(server: Server, signal: AbortSignal): Promise<void> {
+  async #bring(
+    server: Server,
+    { signal, count }: { signal: AbortSignal; count: number },
+  ): Promise<void> {
     const { clock, log, wanted } = this.#options;
     const startMs = clock.nowMs();
-    this.#out.set(server.id, server);
-    server.holdBack(clock.nowMs() + HOLD_MS);
+    const engine: OutEngine = { server, isHeld: false };
+    this.#out.set(server.id, engine);
+    this.#spare(startMs);
     try {
-      await this.#awaitRuns(server, signal);
-      const idleMs = clock.nowMs();
-      const left = server.load(idleMs).running;
+      await this.#awaitTurn(engine, { signal, count });
+      const heldMs = clock.nowMs();
+      await this.#awaitQueue(server, signal);
+      const orderMs = clock.nowMs();
+      const left = server.load(orderMs).running;
       for (const target of wanted()) {
         if (!this.#lacks(server, [target])) continue;
         await this.#load(server, target, { signal });
@@ -218,9 +249,10 @@
       log.info({
         event: "engine_back",
         server: server.id,
-        drainedMs: Math.round(idleMs - startMs),
+        easedMs: Math.round(heldMs - startMs),
+        drainedMs: Math.round(orderMs - heldMs),
         left,
-        loadedMs: Math.round(clock.nowMs() - idleMs),
+        loadedMs: Math.round(clock.nowMs() - orderMs),
         behind: this.#lacks(server, wanted()),
       });
     } catch (error) {
@@ -229,21 +261,42 @@
     } finally {
       this.#out.delete(server.id);
       server.holdBack(-Infinity);
+      server.ease(-Infinity);
       this.#retryAtMs.set(server.id, clock.nowMs() + RETRY_MS);
       if (!this.#lacks(server, wanted())) this.#retryAtMs.delete(server.id);
     }
   }
 
-  async #awaitRuns(server: Server, signal: AbortSignal): Promise<void> {
+  /** Waits until long runs had time to end, and few enough engines get nothing new. */
+  async #awaitTurn(
+    engine: OutEngine,
+    { signal, count }: { signal: AbortSignal; count: number },
+  ): Promise<void> {
+    const { clock } = this.#options;
+    const startMs = clock.nowMs();
+    const room = Math.max(1, Math.round(count * HELD_SHARE));
+    while (!signal.aborted) {
+      const nowMs = clock.nowMs();
+      const isIdle = engine.server.load(nowMs).running === 0;
+      const held = this.outOfUse().heldBack.length;
+      if (held < room && (isIdle || nowMs - startMs >= EASE_MS)) break;
+      await clock.sleep(LOOK_MS, signal);
+    }
+    engine.isHeld = true;
+    this.#spare(clock.nowMs());
+  }
+
+  /** Waits until the engine has read what was sent to it; runs may go on. */
+  async #awaitQueue(server: Server, signal: AbortSignal): Promise<void> {
     const { clock } = this.#options;
     const startMs = clock.nowMs();
     await clock.sleep(TOLD_MS, signal);
     while (!signal.aborted) {
       const nowMs = clock.nowMs();
-      const isIdle = server.load(nowMs).running === 0;
+      const hasRead = server.load(nowMs).pendingTokens === 0;
       const isLate = nowMs - startMs >= DRAIN_MS;
-      if (this.#loading < LOADS_AT_ONCE && (isIdle || isLate)) return;
-      await clock.sleep(LOOK_MS, signal);
+      if (this.#loading < LOADS_AT_ONCE && (hasRead || isLate)) return;
+      await clock.sleep(LOOK_MS / 2, signal);
     }
   }
 
