Copy prompts from the store where a server may have dropped them

Change: a part counts as ready only once it has been read; the store is named as a source whenever it has the prompt.

--- a/src/router/cache_book.ts
+++ b/src/router/cache_book.ts
@@ -14,7 +14,8 @@
 
 interface HeldPart {
   tokens: number;
-  usedAtMs: number;
+  /** When the server is expected to have read it. */
+  readyAtMs: number;
 }
 
 /** Expected contents of one server's cache. */
@@ -37,34 +38,61 @@
 
   /**
    * @param chain Parts of a prompt, in order.
-   * @returns How many of its leading tokens are expected in the cache.
+   * @returns How many of its leading tokens are expected in the cache, or are about to be read.
    */
   cachedTokens(chain: Chain): number {
-    let cached = 0;
+    return this.readyTokens(chain, Infinity);
+  }
+
+  /**
+   * @param chain Parts of a prompt, in order.
+   * @param nowMs The time.
+   * @returns How many of its leading tokens are expected to have been read by then.
+   */
+  readyTokens(chain: Chain, nowMs: number): number {
+    let ready = 0;
     for (const { id, tokens } of chain.parts) {
-      if (!this.#parts.has(partKey(chain.salt, id))) break;
-      cached += tokens;
+      const held = this.#parts.get(partKey(chain.salt, id));
+      if (!held || held.readyAtMs > nowMs) break;
+      ready += tokens;
     }
-    return cached;
+    return ready;
   }
 
   /**
    * Notes that a prompt was sent to the server.
    *
    * @param chain Parts of the prompt.
-   * @param nowMs The time.
+   * @param readyAtMs When the server is expected to have read it.
    */
-  use(chain: Chain, nowMs: number): void {
+  use(chain: Chain, readyAtMs: number): void {
     for (const { id, tokens } of chain.parts) {
       const key = partKey(chain.salt, id);
       const held = this.#parts.get(key);
       if (held) this.#parts.delete(key);
       else this.#tokens += tokens;
-      this.#parts.set(key, { tokens, usedAtMs: nowMs });
+      const readyMs = Math.min(held?.readyAtMs ?? Infinity, readyAtMs);
+      this.#parts.set(key, { tokens, readyAtMs: readyMs });
     }
     this.#evict();
   }
 
+  /**
+   * Notes that a prompt was not read after all.
+   *
+   * @param chain Parts of the prompt.
+   * @param nowMs The time; parts that were ready by then stay.
+   */
+  forget(chain: Chain, nowMs: number): void {
+    for (const { id, tokens } of chain.parts) {
+      const key = partKey(chain.salt, id);
+      const held = this.#parts.get(key);
+      if (!held || held.readyAtMs <= nowMs) continue;
+      this.#parts.delete(key);
+      this.#tokens -= tokens;
+    }
+  }
+
   /** Forgets everything, as the server does when its weights change. */
   clear(): void {
     this.#parts.clear();
--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -27,7 +27,7 @@
 /** Copies of less than this are not worth their set-up. */
 const COPY_MIN_TOKENS = 256;
 /** Price of reading a shared token again, against waiting: 1.2 of worth for a thousand tokens. */
-const REREAD_MS_PER_TOKEN = 0.03;
+const REREAD_MS_PER_TOKEN = 0.1;
 /** An answer on weights that were replaced longer ago is worth a fifth less. */
 const OLD_WEIGHTS_FROM_MS = 1300;
 /** Price of that, against waiting. */
@@ -175,7 +175,7 @@
 function scoreOf(placement: Placement, server: Server, costMs: number): number {
   const { nowMs, choice, random } = placement;
   const isFar = server.entry.zone !== placement.zone;
-  const avoidMs = (server.health.isDown(nowMs) ? DOWN_MS : 0) +
+  const avoidMs = (server.health.isDown ? DOWN_MS : 0) +
     (server.isHeldBack(nowMs) ? HELD_BACK_MS : 0) +
     server.health.failures(nowMs) * FAILURE_MS;
   switch (choice) {
@@ -212,18 +212,37 @@
   let best: Copy | undefined;
   for (const source of placement.servers) {
     if (source === target.server) continue;
-    if (source.health.isDown(placement.nowMs)) continue;
+    if (source.health.isDown) continue;
     const { address, zone } = source.entry;
-    const copy = weighCopy(target, { address, zone, cache: source.cache });
+    const copy = weighCopy(placement, target, {
+      source: { address, zone, cache: source.cache },
+    });
     if (copy && (!best || isBetter(copy, best))) best = copy;
   }
-  const stored = store && weighCopy(target, store);
-  return stored && (!best || isBetter(stored, best)) ? stored : best;
+  const stored = store && weighCopy(placement, target, { source: store });
+  if (stored && (!best || isBetter(stored, best))) return stored;
+  // A server may have dropped what it is expected to have; then the store fills in, else it costs
+  // nothing.
+  return best ?? (store && insurance(placement, target, { store }));
 }
 
-function weighCopy(target: CopyTarget, source: PromptStore): Copy | undefined {
+function insurance(
+  { nowMs }: Placement,
+  { chain, cached }: CopyTarget,
+  { store }: { store: PromptStore },
+): Copy | undefined {
+  const tokens = store.cache.readyTokens(chain, nowMs);
+  if (tokens < COPY_MIN_TOKENS) return undefined;
+  return { address: store.address, tokens: Math.max(tokens, cached), copyMs: 0 };
+}
+
+function weighCopy(
+  { nowMs }: Placement,
+  target: CopyTarget,
+  { source }: { source: PromptStore },
+): Copy | undefined {
   const { chain, server, cached } = target;
-  const tokens = source.cache.cachedTokens(chain);
+  const tokens = source.cache.readyTokens(chain, nowMs);
   if (tokens < cached + COPY_MIN_TOKENS) return undefined;
   const factor = source.zone === server.entry.zone ? 1 : FAR_COPY_FACTOR;
   const copyMs = COPY_SETUP_MS +
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -35,6 +35,7 @@
 const RESEND_SHARE = 0.15;
 /** A server that says nothing to anyone for this long, or longer than expected, is avoided. */
 const SUSPECT_MIN_MS = 400;
+const SUSPECT_CALL_MS = 700;
 const SUSPECT_FACTOR = 4;
 /** An idempotent call gets this share of its time at one server while another may be tried. */
 const CALL_SHARE = 0.4;
@@ -43,6 +44,8 @@
 /** A resumable stream whose first event is this late, and later than expected, goes elsewhere. */
 const FIRST_EVENT_MIN_MS = 1500;
 const FIRST_EVENT_FACTOR = 4;
+/** Time from a prompt's last token read until the store has it. */
+const SAVE_MS = 60;
 /** Less time than this is not worth another send. */
 const RESEND_MIN_LEFT_MS = 40;
 /** Refused clients are told to come back within this span, spread by chance. */
@@ -119,8 +122,19 @@
   wanted: WantedVersions;
   /** Where prompts are kept beside the engines' own caches. */
   promptStore(): PromptStore | undefined;
-  /** A prompt was sent to a server or saved to a store, named by id; other entries are told. */
-  onPrompt(id: string, chain: Chain): void;
+  /** A server has gone silent; other entries are told. */
+  onSilent(serverId: string): void;
+  /** A prompt was sent to a server or saved to a store; other entries are told. */
+  onPrompt(placed: PlacedPrompt): void;
+}
+
+/** A prompt that a server reads, or a store is given. */
+export interface PlacedPrompt {
+  /** The server's id, or the store's address. */
+  id: string;
+  chain: Chain;
+  /** Expected time until it is there. */
+  readyInMs: number;
 }
 
 /** How one send ended. */
@@ -259,7 +273,8 @@
     progress.servers.push(server.id);
     progress.sends++;
     progress.expectedMs = choice.expectedMs;
-    const ticket = server.begin(choice.uncachedTokens);
+    const isBound = !isIdempotent(request.route);
+    const ticket = server.begin(choice.uncachedTokens, isBound);
     const exchange = server.channels.send({
       method: request.facts.method,
       target: request.facts.target,
@@ -280,6 +295,9 @@
     try {
       const end = await this.#receive(send);
       if (end.kind !== "not_run" && exchange.sent) progress.runs++;
+      if (end.kind === "not_run" && choice.chain) {
+        server.cache.forget(choice.chain, clock.nowMs());
+      }
       return end;
     } finally {
       ticket.ended();
@@ -288,14 +306,16 @@
   }
 
   /** From now on the server is expected to have the prompt in its cache. */
-  #notePrompt({ server, chain, saveTo }: Choice, nowMs: number): void {
+  #notePrompt(choice: Choice, nowMs: number): void {
+    const { server, chain, saveTo, expectedMs } = choice;
     if (!chain) return;
     const { onPrompt, promptStore } = this.#options;
-    server.cache.use(chain, nowMs);
-    onPrompt(server.id, chain);
+    server.cache.use(chain, nowMs + expectedMs);
+    onPrompt({ id: server.id, chain, readyInMs: expectedMs });
     if (saveTo === undefined) return;
-    promptStore()?.cache.use(chain, nowMs);
-    onPrompt(saveTo, chain);
+    const savedInMs = expectedMs + SAVE_MS;
+    promptStore()?.cache.use(chain, nowMs + savedInMs);
+    onPrompt({ id: saveTo, chain, readyInMs: savedInMs });
   }
 
   #headers(
@@ -312,9 +332,12 @@
       workspace: workspace?.name,
       cacheSalt: choice.chain?.salt,
       weightsVersion: choice.weightsVersion,
-      enginePriority: choice.chain
-        ? Math.min(ENGINE_PRIORITY_MAX, Math.max(0, priority))
-        : undefined,
+      // A stream that goes on is late after a short pause, so it is admitted first.
+      enginePriority: !choice.chain
+        ? undefined
+        : isResumed
+        ? 0
+        : Math.min(ENGINE_PRIORITY_MAX, Math.max(0, priority)),
       copyFrom: choice.copyFrom,
       saveTo: choice.saveTo,
       lastEventId: isResumed ? progress.lastEventId : undefined,
@@ -350,8 +373,9 @@
   ): Promise<SendEnd | { kind: "head"; head: AnswerHead }> {
     const { exchange, choice, sentAtMs, sink } = send;
     const { clock } = this.#options;
+    const suspectMinMs = choice.chain ? SUSPECT_MIN_MS : SUSPECT_CALL_MS;
     const suspectAtMs = sentAtMs +
-      Math.max(SUSPECT_MIN_MS, SUSPECT_FACTOR * choice.expectedMs);
+      Math.max(suspectMinMs, SUSPECT_FACTOR * choice.expectedMs);
     const untilMs = this.#headUntilMs(send);
     let step = await exchange.next(
       Math.min(suspectAtMs, untilMs) - clock.nowMs(),
@@ -391,6 +415,7 @@
     if (server.heardAtMs >= sentAtMs) return;
     const { clock, log } = this.#options;
     server.health.unreachable(clock.nowMs());
+    this.#options.onSilent(server.id);
     log.warn({
       event: "server_silent",
       server: server.id,
--- a/src/router/health.ts
+++ b/src/router/health.ts
@@ -16,7 +16,8 @@
 
 /** Health of one backend server, judged from traffic alone. */
 export class Health {
-  #downUntilMs = -Infinity;
+  #isDown = false;
+  #probeAtMs = -Infinity;
   #downForMs = DOWN_MIN_MS;
   #failures = 0;
   #failuresAtMs = 0;
@@ -30,12 +31,17 @@
     return new Health();
   }
 
+  /** Whether the server should be left alone until it can be connected to. */
+  get isDown(): boolean {
+    return this.#isDown;
+  }
+
   /**
    * @param nowMs The time.
-   * @returns Whether the server should be left alone for now.
+   * @returns Whether to try to connect to a server that is down.
    */
-  isDown(nowMs: number): boolean {
-    return nowMs < this.#downUntilMs;
+  isProbeDue(nowMs: number): boolean {
+    return this.#isDown && nowMs >= this.#probeAtMs;
   }
 
   /**
@@ -64,11 +70,28 @@
    */
   unreachable(nowMs: number): void {
     // Requests that were sent together fail together and count once.
-    if (this.isDown(nowMs)) return;
-    this.#downUntilMs = nowMs + this.#downForMs;
+    if (this.#isDown && nowMs < this.#probeAtMs) return;
+    this.#isDown = true;
+    this.#probeAtMs = nowMs + this.#downForMs;
     this.#downForMs = Math.min(DOWN_MAX_MS, this.#downForMs * 2);
   }
 
+  /**
+   * Another entry found the server silent.
+   *
+   * @param nowMs The time.
+   */
+  doubted(nowMs: number): void {
+    if (this.#isDown) return;
+    this.#isDown = true;
+    this.#probeAtMs = nowMs;
+  }
+
+  /** A connection could be made. */
+  reached(): void {
+    this.#isDown = false;
+  }
+
   /**
    * A request failed at the server.
    *
@@ -86,7 +109,7 @@
    * @param ratio Time that it took, as a multiple of what was expected.
    */
   answered(nowMs: number, ratio: number): void {
-    this.#downUntilMs = -Infinity;
+    this.#isDown = false;
     this.#downForMs = DOWN_MIN_MS;
     const bounded = Math.min(SLOWNESS_MAX, Math.max(SLOWNESS_MIN, ratio));
     const before = this.slowness(nowMs);
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -39,6 +39,7 @@
   | "unknown_route"
   | "unknown_key"
   | "too_large"
+  | "stopping"
   | "unsure";
 
 /** What an {@link Ingress} works with. */
@@ -63,6 +64,8 @@
   /** Open connections, with the requests under way on each. */
   readonly #connections = new Map<Socket, number>();
   #isDraining = false;
+  /** Nothing new is served any more. */
+  #isClosing = false;
   #active = 0;
 
   private constructor(options: IngressOptions) {
@@ -124,6 +127,7 @@
     const endMs = clock.nowMs() + graceMs;
     this.#isDraining = true;
     await clock.sleep(Math.min(LISTEN_ON_MS, graceMs));
+    this.#isClosing = true;
     const closed = new Promise((resolve) => this.#server.close(resolve));
     while ((this.#active > 0 || isBusy()) && clock.nowMs() < endMs) {
       this.#closeIdle();
@@ -163,6 +167,10 @@
     const { socket } = request;
     this.#count(socket, 1);
     response.once("close", () => this.#count(socket, -1));
+    response.once("finish", () => {
+      // Its head may have promised to keep the connection, before the stop began.
+      if (this.#isDraining) socket.destroySoon();
+    });
     response.sendDate = false;
     const facts = readRequest(request);
     const sink = new ResponseSink(response, () => this.#isDraining);
@@ -173,6 +181,7 @@
     const maxBytes = table?.limits.bodyBytes ?? 0;
     const body = await readBody(request, table ? maxBytes : Infinity);
     if (body.kind === "cut") return;
+    if (this.#isClosing) return this.#refuse(facts, sink, "stopping");
     if (!table) return this.#refuse(facts, sink, "not_ready");
     if (body.kind === "too_large") {
       response.shouldKeepAlive = false;
@@ -232,7 +241,7 @@
   #refuse(
     facts: RequestFacts,
     sink: AnswerSink,
-    why: "not_ready" | "unsure",
+    why: "not_ready" | "stopping" | "unsure",
   ): void {
     const leftMs = Math.min(facts.deadlineMs ?? Infinity, NOT_READY_LEFT_MS);
     const pauseMs = retryAfterMs(leftMs, this.#options.random);
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -5,7 +5,8 @@
  */
 import { createSocket, type Socket } from "node:dgram";
 import type { Clock, Logger } from "../base/mod.ts";
-import type { CacheBook, Chain } from "./cache_book.ts";
+import type { CacheBook } from "./cache_book.ts";
+import type { PlacedPrompt } from "./dispatch.ts";
 import type { Fleet } from "./fleet.ts";
 
 /** Pause between datagrams while something changes: a tenth of the time to a first token. */
@@ -23,6 +24,8 @@
 /** A server is held back by a peer's word for this long after the last time it was said. */
 const HELD_BACK_MS = 1000;
 
+const IDLE = { pendingTokens: 0, running: 0, bound: 0 };
+
 /** What a {@link Peers} works with. */
 export interface PeersOptions {
   name: string;
@@ -62,14 +65,16 @@
   name: string;
   revision: string;
   ageMs: number;
-  /** Server, pending tokens, requests under way. */
-  loads: [string, number, number][];
-  /** Server or store, salt, and the parts with their tokens. */
-  prompts: [string, string, [string, number][]][];
+  /** Server, pending tokens, requests under way, those that are bound to it. */
+  loads: [string, number, number, number][];
+  /** Server or store, salt, time until it is there, and the parts with their tokens. */
+  prompts: [string, string, number, [string, number][]][];
   /** Servers that are to get nothing new. */
   heldBack: string[];
   /** Servers that are to get no long requests. */
   eased: string[];
+  /** Servers that have just gone silent. */
+  silent: string[];
   /** The store answers this entry, and has done so for a while. */
   storeServes: boolean;
   /** Server, model, version: weights that were seen there. */
@@ -83,6 +88,7 @@
   readonly #heardAtMs = new Map<string, number>();
   readonly #prompts: Told["prompts"] = [];
   readonly #weights: Told["weights"] = [];
+  readonly #silent: string[] = [];
   #outOfUse: () => OutOfUse = () => ({ heldBack: [], eased: [] });
   #storeServedPeerAtMs = -Infinity;
   #lastText = "";
@@ -122,19 +128,21 @@
     this.#outOfUse = outOfUse;
   }
 
-  /**
-   * @param id The server that a prompt was sent to, or the address of the store that keeps it.
-   * @param chain Its parts.
-   */
-  tellPrompt(id: string, chain: Chain): void {
+  /** @param placed A prompt that a server reads, or a store is given. */
+  tellPrompt({ id, chain, readyInMs }: PlacedPrompt): void {
     const parts = chain.parts.map(({ id, tokens }): [string, number] => [
       id,
       tokens,
     ]);
-    this.#prompts.push([id, chain.salt, parts]);
+    this.#prompts.push([id, chain.salt, Math.round(readyInMs), parts]);
     if (this.#prompts.length > MAX_QUEUED_PROMPTS) this.#prompts.shift();
   }
 
+  /** @param serverId A server that has gone silent. */
+  tellSilent(serverId: string): void {
+    this.#silent.push(serverId);
+  }
+
   /**
    * @param serverId A server.
    * @param model A model.
@@ -194,7 +202,8 @@
     const loads: Told["loads"] = [];
     for (const { id, ownLoad } of fleet.all()) {
       if (ownLoad.running === 0) continue;
-      loads.push([id, ownLoad.pendingTokens, ownLoad.running]);
+      const { pendingTokens, running, bound } = ownLoad;
+      loads.push([id, pendingTokens, running, bound]);
     }
     return {
       name,
@@ -205,6 +214,7 @@
       ...this.#outOfUse(),
       storeServes: this.#options.isStoreServing(),
       weights: this.#weights.splice(0),
+      silent: this.#silent.splice(0),
     };
   }
 
@@ -239,26 +249,27 @@
   #take(told: Told, nowMs: number): void {
     const { fleet } = this.#options;
     const loads = new Map(
-      told.loads.map(([id, pendingTokens, running]) => [
+      told.loads.map(([id, pendingTokens, running, bound]) => [
         id,
-        { pendingTokens, running },
+        { pendingTokens, running, bound },
       ]),
     );
     for (const server of fleet.all()) {
-      const load = loads.get(server.id) ?? { pendingTokens: 0, running: 0 };
+      const load = loads.get(server.id) ?? IDLE;
       server.setPeerLoad(told.name, load, nowMs);
     }
-    for (const [id, salt, parts] of told.prompts) {
+    for (const [id, salt, readyInMs, parts] of told.prompts) {
       const chain = {
         salt,
         parts: parts.map(([id, tokens]) => ({ id, tokens })),
       };
-      this.#options.cacheOf(id)?.use(chain, nowMs);
+      this.#options.cacheOf(id)?.use(chain, nowMs + readyInMs);
     }
     for (const id of told.heldBack) {
       fleet.get(id)?.holdBack(nowMs + HELD_BACK_MS);
     }
     for (const id of told.eased) fleet.get(id)?.ease(nowMs + HELD_BACK_MS);
+    for (const id of told.silent) fleet.get(id)?.health.doubted(nowMs);
     if (told.storeServes) this.#storeServedPeerAtMs = nowMs;
     for (const [id, model, version] of told.weights) {
       fleet.get(id)?.learnWeights(model, version);
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -25,6 +25,7 @@
 import { Registration } from "./registration.ts";
 import { relayAnswer, RelayReader } from "./relay.ts";
 import { RequestLog } from "./request_log.ts";
+import { probe } from "./probe.ts";
 import { RoutingTable } from "./routing_table.ts";
 import type { Server, ServerOptions } from "./server.ts";
 import type { RouterSettings, SocketAddress } from "./settings.ts";
@@ -44,8 +45,8 @@
 const SERVER_IDLE_MS = 4000;
 /** Part of an engine's memory that is expected to hold cached prompts. */
 const CACHE_SHARE = 0.8;
-/** Pause between looks at registrations that lapsed. */
-const SWEEP_MS = 500;
+/** Pause between looks at registrations that lapsed and servers that are down. */
+const SWEEP_MS = 100;
 /** Pause between questions to seeds while nothing is known. */
 const SEED_MS = 250;
 /** Left of the grace time, for the process's own end. */
@@ -170,7 +171,7 @@
         load: server.load(nowMs),
         slowness: server.health.slowness(nowMs),
         failures: server.health.failures(nowMs),
-        isDown: server.health.isDown(nowMs),
+        isDown: server.health.isDown,
         heldBack: server.isHeldBack(nowMs),
         channels: server.channels.opened,
       })),
@@ -244,7 +245,8 @@
       choice: this.#settings.choice,
       wanted: this.#wanted,
       promptStore: () => this.#promptStore,
-      onPrompt: (id, chain) => this.#peers.tellPrompt(id, chain),
+      onSilent: (id) => this.#peers.tellSilent(id),
+      onPrompt: (placed) => this.#peers.tellPrompt(placed),
     });
   }
 
@@ -308,6 +310,10 @@
     while (!signal.aborted) {
       await this.#clock.sleep(SWEEP_MS, signal);
       this.#fleet.sweep();
+      for (const server of this.#fleet.all()) {
+        if (!server.health.isProbeDue(this.#clock.nowMs())) continue;
+        void probe(server, this.#clock);
+      }
     }
   }
 
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -13,6 +13,8 @@
   pendingTokens: number;
   /** Requests under way. */
   running: number;
+  /** Those of them that can't go on at another server. */
+  bound: number;
 }
 
 /** What another entry said, and when. */
@@ -43,7 +45,7 @@
   readonly health = Health.create();
   #entry: BackendServer;
   readonly #weights = new Map<string, number>();
-  readonly #own: ServerLoad = { pendingTokens: 0, running: 0 };
+  readonly #own: ServerLoad = { pendingTokens: 0, running: 0, bound: 0 };
   readonly #peers = new Map<string, PeerLoad>();
   #heldBackUntilMs = -Infinity;
   #easedUntilMs = -Infinity;
@@ -86,13 +88,14 @@
    * @returns Requests of all entries.
    */
   load(nowMs: number): ServerLoad {
-    let { pendingTokens, running } = this.#own;
+    let { pendingTokens, running, bound } = this.#own;
     for (const peer of this.#peers.values()) {
       if (nowMs - peer.atMs > PEER_LOAD_MS) continue;
       pendingTokens += peer.pendingTokens;
       running += peer.running;
+      bound += peer.bound;
     }
-    return { pendingTokens, running };
+    return { pendingTokens, running, bound };
   }
 
   /** @param entry A newer registration. */
@@ -178,21 +181,25 @@
    * Counts a request.
    *
    * @param pendingTokens Tokens that it has to read first.
+   * @param isBound Whether it can't go on at another server.
    * @returns What to tell of its progress.
    */
-  begin(pendingTokens: number): LoadTicket {
+  begin(pendingTokens: number, isBound: boolean): LoadTicket {
     const own = this.#own;
     let pending = pendingTokens;
     let isRunning = true;
     own.pendingTokens += pending;
     own.running++;
+    if (isBound) own.bound++;
     const started = () => {
       own.pendingTokens -= pending;
       pending = 0;
     };
     const ended = () => {
       started();
-      if (isRunning) own.running--;
+      if (!isRunning) return;
+      own.running--;
+      if (isBound) own.bound--;
       isRunning = false;
     };
     return { started, ended };
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -34,9 +34,9 @@
 /** Share of a service's engines that get no long requests at once, those included. */
 const OUT_SHARE = 0.55;
 /** Time for long runs to end before an engine is held back; the answers' worth falls only later. */
-const EASE_MS = 1200;
-/** Time for the engine's queue to end before the order; runs end behind the order all the same. */
-const DRAIN_MS = 700;
+const EASE_MS = 800;
+/** Time for runs to end that can't go on elsewhere; the others are cut by the order and resumed. */
+const DRAIN_MS = 1000;
 /** Time that peers need to hear that an engine is held back. */
 const TOLD_MS = 110;
 /** No engine has loaded by then: loads take 760 ms. */
@@ -222,7 +222,7 @@
   }
 
   #isDue(server: Server, nowMs: number): boolean {
-    if (this.#out.has(server.id) || server.health.isDown(nowMs)) return false;
+    if (this.#out.has(server.id) || server.health.isDown) return false;
     return nowMs >= (this.#retryAtMs.get(server.id) ?? 0);
   }
 
@@ -239,7 +239,7 @@
     try {
       await this.#awaitTurn(engine, { signal, count });
       const heldMs = clock.nowMs();
-      await this.#awaitQueue(server, signal);
+      await this.#awaitBound(server, signal);
       const orderMs = clock.nowMs();
       const left = server.load(orderMs).running;
       for (const target of wanted()) {
@@ -286,16 +286,16 @@
     this.#spare(clock.nowMs());
   }
 
-  /** Waits until the engine has read what was sent to it; runs may go on. */
-  async #awaitQueue(server: Server, signal: AbortSignal): Promise<void> {
+  /** Waits for the runs that can't go on at another engine. */
+  async #awaitBound(server: Server, signal: AbortSignal): Promise<void> {
     const { clock } = this.#options;
     const startMs = clock.nowMs();
     await clock.sleep(TOLD_MS, signal);
     while (!signal.aborted) {
       const nowMs = clock.nowMs();
-      const hasRead = server.load(nowMs).pendingTokens === 0;
+      const isFree = server.load(nowMs).bound === 0;
       const isLate = nowMs - startMs >= DRAIN_MS;
-      if (this.#loading < LOADS_AT_ONCE && (hasRead || isLate)) return;
+      if (this.#loading < LOADS_AT_ONCE && (isFree || isLate)) return;
       await clock.sleep(LOOK_MS / 2, signal);
     }
   }
