Prefer the store of prompts to another server as a source

Cause: servers drop parts within seconds under load; the store keeps them longer, and a copy that misses is read again.

Change: the store is the source wherever it has as much of the prompt.

--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -27,7 +27,7 @@
 /** Copies of less than this are not worth their set-up. */
 const COPY_MIN_TOKENS = 256;
 /** Price of reading a shared token again, against waiting: 1.2 of worth for a thousand tokens. */
-const REREAD_MS_PER_TOKEN = 0.1;
+const REREAD_MS_PER_TOKEN = 0.03;
 /** An answer on weights that were replaced longer ago is worth a fifth less. */
 const OLD_WEIGHTS_FROM_MS = 1300;
 /** Price of that, against waiting. */
@@ -220,7 +220,7 @@
     if (copy && (!best || isBetter(copy, best))) best = copy;
   }
   const stored = store && weighCopy(placement, target, { source: store });
-  if (stored && (!best || isBetter(stored, best))) return stored;
+  if (stored && (!best || stored.tokens >= best.tokens)) return stored;
   // A server may have dropped what it is expected to have; then the store fills in, else it costs
   // nothing.
   return best ?? (store && insurance(placement, target, { store }));
