Meet the platform's store through the store's contract tests; refuse what would come too late; teach entries that start

Cause: the platform's store had no stand-in, and a busy fleet spent its time on requests that ended late; an entry that starts knew nothing of the caches.

--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -1,5 +1,6 @@
 /** The platform's store, as a {@link KeyValueStore}: HTTP with JSON bodies, watches as long polls. */
 import { Result } from "true-myth";
+import { findCommitRefusal } from "../store/commit_limits.ts";
 import type {
   CommitOutcome,
   Expectation,
@@ -32,6 +33,9 @@
   watchSlackMs: number;
 }
 
+/** Conditions and changes of one commit, as the platform's pages say. */
+const MAX_ENTRIES = 32;
+
 type Json = Record<string, unknown>;
 
 /** A client of the platform's store. */
@@ -91,8 +95,14 @@
     expect: Expectation[],
     writes: Write[],
   ): Promise<Result<CommitOutcome, StoreFailure>> {
+    const refusal = findCommitRefusal(expect, writes);
+    if (refusal) return Result.err({ kind: "unavailable", message: refusal });
     const expanded = await this.#expandRanges(writes);
     if (expanded.isErr) return Result.err(expanded.error);
+    if (expect.length + expanded.value.length > MAX_ENTRIES) {
+      const message = `More than ${MAX_ENTRIES} entries in one commit`;
+      return Result.err({ kind: "unavailable", message });
+    }
     const answer = await this.#send({
       method: "POST",
       path: StorePath.commit,
--- /dev/null
+++ b/src/router/_kit.ts
@@ -0,0 +1,57 @@
+/** What the router's tests share. */
+import { createSilentLogger } from "../base/mod.ts";
+import type { BackendServer } from "./model.ts";
+import { Server } from "./server.ts";
+
+/** A clock that a test moves. */
+export class TestClock {
+  #nowMs = 1_000_000;
+
+  nowMs = (): number => this.#nowMs;
+  wallMs = (): number => this.#nowMs;
+  sleep = (): Promise<void> => Promise.resolve();
+
+  /** @param ms How far to go. */
+  advance(ms: number): void {
+    this.#nowMs += ms;
+  }
+}
+
+export const silentLog = createSilentLogger();
+
+/**
+ * @param id The server's id.
+ * @param fields What differs from a ready engine in zone `a`.
+ * @returns A registration.
+ */
+export function registration(
+  id: string,
+  fields: Partial<BackendServer> = {},
+): BackendServer {
+  return {
+    id,
+    service: "engines",
+    address: "127.0.0.1:1",
+    zone: "a",
+    draining: false,
+    slots: 4,
+    weights: new Map([["m", 1]]),
+    ...fields,
+  };
+}
+
+/**
+ * @param id The server's id.
+ * @param fields What differs from a ready engine in zone `a`.
+ * @returns A server without load.
+ */
+export function testServer(
+  id: string,
+  fields: Partial<BackendServer> = {},
+): Server {
+  return Server.create(registration(id, fields), {
+    connectMs: 300,
+    idleMs: 1000,
+    cacheTokens: 10_000,
+  });
+}
--- a/src/router/cache_book.ts
+++ b/src/router/cache_book.ts
@@ -18,6 +18,13 @@
   readyAtMs: number;
 }
 
+/** A part as one entry tells it to another that has just started. */
+export interface TaughtPart {
+  /** Salt and id. */
+  key: string;
+  tokens: number;
+}
+
 /** Expected contents of one server's cache. */
 export class CacheBook {
   readonly #parts = new Map<string, HeldPart>();
@@ -93,6 +100,37 @@
     }
   }
 
+  /**
+   * @param nowMs The time.
+   * @returns All parts that are ready, the least recently used first.
+   */
+  teach(nowMs: number): TaughtPart[] {
+    const parts: TaughtPart[] = [];
+    for (const [key, { tokens, readyAtMs }] of this.#parts) {
+      if (readyAtMs <= nowMs) parts.push({ key, tokens });
+    }
+    return parts;
+  }
+
+  /**
+   * Takes in what another entry knows; what was learned here since counts as used later.
+   *
+   * @param parts The least recently used first.
+   */
+  learn(parts: readonly TaughtPart[]): void {
+    const own = [...this.#parts];
+    this.clear();
+    for (const { key, tokens } of parts) {
+      this.#parts.set(key, { tokens, readyAtMs: -Infinity });
+    }
+    for (const [key, held] of own) {
+      this.#parts.delete(key);
+      this.#parts.set(key, held);
+    }
+    for (const { tokens } of this.#parts.values()) this.#tokens += tokens;
+    this.#evict();
+  }
+
   /** Forgets everything, as the server does when its weights change. */
   clear(): void {
     this.#parts.clear();
--- a/src/router/control.ts
+++ b/src/router/control.ts
@@ -1,5 +1,6 @@
 /** The control address: other entries, metrics and the state dump. */
 import { createServer, type Server as HttpServer } from "node:http";
+import { LESSONS_PATH } from "./lessons.ts";
 import { RELAY_PATH } from "./relay.ts";
 import type { SocketAddress } from "./settings.ts";
 
@@ -7,6 +8,8 @@
 export interface ControlOptions {
   /** What a peer lacks beyond a revision, as JSON. */
   relay(after: bigint): string;
+  /** What caches are expected to hold, as JSON. */
+  lessons(): string;
   /** Prometheus text. */
   metrics(): string;
   /** State of the process. */
@@ -69,6 +72,8 @@
       if (!/^\d+$/.test(after)) return undefined;
       return { type: "application/json", text: options.relay(BigInt(after)) };
     }
+    case LESSONS_PATH:
+      return { type: "application/json", text: options.lessons() };
     case METRICS_PATH:
       return { type: "text/plain; version=0.0.4", text: options.metrics() };
     case STATE_PATH:
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -8,6 +8,7 @@
   readAnswer,
   retryHeaders,
 } from "../platform/mod.ts";
+import { isWorthSending } from "./admission.ts";
 import type { Chain } from "./cache_book.ts";
 import type { AnswerHead, Exchange } from "./channel.ts";
 import {
@@ -216,6 +217,10 @@
     while (!sink.gone) {
       const choice = this.#choose(request, progress);
       if (!choice) break;
+      if (progress.sends === 0 && !this.#isWorthSending(request, choice)) {
+        reason = "too_late";
+        break;
+      }
       const end = await this.#send(request, sink, { progress, choice });
       if (end.kind === "done") return end.outcome;
       reason = end.reason;
@@ -225,6 +230,17 @@
     return this.#giveUp(request, sink, { progress, reason });
   }
 
+  #isWorthSending({ route, answerByMs }: RoutedRequest, choice: Choice): boolean {
+    // Plain services refuse what they can't take; only engines queue for long.
+    if (!choice.chain) return true;
+    return isWorthSending({
+      expectedMs: choice.expectedMs,
+      targetMs: route.targetLatencyMs,
+      leftMs: answerByMs - this.#options.clock.nowMs(),
+      routeMs: route.timeoutMs,
+    });
+  }
+
   #choose(request: RoutedRequest, progress: Progress): Choice | undefined {
     const { fleet, clock, zone, random, choice } = this.#options;
     const choose_ = (tried: ReadonlySet<string>) =>
--- /dev/null
+++ b/src/router/lessons.ts
@@ -0,0 +1,117 @@
+/**
+ * What the servers' caches are expected to hold, told once to an entry that has just started, so
+ * that it does not have prompts read again that its peers know to be cached.
+ */
+import type { Clock, Logger } from "../base/mod.ts";
+import { HttpCaller } from "../platform/mod.ts";
+import type { CacheBook, TaughtPart } from "./cache_book.ts";
+
+/** Path of the call, on the control address. */
+export const LESSONS_PATH = "/cached";
+/** Time for the call. */
+const CALL_MS = 1000;
+/** An entry that has run for longer has learned from its own traffic. */
+const LEARNING_MS = 5000;
+
+/** A server, by id, or a store, by address, with the parts that it is expected to hold. */
+interface Lesson {
+  id: string;
+  /** Key and tokens in turn, to be short. */
+  parts: [string, number][];
+}
+
+/** What a {@link Learner} works with. */
+export interface LearnerOptions {
+  clock: Clock;
+  log: Logger;
+  /** Port of the control address, the same on every entry. */
+  controlPort: number;
+  /** Whether servers are known, whose caches the lessons are about. */
+  isReady(): boolean;
+  /** Expected cache of a server, by id, or of a store, by address. */
+  cacheOf(id: string): CacheBook | undefined;
+}
+
+/**
+ * @param books Expected caches by the id of their server or store.
+ * @param nowMs The time.
+ * @returns The answer to a peer, as JSON.
+ */
+export function lessonsAnswer(
+  books: Iterable<[string, CacheBook]>,
+  nowMs: number,
+): string {
+  const lessons: Lesson[] = [];
+  for (const [id, book] of books) {
+    const parts = book.teach(nowMs).map(({ key, tokens }): [string, number] => [
+      key,
+      tokens,
+    ]);
+    lessons.push({ id, parts });
+  }
+  return JSON.stringify({ lessons });
+}
+
+/** Learns from the first peer that answers. */
+export class Learner {
+  readonly #options: LearnerOptions;
+  readonly #startedAtMs: number;
+  readonly #asked = new Set<string>();
+  #hasLearned = false;
+
+  private constructor(options: LearnerOptions) {
+    this.#options = options;
+    this.#startedAtMs = options.clock.nowMs();
+  }
+
+  /**
+   * @param options Where what is learned goes.
+   * @returns A learner that has asked nobody yet.
+   */
+  static create(options: LearnerOptions): Learner {
+    return new Learner(options);
+  }
+
+  /**
+   * Asks a peer in the first seconds of the process, each one once, until one knew something.
+   *
+   * @param ipAddress The peer.
+   */
+  async meet(ipAddress: string): Promise<void> {
+    const { clock, log, controlPort, isReady } = this.#options;
+    const isOld = clock.nowMs() - this.#startedAtMs > LEARNING_MS;
+    if (this.#hasLearned || isOld || !isReady()) return;
+    if (this.#asked.has(ipAddress)) return;
+    this.#asked.add(ipAddress);
+    this.#hasLearned = true;
+    const caller = HttpCaller.create(`${ipAddress}:${controlPort}`, CALL_MS);
+    const answer = await caller.send({
+      method: "GET",
+      path: LESSONS_PATH,
+      callMs: CALL_MS,
+    });
+    await caller.close();
+    if (answer.isErr || answer.value.status !== 200) {
+      // The next peer that is met is asked instead.
+      this.#hasLearned = false;
+      return;
+    }
+    const parts = this.#take(answer.value.body["lessons"] as Lesson[]);
+    // A peer that has just started, too, knows nothing.
+    this.#hasLearned = parts > 0;
+    log.info({ event: "caches_learned", peer: ipAddress, parts });
+  }
+
+  #take(lessons: Lesson[]): number {
+    let count = 0;
+    for (const { id, parts } of lessons) {
+      const taught = parts.map(([key, tokens]): TaughtPart => ({
+        key,
+        tokens,
+      }));
+      this.#options.cacheOf(id)?.learn(taught);
+      count += taught.length;
+    }
+    return count;
+  }
+}
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -21,6 +21,7 @@
 import { Ingress } from "./ingress.ts";
 import { type MirrorChange, StoreMirror } from "./mirror.ts";
 import type { RoutingConfig, Service, WantedWeights } from "./model.ts";
+import { Learner, lessonsAnswer } from "./lessons.ts";
 import { Peers } from "./peers.ts";
 import { Registration } from "./registration.ts";
 import { relayAnswer, RelayReader } from "./relay.ts";
@@ -76,6 +77,7 @@
   readonly #peers: Peers;
   readonly #relay: RelayReader;
   readonly #registration: Registration;
+  readonly #learner: Learner;
   readonly #roll: WeightsRoll;
   readonly #dispatcher: Dispatcher;
   readonly #ingress: Ingress;
@@ -109,6 +111,12 @@
       instance: options.settings.instance,
       ipAddress: options.settings.ipAddress,
     });
+    this.#learner = Learner.create({
+      ...this.#parts(),
+      controlPort: options.settings.controlAddress.port,
+      isReady: () => this.#mirror.revision > 0n,
+      cacheOf: (id) => this.#cacheOf(id),
+    });
     this.#peers = this.#createPeers();
     this.#roll = this.#createRoll();
     this.#dispatcher = this.#createDispatcher();
@@ -216,8 +224,10 @@
         revision: this.#mirror.revision,
         ageMs: this.#mirror.ageMs,
       }),
-      onKnowledge: (peer, knowledge) =>
-        void this.#relay.heard(peer, knowledge),
+      onKnowledge: (peer, knowledge) => {
+        void this.#relay.heard(peer, knowledge);
+        void this.#learner.meet(peer);
+      },
     });
   }
 
@@ -271,6 +281,7 @@
     const { clientAddress, readinessAddress, controlAddress } = settings;
     const control = await serveControl(controlAddress, {
       relay: (after) => relayAnswer(this.#mirror, after),
+      lessons: () => lessonsAnswer(this.#books(), this.#clock.nowMs()),
       metrics: () => this.#metrics.render(),
       state: () => this.state(),
     });
@@ -364,6 +375,13 @@
     return this.#fleet.get(id)?.cache;
   }
 
+  *#books(): Generator<[string, CacheBook]> {
+    for (const { id, cache } of this.#fleet.all()) yield [id, cache];
+    if (this.#promptStore) {
+      yield [this.#promptStore.address, this.#promptStore.cache];
+    }
+  }
+
   /** What a store holds outlives changes of the configuration. */
   #usePromptStore(services: Service[]): void {
     const store = services.find(({ cacheStore }) => cacheStore)?.cacheStore;
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -27,6 +27,10 @@
   type StandinKvFaults,
   type StandinKvOptions,
 } from "./kv_server.ts";
+export {
+  StandinPlatformStore,
+  type StandinPlatformStoreOptions,
+} from "./platform_store_server.ts";
 export type { CallRate, RateReport } from "./_rate_meter.ts";
 export {
   type ServiceExecution,
--- a/src/store/store_contract_test.ts
+++ b/src/store/store_contract_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { StandinKv } from "../standin/mod.ts";
+import { PlatformStore } from "../platform/mod.ts";
+import { StandinKv, StandinPlatformStore } from "../standin/mod.ts";
 import {
   EtcdStore,
   type KeyValueStore,
@@ -15,25 +16,38 @@
 /** For the test that waits for lost answers. */
 const SHORT_CALL_MS = 500;
 
-interface Pair {
+interface Trio {
   /** Over sockets. */
   etcd: EtcdStore;
-  /** What it should be like. */
+  /** Over sockets, too, by the users' platform's calls. */
+  platform: PlatformStore;
+  /** What they should be like. */
   memory: MemoryStore;
   server: StandinKv;
+  platformServer: StandinPlatformStore;
   close(): Promise<void>;
 }
 
-async function openPair(callMs = CALL_MS): Promise<Pair> {
+async function openStores(callMs = CALL_MS): Promise<Trio> {
   const server = await StandinKv.create();
   const etcd = EtcdStore.create({ address: server.address, callMs });
+  const platformServer = await StandinPlatformStore.create();
+  const platform = PlatformStore.create({
+    address: platformServer.address,
+    connectMs: callMs,
+    callMs,
+    watchWaitMs: 500,
+    watchSlackMs: callMs,
+  });
   const memory = MemoryStore.create();
   const close = async () => {
     etcd.close();
+    platform.close();
     memory.close();
     await server.close();
+    await platformServer.close();
   };
-  return { etcd, memory, server, close };
+  return { etcd, platform, memory, server, platformServer, close };
 }
 
 function put(key: string, text: string, leaseId?: bigint): Write {
@@ -92,28 +106,40 @@
   { maxLength: 12 },
 );
 
+/** Kind, expected keys that exist, and the store's revision. */
+function summarize(
+  outcome: Awaited<ReturnType<KeyValueStore["commit"]>>,
+): unknown[] {
+  if (outcome.isErr) return [outcome.error.kind];
+  const { kind, revision } = outcome.value;
+  const current = kind === "conflict" ? outcome.value.current : [];
+  const rows = current.map(({ key, modRevision }) => [key, modRevision]);
+  return [kind, rows, revision];
+}
+
 function targetOf(write: Write): string {
   return write.kind === "delete_range" ? "range" : write.key;
 }
 
-test("adapter and memory store agree on any sequence of commits", async () => {
+test("adapters and memory store agree on any sequence of commits", async () => {
   const sequence = fc.asyncProperty(commits, async (steps) => {
-    const { etcd, memory, close } = await openPair();
+    const { etcd, platform, memory, close } = await openStores();
     try {
       for (const { key, isExact, writes } of steps) {
         const current = await memory.get(key);
         const last = current.isOk ? current.value?.modRevision ?? 0n : 0n;
         const expect = [{ key, modRevision: isExact ? last : last + 1n }];
         const outcomes = await Promise.all(
-          [etcd, memory].map((store) => store.commit(expect, writes)),
+          [etcd, platform, memory].map((store) => store.commit(expect, writes)),
         );
-        const [first, second] = outcomes.map((outcome) => {
-          if (outcome.isErr) return [outcome.error.kind];
-          return [outcome.value.kind, outcome.value.revision];
-        });
-        assert.deepEqual(first, second);
+        const [first, second, third] = outcomes.map(summarize);
+        assert.deepEqual(first, third);
+        // The platform tells a conflict's keys, not the revision of the whole store.
+        assert.deepEqual(second?.slice(0, 2), third?.slice(0, 2));
+        if (second?.[0] === "committed") assert.deepEqual(second, third);
       }
       assert.deepEqual(await contents(etcd), await contents(memory));
+      assert.deepEqual(await contents(platform), await contents(memory));
     } finally {
       await close();
     }
@@ -122,8 +148,8 @@
 });
 
 test("conflict tells the current entry", async () => {
-  const { etcd, memory, close } = await openPair();
-  for (const store of [etcd, memory]) {
+  const { etcd, platform, memory, close } = await openStores();
+  for (const store of [etcd, platform, memory]) {
     await store.commit([], [put("k", "first")]);
     const refused = await store.commit(
       [{ key: "k", modRevision: 0n }],
@@ -140,10 +166,12 @@
 });
 
 test("lost answer has effect, lost request has none, late effect comes", async () => {
-  const { etcd, memory, server, close } = await openPair(SHORT_CALL_MS);
+  const { etcd, platform, memory, server, platformServer, close } =
+    await openStores(SHORT_CALL_MS);
   for (
     const { store, faults } of [
       { store: etcd, faults: server.store.faults },
+      { store: platform, faults: platformServer.store.faults },
       { store: memory, faults: memory.faults },
     ]
   ) {
@@ -163,8 +191,8 @@
 });
 
 test("watch replays history from a revision", async () => {
-  const { etcd, memory, close } = await openPair();
-  for (const store of [etcd, memory]) {
+  const { etcd, platform, memory, close } = await openStores();
+  for (const store of [etcd, platform, memory]) {
     await store.commit([], [put("k1", "a"), put("other", "a")]);
     await store.commit([], [put("k2", "a")]);
     await store.commit([], [{ kind: "delete_range", from: "k", to: "l" }]);
@@ -176,11 +204,18 @@
 });
 
 test("watch of forgotten revisions ends", async () => {
-  const { etcd, memory, server, close } = await openPair();
+  const { etcd, platform, memory, server, platformServer, close } =
+    await openStores();
   for (
-    const { store, table } of [
-      { store: etcd, table: server.store.table },
-      { store: memory, table: memory.table },
+    const { store, table, oldestRevision } of [
+      { store: etcd, table: server.store.table, oldestRevision: 3n },
+      // The platform doesn't say what it still keeps: this is the revision that was asked for.
+      {
+        store: platform,
+        table: platformServer.store.table,
+        oldestRevision: 2n,
+      },
+      { store: memory, table: memory.table, oldestRevision: 3n },
     ]
   ) {
     await store.commit([], [put("k1", "a")]);
@@ -191,16 +226,18 @@
     for await (const step of store.watch("k", 2n, signal)) {
       if (step.isErr) failures.push(step.error);
     }
-    assert.deepEqual(failures, [{ kind: "compacted", oldestRevision: 3n }]);
+    assert.deepEqual(failures, [{ kind: "compacted", oldestRevision }]);
   }
   await close();
 });
 
 test("lapsed lease takes its keys along", async () => {
-  const { etcd, memory, server, close } = await openPair();
+  const { etcd, platform, memory, server, platformServer, close } =
+    await openStores();
   for (
     const { store, table } of [
       { store: etcd, table: server.store.table },
+      { store: platform, table: platformServer.store.table },
       { store: memory, table: memory.table },
     ]
   ) {
@@ -223,11 +260,14 @@
 });
 
 test("store that is down refuses commits without effect", async () => {
-  const { etcd, memory, server, close } = await openPair();
+  const { etcd, platform, memory, server, platformServer, close } =
+    await openStores();
   await etcd.get("k");
+  await platform.get("k");
   await server.setFaults({ down: true });
+  await platformServer.down();
   memory.faults.down = true;
-  for (const store of [etcd, memory]) {
+  for (const store of [etcd, platform, memory]) {
     // Until the adapter has seen the connection end, it can't tell that nothing was sent.
     let kind = "";
     while (kind !== "unavailable") {
@@ -237,12 +277,13 @@
     }
   }
   assert.equal(server.store.table.get("k"), undefined);
+  assert.equal(platformServer.store.table.get("k"), undefined);
   await close();
 });
 
 test("commit that puts a key twice is refused", async () => {
-  const { etcd, memory, close } = await openPair();
-  for (const store of [etcd, memory]) {
+  const { etcd, platform, memory, close } = await openStores();
+  for (const store of [etcd, platform, memory]) {
     const outcome = await store.commit([], [put("k", "a"), put("k", "b")]);
     assert.ok(outcome.isErr);
     assert.equal(outcome.error.kind, "unavailable");
