Order again where an order got no answer

Change: the report after a lost answer tells whether it was accepted; if not, the order is given again at the same sequence, of which the engine takes one.

--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -17,7 +17,7 @@
 /** Time to a first token with nothing to read: the sheet's 41 ms and one step. */
 const FIRST_TOKEN_MS = 45;
 /** What one more running request adds to each step, over the steps that a first token waits. */
-const RUNNING_MS = 1.5;
+const RUNNING_MS = 5;
 /** Time to copy a cached token from another server in the same zone: 18.4 KB over 130 Gbit/s. */
 const COPY_MS_PER_TOKEN = 0.0012;
 /** A copy between zones takes twice as long. */
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -43,6 +43,8 @@
 const FIRST_REPORT_MS = 750;
 /** Pause between reports of an engine that loads; they lag by some hundred ms. */
 const REPORT_MS = 200;
+/** Orders that an engine gets one after the other while none is answered. */
+const MAX_ORDERS = 4;
 /** An order that has no effect within this time is decided anew. */
 const ORDER_MS = 4000;
 /** An engine that could not be ordered is left alone for this long. */
@@ -70,6 +72,9 @@
   onWeights(server: Server, model: string, version: number): void;
 }
 
+/** What became of an order. */
+type OrderOutcome = OrderAnswer["kind"] | "no_answer" | "not_holder";
+
 /** An engine that is to change its weights. */
 interface OutEngine {
   server: Server;
@@ -307,63 +312,93 @@
   ): Promise<void> {
     this.#loading++;
     try {
-      const report = await fetchReport(server.entry, CALL_MS);
-      if (report.isErr) return this.#unheard(server, report.error.kind);
-      if (this.#has(server, target, report.value)) return;
-      if (report.value.busy) {
-        await this.#awaitWeights(server, target, { signal });
-        return;
+      for (let i = 0; i < MAX_ORDERS && !signal.aborted; i++) {
+        const isSettled = await this.#loadOnce(server, target, { signal });
+        if (isSettled) return;
       }
-      await this.#order(server, target, { signal, report: report.value });
     } finally {
       this.#loading--;
     }
   }
 
+  /** @returns Whether there is nothing more to do for now. */
+  async #loadOnce(
+    server: Server,
+    target: WantedWeights,
+    { signal }: { signal: AbortSignal },
+  ): Promise<boolean> {
+    const report = await fetchReport(server.entry, CALL_MS);
+    if (report.isErr) {
+      this.#unheard(server, report.error.kind);
+      return true;
+    }
+    if (this.#has(server, target, report.value)) return true;
+    if (report.value.busy) {
+      await this.#awaitWeights(server, target, { signal });
+      return true;
+    }
+    const said = await this.#order(server, target, {
+      orderSequence: report.value.orderSequence,
+    });
+    return this.#settle(server, target, { signal, said });
+  }
+
   async #order(
     server: Server,
     target: WantedWeights,
-    { signal, report }: { signal: AbortSignal; report: ServerReport },
-  ): Promise<void> {
+    { orderSequence }: { orderSequence: number },
+  ): Promise<OrderOutcome> {
     const lease = this.#lease;
-    if (!lease?.isHeldFor(CALL_MS)) return;
-    const { holderId, log, fleet } = this.#options;
+    if (!lease?.isHeldFor(CALL_MS)) return "not_holder";
+    const { holderId, log } = this.#options;
     const answer = await sendOrder(server.entry, {
       ...target,
       runs: "finish",
       holderId,
       fencingNumber: lease.fencingNumber,
-      orderSequence: report.orderSequence,
+      orderSequence,
     }, { callMs: CALL_MS });
-    const said: OrderAnswer["kind"] | "no_answer" = answer.isOk
-      ? answer.value.kind
-      : "no_answer";
+    const said = answer.isOk ? answer.value.kind : "no_answer";
     log.info({
       event: "weights_ordered",
       server: server.id,
       version: target.version,
-      sequence: report.orderSequence,
+      sequence: orderSequence,
       answer: said,
     });
+    return said;
+  }
+
+  async #settle(
+    server: Server,
+    target: WantedWeights,
+    { signal, said }: { signal: AbortSignal; said: OrderOutcome },
+  ): Promise<boolean> {
     switch (said) {
       case "accepted":
-      case "no_answer":
         await this.#awaitWeights(server, target, { signal });
-        return;
+        return true;
       case "holds":
         this.#saw(server, target.model, target.version);
-        return;
-      case "fenced":
+        return true;
+      case "no_answer":
+      case "conflict":
+        // Whether it was accepted shows in the next report. Ordering again is safe: both name the
+        // same sequence, so the engine takes only one of them.
+        return false;
+      case "fenced": {
         // Another holder has a higher number; this one is not used again.
+        const lease = this.#lease;
         this.#lease = undefined;
-        await lease.release();
-        return;
+        await lease?.release();
+        return true;
+      }
       case "wrong_server":
-        fleet.drop(server.id, "address_has_another_server");
-        return;
-      case "conflict":
+        this.#options.fleet.drop(server.id, "address_has_another_server");
+        return true;
       case "refused":
-        return;
+      case "not_holder":
+        return true;
     }
   }
 
