Test the router over stand-ins of the platform's store and servers

Cause: the path had no tests of its own but for its connections.

Writing them showed that a stopped router went on listening; it closes its listeners and idle connections now.

--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -147,7 +147,10 @@
 }
 
 function addFacts(headers: string[], facts: ForwardFacts): void {
-  headers.push(Header.deadline, String(Math.max(1, Math.floor(facts.deadlineMs))));
+  headers.push(
+    Header.deadline,
+    String(Math.max(1, Math.floor(facts.deadlineMs))),
+  );
   headers.push(Header.expectedServer, facts.serverId);
   if (facts.workspace !== undefined) {
     headers.push(Header.workspace, facts.workspace);
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -306,8 +306,10 @@
     .filter((item) => typeof item["value"] === "string")
     .map(readEntry);
   const revision = body["current_rev"] === undefined
-    ? current.reduce((max, { modRevision }) =>
-      modRevision > max ? modRevision : max, 0n)
+    ? current.reduce(
+      (max, { modRevision }) => modRevision > max ? modRevision : max,
+      0n,
+    )
     : revisionOf(body, "current_rev");
   return { kind: "conflict", current, revision };
 }
--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -239,7 +239,11 @@
 ): Copy | undefined {
   const tokens = store.cache.readyTokens(chain, nowMs);
   if (tokens < COPY_MIN_TOKENS) return undefined;
-  return { address: store.address, tokens: Math.max(tokens, cached), copyMs: 0 };
+  return {
+    address: store.address,
+    tokens: Math.max(tokens, cached),
+    copyMs: 0,
+  };
 }
 
 function weighCopy(
--- /dev/null
+++ b/src/router/choose_test.ts
@@ -0,0 +1,137 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { testServer } from "./_kit.ts";
+import { CacheBook } from "./cache_book.ts";
+import {
+  ChoiceName,
+  choose,
+  type Placement,
+  type PromptPlacement,
+} from "./choose.ts";
+
+const PARTS = [
+  { id: "shared", tokens: 4000 },
+  { id: "own", tokens: 1000 },
+];
+const CHAIN = { salt: "w1", parts: PARTS };
+
+function prompt(fields: Partial<PromptPlacement> = {}): PromptPlacement {
+  return {
+    model: "m",
+    promptTokens: 5000,
+    outputTokens: 80,
+    chainFor: (version) => ({ salt: `w${version}`, parts: PARTS }),
+    wantedVersion: 1,
+    replacedForMs: () => 0,
+    ...fields,
+  };
+}
+
+function placement(fields: Partial<Placement> = {}): Placement {
+  return {
+    servers: [],
+    zone: "a",
+    nowMs: 1000,
+    tried: new Set(),
+    prompt: prompt(),
+    random: () => 0,
+    choice: ChoiceName.cost,
+    ...fields,
+  };
+}
+
+test("prompt goes where its shared part is cached", () => {
+  const servers = ["a", "b", "c"].map((id) => testServer(id));
+  servers[1]!.cache.use(CHAIN, 0);
+  assert.equal(choose(placement({ servers }))?.server.id, "b");
+});
+
+test("busy server loses the prompt, and gives it as a copy", () => {
+  const servers = ["a", "b"].map((id) => testServer(id));
+  servers[1]!.cache.use(CHAIN, 0);
+  servers[1]!.begin(80_000, false);
+  const choice = choose(placement({ servers }));
+  assert.equal(choice?.server.id, "a");
+  assert.equal(choice?.copyFrom, servers[1]!.entry.address);
+});
+
+test("part that is still being read is no source", () => {
+  const servers = ["a", "b"].map((id) => testServer(id));
+  servers[1]!.cache.use(CHAIN, 5000);
+  servers[1]!.begin(80_000, false);
+  assert.equal(choose(placement({ servers }))?.copyFrom, undefined);
+});
+
+test("cache of other weights is neither counted nor copied", () => {
+  const servers = [
+    testServer("a", { weights: new Map([["m", 2]]) }),
+    testServer("b", { weights: new Map([["m", 1]]) }),
+  ];
+  servers[1]!.cache.use(CHAIN, 0);
+  servers[1]!.begin(80_000, false);
+  const choice = choose(placement({ servers }));
+  assert.equal(choice?.server.id, "a");
+  assert.equal(choice?.weightsVersion, 2);
+  assert.equal(choice?.copyFrom, undefined);
+  assert.equal(choice?.uncachedTokens, 5000);
+});
+
+test("store that lacks the shared part is given it, else copied from", () => {
+  const servers = [testServer("a")];
+  const cache = CacheBook.create(100_000);
+  const store = { address: "store", zone: "a", cache };
+  const asked = placement({ servers, prompt: prompt({ store }) });
+  assert.equal(choose(asked)?.saveTo, "store");
+  cache.use(CHAIN, 0);
+  const again = choose(asked);
+  assert.equal(again?.saveTo, undefined);
+  assert.equal(again?.copyFrom, "store");
+});
+
+test("server on weights that were replaced too long ago gets nothing", () => {
+  const servers = [testServer("a")];
+  const late = prompt({ wantedVersion: 2, replacedForMs: () => 9500 });
+  assert.equal(choose(placement({ servers, prompt: late })), undefined);
+});
+
+test("newer weights are preferred once the old ones cost", () => {
+  const servers = [
+    testServer("old"),
+    testServer("new", { weights: new Map([["m", 2]]) }),
+  ];
+  const replacedForMs = (version: number) => version === 1 ? 2000 : 0;
+  const aged = prompt({ wantedVersion: 2, replacedForMs });
+  assert.equal(choose(placement({ servers, prompt: aged }))?.server.id, "new");
+});
+
+test("server that is down or held back is the last resort", () => {
+  const servers = ["a", "b", "c"].map((id) => testServer(id));
+  servers[0]!.health.unreachable(1000);
+  servers[1]!.holdBack(5000);
+  assert.equal(choose(placement({ servers }))?.server.id, "c");
+  const without = { servers: servers.slice(0, 2) };
+  assert.equal(choose(placement(without))?.server.id, "b");
+});
+
+test("long request avoids a server that is about to change, a short one doesn't", () => {
+  const servers = [testServer("a"), testServer("b", { zone: "far" })];
+  servers[0]!.ease(5000);
+  assert.equal(choose(placement({ servers }))?.server.id, "b");
+  const short = prompt({ outputTokens: 20 });
+  assert.equal(choose(placement({ servers, prompt: short }))?.server.id, "a");
+});
+
+test("call goes to the server with fewer under way", () => {
+  const servers = ["a", "b"].map((id) => testServer(id));
+  for (let i = 0; i < 4; i++) servers[0]!.begin(0, true);
+  const call = placement({ servers, prompt: undefined });
+  assert.equal(choose(call)?.server.id, "b");
+});
+
+test("servers that were tried are left out", () => {
+  const servers = ["a", "b"].map((id) => testServer(id));
+  const tried = new Set(["a"]);
+  assert.equal(choose(placement({ servers, tried }))?.server.id, "b");
+  tried.add("b");
+  assert.equal(choose(placement({ servers, tried })), undefined);
+});
--- a/src/router/control.ts
+++ b/src/router/control.ts
@@ -60,6 +60,16 @@
   return listen(server, address);
 }
 
+/**
+ * @param server A server of this module.
+ * @returns Resolves once it no longer listens; its connections are closed.
+ */
+export function closeServer(server: HttpServer): Promise<void> {
+  const closed = new Promise<void>((resolve) => server.close(() => resolve()));
+  server.closeAllConnections();
+  return closed;
+}
+
 interface Text {
   type: string;
   text: string;
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -22,8 +22,8 @@
 import type { Fleet } from "./fleet.ts";
 import {
   type AnswerFacts,
-  RequestKind,
   type RequestFacts,
+  RequestKind,
   type Route,
   type Workspace,
 } from "./model.ts";
@@ -233,7 +233,10 @@
     return this.#giveUp(request, sink, { progress, reason });
   }
 
-  #isWorthSending({ route, answerByMs }: RoutedRequest, choice: Choice): boolean {
+  #isWorthSending(
+    { route, answerByMs }: RoutedRequest,
+    choice: Choice,
+  ): boolean {
     // Plain services refuse what they can't take; only engines queue for long.
     if (!choice.chain) return true;
     return isWorthSending({
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -126,6 +126,11 @@
     }
   }
 
+  /** Closes idle connections to all servers. */
+  close(): void {
+    for (const { channels } of this.#servers.values()) channels.closeIdle();
+  }
+
   #tellDraining(known: Server, entry: BackendServer): void {
     if (!entry.draining || known.entry.draining) return;
     this.#options.log.info({ event: "server_draining", server: entry.id });
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -13,9 +13,9 @@
 import { readRequest, retryHeaders } from "../platform/mod.ts";
 import {
   type AnswerSink,
+  retryAfterMs,
   type RoutedRequest,
   type Served,
-  retryAfterMs,
 } from "./dispatch.ts";
 import type { RequestFacts, Route, ServiceShare } from "./model.ts";
 import type { RoutingTable } from "./routing_table.ts";
@@ -137,6 +137,14 @@
     await closed;
   }
 
+  /** Stops listening and breaks off what is under way. */
+  async close(): Promise<void> {
+    if (!this.#server.listening) return;
+    const closed = new Promise((resolve) => this.#server.close(resolve));
+    this.#server.closeAllConnections();
+    await closed;
+  }
+
   /**
    * Closes connections without a request under way, which would bring another one: kept ones whose
    * last answer began before the stop, and ones on which nothing was asked yet. The server's own
--- a/src/router/main.ts
+++ b/src/router/main.ts
@@ -28,7 +28,11 @@
     toStdout: true,
   });
   process.on("uncaughtException", (error) => {
-    log.fatal({ event: "uncaught", message: error.message, stack: error.stack });
+    log.fatal({
+      event: "uncaught",
+      message: error.message,
+      stack: error.stack,
+    });
     log.flush(() => process.exit(FAILED));
   });
   const router = await Router.create({ settings: settings.value, log });
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -14,7 +14,7 @@
 } from "../platform/mod.ts";
 import { CacheBook } from "./cache_book.ts";
 import type { PromptStore } from "./choose.ts";
-import { serveControl, serveReadiness } from "./control.ts";
+import { closeServer, serveControl, serveReadiness } from "./control.ts";
 import { Dispatcher } from "./dispatch.ts";
 import { Fleet } from "./fleet.ts";
 import { StoreFollower } from "./follower.ts";
@@ -28,7 +28,7 @@
 import { RequestLog } from "./request_log.ts";
 import { probe } from "./probe.ts";
 import { RoutingTable } from "./routing_table.ts";
-import type { Server, ServerOptions } from "./server.ts";
+import type { ServerOptions } from "./server.ts";
 import type { RouterSettings, SocketAddress } from "./settings.ts";
 import { WantedVersions } from "./wanted_weights.ts";
 import { ROLL_LEASE_KEY, WeightsRoll } from "./weights_roll.ts";
@@ -285,11 +285,13 @@
       metrics: () => this.#metrics.render(),
       state: () => this.state(),
     });
-    lifecycle.own({ name: "control", close: () => void control.close() });
+    lifecycle.own({ name: "control", close: () => closeServer(control) });
     const readiness = await serveReadiness(readinessAddress, READINESS_PATH, {
       isReady: () => this.#isReady(),
     });
-    lifecycle.own({ name: "readiness", close: () => void readiness.close() });
+    lifecycle.own({ name: "readiness", close: () => closeServer(readiness) });
+    lifecycle.own({ name: "fleet", close: () => this.#fleet.close() });
+    lifecycle.own({ name: "ingress", close: () => this.#ingress.close() });
     await this.#ingress.listen(clientAddress.ipAddress, clientAddress.port);
     lifecycle.task("follower", (signal) => this.#follower.run(signal));
     lifecycle.task("peers", (signal) => this.#peers.run(signal));
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -143,7 +143,9 @@
     while (!signal.aborted) {
       await clock.sleep(LOOK_MS, signal);
       if (this.holdsLease) this.#look(signal);
-      else if (!this.#isRetiring && !this.#options.isLeaseHeld()) await this.#acquire(signal);
+      else if (!this.#isRetiring && !this.#options.isLeaseHeld()) {
+        await this.#acquire(signal);
+      }
     }
     await this.#lease?.release();
   }
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -31,6 +31,14 @@
   StandinPlatformStore,
   type StandinPlatformStoreOptions,
 } from "./platform_store_server.ts";
+export {
+  PLAIN_BODY,
+  type StandinPlatformOrder,
+  type StandinPlatformRun,
+  StandinPlatformWorker,
+  type StandinPlatformWorkerFaults,
+  type StandinPlatformWorkerOptions,
+} from "./platform_worker.ts";
 export type { CallRate, RateReport } from "./_rate_meter.ts";
 export {
   type ServiceExecution,
--- /dev/null
+++ b/src/standin/platform_worker.ts
@@ -0,0 +1,299 @@
+/**
+ * Stand-in for a backend server of the users' platform: plain calls and streams by its published
+ * headers, its report, and orders for weights.
+ */
+import type { IncomingHttpHeaders, ServerResponse } from "node:http";
+import { type HostRequest, HttpHost } from "./_http_host.ts";
+
+/** Settings of a {@link StandinPlatformWorker}. */
+export interface StandinPlatformWorkerOptions {
+  /** `ip:port`; port 0: any free one. */
+  listenAddress: string;
+  /** Changes with each start. */
+  id: string;
+  /** Left out for plain services. */
+  model?: string;
+  /** Version of the model's weights at first. */
+  version: number;
+  /** Events of a whole stream. */
+  events: number;
+  requireFencing: boolean;
+}
+
+/** What goes wrong with the next requests. */
+export interface StandinPlatformWorkerFaults {
+  /** Requests that are refused as not run. */
+  refuse: number;
+  /** Requests that run, and whose connection ends without an answer. */
+  loseAnswer: number;
+  /** Requests that run and fail with a 500 of the server's own. */
+  fail: number;
+  /** Streams that break off in the middle of an event, after this many whole ones. */
+  cutAfterEvents: number | undefined;
+  /** Plain answers without a length. */
+  unframed: number;
+  /** Plain answers that carry the id of another request. */
+  foreign: number;
+  /** Requests that run and are never answered. */
+  hang: number;
+}
+
+/** One request that ran. */
+export interface StandinPlatformRun {
+  method: string;
+  target: string;
+  headers: IncomingHttpHeaders;
+  body: string;
+}
+
+/** An order that was accepted. */
+export interface StandinPlatformOrder {
+  version: number;
+  holder: string;
+  fencingToken: number;
+}
+
+const DEFAULT_OPTIONS: StandinPlatformWorkerOptions = {
+  listenAddress: "127.0.0.1:0",
+  id: "i-standin",
+  version: 1,
+  events: 4,
+  requireFencing: true,
+};
+
+const NO_FAULTS: StandinPlatformWorkerFaults = {
+  refuse: 0,
+  loseAnswer: 0,
+  fail: 0,
+  cutAfterEvents: undefined,
+  unframed: 0,
+  foreign: 0,
+  hang: 0,
+};
+
+/** Body of every plain answer. */
+export const PLAIN_BODY = "done";
+
+/** A backend server with faults. */
+export class StandinPlatformWorker {
+  readonly runs: StandinPlatformRun[] = [];
+  readonly orders: StandinPlatformOrder[] = [];
+  readonly faults: StandinPlatformWorkerFaults = { ...NO_FAULTS };
+  readonly #options: StandinPlatformWorkerOptions;
+  #version: number;
+  #highestFence = 0;
+  #host!: HttpHost;
+
+  private constructor(options: StandinPlatformWorkerOptions) {
+    this.#options = options;
+    this.#version = options.version;
+  }
+
+  /**
+   * @param options What differs from the defaults.
+   * @returns A server that is up.
+   */
+  static async create(
+    options: Partial<StandinPlatformWorkerOptions> = {},
+  ): Promise<StandinPlatformWorker> {
+    const worker = new StandinPlatformWorker({
+      ...DEFAULT_OPTIONS,
+      ...options,
+    });
+    worker.#host = await HttpHost.create({
+      listenAddress: worker.#options.listenAddress,
+      handle: (request) => worker.#serve(request),
+    });
+    return worker;
+  }
+
+  /** `ip:port`. */
+  get address(): string {
+    return this.#host.address;
+  }
+
+  get id(): string {
+    return this.#options.id;
+  }
+
+  /** Version of the weights that are loaded. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /**
+   * @param service The service that it belongs to.
+   * @param fields What differs from a ready server.
+   * @returns Its entry in the platform's store.
+   */
+  entry(service: string, fields: object = {}): object {
+    return {
+      service,
+      address: this.address,
+      zone: "a",
+      version: "v1",
+      slots: 4,
+      state: "ready",
+      models: this.#models(),
+      sequence: 1,
+      ...fields,
+    };
+  }
+
+  /** @param text The body of a whole stream. */
+  static streamText(text: string, events: number): string {
+    return Array.from(
+      { length: events },
+      (_, i) => `id: ${i + 1}\ndata: ${text}${i + 1}\n\n`,
+    ).join("");
+  }
+
+  /** Refuses connections and cuts those that are open. */
+  down(): Promise<void> {
+    return this.#host.down();
+  }
+
+  /** Stops. */
+  close(): Promise<void> {
+    return this.#host.down();
+  }
+
+  #models(): object[] {
+    const { model } = this.#options;
+    if (model === undefined) return [];
+    return [{ name: model, version: this.#version, adapters: [] }];
+  }
+
+  #serve(request: HostRequest): void {
+    const { response, headers } = request;
+    const expected = headers["expect-instance"];
+    if (expected !== undefined && expected !== this.id) {
+      response.writeHead(421, { "instance-id": this.id });
+      response.end();
+      return;
+    }
+    switch (`${request.method} ${request.url.pathname}`) {
+      case "GET /v1/report":
+        return this.#report(response);
+      case "POST /v1/order":
+        return this.#order(request);
+      default:
+        return this.#run(request);
+    }
+  }
+
+  #report(response: ServerResponse): void {
+    response.writeHead(200, { "content-type": "application/json" });
+    response.end(JSON.stringify({
+      stage: "colocated",
+      models: this.#models(),
+      busy: false,
+      sequence: this.orders.length,
+      queued: 0,
+      running: 0,
+      kv_used: 0,
+      kv_total: 1000,
+      handles: 0,
+    }));
+  }
+
+  #order({ body, response }: HostRequest): void {
+    const order = JSON.parse(body.toString());
+    response.writeHead(this.#judge(order));
+    response.end();
+  }
+
+  #judge(order: Record<string, unknown>): number {
+    const fence = Number(order["fencing_token"]);
+    if (this.#options.requireFencing && fence < this.#highestFence) return 412;
+    if (order["expected"] !== this.orders.length) return 409;
+    const version = Number(order["version"]);
+    if (version === this.#version) return 200;
+    this.#highestFence = fence;
+    this.#version = version;
+    this.orders.push({
+      version,
+      holder: String(order["holder"]),
+      fencingToken: fence,
+    });
+    return 202;
+  }
+
+  #run(request: HostRequest): void {
+    const { response, headers } = request;
+    const wanted = headers["expect-version"];
+    if (wanted !== undefined && Number(wanted) !== this.#version) {
+      response.writeHead(421, { "weight-versions": String(this.#version) });
+      response.end();
+      return;
+    }
+    if (take(this.faults, "refuse")) {
+      response.writeHead(503, { "not-executed": "1" });
+      response.end();
+      return;
+    }
+    this.runs.push({
+      method: request.method,
+      target: request.url.pathname + request.url.search,
+      headers,
+      body: request.body.toString(),
+    });
+    if (take(this.faults, "hang")) return;
+    if (take(this.faults, "loseAnswer")) return void response.destroy();
+    if (this.#options.model === undefined) this.#answer(request);
+    else this.#stream(request);
+  }
+
+  #answer({ headers, response }: HostRequest): void {
+    const isFailure = take(this.faults, "fail");
+    const id = take(this.faults, "foreign")
+      ? "other"
+      : String(headers["attempt-id"]);
+    const head = { "server-seal": `seal-${this.id}`, "attempt-id": id };
+    if (take(this.faults, "unframed")) {
+      response.socket?.end(
+        `HTTP/1.1 200 OK\r\nserver-seal: s\r\nattempt-id: ${id}\r\n\r\n` +
+          PLAIN_BODY,
+      );
+      return;
+    }
+    response.writeHead(isFailure ? 500 : 200, head);
+    response.end(PLAIN_BODY);
+  }
+
+  #stream({ headers, response }: HostRequest): void {
+    const { events } = this.#options;
+    const first = Number(headers["last-event-id"] ?? 0) + 1;
+    const cutAfter = this.faults.cutAfterEvents;
+    this.faults.cutAfterEvents = undefined;
+    response.writeHead(200, {
+      "content-type": "text/event-stream",
+      "server-seal": `seal-${this.id}`,
+      "attempt-id": String(headers["attempt-id"]),
+      "weight-versions": String(this.#version),
+    });
+    for (let i = first; i <= events; i++) {
+      if (cutAfter !== undefined && i > cutAfter) {
+        response.write(`id: ${i}\nda`, () => response.destroy());
+        return;
+      }
+      response.write(`id: ${i}\ndata: x${i}\n\n`);
+    }
+    response.end();
+  }
+}
+
+/** Faults that are counted down. */
+type CountedFault = Exclude<
+  keyof StandinPlatformWorkerFaults,
+  "cutAfterEvents"
+>;
+
+function take(
+  faults: StandinPlatformWorkerFaults,
+  fault: CountedFault,
+): boolean {
+  if (faults[fault] <= 0) return false;
+  faults[fault]--;
+  return true;
+}
