--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -59,3 +59,27 @@
 
 /** Scheme of the authorization header. */
 export const KEY_SCHEME = "Bearer ";
+
+/** Names of fields that only the platform uses, in bodies of calls and values of the store. */
+export const FIELD_NAMES = [
+  "allow_anonymous",
+  "allow_resume",
+  "api_keys",
+  "current_rev",
+  "fencing_token",
+  "gap_target_ms",
+  "header_timeout_ms",
+  "health_path",
+  "idle_timeout_ms",
+  "kv_capacity_tokens",
+  "kv_store_addr",
+  "max_attempts",
+  "max_body_bytes",
+  "max_header_bytes",
+  "more_pages",
+  "sticky_sessions",
+  "target_latency_ms",
+  "traffic_split",
+  "ttl_ms",
+  "wait_ms",
+] as const;
--- /dev/null
+++ b/src/platform/names_test.ts
@@ -0,0 +1,63 @@
+import assert from "node:assert/strict";
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+import {
+  CONFIG_KEY,
+  FIELD_NAMES,
+  Header,
+  READINESS_PATH,
+  ServerPath,
+  StorePath,
+  WEIGHTS_PREFIX,
+} from "./names.ts";
+
+/** Sources, also where the tests run from their build. */
+const SOURCES = fileURLToPath(new URL("../../src/", import.meta.url));
+/** Headers that HTTP itself defines, or words of common use. */
+const COMMON = new Set<string>([
+  Header.authorization,
+  Header.hold,
+  Header.lastEventId,
+  Header.model,
+  Header.retryAfter,
+  Header.workspace,
+]);
+
+function sources(): string[] {
+  return readdirSync(SOURCES, { recursive: true, encoding: "utf8" })
+    .filter((path) => path.endsWith(".ts") && !path.endsWith("_test.ts"))
+    .filter((path) => !/^(platform|standin|wire\/gen)\//.test(path));
+}
+
+function wireNames(): string[] {
+  return [
+    ...Object.values(Header).filter((name) => !COMMON.has(name)),
+    ...Object.values(StorePath),
+    ...Object.values(ServerPath),
+    ...FIELD_NAMES,
+    READINESS_PATH,
+    CONFIG_KEY,
+    WEIGHTS_PREFIX,
+  ];
+}
+
+/** The name as a whole: a longer name of the product's own may contain it. */
+function pattern(name: string): RegExp {
+  const isHeader = name.includes("-") && !name.includes("/");
+  return new RegExp(`(?<![\\w-])${name}(?![\\w-])`, isHeader ? "i" : "");
+}
+
+test("no name of the platform's stands outside its folder", () => {
+  const paths = sources();
+  assert.ok(paths.length > 100);
+  const names = wireNames();
+  const leaks = paths.flatMap((path) => {
+    const text = readFileSync(join(SOURCES, path), "utf8");
+    return names.filter((name) => pattern(name).test(text)).map((name) =>
+      `${path}: ${name}`
+    );
+  });
+  assert.deepEqual(leaks, []);
+});
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -11,12 +11,9 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../base/mod.ts";
 import { readRequest, retryHeaders } from "../platform/mod.ts";
-import {
-  type AnswerSink,
-  retryAfterMs,
-  type RoutedRequest,
-  type Served,
-} from "./dispatch.ts";
+import { retryAfterMs } from "./dispatch.ts";
+import { ResponseSink } from "./response_sink.ts";
+import type { AnswerSink, RoutedRequest, Served } from "./request.ts";
 import type { RequestFacts, Route, ServiceShare } from "./model.ts";
 import type { RoutingTable } from "./routing_table.ts";
 
@@ -310,66 +307,3 @@
   }
   return shares.at(-1)!.service;
 }
-
-/** An answer to a client. */
-class ResponseSink implements AnswerSink {
-  readonly #response: ServerResponse;
-  readonly #isDraining: () => boolean;
-  #gone = false;
-
-  constructor(response: ServerResponse, isDraining: () => boolean) {
-    this.#response = response;
-    this.#isDraining = isDraining;
-    response.once("close", () => {
-      if (!response.writableFinished) this.#gone = true;
-    });
-    response.on("error", () => {
-      this.#gone = true;
-    });
-  }
-
-  get gone(): boolean {
-    return this.#gone;
-  }
-
-  onGone(listener: () => void): void {
-    if (this.#gone) return listener();
-    this.#response.once("close", () => {
-      if (this.#gone) listener();
-    });
-  }
-
-  begin(status: number, headers: string[]): void {
-    this.#head(status, headers);
-  }
-
-  async write(bytes: Buffer): Promise<void> {
-    if (this.#gone || this.#response.write(bytes)) return;
-    await new Promise<void>((resolve) => {
-      this.#response.once("drain", resolve);
-      this.#response.once("close", resolve);
-    });
-  }
-
-  end(): void {
-    this.#response.end();
-  }
-
-  breakOff(): void {
-    this.#response.destroy();
-  }
-
-  send(status: number, headers: string[], body: Buffer): void {
-    if (this.#gone) return;
-    // A body that must not be there must not be announced either.
-    const isBodiless = status === 204 || status === 304;
-    const length = isBodiless ? [] : ["content-length", String(body.length)];
-    this.#head(status, [...headers, ...length]);
-    this.#response.end(body);
-  }
-
-  #head(status: number, headers: string[]): void {
-    if (this.#isDraining()) this.#response.shouldKeepAlive = false;
-    this.#response.writeHead(status, headers);
-  }
-}
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -6,7 +6,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import type { Clock, Logger } from "../base/mod.ts";
 import type { CacheBook } from "./cache_book.ts";
-import type { PlacedPrompt } from "./dispatch.ts";
+import type { PlacedPrompt } from "./request.ts";
 import type { Fleet } from "./fleet.ts";
 
 /** Pause between datagrams while something changes: a tenth of the time to a first token. */
--- /dev/null
+++ b/src/router/request.ts
@@ -0,0 +1,63 @@
+/** A request on its way through the router, where its answer goes, and what became of it. */
+import type { Chain } from "./cache_book.ts";
+import type { RequestFacts, Route, Workspace } from "./model.ts";
+
+/** A request that is ready to be sent. */
+export interface RoutedRequest {
+  facts: RequestFacts;
+  route: Route;
+  service: string;
+  workspace?: Workspace;
+  /** The client's headers, names and values in turn. */
+  rawHeaders: string[];
+  body: Buffer | undefined;
+  arrivedAtMs: number;
+  /** When the client must have its answer. */
+  answerByMs: number;
+}
+
+/** Where the answer goes. */
+export interface AnswerSink {
+  /** The client has gone. */
+  readonly gone: boolean;
+  /** @param listener Called once when the client goes. */
+  onGone(listener: () => void): void;
+  /** Begins an answer whose length is not known. */
+  begin(status: number, headers: string[]): void;
+  /** Passes on a part; resolves when the client can take more. */
+  write(bytes: Buffer): Promise<void>;
+  /** Ends an answer that was begun. */
+  end(): void;
+  /** Breaks off an answer that was begun, so that it doesn't look complete. */
+  breakOff(): void;
+  /** Sends a whole answer. */
+  send(status: number, headers: string[], body: Buffer): void;
+}
+
+/** How a request ended, for log and metrics. */
+export type Outcome =
+  | { kind: "answered"; status: number }
+  | { kind: "refused"; reason: string }
+  | { kind: "failed"; reason: string; status: number }
+  | { kind: "broken_off"; reason: string }
+  | { kind: "client_gone" };
+
+/** What became of a request. */
+export interface Served {
+  outcome: Outcome;
+  /** Ids of the servers that it was sent to. */
+  servers: string[];
+  /** Time to the first byte of the answer; left out without one. */
+  ttftMs?: number;
+  /** Expected at the last choice. */
+  expectedMs?: number;
+}
+
+/** A prompt that a server reads, or a store is given. */
+export interface PlacedPrompt {
+  /** The server's id, or the store's address. */
+  id: string;
+  chain: Chain;
+  /** Expected time until it is there. */
+  readyInMs: number;
+}
--- a/src/router/request_log.ts
+++ b/src/router/request_log.ts
@@ -1,6 +1,6 @@
 /** One log line for each request, bounded in number, and the metrics of requests. */
 import type { Clock, Logger, Metrics } from "../base/mod.ts";
-import type { Outcome, RoutedRequest, Served } from "./dispatch.ts";
+import type { Outcome, RoutedRequest, Served } from "./request.ts";
 import type { LocalAnswer } from "./ingress.ts";
 import type { RequestFacts } from "./model.ts";
 
--- /dev/null
+++ b/src/router/response_sink.ts
@@ -0,0 +1,70 @@
+/** Writes an answer to a client's connection. */
+import type { ServerResponse } from "node:http";
+import type { AnswerSink } from "./request.ts";
+
+/** An answer to a client. */
+export class ResponseSink implements AnswerSink {
+  readonly #response: ServerResponse;
+  readonly #isDraining: () => boolean;
+  #gone = false;
+
+  /**
+   * @param response Where the answer is written.
+   * @param isDraining Whether the connection is to be closed behind the answer.
+   */
+  constructor(response: ServerResponse, isDraining: () => boolean) {
+    this.#response = response;
+    this.#isDraining = isDraining;
+    response.once("close", () => {
+      if (!response.writableFinished) this.#gone = true;
+    });
+    response.on("error", () => {
+      this.#gone = true;
+    });
+  }
+
+  get gone(): boolean {
+    return this.#gone;
+  }
+
+  onGone(listener: () => void): void {
+    if (this.#gone) return listener();
+    this.#response.once("close", () => {
+      if (this.#gone) listener();
+    });
+  }
+
+  begin(status: number, headers: string[]): void {
+    this.#head(status, headers);
+  }
+
+  async write(bytes: Buffer): Promise<void> {
+    if (this.#gone || this.#response.write(bytes)) return;
+    await new Promise<void>((resolve) => {
+      this.#response.once("drain", resolve);
+      this.#response.once("close", resolve);
+    });
+  }
+
+  end(): void {
+    this.#response.end();
+  }
+
+  breakOff(): void {
+    this.#response.destroy();
+  }
+
+  send(status: number, headers: string[], body: Buffer): void {
+    if (this.#gone) return;
+    // A body that must not be there must not be announced either.
+    const isBodiless = status === 204 || status === 304;
+    const length = isBodiless ? [] : ["content-length", String(body.length)];
+    this.#head(status, [...headers, ...length]);
+    this.#response.end(body);
+  }
+
+  #head(status: number, headers: string[]): void {
+    if (this.#isDraining()) this.#response.shouldKeepAlive = false;
+    this.#response.writeHead(status, headers);
+  }
+}
