--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -25,9 +25,14 @@
 /** Time to set up a copy. */
 const COPY_SETUP_MS = 7;
 /** Copies of less than this are not worth their set-up. */
-const COPY_MIN_TOKENS = 256;
+const COPY_MIN_TOKENS = 48;
+/**
+ * A prompt is saved whole, its own part included, which nobody asks for again; one whose own part is
+ * larger than this multiple of the shared ones would push more out of the store than it brings.
+ */
+const SAVE_OWN_FACTOR = 1.5;
 /** Price of reading a shared token again, against waiting: 1.2 of worth for a thousand tokens. */
-const REREAD_MS_PER_TOKEN = 0.03;
+const REREAD_MS_PER_TOKEN = 0.08;
 /** An answer on weights that were replaced longer ago is worth a fifth less. */
 const OLD_WEIGHTS_FROM_MS = 1300;
 /** Price of that, against waiting. */
@@ -274,6 +279,8 @@
   if (!store || placement.choice !== ChoiceName.cost) return undefined;
   const shared = sharedTokens(chain);
   if (shared < COPY_MIN_TOKENS) return undefined;
+  const own = chain.parts.at(-1)?.tokens ?? 0;
+  if (own > shared * SAVE_OWN_FACTOR) return undefined;
   return store.cache.cachedTokens(chain) < shared ? store.address : undefined;
 }
 
