--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -17,7 +17,7 @@
 import type { RequestFacts, Route, ServiceShare } from "./model.ts";
 import type { RoutingTable } from "./routing_table.ts";
 
-/** Largest header section that is parsed at all; the configured bound is checked behind it. */
+/** Largest header section that is taken; the configured bound is not applied. */
 const PARSED_HEADER_BYTES = 64 * 1024;
 /** Time that an answer needs to reach the client before its deadline. */
 const ANSWER_MARGIN_MS = 15;
