Judge an agent silent only after looking for its answer

Cause: a run's wait was one timer. A process that was not scheduled for the whole wait ran the timer before it read its sockets, took the agent for silent and opened a channel more. Change: a wait ends after ten parts, with a look at the socket in between.

--- a/src/entry/_run_connection.ts
+++ b/src/entry/_run_connection.ts
@@ -6,6 +6,12 @@
 /** Why a wait ended. */
 export type Wake = "readable" | "closed" | "silent" | "aborted";
 
+/**
+ * Parts of a wait. Each ends with a look at what has arrived, so that a process that was not
+ * scheduled for longer than the whole wait doesn't take its peer for silent.
+ */
+const WAIT_PARTS = 10;
+
 /** One stream to an agent. */
 export class RunConnection {
   readonly #call: ClientDuplexStream<RunUp, RunDown>;
@@ -14,6 +20,7 @@
   #resume: ((wake: Wake) => void) | undefined;
   #timer: NodeJS.Timeout | undefined;
   #waitMs = 0;
+  #partsLeft = 0;
   #closed = false;
   #failure: CallFailure | undefined;
 
@@ -101,13 +108,20 @@
   }
 
   #armTimer(waitMs: number): void {
+    this.#partsLeft = WAIT_PARTS;
     if (this.#timer && this.#waitMs === waitMs) {
       this.#timer.refresh();
       return;
     }
     clearTimeout(this.#timer);
     this.#waitMs = waitMs;
-    this.#timer = setTimeout(() => this.#wake("silent"), waitMs);
+    this.#timer = setTimeout(() => this.#endPart(), waitMs / WAIT_PARTS);
+  }
+
+  #endPart(): void {
+    this.#partsLeft--;
+    if (this.#partsLeft > 0) this.#timer?.refresh();
+    else this.#wake("silent");
   }
 
   #release(): void {
