Apply the configured bounds on headers and on connections to a server

Cause, found by reading: headerBytes and connectionLimit were decoded and not used; caches and limits of servers stayed as the configuration was when the server joined. Ruled out: capping the connections of one entry alone, which says nothing of what the others have open; the running requests of all entries are known from their datagrams. Change: 431 beyond the bound; a full server is passed over; limits follow the configuration. Three tests failed first (choose, the two of router_test). Conclusion: both gaps are closed; a server's lower limit while its queue is long is not known to anyone but the server.

--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -113,7 +113,7 @@
     timeoutMs: number(route, "timeout_ms"),
     targetLatencyMs: optionalNumber(route, "target_latency_ms") ??
       number(route, "timeout_ms"),
-    priority: optionalNumber(route, "priority") ?? 0,
+    priority: optionalNumber(route, "priority") ?? Infinity,
     shares: readShares(route),
     maxAttempts: optionalNumber(route, "max_attempts") ?? 1,
     anonymous: route["allow_anonymous"] === true,
--- a/src/router/_kit.ts
+++ b/src/router/_kit.ts
@@ -53,5 +53,6 @@
     connectMs: 300,
     idleMs: 1000,
     cacheTokens: 10_000,
+    connectionLimit: 100,
   });
 }
--- a/src/router/cache_book.ts
+++ b/src/router/cache_book.ts
@@ -28,7 +28,7 @@
 /** Expected contents of one server's cache. */
 export class CacheBook {
   readonly #parts = new Map<string, HeldPart>();
-  readonly #capacityTokens: number;
+  #capacityTokens: number;
   #tokens = 0;
 
   private constructor(capacityTokens: number) {
@@ -131,6 +131,12 @@
     this.#evict();
   }
 
+  /** @param capacityTokens Tokens of cached prompts that the server has room for from now on. */
+  resize(capacityTokens: number): void {
+    this.#capacityTokens = capacityTokens;
+    this.#evict();
+  }
+
   /** Forgets everything, as the server does when its weights change. */
   clear(): void {
     this.#parts.clear();
--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -122,6 +122,7 @@
   let best: Candidate | undefined;
   for (const server of placement.servers) {
     if (placement.tried.has(server.id)) continue;
+    if (server.isFull(placement.nowMs)) continue;
     if (placement.prompt && isRetired(server, placement.prompt)) continue;
     const candidate = placement.prompt
       ? weighPrompt(placement, placement.prompt, { server })
--- a/src/router/choose_test.ts
+++ b/src/router/choose_test.ts
@@ -135,3 +135,17 @@
   tried.add("b");
   assert.equal(choose(placement({ servers, tried })), undefined);
 });
+
+test("server that takes no further connection is passed over", () => {
+  const servers = ["a", "b"].map((id) => testServer(id));
+  servers[1]!.limit({ cacheTokens: 10_000, connectionLimit: 1 });
+  servers[1]!.cache.use(CHAIN, 0);
+  assert.equal(choose(placement({ servers }))?.server.id, "b");
+  servers[1]!.setPeerLoad(
+    "entry-2",
+    { pendingTokens: 0, running: 1, bound: 0 },
+    1000,
+  );
+  assert.equal(choose(placement({ servers }))?.server.id, "a");
+  assert.equal(choose(placement({ servers: [servers[1]!] })), undefined);
+});
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -126,6 +126,13 @@
     }
   }
 
+  /** Puts limits that the configuration changed in force for the servers that are known. */
+  applyLimits(): void {
+    for (const server of this.#servers.values()) {
+      server.limit(this.#options.serverOptions(server.entry.service));
+    }
+  }
+
   /** Closes idle connections to all servers. */
   close(): void {
     for (const { channels } of this.#servers.values()) channels.closeIdle();
--- a/src/router/fleet_test.ts
+++ b/src/router/fleet_test.ts
@@ -9,7 +9,12 @@
   const fleet = Fleet.create({
     clock,
     log: silentLog,
-    serverOptions: () => ({ connectMs: 1, idleMs: 1, cacheTokens: 1000 }),
+    serverOptions: () => ({
+      connectMs: 1,
+      idleMs: 1,
+      cacheTokens: 1000,
+      connectionLimit: 9,
+    }),
     isRecovering: () => outage.is,
   });
   return { fleet, clock, outage };
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -17,7 +17,7 @@
 import type { RequestFacts, Route, ServiceShare } from "./model.ts";
 import type { RoutingTable } from "./routing_table.ts";
 
-/** Largest header section that is taken; the configured bound is not applied. */
+/** Largest header section that is parsed, whatever the configuration allows. */
 const PARSED_HEADER_BYTES = 64 * 1024;
 /** Time that an answer needs to reach the client before its deadline. */
 const ANSWER_MARGIN_MS = 15;
@@ -35,6 +35,7 @@
   | "not_ready"
   | "unknown_route"
   | "unknown_key"
+  | "headers_too_large"
   | "too_large"
   | "stopping"
   | "unsure";
@@ -183,6 +184,12 @@
       // The client has gone: the response's end says so to whoever serves the request.
     });
     const table = this.#options.table();
+    if (table && headBytes(request) > table.limits.headerBytes) {
+      request.resume();
+      response.shouldKeepAlive = false;
+      const why = "headers_too_large";
+      return this.#answer(facts, sink, { status: 431, why });
+    }
     const maxBytes = table?.limits.bodyBytes ?? 0;
     const body = await readBody(request, table ? maxBytes : Infinity);
     if (body.kind === "cut") return;
@@ -274,6 +281,13 @@
   /** The client went before the end. */
   | { kind: "cut" };
 
+/** Size of the request line and the header fields, as they were sent. */
+function headBytes({ method, url, rawHeaders }: IncomingMessage): number {
+  const line = `${method} ${url} HTTP/1.1\r\n`.length;
+  // Names and values in turn, each with two more characters: ": " or the end of its line.
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, line + 2);
+}
+
 /** Reads a whole body, so that it can be sent once more; bodies are bounded by the configuration. */
 function readBody(
   request: IncomingMessage,
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -62,7 +62,7 @@
 /** A group of backend servers that answer the same requests. */
 export interface Service {
   name: string;
-  /** Connections that one server takes from all callers together; not applied. */
+  /** Connections that one server takes from all callers together. */
   connectionLimit: number;
   /** Left out for plain services. */
   engine?: EngineLimits;
@@ -72,7 +72,7 @@
 
 /** Bounds on what a client may send. */
 export interface ClientLimits {
-  /** Not applied: a fixed bound is. */
+  /** Request line and header fields. */
   headerBytes: number;
   bodyBytes: number;
   headerTimeoutMs: number;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -358,6 +358,7 @@
     const before = this.#table?.version;
     this.#table = RoutingTable.create(config);
     this.#ingress.applyLimits();
+    this.#fleet.applyLimits();
     this.#usePromptStore(config.services);
     this.#log.info({
       event: "config_in_force",
@@ -404,11 +405,12 @@
   }
 
   #serverOptions(service: string): ServerOptions {
-    const engine = this.#table?.findService(service)?.engine;
+    const known = this.#table?.findService(service);
     return {
       connectMs: SERVER_CONNECT_MS,
       idleMs: SERVER_IDLE_MS,
-      cacheTokens: (engine?.cacheTokens ?? 0) * CACHE_SHARE,
+      cacheTokens: (known?.engine?.cacheTokens ?? 0) * CACHE_SHARE,
+      connectionLimit: known?.connectionLimit ?? Infinity,
     };
   }
 }
--- a/src/router/router_test.ts
+++ b/src/router/router_test.ts
@@ -132,6 +132,12 @@
   return { store, router, clientPort, readinessPort, worker, engine };
 }
 
+async function useConfig(world: World, config: typeof CONFIG): Promise<void> {
+  await world.store.put("op/config", config);
+  const inForce = `"configVersion":${config.version}`;
+  await until(() => JSON.stringify(world.router.state()).includes(inForce));
+}
+
 async function until(holds: () => boolean | Promise<boolean>): Promise<void> {
   while (!await holds()) await new Promise((resolve) => setTimeout(resolve, 5));
 }
@@ -323,6 +329,35 @@
   assert.equal((await ask(world, "/brief/a")).status, 504);
 });
 
+test("headers over the configured bound are refused", async (t) => {
+  const world = await openWorld(t);
+  const worker = await world.worker("i-1");
+  const limits = { ...CONFIG.limits, max_header_bytes: 2000 };
+  await useConfig(world, { ...CONFIG, version: 2, limits });
+  const asked = await ask(world, "/book/a", { "x-long": "x".repeat(2000) });
+  assert.equal(asked.status, 431);
+  assert.equal(asked.headers["connection"], "close");
+  assert.equal(worker.runs.length, 0);
+  const within = await ask(world, "/book/a", { "x-long": "x".repeat(1500) });
+  assert.equal(within.status, 200);
+});
+
+test("server with as many connections as it takes gets no further call", async (t) => {
+  const world = await openWorld(t);
+  const worker = await world.worker("i-1");
+  const services = CONFIG.services.map((service) => ({
+    ...service,
+    max_connections: 1,
+  }));
+  await useConfig(world, { ...CONFIG, version: 2, services });
+  worker.faults.hang = 1;
+  const first = ask(world, "/brief/a");
+  await until(() => worker.runs.length === 1);
+  assert.equal((await ask(world, "/book/a")).status, 503);
+  assert.equal((await first).status, 504);
+  assert.equal((await ask(world, "/book/a")).status, 200);
+});
+
 test("without a server the request is refused as not run", async (t) => {
   const world = await openWorld(t);
   const asked = await ask(world, "/book/a");
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -22,11 +22,18 @@
   atMs: number;
 }
 
+/** What a server takes; the configuration of its service says so. */
+export interface ServerLimits {
+  /** Room for cached prompts that may be counted on. */
+  cacheTokens: number;
+  /** Connections from all entries together. */
+  connectionLimit: number;
+}
+
 /** Settings of a {@link Server}. */
-export interface ServerOptions {
+export interface ServerOptions extends ServerLimits {
   connectMs: number;
   idleMs: number;
-  cacheTokens: number;
 }
 
 /** One request under way, in this entry's count of a server's load. */
@@ -47,6 +54,7 @@
   readonly #weights = new Map<string, number>();
   readonly #own: ServerLoad = { pendingTokens: 0, running: 0, bound: 0 };
   readonly #peers = new Map<string, PeerLoad>();
+  #connectionLimit: number;
   #heldBackUntilMs = -Infinity;
   #easedUntilMs = -Infinity;
   #heardAtMs = -Infinity;
@@ -56,6 +64,7 @@
     this.#entry = entry;
     this.channels = ChannelSet.create({ address: entry.address, ...options });
     this.cache = CacheBook.create(options.cacheTokens);
+    this.#connectionLimit = options.connectionLimit;
     this.#learnAll(entry.weights);
   }
 
@@ -104,6 +113,23 @@
     this.#learnAll(entry.weights);
   }
 
+  /** @param limits What it takes from now on. */
+  limit({ cacheTokens, connectionLimit }: ServerLimits): void {
+    this.cache.resize(cacheTokens);
+    this.#connectionLimit = connectionLimit;
+  }
+
+  /**
+   * Connections beyond the limit are reset by the server, and a request that was sent over one may
+   * or may not have run.
+   *
+   * @param nowMs The time.
+   * @returns Whether one more request may need a connection too many.
+   */
+  isFull(nowMs: number): boolean {
+    return this.load(nowMs).running >= this.#connectionLimit;
+  }
+
   /**
    * @param peer Name of another entry.
    * @param load Its requests to this server.
