Explain a request from the logs, and check imports

Cause: a request's lines lie in the logs of several entries; two circles of imports stood in the tree, and nothing checked for more or for modules that nothing runs.

Finding: shared_limits_test's process rarely does not end, listed as open.

--- /dev/null
+++ b/src/base/imports_test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { readdirSync, readFileSync } from "node:fs";
+import { dirname, join, normalize } from "node:path";
+import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+
+/** The repository, also where the tests run from their build. */
+const ROOT = fileURLToPath(new URL("../../", import.meta.url));
+const SOURCES = join(ROOT, "src");
+const IMPORT = /(?:from|import)\s*\(?\s*"(\.[^"]+)"/g;
+
+/** Imports of each module, types included; paths below `src`. */
+function readGraph(): Map<string, string[]> {
+  const paths = readdirSync(SOURCES, { recursive: true, encoding: "utf8" })
+    .filter((path) => path.endsWith(".ts"));
+  return new Map(paths.map((path) => {
+    const text = readFileSync(join(SOURCES, path), "utf8");
+    const imports = [...text.matchAll(IMPORT)].map(([, target]) =>
+      normalize(join(dirname(path), target!))
+    );
+    return [path, imports];
+  }));
+}
+
+/** A path from a module back to itself, if there is one. */
+function findCircle(graph: Map<string, string[]>): string[] | undefined {
+  const done = new Set<string>();
+  const trail: string[] = [];
+  const visit = (path: string): string[] | undefined => {
+    const at = trail.indexOf(path);
+    if (at >= 0) return [...trail.slice(at), path];
+    if (done.has(path)) return undefined;
+    trail.push(path);
+    for (const target of graph.get(path) ?? []) {
+      const circle = visit(target);
+      if (circle) return circle;
+    }
+    trail.pop();
+    done.add(path);
+    return undefined;
+  };
+  for (const path of graph.keys()) {
+    const circle = visit(path);
+    if (circle) return circle;
+  }
+  return undefined;
+}
+
+/** Text of what may name a program: sources, pages and scripts, by path. */
+function readTexts(): [string, string][] {
+  const sources = readdirSync(SOURCES, { recursive: true, encoding: "utf8" })
+    .filter((path) => path.endsWith(".ts"))
+    .map((path) => join("src", path));
+  const pages = readdirSync(join(ROOT, "docs"), { encoding: "utf8" })
+    .filter((path) => path.endsWith(".md"))
+    .map((path) => join("docs", path));
+  const scripts = ["package.json", "README.md", "deploy/build.mjs"];
+  return [...sources, ...pages, ...scripts].map((path) => [
+    path,
+    readFileSync(join(ROOT, path), "utf8"),
+  ]);
+}
+
+test("modules import each other in one direction", () => {
+  assert.deepEqual(findCircle(readGraph()), undefined);
+});
+
+test("every module is imported, or named as a program", () => {
+  const graph = readGraph();
+  assert.ok(graph.size > 100);
+  const imported = new Set([...graph.values()].flat());
+  const texts = readTexts();
+  const isNamed = (path: string) => {
+    const stem = path.replace(/\.ts$/, "");
+    const names = [stem, `./${stem.split("/").at(-1)}`];
+    return texts.some(([from, text]) =>
+      from !== join("src", path) && names.some((name) => text.includes(name))
+    );
+  };
+  const unused = [...graph.keys()].filter((path) =>
+    !path.endsWith("_test.ts") && !imported.has(path) && !isNamed(path)
+  );
+  assert.deepEqual(unused, []);
+});
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -69,6 +69,22 @@
     flagsOf(STATE_SETTINGS),
     (flags) => run(flags, printState),
   );
+  cli.command(
+    "explain <id> [logs..]",
+    "Tell from the logs of a router's entries what became of a request",
+    (argv) =>
+      argv.positional("id", {
+        type: "string",
+        describe: "The client's id of its attempt",
+        demandOption: true,
+      }).positional("logs", {
+        type: "string",
+        array: true,
+        describe: "Log files; standard input where left out",
+        default: [] as string[],
+      }),
+    ({ id, logs }) => run({}, () => printExplanation(id, logs)),
+  );
   cli.command("$0", false, (argv) => argv, ({ _ }) => refuseCommand(_));
 }
 
@@ -116,6 +132,16 @@
   process.stdout.write(state.value + "\n");
 }
 
+async function printExplanation(
+  id: string,
+  logs: string[],
+): Promise<CommandFailure | undefined> {
+  const { explainRequest } = await import("./explain_command.ts");
+  const lines = await explainRequest(id, logs);
+  if (lines.isErr) return lines.error;
+  process.stdout.write(lines.value.join("\n") + "\n");
+}
+
 function fail(failure: CommandFailure): void {
   if ("problems" in failure) {
     process.stderr.write(describeProblems(failure) + "\n");
--- a/src/placement/mod.ts
+++ b/src/placement/mod.ts
@@ -25,8 +25,8 @@
   renderPrompt,
 } from "./levels.ts";
 export { type Member, MemberTable } from "./member_table.ts";
+export { createPolicy } from "./create_policy.ts";
 export {
-  createPolicy,
   Mechanism,
   type Observation,
   type PlacementRequest,
--- a/src/placement/policy.ts
+++ b/src/placement/policy.ts
@@ -3,10 +3,8 @@
  * `choose` returns, and tells `learn` what came of it.
  */
 import type { ChainPoint, Offer } from "../wire/gen/cicadahitch.ts";
-import { createBaseline } from "./baselines.ts";
 import type { Member, MemberTable } from "./member_table.ts";
-import { OffersPolicy } from "./offers_policy.ts";
-import { PolicyName } from "./policy_name.ts";
+import type { PolicyName } from "./policy_name.ts";
 
 /** Parts of the policy that can be switched off in experiments. */
 export const Mechanism = {
@@ -103,20 +101,3 @@
   /** Parts that are switched off. */
   without?: ReadonlySet<Mechanism>;
 }
-
-/**
- * @param name Which policy.
- * @param options Its settings.
- * @returns A policy that has seen nothing yet.
- */
-export function createPolicy(name: PolicyName, options: PolicyOptions): Policy {
-  switch (name) {
-    case PolicyName.Offers:
-      return OffersPolicy.create(options);
-    case PolicyName.Random:
-    case PolicyName.LeastLoaded:
-    case PolicyName.Rendezvous:
-    case PolicyName.Affinity:
-      return createBaseline(name, options);
-  }
-}
--- a/src/placement/policy_test.ts
+++ b/src/placement/policy_test.ts
@@ -2,7 +2,8 @@
 import { test } from "node:test";
 import type { Offer } from "../wire/gen/cicadahitch.ts";
 import { type Member, MemberTable } from "./member_table.ts";
-import { createPolicy, Mechanism, type PlacementRequest } from "./policy.ts";
+import { createPolicy } from "./create_policy.ts";
+import { Mechanism, type PlacementRequest } from "./policy.ts";
 import { PolicyName } from "./policy_name.ts";
 import { topRows } from "./rendezvous.ts";
 
--- /dev/null
+++ b/src/router/explain_test.ts
@@ -0,0 +1,93 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import {
+  explain,
+  formatExplanation,
+  type LogLine,
+  parseLogLine,
+} from "./explain.ts";
+
+const SEED = 20_261_202;
+
+function line(
+  time: number,
+  event: string,
+  fields: Record<string, unknown> = {},
+): LogLine {
+  const text = JSON.stringify({ time, processId: "e-1", event, ...fields });
+  const parsed = parseLogLine(`   1.25 e-1 ${text}`);
+  assert.ok(parsed);
+  return parsed;
+}
+
+test("lines of one request come in order, with what befell its servers", () => {
+  const log = [
+    line(9000, "request", {
+      id: "r1",
+      servers: ["i-1", "i-2"],
+      outcome: "answered",
+      status: 200,
+      tookMs: 700,
+    }),
+    line(8500, "run_moved", { id: "r1", from: "i-1", to: "i-2" }),
+    line(8600, "weights_ordered", { server: "i-1", version: 2 }),
+    line(8600, "weights_ordered", { server: "i-9", version: 2 }),
+    line(1000, "server_joined", { server: "i-1" }),
+    line(8700, "store_lost", { failure: "unavailable" }),
+    line(8800, "request", { id: "r2", servers: ["i-1"], outcome: "refused" }),
+  ];
+  const explained = explain("r1", log);
+  assert.deepEqual(explained.lines.map(({ event }) => event), [
+    "run_moved",
+    "request",
+  ]);
+  assert.deepEqual(explained.context.map(({ event }) => event), [
+    "weights_ordered",
+    "store_lost",
+  ]);
+  const text = formatExplanation(explained);
+  assert.equal(text.length, 5);
+  assert.match(text[0]!, /^\* .* e-1 run_moved from=i-1 to=i-2$/);
+  assert.match(text[1]!, /^ {2}.* weights_ordered server=i-1 version=2$/);
+  assert.equal(text.at(-1), "Answered 200 by i-2 after 700 ms.");
+});
+
+test("outcomes say what is known of the run", () => {
+  const outcomeOf = (fields: Record<string, unknown>) =>
+    explain("r", [line(1, "request", { id: "r", ...fields })]).outcome;
+  assert.equal(
+    outcomeOf({ outcome: "refused", reason: "too_late", servers: [] }),
+    "Refused as not run: it would have been late, and was put off at once. " +
+      "It was sent to no server.",
+  );
+  assert.equal(
+    outcomeOf({
+      outcome: "failed",
+      status: 502,
+      reason: "ECONNRESET",
+      servers: ["i-1"],
+    }),
+    "Failed with 502: ECONNRESET. It was sent to i-1. It may have run.",
+  );
+  assert.equal(
+    outcomeOf({ outcome: "local", reason: "unsure" }),
+    "Answered by the entry itself: the entry had no news for too long to " +
+      "deny a route or key.",
+  );
+});
+
+test("request that no line names has no explanation", () => {
+  const explained = explain("r1", [line(1, "request", { id: "r2" })]);
+  assert.deepEqual(explained, { lines: [], context: [] });
+});
+
+test("any text gives a line or none", () => {
+  fc.assert(
+    fc.property(fc.oneof(fc.string(), fc.json()), (text) => {
+      const parsed = parseLogLine(text);
+      assert.ok(parsed === undefined || typeof parsed.event === "string");
+    }),
+    { seed: SEED },
+  );
+});
--- a/src/standin/_engine_routes.ts
+++ b/src/standin/_engine_routes.ts
@@ -7,7 +7,7 @@
 import { answerJson, type HostRequest, readJson } from "./_http_host.ts";
 import { answerTokens, countTokens, toAnswerInput } from "./answer.ts";
 import type { StandinEngineFaults } from "./engine_options.ts";
-import type { EngineState, StandinEngine } from "./engine_server.ts";
+import type { EngineState } from "./_engine_state.ts";
 
 /** Body of an order. */
 interface OrderBody {
@@ -23,15 +23,20 @@
 
 const LOWEST_PRIORITY = 0;
 
+/** What routes can do to the engine as a whole. */
+export interface EngineControl {
+  setFaults(faults: Partial<StandinEngineFaults>): Promise<void> | void;
+}
+
 /**
- * @param engine The engine.
- * @param state Its parts.
+ * @param state The engine's parts.
  * @param request To be answered.
+ * @param control The engine as a whole.
  */
 export async function serveEngine(
-  engine: StandinEngine,
   state: EngineState,
   request: HostRequest,
+  control: EngineControl,
 ): Promise<void> {
   const { response } = request;
   switch (`${request.method} ${request.url.pathname}`) {
@@ -61,7 +66,7 @@
       return answerJson(response, 200, { orders: state.orders });
     case "POST /control/faults":
       answerJson(response, 200, {});
-      return await engine.setFaults(
+      return await control.setFaults(
         readJson<Partial<StandinEngineFaults>>(request),
       );
     default:
--- /dev/null
+++ b/src/standin/_engine_state.ts
@@ -0,0 +1,28 @@
+/** What a stand-in engine and its routes share. */
+import type { PrefixCache } from "./_engine_cache.ts";
+import type { CacheEventFeed } from "./_engine_events.ts";
+import type { EngineScheduler } from "./_engine_scheduler.ts";
+import type { LoadHistory } from "./_load_history.ts";
+import type { ModelSet } from "./_model_set.ts";
+import type {
+  EngineExecution,
+  ExecutedOrder,
+  StandinEngineFaults,
+  StandinEngineOptions,
+} from "./engine_options.ts";
+
+/** Parts of a running engine, shared with its routes. */
+export interface EngineState {
+  readonly options: StandinEngineOptions;
+  readonly faults: StandinEngineFaults;
+  readonly cache: PrefixCache;
+  readonly feed: CacheEventFeed;
+  readonly scheduler: EngineScheduler;
+  readonly loadHistory: LoadHistory;
+  readonly executions: EngineExecution[];
+  readonly orders: ExecutedOrder[];
+  models: ModelSet;
+  incarnation: string;
+  role: string;
+  highestFencingNumber: bigint;
+}
--- a/src/standin/engine_server.ts
+++ b/src/standin/engine_server.ts
@@ -7,6 +7,7 @@
 import { EngineScheduler } from "./_engine_scheduler.ts";
 import { HttpHost } from "./_http_host.ts";
 import { LoadHistory } from "./_load_history.ts";
+import type { EngineState } from "./_engine_state.ts";
 import { ModelSet } from "./_model_set.ts";
 import {
   DEFAULT_ENGINE_OPTIONS,
@@ -16,22 +17,6 @@
   type StandinEngineOptions,
 } from "./engine_options.ts";
 
-/** Parts of a running engine, shared with its routes. */
-export interface EngineState {
-  readonly options: StandinEngineOptions;
-  readonly faults: StandinEngineFaults;
-  readonly cache: PrefixCache;
-  readonly feed: CacheEventFeed;
-  readonly scheduler: EngineScheduler;
-  readonly loadHistory: LoadHistory;
-  readonly executions: EngineExecution[];
-  readonly orders: ExecutedOrder[];
-  models: ModelSet;
-  incarnation: string;
-  role: string;
-  highestFencingNumber: bigint;
-}
-
 /** The model engine of tests and development. */
 export class StandinEngine {
   readonly #state: EngineState;
@@ -52,7 +37,10 @@
     const { listenAddress } = engine.#state.options;
     engine.#host = await HttpHost.create({
       listenAddress,
-      handle: (request) => serveEngine(engine, engine.#state, request),
+      handle: (request) =>
+        serveEngine(engine.#state, request, {
+          setFaults: (faults) => engine.setFaults(faults),
+        }),
     });
     return engine;
   }
