--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -17,6 +17,7 @@
 
 /** One router process, and the link between it and the store. */
 export interface TestEntry {
+  name: string;
   router: Router;
   link: TcpRelay;
   /** The entry's clock; a test may move it. */
@@ -37,6 +38,8 @@
     options?: Partial<StandinPlatformWorkerOptions>,
   ): Promise<StandinPlatformWorker>;
   engine(id: string): Promise<StandinPlatformWorker>;
+  /** Starts an entry anew that was stopped. */
+  restart(entry: TestEntry): Promise<TestEntry>;
 }
 
 /** The machine's clock, moved forward by a test. */
@@ -93,16 +96,15 @@
     (_, i) => `127.0.0.${i + 1}`,
   );
   const entries: TestEntry[] = [];
-  for (const ipAddress of ipAddresses) {
-    const link = await TcpRelay.create({ targetAddress: store.address });
+  const start = (entry: Omit<TestEntry, "router">): Promise<Router> => {
+    const { name, link, clock, ipAddress } = entry;
     const [linkHost = "", linkPort] = link.address.split(":");
     const at = (port: number) => ({ ipAddress, port });
-    const clock = new SkewedClock();
-    const router = await Router.create({
+    return Router.create({
       log: silentLog,
       clock,
       settings: {
-        instance: `entry-${entries.length + 1}`,
+        instance: name,
         zone: "a",
         ipAddress,
         clientAddress: at(ports.client),
@@ -120,14 +122,19 @@
         choice: ChoiceName.cost,
       },
     });
-    entries.push({
-      router,
+  };
+  for (const ipAddress of ipAddresses) {
+    const link = await TcpRelay.create({ targetAddress: store.address });
+    const clock = new SkewedClock();
+    const entry = {
+      name: `entry-${entries.length + 1}`,
       link,
       clock,
       ipAddress,
       clientPort: ports.client,
       readinessPort: ports.readiness,
-    });
+    };
+    entries.push({ ...entry, router: await start(entry) });
   }
   const workers: StandinPlatformWorker[] = [];
   const [first] = entries;
@@ -149,7 +156,12 @@
     await store.close();
   });
   const engine = (id: string) => worker(id, { model: "m" });
-  return { ...first, store, entries, worker, engine };
+  const restart = async (entry: TestEntry) => {
+    const again = { ...entry, router: await start(entry) };
+    entries.push(again);
+    return again;
+  };
+  return { ...first, store, entries, worker, engine, restart };
 }
 
 /**
--- a/src/router/several_test.ts
+++ b/src/router/several_test.ts
@@ -23,6 +23,18 @@
   assert.equal(worker.runs.length, 0);
 });
 
+test("entry that starts while the store is down learns from a peer", async (t) => {
+  const world = await openWorld(t, { entryCount: 2 });
+  const [, second] = world.entries;
+  await world.worker("i-1");
+  await world.store.down();
+  await second!.router.stop();
+  const again = await world.restart(second!);
+  await until(() => knows(again, "i-1"));
+  assert.equal((await ask(again, "/book/a")).status, 200);
+  assert.equal((await ask(again, "/book/a", OTHER_KEY)).status, 401);
+});
+
 test("entry without contact is not sure that a key is unknown", async (t) => {
   const world = await openWorld(t);
   await world.worker("i-1");
