--- a/src/bench/_open_loop.ts
+++ b/src/bench/_open_loop.ts
@@ -1,4 +1,5 @@
 /** Open-loop load: requests are sent at their scheduled times, however long earlier ones take. */
+import { seededRandom } from "../base/random.ts";
 import { setTimeout as delay } from "node:timers/promises";
 import hdr, { type Histogram } from "hdr-histogram-js";
 import { Agent, request } from "undici";
@@ -80,20 +81,6 @@
   return { p50Ms: at(50), p95Ms: at(95), p99Ms: at(99) };
 }
 
-/**
- * @param seed Where the sequence starts.
- * @returns Uniform numbers below 1.
- */
-export function seededRandom(seed: number): () => number {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
-
 interface Sending {
   index: number;
   atMs: number;
--- a/src/experiment/random.ts
+++ b/src/experiment/random.ts
@@ -1,11 +1,12 @@
 /** Seeded random numbers. */
+import { seededRandom } from "../base/random.ts";
 
 /** A generator of 32 bits of state. */
 export class Random {
-  #state: number;
+  readonly #random: () => number;
 
   private constructor(seed: number) {
-    this.#state = seed >>> 0;
+    this.#random = seededRandom(seed);
   }
 
   /**
@@ -18,10 +19,7 @@
 
   /** @returns Uniform in [0, 1). */
   next(): number {
-    this.#state = (this.#state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(this.#state ^ (this.#state >>> 15), this.#state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 0x1_0000_0000;
+    return this.#random();
   }
 
   /** @returns A whole number in [from, to). */
--- a/src/limits/_fleet.ts
+++ b/src/limits/_fleet.ts
@@ -1,4 +1,5 @@
 /** Many limiters in virtual time, for measurements and tests. */
+import { seededRandom } from "../base/random.ts";
 import { Result } from "true-myth";
 import type { Clock } from "../base/mod.ts";
 import { VersionDigest } from "../wire/gen/cicadahitch.ts";
@@ -235,14 +236,3 @@
   });
   return VersionDigest.encode(digest).finish().length;
 }
-
-/** @returns Numbers from 0 to 1 that the seed decides. */
-function seededRandom(seed: number): () => number {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 0x1_0000_0000;
-  };
-}
