Split the router's largest files by what they do

router.ts 418 to 340 lines: in_force.ts keeps what the store's facts put in force. weights_roll.ts 405 to 257: engine_orders.ts orders one engine.

--- /dev/null
+++ b/src/router/engine_orders.ts
@@ -0,0 +1,215 @@
+/** Gives one engine the order for weights that it lacks, and waits until it has them. */
+import type { Clock, Logger } from "../base/mod.ts";
+import type { FencedLease } from "../lease/mod.ts";
+import { fetchReport, type OrderAnswer, sendOrder } from "../platform/mod.ts";
+import type { Fleet } from "./fleet.ts";
+import type { ServerReport, WantedWeights } from "./model.ts";
+import type { Server } from "./server.ts";
+
+/** Pause between looks at whether a registration told of the weights. */
+const LOOK_MS = 50;
+/** Time for one call to an engine. */
+const CALL_MS = 500;
+/** No engine has loaded by then: loads take 760 ms. */
+const FIRST_REPORT_MS = 750;
+/** Pause between reports of an engine that loads; they lag by some hundred ms. */
+const REPORT_MS = 200;
+/** Orders that an engine gets one after the other while none is answered. */
+const MAX_ORDERS = 4;
+/** An order that has no effect within this time is decided anew. */
+const ORDER_MS = 4000;
+
+/** What {@link EngineOrders} work with. */
+export interface EngineOrdersOptions {
+  clock: Clock;
+  log: Logger;
+  fleet: Fleet;
+  holderId: string;
+  /** The lease under which orders are given, while it is held. */
+  lease(): FencedLease | undefined;
+  /** An engine has seen a higher number. */
+  onFenced(): Promise<void>;
+  /** Weights were seen at a server; other entries are told. */
+  onWeights(server: Server, model: string, version: number): void;
+}
+
+/** What became of an order. */
+type OrderOutcome = OrderAnswer["kind"] | "no_answer" | "not_holder";
+
+/** Orders to engines. */
+export class EngineOrders {
+  readonly #options: EngineOrdersOptions;
+  #underWay = 0;
+
+  private constructor(options: EngineOrdersOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * @param options Lease and helpers.
+   * @returns Orders, of which none is under way.
+   */
+  static create(options: EngineOrdersOptions): EngineOrders {
+    return new EngineOrders(options);
+  }
+
+  /** Engines that load, or are about to. */
+  get underWay(): number {
+    return this.#underWay;
+  }
+
+  /**
+   * Orders weights until the engine has them, or there is nothing more to do for now.
+   *
+   * @param server The engine.
+   * @param target What it is to load.
+   * @param options Ends the work.
+   */
+  async load(
+    server: Server,
+    target: WantedWeights,
+    { signal }: { signal: AbortSignal },
+  ): Promise<void> {
+    this.#underWay++;
+    try {
+      for (let i = 0; i < MAX_ORDERS && !signal.aborted; i++) {
+        const isSettled = await this.#loadOnce(server, target, { signal });
+        if (isSettled) return;
+      }
+    } finally {
+      this.#underWay--;
+    }
+  }
+
+  /** @returns Whether there is nothing more to do for now. */
+  async #loadOnce(
+    server: Server,
+    target: WantedWeights,
+    { signal }: { signal: AbortSignal },
+  ): Promise<boolean> {
+    const report = await fetchReport(server.entry, CALL_MS);
+    if (report.isErr) {
+      this.#unheard(server, report.error.kind);
+      return true;
+    }
+    if (this.#has(server, target, report.value)) return true;
+    if (report.value.busy) {
+      await this.#awaitWeights(server, target, { signal });
+      return true;
+    }
+    const said = await this.#order(server, target, {
+      orderSequence: report.value.orderSequence,
+    });
+    return this.#settle(server, target, { signal, said });
+  }
+
+  async #order(
+    server: Server,
+    target: WantedWeights,
+    { orderSequence }: { orderSequence: number },
+  ): Promise<OrderOutcome> {
+    const { holderId, log } = this.#options;
+    const lease = this.#options.lease();
+    if (!lease?.isHeldFor(CALL_MS)) return "not_holder";
+    const answer = await sendOrder(server.entry, {
+      ...target,
+      runs: "finish",
+      holderId,
+      fencingNumber: lease.fencingNumber,
+      orderSequence,
+    }, { callMs: CALL_MS });
+    const said = answer.isOk ? answer.value.kind : "no_answer";
+    log.info({
+      event: "weights_ordered",
+      server: server.id,
+      version: target.version,
+      sequence: orderSequence,
+      answer: said,
+    });
+    return said;
+  }
+
+  async #settle(
+    server: Server,
+    target: WantedWeights,
+    { signal, said }: { signal: AbortSignal; said: OrderOutcome },
+  ): Promise<boolean> {
+    switch (said) {
+      case "accepted":
+        await this.#awaitWeights(server, target, { signal });
+        return true;
+      case "holds":
+        this.#saw(server, target.model, target.version);
+        return true;
+      case "no_answer":
+      case "conflict":
+        // Whether it was accepted shows in the next report. Ordering again is safe: both name the
+        // same sequence, so the engine takes only one of them.
+        return false;
+      case "fenced":
+        await this.#options.onFenced();
+        return true;
+      case "wrong_server":
+        this.#options.fleet.drop(server.id, "address_has_another_server");
+        return true;
+      case "refused":
+      case "not_holder":
+        return true;
+    }
+  }
+
+  async #awaitWeights(
+    server: Server,
+    target: WantedWeights,
+    { signal }: { signal: AbortSignal },
+  ): Promise<void> {
+    const { clock } = this.#options;
+    const untilMs = clock.nowMs() + ORDER_MS;
+    let reportAtMs = clock.nowMs() + FIRST_REPORT_MS;
+    while (!signal.aborted && clock.nowMs() < untilMs) {
+      await clock.sleep(LOOK_MS, signal);
+      // The server's registration may tell before its report does.
+      if (!lacks(server, [target])) return;
+      if (clock.nowMs() < reportAtMs) continue;
+      reportAtMs = clock.nowMs() + REPORT_MS;
+      const report = await fetchReport(server.entry, CALL_MS);
+      if (report.isErr) return this.#unheard(server, report.error.kind);
+      if (this.#has(server, target, report.value)) return;
+    }
+  }
+
+  #has(server: Server, target: WantedWeights, report: ServerReport): boolean {
+    for (const [model, version] of report.weights) {
+      this.#saw(server, model, version);
+    }
+    return !lacks(server, [target]);
+  }
+
+  #saw(server: Server, model: string, version: number): void {
+    if (!server.learnWeights(model, version)) return;
+    this.#options.onWeights(server, model, version);
+    this.#options.log.info({
+      event: "weights_seen",
+      server: server.id,
+      version,
+    });
+  }
+
+  #unheard(server: Server, failure: string): void {
+    const { clock, log } = this.#options;
+    if (failure === "unreachable") server.health.unreachable(clock.nowMs());
+    log.warn({ event: "engine_unheard", server: server.id, failure });
+  }
+}
+
+/**
+ * @param server An engine.
+ * @param wanted Weights that are to be used.
+ * @returns Whether it has older ones.
+ */
+export function lacks(server: Server, wanted: WantedWeights[]): boolean {
+  return wanted.some(({ model, version }) => {
+    const has = server.weights(model);
+    return has !== undefined && has < version;
+  });
+}
--- /dev/null
+++ b/src/router/in_force.ts
@@ -0,0 +1,147 @@
+/** What the platform's store says, in force: configuration, servers, weights and the prompt store. */
+import type { Logger } from "../base/mod.ts";
+import { decodeFact, decodeRemoval } from "../platform/mod.ts";
+import { CacheBook } from "./cache_book.ts";
+import type { PromptStore } from "./choose.ts";
+import type { Fleet } from "./fleet.ts";
+import type { MirrorChange } from "./mirror.ts";
+import type { RoutingConfig, Service, WantedWeights } from "./model.ts";
+import { RoutingTable } from "./routing_table.ts";
+import type { ServerLimits } from "./server.ts";
+import type { WantedVersions } from "./wanted_weights.ts";
+
+/** Part of an engine's memory that is expected to hold cached prompts. */
+const CACHE_SHARE = 0.8;
+
+/** What an {@link InForce} works with. */
+export interface InForceOptions {
+  log: Logger;
+  fleet: Fleet;
+  wanted: WantedVersions;
+  /** A newer configuration is in force. */
+  onConfig(): void;
+}
+
+/** What is in force. */
+export class InForce {
+  readonly #options: InForceOptions;
+  #table: RoutingTable | undefined;
+  #promptStore: PromptStore | undefined;
+
+  private constructor(options: InForceOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * @param options Where servers and weights are kept.
+   * @returns Nothing is in force yet.
+   */
+  static create(options: InForceOptions): InForce {
+    return new InForce(options);
+  }
+
+  /** The configuration, once one is known. */
+  get table(): RoutingTable | undefined {
+    return this.#table;
+  }
+
+  /** Where prompts are kept beside the engines' own caches. */
+  get promptStore(): PromptStore | undefined {
+    return this.#promptStore;
+  }
+
+  /** @param change A change of the store; what is older than what is in force is ignored. */
+  take(change: MirrorChange): void {
+    if (change.kind === "delete") {
+      const removed = decodeRemoval(change.key);
+      if (removed.kind === "server") {
+        this.#options.fleet.remove(removed.serverId);
+      }
+      return;
+    }
+    const fact = decodeFact(change.entry.key, change.entry.value);
+    if (fact.isErr) {
+      this.#options.log.error({ event: "store_malformed", ...fact.error });
+      return;
+    }
+    switch (fact.value.kind) {
+      case "config":
+        return this.#useConfig(fact.value.config);
+      case "server":
+        return this.#options.fleet.put(fact.value.server);
+      case "weights":
+        return this.#want(fact.value.wanted);
+      case "other":
+        return;
+    }
+  }
+
+  /**
+   * @param id Id of a server, or address of the prompt store.
+   * @returns What is expected in its cache.
+   */
+  cacheOf(id: string): CacheBook | undefined {
+    if (id === this.#promptStore?.address) return this.#promptStore.cache;
+    return this.#options.fleet.get(id)?.cache;
+  }
+
+  /** Caches of all servers and of the prompt store, by id or address. */
+  *books(): Generator<[string, CacheBook]> {
+    for (const { id, cache } of this.#options.fleet.all()) yield [id, cache];
+    if (this.#promptStore) {
+      yield [this.#promptStore.address, this.#promptStore.cache];
+    }
+  }
+
+  /** Names of the services whose servers are engines. */
+  engineServices(): string[] {
+    const names: string[] = [];
+    for (const { name, engine } of this.#table?.services() ?? []) {
+      if (engine) names.push(name);
+    }
+    return names;
+  }
+
+  /**
+   * @param service Name of a service.
+   * @returns What each of its servers takes.
+   */
+  limitsOf(service: string): ServerLimits {
+    const known = this.#table?.findService(service);
+    return {
+      cacheTokens: (known?.engine?.cacheTokens ?? 0) * CACHE_SHARE,
+      connectionLimit: known?.connectionLimit ?? Infinity,
+    };
+  }
+
+  #useConfig(config: RoutingConfig): void {
+    if (this.#table && config.version <= this.#table.version) return;
+    const before = this.#table?.version;
+    this.#table = RoutingTable.create(config);
+    this.#options.fleet.applyLimits();
+    this.#options.onConfig();
+    this.#usePromptStore(config.services);
+    this.#options.log.info({
+      event: "config_in_force",
+      version: config.version,
+      before,
+      routes: config.routes.length,
+    });
+  }
+
+  #want(wanted: WantedWeights): void {
+    if (!this.#options.wanted.name(wanted)) return;
+    this.#options.log.info({ event: "weights_wanted", ...wanted });
+  }
+
+  /** What a store holds outlives changes of the configuration. */
+  #usePromptStore(services: Service[]): void {
+    const store = services.find(({ cacheStore }) => cacheStore)?.cacheStore;
+    if (store?.address === this.#promptStore?.address) return;
+    this.#promptStore = store && {
+      address: store.address,
+      zone: store.zone,
+      cache: CacheBook.create(store.cacheTokens * CACHE_SHARE),
+    };
+  }
+}
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -6,28 +6,20 @@
   Metrics,
   systemClock,
 } from "../base/mod.ts";
-import {
-  decodeFact,
-  decodeRemoval,
-  PlatformStore,
-  READINESS_PATH,
-} from "../platform/mod.ts";
-import { CacheBook } from "./cache_book.ts";
-import type { PromptStore } from "./choose.ts";
+import { PlatformStore, READINESS_PATH } from "../platform/mod.ts";
 import { closeServer, serveControl, serveReadiness } from "./control.ts";
 import { Dispatcher } from "./dispatch.ts";
 import { Fleet } from "./fleet.ts";
 import { StoreFollower } from "./follower.ts";
+import { InForce } from "./in_force.ts";
 import { Ingress } from "./ingress.ts";
-import { type MirrorChange, StoreMirror } from "./mirror.ts";
-import type { RoutingConfig, Service, WantedWeights } from "./model.ts";
+import { StoreMirror } from "./mirror.ts";
 import { Learner, lessonsAnswer } from "./lessons.ts";
 import { Peers } from "./peers.ts";
 import { Registration } from "./registration.ts";
 import { relayAnswer, RelayReader } from "./relay.ts";
 import { RequestLog } from "./request_log.ts";
 import { probe } from "./probe.ts";
-import { RoutingTable } from "./routing_table.ts";
 import type { ServerOptions } from "./server.ts";
 import type { RouterSettings, SocketAddress } from "./settings.ts";
 import { WantedVersions } from "./wanted_weights.ts";
@@ -44,8 +36,6 @@
 const SERVER_CONNECT_MS = 300;
 /** Idle connections to servers are closed after this, unless the server names a shorter time. */
 const SERVER_IDLE_MS = 4000;
-/** Part of an engine's memory that is expected to hold cached prompts. */
-const CACHE_SHARE = 0.8;
 /** Pause between looks at registrations that lapsed and servers that are down. */
 const SWEEP_MS = 100;
 /** Pause between questions to seeds while nothing is known. */
@@ -83,8 +73,7 @@
   readonly #ingress: Ingress;
   readonly #requestLog: RequestLog;
   readonly #wanted: WantedVersions;
-  #promptStore: PromptStore | undefined;
-  #table: RoutingTable | undefined;
+  readonly #inForce: InForce;
 
   private constructor(options: RouterOptions) {
     this.#settings = options.settings;
@@ -102,6 +91,12 @@
     });
     this.#follower = StoreFollower.create({ ...this.#parts() });
     this.#fleet = this.#createFleet();
+    this.#inForce = InForce.create({
+      log: this.#log,
+      fleet: this.#fleet,
+      wanted: this.#wanted,
+      onConfig: () => this.#ingress.applyLimits(),
+    });
     this.#relay = RelayReader.create({
       ...this.#parts(),
       controlPort: options.settings.controlAddress.port,
@@ -115,7 +110,7 @@
       ...this.#parts(),
       controlPort: options.settings.controlAddress.port,
       isReady: () => this.#mirror.revision > 0n,
-      cacheOf: (id) => this.#cacheOf(id),
+      cacheOf: (id) => this.#inForce.cacheOf(id),
     });
     this.#peers = this.#createPeers();
     this.#roll = this.#createRoll();
@@ -124,7 +119,7 @@
       clock: this.#clock,
     });
     this.#ingress = this.#createIngress();
-    this.#mirror.onChange((change) => this.#apply(change));
+    this.#mirror.onChange((change) => this.#inForce.take(change));
     this.#peers.tellHeldBack(() => this.#roll.heldBack());
   }
 
@@ -162,7 +157,7 @@
     const nowMs = this.#clock.nowMs();
     return {
       instance: this.#settings.instance,
-      configVersion: this.#table?.version,
+      configVersion: this.#inForce.table?.version,
       storeRevision: String(this.#mirror.revision),
       knowledgeAgeMs: Math.round(this.#mirror.ageMs),
       storeConnected: this.#follower.connected,
@@ -214,7 +209,7 @@
       ipAddress,
       port: peerPort,
       fleet: this.#fleet,
-      cacheOf: (id) => this.#cacheOf(id),
+      cacheOf: (id) => this.#inForce.cacheOf(id),
       isStoreServing: () => !this.#follower.recovering,
       knownAddresses: () => [
         ...seedAddresses.map((seed) => seed.ipAddress),
@@ -240,7 +235,7 @@
       isLeaseHeld: () =>
         this.#mirror.revision === 0n || !this.#follower.connected ||
         this.#mirror.entries(ROLL_LEASE_KEY).length > 0,
-      engineServices: () => this.#engineServices(),
+      engineServices: () => this.#inForce.engineServices(),
       wanted: () => this.#wanted.all(),
       onWeights: (server, model, version) =>
         this.#peers.tellWeights(server.id, model, version),
@@ -254,7 +249,7 @@
       zone: this.#settings.zone,
       choice: this.#settings.choice,
       wanted: this.#wanted,
-      promptStore: () => this.#promptStore,
+      promptStore: () => this.#inForce.promptStore,
       entryCount: () => this.#peers.count,
       onSilent: (id) => this.#peers.tellSilent(id),
       onPrompt: (placed) => this.#peers.tellPrompt(placed),
@@ -264,12 +259,12 @@
   #createIngress(): Ingress {
     return Ingress.create({
       ...this.#parts(),
-      table: () => this.#table,
+      table: () => this.#inForce.table,
       knowledgeAgeMs: () => this.#mirror.ageMs,
       serve: (request, sink) => this.#dispatcher.serve(request, sink),
       onServed: (request, served) => this.#requestLog.served(request, served),
       onLocal: (facts, answer) =>
-        this.#requestLog.local(facts, answer, this.#table?.version),
+        this.#requestLog.local(facts, answer, this.#inForce.table?.version),
     });
   }
 
@@ -282,7 +277,7 @@
     const { clientAddress, readinessAddress, controlAddress } = settings;
     const control = await serveControl(controlAddress, {
       relay: (after) => relayAnswer(this.#mirror, after),
-      lessons: () => lessonsAnswer(this.#books(), this.#clock.nowMs()),
+      lessons: () => lessonsAnswer(this.#inForce.books(), this.#clock.nowMs()),
       metrics: () => this.#metrics.render(),
       state: () => this.state(),
     });
@@ -304,7 +299,7 @@
   }
 
   #isReady(): boolean {
-    return this.#table !== undefined && !this.#ingress.draining;
+    return this.#inForce.table !== undefined && !this.#ingress.draining;
   }
 
   /** While nothing is known, the store may be down: seeds may know. */
@@ -331,87 +326,11 @@
     }
   }
 
-  #apply(change: MirrorChange): void {
-    if (change.kind === "delete") {
-      const removed = decodeRemoval(change.key);
-      if (removed.kind === "server") this.#fleet.remove(removed.serverId);
-      return;
-    }
-    const fact = decodeFact(change.entry.key, change.entry.value);
-    if (fact.isErr) {
-      this.#log.error({ event: "store_malformed", ...fact.error });
-      return;
-    }
-    switch (fact.value.kind) {
-      case "config":
-        return this.#useConfig(fact.value.config);
-      case "server":
-        return this.#fleet.put(fact.value.server);
-      case "weights":
-        return this.#want(fact.value.wanted);
-      case "other":
-        return;
-    }
-  }
-
-  #useConfig(config: RoutingConfig): void {
-    if (this.#table && config.version <= this.#table.version) return;
-    const before = this.#table?.version;
-    this.#table = RoutingTable.create(config);
-    this.#ingress.applyLimits();
-    this.#fleet.applyLimits();
-    this.#usePromptStore(config.services);
-    this.#log.info({
-      event: "config_in_force",
-      version: config.version,
-      before,
-      routes: config.routes.length,
-    });
-  }
-
-  #want(wanted: WantedWeights): void {
-    if (!this.#wanted.name(wanted)) return;
-    this.#log.info({ event: "weights_wanted", ...wanted });
-  }
-
-  #cacheOf(id: string): CacheBook | undefined {
-    if (id === this.#promptStore?.address) return this.#promptStore.cache;
-    return this.#fleet.get(id)?.cache;
-  }
-
-  *#books(): Generator<[string, CacheBook]> {
-    for (const { id, cache } of this.#fleet.all()) yield [id, cache];
-    if (this.#promptStore) {
-      yield [this.#promptStore.address, this.#promptStore.cache];
-    }
-  }
-
-  /** What a store holds outlives changes of the configuration. */
-  #usePromptStore(services: Service[]): void {
-    const store = services.find(({ cacheStore }) => cacheStore)?.cacheStore;
-    if (store?.address === this.#promptStore?.address) return;
-    this.#promptStore = store && {
-      address: store.address,
-      zone: store.zone,
-      cache: CacheBook.create(store.cacheTokens * CACHE_SHARE),
-    };
-  }
-
-  #engineServices(): string[] {
-    const names: string[] = [];
-    for (const { name, engine } of this.#table?.services() ?? []) {
-      if (engine) names.push(name);
-    }
-    return names;
-  }
-
   #serverOptions(service: string): ServerOptions {
-    const known = this.#table?.findService(service);
     return {
       connectMs: SERVER_CONNECT_MS,
       idleMs: SERVER_IDLE_MS,
-      cacheTokens: (known?.engine?.cacheTokens ?? 0) * CACHE_SHARE,
-      connectionLimit: known?.connectionLimit ?? Infinity,
+      ...this.#inForce.limitsOf(service),
     };
   }
 }
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -5,10 +5,10 @@
  */
 import type { Clock, Logger } from "../base/mod.ts";
 import { FencedLease } from "../lease/mod.ts";
-import { fetchReport, type OrderAnswer, sendOrder } from "../platform/mod.ts";
 import type { KeyValueStore } from "../store/store.ts";
+import { EngineOrders, lacks } from "./engine_orders.ts";
 import type { Fleet } from "./fleet.ts";
-import type { ServerReport, WantedWeights } from "./model.ts";
+import type { WantedWeights } from "./model.ts";
 import type { Server } from "./server.ts";
 
 /** Key of the lease. */
@@ -24,8 +24,6 @@
 const OLD_AGE_MS = 30_000;
 /** Pause between looks at what is to be done. */
 const LOOK_MS = 50;
-/** Time for one call to an engine. */
-const CALL_MS = 500;
 /** Engines that load at once; with more of them each takes longer. */
 const LOADS_AT_ONCE = 2;
 /**
@@ -37,14 +35,6 @@
 const DRAIN_MS = 1000;
 /** Time that peers need to hear that an engine is held back. */
 const TOLD_MS = 110;
-/** No engine has loaded by then: loads take 760 ms. */
-const FIRST_REPORT_MS = 750;
-/** Pause between reports of an engine that loads; they lag by some hundred ms. */
-const REPORT_MS = 200;
-/** Orders that an engine gets one after the other while none is answered. */
-const MAX_ORDERS = 4;
-/** An order that has no effect within this time is decided anew. */
-const ORDER_MS = 4000;
 /** An engine that could not be ordered is left alone for this long. */
 const RETRY_MS = 700;
 /** An engine is held back this long at a time, renewed while it is out of use. */
@@ -70,9 +60,6 @@
   onWeights(server: Server, model: string, version: number): void;
 }
 
-/** What became of an order. */
-type OrderOutcome = OrderAnswer["kind"] | "no_answer" | "not_holder";
-
 /** Orders weights while it holds the lease. */
 export class WeightsRoll {
   readonly #options: WeightsRollOptions;
@@ -82,12 +69,17 @@
   #lease: FencedLease | undefined;
   readonly #startedAtMs: number;
   #notBeforeMs = 0;
+  readonly #orders: EngineOrders;
   #isRetiring = false;
-  #loading = 0;
 
   private constructor(options: WeightsRollOptions) {
     this.#options = options;
     this.#startedAtMs = options.clock.nowMs();
+    this.#orders = EngineOrders.create({
+      ...options,
+      lease: () => this.#lease,
+      onFenced: () => this.#giveUpLease(),
+    });
   }
 
   /**
@@ -114,7 +106,7 @@
     if (this.#out.size > 0) return true;
     const { fleet, engineServices, wanted } = this.#options;
     return engineServices().some((service) =>
-      fleet.open(service).some((server) => this.#lacks(server, wanted()))
+      fleet.open(service).some((server) => lacks(server, wanted()))
     );
   }
 
@@ -171,6 +163,13 @@
     if (this.#lease === lease) this.#lease = undefined;
   }
 
+  /** Another holder has a higher number; this one is not used again. */
+  async #giveUpLease(): Promise<void> {
+    const lease = this.#lease;
+    this.#lease = undefined;
+    await lease?.release();
+  }
+
   #look(signal: AbortSignal): void {
     const { clock, fleet, engineServices, wanted } = this.#options;
     const nowMs = clock.nowMs();
@@ -181,7 +180,7 @@
       const room = Math.max(1, Math.round(servers.length * HELD_SHARE)) -
         servers.filter(({ id }) => this.#out.has(id)).length;
       const behind = servers.filter((server) =>
-        this.#lacks(server, wanted()) && this.#isDue(server, nowMs)
+        lacks(server, wanted()) && this.#isDue(server, nowMs)
       );
       behind.sort((a, b) => this.#compare(a, b, { nowMs }));
       for (const server of behind.slice(0, Math.max(0, room))) {
@@ -204,13 +203,6 @@
     return a.load(nowMs).running - b.load(nowMs).running;
   }
 
-  #lacks(server: Server, wanted: WantedWeights[]): boolean {
-    return wanted.some(({ model, version }) => {
-      const has = server.weights(model);
-      return has !== undefined && has < version;
-    });
-  }
-
   #isDue(server: Server, nowMs: number): boolean {
     if (this.#out.has(server.id) || server.health.isDown) return false;
     return nowMs >= (this.#retryAtMs.get(server.id) ?? 0);
@@ -227,8 +219,8 @@
       const orderMs = clock.nowMs();
       const left = server.load(orderMs).running;
       for (const target of wanted()) {
-        if (!this.#lacks(server, [target])) continue;
-        await this.#load(server, target, { signal });
+        if (!lacks(server, [target])) continue;
+        await this.#orders.load(server, target, { signal });
       }
       log.info({
         event: "engine_back",
@@ -236,7 +228,7 @@
         drainedMs: Math.round(orderMs - startMs),
         left,
         loadedMs: Math.round(clock.nowMs() - orderMs),
-        behind: this.#lacks(server, wanted()),
+        behind: lacks(server, wanted()),
       });
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
@@ -245,7 +237,7 @@
       this.#out.delete(server.id);
       server.holdBack(-Infinity);
       this.#retryAtMs.set(server.id, clock.nowMs() + RETRY_MS);
-      if (!this.#lacks(server, wanted())) this.#retryAtMs.delete(server.id);
+      if (!lacks(server, wanted())) this.#retryAtMs.delete(server.id);
     }
   }
 
@@ -258,148 +250,8 @@
       const nowMs = clock.nowMs();
       const isFree = server.load(nowMs).bound === 0;
       const isLate = nowMs - startMs >= DRAIN_MS;
-      if (this.#loading < LOADS_AT_ONCE && (isFree || isLate)) return;
+      if (this.#orders.underWay < LOADS_AT_ONCE && (isFree || isLate)) return;
       await clock.sleep(LOOK_MS / 2, signal);
     }
   }
-
-  async #load(
-    server: Server,
-    target: WantedWeights,
-    { signal }: { signal: AbortSignal },
-  ): Promise<void> {
-    this.#loading++;
-    try {
-      for (let i = 0; i < MAX_ORDERS && !signal.aborted; i++) {
-        const isSettled = await this.#loadOnce(server, target, { signal });
-        if (isSettled) return;
-      }
-    } finally {
-      this.#loading--;
-    }
-  }
-
-  /** @returns Whether there is nothing more to do for now. */
-  async #loadOnce(
-    server: Server,
-    target: WantedWeights,
-    { signal }: { signal: AbortSignal },
-  ): Promise<boolean> {
-    const report = await fetchReport(server.entry, CALL_MS);
-    if (report.isErr) {
-      this.#unheard(server, report.error.kind);
-      return true;
-    }
-    if (this.#has(server, target, report.value)) return true;
-    if (report.value.busy) {
-      await this.#awaitWeights(server, target, { signal });
-      return true;
-    }
-    const said = await this.#order(server, target, {
-      orderSequence: report.value.orderSequence,
-    });
-    return this.#settle(server, target, { signal, said });
-  }
-
-  async #order(
-    server: Server,
-    target: WantedWeights,
-    { orderSequence }: { orderSequence: number },
-  ): Promise<OrderOutcome> {
-    const lease = this.#lease;
-    if (!lease?.isHeldFor(CALL_MS)) return "not_holder";
-    const { holderId, log } = this.#options;
-    const answer = await sendOrder(server.entry, {
-      ...target,
-      runs: "finish",
-      holderId,
-      fencingNumber: lease.fencingNumber,
-      orderSequence,
-    }, { callMs: CALL_MS });
-    const said = answer.isOk ? answer.value.kind : "no_answer";
-    log.info({
-      event: "weights_ordered",
-      server: server.id,
-      version: target.version,
-      sequence: orderSequence,
-      answer: said,
-    });
-    return said;
-  }
-
-  async #settle(
-    server: Server,
-    target: WantedWeights,
-    { signal, said }: { signal: AbortSignal; said: OrderOutcome },
-  ): Promise<boolean> {
-    switch (said) {
-      case "accepted":
-        await this.#awaitWeights(server, target, { signal });
-        return true;
-      case "holds":
-        this.#saw(server, target.model, target.version);
-        return true;
-      case "no_answer":
-      case "conflict":
-        // Whether it was accepted shows in the next report. Ordering again is safe: both name the
-        // same sequence, so the engine takes only one of them.
-        return false;
-      case "fenced": {
-        // Another holder has a higher number; this one is not used again.
-        const lease = this.#lease;
-        this.#lease = undefined;
-        await lease?.release();
-        return true;
-      }
-      case "wrong_server":
-        this.#options.fleet.drop(server.id, "address_has_another_server");
-        return true;
-      case "refused":
-      case "not_holder":
-        return true;
-    }
-  }
-
-  async #awaitWeights(
-    server: Server,
-    target: WantedWeights,
-    { signal }: { signal: AbortSignal },
-  ): Promise<void> {
-    const { clock } = this.#options;
-    const untilMs = clock.nowMs() + ORDER_MS;
-    let reportAtMs = clock.nowMs() + FIRST_REPORT_MS;
-    while (!signal.aborted && clock.nowMs() < untilMs) {
-      await clock.sleep(LOOK_MS, signal);
-      // The server's registration may tell before its report does.
-      if (!this.#lacks(server, [target])) return;
-      if (clock.nowMs() < reportAtMs) continue;
-      reportAtMs = clock.nowMs() + REPORT_MS;
-      const report = await fetchReport(server.entry, CALL_MS);
-      if (report.isErr) return this.#unheard(server, report.error.kind);
-      if (this.#has(server, target, report.value)) return;
-    }
-  }
-
-  #has(server: Server, target: WantedWeights, report: ServerReport): boolean {
-    for (const [model, version] of report.weights) {
-      this.#saw(server, model, version);
-    }
-    return !this.#lacks(server, [target]);
-  }
-
-  #saw(server: Server, model: string, version: number): void {
-    if (!server.learnWeights(model, version)) return;
-    this.#options.onWeights(server, model, version);
-    this.#options.log.info({
-      event: "weights_seen",
-      server: server.id,
-      version,
-    });
-  }
-
-  #unheard(server: Server, failure: string): void {
-    const { clock, log } = this.#options;
-    if (failure === "unreachable") server.health.unreachable(clock.nowMs());
-    log.warn({ event: "engine_unheard", server: server.id, failure });
-  }
 }
