--- a/src/base/imports_test.ts
+++ b/src/base/imports_test.ts
@@ -7,6 +7,7 @@
 /** The repository, also where the tests run from their build. */
 const ROOT = fileURLToPath(new URL("../../", import.meta.url));
 const SOURCES = join(ROOT, "src");
+const MAX_LINES = 350;
 const IMPORT = /(?:from|import)\s*\(?\s*"(\.[^"]+)"/g;
 
 /** Imports of each module, types included; paths below `src`. */
@@ -65,6 +66,15 @@
   assert.deepEqual(findCircle(readGraph()), undefined);
 });
 
+test("no module is longer than a reader takes in at once", () => {
+  const long = [...readGraph().keys()].filter((path) => {
+    if (path.endsWith("_test.ts") || path.startsWith("wire/gen/")) return false;
+    const lines = readFileSync(join(SOURCES, path), "utf8").split("\n").length;
+    return lines - 1 > MAX_LINES;
+  });
+  assert.deepEqual(long, []);
+});
+
 test("every module is imported, or named as a program", () => {
   const graph = readGraph();
   assert.ok(graph.size > 100);
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -19,6 +19,15 @@
   HttpCaller,
 } from "./http_call.ts";
 import { StorePath } from "./names.ts";
+import {
+  commitBody,
+  items,
+  readConflict,
+  readEntry,
+  readPage,
+  readStep,
+  revisionOf,
+} from "./store_bodies.ts";
 
 /** Settings of a {@link PlatformStore}. */
 export interface PlatformStoreOptions {
@@ -36,8 +45,6 @@
 /** Conditions and changes of one commit, as the platform's pages say. */
 const MAX_ENTRIES = 32;
 
-type Json = Record<string, unknown>;
-
 /** A client of the platform's store. */
 export class PlatformStore implements KeyValueStore {
   readonly #caller: HttpCaller;
@@ -261,93 +268,6 @@
   return `${StorePath.range}?${query}`;
 }
 
-function commitBody(
-  expect: Expectation[],
-  writes: Exclude<Write, { kind: "delete_range" }>[],
-): Json {
-  const puts: Json[] = [];
-  const deletes: string[] = [];
-  for (const write of writes) {
-    if (write.kind === "delete") {
-      deletes.push(write.key);
-      continue;
-    }
-    puts.push({
-      key: write.key,
-      value: Buffer.from(write.value).toString("base64"),
-      lease: Number(write.leaseId ?? 0n),
-    });
-  }
-  return {
-    expected: expect.map(({ key, modRevision }) => ({
-      key,
-      revision: Number(modRevision),
-    })),
-    writes: puts,
-    deletes,
-  };
-}
-
-function readPage(body: Json): {
-  entries: KeyValueEntry[];
-  revision: bigint;
-  hasMore: boolean;
-} {
-  return {
-    entries: items(body, "items").map(readEntry),
-    revision: revisionOf(body, "current_rev"),
-    hasMore: body["more_pages"] === true,
-  };
-}
-
-function readConflict(body: Json): CommitOutcome {
-  const current = items(body, "items")
-    // A key that doesn't exist is listed without a value.
-    .filter((item) => typeof item["value"] === "string")
-    .map(readEntry);
-  const revision = body["current_rev"] === undefined
-    ? current.reduce(
-      (max, { modRevision }) => modRevision > max ? modRevision : max,
-      0n,
-    )
-    : revisionOf(body, "current_rev");
-  return { kind: "conflict", current, revision };
-}
-
-function readStep(event: Json): WatchStep {
-  if (event["deleted"] === true) {
-    const revision = revisionOf(event, "revision");
-    return { kind: "delete", key: String(event["key"]), revision };
-  }
-  return { kind: "put", entry: readEntry(event) };
-}
-
-function readEntry(item: Json): KeyValueEntry {
-  if (typeof item["key"] !== "string" || typeof item["value"] !== "string") {
-    throw new TypeError("Item without key or value");
-  }
-  return {
-    key: item["key"],
-    value: Buffer.from(item["value"], "base64"),
-    modRevision: revisionOf(item, "revision"),
-    createRevision: revisionOf(item, "created"),
-  };
-}
-
-function items(body: Json, name: string): Json[] {
-  const value = body[name];
-  if (Array.isArray(value)) return value as Json[];
-  throw new TypeError(`No list: ${name}`);
-}
-
-function revisionOf(body: Json, name: string): bigint {
-  const value = body[name];
-  if (typeof value === "number" && Number.isSafeInteger(value)) {
-    return BigInt(value);
-  }
-  throw new TypeError(`No whole number: ${name}`);
-}
-
 /** An answer of another form counts as none: of a write, the effect is unknown then. */
 function guarded<T>(read: () => T): Result<T, StoreFailure> {
   try {
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -47,9 +47,11 @@
   type StandinPlatformOrder,
   type StandinPlatformRun,
   StandinPlatformWorker,
-  type StandinPlatformWorkerFaults,
-  type StandinPlatformWorkerOptions,
 } from "./platform_worker.ts";
+export type {
+  StandinPlatformWorkerFaults,
+  StandinPlatformWorkerOptions,
+} from "./platform_worker_options.ts";
 export type { CallRate, RateReport } from "./_rate_meter.ts";
 export {
   type ServiceExecution,
--- a/src/standin/platform_worker.ts
+++ b/src/standin/platform_worker.ts
@@ -5,43 +5,13 @@
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type HostRequest, HttpHost } from "./_http_host.ts";
-
-/** Settings of a {@link StandinPlatformWorker}. */
-export interface StandinPlatformWorkerOptions {
-  /** `ip:port`; port 0: any free one. */
-  listenAddress: string;
-  /** Changes with each start. */
-  id: string;
-  /** Left out for plain services. */
-  model?: string;
-  /** Version of the model's weights at first. */
-  version: number;
-  /** Events of a whole stream. */
-  events: number;
-  /** Pause between events. */
-  eventMs: number;
-  requireFencing: boolean;
-}
-
-/** What goes wrong with the next requests. */
-export interface StandinPlatformWorkerFaults {
-  /** Requests that are refused as not run. */
-  refuse: number;
-  /** Requests that run, and whose connection ends without an answer. */
-  loseAnswer: number;
-  /** Requests that run and fail with a 500 of the server's own. */
-  fail: number;
-  /** Streams that break off in the middle of an event, after this many whole ones. */
-  cutAfterEvents: number | undefined;
-  /** Plain answers without a length. */
-  unframed: number;
-  /** Plain answers that carry the id of another request. */
-  foreign: number;
-  /** Requests that run and are never answered. */
-  hang: number;
-  /** Runs that stop when they are to be moved, and are not copied. */
-  moveFull: number;
-}
+import {
+  DEFAULT_OPTIONS,
+  NO_FAULTS,
+  type StandinPlatformWorkerFaults,
+  type StandinPlatformWorkerOptions,
+  take,
+} from "./platform_worker_options.ts";
 
 /** One request that ran. */
 export interface StandinPlatformRun {
@@ -60,26 +30,6 @@
   atMs: number;
 }
 
-const DEFAULT_OPTIONS: StandinPlatformWorkerOptions = {
-  listenAddress: "127.0.0.1:0",
-  id: "i-standin",
-  version: 1,
-  events: 4,
-  eventMs: 0,
-  requireFencing: true,
-};
-
-const NO_FAULTS: StandinPlatformWorkerFaults = {
-  refuse: 0,
-  loseAnswer: 0,
-  fail: 0,
-  cutAfterEvents: undefined,
-  unframed: 0,
-  foreign: 0,
-  hang: 0,
-  moveFull: 0,
-};
-
 /** A stream under way. */
 interface RunningStream {
   response: ServerResponse;
@@ -346,18 +296,3 @@
     response.end();
   }
 }
-
-/** Faults that are counted down. */
-type CountedFault = Exclude<
-  keyof StandinPlatformWorkerFaults,
-  "cutAfterEvents"
->;
-
-function take(
-  faults: StandinPlatformWorkerFaults,
-  fault: CountedFault,
-): boolean {
-  if (faults[fault] <= 0) return false;
-  faults[fault]--;
-  return true;
-}
--- /dev/null
+++ b/src/standin/platform_worker_options.ts
@@ -0,0 +1,80 @@
+/** Settings and faults of the stand-in for a backend server of the platform. */
+
+/** Settings of a stand-in backend server of the platform. */
+export interface StandinPlatformWorkerOptions {
+  /** `ip:port`; port 0: any free one. */
+  listenAddress: string;
+  /** Changes with each start. */
+  id: string;
+  /** Left out for plain services. */
+  model?: string;
+  /** Version of the model's weights at first. */
+  version: number;
+  /** Events of a whole stream. */
+  events: number;
+  /** Pause between events. */
+  eventMs: number;
+  requireFencing: boolean;
+}
+
+/** What goes wrong with the next requests. */
+export interface StandinPlatformWorkerFaults {
+  /** Requests that are refused as not run. */
+  refuse: number;
+  /** Requests that run, and whose connection ends without an answer. */
+  loseAnswer: number;
+  /** Requests that run and fail with a 500 of the server's own. */
+  fail: number;
+  /** Streams that break off in the middle of an event, after this many whole ones. */
+  cutAfterEvents: number | undefined;
+  /** Plain answers without a length. */
+  unframed: number;
+  /** Plain answers that carry the id of another request. */
+  foreign: number;
+  /** Requests that run and are never answered. */
+  hang: number;
+  /** Runs that stop when they are to be moved, and are not copied. */
+  moveFull: number;
+}
+
+/** Settings unless said otherwise. */
+export const DEFAULT_OPTIONS: StandinPlatformWorkerOptions = {
+  listenAddress: "127.0.0.1:0",
+  id: "i-standin",
+  version: 1,
+  events: 4,
+  eventMs: 0,
+  requireFencing: true,
+};
+
+/** Nothing goes wrong. */
+export const NO_FAULTS: StandinPlatformWorkerFaults = {
+  refuse: 0,
+  loseAnswer: 0,
+  fail: 0,
+  cutAfterEvents: undefined,
+  unframed: 0,
+  foreign: 0,
+  hang: 0,
+  moveFull: 0,
+};
+
+/** Faults that are counted down. */
+type CountedFault = Exclude<
+  keyof StandinPlatformWorkerFaults,
+  "cutAfterEvents"
+>;
+
+/**
+ * @param faults What goes wrong.
+ * @param fault One of them.
+ * @returns Whether it goes wrong now; it is then counted down.
+ */
+export function take(
+  faults: StandinPlatformWorkerFaults,
+  fault: CountedFault,
+): boolean {
+  if (faults[fault] <= 0) return false;
+  faults[fault]--;
+  return true;
+}
