--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -174,8 +174,8 @@
     headers.push(Header.lastEventId, facts.lastEventId);
   }
   if (facts.copy) {
-    const { sourceAddress, copyId } = facts.copy;
-    headers.push(Header.copySource, `${sourceAddress}/${copyId}`);
+    const { source, copyId } = facts.copy;
+    headers.push(Header.copySource, `${source.address}/${copyId}`);
   }
 }
 
--- a/src/platform/mod.ts
+++ b/src/platform/mod.ts
@@ -24,7 +24,6 @@
   moveRun,
   type OrderAnswer,
   sendOrder,
-  type ServerAddress,
   type WeightsOrder,
 } from "./server_calls.ts";
 export { PlatformStore, type PlatformStoreOptions } from "./store.ts";
--- a/src/platform/server_calls.ts
+++ b/src/platform/server_calls.ts
@@ -1,16 +1,10 @@
 /** Calls to a backend server besides clients' requests: its report, and orders to it. */
 import { Result } from "true-myth";
-import type { ServerReport } from "../router/model.ts";
+import type { ServerAddress, ServerReport } from "../router/model.ts";
 import { readWeights } from "./decode.ts";
 import { type CallFailure, HttpCaller } from "./http_call.ts";
 import { Header, ServerPath } from "./names.ts";
 
-/** Which server is called; another one at its address refuses. */
-export interface ServerAddress {
-  id: string;
-  address: string;
-}
-
 /** An order to load another version of a model's weights. */
 export interface WeightsOrder {
   model: string;
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -47,19 +47,20 @@
   readonly #options: DispatcherOptions;
   readonly #sender: Sender;
   readonly #budget: RetryBudget;
+  readonly #mover: RunMover;
 
   private constructor(options: DispatcherOptions) {
     this.#options = options;
     this.#budget = RetryBudget.create(() =>
       RESEND_BURST / options.entryCount()
     );
-    const mover = RunMover.create({
+    this.#mover = RunMover.create({
       ...options,
       spend: (service) => this.#budget.spend(service),
     });
     const passer = AnswerPasser.create({
       ...options,
-      mover,
+      mover: this.#mover,
       mayReplace: (request, progress) => this.#mayReplace(request, progress),
     });
     this.#sender = Sender.create({ ...options, passer });
@@ -113,6 +114,7 @@
         choice,
       });
       if (end.kind === "done") return end.outcome;
+      if (end.kind === "not_run") this.#mover.free(choice.copy);
       if (end.kind === "moved") {
         movedTo = end.choice;
         continue;
@@ -120,6 +122,7 @@
       reason = end.reason;
       if (!this.#maySendAgain(request, progress, end)) break;
     }
+    this.#mover.free(movedTo?.copy);
     if (sink.gone) return { kind: "client_gone" };
     return this.#giveUp(request, sink, { progress, reason });
   }
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -176,10 +176,17 @@
   copy?: RunCopy;
 }
 
+/** Which server is called; another one at its address refuses. */
+export interface ServerAddress {
+  id: string;
+  /** `ip:port`. */
+  address: string;
+}
+
 /** Memory of a run, copied to the engine at which it is to go on. */
 export interface RunCopy {
-  /** `ip:port` of the engine that it ran on. */
-  sourceAddress: string;
+  /** The engine that it ran on. */
+  source: ServerAddress;
   copyId: string;
 }
 
--- a/src/router/pass_answer.ts
+++ b/src/router/pass_answer.ts
@@ -112,7 +112,7 @@
       if (mover.isDue(send)) send.move = await mover.move(send);
       const step = await this.#nextOfStream(send);
       if (sink.gone) {
-        mover.drop(send);
+        if (send.move?.kind === "copied") mover.free(send.move.choice.copy);
         return done({ kind: "client_gone" });
       }
       if (!step) return this.#endSilent(send);
--- a/src/router/router_test.ts
+++ b/src/router/router_test.ts
@@ -121,6 +121,32 @@
   }
 });
 
+test("copy that its engine does not take is freed, and the run resumed", async (t) => {
+  const world = await openWorld(t);
+  const slow = { model: "m", events: 60, eventMs: 25 };
+  const workers = [
+    await world.worker("i-1", slow),
+    await world.worker("i-2", slow),
+  ];
+  const answers = ["/stream/a", "/stream/b"].map((path, i) =>
+    ask(world, path, {
+      ...PROMPT,
+      "prompt-prefix": `a${i}:1000,b${i}:200`,
+      "attempt-id": `freed-${path.at(-1)}`,
+    })
+  );
+  await until(() => workers.every(({ runs }) => runs.length > 0));
+  for (const worker of workers) worker.faults.refuse = 1;
+  await world.store.put("op/version/m", { model: "m", version: 2 });
+  for (const answer of answers) {
+    const { isWhole, body } = await answer;
+    assert.ok(isWhole);
+    assert.equal(body, streamOf(60));
+  }
+  const freed = workers.flatMap(({ freedCopies }) => freedCopies);
+  assert.equal(freed.length, 1);
+});
+
 test("run that may not be repeated ends where it began", async (t) => {
   const world = await openWorld(t);
   const slow = { model: "m", events: 60, eventMs: 25 };
--- a/src/router/run_mover.ts
+++ b/src/router/run_mover.ts
@@ -10,6 +10,7 @@
 import type { RunMove, Send } from "./attempt.ts";
 import type { Choice } from "./choose.ts";
 import type { Fleet } from "./fleet.ts";
+import type { RunCopy } from "./model.ts";
 import type { Server } from "./server.ts";
 
 /** Time for the call: a large prompt is copied in 60 ms, between zones in twice that, after others. */
@@ -97,15 +98,14 @@
   }
 
   /**
-   * Frees the copy of a run that is not to go on.
+   * Frees a copy from which no run goes on: it takes room from others.
    *
-   * @param send Its last send.
+   * @param copy Memory of a run; left out: there is none.
    */
-  drop({ choice, move }: Send): void {
-    if (move?.kind !== "copied" || !move.choice.copy) return;
-    const { copyId } = move.choice.copy;
+  free(copy: RunCopy | undefined): void {
+    if (!copy) return;
     // Without an answer the engine frees it by itself, after its own time.
-    void dropCopy(choice.server.entry, copyId, { callMs: MOVE_MS });
+    void dropCopy(copy.source, copy.copyId, { callMs: MOVE_MS });
   }
 
   #settle({ choice }: Send, target: Server, said: MoveAnswer): RunMove {
@@ -132,7 +132,7 @@
       uncachedTokens: 0,
       weightsVersion: from.weightsVersion,
       chain: from.chain,
-      copy: { sourceAddress: from.server.entry.address, copyId },
+      copy: { source: from.server.entry, copyId },
     };
   }
 
--- a/src/standin/platform_worker.ts
+++ b/src/standin/platform_worker.ts
@@ -47,6 +47,8 @@
 export class StandinPlatformWorker {
   readonly runs: StandinPlatformRun[] = [];
   readonly orders: StandinPlatformOrder[] = [];
+  /** Ids of copies that were freed before a run went on from them. */
+  readonly freedCopies: string[] = [];
   readonly faults: StandinPlatformWorkerFaults = { ...NO_FAULTS };
   /** Streams under way, by the id of the request. */
   readonly #streams = new Map<string, RunningStream>();
@@ -143,6 +145,7 @@
       response.end();
       return;
     }
+    const id = request.url.pathname.split("/").at(-1) ?? "";
     switch (`${request.method} ${request.url.pathname}`) {
       case "GET /v1/report":
         return this.#report(response);
@@ -150,6 +153,8 @@
         return this.#order(request);
       case "POST /v1/kv-move":
         return this.#move(request);
+      case `DELETE /v1/kv-handle/${id}`:
+        return this.#freeCopy(id, response);
       default:
         return this.#run(request);
     }
@@ -196,6 +201,13 @@
     response.end(JSON.stringify({ handle, created: stream.last }));
   }
 
+  #freeCopy(id: string, response: ServerResponse): void {
+    const isKnown = copies.delete(`${this.address}/${id}`);
+    if (isKnown) this.freedCopies.push(id);
+    response.writeHead(isKnown ? 200 : 404);
+    response.end();
+  }
+
   #judge(order: Record<string, unknown>): number {
     const fence = Number(order["fencing_token"]);
     if (this.#options.requireFencing && fence < this.#highestFence) return 412;
