Give tests ports that nobody else takes

A test asked for a free port and listened at it later; in between another process's connection had it (37861 lies in the range for outgoing connections). The world was then half open, its store kept the test's process from ending, and the run lasted 300 s. Ruled out: load as such; the test failed in 4 ms. Change: ports below that range, another part of it for each process; cleaning up is arranged before anything is opened.

--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -1,6 +1,7 @@
 /** Routers with a stand-in of the platform's store and of its backend servers, for tests. */
 import assert from "node:assert/strict";
 import { createServer } from "node:http";
+import process from "node:process";
 import type { TestContext } from "node:test";
 import { type Clock, systemClock } from "../base/mod.ts";
 import {
@@ -85,6 +86,16 @@
   { entryCount = 1, orderTurnMs = 0 }: WorldOptions = {},
 ): Promise<World> {
   const store = await StandinPlatformStore.create();
+  const entries: TestEntry[] = [];
+  const links: TcpRelay[] = [];
+  const workers: StandinPlatformWorker[] = [];
+  // Before anything else can fail: what is left open keeps the test's process from ending.
+  t.after(async () => {
+    for (const { router } of entries) await router.stop();
+    for (const link of links) await link.close();
+    for (const made of workers) await made.close();
+    await store.close();
+  });
   const ports = {
     control: await freePort(),
     peer: await freePort(),
@@ -95,7 +106,6 @@
     { length: entryCount },
     (_, i) => `127.0.0.${i + 1}`,
   );
-  const entries: TestEntry[] = [];
   const start = (entry: Omit<TestEntry, "router">): Promise<Router> => {
     const { name, link, clock, ipAddress } = entry;
     const [linkHost = "", linkPort] = link.address.split(":");
@@ -125,6 +135,7 @@
   };
   for (const ipAddress of ipAddresses) {
     const link = await TcpRelay.create({ targetAddress: store.address });
+    links.push(link);
     const clock = new SkewedClock();
     const entry = {
       name: `entry-${entries.length + 1}`,
@@ -136,7 +147,6 @@
     };
     entries.push({ ...entry, router: await start(entry) });
   }
-  const workers: StandinPlatformWorker[] = [];
   const [first] = entries;
   assert.ok(first);
   const worker: World["worker"] = async (id, options = {}) => {
@@ -147,14 +157,6 @@
     await until(() => knows(first, id));
     return made;
   };
-  t.after(async () => {
-    for (const { router, link } of entries) {
-      await router.stop();
-      await link.close();
-    }
-    for (const made of workers) await made.close();
-    await store.close();
-  });
   const engine = (id: string) => worker(id, { model: "m" });
   const restart = async (entry: TestEntry) => {
     const again = { ...entry, router: await start(entry) };
@@ -173,6 +175,10 @@
   return JSON.stringify(router.state()).includes(text);
 }
 
+/**
+ * @param world Its first entry is waited for.
+ * @param config A newer configuration.
+ */
 export async function useConfig(
   world: World,
   config: typeof CONFIG,
@@ -181,17 +187,35 @@
   await until(() => knows(world, `"configVersion":${config.version}`));
 }
 
+/** @param holds Asked again and again until it is true. */
 export async function until(
   holds: () => boolean | Promise<boolean>,
 ): Promise<void> {
   while (!await holds()) await new Promise((resolve) => setTimeout(resolve, 5));
 }
 
+/**
+ * Ports below those that systems give to outgoing connections: of those, one that was free a moment
+ * ago may be taken by any process before it is listened at. Each process begins elsewhere.
+ */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 30_000;
+const PORTS_PER_PROCESS = 120;
+let nextPort = FIRST_PORT +
+  (process.pid * PORTS_PER_PROCESS) % (LAST_PORT - FIRST_PORT);
+
 async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const address = server.address();
-  assert.ok(address && typeof address === "object");
-  await new Promise((resolve) => server.close(resolve));
-  return address.port;
+  while (true) {
+    const port = nextPort++;
+    if (nextPort > LAST_PORT) nextPort = FIRST_PORT;
+    if (await isFree(port)) return port;
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+  });
 }
