Log the weights that a request met, and whether a process found them named

Cause: the logs of an answer on weights replaced long before could not tell whether the entry took them for new, or the request had waited in the engine's queue: the request's line told neither version nor age.

Change: a request's line carries weightsVersion and, where newer ones were known, replacedForMs at the send; weights_wanted tells whether the process found the version when it started. No decision changes.

--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -1,7 +1,12 @@
 /** One send of a request to a backend server: its state, and how it may end. */
 import type { Exchange } from "./channel.ts";
 import type { Choice } from "./choose.ts";
-import type { AnswerSink, Outcome, RoutedRequest } from "./request.ts";
+import type {
+  AnswerSink,
+  ChosenWeights,
+  Outcome,
+  RoutedRequest,
+} from "./request.ts";
 import type { LoadTicket } from "./server.ts";
 
 /** How one send ended. */
@@ -26,6 +31,8 @@
   lastEventId: string | undefined;
   ttftMs?: number;
   expectedMs?: number;
+  /** Weights at the last choice. */
+  weights?: ChosenWeights;
 }
 
 /** What became of a call to move a run. */
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -90,8 +90,8 @@
       lastEventId: request.facts.lastEventId,
     };
     const outcome = await this.#serve(request, sink, { progress });
-    const { servers, ttftMs, expectedMs } = progress;
-    return { outcome, servers, ttftMs, expectedMs };
+    const { servers, ttftMs, expectedMs, weights } = progress;
+    return { outcome, servers, ttftMs, expectedMs, weights };
   }
 
   async #serve(
--- a/src/router/in_force.ts
+++ b/src/router/in_force.ts
@@ -18,6 +18,8 @@
   log: Logger;
   fleet: Fleet;
   wanted: WantedVersions;
+  /** Whether what is told is the first that this process learns, and may be old. */
+  isStarting(): boolean;
   /** A newer configuration is in force. */
   onConfig(): void;
 }
@@ -130,8 +132,13 @@
   }
 
   #want(wanted: WantedWeights): void {
+    const { log, isStarting } = this.#options;
     if (!this.#options.wanted.name(wanted)) return;
-    this.#options.log.info({ event: "weights_wanted", ...wanted });
+    log.info({
+      event: "weights_wanted",
+      ...wanted,
+      foundAtStart: isStarting(),
+    });
   }
 
   /** What a store holds outlives changes of the configuration. */
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -51,6 +51,15 @@
   ttftMs?: number;
   /** Expected at the last choice. */
   expectedMs?: number;
+  /** Weights at the last choice; left out for plain calls. */
+  weights?: ChosenWeights;
+}
+
+/** Weights of the server to which a request was sent. */
+export interface ChosenWeights {
+  version: number;
+  /** Time from their replacement, as known here, to the send; 0: none newer were known. */
+  replacedForMs: number;
 }
 
 /** A prompt that a server reads, or a store is given. */
--- a/src/router/request_log.ts
+++ b/src/router/request_log.ts
@@ -69,6 +69,9 @@
       tookMs: round(this.#clock.nowMs() - request.arrivedAtMs),
       timeMs: round(request.answerByMs - request.arrivedAtMs),
       promptTokens: request.facts.prompt?.promptTokens,
+      weightsVersion: served.weights?.version,
+      // Left out while the weights are the newest known.
+      replacedForMs: round(served.weights?.replacedForMs || undefined),
     });
   }
 
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -95,6 +95,7 @@
       log: this.#log,
       fleet: this.#fleet,
       wanted: this.#wanted,
+      isStarting: () => this.#mirror.revision === 0n,
       onConfig: () => this.#ingress.applyLimits(),
     });
     this.#relay = RelayReader.create({
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -15,7 +15,12 @@
 import type { Fleet } from "./fleet.ts";
 import { type AnswerFacts, RequestKind } from "./model.ts";
 import type { AnswerPasser } from "./pass_answer.ts";
-import type { AnswerSink, PlacedPrompt, RoutedRequest } from "./request.ts";
+import type {
+  AnswerSink,
+  ChosenWeights,
+  PlacedPrompt,
+  RoutedRequest,
+} from "./request.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
 /** A server that says nothing to anyone for this long, or longer than expected, is avoided. */
@@ -85,6 +90,7 @@
     progress.servers.push(server.id);
     progress.sends++;
     progress.expectedMs = choice.expectedMs;
+    progress.weights = this.#weightsOf(request, choice);
     const isBound = !isIdempotent(request.route);
     const ticket = server.begin(choice.uncachedTokens, isBound);
     const exchange = server.channels.send({
@@ -118,6 +124,17 @@
     }
   }
 
+  #weightsOf(
+    { facts }: RoutedRequest,
+    { weightsVersion }: Choice,
+  ): ChosenWeights | undefined {
+    if (!facts.prompt || weightsVersion === undefined) return undefined;
+    const { wanted } = this.#options;
+    const { model } = facts.prompt;
+    const replacedForMs = wanted.replacedForMs(model, weightsVersion);
+    return { version: weightsVersion, replacedForMs };
+  }
+
   /** From now on the server is expected to have the prompt in its cache. */
   #notePrompt(choice: Choice, nowMs: number): void {
     const { server, chain, saveTo, expectedMs } = choice;
