Show in a test that an entry which starts again uses replaced weights anew

Cause: WantedVersions counts the age of a named version from when the process heard of it. A process that starts finds the version named and takes it for 0 s old, so it sends requests to engines on the old weights for 9 s more.

Ruled out: requests that waited in the engine's queue; those of the report reached the engine 115 ms before they began.

Change: two end-to-end tests with a store, an engine that does not change and one or two entries, one of which starts again. The stand-in engine can refuse orders.

--- /dev/null
+++ b/src/router/replaced_weights_test.ts
@@ -0,0 +1,59 @@
+// An engine's weights had been replaced for 16.3 s, and requests still began on them; 10 s are
+// allowed. All came from one entry, which had been killed and had started again: it logged
+// "listening" at 14.38 s and "weights_wanted" at 14.47 s, took the version that it found named, at
+// 3.03 s, for one named just now, and would have used the old weights until 23.5 s. Its requests at
+// 19.25 s were sent while every other entry had left the engine alone for 7 s.
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ask, PROMPT } from "../standin/mod.ts";
+import {
+  knows,
+  openWorld,
+  type TestEntry,
+  until,
+  type World,
+} from "./_world.ts";
+
+/** Replaced weights are not used any more when they are this old. */
+const RETIRED_MS = 9500;
+
+/** Names version 2 of an engine's weights, which it does not load. */
+async function replaceWeights(world: World) {
+  const engine = await world.engine("i-1");
+  engine.faults.refuseOrder = Infinity;
+  await world.store.put("op/version/m", { model: "m", version: 2 });
+  await until(() => world.entries.every(isTold));
+  return engine;
+}
+
+function isTold(entry: TestEntry): boolean {
+  return knows(entry, '"wanted":[{"model":"m","version":2');
+}
+
+test("entry that has started again does not take replaced weights for new", async (t) => {
+  const world = await openWorld(t, { entryCount: 2 });
+  const [first, second] = world.entries;
+  const engine = await replaceWeights(world);
+  for (const { clock } of world.entries) clock.aheadMs = RETIRED_MS;
+  await second!.router.stop();
+  const again = await world.restart(second!);
+  await until(() => isTold(again) && knows(again, '"entries":2'));
+  for (const entry of [first!, again]) {
+    const asked = await ask(entry, "/stream/a", PROMPT);
+    assert.equal(asked.status, 503, entry.name);
+    assert.ok(Number(asked.headers["retry-after"]) > 0);
+  }
+  assert.equal(engine.runs.length, 0);
+});
+
+test("entry whom nobody tells the age takes replaced weights for old", async (t) => {
+  const world = await openWorld(t);
+  const engine = await replaceWeights(world);
+  await world.router.stop();
+  const again = await world.restart(world.entries[0]!);
+  await until(() => isTold(again) && knows(again, "i-1"));
+  // Long before an entry that had heard it named would give the engine up.
+  again.clock.aheadMs = RETIRED_MS / 3;
+  assert.equal((await ask(again, "/stream/a", PROMPT)).status, 503);
+  assert.equal(engine.runs.length, 0);
+});
--- a/src/standin/platform_worker.ts
+++ b/src/standin/platform_worker.ts
@@ -209,6 +209,7 @@
   }
 
   #judge(order: Record<string, unknown>): number {
+    if (take(this.faults, "refuseOrder")) return 409;
     const fence = Number(order["fencing_token"]);
     if (this.#options.requireFencing && fence < this.#highestFence) return 412;
     if (order["expected"] !== this.orders.length) return 409;
--- a/src/standin/platform_worker_options.ts
+++ b/src/standin/platform_worker_options.ts
@@ -35,6 +35,8 @@
   hang: number;
   /** Runs that stop when they are to be moved, and are not copied. */
   moveFull: number;
+  /** Orders that are refused, as if another were being carried out. */
+  refuseOrder: number;
 }
 
 /** Settings unless said otherwise. */
@@ -57,6 +59,7 @@
   foreign: 0,
   hang: 0,
   moveFull: 0,
+  refuseOrder: 0,
 };
 
 /** Faults that are counted down. */
