Keep the age of replaced weights over restarts and suspended machines

Cause: an entry counted the age of a named version from when it heard of it. One that started again, or whose machine had been suspended, took weights that had been replaced long before for new and sent requests to engines that still had them.

Ruled out: a record of the naming in the store, by a wall clock, which may step by seconds, or by a lease, which costs two calls for each naming.

Change: entries tell each other in their datagrams how long ago versions were named, as far as they or one that told them heard it themselves, until twice the bound; the earliest time holds. A version that a process finds named when it starts, and whose age no peer tells, counts as nearly as old as is allowed: its replaced weights serve for 2 s more, where nothing else can. The bound comes from the platform's settings (CICADAHITCH_WEIGHTS_BOUND_MS, 10 s unless given); the two bounds on orders and weights may be empty, as on a platform without engines.

Where all entries start again at once right after a naming, engines on the old weights are given up sooner than need be; not measured.

--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -57,6 +57,8 @@
   entryCount?: number;
   /** Holders of the lease may not take turns within this time. */
   orderTurnMs?: number;
+  /** Answers may not begin on weights that were replaced this long ago. */
+  weightsBoundMs?: number;
 }
 
 /**
@@ -83,7 +85,8 @@
  */
 export async function openBareWorld(
   t: TestContext,
-  { entryCount = 1, orderTurnMs = 0 }: WorldOptions = {},
+  { entryCount = 1, orderTurnMs = 0, weightsBoundMs = 10_000 }: WorldOptions =
+    {},
 ): Promise<World> {
   const store = await StandinPlatformStore.create();
   const entries: TestEntry[] = [];
@@ -128,6 +131,7 @@
         storeAddress: { ipAddress: linkHost, port: Number(linkPort) },
         graceMs: 2000,
         orderTurnMs,
+        weightsBoundMs,
         logLevel: "silent",
         choice: ChoiceName.cost,
       },
--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -2,6 +2,7 @@
 import type { CacheBook, Chain } from "./cache_book.ts";
 import type { RunCopy } from "./model.ts";
 import type { Server } from "./server.ts";
+import type { WeightsLimits } from "./wanted_weights.ts";
 
 /** Ways of choosing; all but `cost` are baselines to compare with. */
 export const ChoiceName = {
@@ -38,11 +39,8 @@
 const OLD_WEIGHTS_FROM_MS = 1300;
 /** Price of that, against waiting. */
 const OLD_WEIGHTS_MS = 250;
-/** Weights that were replaced this long ago must soon begin no request any more. */
-const STALE_WEIGHTS_FROM_MS = 7000;
+/** Price of weights that must soon begin no request any more. */
 const STALE_WEIGHTS_MS = 4000;
-/** From here on they begin none: a request that waits long would begin too late. */
-const RETIRED_WEIGHTS_FROM_MS = 9000;
 /** Round trip to another zone, beside the same zone. */
 const FAR_MS = 2;
 /** Price of each recent failure at the server. */
@@ -79,6 +77,7 @@
   wantedVersion: number;
   /** Time since a version was replaced; 0 if it wasn't. */
   replacedForMs(weightsVersion: number): number;
+  weightsLimits: WeightsLimits;
   /** Where prompts are kept beside the engines' own caches. */
   store?: PromptStore;
 }
@@ -168,7 +167,7 @@
   const expectedMs = queueMs + ownMs + (copy?.copyMs ?? 0);
   const reread = Math.max(0, sharedTokens(chain) - held);
   const price = reread * REREAD_MS_PER_TOKEN +
-    oldWeightsPrice(prompt.replacedForMs(weightsVersion));
+    oldWeightsPrice(prompt, weightsVersion);
   return {
     server,
     expectedMs,
@@ -287,11 +286,17 @@
 function isRetired(server: Server, prompt: PromptPlacement): boolean {
   const version = server.weights(prompt.model);
   if (version === undefined) return false;
-  return prompt.replacedForMs(version) >= RETIRED_WEIGHTS_FROM_MS;
+  return prompt.replacedForMs(version) >= prompt.weightsLimits.retiredFromMs;
 }
 
-function oldWeightsPrice(replacedForMs: number): number {
-  if (replacedForMs >= STALE_WEIGHTS_FROM_MS) return STALE_WEIGHTS_MS;
+function oldWeightsPrice(
+  prompt: PromptPlacement,
+  weightsVersion: number,
+): number {
+  const replacedForMs = prompt.replacedForMs(weightsVersion);
+  if (replacedForMs >= prompt.weightsLimits.staleFromMs) {
+    return STALE_WEIGHTS_MS;
+  }
   return replacedForMs >= OLD_WEIGHTS_FROM_MS ? OLD_WEIGHTS_MS : 0;
 }
 
--- a/src/router/choose_test.ts
+++ b/src/router/choose_test.ts
@@ -23,6 +23,11 @@
     chainFor: (version) => ({ salt: `w${version}`, parts: PARTS }),
     wantedVersion: 1,
     replacedForMs: () => 0,
+    weightsLimits: {
+      staleFromMs: 7000,
+      retiredFromMs: 9000,
+      beginUntilMs: 9600,
+    },
     ...fields,
   };
 }
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -170,6 +170,7 @@
       wantedVersion: this.#options.wanted.newest(prompt.model),
       replacedForMs: (version) =>
         this.#options.wanted.replacedForMs(prompt.model, version),
+      weightsLimits: this.#options.wanted.limits,
       store: this.#options.promptStore(),
       chainFor: (version) => ({
         salt: saltOf(version, request.workspace),
--- a/src/router/in_force.ts
+++ b/src/router/in_force.ts
@@ -18,8 +18,8 @@
   log: Logger;
   fleet: Fleet;
   wanted: WantedVersions;
-  /** Whether what is told is the first that this process learns, and may be old. */
-  isStarting(): boolean;
+  /** For how long what the store says now may have been so; 0: it has just changed. */
+  maxAgeMs(): number;
   /** A newer configuration is in force. */
   onConfig(): void;
 }
@@ -132,13 +132,10 @@
   }
 
   #want(wanted: WantedWeights): void {
-    const { log, isStarting } = this.#options;
-    if (!this.#options.wanted.name(wanted)) return;
-    log.info({
-      event: "weights_wanted",
-      ...wanted,
-      foundAtStart: isStarting(),
-    });
+    const maxAgeMs = this.#options.maxAgeMs();
+    if (!this.#options.wanted.name(wanted, { maxAgeMs })) return;
+    const isFound = maxAgeMs > 0;
+    this.#options.log.info({ event: "weights_wanted", ...wanted, isFound });
   }
 
   /** What a store holds outlives changes of the configuration. */
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -8,6 +8,7 @@
 import type { CacheBook } from "./cache_book.ts";
 import type { PlacedPrompt } from "./request.ts";
 import type { Fleet } from "./fleet.ts";
+import type { WantedVersions } from "./wanted_weights.ts";
 
 /** Pause between datagrams while something changes: a tenth of the time to a first token. */
 const TELL_MS = 50;
@@ -42,6 +43,8 @@
   knowledge(): Knowledge;
   /** Whether the store answers this entry, and has done so for a while. */
   isStoreServing(): boolean;
+  /** Ages of named weights, which entries tell each other. */
+  wanted: WantedVersions;
   /** A peer told of its own knowledge. */
   onKnowledge(ipAddress: string, knowledge: Knowledge): void;
 }
@@ -69,6 +72,8 @@
   storeServes: boolean;
   /** Server, model, version: weights that were seen there. */
   weights: [string, string, number][];
+  /** Model, version, age in ms: weights that were named a while ago. */
+  named: [string, number, number][];
 }
 
 /** Tells other entries, and takes in what they tell. */
@@ -163,8 +168,8 @@
     const { clock } = this.#options;
     const told = this.#compose();
     const text = JSON.stringify(told);
-    // The age alone is no news.
-    const news = JSON.stringify({ ...told, ageMs: 0 });
+    // Ages alone are no news.
+    const news = JSON.stringify({ ...told, ageMs: 0, named: [] });
     const nowMs = clock.nowMs();
     const isNews = news !== this.#lastText;
     if (!isNews && nowMs - this.#lastAtMs < TELL_IDLE_MS) return;
@@ -187,7 +192,7 @@
   }
 
   #compose(): Told {
-    const { name, fleet, knowledge } = this.#options;
+    const { name, fleet, knowledge, wanted } = this.#options;
     const { revision, ageMs } = knowledge();
     const loads: Told["loads"] = [];
     for (const { id, ownLoad } of fleet.all()) {
@@ -205,6 +210,11 @@
       storeServes: this.#options.isStoreServing(),
       weights: this.#weights.splice(0),
       silent: this.#silent.splice(0),
+      named: wanted.ages().map(({ model, version, ageMs }) => [
+        model,
+        version,
+        Math.round(ageMs),
+      ]),
     };
   }
 
@@ -237,7 +247,7 @@
   }
 
   #take(told: Told, nowMs: number): void {
-    const { fleet } = this.#options;
+    const { fleet, wanted, log } = this.#options;
     const loads = new Map(
       told.loads.map(([id, pendingTokens, running, bound]) => [
         id,
@@ -263,5 +273,9 @@
     for (const [id, model, version] of told.weights) {
       fleet.get(id)?.learnWeights(model, version);
     }
+    for (const [model, version, ageMs] of told.named) {
+      if (!wanted.tell({ model, version, ageMs })) continue;
+      log.info({ event: "weights_wanted", model, version, peer: told.name });
+    }
   }
 }
--- a/src/router/replaced_weights_test.ts
+++ b/src/router/replaced_weights_test.ts
@@ -5,6 +5,7 @@
 // 19.25 s were sent while every other entry had left the engine alone for 7 s.
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { ask, PROMPT } from "../standin/mod.ts";
 import {
   knows,
@@ -37,7 +38,9 @@
   for (const { clock } of world.entries) clock.aheadMs = RETIRED_MS;
   await second!.router.stop();
   const again = await world.restart(second!);
-  await until(() => isTold(again) && knows(again, '"entries":2'));
+  await until(() =>
+    isTold(again) && knows(again, "i-1") && knows(again, `"entries":2`)
+  );
   for (const entry of [first!, again]) {
     const asked = await ask(entry, "/stream/a", PROMPT);
     assert.equal(asked.status, 503, entry.name);
@@ -57,3 +60,18 @@
   assert.equal((await ask(again, "/stream/a", PROMPT)).status, 503);
   assert.equal(engine.runs.length, 0);
 });
+
+test("entry that thaws learns from its peer for how long weights are replaced", async (t) => {
+  const world = await openWorld(t, { entryCount: 2 });
+  const [awake, frozen] = world.entries;
+  await replaceWeights(world);
+  // The monotonic clock of a machine that is suspended stands still.
+  awake!.clock.aheadMs = RETIRED_MS;
+  let status = 200;
+  // Far below the time after which it would give the engine up by itself.
+  for (let i = 0; i < 40 && status === 200; i++) {
+    await sleep(100);
+    status = (await ask(frozen!, "/stream/a", PROMPT)).status;
+  }
+  assert.equal(status, 503);
+});
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -81,7 +81,10 @@
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
     this.#mirror = StoreMirror.create(this.#clock);
-    this.#wanted = WantedVersions.create(this.#clock);
+    this.#wanted = WantedVersions.create({
+      clock: this.#clock,
+      boundMs: options.settings.weightsBoundMs,
+    });
     this.#store = PlatformStore.create({
       address: textOf(options.settings.storeAddress),
       connectMs: STORE_CONNECT_MS,
@@ -95,7 +98,8 @@
       log: this.#log,
       fleet: this.#fleet,
       wanted: this.#wanted,
-      isStarting: () => this.#mirror.revision === 0n,
+      // The first that this process learns may be of any age.
+      maxAgeMs: () => this.#mirror.revision === 0n ? Infinity : 0,
       onConfig: () => this.#ingress.applyLimits(),
     });
     this.#relay = RelayReader.create({
@@ -212,6 +216,7 @@
       fleet: this.#fleet,
       cacheOf: (id) => this.#inForce.cacheOf(id),
       isStoreServing: () => !this.#follower.recovering,
+      wanted: this.#wanted,
       knownAddresses: () => [
         ...seedAddresses.map((seed) => seed.ipAddress),
         ...this.#registration.ipAddresses(),
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -29,6 +29,8 @@
   graceMs: number;
   /** Holders of the weights lease may not take turns within this time. */
   orderTurnMs: number;
+  /** Answers may not begin on weights that were replaced this long ago. */
+  weightsBoundMs: number;
   logLevel: LogLevel;
   choice: ChoiceName;
 }
@@ -45,6 +47,9 @@
 
 const PREFIX = "CICADAHITCH_";
 const IP_PORT = "ip:port";
+/** The deployments' own bounds. */
+const ORDER_TURN_MS = 3000;
+const WEIGHTS_BOUND_MS = 10_000;
 
 /**
  * @param env Environment variables; those without the prefix `CICADAHITCH_` are ignored.
@@ -65,6 +70,9 @@
     if (parsed === undefined) faults.push({ variable, value, allowed });
     return parsed as T;
   };
+  // A platform without engines doesn't say these.
+  const readGiven = (name: string, defaultMs: number): number =>
+    env[PREFIX + name] ? read(name, "milliseconds", parseMs) : defaultMs;
   const settings: RouterSettings = {
     instance: read("INSTANCE", "a name", nonEmpty),
     zone: read("ZONE", "a name", nonEmpty),
@@ -76,7 +84,8 @@
     seedAddresses: read("SEED_ADDRESSES", `${IP_PORT},…`, parseAddresses),
     storeAddress: read("STORE_ADDRESS", IP_PORT, parseAddress),
     graceMs: read("GRACE_S", "seconds", parseSeconds),
-    orderTurnMs: read("ORDER_TURN_MS", "milliseconds", parseMs),
+    orderTurnMs: readGiven("ORDER_TURN_MS", ORDER_TURN_MS),
+    weightsBoundMs: readGiven("WEIGHTS_BOUND_MS", WEIGHTS_BOUND_MS),
     logLevel: readOr(env, "LOG_LEVEL", { faults, values: LOG_LEVELS }) ??
       "info",
     choice: readOr(env, "CHOICE", {
--- a/src/router/settings_test.ts
+++ b/src/router/settings_test.ts
@@ -14,14 +14,16 @@
   CICADAHITCH_SEED_ADDRESSES: "10.0.0.2:82,10.0.0.3:82",
   CICADAHITCH_STORE_ADDRESS: "10.0.0.9:2379",
   CICADAHITCH_GRACE_S: "7.5",
-  CICADAHITCH_ORDER_TURN_MS: "3000",
+  CICADAHITCH_ORDER_TURN_MS: "3500",
+  CICADAHITCH_WEIGHTS_BOUND_MS: "8000",
 };
 
 test("settings are read from variables of their own", () => {
   const settings = readSettings({ ...GOOD, PATH: "/bin" });
   assert.ok(settings.isOk);
   assert.equal(settings.value.graceMs, 7500);
-  assert.equal(settings.value.orderTurnMs, 3000);
+  assert.equal(settings.value.orderTurnMs, 3500);
+  assert.equal(settings.value.weightsBoundMs, 8000);
   assert.equal(settings.value.seedAddresses.length, 2);
   assert.equal(settings.value.choice, ChoiceName.cost);
 });
@@ -32,6 +34,17 @@
   assert.deepEqual(settings.value.seedAddresses, []);
 });
 
+test("bounds that the platform does not give have defaults", () => {
+  const settings = readSettings({
+    ...GOOD,
+    CICADAHITCH_ORDER_TURN_MS: "",
+    CICADAHITCH_WEIGHTS_BOUND_MS: undefined,
+  });
+  assert.ok(settings.isOk);
+  assert.equal(settings.value.orderTurnMs, 3000);
+  assert.equal(settings.value.weightsBoundMs, 10_000);
+});
+
 test("every fault is named at once, with what is allowed", () => {
   const { CICADAHITCH_ZONE: _, ...rest } = GOOD;
   const settings = readSettings({
@@ -39,6 +52,7 @@
     CICADAHITCH_PEER_PORT: "70000",
     CICADAHITCH_STORE_ADDRESS: "store",
     CICADAHITCH_GRACE_S: "soon",
+    CICADAHITCH_WEIGHTS_BOUND_MS: "long",
     CICADAHITCH_CHOICE: "best",
     CICADAHITCH_LOG_LEVEL: "loud",
   });
@@ -52,6 +66,7 @@
     "CICADAHITCH_LOG_LEVEL",
     "CICADAHITCH_PEER_PORT",
     "CICADAHITCH_STORE_ADDRESS",
+    "CICADAHITCH_WEIGHTS_BOUND_MS",
     "CICADAHITCH_ZONE",
   ]);
   assert.equal(faults.get("CICADAHITCH_ZONE")?.value, undefined);
