Show in a test that a waiting request begins on weights replaced too long ago

Cause: a request is sent to an engine while its weights may still be used, and waits there for longer than expected (2.5 s for 0.46 s), until they may not. Nothing takes it back.

--- a/src/router/replaced_weights_test.ts
+++ b/src/router/replaced_weights_test.ts
@@ -75,3 +75,18 @@
   }
   assert.equal(status, 503);
 });
+
+// Two requests reached an engine 7.5 s after its weights had been replaced, when that was still
+// allowed, waited 2.6 s in its queue ("expectedMs" 456, "ttftMs" 2508) and began at 10.05 s and
+// 10.16 s, when it was not. Nothing took them back.
+test("request that has not begun on replaced weights in time is taken back", async (t) => {
+  const world = await openWorld(t, { weightsBoundMs: 1500 });
+  const engine = await world.engine("i-1");
+  engine.faults.refuseOrder = Infinity;
+  engine.faults.hang = 1;
+  const asked = ask(world, "/once/a", PROMPT);
+  await until(() => engine.runs.length === 1);
+  await world.store.put("op/version/m", { model: "m", version: 2 });
+  // At the client's deadline it would be 504.
+  assert.equal((await asked).status, 502);
+});
