Take requests back that wait on weights replaced too long ago

One that may be repeated is sent elsewhere, another one ends as 502. A server is not chosen where the request is expected to begin too late. The waiting stands in a module of its own (await_head.ts).

--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -121,10 +121,10 @@
   for (const server of placement.servers) {
     if (placement.tried.has(server.id)) continue;
     if (server.isFull(placement.nowMs)) continue;
-    if (placement.prompt && isRetired(server, placement.prompt)) continue;
     const candidate = placement.prompt
       ? weighPrompt(placement, placement.prompt, { server })
       : weighCall(placement, server);
+    if (beginsTooLate(candidate, placement.prompt)) continue;
     if (!best || candidate.score < best.score) best = candidate;
   }
   return best;
@@ -282,11 +282,15 @@
   return store.cache.cachedTokens(chain) < shared ? store.address : undefined;
 }
 
-/** Weights that were replaced too long ago begin nothing new. */
-function isRetired(server: Server, prompt: PromptPlacement): boolean {
-  const version = server.weights(prompt.model);
-  if (version === undefined) return false;
-  return prompt.replacedForMs(version) >= prompt.weightsLimits.retiredFromMs;
+/** Weights that will have been replaced too long ago when a request begins get nothing new. */
+function beginsTooLate(
+  { weightsVersion, expectedMs }: Candidate,
+  prompt: PromptPlacement | undefined,
+): boolean {
+  if (!prompt || weightsVersion === undefined) return false;
+  const replacedForMs = prompt.replacedForMs(weightsVersion);
+  if (replacedForMs === 0) return false;
+  return replacedForMs + expectedMs >= prompt.weightsLimits.retiredFromMs;
 }
 
 function oldWeightsPrice(
--- a/src/router/choose_test.ts
+++ b/src/router/choose_test.ts
@@ -99,6 +99,21 @@
   assert.equal(choose(placement({ servers, prompt: late })), undefined);
 });
 
+test("request that would wait until weights are too old goes elsewhere", () => {
+  const servers = ["busy", "free"].map((id) => testServer(id));
+  servers[0]!.cache.use(CHAIN, 0);
+  servers[0]!.begin(240_000, false);
+  const aged = prompt({ wantedVersion: 2, replacedForMs: () => 6500 });
+  const busy = { servers: [servers[0]!], prompt: aged };
+  assert.equal(choose(placement(busy)), undefined);
+  assert.equal(
+    choose(placement({ servers, prompt: aged }))?.server.id,
+    "free",
+  );
+  const fresh = prompt({ wantedVersion: 2 });
+  assert.ok(choose(placement({ ...busy, prompt: fresh })));
+});
+
 test("newer weights are preferred once the old ones cost", () => {
   const servers = [
     testServer("old"),
--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -68,6 +68,8 @@
   unknown_route: "no route leads there",
   unsigned_answer: "the server did not sign its answer",
   unsure: "the entry had no news for too long to deny a route or key",
+  weights_retired:
+    "its engine's weights had been replaced for too long to begin it",
   wrong_server: "another server had the address",
 };
 
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -2,6 +2,7 @@
 import type { Clock, Logger } from "../base/mod.ts";
 import { forwardHeaders, readAnswer } from "../platform/mod.ts";
 import { isIdempotent } from "./answer_rules.ts";
+import { HeadWaiter } from "./await_head.ts";
 import {
   done,
   endBroken,
@@ -10,7 +11,7 @@
   type Send,
   type SendEnd,
 } from "./attempt.ts";
-import type { AnswerHead, ChannelFailure } from "./channel.ts";
+import type { AnswerHead, AnswerStep, ChannelFailure } from "./channel.ts";
 import type { Choice, PromptStore } from "./choose.ts";
 import type { Fleet } from "./fleet.ts";
 import { type AnswerFacts, RequestKind } from "./model.ts";
@@ -23,15 +24,6 @@
 } from "./request.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
-/** A server that says nothing to anyone for this long, or longer than expected, is avoided. */
-const SUSPECT_MIN_MS = 400;
-const SUSPECT_CALL_MS = 700;
-const SUSPECT_FACTOR = 4;
-/** An idempotent call gets this share of its time at one server while another may be tried. */
-const CALL_SHARE = 0.4;
-/** A resumable stream whose first event is this late, and later than expected, goes elsewhere. */
-const FIRST_EVENT_MIN_MS = 1500;
-const FIRST_EVENT_FACTOR = 4;
 /** Time from a prompt's last token read until the store has it. */
 const SAVE_MS = 60;
 /** A server whose weights are being changed refuses; it is left alone for this long. */
@@ -58,10 +50,12 @@
 export class Sender {
   readonly #options: SenderOptions;
   readonly #passer: AnswerPasser;
+  readonly #waiter: HeadWaiter;
 
   private constructor(options: SenderOptions) {
     this.#options = options;
     this.#passer = options.passer;
+    this.#waiter = HeadWaiter.create(options);
   }
 
   /**
@@ -199,25 +193,26 @@
     return this.#passer.passWhole(send, { head: head.head, facts });
   }
 
-  /** Waits for the answer's head, and meanwhile notices a server that has gone silent. */
   async #awaitHead(
     send: Send,
   ): Promise<SendEnd | { kind: "head"; head: AnswerHead }> {
-    const { exchange, choice, sentAtMs, sink } = send;
-    const { clock } = this.#options;
-    const suspectMinMs = choice.chain ? SUSPECT_MIN_MS : SUSPECT_CALL_MS;
-    const suspectAtMs = sentAtMs +
-      Math.max(suspectMinMs, SUSPECT_FACTOR * choice.expectedMs);
-    const untilMs = this.#headUntilMs(send);
-    let step = await exchange.next(
-      Math.min(suspectAtMs, untilMs) - clock.nowMs(),
-    );
-    if (!step && clock.nowMs() < untilMs) {
-      this.#suspect(send);
-      step = await exchange.next(untilMs - clock.nowMs());
+    const awaited = await this.#waiter.wait(send);
+    if (send.sink.gone) return done({ kind: "client_gone" });
+    switch (awaited.kind) {
+      case "late":
+        return endLate(send, this.#options.clock.nowMs());
+      case "weights_retired":
+        // Taken back by closing the connection, before the engine begins it.
+        return { kind: "unknown", reason: "weights_retired" };
+      case "step":
+        return this.#headOf(send, awaited.step);
     }
-    if (sink.gone) return done({ kind: "client_gone" });
-    if (!step) return endLate(send, clock.nowMs());
+  }
+
+  #headOf(
+    send: Send,
+    step: AnswerStep,
+  ): SendEnd | { kind: "head"; head: AnswerHead } {
     switch (step.kind) {
       case "head":
         return step;
@@ -229,33 +224,6 @@
     }
   }
 
-  /** When to stop waiting for the first byte at this server. */
-  #headUntilMs({ request, progress, choice, sentAtMs }: Send): number {
-    const { route, answerByMs } = request;
-    if (!isIdempotent(route) || progress.runs + 1 >= route.maxAttempts) {
-      return answerByMs;
-    }
-    const leftMs = answerByMs - sentAtMs;
-    const waitMs = route.kind === RequestKind.stream
-      ? Math.max(FIRST_EVENT_MIN_MS, FIRST_EVENT_FACTOR * choice.expectedMs)
-      : leftMs * CALL_SHARE;
-    return Math.min(answerByMs, sentAtMs + waitMs);
-  }
-
-  #suspect({ choice, sentAtMs, request }: Send): void {
-    const { server } = choice;
-    if (server.heardAtMs >= sentAtMs) return;
-    const { clock, log } = this.#options;
-    server.health.unreachable(clock.nowMs());
-    this.#options.onSilent(server.id);
-    log.warn({
-      event: "server_silent",
-      server: server.id,
-      id: request.facts.requestId,
-      expectedMs: Math.round(choice.expectedMs),
-    });
-  }
-
   #failed(send: Send, { kind, message }: ChannelFailure): SendEnd {
     const nowMs = this.#options.clock.nowMs();
     if (kind === "broken") return endBroken(send, message, nowMs);
