Log a server that is kept though its registration is gone

Cause: a registration that is deleted around an outage of the store is taken for one that lapsed, and its server is used on; nothing was written at that moment, so that a log showed the server only where it was dropped at last. Change: one line server_kept with the reason (store_lost or store_regained) and the length of the outage. No change of logic.

--- a/src/router/_kit.ts
+++ b/src/router/_kit.ts
@@ -1,5 +1,6 @@
 /** What the router's tests share. */
-import { createSilentLogger } from "../base/mod.ts";
+import { pino } from "pino";
+import { createSilentLogger, type Logger } from "../base/mod.ts";
 import type { BackendServer } from "./model.ts";
 import { Server } from "./server.ts";
 
@@ -19,6 +20,16 @@
 
 export const silentLog = createSilentLogger();
 
+/** A line of a log. */
+export type LogLine = Record<string, unknown>;
+
+/** @returns A log, and its lines. */
+export function recordedLog(): { log: Logger; lines: LogLine[] } {
+  const lines: LogLine[] = [];
+  const write = (line: string) => lines.push(JSON.parse(line));
+  return { log: pino({}, { write }), lines };
+}
+
 /**
  * @param id The server's id.
  * @param fields What differs from a ready engine in zone `a`.
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -1,5 +1,6 @@
 /** The backend servers that are known, by id and by service. */
 import type { Clock, Logger } from "../base/mod.ts";
+import type { Outage } from "./follower.ts";
 import type { BackendServer } from "./model.ts";
 import { Server, type ServerOptions } from "./server.ts";
 
@@ -15,8 +16,8 @@
   log: Logger;
   /** Settings of a server of this service. */
   serverOptions(service: string): ServerOptions;
-  /** Whether registrations may be missing that are about to be written again. */
-  isRecovering(): boolean;
+  /** The outage of the store in which registrations that are gone may have lapsed. */
+  outage(): Outage | undefined;
 }
 
 /** All backend servers. */
@@ -93,11 +94,10 @@
    */
   remove(id: string): void {
     if (!this.#servers.has(id)) return;
-    if (this.#options.isRecovering()) {
-      this.#lapsedAtMs.set(id, this.#options.clock.nowMs());
-      return;
-    }
-    this.drop(id, "registration_gone");
+    const outage = this.#options.outage();
+    if (!outage) return this.drop(id, "registration_gone");
+    this.#lapsedAtMs.set(id, this.#options.clock.nowMs());
+    this.#tellKept(id, outage);
   }
 
   /**
@@ -120,7 +120,7 @@
     const nowMs = this.#options.clock.nowMs();
     for (const [id, atMs] of this.#lapsedAtMs) {
       // While the store is away nothing can be written again.
-      const isAway = this.#options.isRecovering();
+      const isAway = this.#options.outage() !== undefined;
       if (nowMs - atMs < LAPSED_KEPT_MS || isAway) continue;
       this.drop(id, "registration_lapsed");
     }
@@ -138,6 +138,15 @@
     for (const { channels } of this.#servers.values()) channels.closeIdle();
   }
 
+  #tellKept(id: string, { isOver, lengthMs }: Outage): void {
+    this.#options.log.info({
+      event: "server_kept",
+      server: id,
+      reason: isOver ? "store_regained" : "store_lost",
+      outageMs: Math.round(lengthMs),
+    });
+  }
+
   #tellDraining(known: Server, entry: BackendServer): void {
     if (!entry.draining || known.entry.draining) return;
     this.#options.log.info({ event: "server_draining", server: entry.id });
--- a/src/router/fleet_test.ts
+++ b/src/router/fleet_test.ts
@@ -1,23 +1,31 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { registration, silentLog, TestClock } from "./_kit.ts";
+import { type LogLine, recordedLog, registration, TestClock } from "./_kit.ts";
 import { Fleet } from "./fleet.ts";
 
-function create(): { fleet: Fleet; clock: TestClock; outage: { is: boolean } } {
+interface Made {
+  fleet: Fleet;
+  clock: TestClock;
+  outage: { is: boolean };
+  lines: LogLine[];
+}
+
+function create(): Made {
   const clock = new TestClock();
   const outage = { is: false };
+  const { log, lines } = recordedLog();
   const fleet = Fleet.create({
     clock,
-    log: silentLog,
+    log,
     serverOptions: () => ({
       connectMs: 1,
       idleMs: 1,
       cacheTokens: 1000,
       connectionLimit: 9,
     }),
-    isRecovering: () => outage.is,
+    outage: () => outage.is ? { isOver: false, lengthMs: 5000 } : undefined,
   });
-  return { fleet, clock, outage };
+  return { fleet, clock, outage, lines };
 }
 
 function ids(fleet: Fleet): string[] {
@@ -53,6 +61,18 @@
   assert.deepEqual(ids(fleet), []);
 });
 
+test("server that is kept is told of, with the outage", () => {
+  const { fleet, outage, lines } = create();
+  fleet.put(registration("a"));
+  outage.is = true;
+  fleet.remove("a");
+  const kept = lines.filter(({ event }) => event === "server_kept");
+  assert.deepEqual(
+    kept.map(({ server, reason, outageMs }) => [server, reason, outageMs]),
+    [["a", "store_lost", 5000]],
+  );
+});
+
 test("server that registers again after an outage stays", () => {
   const { fleet, clock, outage } = create();
   fleet.put(registration("a"));
--- a/src/router/follower.ts
+++ b/src/router/follower.ts
@@ -25,11 +25,19 @@
   random: () => number;
 }
 
+/** A time in which the store didn't answer this process. */
+export interface Outage {
+  isOver: boolean;
+  /** So far, where it isn't over. */
+  lengthMs: number;
+}
+
 /** Follows the store until it is stopped. */
 export class StoreFollower {
   readonly #options: FollowerOptions;
   #lostAtMs: number | undefined;
   #regainedAtMs = -Infinity;
+  #lastOutageMs = 0;
   #retryMs = RETRY_MIN_MS;
   #needsList = true;
 
@@ -56,6 +64,16 @@
     return this.#options.clock.nowMs() - this.#regainedAtMs < RECOVERY_MS;
   }
 
+  /** The outage in which keys that are missing may have lapsed. */
+  get outage(): Outage | undefined {
+    if (!this.recovering) return undefined;
+    if (this.#lostAtMs === undefined) {
+      return { isOver: true, lengthMs: this.#lastOutageMs };
+    }
+    const lengthMs = this.#options.clock.nowMs() - this.#lostAtMs;
+    return { isOver: false, lengthMs };
+  }
+
   /**
    * @param signal Ends the work.
    */
@@ -122,5 +140,6 @@
     this.#options.log.info({ event: "store_regained", lostMs });
     this.#lostAtMs = undefined;
     this.#regainedAtMs = nowMs;
+    this.#lastOutageMs = lostMs;
   }
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -196,8 +196,8 @@
       ...this.#parts(),
       serverOptions: (service) => this.#serverOptions(service),
       // What an entry says that the store serves well is no gap of an outage.
-      isRecovering: () =>
-        this.#follower.recovering && !this.#peers.storeServesPeer,
+      outage: () =>
+        this.#peers.storeServesPeer ? undefined : this.#follower.outage,
     });
   }
 
