Test that a server which leaves after an outage gets nothing more

What fails and why: the store answers an entry nothing for nine seconds of its clock and is back; 1.5 s of its clock after the entry has regained it, a server's registration is deleted and a configuration written behind it. With that in force, the entry still sends the server all of 8 requests (expected: none): it takes the deletion for a registration that lapsed in the outage and keeps the server for 2.5 s from the deletion. Beside it a test of what must stay, which passes: a server whose registration lapsed while the store was silent is used on, and dropped where it doesn't return. The relay of the tests can be silent for new connections, too.

--- /dev/null
+++ b/src/router/outage_test.ts
@@ -0,0 +1,68 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ask, CONFIG } from "../standin/mod.ts";
+import { knows, openWorld, until, useConfig, type World } from "./_world.ts";
+
+/** Long enough for every registration to lapse. */
+const OUTAGE_MS = 9000;
+/** From the entry's regaining the store to a change that has nothing to do with the outage. */
+const LATER_MS = 1500;
+
+/** The store answers the first entry nothing for a while; `meanwhile` happens at the store. */
+async function outage(
+  world: World,
+  meanwhile: () => Promise<void> = () => Promise.resolve(),
+): Promise<void> {
+  world.link.silent();
+  world.clock.aheadMs += OUTAGE_MS;
+  await until(() => knows(world, '"storeConnected":false'));
+  await meanwhile();
+  world.link.up();
+  await until(() => knows(world, '"storeConnected":true'));
+}
+
+/*
+ * The store had answered nobody for nine seconds. A server left three seconds after it was back; the
+ * store acknowledged that, and entries used the server for 2.5 s more. They took the deletion for a
+ * registration that had lapsed in the outage, though it was made after it, and counted the time that
+ * such a server is given to return from the deletion. An entry's log had these lines, and between
+ * the last two a request to the server:
+ *
+ *   27.63 store_lost
+ *   36.93 store_regained lostMs=9312
+ *   37.31 config_in_force, written in the same moment as the deletion
+ *   39.85 server_left reason=registration_lapsed
+ */
+test("server that leaves after an outage of the store gets nothing more", async (t) => {
+  const world = await openWorld(t);
+  const leaving = await world.worker("i-1");
+  const staying = await world.worker("i-2");
+  await outage(world);
+  world.clock.aheadMs += LATER_MS;
+  await world.store.delete("servers/i-1");
+  // What is written after the deletion is in force, so the entry knows of both.
+  await useConfig(world, { ...CONFIG, version: 2 });
+  for (let i = 0; i < 8; i++) {
+    assert.equal((await ask(world, "/book/a")).status, 200);
+  }
+  assert.equal(leaving.runs.length, 0);
+  assert.equal(staying.runs.length, 8);
+});
+
+test("server whose registration lapsed in an outage of the store is used until it had time to return", async (t) => {
+  const world = await openWorld(t);
+  const returning = await world.worker("i-1");
+  await world.worker("i-2");
+  await outage(world, async () => {
+    await world.store.delete("servers/i-1");
+    await world.store.delete("servers/i-2");
+  });
+  await useConfig(world, { ...CONFIG, version: 2 });
+  assert.equal((await ask(world, "/book/a")).status, 200);
+  await world.store.put("servers/i-1", returning.entry("plain"));
+  await useConfig(world, { ...CONFIG, version: 3 });
+  world.clock.aheadMs += OUTAGE_MS;
+  await until(() => !knows(world, "i-2"));
+  assert.ok(knows(world, "i-1"));
+  assert.equal((await ask(world, "/book/a")).status, 200);
+});
--- a/src/standin/tcp_relay.ts
+++ b/src/standin/tcp_relay.ts
@@ -24,6 +24,7 @@
   readonly #server: Server;
   readonly #relayed = new Set<Relayed>();
   #isDown = false;
+  #isSilent = false;
 
   private constructor(options: TcpRelayOptions) {
     this.#options = options;
@@ -65,6 +66,12 @@
     for (const relayed of this.#relayed) relayed.frozen = true;
   }
 
+  /** Passes nothing on, for good, on connections that are open or made until {@link up}. */
+  silent(): void {
+    this.#isSilent = true;
+    this.freezeOpen();
+  }
+
   /** Cuts open connections. */
   cutOpen(): void {
     for (const { near, far } of this.#relayed) {
@@ -82,6 +89,7 @@
   /** Passes new connections on again. */
   up(): void {
     this.#isDown = false;
+    this.#isSilent = false;
   }
 
   /** Stops for good. */
@@ -99,7 +107,7 @@
       return;
     }
     const far = connect(splitAddress(this.#options.targetAddress));
-    const relayed = { near, far, frozen: false };
+    const relayed = { near, far, frozen: this.#isSilent };
     this.#relayed.add(relayed);
     for (const socket of [near, far]) socket.setNoDelay(true);
     this.#pass(relayed, near, far);
