Take a deletion after an outage of the store at its word

Cause: the age of a fact was counted from when the entry learned of it. A deletion that came within 2.5 s of regaining the store was taken for a registration that had lapsed in the outage, its server was kept for 2.5 s from the deletion, and the store's return itself was noticed up to 2.8 s late, by watches that wait. So a server that left 3 s after the outage was used for 2.5 s more (allowed: 2 s). Ruled out: a watch that had gone silent (what was written with the deletion was in force 11 ms later); requests that had waited (they arrived 5 ms after they were sent). Change: - store_contact reckons outages from the last answer to the next one. One of less than two heartbeat intervals (a setting now, 1200 ms) lapses nothing, so that a connection that merely went silent is no outage. - A deletion may be a lapse while the store is away and within one heartbeat interval after it. Not by the answer it comes in: a store may tell events in several answers, and a live server whose last heartbeat was lost lapses after the store's return and before its next heartbeat. - What may have lapsed is kept until 1.9 s after the store was regained, however late its deletion came, and while the store is away; no timer of its own. - A second outage before that time gives it anew, also a short one. - A process that has just begun doesn't vouch for the store for 1.9 s: it can't know whether an outage has just ended. - A watch begins with a call that doesn't wait (900 ms at most), and waits for 1.8 s and 0.4 s of slack then, 2 s and 0.7 s before. A call to a silent store is pause enough: 1.0 s from call to call, by the constants, 3.2 s before. A store that answers only the cheap first call doesn't shorten the pauses. Tests: the listed one fails on the code before (200 in place of 503) and passes now; its entry is settled before the outage, since otherwise its start made up for the outage's length. Unit tests came with the mend, since what they test is new. Conclusion: by the constants, a server whose deletion is acknowledged 3 s after an outage or later is out of use at once.

--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -42,9 +42,23 @@
   watchSlackMs: number;
 }
 
+/** Wait of a watch's first call. */
+const FIRST_WAIT_MS = 0;
+
 /** Conditions and changes of one commit, as the platform's pages say. */
 const MAX_ENTRIES = 32;
 
+/** One call of a watch. */
+interface Poll {
+  prefix: string;
+  /** Revision behind which events are asked for. */
+  after: bigint;
+  /** Longest wait for an event. */
+  waitMs: number;
+  callMs: number;
+  signal: AbortSignal;
+}
+
 /** A client of the platform's store. */
 export class PlatformStore implements KeyValueStore {
   readonly #caller: HttpCaller;
@@ -133,9 +147,14 @@
     fromRevision: bigint,
     signal: AbortSignal,
   ): AsyncIterable<Result<WatchStep, StoreFailure>> {
+    const { callMs, watchWaitMs, watchSlackMs } = this.#options;
+    const longMs = watchWaitMs + watchSlackMs;
     let after = fromRevision - 1n;
+    // The first call doesn't wait: a caller whose connection was lost learns soon that it is back.
+    let times = { waitMs: FIRST_WAIT_MS, callMs };
     while (!signal.aborted) {
-      const answer = await this.#poll(prefix, after, signal);
+      const answer = await this.#poll({ prefix, after, ...times, signal });
+      times = { waitMs: watchWaitMs, callMs: longMs };
       if (signal.aborted) return;
       if (answer.isErr) {
         yield Result.err(answer.error);
@@ -198,20 +217,17 @@
   }
 
   async #poll(
-    prefix: string,
-    after: bigint,
-    signal: AbortSignal,
+    { prefix, after, waitMs, callMs, signal }: Poll,
   ): Promise<Result<{ steps: WatchStep[]; revision: bigint }, StoreFailure>> {
-    const { watchWaitMs, watchSlackMs } = this.#options;
     const query = new URLSearchParams({
       prefix,
       after: String(after),
-      wait_ms: String(watchWaitMs),
+      wait_ms: String(waitMs),
     });
     const answer = await this.#send({
       method: "GET",
       path: `${StorePath.watch}?${query}`,
-      callMs: watchWaitMs + watchSlackMs,
+      callMs,
       signal,
     });
     if (answer.isErr) return Result.err(readFailure(answer.error));
--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -52,6 +52,9 @@
   sleep = systemClock.sleep;
 }
 
+/** As the platform sets it. */
+const HEARTBEAT_MS = 1200;
+
 /** Settings of a {@link World}. */
 export interface WorldOptions {
   entryCount?: number;
@@ -128,6 +131,7 @@
         storeAddress: { ipAddress: linkHost, port: Number(linkPort) },
         graceMs: 2000,
         orderTurnMs,
+        heartbeatMs: HEARTBEAT_MS,
         logLevel: "silent",
         choice: ChoiceName.cost,
       },
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -1,14 +1,8 @@
 /** The backend servers that are known, by id and by service. */
 import type { Clock, Logger } from "../base/mod.ts";
-import type { Outage } from "./follower.ts";
 import type { BackendServer } from "./model.ts";
 import { Server, type ServerOptions } from "./server.ts";
-
-/**
- * A registration that lapsed in an outage of the store is written again within about two seconds
- * of its end; the rest covers the way here.
- */
-const LAPSED_KEPT_MS = 2500;
+import type { Outage } from "./store_contact.ts";
 
 /** What a {@link Fleet} works with. */
 export interface FleetOptions {
@@ -16,16 +10,18 @@
   log: Logger;
   /** Settings of a server of this service. */
   serverOptions(service: string): ServerOptions;
-  /** The outage of the store in which registrations that are gone may have lapsed. */
+  /** The outage of the store in which a registration that is deleted now may have lapsed. */
   outage(): Outage | undefined;
+  /** Whether registrations that lapsed in an outage may still be written again. */
+  awaitsReturns(): boolean;
 }
 
 /** All backend servers. */
 export class Fleet {
   readonly #options: FleetOptions;
   readonly #servers = new Map<string, Server>();
-  /** Servers whose registration is gone and may come back, with the time it went. */
-  readonly #lapsedAtMs = new Map<string, number>();
+  /** Servers whose registration may have lapsed in an outage, and may come back. */
+  readonly #missing = new Set<string>();
 
   private constructor(options: FleetOptions) {
     this.#options = options;
@@ -68,7 +64,7 @@
 
   /** @param entry A registration, new or changed. */
   put(entry: BackendServer): void {
-    this.#lapsedAtMs.delete(entry.id);
+    this.#missing.delete(entry.id);
     const known = this.#servers.get(entry.id);
     if (known && known.entry.address === entry.address) {
       this.#tellDraining(known, entry);
@@ -96,7 +92,7 @@
     if (!this.#servers.has(id)) return;
     const outage = this.#options.outage();
     if (!outage) return this.drop(id, "registration_gone");
-    this.#lapsedAtMs.set(id, this.#options.clock.nowMs());
+    this.#missing.add(id);
     this.#tellKept(id, outage);
   }
 
@@ -110,20 +106,15 @@
     const server = this.#servers.get(id);
     if (!server) return;
     this.#servers.delete(id);
-    this.#lapsedAtMs.delete(id);
+    this.#missing.delete(id);
     server.channels.closeIdle();
     this.#options.log.info({ event: "server_left", server: id, reason });
   }
 
   /** Forgets servers whose registration lapsed in an outage and did not come back. */
   sweep(): void {
-    const nowMs = this.#options.clock.nowMs();
-    for (const [id, atMs] of this.#lapsedAtMs) {
-      // While the store is away nothing can be written again.
-      const isAway = this.#options.outage() !== undefined;
-      if (nowMs - atMs < LAPSED_KEPT_MS || isAway) continue;
-      this.drop(id, "registration_lapsed");
-    }
+    if (this.#options.awaitsReturns()) return;
+    for (const id of this.#missing) this.drop(id, "registration_lapsed");
   }
 
   /** Puts limits that the configuration changed in force for the servers that are known. */
@@ -143,7 +134,7 @@
       event: "server_kept",
       server: id,
       reason: isOver ? "store_regained" : "store_lost",
-      outageMs: Math.round(lengthMs),
+      outageMs: lengthMs === undefined ? undefined : Math.round(lengthMs),
     });
   }
 
--- a/src/router/fleet_test.ts
+++ b/src/router/fleet_test.ts
@@ -6,13 +6,13 @@
 interface Made {
   fleet: Fleet;
   clock: TestClock;
-  outage: { is: boolean };
+  outage: { mayLapse: boolean; awaitsReturns: boolean };
   lines: LogLine[];
 }
 
 function create(): Made {
   const clock = new TestClock();
-  const outage = { is: false };
+  const outage = { mayLapse: false, awaitsReturns: false };
   const { log, lines } = recordedLog();
   const fleet = Fleet.create({
     clock,
@@ -23,7 +23,9 @@
       cacheTokens: 1000,
       connectionLimit: 9,
     }),
-    outage: () => outage.is ? { isOver: false, lengthMs: 5000 } : undefined,
+    outage: () =>
+      outage.mayLapse ? { isOver: false, lengthMs: 5000 } : undefined,
+    awaitsReturns: () => outage.awaitsReturns,
   });
   return { fleet, clock, outage, lines };
 }
@@ -51,12 +53,37 @@
 test("server whose registration lapsed in an outage is kept until it had time to return", () => {
   const { fleet, clock, outage } = create();
   fleet.put(registration("a"));
-  outage.is = true;
+  outage.mayLapse = true;
+  outage.awaitsReturns = true;
   fleet.remove("a");
   clock.advance(60_000);
   fleet.sweep();
   assert.deepEqual(ids(fleet), ["a"]);
-  outage.is = false;
+  outage.mayLapse = false;
+  fleet.sweep();
+  assert.deepEqual(ids(fleet), ["a"]);
+  outage.awaitsReturns = false;
+  fleet.sweep();
+  assert.deepEqual(ids(fleet), []);
+});
+
+test("server that leaves while others have time to return is gone at once", () => {
+  const { fleet, outage } = create();
+  fleet.put(registration("a"));
+  fleet.put(registration("b"));
+  outage.mayLapse = true;
+  outage.awaitsReturns = true;
+  fleet.remove("a");
+  outage.mayLapse = false;
+  fleet.remove("b");
+  assert.deepEqual(ids(fleet), ["a"]);
+});
+
+test("server is kept no longer the later its deletion comes", () => {
+  const { fleet, outage } = create();
+  fleet.put(registration("a"));
+  outage.mayLapse = true;
+  fleet.remove("a");
   fleet.sweep();
   assert.deepEqual(ids(fleet), []);
 });
@@ -64,7 +91,7 @@
 test("server that is kept is told of, with the outage", () => {
   const { fleet, outage, lines } = create();
   fleet.put(registration("a"));
-  outage.is = true;
+  outage.mayLapse = true;
   fleet.remove("a");
   const kept = lines.filter(({ event }) => event === "server_kept");
   assert.deepEqual(
@@ -74,13 +101,13 @@
 });
 
 test("server that registers again after an outage stays", () => {
-  const { fleet, clock, outage } = create();
+  const { fleet, outage } = create();
   fleet.put(registration("a"));
-  outage.is = true;
+  outage.mayLapse = true;
+  outage.awaitsReturns = true;
   fleet.remove("a");
   fleet.put(registration("a"));
-  outage.is = false;
-  clock.advance(60_000);
+  outage.awaitsReturns = false;
   fleet.sweep();
   assert.deepEqual(ids(fleet), ["a"]);
 });
--- a/src/router/follower.ts
+++ b/src/router/follower.ts
@@ -2,47 +2,43 @@
 import type { Clock, Logger } from "../base/mod.ts";
 import type { KeyValueStore, StoreFailure } from "../store/store.ts";
 import type { StoreMirror } from "./mirror.ts";
+import { StoreContact } from "./store_contact.ts";
 
-/** First pause after a failed call; doubled up to {@link RETRY_MAX_MS}. Each call has a price. */
+/** Shortest pause after a failed call. */
 const RETRY_MIN_MS = 100;
-/** A store that comes back is met within this time. */
+/**
+ * Time from one failed call to the next, doubled from {@link RETRY_MIN_MS} on: each call has a
+ * price. A store that refuses calls is met within this time of its return. Calls to one that is
+ * silent take longer than this by themselves, and are followed by the shortest pause.
+ */
 const RETRY_MAX_MS = 500;
 /** Part of a pause that is left to chance, so that entries don't come together. */
 const RETRY_JITTER = 0.3;
-/**
- * Entries that lapsed in an outage are written again within about two seconds of its end; a little
- * more covers the time until this process meets the store again.
- */
-const RECOVERY_MS = 2500;
-
 /** What a {@link StoreFollower} works with. */
 export interface FollowerOptions {
-  store: KeyValueStore;
+  store: Pick<KeyValueStore, "list" | "watch">;
   mirror: StoreMirror;
+  /** Pause between writes of a server's registration. */
+  heartbeatMs: number;
   clock: Clock;
   log: Logger;
   /** 0 to 1. */
   random: () => number;
 }
 
-/** A time in which the store didn't answer this process. */
-export interface Outage {
-  isOver: boolean;
-  /** So far, where it isn't over. */
-  lengthMs: number;
-}
-
 /** Follows the store until it is stopped. */
 export class StoreFollower {
+  /** When the store answered, and what may have lapsed while it didn't. */
+  readonly contact: StoreContact;
   readonly #options: FollowerOptions;
-  #lostAtMs: number | undefined;
-  #regainedAtMs = -Infinity;
-  #lastOutageMs = 0;
   #retryMs = RETRY_MIN_MS;
   #needsList = true;
+  /** When the last call was sent; a watch calls again once it is answered. */
+  #calledAtMs = -Infinity;
 
   private constructor(options: FollowerOptions) {
     this.#options = options;
+    this.contact = StoreContact.create(options);
   }
 
   /**
@@ -53,32 +49,13 @@
     return new StoreFollower(options);
   }
 
-  /** Whether the last call to the store was answered. */
-  get connected(): boolean {
-    return this.#lostAtMs === undefined;
-  }
-
-  /** Whether keys may be missing that lapsed in an outage and are about to be written again. */
-  get recovering(): boolean {
-    if (!this.connected) return true;
-    return this.#options.clock.nowMs() - this.#regainedAtMs < RECOVERY_MS;
-  }
-
-  /** The outage in which keys that are missing may have lapsed. */
-  get outage(): Outage | undefined {
-    if (!this.recovering) return undefined;
-    if (this.#lostAtMs === undefined) {
-      return { isOver: true, lengthMs: this.#lastOutageMs };
-    }
-    const lengthMs = this.#options.clock.nowMs() - this.#lostAtMs;
-    return { isOver: false, lengthMs };
-  }
-
   /**
    * @param signal Ends the work.
    */
   async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
     while (!signal.aborted) {
+      this.#calledAtMs = clock.nowMs();
       const failure = this.#needsList ? await this.#list() : undefined;
       const ended = failure ?? await this.#watch(signal);
       if (signal.aborted) return;
@@ -98,12 +75,17 @@
 
   async #watch(signal: AbortSignal): Promise<StoreFailure | undefined> {
     const { store, mirror } = this.#options;
+    let answers = 0;
     for await (
       const step of store.watch("", mirror.revision + 1n, signal)
     ) {
       if (step.isErr) return step.error;
       this.#answered();
       mirror.follow(step.value);
+      // The first answer of a watch costs the store little: it may fail at the next one again.
+      if (step.value.kind === "progress" && ++answers > 1) {
+        this.#retryMs = RETRY_MIN_MS;
+      }
     }
     return undefined;
   }
@@ -119,27 +101,27 @@
     }
     if (failure) this.#lost(failure);
     const { clock, random } = this.#options;
+    const tookMs = clock.nowMs() - this.#calledAtMs;
+    const pauseMs = Math.max(RETRY_MIN_MS, this.#retryMs - tookMs);
     await clock.sleep(
-      this.#retryMs * (1 + RETRY_JITTER * (random() - 0.5)),
+      pauseMs * (1 + RETRY_JITTER * (random() - 0.5)),
       signal,
     );
     this.#retryMs = Math.min(RETRY_MAX_MS, this.#retryMs * 2);
   }
 
   #lost(failure: StoreFailure): void {
-    if (this.#lostAtMs !== undefined) return;
-    this.#lostAtMs = this.#options.clock.nowMs();
+    if (!this.contact.failed()) return;
     this.#options.log.warn({ event: "store_lost", failure: failure.kind });
   }
 
   #answered(): void {
-    this.#retryMs = RETRY_MIN_MS;
-    if (this.#lostAtMs === undefined) return;
-    const nowMs = this.#options.clock.nowMs();
-    const lostMs = Math.round(nowMs - this.#lostAtMs);
-    this.#options.log.info({ event: "store_regained", lostMs });
-    this.#lostAtMs = undefined;
-    this.#regainedAtMs = nowMs;
-    this.#lastOutageMs = lostMs;
+    this.#calledAtMs = this.#options.clock.nowMs();
+    const lostMs = this.contact.answered();
+    if (lostMs === undefined) return;
+    this.#options.log.info({
+      event: "store_regained",
+      lostMs: Math.round(lostMs),
+    });
   }
 }
--- a/src/router/outage_test.ts
+++ b/src/router/outage_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { test, type TestContext } from "node:test";
 import { ask, CONFIG } from "../standin/mod.ts";
 import { knows, openWorld, until, useConfig, type World } from "./_world.ts";
 
@@ -8,6 +8,19 @@
 /** From the entry's regaining the store to a change that has nothing to do with the outage. */
 const LATER_MS = 1500;
 
+/** Parts of the time that an entry which has just started takes to be settled. */
+const PART_MS = 1000;
+
+/** A world whose first entry has been served by the store for a while. */
+async function openSettledWorld(t: TestContext): Promise<World> {
+  const world = await openWorld(t);
+  for (const version of [2, 3]) {
+    world.clock.aheadMs += PART_MS;
+    await useConfig(world, { ...CONFIG, version });
+  }
+  return world;
+}
+
 /** The store answers the first entry nothing for a while; `meanwhile` happens at the store. */
 async function outage(
   world: World,
@@ -34,30 +47,30 @@
  *   39.85 server_left reason=registration_lapsed
  */
 test("server that leaves after an outage of the store gets nothing more", async (t) => {
-  const world = await openWorld(t);
+  const world = await openSettledWorld(t);
   // The only one, so that every request is sent to it as long as it is used.
   const leaving = await world.worker("i-1");
   await outage(world);
   world.clock.aheadMs += LATER_MS;
   await world.store.delete("servers/i-1");
   // What is written after the deletion is in force, so the entry knows of both.
-  await useConfig(world, { ...CONFIG, version: 2 });
+  await useConfig(world, { ...CONFIG, version: 4 });
   assert.equal((await ask(world, "/book/a")).status, 503);
   assert.equal(leaving.runs.length, 0);
 });
 
 test("server whose registration lapsed in an outage of the store is used until it had time to return", async (t) => {
-  const world = await openWorld(t);
+  const world = await openSettledWorld(t);
   const returning = await world.worker("i-1");
   await world.worker("i-2");
   await outage(world, async () => {
     await world.store.delete("servers/i-1");
     await world.store.delete("servers/i-2");
   });
-  await useConfig(world, { ...CONFIG, version: 2 });
+  await useConfig(world, { ...CONFIG, version: 4 });
   assert.equal((await ask(world, "/book/a")).status, 200);
   await world.store.put("servers/i-1", returning.entry("plain"));
-  await useConfig(world, { ...CONFIG, version: 3 });
+  await useConfig(world, { ...CONFIG, version: 5 });
   world.clock.aheadMs += OUTAGE_MS;
   await until(() => !knows(world, "i-2"));
   assert.ok(knows(world, "i-1"));
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -29,9 +29,13 @@
 const STORE_CONNECT_MS = 500;
 /** A call without an answer by then is taken as lost; calls of a slow store take 60 times 4 ms. */
 const STORE_CALL_MS = 900;
-/** A watch is asked anew this often, so that a silent connection is noticed in time. */
-const WATCH_WAIT_MS = 2000;
-const WATCH_SLACK_MS = 700;
+/**
+ * A watch is asked anew this often, in heartbeat intervals of servers: 1.8 s where they are 1.2 s.
+ * So a connection that went silent is noticed within two of them, before a registration can lapse.
+ */
+const WATCH_WAIT_INTERVALS = 1.5;
+/** An answer of a slow store takes 60 times 4 ms; a watch that takes longer is a silent one. */
+const WATCH_SLACK_MS = 400;
 /** Servers are a few ms away; a connection that takes longer is to a dead one. */
 const SERVER_CONNECT_MS = 300;
 /** Idle connections to servers are closed after this, unless the server names a shorter time. */
@@ -86,10 +90,15 @@
       address: textOf(options.settings.storeAddress),
       connectMs: STORE_CONNECT_MS,
       callMs: STORE_CALL_MS,
-      watchWaitMs: WATCH_WAIT_MS,
+      watchWaitMs: Math.round(
+        WATCH_WAIT_INTERVALS * options.settings.heartbeatMs,
+      ),
       watchSlackMs: WATCH_SLACK_MS,
     });
-    this.#follower = StoreFollower.create({ ...this.#parts() });
+    this.#follower = StoreFollower.create({
+      ...this.#parts(),
+      heartbeatMs: options.settings.heartbeatMs,
+    });
     this.#fleet = this.#createFleet();
     this.#inForce = InForce.create({
       log: this.#log,
@@ -160,7 +169,7 @@
       configVersion: this.#inForce.table?.version,
       storeRevision: String(this.#mirror.revision),
       knowledgeAgeMs: Math.round(this.#mirror.ageMs),
-      storeConnected: this.#follower.connected,
+      storeConnected: this.#follower.contact.connected,
       storeCalls: this.#store.calls,
       entries: this.#peers.count,
       holdsRollLease: this.#roll.holdsLease,
@@ -197,7 +206,9 @@
       serverOptions: (service) => this.#serverOptions(service),
       // What an entry says that the store serves well is no gap of an outage.
       outage: () =>
-        this.#peers.storeServesPeer ? undefined : this.#follower.outage,
+        this.#peers.storeServesPeer ? undefined : this.#follower.contact.outage,
+      awaitsReturns: () =>
+        !this.#peers.storeServesPeer && this.#follower.contact.awaitsReturns,
     });
   }
 
@@ -210,7 +221,7 @@
       port: peerPort,
       fleet: this.#fleet,
       cacheOf: (id) => this.#inForce.cacheOf(id),
-      isStoreServing: () => !this.#follower.recovering,
+      isStoreServing: () => !this.#follower.contact.awaitsReturns,
       knownAddresses: () => [
         ...seedAddresses.map((seed) => seed.ipAddress),
         ...this.#registration.ipAddresses(),
@@ -233,7 +244,7 @@
       holderId: this.#settings.instance,
       turnMs: this.#settings.orderTurnMs,
       isLeaseHeld: () =>
-        this.#mirror.revision === 0n || !this.#follower.connected ||
+        this.#mirror.revision === 0n || !this.#follower.contact.connected ||
         this.#mirror.entries(ROLL_LEASE_KEY).length > 0,
       engineServices: () => this.#inForce.engineServices(),
       wanted: () => this.#wanted.all(),
@@ -269,10 +280,8 @@
   }
 
   async #start(): Promise<void> {
-    const { settings, lifecycle } = {
-      settings: this.#settings,
-      lifecycle: this.#lifecycle,
-    };
+    const settings = this.#settings;
+    const lifecycle = this.#lifecycle;
     lifecycle.own({ name: "store", close: () => this.#store.close() });
     const { clientAddress, readinessAddress, controlAddress } = settings;
     const control = await serveControl(controlAddress, {
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -29,6 +29,8 @@
   graceMs: number;
   /** Holders of the weights lease may not take turns within this time. */
   orderTurnMs: number;
+  /** Pause between a server's writes of its registration. */
+  heartbeatMs: number;
   logLevel: LogLevel;
   choice: ChoiceName;
 }
@@ -77,6 +79,7 @@
     storeAddress: read("STORE_ADDRESS", IP_PORT, parseAddress),
     graceMs: read("GRACE_S", "seconds", parseSeconds),
     orderTurnMs: read("ORDER_TURN_MS", "milliseconds", parseMs),
+    heartbeatMs: read("HEARTBEAT_MS", "milliseconds above 0", parsePositiveMs),
     logLevel: readOr(env, "LOG_LEVEL", { faults, values: LOG_LEVELS }) ??
       "info",
     choice: readOr(env, "CHOICE", {
@@ -134,6 +137,10 @@
   return value !== "" && Number.isFinite(ms) && ms >= 0 ? ms : undefined;
 }
 
+function parsePositiveMs(value: string): number | undefined {
+  return parseMs(value) || undefined;
+}
+
 function parseSeconds(value: string): number | undefined {
   const seconds = parseMs(value);
   return seconds === undefined ? undefined : seconds * 1000;
--- a/src/router/settings_test.ts
+++ b/src/router/settings_test.ts
@@ -15,6 +15,7 @@
   CICADAHITCH_STORE_ADDRESS: "10.0.0.9:2379",
   CICADAHITCH_GRACE_S: "7.5",
   CICADAHITCH_ORDER_TURN_MS: "3000",
+  CICADAHITCH_HEARTBEAT_MS: "1200",
 };
 
 test("settings are read from variables of their own", () => {
@@ -22,6 +23,7 @@
   assert.ok(settings.isOk);
   assert.equal(settings.value.graceMs, 7500);
   assert.equal(settings.value.orderTurnMs, 3000);
+  assert.equal(settings.value.heartbeatMs, 1200);
   assert.equal(settings.value.seedAddresses.length, 2);
   assert.equal(settings.value.choice, ChoiceName.cost);
 });
@@ -39,6 +41,7 @@
     CICADAHITCH_PEER_PORT: "70000",
     CICADAHITCH_STORE_ADDRESS: "store",
     CICADAHITCH_GRACE_S: "soon",
+    CICADAHITCH_HEARTBEAT_MS: "0",
     CICADAHITCH_CHOICE: "best",
     CICADAHITCH_LOG_LEVEL: "loud",
   });
@@ -49,6 +52,7 @@
   assert.deepEqual([...faults.keys()].sort(), [
     "CICADAHITCH_CHOICE",
     "CICADAHITCH_GRACE_S",
+    "CICADAHITCH_HEARTBEAT_MS",
     "CICADAHITCH_LOG_LEVEL",
     "CICADAHITCH_PEER_PORT",
     "CICADAHITCH_STORE_ADDRESS",
--- /dev/null
+++ b/src/router/store_contact.ts
@@ -0,0 +1,138 @@
+/**
+ * When the store answered this process and when it didn't, and what follows for registrations that
+ * are gone: those that lapsed in an outage are written again after it, those of servers that left
+ * are not. Times are counted from when the store can have been back, not from when a deletion came.
+ */
+import type { Clock } from "../base/mod.ts";
+
+/**
+ * A registration lapses after three heartbeat intervals of silence, and up to one of them may have
+ * passed before the outage: in a shorter one nothing lapses.
+ */
+const LAPSE_INTERVALS = 2;
+/**
+ * Registrations that lapsed are back within about two seconds of the store's return. It is met
+ * within a second, and a server that left must be out of use 3 s after it: the rest covers the
+ * pause until that is looked at.
+ */
+const RETURN_MS = 1900;
+
+/** A time in which the store didn't answer this process. */
+export interface Outage {
+  isOver: boolean;
+  /** So far, where it isn't over; left out where it began before this process. */
+  lengthMs?: number;
+}
+
+/** What a {@link StoreContact} works with. */
+export interface StoreContactOptions {
+  clock: Clock;
+  /** Pause between writes of a server's registration. */
+  heartbeatMs: number;
+}
+
+/** An outage that is over. */
+interface PastOutage {
+  silentMs: number;
+  regainedAtMs: number;
+}
+
+/** Contact with the store. */
+export class StoreContact {
+  readonly #clock: Clock;
+  readonly #heartbeatMs: number;
+  #answeredAtMs = -Infinity;
+  #lostAtMs: number | undefined;
+  /** The last one in which registrations may have lapsed. */
+  #past: PastOutage | undefined;
+
+  private constructor({ clock, heartbeatMs }: StoreContactOptions) {
+    this.#clock = clock;
+    this.#heartbeatMs = heartbeatMs;
+  }
+
+  /**
+   * @param options Clock and heartbeat interval.
+   * @returns Contact that has not been made yet.
+   */
+  static create(options: StoreContactOptions): StoreContact {
+    return new StoreContact(options);
+  }
+
+  /** Whether the last call was answered. */
+  get connected(): boolean {
+    return this.#lostAtMs === undefined && this.#answeredAtMs > -Infinity;
+  }
+
+  /** Whether registrations that lapsed in an outage may still be written again. */
+  get awaitsReturns(): boolean {
+    return !this.connected || this.#sinceRegainedMs < RETURN_MS;
+  }
+
+  /**
+   * The outage in which a registration may have lapsed whose deletion is taken now. Servers that
+   * live write theirs within one heartbeat interval of the store's return, so that later deletions
+   * have another cause.
+   */
+  get outage(): Outage | undefined {
+    if (!this.connected) {
+      const lengthMs = finite(this.#nowMs - this.#answeredAtMs);
+      return { isOver: false, lengthMs };
+    }
+    if (!this.#past || this.#sinceRegainedMs >= this.#heartbeatMs) {
+      return undefined;
+    }
+    return { isOver: true, lengthMs: finite(this.#past.silentMs) };
+  }
+
+  /**
+   * A call got no answer.
+   *
+   * @returns Whether it is the first one in vain.
+   */
+  failed(): boolean {
+    if (this.#lostAtMs !== undefined) return false;
+    this.#lostAtMs = this.#nowMs;
+    return true;
+  }
+
+  /**
+   * A call was answered.
+   *
+   * @returns Time since the first call in vain, if there was one.
+   */
+  answered(): number | undefined {
+    const nowMs = this.#nowMs;
+    const silentMs = nowMs - this.#answeredAtMs;
+    if (this.#mayHaveLapsed(silentMs)) {
+      this.#past = { silentMs, regainedAtMs: nowMs };
+    }
+    const lostAtMs = this.#lostAtMs;
+    this.#lostAtMs = undefined;
+    this.#answeredAtMs = nowMs;
+    return lostAtMs === undefined ? undefined : nowMs - lostAtMs;
+  }
+
+  #mayHaveLapsed(silentMs: number): boolean {
+    if (silentMs >= LAPSE_INTERVALS * this.#heartbeatMs) return true;
+    // What lapsed in the outage before had no time to be back.
+    return this.#lostAtMs !== undefined &&
+      this.#answeredAtMs - this.#regainedAtMs < RETURN_MS;
+  }
+
+  get #sinceRegainedMs(): number {
+    return this.#nowMs - this.#regainedAtMs;
+  }
+
+  get #regainedAtMs(): number {
+    return this.#past?.regainedAtMs ?? -Infinity;
+  }
+
+  get #nowMs(): number {
+    return this.#clock.nowMs();
+  }
+}
+
+function finite(ms: number): number | undefined {
+  return Number.isFinite(ms) ? ms : undefined;
+}
