Count the age of weights that are heard of late from the last contact

Change: what is heard after calls in vain counts as named at the last answer before them, until a peer that heard it in time tells otherwise.

Before: an end-to-end test with one entry got 200 where 503 is due. After: it passes, and without the change to the router it fails again.

--- a/src/router/follower.ts
+++ b/src/router/follower.ts
@@ -69,6 +69,7 @@
     if (listing.isErr) return listing.error;
     this.#answered();
     mirror.replace(listing.value);
+    this.contact.caughtUp();
     this.#needsList = false;
     return undefined;
   }
@@ -82,6 +83,7 @@
       if (step.isErr) return step.error;
       this.#answered();
       mirror.follow(step.value);
+      if (step.value.kind === "progress") this.contact.caughtUp();
       // The first answer of a watch costs the store little: it may fail at the next one again.
       if (step.value.kind === "progress" && ++answers > 1) {
         this.#retryMs = RETRY_MIN_MS;
--- a/src/router/replaced_weights_test.ts
+++ b/src/router/replaced_weights_test.ts
@@ -76,6 +76,22 @@
   assert.equal(status, 503);
 });
 
+test("entry that hears late of new weights counts their age from its last contact", async (t) => {
+  const world = await openWorld(t);
+  const engine = await world.engine("i-1");
+  engine.faults.refuseOrder = Infinity;
+  world.link.down();
+  await until(() => knows(world, '"storeConnected":false'));
+  await world.store.put("op/version/m", { model: "m", version: 2 });
+  world.entries[0]!.clock.aheadMs = RETIRED_MS;
+  world.link.up();
+  await until(() => isTold(world));
+  // As old as it can be, the version leaves its former one as long as one of unknown age.
+  world.entries[0]!.clock.aheadMs += RETIRED_MS / 3;
+  assert.equal((await ask(world, "/stream/a", PROMPT)).status, 503);
+  assert.equal(engine.runs.length, 0);
+});
+
 // Two requests reached an engine 7.5 s after its weights had been replaced, when that was still
 // allowed, waited 2.6 s in its queue ("expectedMs" 456, "ttftMs" 2508) and began at 10.05 s and
 // 10.16 s, when it was not. Nothing took them back.
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -107,8 +107,7 @@
       log: this.#log,
       fleet: this.#fleet,
       wanted: this.#wanted,
-      // The first that this process learns may be of any age.
-      maxAgeMs: () => this.#mirror.revision === 0n ? Infinity : 0,
+      maxAgeMs: () => this.#follower.contact.maxAgeMs,
       onConfig: () => this.#ingress.applyLimits(),
     });
     this.#relay = RelayReader.create({
--- a/src/router/store_contact.ts
+++ b/src/router/store_contact.ts
@@ -45,6 +45,8 @@
   #lostAtMs: number | undefined;
   /** The last one in which registrations may have lapsed. */
   #past: PastOutage | undefined;
+  /** Time without an answer before the one that is taken now. */
+  #gapMs = 0;
 
   private constructor({ clock, heartbeatMs }: StoreContactOptions) {
     this.#clock = clock;
@@ -85,6 +87,11 @@
     return { isOver: true, lengthMs: finite(this.#past.silentMs) };
   }
 
+  /** For how long what is heard of the store now may have been so; 0: it has just changed. */
+  get maxAgeMs(): number {
+    return this.connected ? this.#gapMs : this.#nowMs - this.#answeredAtMs;
+  }
+
   /**
    * A call got no answer.
    *
@@ -108,11 +115,17 @@
       this.#past = { silentMs, regainedAtMs: nowMs };
     }
     const lostAtMs = this.#lostAtMs;
+    if (!this.connected) this.#gapMs = silentMs;
     this.#lostAtMs = undefined;
     this.#answeredAtMs = nowMs;
     return lostAtMs === undefined ? undefined : nowMs - lostAtMs;
   }
 
+  /** All was taken that had changed without contact. */
+  caughtUp(): void {
+    this.#gapMs = 0;
+  }
+
   #mayHaveLapsed(silentMs: number): boolean {
     if (silentMs >= LAPSE_INTERVALS * this.#heartbeatMs) return true;
     // What lapsed in the outage before had no time to be back.
--- a/src/router/store_contact_test.ts
+++ b/src/router/store_contact_test.ts
@@ -147,3 +147,32 @@
   made.clock.advance(1900);
   assert.equal(made.contact.awaitsReturns, false);
 });
+
+test("what is heard first may be of any age", () => {
+  const { contact } = createNew();
+  assert.equal(contact.maxAgeMs, Infinity);
+  contact.answered();
+  assert.equal(contact.maxAgeMs, Infinity);
+  contact.caughtUp();
+  assert.equal(contact.maxAgeMs, 0);
+});
+
+test("what is heard after calls in vain may be as old as the last answer", () => {
+  const made = create();
+  const { contact, clock } = made;
+  contact.caughtUp();
+  assert.equal(contact.maxAgeMs, 0);
+  clock.advance(CALL_MS);
+  contact.failed();
+  // A peer may tell meanwhile.
+  assert.equal(contact.maxAgeMs, CALL_MS);
+  clock.advance(CALL_MS);
+  // Steps of one answer count as answers each.
+  for (let step = 0; step < 2; step++) {
+    contact.answered();
+    assert.equal(contact.maxAgeMs, 2 * CALL_MS);
+  }
+  contact.caughtUp();
+  answer(made);
+  assert.equal(contact.maxAgeMs, 0);
+});
