Give the roll of weights tests in virtual time

Cause: the roll had no unit tests, since its calls to engines could not be replaced, and its log lines did not tell how late an order was.

Change: the roll is given its calls, and the book of named versions; engine_back and weights_ordered carry replacedMs, the time since the engine's weights were replaced. A kit with engines, a store and processes in virtual time; three tests of what holds today. Nothing else behaves otherwise.

Ruled out: stand-in engines over sockets, since virtual time would not wait for them.

--- /dev/null
+++ b/src/router/_roll_kit.ts
@@ -0,0 +1,205 @@
+/** Engines in virtual time, and processes that bring weights to them, for tests of the roll. */
+import type { TestContext } from "node:test";
+import { Result } from "true-myth";
+import { ManualClock } from "../lease/manual_clock.ts";
+import { MemoryStore } from "../store/memory_store.ts";
+import { registration, silentLog } from "./_kit.ts";
+import type { EngineCalls } from "./engine_orders.ts";
+import { Fleet } from "./fleet.ts";
+import { WantedVersions } from "./wanted_weights.ts";
+import { ROLL_LEASE_KEY, WeightsRoll } from "./weights_roll.ts";
+
+/** Time that an engine takes to load weights once its runs have ended. */
+const LOAD_MS = 760;
+/** Holders may not take turns within this time. */
+export const TURN_MS = 3000;
+
+/** An order that an engine accepted. */
+export interface AcceptedOrder {
+  engine: string;
+  atMs: number;
+  holderId: string;
+  fencingNumber: bigint;
+}
+
+/** An engine that reports, and takes orders, without a lag. */
+export class FakeEngine {
+  readonly id: string;
+  /** Time that its runs take to end once an order was accepted. */
+  runsMs = 0;
+  /** Loses what it was ordered, as one that starts again under its id. */
+  forgetsNext = false;
+  readonly #clock: ManualClock;
+  #version = 1;
+  #loading: { version: number; readyAtMs: number } | undefined;
+  #sequence = 0;
+
+  constructor(id: string, clock: ManualClock) {
+    this.id = id;
+    this.#clock = clock;
+  }
+
+  /** Version of the weights that are loaded. */
+  get version(): number {
+    const loading = this.#loading;
+    if (loading && this.#clock.nowMs() >= loading.readyAtMs) {
+      this.#version = loading.version;
+      this.#loading = undefined;
+    }
+    return this.#version;
+  }
+
+  get isLoading(): boolean {
+    return this.version !== undefined && this.#loading !== undefined;
+  }
+
+  get sequence(): number {
+    return this.#sequence;
+  }
+
+  /** @param version What it is to load. */
+  accept(version: number): void {
+    this.#sequence++;
+    if (this.forgetsNext) {
+      this.forgetsNext = false;
+      this.#sequence = 0;
+      return;
+    }
+    const readyAtMs = this.#clock.nowMs() + this.runsMs + LOAD_MS;
+    this.#loading = { version, readyAtMs };
+  }
+}
+
+/** A process that may hold the roll's lease. */
+export interface TestHolder {
+  roll: WeightsRoll;
+  fleet: Fleet;
+  /** Ends it without a word, so that its lease lapses. */
+  kill(): void;
+  /** Ends it in order. */
+  stop(): Promise<void>;
+}
+
+/** Engines, and what the operator wants. */
+export interface RollWorld {
+  clock: ManualClock;
+  store: MemoryStore;
+  engines: FakeEngine[];
+  wanted: WantedVersions;
+  orders: AcceptedOrder[];
+  /** Starts a process. */
+  hold(holderId: string): TestHolder;
+}
+
+/**
+ * @param t The test; its end stops everything.
+ * @param options How many engines.
+ * @returns Engines with version 1 of the weights of `m`.
+ */
+export function openRollWorld(
+  t: TestContext,
+  { engineCount }: { engineCount: number },
+): RollWorld {
+  const clock = ManualClock.create();
+  const store = MemoryStore.create({ clock });
+  const wanted = WantedVersions.create(clock);
+  const engines = Array.from(
+    { length: engineCount },
+    (_, i) => new FakeEngine(`e${i + 1}`, clock),
+  );
+  const orders: AcceptedOrder[] = [];
+  const calls = createCalls({ clock, engines, orders });
+  const hold = (holderId: string): TestHolder => {
+    const fleet = createFleet(clock);
+    for (const { id } of engines) fleet.put(registration(id));
+    const end = new AbortController();
+    let isKilled = false;
+    const roll = WeightsRoll.create({
+      store: cutOff(store, () => isKilled),
+      clock,
+      log: silentLog,
+      fleet,
+      calls,
+      holderId,
+      turnMs: TURN_MS,
+      random: () => 0.5,
+      isLeaseHeld: () => store.table.get(ROLL_LEASE_KEY) !== undefined,
+      engineServices: () => ["engines"],
+      wanted,
+      onWeights: () => {},
+    });
+    const ended = roll.run(end.signal);
+    const stop = async () => {
+      end.abort();
+      await ended;
+    };
+    const kill = () => {
+      isKilled = true;
+      end.abort();
+    };
+    t.after(stop);
+    return { roll, fleet, kill, stop };
+  };
+  return { clock, store, engines, wanted, orders, hold };
+}
+
+/** A killed process gives up no lease: its calls reach the store no more. */
+function cutOff(store: MemoryStore, isKilled: () => boolean): MemoryStore {
+  return new Proxy(store, {
+    get(target, name) {
+      const value: unknown = Reflect.get(target, name);
+      if (typeof value !== "function") return value;
+      if (name === "revokeLease" && isKilled()) {
+        return () => Promise.resolve(Result.ok(undefined));
+      }
+      return value.bind(target);
+    },
+  });
+}
+
+function createFleet(clock: ManualClock): Fleet {
+  return Fleet.create({
+    clock,
+    log: silentLog,
+    serverOptions: () => ({
+      connectMs: 1,
+      idleMs: 1,
+      cacheTokens: 1000,
+      connectionLimit: 100,
+    }),
+    isRecovering: () => false,
+  });
+}
+
+function createCalls(
+  { clock, engines, orders }: {
+    clock: ManualClock;
+    engines: FakeEngine[];
+    orders: AcceptedOrder[];
+  },
+): EngineCalls {
+  const find = (id: string) => engines.find((engine) => engine.id === id)!;
+  return {
+    fetchReport: ({ id }) => {
+      const engine = find(id);
+      return Promise.resolve(Result.ok({
+        weights: new Map([["m", engine.version]]),
+        busy: engine.isLoading,
+        orderSequence: engine.sequence,
+        waiting: 0,
+        running: 0,
+      }));
+    },
+    sendOrder: ({ id }, order) => {
+      const engine = find(id);
+      if (order.orderSequence !== engine.sequence || engine.isLoading) {
+        return Promise.resolve(Result.ok({ kind: "conflict" }));
+      }
+      engine.accept(order.version);
+      const { holderId, fencingNumber } = order;
+      const atMs = clock.nowMs();
+      orders.push({ engine: id, atMs, holderId, fencingNumber });
+      return Promise.resolve(Result.ok({ kind: "accepted" }));
+    },
+  };
+}
--- a/src/router/engine_orders.ts
+++ b/src/router/engine_orders.ts
@@ -5,6 +5,7 @@
 import type { Fleet } from "./fleet.ts";
 import type { ServerReport, WantedWeights } from "./model.ts";
 import type { Server } from "./server.ts";
+import type { WantedVersions } from "./wanted_weights.ts";
 
 /** Pause between looks at whether a registration told of the weights. */
 const LOOK_MS = 50;
@@ -19,9 +20,19 @@
 /** An order that has no effect within this time is decided anew. */
 const ORDER_MS = 4000;
 
+/** Calls to engines. */
+export interface EngineCalls {
+  fetchReport: typeof fetchReport;
+  sendOrder: typeof sendOrder;
+}
+
+/** The platform's own. */
+export const PLATFORM_CALLS: EngineCalls = { fetchReport, sendOrder };
+
 /** What {@link EngineOrders} work with. */
 export interface EngineOrdersOptions {
   clock: Clock;
+  calls: EngineCalls;
   log: Logger;
   fleet: Fleet;
   holderId: string;
@@ -31,6 +42,8 @@
   onFenced(): Promise<void>;
   /** Weights were seen at a server; other entries are told. */
   onWeights(server: Server, model: string, version: number): void;
+  /** Weights that the operator wants. */
+  wanted: WantedVersions;
 }
 
 /** What became of an order. */
@@ -87,7 +100,8 @@
     target: WantedWeights,
     { signal }: { signal: AbortSignal },
   ): Promise<boolean> {
-    const report = await fetchReport(server.entry, CALL_MS);
+    const { calls } = this.#options;
+    const report = await calls.fetchReport(server.entry, CALL_MS);
     if (report.isErr) {
       this.#unheard(server, report.error.kind);
       return true;
@@ -108,10 +122,12 @@
     target: WantedWeights,
     { orderSequence }: { orderSequence: number },
   ): Promise<OrderOutcome> {
-    const { holderId, log } = this.#options;
+    const { holderId, log, calls, wanted } = this.#options;
     const lease = this.#options.lease();
     if (!lease?.isHeldFor(CALL_MS)) return "not_holder";
-    const answer = await sendOrder(server.entry, {
+    const has = server.weights(target.model) ?? target.version;
+    const replacedMs = wanted.replacedForMs(target.model, has);
+    const answer = await calls.sendOrder(server.entry, {
       ...target,
       runs: "finish",
       holderId,
@@ -125,6 +141,7 @@
       version: target.version,
       sequence: orderSequence,
       answer: said,
+      replacedMs: Math.round(replacedMs),
     });
     return said;
   }
@@ -163,7 +180,7 @@
     target: WantedWeights,
     { signal }: { signal: AbortSignal },
   ): Promise<void> {
-    const { clock } = this.#options;
+    const { clock, calls } = this.#options;
     const untilMs = clock.nowMs() + ORDER_MS;
     let reportAtMs = clock.nowMs() + FIRST_REPORT_MS;
     while (!signal.aborted && clock.nowMs() < untilMs) {
@@ -172,7 +189,7 @@
       if (!lacks(server, [target])) return;
       if (clock.nowMs() < reportAtMs) continue;
       reportAtMs = clock.nowMs() + REPORT_MS;
-      const report = await fetchReport(server.entry, CALL_MS);
+      const report = await calls.fetchReport(server.entry, CALL_MS);
       if (report.isErr) return this.#unheard(server, report.error.kind);
       if (this.#has(server, target, report.value)) return;
     }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -9,6 +9,7 @@
 import { PlatformStore, READINESS_PATH } from "../platform/mod.ts";
 import { closeServer, serveControl, serveReadiness } from "./control.ts";
 import { Dispatcher } from "./dispatch.ts";
+import { PLATFORM_CALLS } from "./engine_orders.ts";
 import { Fleet } from "./fleet.ts";
 import { StoreFollower } from "./follower.ts";
 import { InForce } from "./in_force.ts";
@@ -230,13 +231,14 @@
     return WeightsRoll.create({
       ...this.#parts(),
       fleet: this.#fleet,
+      calls: PLATFORM_CALLS,
       holderId: this.#settings.instance,
       turnMs: this.#settings.orderTurnMs,
       isLeaseHeld: () =>
         this.#mirror.revision === 0n || !this.#follower.connected ||
         this.#mirror.entries(ROLL_LEASE_KEY).length > 0,
       engineServices: () => this.#inForce.engineServices(),
-      wanted: () => this.#wanted.all(),
+      wanted: this.#wanted,
       onWeights: (server, model, version) =>
         this.#peers.tellWeights(server.id, model, version),
     });
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -6,10 +6,10 @@
 import type { Clock, Logger } from "../base/mod.ts";
 import { FencedLease } from "../lease/mod.ts";
 import type { KeyValueStore } from "../store/store.ts";
-import { EngineOrders, lacks } from "./engine_orders.ts";
+import { type EngineCalls, EngineOrders, lacks } from "./engine_orders.ts";
 import type { Fleet } from "./fleet.ts";
-import type { WantedWeights } from "./model.ts";
 import type { Server } from "./server.ts";
+import type { WantedVersions } from "./wanted_weights.ts";
 
 /** Key of the lease. */
 export const ROLL_LEASE_KEY = "cicadahitch/weights-roll";
@@ -46,6 +46,7 @@
   clock: Clock;
   log: Logger;
   fleet: Fleet;
+  calls: EngineCalls;
   holderId: string;
   /** Holders may not take turns within this time. */
   turnMs: number;
@@ -55,7 +56,7 @@
   /** Services whose servers are engines. */
   engineServices(): string[];
   /** Weights that the operator wants. */
-  wanted(): WantedWeights[];
+  wanted: WantedVersions;
   /** Weights were seen at a server; other entries are told. */
   onWeights(server: Server, model: string, version: number): void;
 }
@@ -106,7 +107,7 @@
     if (this.#out.size > 0) return true;
     const { fleet, engineServices, wanted } = this.#options;
     return engineServices().some((service) =>
-      fleet.open(service).some((server) => lacks(server, wanted()))
+      fleet.open(service).some((server) => lacks(server, wanted.all()))
     );
   }
 
@@ -180,7 +181,7 @@
       const room = Math.max(1, Math.round(servers.length * HELD_SHARE)) -
         servers.filter(({ id }) => this.#out.has(id)).length;
       const behind = servers.filter((server) =>
-        lacks(server, wanted()) && this.#isDue(server, nowMs)
+        lacks(server, wanted.all()) && this.#isDue(server, nowMs)
       );
       behind.sort((a, b) => this.#compare(a, b, { nowMs }));
       for (const server of behind.slice(0, Math.max(0, room))) {
@@ -196,13 +197,22 @@
 
   /** Oldest weights first; of these, the engine with little to do loses least. */
   #compare(a: Server, b: Server, { nowMs }: { nowMs: number }): number {
-    for (const { model } of this.#options.wanted()) {
+    for (const { model } of this.#options.wanted.all()) {
       const older = (a.weights(model) ?? 0) - (b.weights(model) ?? 0);
       if (older !== 0) return older;
     }
     return a.load(nowMs).running - b.load(nowMs).running;
   }
 
+  /** Time since the first of its weights was replaced; 0 if none was. */
+  #replacedForMs(server: Server): number {
+    const { wanted } = this.#options;
+    const agesMs = wanted.all().map(({ model, version }) =>
+      wanted.replacedForMs(model, server.weights(model) ?? version)
+    );
+    return Math.max(0, ...agesMs);
+  }
+
   #isDue(server: Server, nowMs: number): boolean {
     if (this.#out.has(server.id) || server.health.isDown) return false;
     return nowMs >= (this.#retryAtMs.get(server.id) ?? 0);
@@ -218,7 +228,8 @@
       await this.#awaitBound(server, signal);
       const orderMs = clock.nowMs();
       const left = server.load(orderMs).running;
-      for (const target of wanted()) {
+      const replacedMs = this.#replacedForMs(server);
+      for (const target of wanted.all()) {
         if (!lacks(server, [target])) continue;
         await this.#orders.load(server, target, { signal });
       }
@@ -227,8 +238,9 @@
         server: server.id,
         drainedMs: Math.round(orderMs - startMs),
         left,
+        replacedMs: Math.round(replacedMs),
         loadedMs: Math.round(clock.nowMs() - orderMs),
-        behind: lacks(server, wanted()),
+        behind: lacks(server, wanted.all()),
       });
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
@@ -237,7 +249,7 @@
       this.#out.delete(server.id);
       server.holdBack(-Infinity);
       this.#retryAtMs.set(server.id, clock.nowMs() + RETRY_MS);
-      if (!lacks(server, wanted())) this.#retryAtMs.delete(server.id);
+      if (!lacks(server, wanted.all())) this.#retryAtMs.delete(server.id);
     }
   }
 
--- /dev/null
+++ b/src/router/weights_roll_test.ts
@@ -0,0 +1,64 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { openRollWorld, type RollWorld, type TestHolder } from "./_roll_kit.ts";
+
+/** The first holder waits for a turn of a holder that may have been before it. */
+const FIRST_TURN_MS = 4000;
+/** Time from a version's naming until no request may begin on older ones. */
+const REPLACED_MS = 10_000;
+
+/** Gives every engine runs that can't go on at another one. */
+function keepBusy({ fleet }: TestHolder, runs = 1): void {
+  for (const server of fleet.all()) {
+    for (let i = 0; i < runs; i++) server.begin(0, true);
+  }
+}
+
+/** Lets time pass, and returns how many engines were held back at most. */
+async function mostHeldBack(
+  { clock }: RollWorld,
+  { roll }: TestHolder,
+  { forMs }: { forMs: number },
+): Promise<number> {
+  let most = 0;
+  for (let ms = 0; ms < forMs; ms += 50) {
+    await clock.advance(50);
+    most = Math.max(most, roll.heldBack().length);
+  }
+  return most;
+}
+
+test("roll in time takes out one of six busy engines at once", async (t) => {
+  const world = openRollWorld(t, { engineCount: 6 });
+  const holder = world.hold("a");
+  keepBusy(holder);
+  await world.clock.advance(FIRST_TURN_MS);
+  world.wanted.name({ model: "m", version: 2 });
+  // A share of a fifth, of six.
+  assert.equal(await mostHeldBack(world, holder, { forMs: 3000 }), 1);
+});
+
+test("every engine is brought to the wanted weights", async (t) => {
+  const { clock, wanted, engines, hold } = openRollWorld(t, { engineCount: 6 });
+  hold("a");
+  await clock.advance(FIRST_TURN_MS);
+  wanted.name({ model: "m", version: 2 });
+  await clock.advance(REPLACED_MS);
+  assert.ok(engines.every(({ version }) => version === 2));
+});
+
+test("successor of another holder waits for its turn", async (t) => {
+  const { clock, wanted, orders, hold } = openRollWorld(t, { engineCount: 4 });
+  const first = hold("a");
+  keepBusy(first);
+  await clock.advance(FIRST_TURN_MS);
+  wanted.name({ model: "m", version: 2 });
+  await clock.advance(500);
+  first.kill();
+  const killedAtMs = clock.nowMs();
+  hold("b");
+  await clock.advance(REPLACED_MS);
+  const own = orders.filter(({ holderId }) => holderId === "b");
+  assert.ok(own.length > 0);
+  assert.ok(own.every(({ atMs }) => atMs - killedAtMs >= 3000));
+});
