Test that a roll of weights is done in time, also a late one

What fails: a roll that begins 5 s after the naming has ordered two of six engines by 10 s, and one whose engines' runs take 2.9 s to end has ordered two; all six are expected within 9 s.

Why: a fifth of the engines, here one, is changed at once, however little time is left until their weights may not be used any more.

--- a/src/router/weights_roll_test.ts
+++ b/src/router/weights_roll_test.ts
@@ -62,3 +62,28 @@
   assert.ok(own.length > 0);
   assert.ok(own.every(({ atMs }) => atMs - killedAtMs >= 3000));
 });
+
+test("roll that begins late has ordered every engine in time", async (t) => {
+  const world = openRollWorld(t, { engineCount: 6 });
+  const { clock, wanted, orders } = world;
+  wanted.name({ model: "m", version: 2 });
+  await clock.advance(2000);
+  keepBusy(world.hold("a"));
+  await clock.advance(REPLACED_MS - 2000);
+  assert.equal(new Set(orders.map(({ engine }) => engine)).size, 6);
+  assert.ok(orders.every(({ atMs }) => atMs < REPLACED_MS - 1000));
+});
+
+test("engine whose runs end late does not hold up the others", async (t) => {
+  const world = openRollWorld(t, { engineCount: 6 });
+  const { clock, wanted, orders, engines } = world;
+  const holder = world.hold("a");
+  keepBusy(holder);
+  for (const engine of engines) engine.runsMs = 2900;
+  await clock.advance(FIRST_TURN_MS);
+  wanted.name({ model: "m", version: 2 });
+  const namedAtMs = clock.nowMs();
+  await clock.advance(REPLACED_MS);
+  assert.equal(new Set(orders.map(({ engine }) => engine)).size, 6);
+  assert.ok(orders.every(({ atMs }) => atMs - namedAtMs < REPLACED_MS - 1000));
+});
