Change as many engines at once as the time left asks for

Cause: a fifth of a service's engines changed at once, with six of them one, however late the roll was, and an engine whose runs ended late held up all others.

Change: roll_pace.ts counts how many engines must be taken out now so that each is ordered within 8.5 s of its weights being replaced, at 1.3 s for each engine; as long as there is time, the share holds. Engines that are late load beyond the two at once.

Ruled out: ending all loads within the bound. An engine that has accepted its order begins nothing on its old weights, so the order is what counts.

One that is in time takes one at once as before.

Conclusion: the roll is in time where its holder is; the holder's wait for its own former life remains.

--- /dev/null
+++ b/src/router/roll_pace.ts
@@ -0,0 +1,50 @@
+/** How many engines change their weights at once, so that all are ordered in time. */
+
+/**
+ * A request may not begin on weights that were replaced 10 s ago, and from 9 s on no entry sends
+ * one to them. An engine that has accepted its order begins nothing on them any more, so it is
+ * ordered half a second before that: the time for one call without an answer.
+ */
+export const ORDER_BY_MS = 8500;
+/** Mean time in which an engine is changed: 0.9 s without runs, up to 3.9 s behind long ones. */
+const ENGINE_MS = 1300;
+/**
+ * Share of a service's engines that get nothing new at once; the rest must carry the load. Mean
+ * worth of eight played days with six engines 0.700, with 0.3 of them held back 0.685.
+ */
+const HELD_SHARE = 0.2;
+
+/** Engines of one service. */
+export interface PaceInput {
+  engineCount: number;
+  /** Engines that change now. */
+  outCount: number;
+  /** For each that still has to: time since its weights were replaced. */
+  replacedMs: number[];
+}
+
+/**
+ * @param input Engines, and for how long their weights have been replaced.
+ * @returns How many more may be taken out now: as long as there is time, up to a share of all.
+ */
+export function roomToChange(input: PaceInput): number {
+  const held = Math.max(1, Math.round(input.engineCount * HELD_SHARE));
+  return Math.max(held - input.outCount, countLate(input));
+}
+
+/**
+ * @param input Engines, and for how long their weights have been replaced.
+ * @returns How many must be taken out now, or some would be ordered too late.
+ */
+export function countLate({ outCount, replacedMs }: PaceInput): number {
+  let late = 0;
+  const oldestFirst = replacedMs.toSorted((a, b) => b - a);
+  for (const [i, ms] of oldestFirst.entries()) {
+    const leftMs = Math.max(0, ORDER_BY_MS - ms);
+    // Engines that can be ordered one after the other in this time, the first one now.
+    const turns = 1 + Math.floor(leftMs / ENGINE_MS);
+    const behindOthers = outCount * (turns - 1);
+    late = Math.max(late, Math.ceil((i + 1 - behindOthers) / turns));
+  }
+  return late;
+}
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -8,6 +8,7 @@
 import type { KeyValueStore } from "../store/store.ts";
 import { type EngineCalls, EngineOrders, lacks } from "./engine_orders.ts";
 import type { Fleet } from "./fleet.ts";
+import { countLate, roomToChange } from "./roll_pace.ts";
 import type { Server } from "./server.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
@@ -24,13 +25,8 @@
 const OLD_AGE_MS = 30_000;
 /** Pause between looks at what is to be done. */
 const LOOK_MS = 50;
-/** Engines that load at once; with more of them each takes longer. */
+/** Engines that load at once; with more of them each takes longer. More do only if some are late. */
 const LOADS_AT_ONCE = 2;
-/**
- * Share of a service's engines that get nothing new at once; the rest must carry the load. Mean
- * worth of eight played days with six engines 0.700, with 0.3 of them held back 0.685.
- */
-const HELD_SHARE = 0.2;
 /** Time for runs to end that can't go on elsewhere; long ones are moved meanwhile. */
 const DRAIN_MS = 1000;
 /** Time that peers need to hear that an engine is held back. */
@@ -178,14 +174,19 @@
     if (nowMs < this.#notBeforeMs) return;
     for (const service of engineServices()) {
       const servers = fleet.open(service);
-      const room = Math.max(1, Math.round(servers.length * HELD_SHARE)) -
-        servers.filter(({ id }) => this.#out.has(id)).length;
       const behind = servers.filter((server) =>
         lacks(server, wanted.all()) && this.#isDue(server, nowMs)
       );
       behind.sort((a, b) => this.#compare(a, b, { nowMs }));
-      for (const server of behind.slice(0, Math.max(0, room))) {
-        void this.#bring(server, signal);
+      const pace = {
+        engineCount: servers.length,
+        outCount: servers.filter(({ id }) => this.#out.has(id)).length,
+        replacedMs: behind.map((server) => this.#replacedForMs(server)),
+      };
+      const late = countLate(pace);
+      const due = behind.slice(0, roomToChange(pace));
+      for (const [i, server] of due.entries()) {
+        void this.#bring(server, { isLate: i < late, signal });
       }
     }
   }
@@ -219,13 +220,16 @@
   }
 
   /** Takes an engine out of use, orders what it lacks, and waits until it has it. */
-  async #bring(server: Server, signal: AbortSignal): Promise<void> {
+  async #bring(
+    server: Server,
+    { isLate, signal }: { isLate: boolean; signal: AbortSignal },
+  ): Promise<void> {
     const { clock, log, wanted } = this.#options;
     const startMs = clock.nowMs();
     this.#out.set(server.id, server);
     this.#spare(startMs);
     try {
-      await this.#awaitBound(server, signal);
+      await this.#awaitBound(server, { isLate, signal });
       const orderMs = clock.nowMs();
       const left = server.load(orderMs).running;
       const replacedMs = this.#replacedForMs(server);
@@ -253,16 +257,20 @@
     }
   }
 
-  /** Waits for the runs that can't go on at another engine. */
-  async #awaitBound(server: Server, signal: AbortSignal): Promise<void> {
+  /** Waits for the runs that can't go on at another engine, and for room to load. */
+  async #awaitBound(
+    server: Server,
+    { isLate, signal }: { isLate: boolean; signal: AbortSignal },
+  ): Promise<void> {
     const { clock } = this.#options;
     const startMs = clock.nowMs();
     await clock.sleep(TOLD_MS, signal);
     while (!signal.aborted) {
       const nowMs = clock.nowMs();
       const isFree = server.load(nowMs).bound === 0;
-      const isLate = nowMs - startMs >= DRAIN_MS;
-      if (this.#orders.underWay < LOADS_AT_ONCE && (isFree || isLate)) return;
+      const isDrained = isFree || nowMs - startMs >= DRAIN_MS;
+      const hasRoom = isLate || this.#orders.underWay < LOADS_AT_ONCE;
+      if (hasRoom && isDrained) return;
       await clock.sleep(LOOK_MS / 2, signal);
     }
   }
