Test late engines and engines without runs in a roll

What fails: no engine is ordered in the 0.8 s after 9.2 s, since each is first held back for a second for its runs; of six engines without runs, one is out at once where two could load.

Why: an order waits for runs also when the weights may soon not be used any more, and the share is meant for engines that carry load.

--- a/src/router/weights_roll_test.ts
+++ b/src/router/weights_roll_test.ts
@@ -87,3 +87,33 @@
   assert.equal(new Set(orders.map(({ engine }) => engine)).size, 6);
   assert.ok(orders.every(({ atMs }) => atMs - namedAtMs < REPLACED_MS - 1000));
 });
+
+test("engines are ordered at once when their weights may soon not be used", async (t) => {
+  const world = openRollWorld(t, { engineCount: 6 });
+  const { clock, wanted, orders } = world;
+  wanted.name({ model: "m", version: 2 });
+  await clock.advance(6000);
+  keepBusy(world.hold("a"), 19);
+  // The turn ends at 9.2 s; runs that could be waited for end at the engine.
+  await clock.advance(REPLACED_MS - 6000);
+  assert.equal(new Set(orders.map(({ engine }) => engine)).size, 6);
+});
+
+test("engines without runs are ordered two at a time", async (t) => {
+  const world = openRollWorld(t, { engineCount: 6 });
+  const { clock, wanted, orders } = world;
+  const holder = world.hold("a");
+  await clock.advance(FIRST_TURN_MS);
+  wanted.name({ model: "m", version: 2 });
+  assert.equal(await mostHeldBack(world, holder, { forMs: 3500 }), 2);
+  assert.equal(new Set(orders.map(({ engine }) => engine)).size, 6);
+});
+
+test("half of few engines stays in use, also without runs", async (t) => {
+  const world = openRollWorld(t, { engineCount: 3 });
+  const { clock, wanted } = world;
+  const holder = world.hold("a");
+  await clock.advance(FIRST_TURN_MS);
+  wanted.name({ model: "m", version: 2 });
+  assert.equal(await mostHeldBack(world, holder, { forMs: 3500 }), 1);
+});
