Order late engines without a wait, and two without runs at once

Cause: each engine was held back for its runs for up to a second, also when its weights were about to be unusable; an engine without runs counted in the share that is meant for engines that carry load.

Engines without runs no longer count in the share: as many of them as may load, and at most half of all, are taken out together.

Ruled out: taking all engines without runs at once. Of few engines some must stay in use, and beyond two each loads longer.

Of three engines one is out at once as before.

--- a/src/router/roll_pace.ts
+++ b/src/router/roll_pace.ts
@@ -14,22 +14,39 @@
  */
 const HELD_SHARE = 0.2;
 
+/** Engines that load at once; with more of them each takes longer. More do only if some are late. */
+export const LOADS_AT_ONCE = 2;
+
 /** Engines of one service. */
 export interface PaceInput {
   engineCount: number;
   /** Engines that change now. */
   outCount: number;
+  /** Those of them that had runs when they were taken out. */
+  busyOutCount: number;
   /** For each that still has to: time since its weights were replaced. */
   replacedMs: number[];
 }
 
+/** How many engines may be taken out now. */
+export interface Room {
+  /** Those that have runs. */
+  busy: number;
+  /** All together. */
+  all: number;
+}
+
 /**
  * @param input Engines, and for how long their weights have been replaced.
- * @returns How many more may be taken out now: as long as there is time, up to a share of all.
+ * @returns Room for engines with runs up to a share of all, so that the rest carries the load; for
+ *   those without runs, up to what may load at once and half of all.
  */
-export function roomToChange(input: PaceInput): number {
-  const held = Math.max(1, Math.round(input.engineCount * HELD_SHARE));
-  return Math.max(held - input.outCount, countLate(input));
+export function roomToChange(input: PaceInput): Room {
+  const { engineCount, outCount, busyOutCount } = input;
+  const held = Math.max(1, Math.round(engineCount * HELD_SHARE));
+  const half = Math.floor(engineCount / 2);
+  const most = Math.max(held, Math.min(LOADS_AT_ONCE, half));
+  return { busy: held - busyOutCount, all: most - outCount };
 }
 
 /**
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -8,7 +8,12 @@
 import type { KeyValueStore } from "../store/store.ts";
 import { type EngineCalls, EngineOrders, lacks } from "./engine_orders.ts";
 import type { Fleet } from "./fleet.ts";
-import { countLate, roomToChange } from "./roll_pace.ts";
+import {
+  countLate,
+  LOADS_AT_ONCE,
+  ORDER_BY_MS,
+  roomToChange,
+} from "./roll_pace.ts";
 import type { Server } from "./server.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
@@ -25,8 +30,6 @@
 const OLD_AGE_MS = 30_000;
 /** Pause between looks at what is to be done. */
 const LOOK_MS = 50;
-/** Engines that load at once; with more of them each takes longer. More do only if some are late. */
-const LOADS_AT_ONCE = 2;
 /** Time for runs to end that can't go on elsewhere; long ones are moved meanwhile. */
 const DRAIN_MS = 1000;
 /** Time that peers need to hear that an engine is held back. */
@@ -57,11 +60,20 @@
   onWeights(server: Server, model: string, version: number): void;
 }
 
+/** An engine that is taken out of use to change its weights. */
+interface Chosen {
+  server: Server;
+  /** It has runs. */
+  isBusy: boolean;
+  /** If it waited for others, some would be ordered too late. */
+  isLate: boolean;
+}
+
 /** Orders weights while it holds the lease. */
 export class WeightsRoll {
   readonly #options: WeightsRollOptions;
   /** Engines that are to change, by id. */
-  readonly #out = new Map<string, Server>();
+  readonly #out = new Map<string, Chosen>();
   readonly #retryAtMs = new Map<string, number>();
   #lease: FencedLease | undefined;
   readonly #startedAtMs: number;
@@ -168,32 +180,52 @@
   }
 
   #look(signal: AbortSignal): void {
-    const { clock, fleet, engineServices, wanted } = this.#options;
-    const nowMs = clock.nowMs();
+    const nowMs = this.#options.clock.nowMs();
     this.#spare(nowMs);
     if (nowMs < this.#notBeforeMs) return;
-    for (const service of engineServices()) {
-      const servers = fleet.open(service);
-      const behind = servers.filter((server) =>
-        lacks(server, wanted.all()) && this.#isDue(server, nowMs)
-      );
-      behind.sort((a, b) => this.#compare(a, b, { nowMs }));
-      const pace = {
-        engineCount: servers.length,
-        outCount: servers.filter(({ id }) => this.#out.has(id)).length,
-        replacedMs: behind.map((server) => this.#replacedForMs(server)),
-      };
-      const late = countLate(pace);
-      const due = behind.slice(0, roomToChange(pace));
-      for (const [i, server] of due.entries()) {
-        void this.#bring(server, { isLate: i < late, signal });
+    for (const service of this.#options.engineServices()) {
+      for (const chosen of this.#chooseNext(service, nowMs)) {
+        void this.#bring(chosen, signal);
       }
     }
   }
 
+  /** Engines of a service that are to be taken out now. */
+  #chooseNext(service: string, nowMs: number): Chosen[] {
+    const { fleet, wanted } = this.#options;
+    const servers = fleet.open(service);
+    const behind = servers.filter((server) =>
+      lacks(server, wanted.all()) && this.#isDue(server, nowMs)
+    );
+    behind.sort((a, b) => this.#compare(a, b, { nowMs }));
+    const out = servers.flatMap(({ id }) => this.#out.get(id) ?? []);
+    const pace = {
+      engineCount: servers.length,
+      outCount: out.length,
+      busyOutCount: out.filter(({ isBusy }) => isBusy).length,
+      replacedMs: behind.map((server) => this.#replacedForMs(server)),
+    };
+    const late = countLate(pace);
+    const room = roomToChange(pace);
+    return behind.flatMap((server, i) => {
+      const chosen = {
+        server,
+        isBusy: server.load(nowMs).running > 0,
+        isLate: i < late,
+      };
+      const fits = room.all > 0 && (!chosen.isBusy || room.busy > 0);
+      if (!fits && !chosen.isLate) return [];
+      room.all--;
+      if (chosen.isBusy) room.busy--;
+      return [chosen];
+    });
+  }
+
   /** Keeps this entry's own requests away; the others are told by {@link heldBack}. */
   #spare(nowMs: number): void {
-    for (const server of this.#out.values()) server.holdBack(nowMs + HOLD_MS);
+    for (const { server } of this.#out.values()) {
+      server.holdBack(nowMs + HOLD_MS);
+    }
   }
 
   /** Oldest weights first; of these, the engine with little to do loses least. */
@@ -220,16 +252,14 @@
   }
 
   /** Takes an engine out of use, orders what it lacks, and waits until it has it. */
-  async #bring(
-    server: Server,
-    { isLate, signal }: { isLate: boolean; signal: AbortSignal },
-  ): Promise<void> {
+  async #bring(chosen: Chosen, signal: AbortSignal): Promise<void> {
     const { clock, log, wanted } = this.#options;
+    const { server } = chosen;
     const startMs = clock.nowMs();
-    this.#out.set(server.id, server);
+    this.#out.set(server.id, chosen);
     this.#spare(startMs);
     try {
-      await this.#awaitBound(server, { isLate, signal });
+      await this.#awaitBound(chosen, signal);
       const orderMs = clock.nowMs();
       const left = server.load(orderMs).running;
       const replacedMs = this.#replacedForMs(server);
@@ -259,13 +289,13 @@
 
   /** Waits for the runs that can't go on at another engine, and for room to load. */
   async #awaitBound(
-    server: Server,
-    { isLate, signal }: { isLate: boolean; signal: AbortSignal },
+    { server, isLate }: Chosen,
+    signal: AbortSignal,
   ): Promise<void> {
     const { clock } = this.#options;
     const startMs = clock.nowMs();
-    await clock.sleep(TOLD_MS, signal);
-    while (!signal.aborted) {
+    if (!this.#isOverdue(server)) await clock.sleep(TOLD_MS, signal);
+    while (!signal.aborted && !this.#isOverdue(server)) {
       const nowMs = clock.nowMs();
       const isFree = server.load(nowMs).bound === 0;
       const isDrained = isFree || nowMs - startMs >= DRAIN_MS;
@@ -274,4 +304,9 @@
       await clock.sleep(LOOK_MS / 2, signal);
     }
   }
+
+  /** From now on it is ordered without a wait: what is sent back as not run goes elsewhere. */
+  #isOverdue(server: Server): boolean {
+    return this.#replacedForMs(server) >= ORDER_BY_MS;
+  }
 }
