Test that a holder of the roll does not wait for its own former life

What fails: a process that starts again on its instance, and takes the lease that its former life held, orders after 3.2 s more. Expected: as soon as the former lease has lapsed.

Why: whoever takes the lease waits out the time in which two holders may not take turns, though an instance is one holder. Two further tests hold today: behind another holder, and where engines check no fences, it waits.

--- a/src/router/_roll_kit.ts
+++ b/src/router/_roll_kit.ts
@@ -7,7 +7,7 @@
 import type { EngineCalls } from "./engine_orders.ts";
 import { Fleet } from "./fleet.ts";
 import { WantedVersions } from "./wanted_weights.ts";
-import { ROLL_LEASE_KEY, WeightsRoll } from "./weights_roll.ts";
+import { LAST_ROLL_KEY, ROLL_LEASE_KEY, WeightsRoll } from "./weights_roll.ts";
 
 /** Time that an engine takes to load weights once its runs have ended. */
 const LOAD_MS = 760;
@@ -80,6 +80,12 @@
   stop(): Promise<void>;
 }
 
+/** Settings of a {@link RollWorld}. */
+export interface RollWorldOptions {
+  engineCount: number;
+  enginesCheckFences?: boolean;
+}
+
 /** Engines, and what the operator wants. */
 export interface RollWorld {
   clock: ManualClock;
@@ -98,7 +104,7 @@
  */
 export function openRollWorld(
   t: TestContext,
-  { engineCount }: { engineCount: number },
+  { engineCount, enginesCheckFences = true }: RollWorldOptions,
 ): RollWorld {
   const clock = ManualClock.create();
   const store = MemoryStore.create({ clock });
@@ -123,7 +129,9 @@
       holderId,
       turnMs: TURN_MS,
       random: () => 0.5,
+      enginesCheckFences,
       isLeaseHeld: () => store.table.get(ROLL_LEASE_KEY) !== undefined,
+      lastHolder: () => store.table.get(LAST_ROLL_KEY),
       engineServices: () => ["engines"],
       wanted,
       onWeights: () => {},
--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -128,6 +128,7 @@
         storeAddress: { ipAddress: linkHost, port: Number(linkPort) },
         graceMs: 2000,
         orderTurnMs,
+        enginesCheckFences: true,
         logLevel: "silent",
         choice: ChoiceName.cost,
       },
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -24,7 +24,7 @@
 import type { ServerOptions } from "./server.ts";
 import type { RouterSettings, SocketAddress } from "./settings.ts";
 import { WantedVersions } from "./wanted_weights.ts";
-import { ROLL_LEASE_KEY, WeightsRoll } from "./weights_roll.ts";
+import { LAST_ROLL_KEY, ROLL_LEASE_KEY, WeightsRoll } from "./weights_roll.ts";
 
 /** The store answers in 4 ms; a connection that takes longer than this is a lost one. */
 const STORE_CONNECT_MS = 500;
@@ -234,9 +234,11 @@
       calls: PLATFORM_CALLS,
       holderId: this.#settings.instance,
       turnMs: this.#settings.orderTurnMs,
+      enginesCheckFences: this.#settings.enginesCheckFences,
       isLeaseHeld: () =>
         this.#mirror.revision === 0n || !this.#follower.connected ||
         this.#mirror.entries(ROLL_LEASE_KEY).length > 0,
+      lastHolder: () => this.#mirror.entries(LAST_ROLL_KEY)[0],
       engineServices: () => this.#inForce.engineServices(),
       wanted: this.#wanted,
       onWeights: (server, model, version) =>
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -29,6 +29,8 @@
   graceMs: number;
   /** Holders of the weights lease may not take turns within this time. */
   orderTurnMs: number;
+  /** Whether engines refuse an order with a lower fencing number than one they have seen. */
+  enginesCheckFences: boolean;
   logLevel: LogLevel;
   choice: ChoiceName;
 }
@@ -77,6 +79,11 @@
     storeAddress: read("STORE_ADDRESS", IP_PORT, parseAddress),
     graceMs: read("GRACE_S", "seconds", parseSeconds),
     orderTurnMs: read("ORDER_TURN_MS", "milliseconds", parseMs),
+    enginesCheckFences: read(
+      "ENGINES_CHECK_FENCES",
+      "true, false or empty",
+      parseFlag,
+    ),
     logLevel: readOr(env, "LOG_LEVEL", { faults, values: LOG_LEVELS }) ??
       "info",
     choice: readOr(env, "CHOICE", {
@@ -134,6 +141,12 @@
   return value !== "" && Number.isFinite(ms) && ms >= 0 ? ms : undefined;
 }
 
+/** The platform leaves empty what it does not say. */
+function parseFlag(value: string): boolean | undefined {
+  if (value === "true") return true;
+  return value === "false" || value === "" ? false : undefined;
+}
+
 function parseSeconds(value: string): number | undefined {
   const seconds = parseMs(value);
   return seconds === undefined ? undefined : seconds * 1000;
--- a/src/router/settings_test.ts
+++ b/src/router/settings_test.ts
@@ -15,6 +15,7 @@
   CICADAHITCH_STORE_ADDRESS: "10.0.0.9:2379",
   CICADAHITCH_GRACE_S: "7.5",
   CICADAHITCH_ORDER_TURN_MS: "3000",
+  CICADAHITCH_ENGINES_CHECK_FENCES: "true",
 };
 
 test("settings are read from variables of their own", () => {
@@ -22,6 +23,7 @@
   assert.ok(settings.isOk);
   assert.equal(settings.value.graceMs, 7500);
   assert.equal(settings.value.orderTurnMs, 3000);
+  assert.equal(settings.value.enginesCheckFences, true);
   assert.equal(settings.value.seedAddresses.length, 2);
   assert.equal(settings.value.choice, ChoiceName.cost);
 });
@@ -32,6 +34,17 @@
   assert.deepEqual(settings.value.seedAddresses, []);
 });
 
+test("engines that are not said to check fences don't", () => {
+  for (const said of ["", "false"]) {
+    const settings = readSettings({
+      ...GOOD,
+      CICADAHITCH_ENGINES_CHECK_FENCES: said,
+    });
+    assert.ok(settings.isOk);
+    assert.equal(settings.value.enginesCheckFences, false);
+  }
+});
+
 test("every fault is named at once, with what is allowed", () => {
   const { CICADAHITCH_ZONE: _, ...rest } = GOOD;
   const settings = readSettings({
@@ -39,6 +52,7 @@
     CICADAHITCH_PEER_PORT: "70000",
     CICADAHITCH_STORE_ADDRESS: "store",
     CICADAHITCH_GRACE_S: "soon",
+    CICADAHITCH_ENGINES_CHECK_FENCES: "perhaps",
     CICADAHITCH_CHOICE: "best",
     CICADAHITCH_LOG_LEVEL: "loud",
   });
@@ -48,6 +62,7 @@
   );
   assert.deepEqual([...faults.keys()].sort(), [
     "CICADAHITCH_CHOICE",
+    "CICADAHITCH_ENGINES_CHECK_FENCES",
     "CICADAHITCH_GRACE_S",
     "CICADAHITCH_LOG_LEVEL",
     "CICADAHITCH_PEER_PORT",
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Logger } from "../base/mod.ts";
 import { FencedLease } from "../lease/mod.ts";
-import type { KeyValueStore } from "../store/store.ts";
+import type { KeyValueEntry, KeyValueStore } from "../store/store.ts";
 import { type EngineCalls, EngineOrders, lacks } from "./engine_orders.ts";
 import type { Fleet } from "./fleet.ts";
 import {
@@ -19,6 +19,8 @@
 
 /** Key of the lease. */
 export const ROLL_LEASE_KEY = "cicadahitch/weights-roll";
+/** Key of who took the lease last; it outlives the lease. */
+export const LAST_ROLL_KEY = "cicadahitch/last-weights-roll";
 /** Time of the lease: a holder that is gone is followed within it and the turn's time. */
 const LEASE_MS = 1500;
 /** Beyond the time in which two holders may not take turns. */
@@ -50,8 +52,12 @@
   /** Holders may not take turns within this time. */
   turnMs: number;
   random: () => number;
+  /** Whether engines refuse an order with a lower fencing number than one they have seen. */
+  enginesCheckFences: boolean;
   /** Whether the store's copy shows the lease as held. */
   isLeaseHeld(): boolean;
+  /** What the store's copy has at {@link LAST_ROLL_KEY}. */
+  lastHolder(): KeyValueEntry | undefined;
   /** Services whose servers are engines. */
   engineServices(): string[];
   /** Weights that the operator wants. */
--- a/src/router/weights_roll_test.ts
+++ b/src/router/weights_roll_test.ts
@@ -1,6 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { openRollWorld, type RollWorld, type TestHolder } from "./_roll_kit.ts";
+import {
+  openRollWorld,
+  type RollWorld,
+  type TestHolder,
+  TURN_MS,
+} from "./_roll_kit.ts";
 
 /** The first holder waits for a turn of a holder that may have been before it. */
 const FIRST_TURN_MS = 4000;
@@ -60,7 +65,7 @@
   await clock.advance(REPLACED_MS);
   const own = orders.filter(({ holderId }) => holderId === "b");
   assert.ok(own.length > 0);
-  assert.ok(own.every(({ atMs }) => atMs - killedAtMs >= 3000));
+  assert.ok(own.every(({ atMs }) => atMs - killedAtMs >= TURN_MS));
 });
 
 test("roll that begins late has ordered every engine in time", async (t) => {
@@ -117,3 +122,55 @@
   wanted.name({ model: "m", version: 2 });
   assert.equal(await mostHeldBack(world, holder, { forMs: 3500 }), 1);
 });
+
+test("holder that starts again orders without a wait", async (t) => {
+  const world = openRollWorld(t, { engineCount: 6 });
+  const { clock, wanted, orders } = world;
+  const first = world.hold("a");
+  await clock.advance(FIRST_TURN_MS);
+  wanted.name({ model: "m", version: 2 });
+  await clock.advance(500);
+  first.kill();
+  const killedAtMs = clock.nowMs();
+  keepBusy(world.hold("a"));
+  await clock.advance(REPLACED_MS);
+  const [next] = orders.filter(({ atMs }) => atMs > killedAtMs);
+  // The lease of its former life lapses 1.5 s after its last renewal.
+  assert.ok(next!.atMs - killedAtMs < 2000);
+  assert.ok(next!.fencingNumber > orders[0]!.fencingNumber);
+});
+
+test("holder that starts again waits where fences are not checked", async (t) => {
+  const world = openRollWorld(t, { engineCount: 6, enginesCheckFences: false });
+  const { clock, wanted, orders } = world;
+  const first = world.hold("a");
+  await clock.advance(FIRST_TURN_MS);
+  wanted.name({ model: "m", version: 2 });
+  await clock.advance(500);
+  first.kill();
+  const killedAtMs = clock.nowMs();
+  world.hold("a");
+  await clock.advance(REPLACED_MS);
+  const later = orders.filter(({ atMs }) => atMs > killedAtMs);
+  assert.ok(later.length > 0);
+  assert.ok(later.every(({ atMs }) => atMs - killedAtMs >= TURN_MS));
+});
+
+test("holder before another one waits for its turn", async (t) => {
+  const world = openRollWorld(t, { engineCount: 6 });
+  const { clock, wanted, orders } = world;
+  const before = world.hold("a");
+  await clock.advance(FIRST_TURN_MS);
+  before.kill();
+  const other = world.hold("b");
+  await clock.advance(FIRST_TURN_MS);
+  wanted.name({ model: "m", version: 2 });
+  await clock.advance(500);
+  other.kill();
+  const killedAtMs = clock.nowMs();
+  world.hold("a");
+  await clock.advance(REPLACED_MS);
+  const own = orders.filter(({ holderId }) => holderId === "a");
+  assert.ok(own.length > 0);
+  assert.ok(own.every(({ atMs }) => atMs - killedAtMs >= TURN_MS));
+});
