Test a roll whose lease ends, and an engine that forgets its order

What fails: two engines are held back while the lease ends before an order could be given (allowed: none); an engine that lost its order, as one that starts again under its id, has one order after 3 s (expected: two).

Why: the roll takes engines out as long as it holds the lease at all. And a load is waited for up to 4 s, though reports say that none is under way.

--- a/src/router/_roll_kit.ts
+++ b/src/router/_roll_kit.ts
@@ -29,6 +29,8 @@
   runsMs = 0;
   /** Loses what it was ordered, as one that starts again under its id. */
   forgetsNext = false;
+  /** Answers no call before. */
+  silentUntilMs = -Infinity;
   readonly #clock: ManualClock;
   #version = 1;
   #loading: { version: number; readyAtMs: number } | undefined;
@@ -49,6 +51,10 @@
     return this.#version;
   }
 
+  get isSilent(): boolean {
+    return this.#clock.nowMs() < this.silentUntilMs;
+  }
+
   get isLoading(): boolean {
     return this.version !== undefined && this.#loading !== undefined;
   }
@@ -187,27 +193,36 @@
   },
 ): EngineCalls {
   const find = (id: string) => engines.find((engine) => engine.id === id)!;
+  const noAnswer = { kind: "no_answer", message: "Silent" } as const;
   return {
-    fetchReport: ({ id }) => {
+    fetchReport: async ({ id }, callMs) => {
       const engine = find(id);
-      return Promise.resolve(Result.ok({
+      if (engine.isSilent) {
+        await clock.sleep(callMs);
+        return Result.err(noAnswer);
+      }
+      return Result.ok({
         weights: new Map([["m", engine.version]]),
         busy: engine.isLoading,
         orderSequence: engine.sequence,
         waiting: 0,
         running: 0,
-      }));
+      });
     },
-    sendOrder: ({ id }, order) => {
+    sendOrder: async ({ id }, order, { callMs }) => {
       const engine = find(id);
+      if (engine.isSilent) {
+        await clock.sleep(callMs);
+        return Result.err(noAnswer);
+      }
       if (order.orderSequence !== engine.sequence || engine.isLoading) {
-        return Promise.resolve(Result.ok({ kind: "conflict" }));
+        return Result.ok({ kind: "conflict" });
       }
       engine.accept(order.version);
       const { holderId, fencingNumber } = order;
       const atMs = clock.nowMs();
       orders.push({ engine: id, atMs, holderId, fencingNumber });
-      return Promise.resolve(Result.ok({ kind: "accepted" }));
+      return Result.ok({ kind: "accepted" });
     },
   };
 }
--- a/src/router/weights_roll_test.ts
+++ b/src/router/weights_roll_test.ts
@@ -174,3 +174,26 @@
   assert.ok(own.length > 0);
   assert.ok(own.every(({ atMs }) => atMs - killedAtMs >= TURN_MS));
 });
+
+test("no engine is held back when the lease ends before its order", async (t) => {
+  const world = openRollWorld(t, { engineCount: 6 });
+  const { clock, store, wanted } = world;
+  const holder = world.hold("a");
+  await clock.advance(FIRST_TURN_MS);
+  store.faults.down = true;
+  // The lease counts as held for 1.35 s after its last renewal.
+  await clock.advance(900);
+  wanted.name({ model: "m", version: 2 });
+  assert.equal(await mostHeldBack(world, holder, { forMs: 600 }), 0);
+});
+
+test("engine that forgot its order is ordered again soon", async (t) => {
+  const world = openRollWorld(t, { engineCount: 1 });
+  const { clock, wanted, engines, orders } = world;
+  world.hold("a");
+  await clock.advance(FIRST_TURN_MS);
+  engines[0]!.forgetsNext = true;
+  wanted.name({ model: "m", version: 2 });
+  await clock.advance(3000);
+  assert.equal(orders.length, 2);
+});
