Hold no engine back without a lease for its order, and order a forgotten load again

Change: engines are taken out only while the lease lasts for the time in which others are told and the order is given. A report, 750 ms after an order or later, that shows neither its weights nor a load under way ends the wait, and the engine is ordered again; the sequence in the order keeps a late one from being carried out beside it.

Ruled out: waiting for two such reports. A wrong guess costs one call that is refused as a conflict.

--- a/src/router/engine_orders.ts
+++ b/src/router/engine_orders.ts
@@ -9,8 +9,8 @@
 
 /** Pause between looks at whether a registration told of the weights. */
 const LOOK_MS = 50;
-/** Time for one call to an engine. */
-const CALL_MS = 500;
+/** Time for one call to an engine; the lease must last as long for an order. */
+export const CALL_MS = 500;
 /** No engine has loaded by then: loads take 760 ms. */
 const FIRST_REPORT_MS = 750;
 /** Pause between reports of an engine that loads; they lag by some hundred ms. */
@@ -108,8 +108,7 @@
     }
     if (this.#has(server, target, report.value)) return true;
     if (report.value.busy) {
-      await this.#awaitWeights(server, target, { signal });
-      return true;
+      return this.#awaitWeights(server, target, { signal });
     }
     const said = await this.#order(server, target, {
       orderSequence: report.value.orderSequence,
@@ -153,8 +152,7 @@
   ): Promise<boolean> {
     switch (said) {
       case "accepted":
-        await this.#awaitWeights(server, target, { signal });
-        return true;
+        return this.#awaitWeights(server, target, { signal });
       case "holds":
         this.#saw(server, target.model, target.version);
         return true;
@@ -175,24 +173,30 @@
     }
   }
 
+  /** @returns Whether there is nothing more to do for now; not if the engine forgot its order. */
   async #awaitWeights(
     server: Server,
     target: WantedWeights,
     { signal }: { signal: AbortSignal },
-  ): Promise<void> {
+  ): Promise<boolean> {
     const { clock, calls } = this.#options;
     const untilMs = clock.nowMs() + ORDER_MS;
     let reportAtMs = clock.nowMs() + FIRST_REPORT_MS;
     while (!signal.aborted && clock.nowMs() < untilMs) {
       await clock.sleep(LOOK_MS, signal);
       // The server's registration may tell before its report does.
-      if (!lacks(server, [target])) return;
+      if (!lacks(server, [target])) return true;
       if (clock.nowMs() < reportAtMs) continue;
       reportAtMs = clock.nowMs() + REPORT_MS;
       const report = await calls.fetchReport(server.entry, CALL_MS);
-      if (report.isErr) return this.#unheard(server, report.error.kind);
-      if (this.#has(server, target, report.value)) return;
+      if (report.isErr) {
+        this.#unheard(server, report.error.kind);
+        return true;
+      }
+      if (this.#has(server, target, report.value)) return true;
+      if (!report.value.busy) return false;
     }
+    return true;
   }
 
   #has(server: Server, target: WantedWeights, report: ServerReport): boolean {
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -6,7 +6,12 @@
 import type { Clock, Logger } from "../base/mod.ts";
 import { FencedLease } from "../lease/mod.ts";
 import type { KeyValueEntry, KeyValueStore } from "../store/store.ts";
-import { type EngineCalls, EngineOrders, lacks } from "./engine_orders.ts";
+import {
+  CALL_MS,
+  type EngineCalls,
+  EngineOrders,
+  lacks,
+} from "./engine_orders.ts";
 import type { Fleet } from "./fleet.ts";
 import {
   countLate,
@@ -201,6 +206,8 @@
     const nowMs = this.#options.clock.nowMs();
     this.#spare(nowMs);
     if (nowMs < this.#notBeforeMs) return;
+    // An engine that could be given no order in the end would be held back in vain.
+    if (!this.#lease?.isHeldFor(TOLD_MS + CALL_MS)) return;
     for (const service of this.#options.engineServices()) {
       for (const chosen of this.#chooseNext(service, nowMs)) {
         void this.#bring(chosen, signal);
