Test who takes the roll's lease first, and a late engine without an answer

What fails: of three processes that wait equally long, the last holder's is not the first to take the lease; an engine that is silent until 0.5 s after it is overdue has no order 0.75 s later.

Why: the wait for the lease knows only the process's age, while the last holder alone may order at once; and an engine that was not heard is left alone for 0.7 s also where every tenth of a second counts.

--- a/src/router/weights_roll_test.ts
+++ b/src/router/weights_roll_test.ts
@@ -197,3 +197,30 @@
   await clock.advance(3000);
   assert.equal(orders.length, 2);
 });
+
+test("last holder takes the lease before others", async (t) => {
+  const world = openRollWorld(t, { engineCount: 1 });
+  const { clock } = world;
+  const first = world.hold("a");
+  await clock.advance(FIRST_TURN_MS);
+  first.kill();
+  const others = [world.hold("b"), world.hold("c")];
+  const again = world.hold("a");
+  await clock.advance(2000);
+  assert.ok(again.roll.holdsLease);
+  assert.ok(others.every(({ roll }) => !roll.holdsLease));
+});
+
+test("late engine without an answer is ordered again soon", async (t) => {
+  const world = openRollWorld(t, { engineCount: 1 });
+  const { clock, wanted, engines, orders } = world;
+  const [engine] = engines;
+  engine!.silentUntilMs = 9000;
+  wanted.name({ model: "m", version: 2 });
+  world.hold("a");
+  await clock.advance(REPLACED_MS);
+  const [order] = orders;
+  assert.ok(order);
+  // A call that is not answered ends after 0.5 s.
+  assert.ok(order.atMs < 9000 + 500 + 250);
+});
