Give the roll's lease a module of its own

Change: roll_lease.ts takes and keeps the lease and knows from when on orders may be given; weights_roll.ts chooses engines and changes them. Nothing behaves otherwise.

--- a/src/router/_roll_kit.ts
+++ b/src/router/_roll_kit.ts
@@ -7,7 +7,8 @@
 import type { EngineCalls } from "./engine_orders.ts";
 import { Fleet } from "./fleet.ts";
 import { WantedVersions } from "./wanted_weights.ts";
-import { LAST_ROLL_KEY, ROLL_LEASE_KEY, WeightsRoll } from "./weights_roll.ts";
+import { LAST_ROLL_KEY, ROLL_LEASE_KEY } from "./roll_lease.ts";
+import { WeightsRoll } from "./weights_roll.ts";
 
 /** Time that an engine takes to load weights once its runs have ended. */
 const LOAD_MS = 760;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -24,7 +24,8 @@
 import type { ServerOptions } from "./server.ts";
 import type { RouterSettings, SocketAddress } from "./settings.ts";
 import { WantedVersions } from "./wanted_weights.ts";
-import { LAST_ROLL_KEY, ROLL_LEASE_KEY, WeightsRoll } from "./weights_roll.ts";
+import { LAST_ROLL_KEY, ROLL_LEASE_KEY } from "./roll_lease.ts";
+import { WeightsRoll } from "./weights_roll.ts";
 
 /** The store answers in 4 ms; a connection that takes longer than this is a lost one. */
 const STORE_CONNECT_MS = 500;
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -3,9 +3,6 @@
  * orders each engine that lacks them. An engine is sent nothing new for a moment before its order,
  * so that few requests meet it while it loads.
  */
-import type { Clock, Logger } from "../base/mod.ts";
-import { FencedLease, readHolderId } from "../lease/mod.ts";
-import type { KeyValueEntry, KeyValueStore } from "../store/store.ts";
 import {
   CALL_MS,
   type EngineCalls,
@@ -13,6 +10,7 @@
   lacks,
 } from "./engine_orders.ts";
 import type { Fleet } from "./fleet.ts";
+import { RollLease, type RollLeaseOptions } from "./roll_lease.ts";
 import {
   countLate,
   LOADS_AT_ONCE,
@@ -22,21 +20,6 @@
 import type { Server } from "./server.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
-/** Key of the lease. */
-export const ROLL_LEASE_KEY = "cicadahitch/weights-roll";
-/** Key of who took the lease last; it outlives the lease. */
-export const LAST_ROLL_KEY = "cicadahitch/last-weights-roll";
-/** Time of the lease: a holder that is gone is followed within it and the turn's time. */
-const LEASE_MS = 1500;
-/** Beyond the time in which two holders may not take turns. */
-const TURN_MARGIN_MS = 200;
-/** Only the last holder may order without a wait, so it takes a lease that is free before others. */
-const HEAD_START_MS = 100;
-/** Entries that see the lease free wait up to this long, so that one asks first. */
-const ACQUIRE_SPREAD_MS = 60;
-/** In a rolling restart the youngest process lives longest, so the older ones wait longer. */
-const AGE_SPREAD_MS = 300;
-const OLD_AGE_MS = 30_000;
 /** Pause between looks at what is to be done. */
 const LOOK_MS = 50;
 /** Time for runs to end that can't go on elsewhere; long ones are moved meanwhile. */
@@ -50,22 +33,9 @@
 const HOLD_MS = 1000;
 
 /** What a {@link WeightsRoll} works with. */
-export interface WeightsRollOptions {
-  store: KeyValueStore;
-  clock: Clock;
-  log: Logger;
+export interface WeightsRollOptions extends RollLeaseOptions {
   fleet: Fleet;
   calls: EngineCalls;
-  holderId: string;
-  /** Holders may not take turns within this time. */
-  turnMs: number;
-  random: () => number;
-  /** Whether engines refuse an order with a lower fencing number than one they have seen. */
-  enginesCheckFences: boolean;
-  /** Whether the store's copy shows the lease as held. */
-  isLeaseHeld(): boolean;
-  /** What the store's copy has at {@link LAST_ROLL_KEY}. */
-  lastHolder(): KeyValueEntry | undefined;
   /** Services whose servers are engines. */
   engineServices(): string[];
   /** Weights that the operator wants. */
@@ -89,19 +59,16 @@
   /** Engines that are to change, by id. */
   readonly #out = new Map<string, Chosen>();
   readonly #retryAtMs = new Map<string, number>();
-  #lease: FencedLease | undefined;
-  readonly #startedAtMs: number;
-  #notBeforeMs = 0;
+  readonly #lease: RollLease;
   readonly #orders: EngineOrders;
-  #isRetiring = false;
 
   private constructor(options: WeightsRollOptions) {
     this.#options = options;
-    this.#startedAtMs = options.clock.nowMs();
+    this.#lease = RollLease.create(options);
     this.#orders = EngineOrders.create({
       ...options,
-      lease: () => this.#lease,
-      onFenced: () => this.#giveUpLease(),
+      lease: () => this.#lease.current,
+      onFenced: () => this.#lease.giveUp(),
     });
   }
 
@@ -120,7 +87,7 @@
 
   /** Whether this entry holds the lease. */
   get holdsLease(): boolean {
-    return this.#lease?.isHeldFor(0) ?? false;
+    return this.#lease.isHeld;
   }
 
   /** Whether this entry still has engines to order, as the holder of the lease. */
@@ -135,7 +102,7 @@
 
   /** Takes the lease no more; one that is held is kept to the end of the work. */
   retire(): void {
-    this.#isRetiring = true;
+    this.#lease.retire();
   }
 
   /** @param signal Ends the work; the lease is given up. */
@@ -143,81 +110,17 @@
     const { clock } = this.#options;
     while (!signal.aborted) {
       await clock.sleep(LOOK_MS, signal);
-      if (this.holdsLease) this.#look(signal);
-      else if (!this.#isRetiring && !this.#options.isLeaseHeld()) {
-        await this.#acquire(signal);
-      }
+      if (this.#lease.isHeld) this.#look(signal);
+      else await this.#lease.tryToTake(signal);
     }
-    await this.#lease?.release();
-  }
-
-  async #acquire(signal: AbortSignal): Promise<void> {
-    const { clock, random, store, holderId, isLeaseHeld, lastHolder } =
-      this.#options;
-    await clock.sleep(this.#acquireWaitMs(), signal);
-    if (signal.aborted || this.#isRetiring || isLeaseHeld()) return;
-    const acquired = await FencedLease.acquire(store, {
-      key: ROLL_LEASE_KEY,
-      holderId,
-      ttlMs: LEASE_MS,
-      clock,
-      random,
-      lastHolder: { key: LAST_ROLL_KEY, known: lastHolder() },
-    });
-    if (acquired.isErr) {
-      await clock.sleep(LEASE_MS / 3, signal);
-      return;
-    }
-    this.#use(acquired.value);
-    void this.#keep(acquired.value, signal);
-  }
-
-  #acquireWaitMs(): number {
-    const { clock, random, holderId, lastHolder } = this.#options;
-    const last = lastHolder();
-    if (last && readHolderId(last.value) === holderId) return 0;
-    const age = Math.min(1, (clock.nowMs() - this.#startedAtMs) / OLD_AGE_MS);
-    return (last ? HEAD_START_MS : 0) + random() * ACQUIRE_SPREAD_MS +
-      age * AGE_SPREAD_MS;
-  }
-
-  #use(lease: FencedLease): void {
-    const { clock, log, holderId, turnMs, enginesCheckFences } = this.#options;
-    this.#lease = lease;
-    const isOwn = lease.previousHolderId === holderId;
-    // Another holder may have given an order just before its lease ended. What this instance
-    // itself ordered, also in a former life of its process, is no turn of another holder, and
-    // engines that check fences refuse it once they have seen a newer order.
-    const waitMs = isOwn && enginesCheckFences ? 0 : turnMs + TURN_MARGIN_MS;
-    this.#notBeforeMs = clock.nowMs() + waitMs;
-    log.info({
-      event: "roll_lease_taken",
-      fencingNumber: String(lease.fencingNumber),
-      before: lease.previousHolderId,
-      waitMs,
-    });
-  }
-
-  async #keep(lease: FencedLease, signal: AbortSignal): Promise<void> {
-    await lease.keepRenewed(signal);
-    if (signal.aborted) return;
-    this.#options.log.warn({ event: "roll_lease_lost" });
-    if (this.#lease === lease) this.#lease = undefined;
-  }
-
-  /** Another holder has a higher number; this one is not used again. */
-  async #giveUpLease(): Promise<void> {
-    const lease = this.#lease;
-    this.#lease = undefined;
-    await lease?.release();
+    await this.#lease.giveUp();
   }
 
   #look(signal: AbortSignal): void {
     const nowMs = this.#options.clock.nowMs();
     this.#spare(nowMs);
-    if (nowMs < this.#notBeforeMs) return;
     // An engine that could be given no order in the end would be held back in vain.
-    if (!this.#lease?.isHeldFor(TOLD_MS + CALL_MS)) return;
+    if (!this.#lease.allowsOrdersFor(TOLD_MS + CALL_MS)) return;
     for (const service of this.#options.engineServices()) {
       for (const chosen of this.#chooseNext(service, nowMs)) {
         void this.#bring(chosen, signal);
