Test a holder of the roll that is killed within its turn

What fails: b gives orders, a follows and is killed before its turn is over; a's next process finds a as the last holder and orders at once, within 3 s of b's last order.

Why: the last holder's name does not tell whether its turn was over.

--- a/src/router/weights_roll_test.ts
+++ b/src/router/weights_roll_test.ts
@@ -224,3 +224,24 @@
   // A call that is not answered ends after 0.5 s.
   assert.ok(order.atMs < 9000 + 500 + 250);
 });
+
+test("holder killed within its turn waits for the rest of it", async (t) => {
+  const world = openRollWorld(t, { engineCount: 6 });
+  const { clock, wanted, orders } = world;
+  const other = world.hold("b");
+  await clock.advance(FIRST_TURN_MS);
+  wanted.name({ model: "m", version: 2 });
+  await clock.advance(500);
+  other.kill();
+  const otherEndedAtMs = clock.nowMs();
+  const first = world.hold("a");
+  await clock.advance(2000);
+  assert.ok(first.roll.holdsLease);
+  first.kill();
+  world.hold("a");
+  await clock.advance(REPLACED_MS);
+  const own = orders.filter(({ holderId }) => holderId === "a");
+  assert.ok(own.every(({ atMs }) => atMs - otherEndedAtMs >= TURN_MS));
+  // Not a whole turn more: 1.5 s until the lease of b lapses, then the turn.
+  assert.ok(own[0]!.atMs - otherEndedAtMs < 1500 + TURN_MS + 500);
+});
