Let a holder of the roll wait for the rest of a turn that its former life began

Cause: the last holder's name alone does not tell whether its own turn behind another holder was over when its process was killed.

Change: the key of the last holder also keeps, by the wall clock of its machine, since when no other holder has taken the lease; what is left of the turn from there is waited for. A clock that was set back makes it a whole turn at most. What can't be read counts as unknown, and costs a turn.

Ruled out: a second commit when a turn is over; it costs a call and may be lost. A count of monotonic time: it does not outlive the process.

--- a/src/lease/fenced_lease.ts
+++ b/src/lease/fenced_lease.ts
@@ -9,6 +9,13 @@
 import { randomUUID } from "node:crypto";
 import { Result } from "true-myth";
 import type { Clock } from "../base/mod.ts";
+import {
+  type LastHolder,
+  type LastHolderOptions,
+  nextHolder,
+  readJson,
+  readLastHolder,
+} from "./last_holder.ts";
 import type {
   Expectation,
   KeyValueEntry,
@@ -37,14 +44,7 @@
   /** 0 to 1; tests give a seeded one. */
   random?: () => number;
   /** Left out where it doesn't matter who held the lease before. */
-  lastHolder?: LastHolder;
-}
-
-/** Who took the lease last. The key outlives the lease, and each acquisition writes it. */
-export interface LastHolder {
-  key: string;
-  /** What a copy of the store has there; if it is not the newest, the lease is not acquired. */
-  known: KeyValueEntry | undefined;
+  lastHolder?: LastHolderOptions;
 }
 
 /** Why a lease was not acquired. */
@@ -141,9 +141,9 @@
   }
 
   /** Who held the lease before, where that was asked and is known. */
-  get previousHolderId(): string | undefined {
+  get previous(): LastHolder | undefined {
     const known = this.#options.lastHolder?.known;
-    return known && readHolderId(known.value);
+    return known && readLastHolder(known.value);
   }
 
   /** True once the store said that the lease is gone, or it was released. */
@@ -247,7 +247,7 @@
   options: FencedLeaseOptions,
   leaseId: bigint,
 ): Promise<Claim> {
-  const { key, holderId, lastHolder } = options;
+  const { key, holderId, lastHolder, clock } = options;
   const text = JSON.stringify({ holderId, claimId: randomUUID() });
   const value = new TextEncoder().encode(text);
   const expect: Expectation[] = [{ key, modRevision: 0n }];
@@ -255,7 +255,8 @@
   if (lastHolder) {
     const modRevision = lastHolder.known?.modRevision ?? 0n;
     expect.push({ key: lastHolder.key, modRevision });
-    writes.push({ kind: "put", key: lastHolder.key, value });
+    const last = nextHolder(lastHolder.known, { holderId, clock });
+    writes.push({ kind: "put", key: lastHolder.key, value: last });
   }
   const outcome = await store.commit(expect, writes);
   if (outcome.isErr) {
@@ -301,17 +302,9 @@
   };
 }
 
-/**
- * @param value What an acquisition wrote.
- * @returns Id of the holder; empty where it can't be read.
- */
-export function readHolderId(value: Uint8Array): string {
-  try {
-    const parsed = JSON.parse(new TextDecoder().decode(value));
-    return typeof parsed?.holderId === "string" ? parsed.holderId : "";
-  } catch {
-    return "";
-  }
+function readHolderId(value: Uint8Array): string {
+  const holderId = readJson(value)["holderId"];
+  return typeof holderId === "string" ? holderId : "";
 }
 
 function refusedBy(failure: StoreFailure): Claim {
--- a/src/lease/fenced_lease_test.ts
+++ b/src/lease/fenced_lease_test.ts
@@ -96,19 +96,42 @@
   const before: (string | undefined)[] = [];
   for (const holderId of ["e1", "e1", "e2", "e1"]) {
     const lease = await heldAfter(holderId, store.table.get(LAST_KEY));
-    before.push(lease.previousHolderId);
+    before.push(lease.previous?.holderId);
     await clock.advance(TTL_MS + 1);
   }
   assert.deepEqual(before, [undefined, "e1", "e1", "e2"]);
 });
 
+test("last holder is known since it followed another one", async () => {
+  const { clock, store, heldAfter } = setUp();
+  const since: (number | undefined)[] = [];
+  for (const holderId of ["e1", "e1", "e2", "e2", "e1"]) {
+    const lease = await heldAfter(holderId, store.table.get(LAST_KEY));
+    since.push(lease.previous?.sinceWallMs);
+    await clock.advance(TTL_MS + 1);
+  }
+  const thirdMs = 2 * (TTL_MS + 1);
+  assert.deepEqual(since, [undefined, 0, 0, thirdMs, thirdMs]);
+});
+
+test("last holder that can't be read counts as unknown", async () => {
+  const { store, heldAfter } = setUp();
+  for (const text of ["{", "7", "null", '{"holderId":1,"sinceWallMs":2}']) {
+    const value = new TextEncoder().encode(text);
+    await store.commit([], [{ kind: "put", key: LAST_KEY, value }]);
+    const lease = await heldAfter("e1", store.table.get(LAST_KEY));
+    assert.equal(lease.previous, undefined);
+    await lease.release();
+  }
+});
+
 test("lost answer leaves the last holder written, too", async () => {
   const { store, heldAfter } = setUp();
   store.faults.loseNextAnswer = true;
   const lease = await heldAfter("e1", undefined);
   await lease.release();
   const next = await heldAfter("e2", store.table.get(LAST_KEY));
-  assert.equal(next.previousHolderId, "e1");
+  assert.equal(next.previous?.holderId, "e1");
 });
 
 test("last holder that is not the newest gives no lease", async () => {
--- a/src/lease/mod.ts
+++ b/src/lease/mod.ts
@@ -3,11 +3,14 @@
   type AcquireFailure,
   FencedLease,
   type FencedLeaseOptions,
-  type LastHolder,
   type LeaseCalls,
   type LeaseState,
-  readHolderId,
 } from "./fenced_lease.ts";
+export {
+  type LastHolder,
+  type LastHolderOptions,
+  readLastHolder,
+} from "./last_holder.ts";
 export { rankProcesses } from "./candidates.ts";
 export {
   FencingGate,
--- a/src/router/roll_lease.ts
+++ b/src/router/roll_lease.ts
@@ -1,6 +1,6 @@
 /** The lease under which weights are rolled: which entry gives orders, and from when on. */
 import type { Clock, Logger } from "../base/mod.ts";
-import { FencedLease, readHolderId } from "../lease/mod.ts";
+import { FencedLease, readLastHolder } from "../lease/mod.ts";
 import type { KeyValueEntry, KeyValueStore } from "../store/store.ts";
 
 /** Key of the lease. */
@@ -117,29 +117,39 @@
   #waitMs(): number {
     const { clock, random, holderId, lastHolder } = this.#options;
     const last = lastHolder();
-    if (last && readHolderId(last.value) === holderId) return 0;
+    if (last && readLastHolder(last.value)?.holderId === holderId) return 0;
     const age = Math.min(1, (clock.nowMs() - this.#startedAtMs) / OLD_AGE_MS);
     return (last ? HEAD_START_MS : 0) + random() * ACQUIRE_SPREAD_MS +
       age * AGE_SPREAD_MS;
   }
 
   #use(lease: FencedLease): void {
-    const { clock, log, holderId, turnMs, enginesCheckFences } = this.#options;
+    const { clock, log } = this.#options;
     this.#lease = lease;
-    const isOwn = lease.previousHolderId === holderId;
-    // Another holder may have given an order just before its lease ended. What this instance
-    // itself ordered, also in a former life of its process, is no turn of another holder, and
-    // engines that check fences refuse it once they have seen a newer order.
-    const waitMs = isOwn && enginesCheckFences ? 0 : turnMs + TURN_MARGIN_MS;
+    const waitMs = this.#turnLeftMs(lease);
     this.#notBeforeMs = clock.nowMs() + waitMs;
     log.info({
       event: "roll_lease_taken",
       fencingNumber: String(lease.fencingNumber),
-      before: lease.previousHolderId,
-      waitMs,
+      before: lease.previous?.holderId,
+      waitMs: Math.round(waitMs),
     });
   }
 
+  /**
+   * Another holder may have given an order just before its lease ended. What this instance itself
+   * ordered, also in a former life of its process, is no turn of another holder, and engines that
+   * check fences refuse it once they have seen a newer order. A wall clock that was set back makes
+   * the wait no longer than a whole turn.
+   */
+  #turnLeftMs({ previous }: FencedLease): number {
+    const { clock, holderId, turnMs, enginesCheckFences } = this.#options;
+    const wholeMs = turnMs + TURN_MARGIN_MS;
+    if (!enginesCheckFences || previous?.holderId !== holderId) return wholeMs;
+    const aloneMs = clock.wallMs() - previous.sinceWallMs;
+    return Math.min(wholeMs, Math.max(0, wholeMs - aloneMs));
+  }
+
   async #keep(lease: FencedLease, signal: AbortSignal): Promise<void> {
     await lease.keepRenewed(signal);
     if (signal.aborted) return;
--- a/src/router/weights_roll_test.ts
+++ b/src/router/weights_roll_test.ts
@@ -232,16 +232,17 @@
   await clock.advance(FIRST_TURN_MS);
   wanted.name({ model: "m", version: 2 });
   await clock.advance(500);
-  other.kill();
-  const otherEndedAtMs = clock.nowMs();
+  // A planned stop gives the lease up, so that a takes it right behind an order of b.
+  await other.stop();
+  const stoppedAtMs = clock.nowMs();
   const first = world.hold("a");
-  await clock.advance(2000);
+  await clock.advance(500);
   assert.ok(first.roll.holdsLease);
   first.kill();
   world.hold("a");
   await clock.advance(REPLACED_MS);
   const own = orders.filter(({ holderId }) => holderId === "a");
-  assert.ok(own.every(({ atMs }) => atMs - otherEndedAtMs >= TURN_MS));
-  // Not a whole turn more: 1.5 s until the lease of b lapses, then the turn.
-  assert.ok(own[0]!.atMs - otherEndedAtMs < 1500 + TURN_MS + 500);
+  assert.ok(own.every(({ atMs }) => atMs - stoppedAtMs >= TURN_MS));
+  // Not a whole turn more.
+  assert.ok(own[0]!.atMs - stoppedAtMs < TURN_MS + 1000);
 });
