Test an engine whose runs end 6 s after its order

What fails: 4 s after the order the engine is no longer held back, though it still refuses whatever it is sent.

Why: an order without an effect is given up after 4 s.

--- a/src/router/weights_roll_test.ts
+++ b/src/router/weights_roll_test.ts
@@ -233,3 +233,18 @@
   // Not a whole turn more.
   assert.ok(own[0]!.atMs - stoppedAtMs < TURN_MS + 1000);
 });
+
+// Three engines with 20 runs or more were put back in use 4 s after they had accepted an order, and
+// taken out again 0.7 s later: engine_back with left 21, loadedMs 4052 and behind true. All that time
+// they refused what they were sent.
+test("engine is held back until its order is carried out", async (t) => {
+  const world = await startRoll(t, { engineCount: 1 });
+  const { clock, engines, holder, orders } = world;
+  const [engine] = engines;
+  engine!.runsMs = 6000;
+  while (orders.length === 0) await clock.advance(50);
+  while (engine!.version === 1) {
+    assert.deepEqual(holder.roll.heldBack(), [engine!.id]);
+    await clock.advance(50);
+  }
+});
