Hold an engine back until its order is carried out

Cause: an order without an effect was given up after 4 s, which was meant for orders that were lost; an engine with 20 runs takes longer.

Change: the wait lasts 15 s, as long as the longest run; since a report shows a load that is not under way, and a call that fails ends the wait, nothing else relied on the 4 s.

Ruled out: to let the runs go on under the new weights, which would be shorter; what they make then is worth nothing.

--- a/src/router/engine_orders.ts
+++ b/src/router/engine_orders.ts
@@ -17,8 +17,11 @@
 const REPORT_MS = 200;
 /** Orders that an engine gets one after the other while none is answered. */
 const MAX_ORDERS = 4;
-/** An order that has no effect within this time is decided anew. */
-const ORDER_MS = 4000;
+/**
+ * An engine that loads, or waits for its runs, is waited for this long: no run lasts longer than
+ * the routes' 15 s. One that forgot its order, or is silent, is noticed by its reports.
+ */
+const ORDER_MS = 15_000;
 
 /** Calls to engines. */
 export interface EngineCalls {
