--- a/src/lease/mod.ts
+++ b/src/lease/mod.ts
@@ -6,6 +6,11 @@
   type LeaseCalls,
   type LeaseState,
 } from "./fenced_lease.ts";
+export {
+  type LastHolder,
+  type LastHolderOptions,
+  readLastHolder,
+} from "./last_holder.ts";
 export { rankProcesses } from "./candidates.ts";
 export {
   FencingGate,
--- a/src/router/choose_test.ts
+++ b/src/router/choose_test.ts
@@ -25,6 +25,7 @@
     replacedForMs: () => 0,
     weightsLimits: {
       staleFromMs: 7000,
+      orderByMs: 8500,
       retiredFromMs: 9000,
       beginUntilMs: 9600,
     },
--- a/src/router/settings_test.ts
+++ b/src/router/settings_test.ts
@@ -17,6 +17,7 @@
   CICADAHITCH_ORDER_TURN_MS: "3500",
   CICADAHITCH_WEIGHTS_BOUND_MS: "8000",
   CICADAHITCH_HEARTBEAT_MS: "1200",
+  CICADAHITCH_ENGINES_CHECK_FENCES: "true",
 };
 
 test("settings are read from variables of their own", () => {
@@ -26,6 +27,7 @@
   assert.equal(settings.value.orderTurnMs, 3500);
   assert.equal(settings.value.weightsBoundMs, 8000);
   assert.equal(settings.value.heartbeatMs, 1200);
+  assert.equal(settings.value.enginesCheckFences, true);
   assert.equal(settings.value.seedAddresses.length, 2);
   assert.equal(settings.value.choice, ChoiceName.cost);
 });
@@ -47,6 +49,17 @@
   assert.equal(settings.value.weightsBoundMs, 10_000);
 });
 
+test("engines that are not said to check fences don't", () => {
+  for (const said of ["", "false"]) {
+    const settings = readSettings({
+      ...GOOD,
+      CICADAHITCH_ENGINES_CHECK_FENCES: said,
+    });
+    assert.ok(settings.isOk);
+    assert.equal(settings.value.enginesCheckFences, false);
+  }
+});
+
 test("every fault is named at once, with what is allowed", () => {
   const { CICADAHITCH_ZONE: _, ...rest } = GOOD;
   const settings = readSettings({
@@ -56,6 +69,7 @@
     CICADAHITCH_GRACE_S: "soon",
     CICADAHITCH_WEIGHTS_BOUND_MS: "long",
     CICADAHITCH_HEARTBEAT_MS: "0",
+    CICADAHITCH_ENGINES_CHECK_FENCES: "perhaps",
     CICADAHITCH_CHOICE: "best",
     CICADAHITCH_LOG_LEVEL: "loud",
   });
@@ -65,6 +79,7 @@
   );
   assert.deepEqual([...faults.keys()].sort(), [
     "CICADAHITCH_CHOICE",
+    "CICADAHITCH_ENGINES_CHECK_FENCES",
     "CICADAHITCH_GRACE_S",
     "CICADAHITCH_HEARTBEAT_MS",
     "CICADAHITCH_LOG_LEVEL",
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -3,82 +3,67 @@
  * orders each engine that lacks them. An engine is sent nothing new for a moment before its order,
  * so that few requests meet it while it loads.
  */
-import type { Clock, Logger } from "../base/mod.ts";
-import { FencedLease } from "../lease/mod.ts";
-import type { KeyValueStore } from "../store/store.ts";
-import { EngineOrders, lacks } from "./engine_orders.ts";
+import {
+  CALL_MS,
+  type EngineCalls,
+  EngineOrders,
+  lacks,
+} from "./engine_orders.ts";
 import type { Fleet } from "./fleet.ts";
-import type { WantedWeights } from "./model.ts";
+import { RollLease, type RollLeaseOptions } from "./roll_lease.ts";
+import { countLate, LOADS_AT_ONCE, roomToChange } from "./roll_pace.ts";
 import type { Server } from "./server.ts";
+import type { WantedVersions } from "./wanted_weights.ts";
 
-/** Key of the lease. */
-export const ROLL_LEASE_KEY = "cicadahitch/weights-roll";
-/** Time of the lease: a holder that is gone is followed within it and the turn's time. */
-const LEASE_MS = 1500;
-/** Beyond the time in which two holders may not take turns. */
-const TURN_MARGIN_MS = 200;
-/** Entries that see the lease free wait up to this long, so that one asks first. */
-const ACQUIRE_SPREAD_MS = 60;
-/** In a rolling restart the youngest process lives longest, so the older ones wait longer. */
-const AGE_SPREAD_MS = 300;
-const OLD_AGE_MS = 30_000;
 /** Pause between looks at what is to be done. */
 const LOOK_MS = 50;
-/** Engines that load at once; with more of them each takes longer. */
-const LOADS_AT_ONCE = 2;
-/**
- * Share of a service's engines that get nothing new at once; the rest must carry the load. Mean
- * worth of eight played days with six engines 0.700, with 0.3 of them held back 0.685.
- */
-const HELD_SHARE = 0.2;
 /** Time for runs to end that can't go on elsewhere; long ones are moved meanwhile. */
 const DRAIN_MS = 1000;
 /** Time that peers need to hear that an engine is held back. */
 const TOLD_MS = 110;
-/** An engine that could not be ordered is left alone for this long. */
+/** An engine that could not be ordered is left alone for this long; a late one for a shorter time. */
 const RETRY_MS = 700;
+const LATE_RETRY_MS = 100;
 /** An engine is held back this long at a time, renewed while it is out of use. */
 const HOLD_MS = 1000;
 
 /** What a {@link WeightsRoll} works with. */
-export interface WeightsRollOptions {
-  store: KeyValueStore;
-  clock: Clock;
-  log: Logger;
+export interface WeightsRollOptions extends RollLeaseOptions {
   fleet: Fleet;
-  holderId: string;
-  /** Holders may not take turns within this time. */
-  turnMs: number;
-  random: () => number;
-  /** Whether the store's copy shows the lease as held. */
-  isLeaseHeld(): boolean;
+  calls: EngineCalls;
   /** Services whose servers are engines. */
   engineServices(): string[];
   /** Weights that the operator wants. */
-  wanted(): WantedWeights[];
+  wanted: WantedVersions;
   /** Weights were seen at a server; other entries are told. */
   onWeights(server: Server, model: string, version: number): void;
 }
 
+/** An engine that is taken out of use to change its weights. */
+interface Chosen {
+  server: Server;
+  /** It has runs. */
+  isBusy: boolean;
+  /** If it waited for others, some would be ordered too late. */
+  isLate: boolean;
+}
+
 /** Orders weights while it holds the lease. */
 export class WeightsRoll {
   readonly #options: WeightsRollOptions;
   /** Engines that are to change, by id. */
-  readonly #out = new Map<string, Server>();
+  readonly #out = new Map<string, Chosen>();
   readonly #retryAtMs = new Map<string, number>();
-  #lease: FencedLease | undefined;
-  readonly #startedAtMs: number;
-  #notBeforeMs = 0;
+  readonly #lease: RollLease;
   readonly #orders: EngineOrders;
-  #isRetiring = false;
 
   private constructor(options: WeightsRollOptions) {
     this.#options = options;
-    this.#startedAtMs = options.clock.nowMs();
+    this.#lease = RollLease.create(options);
     this.#orders = EngineOrders.create({
       ...options,
-      lease: () => this.#lease,
-      onFenced: () => this.#giveUpLease(),
+      lease: () => this.#lease.current,
+      onFenced: () => this.#lease.giveUp(),
     });
   }
 
@@ -97,7 +82,7 @@
 
   /** Whether this entry holds the lease. */
   get holdsLease(): boolean {
-    return this.#lease?.isHeldFor(0) ?? false;
+    return this.#lease.isHeld;
   }
 
   /** Whether this entry still has engines to order, as the holder of the lease. */
@@ -106,13 +91,13 @@
     if (this.#out.size > 0) return true;
     const { fleet, engineServices, wanted } = this.#options;
     return engineServices().some((service) =>
-      fleet.open(service).some((server) => lacks(server, wanted()))
+      fleet.open(service).some((server) => lacks(server, wanted.all()))
     );
   }
 
   /** Takes the lease no more; one that is held is kept to the end of the work. */
   retire(): void {
-    this.#isRetiring = true;
+    this.#lease.retire();
   }
 
   /** @param signal Ends the work; the lease is given up. */
@@ -120,105 +105,99 @@
     const { clock } = this.#options;
     while (!signal.aborted) {
       await clock.sleep(LOOK_MS, signal);
-      if (this.holdsLease) this.#look(signal);
-      else if (!this.#isRetiring && !this.#options.isLeaseHeld()) {
-        await this.#acquire(signal);
-      }
+      if (this.#lease.isHeld) this.#look(signal);
+      else await this.#lease.tryToTake(signal);
     }
-    await this.#lease?.release();
-  }
-
-  async #acquire(signal: AbortSignal): Promise<void> {
-    const { clock, random, store, holderId, isLeaseHeld, turnMs, log } =
-      this.#options;
-    const age = Math.min(1, (clock.nowMs() - this.#startedAtMs) / OLD_AGE_MS);
-    const waitMs = random() * ACQUIRE_SPREAD_MS + age * AGE_SPREAD_MS;
-    await clock.sleep(waitMs, signal);
-    if (signal.aborted || this.#isRetiring || isLeaseHeld()) return;
-    const acquired = await FencedLease.acquire(store, {
-      key: ROLL_LEASE_KEY,
-      holderId,
-      ttlMs: LEASE_MS,
-      clock,
-      random,
-    });
-    if (acquired.isErr) {
-      await clock.sleep(LEASE_MS / 3, signal);
-      return;
-    }
-    this.#lease = acquired.value;
-    // The last holder may have given an order just before its lease ended.
-    this.#notBeforeMs = clock.nowMs() + turnMs + TURN_MARGIN_MS;
-    log.info({
-      event: "roll_lease_taken",
-      fencingNumber: String(acquired.value.fencingNumber),
-    });
-    void this.#keep(acquired.value, signal);
-  }
-
-  async #keep(lease: FencedLease, signal: AbortSignal): Promise<void> {
-    await lease.keepRenewed(signal);
-    if (signal.aborted) return;
-    this.#options.log.warn({ event: "roll_lease_lost" });
-    if (this.#lease === lease) this.#lease = undefined;
-  }
-
-  /** Another holder has a higher number; this one is not used again. */
-  async #giveUpLease(): Promise<void> {
-    const lease = this.#lease;
-    this.#lease = undefined;
-    await lease?.release();
+    await this.#lease.giveUp();
   }
 
   #look(signal: AbortSignal): void {
-    const { clock, fleet, engineServices, wanted } = this.#options;
-    const nowMs = clock.nowMs();
+    const nowMs = this.#options.clock.nowMs();
     this.#spare(nowMs);
-    if (nowMs < this.#notBeforeMs) return;
-    for (const service of engineServices()) {
-      const servers = fleet.open(service);
-      const room = Math.max(1, Math.round(servers.length * HELD_SHARE)) -
-        servers.filter(({ id }) => this.#out.has(id)).length;
-      const behind = servers.filter((server) =>
-        lacks(server, wanted()) && this.#isDue(server, nowMs)
-      );
-      behind.sort((a, b) => this.#compare(a, b, { nowMs }));
-      for (const server of behind.slice(0, Math.max(0, room))) {
-        void this.#bring(server, signal);
+    // An engine that could be given no order in the end would be held back in vain.
+    if (!this.#lease.allowsOrdersFor(TOLD_MS + CALL_MS)) return;
+    for (const service of this.#options.engineServices()) {
+      for (const chosen of this.#chooseNext(service, nowMs)) {
+        void this.#bring(chosen, signal);
       }
     }
   }
 
+  /** Engines of a service that are to be taken out now. */
+  #chooseNext(service: string, nowMs: number): Chosen[] {
+    const { fleet, wanted } = this.#options;
+    const servers = fleet.open(service);
+    const behind = servers.filter((server) =>
+      lacks(server, wanted.all()) && this.#isDue(server, nowMs)
+    );
+    behind.sort((a, b) => this.#compare(a, b, { nowMs }));
+    const out = servers.flatMap(({ id }) => this.#out.get(id) ?? []);
+    const pace = {
+      engineCount: servers.length,
+      outCount: out.length,
+      busyOutCount: out.filter(({ isBusy }) => isBusy).length,
+      replacedMs: behind.map((server) => this.#replacedForMs(server)),
+      orderByMs: wanted.limits.orderByMs,
+    };
+    const late = countLate(pace);
+    const room = roomToChange(pace);
+    return behind.flatMap((server, i) => {
+      const chosen = {
+        server,
+        isBusy: server.load(nowMs).running > 0,
+        isLate: i < late,
+      };
+      const fits = room.all > 0 && (!chosen.isBusy || room.busy > 0);
+      if (!fits && !chosen.isLate) return [];
+      room.all--;
+      if (chosen.isBusy) room.busy--;
+      return [chosen];
+    });
+  }
+
   /** Keeps this entry's own requests away; the others are told by {@link heldBack}. */
   #spare(nowMs: number): void {
-    for (const server of this.#out.values()) server.holdBack(nowMs + HOLD_MS);
+    for (const { server } of this.#out.values()) {
+      server.holdBack(nowMs + HOLD_MS);
+    }
   }
 
   /** Oldest weights first; of these, the engine with little to do loses least. */
   #compare(a: Server, b: Server, { nowMs }: { nowMs: number }): number {
-    for (const { model } of this.#options.wanted()) {
+    for (const { model } of this.#options.wanted.all()) {
       const older = (a.weights(model) ?? 0) - (b.weights(model) ?? 0);
       if (older !== 0) return older;
     }
     return a.load(nowMs).running - b.load(nowMs).running;
   }
 
+  /** Time since the first of its weights was replaced; 0 if none was. */
+  #replacedForMs(server: Server): number {
+    const { wanted } = this.#options;
+    const agesMs = wanted.all().map(({ model, version }) =>
+      wanted.replacedForMs(model, server.weights(model) ?? version)
+    );
+    return Math.max(0, ...agesMs);
+  }
+
   #isDue(server: Server, nowMs: number): boolean {
     if (this.#out.has(server.id) || server.health.isDown) return false;
     return nowMs >= (this.#retryAtMs.get(server.id) ?? 0);
   }
 
   /** Takes an engine out of use, orders what it lacks, and waits until it has it. */
-  async #bring(server: Server, signal: AbortSignal): Promise<void> {
+  async #bring(chosen: Chosen, signal: AbortSignal): Promise<void> {
     const { clock, log, wanted } = this.#options;
+    const { server } = chosen;
     const startMs = clock.nowMs();
-    this.#out.set(server.id, server);
+    this.#out.set(server.id, chosen);
     this.#spare(startMs);
     try {
-      await this.#awaitBound(server, signal);
+      await this.#awaitBound(chosen, signal);
       const orderMs = clock.nowMs();
       const left = server.load(orderMs).running;
-      for (const target of wanted()) {
+      const replacedMs = this.#replacedForMs(server);
+      for (const target of wanted.all()) {
         if (!lacks(server, [target])) continue;
         await this.#orders.load(server, target, { signal });
       }
@@ -227,8 +206,9 @@
         server: server.id,
         drainedMs: Math.round(orderMs - startMs),
         left,
+        replacedMs: Math.round(replacedMs),
         loadedMs: Math.round(clock.nowMs() - orderMs),
-        behind: lacks(server, wanted()),
+        behind: lacks(server, wanted.all()),
       });
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
@@ -236,22 +216,33 @@
     } finally {
       this.#out.delete(server.id);
       server.holdBack(-Infinity);
-      this.#retryAtMs.set(server.id, clock.nowMs() + RETRY_MS);
-      if (!lacks(server, wanted())) this.#retryAtMs.delete(server.id);
+      const retryMs = this.#isOverdue(server) ? LATE_RETRY_MS : RETRY_MS;
+      this.#retryAtMs.set(server.id, clock.nowMs() + retryMs);
+      if (!lacks(server, wanted.all())) this.#retryAtMs.delete(server.id);
     }
   }
 
-  /** Waits for the runs that can't go on at another engine. */
-  async #awaitBound(server: Server, signal: AbortSignal): Promise<void> {
+  /** Waits for the runs that can't go on at another engine, and for room to load. */
+  async #awaitBound(
+    { server, isLate }: Chosen,
+    signal: AbortSignal,
+  ): Promise<void> {
     const { clock } = this.#options;
     const startMs = clock.nowMs();
-    await clock.sleep(TOLD_MS, signal);
-    while (!signal.aborted) {
+    if (!this.#isOverdue(server)) await clock.sleep(TOLD_MS, signal);
+    while (!signal.aborted && !this.#isOverdue(server)) {
       const nowMs = clock.nowMs();
       const isFree = server.load(nowMs).bound === 0;
-      const isLate = nowMs - startMs >= DRAIN_MS;
-      if (this.#orders.underWay < LOADS_AT_ONCE && (isFree || isLate)) return;
+      const isDrained = isFree || nowMs - startMs >= DRAIN_MS;
+      const hasRoom = isLate || this.#orders.underWay < LOADS_AT_ONCE;
+      if (hasRoom && isDrained) return;
       await clock.sleep(LOOK_MS / 2, signal);
     }
   }
+
+  /** From now on it is ordered without a wait: what is sent back as not run goes elsewhere. */
+  #isOverdue(server: Server): boolean {
+    const { orderByMs } = this.#options.wanted.limits;
+    return this.#replacedForMs(server) >= orderByMs;
+  }
 }
