--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -181,18 +181,7 @@
       holdsRollLease: this.#roll.holdsLease,
       active: this.#ingress.active,
       wanted: this.#wanted.all(),
-      servers: [...this.#fleet.all()].map((server) => ({
-        id: server.id,
-        service: server.entry.service,
-        draining: server.entry.draining,
-        weights: Object.fromEntries(server.entry.weights),
-        load: server.load(nowMs),
-        slowness: server.health.slowness(nowMs),
-        failures: server.health.failures(nowMs),
-        isDown: server.health.isDown,
-        heldBack: server.isHeldBack(nowMs),
-        channels: server.channels.opened,
-      })),
+      servers: [...this.#fleet.all()].map((server) => server.state(nowMs)),
     };
   }
 
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -231,6 +231,25 @@
     return { started, ended };
   }
 
+  /**
+   * @param nowMs The time.
+   * @returns Its state, for dumps.
+   */
+  state(nowMs: number): unknown {
+    return {
+      id: this.id,
+      service: this.entry.service,
+      draining: this.entry.draining,
+      weights: Object.fromEntries(this.entry.weights),
+      load: this.load(nowMs),
+      slowness: this.health.slowness(nowMs),
+      failures: this.health.failures(nowMs),
+      isDown: this.health.isDown,
+      heldBack: this.isHeldBack(nowMs),
+      channels: this.channels.opened,
+    };
+  }
+
   #learnAll(weights: ReadonlyMap<string, number>): void {
     for (const [model, version] of weights) this.learnWeights(model, version);
   }
