Count refused calls of one heartbeat interval as an outage

Cause: the rule of two heartbeat intervals took the outage for the time without an answer. Trials showed that a shorter outage lapses registrations, too: a server whose two heartbeats in a row are lost and whose next one is a little late. Change: calls in vain for one interval are an outage, too. A connection that went silent while the store serves everyone is still none: its first call in vain ends 0.1 s before the next one is answered. Left: a silent store that is away for 2.0 to 2.3 s, just where a watch begins, looks the same as such a connection; a live server may then be out of use until its next heartbeat.

--- a/src/router/store_contact.ts
+++ b/src/router/store_contact.ts
@@ -6,10 +6,15 @@
 import type { Clock } from "../base/mod.ts";
 
 /**
- * A registration lapses after three heartbeat intervals of silence, and up to one of them may have
- * passed before the outage: in a shorter one nothing lapses.
+ * A registration lapses after three heartbeat intervals of silence: where two heartbeats in a row
+ * are lost and the next one is a little late. So a store that is away for one interval lapses some.
  */
-const LAPSE_INTERVALS = 2;
+const AWAY_INTERVALS = 1;
+/**
+ * Time without an answer that shows the same where calls were in vain for a shorter time. A watch
+ * whose connection has gone silent, while the store serves everyone, takes less.
+ */
+const SILENT_INTERVALS = 2;
 /**
  * Registrations that lapsed are back within about two seconds of the store's return. It is met
  * within a second, and a server that left must be out of use 3 s after it: the rest covers the
@@ -114,10 +119,12 @@
   }
 
   #mayHaveLapsed(silentMs: number): boolean {
-    if (silentMs >= LAPSE_INTERVALS * this.#heartbeatMs) return true;
+    if (silentMs >= SILENT_INTERVALS * this.#heartbeatMs) return true;
+    if (this.#lostAtMs === undefined) return false;
+    const awayMs = this.#nowMs - this.#lostAtMs;
+    if (awayMs >= AWAY_INTERVALS * this.#heartbeatMs) return true;
     // What lapsed in the outage before had no time to be back.
-    return this.#lostAtMs !== undefined &&
-      this.#answeredAtMs - this.#regainedAtMs < RETURN_MS;
+    return this.#answeredAtMs - this.#regainedAtMs < RETURN_MS;
   }
 
   get #sinceRegainedMs(): number {
--- a/src/router/store_contact_test.ts
+++ b/src/router/store_contact_test.ts
@@ -54,13 +54,23 @@
   assert.equal(contact.awaitsReturns, false);
 });
 
-test("outage of less than two heartbeat intervals lapses nothing", () => {
+test("call in vain and silence of less than two heartbeat intervals lapse nothing", () => {
   const made = create();
   outage(made, 2);
   assert.equal(made.contact.outage, undefined);
   assert.equal(made.contact.awaitsReturns, false);
 });
 
+test("store that refuses calls for a heartbeat interval may have missed two heartbeats", () => {
+  for (const [refusedMs, mayLapse] of [[999, false], [1000, true]] as const) {
+    const made = create();
+    refused(made);
+    made.clock.advance(refusedMs);
+    made.contact.answered();
+    assert.equal(made.contact.outage !== undefined, mayLapse);
+  }
+});
+
 test("outage is as long as the time without an answer", () => {
   const made = create();
   made.clock.advance(2 * HEARTBEAT_MS - CALL_MS);
