--- a/src/router/roll_pace_test.ts
+++ b/src/router/roll_pace_test.ts
@@ -1,6 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { countLate, ORDER_BY_MS, roomToChange } from "./roll_pace.ts";
+import { countLate, roomToChange } from "./roll_pace.ts";
+
+/** Age of replaced weights at which engines are to be ordered. */
+const ORDER_BY_MS = 8500;
 
 function pace(replacedMs: number[], outCount = 0) {
   return {
@@ -8,6 +11,7 @@
     outCount,
     busyOutCount: outCount,
     replacedMs,
+    orderByMs: ORDER_BY_MS,
   };
 }
 
