--- a/src/router/run_mover.ts
+++ b/src/router/run_mover.ts
@@ -12,6 +12,7 @@
 import type { Fleet } from "./fleet.ts";
 import type { RunCopy } from "./model.ts";
 import type { Server } from "./server.ts";
+import type { WantedVersions } from "./wanted_weights.ts";
 
 /** Time for the call: a large prompt is copied in 60 ms, between zones in twice that, after others. */
 const MOVE_MS = 600;
@@ -31,6 +32,7 @@
   clock: Clock;
   log: Logger;
   fleet: Fleet;
+  wanted: WantedVersions;
   zone: string;
   random: () => number;
   /** Takes one send more of a request to the service from the budget, if it has room. */
