Move no run to weights that may begin no answer any more

Change: a run stays where it is once the weights that it began on are too old for a new request; it ends there, or is resumed on newer ones.

--- a/src/router/run_mover.ts
+++ b/src/router/run_mover.ts
@@ -140,9 +140,12 @@
 
   /** The engine with the same weights that has least to do. */
   #findTarget({ choice, request, progress }: Send): Server | undefined {
-    const { fleet, clock, zone, random } = this.#options;
+    const { fleet, clock, zone, random, wanted } = this.#options;
     const nowMs = clock.nowMs();
     const model = request.facts.prompt?.model ?? "";
+    // A run that goes on elsewhere begins there, and its copy takes its time.
+    const ageMs = wanted.replacedForMs(model, choice.weightsVersion ?? 0);
+    if (ageMs >= wanted.limits.retiredFromMs) return undefined;
     let best: { server: Server; score: number } | undefined;
     for (const server of fleet.open(request.service)) {
       if (progress.tried.has(server.id) || server.health.isDown) continue;
