Test that an entry keeps a server whose lapse a peer tells

An entry that regains the store tells a peer, which the store doesn't answer yet, of registrations that lapsed; the peer keeps the servers. No end-to-end test held that. The test moves both clocks once the outage is noticed: an entry says that the store serves it until its watch is found silent, and that word counts for a second more. That is left as it is, in peers.ts.

--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -43,13 +43,19 @@
   restart(entry: TestEntry): Promise<TestEntry>;
 }
 
-/** The machine's clock, moved forward by a test. */
+/** The machine's clock, moved forward by a test, or stopped. */
 export class SkewedClock implements Clock {
   aheadMs = 0;
+  #stoppedMs: number | undefined;
 
-  nowMs = (): number => systemClock.nowMs() + this.aheadMs;
+  nowMs = (): number => this.#stoppedMs ?? systemClock.nowMs() + this.aheadMs;
   wallMs = (): number => systemClock.wallMs() + this.aheadMs;
   sleep = systemClock.sleep;
+
+  /** From now on its monotonic time stands still. */
+  stop(): void {
+    this.#stoppedMs = this.nowMs();
+  }
 }
 
 /** As the platform sets it. */
--- a/src/router/outage_test.ts
+++ b/src/router/outage_test.ts
@@ -1,7 +1,14 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
 import { ask, CONFIG } from "../standin/mod.ts";
-import { knows, openWorld, until, useConfig, type World } from "./_world.ts";
+import {
+  knows,
+  openWorld,
+  type TestEntry,
+  until,
+  useConfig,
+  type World,
+} from "./_world.ts";
 
 /** Long enough for every registration to lapse. */
 const OUTAGE_MS = 9000;
@@ -26,12 +33,20 @@
   world: World,
   meanwhile: () => Promise<void> = () => Promise.resolve(),
 ): Promise<void> {
-  world.link.silent();
-  world.clock.aheadMs += OUTAGE_MS;
-  await until(() => knows(world, '"storeConnected":false'));
+  await lose(world);
   await meanwhile();
-  world.link.up();
-  await until(() => knows(world, '"storeConnected":true'));
+  await regain(world);
+}
+
+async function lose(entry: TestEntry): Promise<void> {
+  entry.link.silent();
+  entry.clock.aheadMs += OUTAGE_MS;
+  await until(() => knows(entry, '"storeConnected":false'));
+}
+
+async function regain(entry: TestEntry): Promise<void> {
+  entry.link.up();
+  await until(() => knows(entry, '"storeConnected":true'));
 }
 
 /*
@@ -76,3 +91,26 @@
   assert.ok(knows(world, "i-1"));
   assert.equal((await ask(world, "/book/a")).status, 200);
 });
+
+test("entry that the store doesn't answer yet keeps a server whose lapse a peer tells", async (t) => {
+  const world = await openWorld(t, { entryCount: 2 });
+  const [near, far] = world.entries;
+  assert.ok(near && far);
+  await world.worker("i-1");
+  await until(() => knows(far, "i-1"));
+  await Promise.all([lose(near), lose(far)]);
+  await world.store.delete("servers/i-1");
+  // What each said before it noticed the outage no longer counts.
+  for (const { clock } of [near, far]) clock.aheadMs += OUTAGE_MS;
+  await regain(near);
+  // The peer has not been served for long, however long the rest takes.
+  near.clock.stop();
+  let version = 1;
+  await until(async () => {
+    // Each makes the peer tell how far it is.
+    await world.store.configure({ ...CONFIG, version: ++version });
+    return !knows(far, '"configVersion":1,');
+  });
+  assert.ok(knows(far, '"storeConnected":false'));
+  assert.equal((await ask(far, "/book/a")).status, 200);
+});
