--- a/src/router/store_contact.ts
+++ b/src/router/store_contact.ts
@@ -1,7 +1,7 @@
 /**
  * When the store answered this process and when it didn't, and what follows for registrations that
  * are gone: those that lapsed in an outage are written again after it, those of servers that left
- * are not. Times are counted from when the store can have been back, not from when a deletion came.
+ * are not. Times are counted from the store's return, not from when a deletion came.
  */
 import type { Clock } from "../base/mod.ts";
 
