Show that registrations of another form name servers

Cause: decoding takes any state but draining for ready, any text for an address, and a list of models that is none for an empty one; a known server whose registration becomes malformed stays in use, since only the log hears of it. The start of a server isn't read at all. Ruled out: the follower; it hands each value on as it is stored.

--- a/src/platform/decode_test.ts
+++ b/src/platform/decode_test.ts
@@ -54,16 +54,167 @@
 });
 
 test("any bytes give a fact or a typed error", () => {
-  const keys = fc.constantFrom("op/config", "servers/i", "op/version/m", "x");
+  const keys = fc.oneof(
+    fc.constantFrom("op/config", "servers/i", "op/version/m", "x"),
+    fc.string({ unit: "binary" }).map((id) => `servers/${id}`),
+  );
+  const values = fc.oneof(
+    fc.json().map((text): Uint8Array => Buffer.from(text)),
+    fc.uint8Array({ maxLength: 200 }),
+  );
   fc.assert(
-    fc.property(keys, fc.json(), (key, value) => {
-      const fact = decodeFact(key, Buffer.from(value));
+    fc.property(keys, values, (key, value) => {
+      const fact = decodeFact(key, value);
       return fact.isOk || fact.error.kind === "malformed";
     }),
-    { seed: SEED },
+    { seed: SEED, numRuns: 1000 },
+  );
+});
+
+test("registration with any field of any kind gives a callable server or none", () => {
+  const fields = fc.dictionary(
+    fc.constantFrom(...Object.keys({ ...REGISTRATION, ...ENGINE, born: 0 })),
+    fc.jsonValue(),
+    { maxKeys: 3 },
+  );
+  fc.assert(
+    fc.property(fields, (others) => {
+      const value = bytes({ ...REGISTRATION, ...ENGINE, ...others });
+      const fact = decodeFact("servers/i-1", value);
+      if (fact.isErr) return;
+      assert.ok(fact.value.kind === "server");
+      const { service, address, zone, slots } = fact.value.server;
+      assert.ok(service && zone && Number.isInteger(slots) && slots > 0);
+      assert.equal(new URL(`http://${address}`).hostname, "10.128.0.9");
+    }),
+    { seed: SEED, numRuns: 1000 },
   );
 });
 
+/** A plain server's registration, as the platform's pages show it. */
+const REGISTRATION = {
+  service: "plain",
+  address: "10.128.0.9:8080",
+  zone: "a",
+  version: "v1",
+  slots: 64,
+  state: "ready",
+  cold_left_ms: 0,
+  sequence: 4,
+};
+
+/** What an engine's registration says beside. */
+const ENGINE = {
+  stage: "colocated",
+  models: [{ name: "m", version: 1, adapters: [] }],
+};
+
+function isProper(fields: object, id = "i-1"): boolean {
+  const value = bytes({ ...REGISTRATION, ...fields });
+  return decodeFact(`servers/${id}`, value).isOk;
+}
+
+test("proper registrations name their server", () => {
+  const proper = [
+    {},
+    ENGINE,
+    { state: "draining" },
+    { born: 1_764_000_000_000 },
+    { sequence: 0, models: [] },
+    { version: undefined, cold_left_ms: undefined, sequence: undefined },
+    { cold_left_ms: 12.5, a_later_field: {} },
+  ];
+  for (const fields of proper) {
+    assert.ok(isProper(fields), JSON.stringify(fields));
+  }
+});
+
+/*
+ * Others than the servers write registrations, too. One in a state that the router doesn't know was
+ * taken for a ready server's, and one whose address is no address was called.
+ */
+test("registration with a field missing or of another type names no server", () => {
+  for (const name of ["service", "address", "zone", "slots", "state"]) {
+    assert.ok(!isProper({ [name]: undefined }), `No ${name}`);
+    for (const value of [null, "", {}, [], true, -1, "x"]) {
+      const isName = value === "x" && (name === "service" || name === "zone");
+      if (!isName) assert.ok(!isProper({ [name]: value }), `${name} ${value}`);
+    }
+  }
+  const others = [
+    { state: "starting" },
+    { slots: 0 },
+    { slots: 1.5 },
+    { slots: "4" },
+    { born: null },
+    { born: "1764000000000" },
+    { born: 1.5 },
+    { born: -1 },
+    { sequence: "4" },
+    { sequence: -1 },
+    { version: 1 },
+    { cold_left_ms: "0" },
+    { models: {} },
+    { models: [null] },
+    { models: [{ name: "m" }] },
+    { models: [{ name: "m", version: "1" }] },
+    { models: [{ name: "m", version: 1.5 }] },
+    { models: [{ name: 1, version: 1 }] },
+  ];
+  for (const fields of others) {
+    assert.ok(!isProper(fields), JSON.stringify(fields));
+  }
+});
+
+test("address that can't be called names no server", () => {
+  const addresses = [
+    "10.0.0.1",
+    "10.0.0.1:",
+    "10.0.0.1:0",
+    "10.0.0.1:65536",
+    "10.0.0.1:8e1",
+    "10.0.0.1: 80",
+    "10.0.0.1:80/a",
+    "10.0.0.256:80",
+    "10.0.0:80",
+    "host.example:80",
+    "u@10.0.0.1:80",
+    ":80",
+    "[::1]:80",
+  ];
+  for (const address of addresses) {
+    assert.ok(!isProper({ address }), address);
+  }
+});
+
+test("id that can't stand in a header names no server", () => {
+  for (const id of ["", "a b", "a\nb", "a\r\nx: 1", "é", "\0"]) {
+    assert.ok(!isProper({}, id), JSON.stringify(id));
+  }
+});
+
+test("start of a server is read, and unknown where none is given", () => {
+  for (const born of [1_764_000_000_000, 0, undefined]) {
+    const value = bytes({ ...REGISTRATION, born });
+    const fact = decodeFact("servers/i-1", value);
+    assert.ok(fact.isOk && fact.value.kind === "server");
+    assert.equal(fact.value.server.bornAtMs, born);
+  }
+});
+
+test("named weights have a whole number as their version", () => {
+  for (const version of ["2", 2.5, -1, null]) {
+    const fact = decodeFact("op/version/m", bytes({ model: "m", version }));
+    assert.ok(fact.isErr, `${version}`);
+  }
+});
+
+test("reason tells nothing of the value", () => {
+  const fact = decodeFact("op/config", Buffer.from("key-of-w"));
+  assert.ok(fact.isErr);
+  assert.doesNotMatch(fact.error.reason, /key-of/);
+});
+
 test("prompt's parts are read in order", () => {
   const facts = readRequest({
     method: "POST",
--- /dev/null
+++ b/src/router/in_force_test.ts
@@ -0,0 +1,160 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import type { Logger } from "../base/mod.ts";
+import { CONFIG } from "../standin/mod.ts";
+import { silentLog, TestClock } from "./_kit.ts";
+import { Fleet } from "./fleet.ts";
+import { InForce } from "./in_force.ts";
+import { WantedVersions } from "./wanted_weights.ts";
+
+const SEED = 20_261_203;
+
+const REGISTRATION = {
+  service: "plain",
+  address: "127.0.0.1:9",
+  zone: "a",
+  slots: 4,
+  state: "ready",
+};
+
+interface Line {
+  event: string;
+  [field: string]: unknown;
+}
+
+/** What is in force, fed with values as the store holds them. */
+class Rig {
+  readonly lines: Line[] = [];
+  readonly fleet: Fleet;
+  readonly wanted: WantedVersions;
+  readonly inForce: InForce;
+  #revision = 0n;
+
+  constructor() {
+    const clock = new TestClock();
+    const log = this.#log();
+    this.wanted = WantedVersions.create(clock);
+    this.fleet = Fleet.create({
+      clock,
+      log,
+      serverOptions: (service) => ({
+        connectMs: 1,
+        idleMs: 1,
+        ...this.inForce.limitsOf(service),
+      }),
+      isRecovering: () => false,
+    });
+    this.inForce = InForce.create({
+      log,
+      fleet: this.fleet,
+      wanted: this.wanted,
+      onConfig: () => {},
+    });
+  }
+
+  put(key: string, value: unknown): void {
+    this.putBytes(key, Buffer.from(JSON.stringify(value)));
+  }
+
+  putBytes(key: string, value: Uint8Array): void {
+    const revision = ++this.#revision;
+    const entry = {
+      key,
+      value,
+      modRevision: revision,
+      createRevision: revision,
+    };
+    this.inForce.take({ kind: "put", entry });
+  }
+
+  delete(key: string): void {
+    this.inForce.take({ kind: "delete", key, revision: ++this.#revision });
+  }
+
+  /** Ids of the servers that take plain calls. */
+  open(): string[] {
+    return this.fleet.open("plain").map(({ id }) => id);
+  }
+
+  count(event: string): number {
+    return this.lines.filter((line) => line.event === event).length;
+  }
+
+  #log(): Logger {
+    const note = (line: Line) => void this.lines.push(line);
+    return Object.assign(Object.create(silentLog), {
+      info: note,
+      warn: note,
+      error: note,
+    });
+  }
+}
+
+test("server whose registration becomes malformed gets nothing until it is proper", () => {
+  const rig = new Rig();
+  rig.put("servers/a", REGISTRATION);
+  rig.put("servers/b", REGISTRATION);
+  rig.put("servers/a", { ...REGISTRATION, state: "asleep" });
+  assert.deepEqual(rig.open(), ["b"]);
+  rig.put("servers/a", REGISTRATION);
+  assert.deepEqual(rig.open().sort(), ["a", "b"]);
+  rig.putBytes("servers/a", Buffer.from([0xff, 0xfe, 0]));
+  assert.deepEqual(rig.open(), ["b"]);
+});
+
+test("malformed value is logged once while it stays malformed", () => {
+  const rig = new Rig();
+  for (let i = 0; i < 3; i++) rig.put("servers/a", { sequence: i });
+  assert.equal(rig.count("store_malformed"), 1);
+  rig.put("servers/a", REGISTRATION);
+  rig.put("servers/a", {});
+  assert.equal(rig.count("store_malformed"), 2);
+  rig.delete("servers/a");
+  rig.put("servers/a", {});
+  assert.equal(rig.count("store_malformed"), 3);
+});
+
+test("malformed configuration or weights keep the older in force", () => {
+  const rig = new Rig();
+  rig.put("op/config", CONFIG);
+  rig.put("op/version/m", { model: "m", version: 2 });
+  rig.put("op/config", { ...CONFIG, version: 2, routes: [{}] });
+  rig.put("op/config", { ...CONFIG, version: "3" });
+  rig.put("op/config", {
+    ...CONFIG,
+    version: 4,
+    limits: { ...CONFIG.limits, header_timeout_ms: -1 },
+  });
+  rig.put("op/version/m", { model: "m", version: 2.5 });
+  rig.put("op/version/m", { model: 1, version: 3 });
+  assert.equal(rig.inForce.table?.version, 1);
+  assert.equal(rig.wanted.newest("m"), 2);
+});
+
+test("whatever else is written, proper servers stay and nothing throws", () => {
+  const key = fc.oneof(
+    fc.constantFrom("op/config", "op/version/m", "servers/x", "servers/"),
+    fc.string({ unit: "binary" }).map((id) => `servers/x${id}`),
+  );
+  const value = fc.oneof(
+    fc.uint8Array({ maxLength: 100 }),
+    fc.json().map((text): Uint8Array => Buffer.from(text)),
+    fc.dictionary(
+      fc.constantFrom(...Object.keys({ ...REGISTRATION, ...CONFIG })),
+      fc.jsonValue(),
+    ).map((fields): Uint8Array =>
+      Buffer.from(JSON.stringify({ ...REGISTRATION, ...CONFIG, ...fields }))
+    ),
+  );
+  fc.assert(
+    fc.property(fc.array(fc.tuple(key, value)), (writes) => {
+      const rig = new Rig();
+      rig.put("servers/a", REGISTRATION);
+      for (const [key, value] of writes) rig.putBytes(key, value);
+      assert.ok(rig.fleet.get("a"));
+      rig.fleet.close();
+    }),
+    { seed: SEED, numRuns: 300 },
+  );
+});
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -101,8 +101,13 @@
 
 /** A backend server as it registered itself. */
 export interface BackendServer {
-  /** Changes with each start of the server. */
+  /** Stays the same when the server starts again. */
   id: string;
+  /**
+   * When the server started, by its own clock, since 1970; left out: unknown. After another start
+   * it holds nothing of what it held before, and counts its orders anew.
+   */
+  bornAtMs?: number;
   service: string;
   /** `ip:port`. */
   address: string;
@@ -210,6 +215,8 @@
 
 /** A server's own account of its load; some hundred ms old. */
 export interface ServerReport {
+  /** As in {@link BackendServer}. */
+  bornAtMs?: number;
   weights: ReadonlyMap<string, number>;
   /** An order is being carried out. */
   busy: boolean;
