Use no server whose registration isn't as published

Cause: decoding filled in for what was missing or of another type, and a malformed registration was logged while the server it had named stayed in use. Ruled out: refusing a registration that lacks the software's version, the rest of the slow start or the count of orders: the router needs none of these, and a proper server must not be lost for them. Where they are there, they must be of their type. Change: registrations and reports are decoded in decode_server.ts, each field checked, ready and draining the only states, an address an IPv4 address with a port, an id one that can stand in a header; the start of a server is read. in_force.ts drops a known server whose registration becomes malformed, and logs a malformed value once while it stays so. Versions and limits are whole numbers, so that none can upset the HTTP server. A reason no longer quotes the value, which may hold keys of workspaces. Conclusion: others' values name no server; those of the rest hold.

--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -13,7 +13,21 @@
   type WantedWeights,
   type Workspace,
 } from "../router/model.ts";
+import { readServer } from "./decode_server.ts";
 import { CONFIG_KEY, SERVERS_PREFIX, WEIGHTS_PREFIX } from "./names.ts";
+import {
+  asObject,
+  type Json,
+  list,
+  nonEmptyText,
+  number,
+  optionalList,
+  optionalNumber,
+  parseObject,
+  ShapeError,
+  text,
+  wholeNumber,
+} from "./shape.ts";
 
 /** What one key of the store tells. */
 export type StoreFact =
@@ -36,10 +50,6 @@
   reason: string;
 }
 
-type Json = Record<string, unknown>;
-
-class ShapeError extends Error {}
-
 /**
  * @param key The store's key.
  * @param value Its value.
@@ -66,22 +76,6 @@
   return { kind: "server", serverId: key.slice(SERVERS_PREFIX.length) };
 }
 
-/**
- * Reads the list of loaded models that servers give in their entries and reports.
- *
- * @param value The list as sent.
- * @returns Version of the weights by model.
- */
-export function readWeights(value: unknown): ReadonlyMap<string, number> {
-  const weights = new Map<string, number>();
-  if (!Array.isArray(value)) return weights;
-  for (const row of value) {
-    const model = asObject(row, "models");
-    weights.set(text(model, "name"), number(model, "version"));
-  }
-  return weights;
-}
-
 function readFact(key: string, value: Uint8Array): StoreFact {
   if (key === CONFIG_KEY) return { kind: "config", config: readConfig(value) };
   if (key.startsWith(WEIGHTS_PREFIX)) {
@@ -93,9 +87,9 @@
 }
 
 function readConfig(value: Uint8Array): RoutingConfig {
-  const config = parse(value);
+  const config = parseObject(value);
   return {
-    version: number(config, "version"),
+    version: wholeNumber(config, "version"),
     routes: list(config, "routes").map(readRoute),
     services: list(config, "services").map(readService),
     limits: readLimits(asObject(config["limits"], "limits")),
@@ -176,10 +170,10 @@
 
 function readLimits(limits: Json): ClientLimits {
   return {
-    headerBytes: number(limits, "max_header_bytes"),
-    bodyBytes: number(limits, "max_body_bytes"),
-    headerTimeoutMs: number(limits, "header_timeout_ms"),
-    idleTimeoutMs: number(limits, "idle_timeout_ms"),
+    headerBytes: wholeNumber(limits, "max_header_bytes"),
+    bodyBytes: wholeNumber(limits, "max_body_bytes"),
+    headerTimeoutMs: wholeNumber(limits, "header_timeout_ms"),
+    idleTimeoutMs: wholeNumber(limits, "idle_timeout_ms"),
   };
 }
 
@@ -194,61 +188,11 @@
   };
 }
 
-function readServer(id: string, value: Uint8Array): BackendServer {
-  const entry = parse(value);
-  return {
-    id,
-    service: text(entry, "service"),
-    address: text(entry, "address"),
-    zone: text(entry, "zone"),
-    draining: text(entry, "state") === "draining",
-    slots: optionalNumber(entry, "slots") ?? 1,
-    weights: readWeights(entry["models"]),
-  };
-}
-
 /** `version` here counts weights; the configuration's own `version` is another count. */
 function readWanted(value: Uint8Array): WantedWeights {
-  const wanted = parse(value);
-  return { model: text(wanted, "model"), version: number(wanted, "version") };
-}
-
-function parse(value: Uint8Array): Json {
-  return asObject(JSON.parse(new TextDecoder().decode(value)), "value");
-}
-
-function asObject(value: unknown, name: string): Json {
-  if (typeof value === "object" && value !== null && !Array.isArray(value)) {
-    return value as Json;
-  }
-  throw new ShapeError(`No object: ${name}`);
-}
-
-function text(object: Json, name: string): string {
-  const value = object[name];
-  if (typeof value !== "string") throw new ShapeError(`No text: ${name}`);
-  return value;
-}
-
-function number(object: Json, name: string): number {
-  const value = optionalNumber(object, name);
-  if (value === undefined) throw new ShapeError(`No number: ${name}`);
-  return value;
-}
-
-function optionalNumber(object: Json, name: string): number | undefined {
-  const value = object[name];
-  return typeof value === "number" && Number.isFinite(value)
-    ? value
-    : undefined;
-}
-
-function list(object: Json, name: string): unknown[] {
-  const value = object[name];
-  if (!Array.isArray(value)) throw new ShapeError(`No list: ${name}`);
-  return value;
-}
-
-function optionalList(object: Json, name: string): unknown[] {
-  return object[name] === undefined ? [] : list(object, name);
+  const wanted = parseObject(value);
+  return {
+    model: nonEmptyText(wanted, "model"),
+    version: wholeNumber(wanted, "version"),
+  };
 }
--- a/src/platform/server_calls.ts
+++ b/src/platform/server_calls.ts
@@ -1,7 +1,7 @@
 /** Calls to a backend server besides clients' requests: its report, and orders to it. */
 import { Result } from "true-myth";
 import type { ServerAddress, ServerReport } from "../router/model.ts";
-import { readWeights } from "./decode.ts";
+import { readReport } from "./decode_server.ts";
 import { type CallFailure, HttpCaller } from "./http_call.ts";
 import { Header, ServerPath } from "./names.ts";
 
@@ -188,16 +188,6 @@
   }
 }
 
-function readReport(body: Record<string, unknown>): ServerReport {
-  return {
-    weights: readWeights(body["models"]),
-    busy: body["busy"] === true,
-    orderSequence: count(body["sequence"]),
-    waiting: count(body["queued"]),
-    running: count(body["running"]),
-  };
-}
-
 function readOrderAnswer(status: number): OrderAnswer {
   switch (status) {
     case 202:
@@ -215,11 +205,6 @@
   }
 }
 
-function count(value: unknown): number {
-  if (typeof value === "number" && Number.isFinite(value)) return value;
-  throw new TypeError("Report without a count");
-}
-
 function malformed(message: string): CallFailure {
   return { kind: "malformed", message };
 }
--- a/src/router/in_force.ts
+++ b/src/router/in_force.ts
@@ -1,6 +1,10 @@
 /** What the platform's store says, in force: configuration, servers, weights and the prompt store. */
 import type { Logger } from "../base/mod.ts";
-import { decodeFact, decodeRemoval } from "../platform/mod.ts";
+import {
+  decodeFact,
+  decodeRemoval,
+  type MalformedValue,
+} from "../platform/mod.ts";
 import { CacheBook } from "./cache_book.ts";
 import type { PromptStore } from "./choose.ts";
 import type { Fleet } from "./fleet.ts";
@@ -27,6 +31,8 @@
   readonly #options: InForceOptions;
   #table: RoutingTable | undefined;
   #promptStore: PromptStore | undefined;
+  /** Keys whose value is malformed, so that each is logged once. */
+  readonly #malformed = new Set<string>();
 
   private constructor(options: InForceOptions) {
     this.#options = options;
@@ -52,18 +58,11 @@
 
   /** @param change A change of the store; what is older than what is in force is ignored. */
   take(change: MirrorChange): void {
-    if (change.kind === "delete") {
-      const removed = decodeRemoval(change.key);
-      if (removed.kind === "server") {
-        this.#options.fleet.remove(removed.serverId);
-      }
-      return;
-    }
-    const fact = decodeFact(change.entry.key, change.entry.value);
-    if (fact.isErr) {
-      this.#options.log.error({ event: "store_malformed", ...fact.error });
-      return;
-    }
+    if (change.kind === "delete") return this.#remove(change.key);
+    const { key, value } = change.entry;
+    const fact = decodeFact(key, value);
+    if (fact.isErr) return this.#refuse(fact.error);
+    this.#malformed.delete(key);
     switch (fact.value.kind) {
       case "config":
         return this.#useConfig(fact.value.config);
@@ -114,6 +113,24 @@
     };
   }
 
+  #remove(key: string): void {
+    this.#malformed.delete(key);
+    const removed = decodeRemoval(key);
+    if (removed.kind === "server") this.#options.fleet.remove(removed.serverId);
+  }
+
+  /** A registration that can't be read names no server to use; of other values the older holds. */
+  #refuse(malformed: MalformedValue): void {
+    const { key } = malformed;
+    if (!this.#malformed.has(key)) {
+      this.#malformed.add(key);
+      this.#options.log.error({ event: "store_malformed", ...malformed });
+    }
+    const named = decodeRemoval(key);
+    if (named.kind !== "server") return;
+    this.#options.fleet.drop(named.serverId, "registration_malformed");
+  }
+
   #useConfig(config: RoutingConfig): void {
     if (this.#table && config.version <= this.#table.version) return;
     const before = this.#table?.version;
