Show that one unreadable item stops the watch

Cause: the reader of an item throws where its value is no text, and the whole page or watch counts as lost; the next answer has the same item. Ruled out: the follower; it asks again as it should.

--- a/src/standin/platform_store_server.ts
+++ b/src/standin/platform_store_server.ts
@@ -33,6 +33,8 @@
 /** The platform's store, with the faults of {@link MemoryStore}. */
 export class StandinPlatformStore {
   readonly store = MemoryStore.create();
+  /** Fields that are sent in place of an item's own, by key: what another writer left there. */
+  readonly spoilt = new Map<string, object>();
   #host!: HttpHost;
 
   private constructor() {}
@@ -136,7 +138,10 @@
     const found = await this.store.get(query.get("key") ?? "");
     if (found.isErr) return refusal(found.error);
     if (!found.value) return { status: 404 };
-    return { status: 200, body: { ...item(found.value), ...this.#revision() } };
+    return {
+      status: 200,
+      body: { ...this.#item(found.value), ...this.#revision() },
+    };
   }
 
   async #range(query: URLSearchParams): Promise<Answer | undefined> {
@@ -148,7 +153,7 @@
     return {
       status: 200,
       body: {
-        items: page.map(item),
+        items: page.map((entry) => this.#item(entry)),
         more_pages: rows.length > page.length,
         ...this.#revision(),
       },
@@ -181,7 +186,10 @@
     }
     return {
       status: 200,
-      body: { events: events.map(changed), current_rev: lastOf(events, after) },
+      body: {
+        events: events.map((event) => this.#changed(event)),
+        current_rev: lastOf(events, after),
+      },
     };
   }
 
@@ -205,7 +213,10 @@
     const { value } = outcome;
     return value.kind === "committed"
       ? { status: 200, body: { revision: Number(value.revision) } }
-      : { status: 412, body: { items: value.current.map(item) } };
+      : {
+        status: 412,
+        body: { items: value.current.map((entry) => this.#item(entry)) },
+      };
   }
 
   async #grant(sent: { ttl_ms: number }): Promise<Answer | undefined> {
@@ -229,6 +240,23 @@
     return revoked.isErr ? refusal(revoked.error) : { status: 200 };
   }
 
+  #item(entry: KeyValueEntry): Record<string, unknown> {
+    return {
+      key: entry.key,
+      value: Buffer.from(entry.value).toString("base64"),
+      revision: Number(entry.modRevision),
+      created: Number(entry.createRevision),
+      lease: 0,
+      ...this.spoilt.get(entry.key),
+    };
+  }
+
+  #changed(event: TableEvent): Record<string, unknown> {
+    if (event.kind === "put") return this.#item(event.entry);
+    const revision = Number(event.revision);
+    return { key: event.key, revision, deleted: true };
+  }
+
   #revision(): { current_rev: number } {
     return { current_rev: Number(this.store.table.revision) };
   }
@@ -249,22 +277,6 @@
   }
 }
 
-function item(entry: KeyValueEntry): Record<string, unknown> {
-  return {
-    key: entry.key,
-    value: Buffer.from(entry.value).toString("base64"),
-    revision: Number(entry.modRevision),
-    created: Number(entry.createRevision),
-    lease: 0,
-  };
-}
-
-function changed(event: TableEvent): Record<string, unknown> {
-  if (event.kind === "put") return item(event.entry);
-  const revision = Number(event.revision);
-  return { key: event.key, revision, deleted: true };
-}
-
 function lastOf(events: TableEvent[], after: bigint): number {
   const last = events.at(-1);
   if (!last) return Number(after);
