Take what can be read of a list or watch

Ruled out: leaving such an item out. Its key is there: a server whose registration can't be read any more must not stay in use, and a lease whose value can't be read is held by somebody. So it counts with an empty value. Change: the readers of pages and watches take each item by itself and tell of those that can't be read; the store's client hands these on, and the router logs store_item_unreadable. The next page begins after the last key that was listed, also where that item can't be read. Conclusion: what another writer leaves stops nothing.

--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -21,12 +21,13 @@
 import { StorePath } from "./names.ts";
 import {
   commitBody,
-  items,
   readConflict,
   readEntry,
   readPage,
-  readStep,
+  readWatch,
   revisionOf,
+  type UnreadableItem,
+  type WatchAnswer,
 } from "./store_bodies.ts";
 
 /** Settings of a {@link PlatformStore}. */
@@ -40,6 +41,8 @@
   watchWaitMs: number;
   /** Time beyond `watchWaitMs` after which a watch counts as silent. */
   watchSlackMs: number;
+  /** An item of a list or watch can't be read; the others of the answer are taken. */
+  onUnreadable?(item: UnreadableItem): void;
 }
 
 /** Conditions and changes of one commit, as the platform's pages say. */
@@ -89,11 +92,11 @@
       if (answer.isErr) return Result.err(answer.error);
       const page = guarded(() => readPage(answer.value.body));
       if (page.isErr) return Result.err(page.error);
+      this.#tellUnreadable(page.value.unreadable);
       revision ??= page.value.revision;
       entries.push(...page.value.entries);
-      const last = page.value.entries.at(-1);
-      if (!page.value.hasMore || !last) break;
-      after = last.key;
+      if (page.value.nextAfter === undefined) break;
+      after = page.value.nextAfter;
     }
     return Result.ok({ entries, revision });
   }
@@ -141,7 +144,8 @@
         yield Result.err(answer.error);
         return;
       }
-      const { steps, revision } = answer.value;
+      const { steps, unreadable, revision } = answer.value;
+      this.#tellUnreadable(unreadable);
       for (const step of steps) yield Result.ok(step);
       if (revision > after) after = revision;
       yield Result.ok({ kind: "progress", revision: after });
@@ -201,7 +205,7 @@
     prefix: string,
     after: bigint,
     signal: AbortSignal,
-  ): Promise<Result<{ steps: WatchStep[]; revision: bigint }, StoreFailure>> {
+  ): Promise<Result<WatchAnswer, StoreFailure>> {
     const { watchWaitMs, watchSlackMs } = this.#options;
     const query = new URLSearchParams({
       prefix,
@@ -220,10 +224,7 @@
       return Result.err({ kind: "compacted", oldestRevision: after + 1n });
     }
     if (status !== 200) return Result.err(refused(status));
-    return guarded(() => ({
-      steps: items(body, "events").map(readStep),
-      revision: revisionOf(body, "current_rev"),
-    }));
+    return guarded(() => readWatch(body));
   }
 
   async #read(path: string): Promise<Result<CallAnswer, StoreFailure>> {
@@ -236,6 +237,10 @@
       : Result.err(refused(status));
   }
 
+  #tellUnreadable(unreadable: UnreadableItem[]): void {
+    for (const item of unreadable) this.#options.onUnreadable?.(item);
+  }
+
   #send(call: Call): Promise<Result<CallAnswer, CallFailure>> {
     this.#calls++;
     return this.#caller.send(call);
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -88,6 +88,8 @@
       callMs: STORE_CALL_MS,
       watchWaitMs: WATCH_WAIT_MS,
       watchSlackMs: WATCH_SLACK_MS,
+      onUnreadable: (item) =>
+        this.#log.error({ event: "store_item_unreadable", ...item }),
     });
     this.#follower = StoreFollower.create({ ...this.#parts() });
     this.#fleet = this.#createFleet();
