Show that a malformed datagram ends an entry

Cause: datagrams, relayed changes and taught caches are taken as they come; a field that is missing throws out of the socket's listener. Whatever lies under the entries' prefix is sent datagrams to, also a host name, which is looked up. Ruled out: lost datagrams, which are expected.

--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -26,6 +26,9 @@
   ipAddress: string;
   clientPort: number;
   readinessPort: number;
+  /** Where it serves other entries. */
+  controlPort: number;
+  peerPort: number;
 }
 
 /** A store, entries and backend servers, all in this process. */
@@ -144,6 +147,8 @@
       ipAddress,
       clientPort: ports.client,
       readinessPort: ports.readiness,
+      controlPort: ports.control,
+      peerPort: ports.peer,
     };
     entries.push({ ...entry, router: await start(entry) });
   }
--- /dev/null
+++ b/src/router/peers_test.ts
@@ -0,0 +1,186 @@
+import assert from "node:assert/strict";
+import { createSocket, type Socket } from "node:dgram";
+import { createServer, type Server } from "node:http";
+import { test, type TestContext } from "node:test";
+import fc from "fast-check";
+import { ask } from "../standin/mod.ts";
+import { knows, openWorld, until, type World } from "./_world.ts";
+import { silentLog, TestClock } from "./_kit.ts";
+import { StoreMirror } from "./mirror.ts";
+import { ENTRIES_PREFIX, Registration } from "./registration.ts";
+
+const SEED = 20_261_203;
+
+/** A datagram that tells nothing new. */
+const TOLD = {
+  name: "fake",
+  revision: "0",
+  ageMs: 0,
+  loads: [],
+  prompts: [],
+  heldBack: [],
+  silent: [],
+  storeServes: false,
+  weights: [],
+};
+
+/** Something that speaks to an entry as another one does. */
+class FakePeer {
+  readonly #socket: Socket;
+  readonly #control: Server;
+  readonly #world: World;
+  /** Answers by path. */
+  readonly answers = new Map<string, string>();
+  /** Paths that were asked for. */
+  readonly asked: string[] = [];
+
+  private constructor(world: World, socket: Socket, control: Server) {
+    this.#world = world;
+    this.#socket = socket;
+    this.#control = control;
+  }
+
+  static async create(t: TestContext, world: World): Promise<FakePeer> {
+    const ipAddress = "127.0.0.9";
+    const socket = createSocket("udp4");
+    const control = createServer((request, response) => {
+      const [path = ""] = (request.url ?? "").split("?");
+      peer.asked.push(path);
+      response.end(peer.answers.get(path) ?? "{}");
+    });
+    const peer = new FakePeer(world, socket, control);
+    t.after(() => peer.#close());
+    await new Promise<void>((resolve) =>
+      socket.bind(world.peerPort, ipAddress, resolve)
+    );
+    await new Promise<void>((resolve) =>
+      control.listen(world.controlPort, ipAddress, resolve)
+    );
+    return peer;
+  }
+
+  /** Sends one datagram, and waits until it is on its way. */
+  send(bytes: Uint8Array): Promise<void> {
+    const { peerPort, ipAddress } = this.#world;
+    return new Promise((resolve, reject) => {
+      this.#socket.send(bytes, peerPort, ipAddress, (error) => {
+        if (error) reject(error);
+        else resolve();
+      });
+    });
+  }
+
+  tell(fields: object): Promise<void> {
+    return this.send(Buffer.from(JSON.stringify({ ...TOLD, ...fields })));
+  }
+
+  #close(): void {
+    this.#socket.close();
+    this.#control.close();
+    this.#control.closeAllConnections();
+  }
+}
+
+/** The entry still serves, hears of the store, and takes in what a proper peer tells. */
+async function assertSound(world: World, peer: FakePeer): Promise<void> {
+  await peer.tell({ weights: [["i-1", "m", 9]] });
+  await until(() => knows(world, '"entries":2'));
+  await world.worker("i-last");
+  assert.equal((await ask(world, "/look/a")).status, 200);
+}
+
+test("datagram with fields missing or of another type changes nothing", async (t) => {
+  const world = await openWorld(t);
+  await world.worker("i-1");
+  const peer = await FakePeer.create(t, world);
+  for (const name of Object.keys(TOLD)) {
+    for (const value of [undefined, null, {}, "x", [null], [["i-1"]]]) {
+      if (name === "name" && value === "x") continue;
+      await peer.tell({
+        loads: [["i-1", 7, 7, 7]],
+        heldBack: ["i-1"],
+        [name]: value,
+      });
+    }
+  }
+  await peer.tell({ loads: [["i-1", "7", "7", "7"]] });
+  await peer.tell({ loads: [["i-1", 1e400, 1, 1]] });
+  for (const text of ["null", "1", "[]", "{}", "", "{"]) {
+    await peer.send(Buffer.from(text));
+  }
+  await assertSound(world, peer);
+  assert.ok(!knows(world, '"running":7'));
+  assert.ok(!knows(world, '"heldBack":true'));
+});
+
+test("datagrams of any bytes change nothing", async (t) => {
+  const world = await openWorld(t);
+  await world.worker("i-1");
+  const peer = await FakePeer.create(t, world);
+  const fields = fc.dictionary(
+    fc.constantFrom(...Object.keys(TOLD)),
+    fc.jsonValue(),
+    { minKeys: 1 },
+  );
+  for (const bytes of fc.sample(fc.uint8Array(), { seed: SEED, numRuns: 50 })) {
+    await peer.send(bytes);
+  }
+  for (const told of fc.sample(fields, { seed: SEED, numRuns: 200 })) {
+    await peer.tell(told);
+  }
+  await assertSound(world, peer);
+});
+
+test("peer that answers with something else teaches nothing", async (t) => {
+  const world = await openWorld(t);
+  await world.worker("i-1");
+  const peer = await FakePeer.create(t, world);
+  const relay = { revision: "99999", ageMs: 0, isAll: false, deletes: [] };
+  const entry = { value: "", modRevision: "99998", createRevision: "1" };
+  const bodies = [
+    {},
+    { ...relay, entries: [entry] },
+    { ...relay, entries: [null] },
+    { ...relay, entries: [{ ...entry, key: 1 }] },
+    { ...relay, entries: [{ ...entry, key: "a", value: 1 }] },
+    { ...relay, entries: [], ageMs: "x" },
+    { ...relay, entries: [], revision: "x" },
+    { ...relay, entries: [], deletes: [{ revision: "99998" }] },
+  ];
+  peer.answers.set("/cached", JSON.stringify({ lessons: [{ id: "i-1" }] }));
+  for (const body of bodies) {
+    peer.answers.set("/relay", JSON.stringify(body));
+    const before = peer.asked.length;
+    while (!peer.asked.slice(before).includes("/relay")) {
+      await peer.tell({ revision: "99999" });
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+  }
+  await until(() => peer.asked.includes("/cached"));
+  await assertSound(world, peer);
+  assert.ok(!knows(world, '"storeRevision":"99999"'));
+});
+
+test("entry whose registered address is none is not told", () => {
+  const mirror = StoreMirror.create(new TestClock());
+  const values = ["10.0.0.1", "host.example", "", "10.0.0.1:80", "::1", "\xff"];
+  values.forEach((value, i) => {
+    const revision = BigInt(i + 1);
+    const entry = {
+      key: `${ENTRIES_PREFIX}${i}`,
+      value: Buffer.from(value, "latin1"),
+      modRevision: revision,
+      createRevision: revision,
+    };
+    mirror.follow({ kind: "put", entry });
+  });
+  const registration = Registration.create({
+    mirror,
+    clock: new TestClock(),
+    log: silentLog,
+    instance: "entry-1",
+    ipAddress: "10.0.0.9",
+    store: undefined as never,
+  });
+  assert.deepEqual(registration.ipAddresses(), ["10.0.0.1"]);
+});
