Take nothing from a malformed word of another entry

Ruled out: catching what is thrown in the listener: half of a datagram would count by then, and a load that is text would spoil the sums of all loads. Change: peer_datagram.ts has the datagram's type and reads it, with one check for each field, which the compiler asks for when a field is added; relayed changes and taught caches are read in whole before any of them counts; what is registered as an entry's address must be an IPv4 address. Conclusion: nothing that another process or writer says ends an entry.

--- a/src/router/lessons.ts
+++ b/src/router/lessons.ts
@@ -96,7 +96,9 @@
       this.#hasLearned = false;
       return;
     }
-    const parts = this.#take(answer.value.body["lessons"] as Lesson[]);
+    const lessons = readLessons(answer.value.body["lessons"]);
+    if (!lessons) log.warn({ event: "peer_malformed", peer: ipAddress });
+    const parts = this.#take(lessons ?? []);
     // A peer that has just started, too, knows nothing.
     this.#hasLearned = parts > 0;
     log.info({ event: "caches_learned", peer: ipAddress, parts });
@@ -115,3 +117,19 @@
     return count;
   }
 }
+
+/** Nothing, unless all of it has the form of a peer's answer. */
+function readLessons(value: unknown): Lesson[] | undefined {
+  const isAll = Array.isArray(value) && value.every(isLesson);
+  return isAll ? value : undefined;
+}
+
+function isLesson(value: unknown): value is Lesson {
+  if (typeof value !== "object" || value === null) return false;
+  const { id, parts } = value as Partial<Lesson>;
+  return typeof id === "string" && Array.isArray(parts) &&
+    parts.every((part) =>
+      Array.isArray(part) && typeof part[0] === "string" &&
+      Number.isFinite(part[1])
+    );
+}
--- /dev/null
+++ b/src/router/peer_datagram.ts
@@ -0,0 +1,74 @@
+/** What entries tell each other by datagrams. One that is wrong in one field counts as lost. */
+
+/** One datagram. */
+export interface Told {
+  name: string;
+  revision: string;
+  ageMs: number;
+  /** Server, pending tokens, requests under way, those that are bound to it. */
+  loads: [string, number, number, number][];
+  /** Server or store, salt, time until it is there, and the parts with their tokens. */
+  prompts: [string, string, number, [string, number][]][];
+  /** Servers that are to get nothing new. */
+  heldBack: string[];
+  /** Servers that have just gone silent. */
+  silent: string[];
+  /** The store answers this entry, and has done so for a while. */
+  storeServes: boolean;
+  /** Server, model, version: weights that were seen there. */
+  weights: [string, string, number][];
+}
+
+/** Whether a field of a datagram has its form. */
+type Check = (value: unknown) => boolean;
+
+/** Decimal digits of a revision; a number of more would not be one of the store's. */
+const REVISION_PATTERN = /^\d{1,18}$/;
+
+const isText: Check = (value) => typeof value === "string";
+const isCount: Check = (value) =>
+  typeof value === "number" && Number.isFinite(value) && value >= 0;
+
+/** One check for each field, so that none is added without. */
+const CHECKS: Record<keyof Told, Check> = {
+  name: isText,
+  revision: (value) => isText(value) && REVISION_PATTERN.test(value as string),
+  ageMs: isCount,
+  loads: listOf(rowOf(isText, isCount, isCount, isCount)),
+  prompts: listOf(
+    rowOf(isText, isText, isCount, listOf(rowOf(isText, isCount))),
+  ),
+  heldBack: listOf(isText),
+  silent: listOf(isText),
+  storeServes: (value) => typeof value === "boolean",
+  weights: listOf(rowOf(isText, isText, isCount)),
+};
+
+/**
+ * @param bytes A datagram.
+ * @returns What it tells, if it has the form of an entry's.
+ */
+export function readTold(bytes: Uint8Array): Told | undefined {
+  let value: unknown;
+  try {
+    value = JSON.parse(new TextDecoder().decode(bytes));
+  } catch {
+    return undefined;
+  }
+  return isTold(value) ? value : undefined;
+}
+
+function isTold(value: unknown): value is Told {
+  if (typeof value !== "object" || value === null) return false;
+  const fields = value as Record<string, unknown>;
+  return Object.entries(CHECKS).every(([name, check]) => check(fields[name]));
+}
+
+function listOf(check: Check): Check {
+  return (value) => Array.isArray(value) && value.every(check);
+}
+
+function rowOf(...checks: Check[]): Check {
+  return (value) =>
+    Array.isArray(value) && checks.every((check, i) => check(value[i]));
+}
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -8,6 +8,7 @@
 import type { CacheBook } from "./cache_book.ts";
 import type { PlacedPrompt } from "./request.ts";
 import type { Fleet } from "./fleet.ts";
+import { readTold, type Told } from "./peer_datagram.ts";
 
 /** Pause between datagrams while something changes: a tenth of the time to a first token. */
 const TELL_MS = 50;
@@ -52,25 +53,6 @@
   ageMs: number;
 }
 
-/** One datagram. */
-interface Told {
-  name: string;
-  revision: string;
-  ageMs: number;
-  /** Server, pending tokens, requests under way, those that are bound to it. */
-  loads: [string, number, number, number][];
-  /** Server or store, salt, time until it is there, and the parts with their tokens. */
-  prompts: [string, string, number, [string, number][]][];
-  /** Servers that are to get nothing new. */
-  heldBack: string[];
-  /** Servers that have just gone silent. */
-  silent: string[];
-  /** The store answers this entry, and has done so for a while. */
-  storeServes: boolean;
-  /** Server, model, version: weights that were seen there. */
-  weights: [string, string, number][];
-}
-
 /** Tells other entries, and takes in what they tell. */
 export class Peers {
   readonly #options: PeersOptions;
@@ -219,10 +201,8 @@
   }
 
   #hear(bytes: Buffer, ipAddress: string): void {
-    let told: Told;
-    try {
-      told = JSON.parse(bytes.toString());
-    } catch {
+    const told = readTold(bytes);
+    if (!told) {
       this.#options.log.warn({ event: "peer_malformed", peer: ipAddress });
       return;
     }
--- a/src/router/registration.ts
+++ b/src/router/registration.ts
@@ -1,4 +1,5 @@
 /** Registers this entry in the store, so that others find it, and finds the others. */
+import { isIPv4 } from "node:net";
 import type { Clock, Logger } from "../base/mod.ts";
 import type { KeyValueStore } from "../store/store.ts";
 import type { StoreMirror } from "./mirror.ts";
@@ -41,9 +42,10 @@
   /** IP numbers of the entries that are registered. */
   ipAddresses(): string[] {
     const decoder = new TextDecoder();
-    return this.#options.mirror.entries(ENTRIES_PREFIX).map(({ value }) =>
-      decoder.decode(value)
-    );
+    return this.#options.mirror.entries(ENTRIES_PREFIX)
+      .map(({ value }) => decoder.decode(value))
+      // Others may write there, too; a host name would be looked up at each datagram.
+      .filter(isIPv4);
   }
 
   /** @param signal Ends the renewals; the registration lapses. */
--- a/src/router/relay.ts
+++ b/src/router/relay.ts
@@ -111,7 +111,7 @@
       });
       if (answer.isErr || answer.value.status !== 200) return false;
       const before = mirror.revision;
-      apply(mirror, answer.value.body as unknown as WireCatchup);
+      apply(mirror, readCatchup(answer.value.body));
       this.#behindSinceMs = undefined;
       log.info({
         event: "caught_up_by_peer",
@@ -150,20 +150,24 @@
   };
 }
 
-function apply(mirror: StoreMirror, told: WireCatchup): void {
-  const revision = BigInt(told.revision);
-  const entries = told.entries.map(decodeEntry);
+/** What a peer told, read in whole before any of it counts. */
+interface ReadCatchup {
+  revision: bigint;
+  ageMs: number;
+  isAll: boolean;
+  entries: KeyValueEntry[];
+  deletes: Extract<MirrorChange, { kind: "delete" }>[];
+}
+
+function apply(mirror: StoreMirror, told: ReadCatchup): void {
+  const { revision, entries } = told;
   if (told.isAll) {
     mirror.replace({ entries, revision }, told.ageMs);
     return;
   }
   const changes: MirrorChange[] = [
     ...entries.map((entry): MirrorChange => ({ kind: "put", entry })),
-    ...told.deletes.map((row): MirrorChange => ({
-      kind: "delete",
-      key: row.key,
-      revision: BigInt(row.revision),
-    })),
+    ...told.deletes,
   ];
   changes.sort((a, b) => Number(revisionOf(a) - revisionOf(b)));
   for (const change of changes) mirror.follow(change);
@@ -179,15 +183,46 @@
   };
 }
 
+/** Throws a TypeError where a field is missing or of another type. */
+function readCatchup(body: Record<string, unknown>): ReadCatchup {
+  const { ageMs, isAll, entries, deletes } = body as Partial<WireCatchup>;
+  if (!Number.isFinite(ageMs) || typeof isAll !== "boolean") {
+    throw new TypeError("Catch-up without its age");
+  }
+  if (!Array.isArray(entries) || !Array.isArray(deletes)) {
+    throw new TypeError("Catch-up without entries");
+  }
+  return {
+    revision: readRevision(body["revision"]),
+    ageMs: Number(ageMs),
+    isAll,
+    entries: entries.map(decodeEntry),
+    deletes: deletes.map((row) => ({
+      kind: "delete",
+      key: readText(row.key),
+      revision: readRevision(row.revision),
+    })),
+  };
+}
+
 function decodeEntry(entry: WireEntry): KeyValueEntry {
   return {
-    key: entry.key,
-    value: Buffer.from(entry.value, "base64"),
-    modRevision: BigInt(entry.modRevision),
-    createRevision: BigInt(entry.createRevision),
+    key: readText(entry.key),
+    value: Buffer.from(readText(entry.value), "base64"),
+    modRevision: readRevision(entry.modRevision),
+    createRevision: readRevision(entry.createRevision),
   };
 }
 
+function readText(value: unknown): string {
+  if (typeof value === "string") return value;
+  throw new TypeError("No text");
+}
+
+function readRevision(value: unknown): bigint {
+  return BigInt(readText(value));
+}
+
 function revisionOf(change: MirrorChange): bigint {
   return change.kind === "put" ? change.entry.modRevision : change.revision;
 }
