Show that a server's new start is taken for its former one

Cause: the id stands for the start: a registration under a known id, at the same address, updates the server that is known, with its expected cache, its learned weights and its health; what peers tell by id counts for whatever start has the id now; an older registration that comes late is taken as the newest. Ruled out: orders that are lost at a restart, and requests that may not be repeated: both hold already, as the tests on them show that pass.

--- a/src/router/fleet_test.ts
+++ b/src/router/fleet_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { registration, silentLog, TestClock } from "./_kit.ts";
 import { Fleet } from "./fleet.ts";
+import type { Server } from "./server.ts";
 
 function create(): { fleet: Fleet; clock: TestClock; outage: { is: boolean } } {
   const clock = new TestClock();
@@ -112,3 +113,83 @@
     bound: 0,
   });
 });
+
+const CHAIN = { salt: "w1", parts: [{ id: "p", tokens: 10 }] };
+
+/** A fleet whose only server has a past. */
+function withPast(): { fleet: Fleet; former: Server } {
+  const { fleet } = create();
+  fleet.put(registration("a", { bornAtMs: 5 }));
+  const former = fleet.get("a")!;
+  former.cache.use(CHAIN, 0);
+  former.learnWeights("m", 3);
+  former.cache.use(CHAIN, 0);
+  former.health.unreachable(0);
+  former.holdBack(Infinity);
+  return { fleet, former };
+}
+
+/*
+ * A server started again under the id that it had, and was taken for the same: prompts were sent to
+ * it for a cache that it no longer held, and it was thought to have weights that it had lost.
+ */
+test("server that has started again is a new one", () => {
+  for (const address of ["127.0.0.1:1", "127.0.0.1:2"]) {
+    const { fleet, former } = withPast();
+    fleet.put(registration("a", { bornAtMs: 6, address }));
+    const server = fleet.get("a")!;
+    assert.notEqual(server, former);
+    assert.equal(server.entry.address, address);
+    assert.equal(server.cache.cachedTokens(CHAIN), 0);
+    assert.equal(server.weights("m"), 1);
+    assert.equal(server.health.isDown, false);
+    assert.equal(server.isHeldBack(0), false);
+    assert.deepEqual(ids(fleet), ["a"]);
+  }
+});
+
+test("registration of a former start is ignored", () => {
+  const { fleet } = create();
+  fleet.put(registration("a", { bornAtMs: 6 }));
+  const server = fleet.get("a");
+  fleet.put(registration("a", { bornAtMs: 5, draining: true }));
+  assert.equal(fleet.get("a"), server);
+  assert.deepEqual(ids(fleet), ["a"]);
+});
+
+test("registration of the same start, or of an unknown one, keeps the server", () => {
+  const { fleet, former } = withPast();
+  fleet.put(registration("a", { bornAtMs: 5, slots: 9 }));
+  fleet.put(registration("a", { slots: 10 }));
+  assert.equal(fleet.get("a"), former);
+  assert.equal(former.entry.slots, 10);
+  // What the start was is not forgotten for that.
+  fleet.put(registration("a", { bornAtMs: 4, slots: 11 }));
+  assert.equal(former.entry.slots, 10);
+  fleet.put(registration("a", { bornAtMs: 6 }));
+  assert.notEqual(fleet.get("a"), former);
+});
+
+test("server that lapsed in an outage and started again stays", () => {
+  const { fleet, clock, outage } = create();
+  fleet.put(registration("a", { bornAtMs: 5 }));
+  outage.is = true;
+  fleet.remove("a");
+  fleet.put(registration("a", { bornAtMs: 6 }));
+  outage.is = false;
+  clock.advance(60_000);
+  fleet.sweep();
+  assert.deepEqual(ids(fleet), ["a"]);
+});
+
+test("late word of a former start keeps no lapsed server", () => {
+  const { fleet, clock, outage } = create();
+  fleet.put(registration("a", { bornAtMs: 6 }));
+  outage.is = true;
+  fleet.remove("a");
+  fleet.put(registration("a", { bornAtMs: 5 }));
+  outage.is = false;
+  clock.advance(60_000);
+  fleet.sweep();
+  assert.deepEqual(ids(fleet), []);
+});
--- a/src/router/peers_test.ts
+++ b/src/router/peers_test.ts
@@ -161,6 +161,52 @@
   assert.ok(!knows(world, '"storeRevision":"99999"'));
 });
 
+/** Tokens that an entry expects in a server's cache. */
+async function taughtTokens(world: World, id: string): Promise<number> {
+  const { ipAddress, controlPort } = world;
+  const response = await fetch(`http://${ipAddress}:${controlPort}/cached`);
+  const { lessons } = await response.json() as {
+    lessons: { id: string; parts: [string, number][] }[];
+  };
+  const parts = lessons.find((lesson) => lesson.id === id)?.parts ?? [];
+  return parts.reduce((sum, [, tokens]) => sum + tokens, 0);
+}
+
+test("word of a peer about a server's former start doesn't count for the new one", async (t) => {
+  const world = await openWorld(t);
+  const worker = await world.engine("i-1");
+  const other = await world.engine("i-2");
+  const peer = await FakePeer.create(t, world);
+  const former = worker.bornAtMs - 1;
+  const parts = [["p", 10]];
+  await peer.tell({
+    weights: [["i-1", "m", 9, former]],
+    prompts: [["i-1", "s", 0, parts, former]],
+  });
+  await peer.tell({ prompts: [["i-2", "s", 0, parts, other.bornAtMs]] });
+  await until(async () => await taughtTokens(world, "i-2") === 10);
+  assert.equal(await taughtTokens(world, "i-1"), 0);
+  // A server that is thought to have them already is not ordered.
+  await world.store.put("op/version/m", { model: "m", version: 9 });
+  await until(() => worker.version === 9);
+});
+
+test("caches of former starts are not learned", async (t) => {
+  const world = await openWorld(t);
+  const worker = await world.engine("i-1");
+  const other = await world.engine("i-2");
+  const peer = await FakePeer.create(t, world);
+  const parts = [["s/p", 10]];
+  const lessons = [
+    { id: "i-1", bornAtMs: worker.bornAtMs - 1, parts },
+    { id: "i-2", bornAtMs: other.bornAtMs, parts },
+  ];
+  peer.answers.set("/cached", JSON.stringify({ lessons }));
+  await peer.tell({});
+  await until(async () => await taughtTokens(world, "i-2") === 10);
+  assert.equal(await taughtTokens(world, "i-1"), 0);
+});
+
 test("entry whose registered address is none is not told", () => {
   const mirror = StoreMirror.create(new TestClock());
   const values = ["10.0.0.1", "host.example", "", "10.0.0.1:80", "::1", "\xff"];
--- /dev/null
+++ b/src/router/reborn_test.ts
@@ -0,0 +1,144 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  ask,
+  PROMPT,
+  type StandinPlatformWorker,
+  streamOf,
+} from "../standin/mod.ts";
+import {
+  knows,
+  openWorld,
+  type TestEntry,
+  until,
+  type World,
+} from "./_world.ts";
+
+/** An address that no other server of a test has. */
+const OTHER_ADDRESS = "127.0.0.8:0";
+
+/** Starts a server again, and waits until the entries know of its new start. */
+async function restart(
+  world: World,
+  worker: StandinPlatformWorker,
+  { service, listenAddress }: { service: string; listenAddress?: string },
+): Promise<void> {
+  await worker.restart(listenAddress);
+  await world.store.put(`servers/${worker.id}`, worker.entry(service));
+  for (const entry of world.entries) {
+    await until(() => knows(entry, `"bornAtMs":${worker.bornAtMs}`));
+  }
+}
+
+/** Ids of servers and stores in whose cache an entry expects something. */
+async function expectedCaches(entry: TestEntry): Promise<string[]> {
+  const { ipAddress, controlPort } = entry;
+  const response = await fetch(`http://${ipAddress}:${controlPort}/cached`);
+  const { lessons } = await response.json() as {
+    lessons: { id: string; parts: unknown[] }[];
+  };
+  return lessons.filter(({ parts }) => parts.length > 0).map(({ id }) => id);
+}
+
+/*
+ * A server crashed and was back under its id. The entries took it for the same one: they expected
+ * the prompts of its former start in its cache, and had other servers copy them from there.
+ */
+test("prompts are not expected in the cache of a server that has started again", async (t) => {
+  for (const listenAddress of [undefined, OTHER_ADDRESS]) {
+    const world = await openWorld(t, { entryCount: 2 });
+    const [, peer] = world.entries;
+    const worker = await world.engine("i-1");
+    await until(() => knows(peer!, "i-1"));
+    const { address } = worker;
+    assert.equal((await ask(world, "/stream/a", PROMPT)).status, 200);
+    for (const entry of world.entries) {
+      await until(async () => (await expectedCaches(entry)).includes("i-1"));
+    }
+    await restart(world, worker, { service: "engines", listenAddress });
+    for (const entry of world.entries) {
+      assert.deepEqual(await expectedCaches(entry), []);
+    }
+    assert.equal(worker.address === address, listenAddress === undefined);
+    const asked = await ask(world, "/stream/a", PROMPT);
+    assert.equal(asked.body, streamOf(4));
+    assert.equal(worker.runs.length, 2);
+    for (const { router } of world.entries) await router.stop();
+  }
+});
+
+test("order that is lost when its engine starts again is given anew", async (t) => {
+  for (const listenAddress of [undefined, OTHER_ADDRESS]) {
+    const world = await openWorld(t);
+    const engine = { model: "m", loadMs: 400 };
+    const worker = await world.worker("i-1", engine);
+    const other = await world.worker("i-2", engine);
+    await world.store.put("op/version/m", { model: "m", version: 2 });
+    await until(() => worker.orders.length === 1);
+    await restart(world, worker, { service: "engines", listenAddress });
+    assert.equal(worker.version, 1);
+    await until(() => worker.version === 2 && other.version === 2);
+    assert.equal(worker.orders.length, 2);
+    await world.router.stop();
+  }
+});
+
+/*
+ * An engine that the store could not be reached from started again, and its registration stayed that
+ * of its former start. Its report told of the new one, and the order named the count of the former.
+ */
+test("engine that has started again unregistered gets its orders by its report", async (t) => {
+  const world = await openWorld(t);
+  const worker = await world.engine("i-1");
+  const former = worker.entry("engines");
+  await world.store.put("op/version/m", { model: "m", version: 2 });
+  await until(() => worker.version === 2);
+  await ask(world, "/stream/a", PROMPT);
+  assert.deepEqual(await expectedCaches(world), ["i-1"]);
+  await worker.restart();
+  await world.store.put("op/version/m", { model: "m", version: 3 });
+  await until(() => worker.version === 3);
+  assert.ok(knows(world, `"bornAtMs":${worker.bornAtMs}`));
+  assert.deepEqual(await expectedCaches(world), []);
+  // What the former start had registered is older.
+  await world.store.put("servers/i-1", { ...former, state: "draining" });
+  await world.worker("i-2");
+  assert.equal((await ask(world, "/stream/a", PROMPT)).status, 200);
+});
+
+test("requests that may not be repeated run once, whatever starts again", async (t) => {
+  const world = await openWorld(t);
+  const plain = await world.worker("i-1");
+  const slow = { model: "m", events: 60, eventMs: 20 };
+  const engine = await world.worker("i-2", slow);
+  plain.faults.hang = 1;
+  const call = ask(world, "/book/a");
+  const stream = ask(world, "/once/a", { ...PROMPT, "attempt-id": "once" });
+  await until(() => plain.runs.length === 1 && engine.runs.length === 1);
+  await Promise.all([
+    restart(world, plain, { service: "plain" }),
+    restart(world, engine, { service: "engines" }),
+  ]);
+  assert.equal((await call).status, 502);
+  assert.equal((await stream).isWhole, false);
+  assert.equal(plain.runs.length, 1);
+  assert.equal(engine.runs.length, 1);
+  assert.equal((await ask(world, "/book/b")).status, 200);
+});
+
+test("stream that may be resumed goes on elsewhere when its server starts again", async (t) => {
+  const world = await openWorld(t);
+  const slow = { model: "m", events: 40, eventMs: 20 };
+  const workers = [
+    await world.worker("i-1", slow),
+    await world.worker("i-2", slow),
+  ];
+  const answer = ask(world, "/stream/a", PROMPT);
+  await until(() => workers.some(({ runs }) => runs.length > 0));
+  const ran = workers.find(({ runs }) => runs.length > 0)!;
+  await restart(world, ran, { service: "engines" });
+  const { body, isWhole } = await answer;
+  assert.ok(isWhole);
+  assert.equal(body, streamOf(40));
+  assert.equal(workers.flatMap(({ runs }) => runs).length, 2);
+});
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -172,6 +172,7 @@
         id: server.id,
         service: server.entry.service,
         draining: server.entry.draining,
+        bornAtMs: server.entry.bornAtMs,
         weights: Object.fromEntries(server.entry.weights),
         load: server.load(nowMs),
         slowness: server.health.slowness(nowMs),
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -44,7 +44,6 @@
 } from "./platform_store_server.ts";
 export {
   PLAIN_BODY,
-  type StandinPlatformOrder,
   type StandinPlatformRun,
   StandinPlatformWorker,
 } from "./platform_worker.ts";
@@ -64,3 +63,4 @@
   StandinWeightStore,
   type StandinWeightStoreOptions,
 } from "./weight_store_server.ts";
+export { type StandinPlatformOrder } from "./_platform_orders.ts";
--- a/src/standin/platform_worker.ts
+++ b/src/standin/platform_worker.ts
@@ -5,6 +5,10 @@
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type HostRequest, HttpHost } from "./_http_host.ts";
+import {
+  PlatformOrders,
+  type StandinPlatformOrder,
+} from "./_platform_orders.ts";
 import {
   DEFAULT_OPTIONS,
   NO_FAULTS,
@@ -21,15 +25,6 @@
   body: string;
 }
 
-/** An order that was accepted. */
-export interface StandinPlatformOrder {
-  version: number;
-  holder: string;
-  fencingToken: number;
-  /** When it was accepted. */
-  atMs: number;
-}
-
 /** A stream under way. */
 interface RunningStream {
   response: ServerResponse;
@@ -46,20 +41,19 @@
 /** A backend server with faults. */
 export class StandinPlatformWorker {
   readonly runs: StandinPlatformRun[] = [];
-  readonly orders: StandinPlatformOrder[] = [];
   /** Ids of copies that were freed before a run went on from them. */
   readonly freedCopies: string[] = [];
   readonly faults: StandinPlatformWorkerFaults = { ...NO_FAULTS };
   /** Streams under way, by the id of the request. */
   readonly #streams = new Map<string, RunningStream>();
   readonly #options: StandinPlatformWorkerOptions;
-  #version: number;
-  #highestFence = 0;
+  readonly #orders: PlatformOrders;
+  #bornAtMs = Date.now();
   #host!: HttpHost;
 
   private constructor(options: StandinPlatformWorkerOptions) {
     this.#options = options;
-    this.#version = options.version;
+    this.#orders = new PlatformOrders(options);
   }
 
   /**
@@ -73,10 +67,7 @@
       ...DEFAULT_OPTIONS,
       ...options,
     });
-    worker.#host = await HttpHost.create({
-      listenAddress: worker.#options.listenAddress,
-      handle: (request) => worker.#serve(request),
-    });
+    await worker.#listen(worker.#options.listenAddress);
     return worker;
   }
 
@@ -91,7 +82,17 @@
 
   /** Version of the weights that are loaded. */
   get version(): number {
-    return this.#version;
+    return this.#orders.version;
+  }
+
+  /** When it started, in Unix ms. */
+  get bornAtMs(): number {
+    return this.#bornAtMs;
+  }
+
+  /** Orders that it accepted, over all its starts. */
+  get orders(): StandinPlatformOrder[] {
+    return this.#orders.accepted;
   }
 
   /**
@@ -108,7 +109,9 @@
       slots: 4,
       state: "ready",
       models: this.#models(),
-      sequence: 1,
+      cold_left_ms: 0,
+      sequence: this.#orders.sequence,
+      born: this.#bornAtMs,
       ...fields,
     };
   }
@@ -126,15 +129,42 @@
     return this.#host.down();
   }
 
+  /**
+   * Starts again under its id. Its runs are cut, it holds no copy and counts its orders anew; the
+   * weights that it has loaded stay.
+   *
+   * @param listenAddress Where it listens from now on; left out: where it did.
+   */
+  async restart(listenAddress?: string): Promise<void> {
+    await this.#host.down();
+    this.#streams.clear();
+    for (const [copy, holder] of copies) {
+      const isHere = holder === this.address ||
+        copy.startsWith(`${this.address}/`);
+      if (isHere) copies.delete(copy);
+    }
+    this.#orders.restart();
+    this.#bornAtMs = Math.max(Date.now(), this.#bornAtMs + 1);
+    await this.#listen(listenAddress ?? this.address);
+  }
+
   /** Stops. */
   close(): Promise<void> {
+    this.#orders.restart();
     return this.#host.down();
   }
 
+  async #listen(listenAddress: string): Promise<void> {
+    this.#host = await HttpHost.create({
+      listenAddress,
+      handle: (request) => this.#serve(request),
+    });
+  }
+
   #models(): object[] {
     const { model } = this.#options;
     if (model === undefined) return [];
-    return [{ name: model, version: this.#version, adapters: [] }];
+    return [{ name: model, version: this.version, adapters: [] }];
   }
 
   #serve(request: HostRequest): void {
@@ -165,8 +195,9 @@
     response.end(JSON.stringify({
       stage: "colocated",
       models: this.#models(),
-      busy: false,
-      sequence: this.orders.length,
+      busy: this.#orders.busy,
+      sequence: this.#orders.sequence,
+      born: this.#bornAtMs,
       queued: 0,
       running: 0,
       kv_used: 0,
@@ -177,7 +208,7 @@
 
   #order({ body, response }: HostRequest): void {
     const order = JSON.parse(body.toString());
-    response.writeHead(this.#judge(order));
+    response.writeHead(this.#orders.judge(order));
     response.end();
   }
 
@@ -208,28 +239,11 @@
     response.end();
   }
 
-  #judge(order: Record<string, unknown>): number {
-    const fence = Number(order["fencing_token"]);
-    if (this.#options.requireFencing && fence < this.#highestFence) return 412;
-    if (order["expected"] !== this.orders.length) return 409;
-    const version = Number(order["version"]);
-    if (version === this.#version) return 200;
-    this.#highestFence = fence;
-    this.#version = version;
-    this.orders.push({
-      version,
-      holder: String(order["holder"]),
-      fencingToken: fence,
-      atMs: performance.now(),
-    });
-    return 202;
-  }
-
   #run(request: HostRequest): void {
     const { response, headers } = request;
     const wanted = headers["expect-version"];
-    if (wanted !== undefined && Number(wanted) !== this.#version) {
-      response.writeHead(421, { "weight-versions": String(this.#version) });
+    if (wanted !== undefined && Number(wanted) !== this.version) {
+      response.writeHead(421, { "weight-versions": String(this.version) });
       response.end();
       return;
     }
@@ -279,7 +293,7 @@
       "content-type": "text/event-stream",
       "server-seal": `seal-${this.id}`,
       "attempt-id": String(headers["attempt-id"]),
-      "weight-versions": String(this.#version),
+      "weight-versions": String(this.version),
     });
     const stream = { response, last: first - 1 };
     const id = String(headers["attempt-id"]);
--- a/src/standin/platform_worker_options.ts
+++ b/src/standin/platform_worker_options.ts
@@ -4,7 +4,7 @@
 export interface StandinPlatformWorkerOptions {
   /** `ip:port`; port 0: any free one. */
   listenAddress: string;
-  /** Changes with each start. */
+  /** Stays the same when it starts again. */
   id: string;
   /** Left out for plain services. */
   model?: string;
@@ -15,6 +15,8 @@
   /** Pause between events. */
   eventMs: number;
   requireFencing: boolean;
+  /** Time from an order until its weights are there. */
+  loadMs: number;
 }
 
 /** What goes wrong with the next requests. */
@@ -45,6 +47,7 @@
   events: 4,
   eventMs: 0,
   requireFencing: true,
+  loadMs: 0,
 };
 
 /** Nothing goes wrong. */
