Take a server that has started again for a new one

Ruled out: telling starts by the address, which stays as a rule. Replacing a server on any change of what it says: a registration that doesn't name its start says nothing of it, and the start that is known stays. Leaving an order to wait for the registration: an engine that is cut off from the store may start again, and would get no weights until the store hears of it. Change: Fleet.put makes a new server of a newer start, closes the idle connections to the former one, and ignores an older start's registration. An order belongs to one start: a report of another one makes it void, and makes the newer start known. A copied run doesn't go on at a target that has started again meanwhile. The roll waits for no runs of a former start. Conclusion: servers may start again under their id.

--- a/src/router/cache_book.ts
+++ b/src/router/cache_book.ts
@@ -25,6 +25,15 @@
   tokens: number;
 }
 
+/** A cache with whose it is. */
+export interface OwnedBook {
+  /** A server's id, or a store's address. */
+  id: string;
+  /** The server's start, if it is known: after another one its cache is empty. */
+  bornAtMs?: number;
+  cache: CacheBook;
+}
+
 /** Expected contents of one server's cache. */
 export class CacheBook {
   readonly #parts = new Map<string, HeldPart>();
--- a/src/router/engine_orders.ts
+++ b/src/router/engine_orders.ts
@@ -3,7 +3,7 @@
 import type { FencedLease } from "../lease/mod.ts";
 import { fetchReport, type OrderAnswer, sendOrder } from "../platform/mod.ts";
 import type { Fleet } from "./fleet.ts";
-import type { ServerReport, WantedWeights } from "./model.ts";
+import { isSameStart, type ServerReport, type WantedWeights } from "./model.ts";
 import type { Server } from "./server.ts";
 
 /** Pause between looks at whether a registration told of the weights. */
@@ -73,6 +73,7 @@
     this.#underWay++;
     try {
       for (let i = 0; i < MAX_ORDERS && !signal.aborted; i++) {
+        if (!this.#options.fleet.has(server)) return;
         const isSettled = await this.#loadOnce(server, target, { signal });
         if (isSettled) return;
       }
@@ -92,6 +93,7 @@
       this.#unheard(server, report.error.kind);
       return true;
     }
+    if (this.#isVoid(server, report.value)) return true;
     if (this.#has(server, target, report.value)) return true;
     if (report.value.busy) {
       await this.#awaitWeights(server, target, { signal });
@@ -169,15 +171,36 @@
     while (!signal.aborted && clock.nowMs() < untilMs) {
       await clock.sleep(LOOK_MS, signal);
       // The server's registration may tell before its report does.
-      if (!lacks(server, [target])) return;
+      if (!lacks(server, [target]) || !this.#options.fleet.has(server)) return;
       if (clock.nowMs() < reportAtMs) continue;
       reportAtMs = clock.nowMs() + REPORT_MS;
       const report = await fetchReport(server.entry, CALL_MS);
       if (report.isErr) return this.#unheard(server, report.error.kind);
+      if (this.#isVoid(server, report.value)) return;
       if (this.#has(server, target, report.value)) return;
     }
   }
 
+  /**
+   * An order is meant for one start of its engine: the count of orders that it names is that start's.
+   * A report of a newer start than is registered makes that start known, as its registration will;
+   * an engine that doesn't reach the store is ordered no later for that.
+   *
+   * @returns Whether the report, or what is known by now, is of another start.
+   */
+  #isVoid(server: Server, { bornAtMs, weights }: ServerReport): boolean {
+    const { fleet, log } = this.#options;
+    if (fleet.has(server) && isSameStart(bornAtMs, server.entry)) return false;
+    log.info({
+      event: "order_void",
+      server: server.id,
+      bornAtMs,
+      knownBornAtMs: server.entry.bornAtMs,
+    });
+    if (fleet.has(server)) fleet.put({ ...server.entry, bornAtMs, weights });
+    return true;
+  }
+
   #has(server: Server, target: WantedWeights, report: ServerReport): boolean {
     for (const [model, version] of report.weights) {
       this.#saw(server, model, version);
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -1,6 +1,6 @@
 /** The backend servers that are known, by id and by service. */
 import type { Clock, Logger } from "../base/mod.ts";
-import type { BackendServer } from "./model.ts";
+import { type BackendServer, isSameStart } from "./model.ts";
 import { Server, type ServerOptions } from "./server.ts";
 
 /**
@@ -45,10 +45,20 @@
 
   /**
    * @param id A server's id.
-   * @returns The server, if it is known.
+   * @param bornAtMs The start that is meant; left out: any.
+   * @returns The server, if it is known and has not started again since.
    */
-  get(id: string): Server | undefined {
-    return this.#servers.get(id);
+  get(id: string, bornAtMs?: number): Server | undefined {
+    const server = this.#servers.get(id);
+    return server && isSameStart(bornAtMs, server.entry) ? server : undefined;
+  }
+
+  /**
+   * @param server A server that was known.
+   * @returns Whether it still is, and has not started again since.
+   */
+  has(server: Server): boolean {
+    return this.#servers.get(server.id) === server;
   }
 
   /**
@@ -67,22 +77,29 @@
 
   /** @param entry A registration, new or changed. */
   put(entry: BackendServer): void {
-    this.#lapsedAtMs.delete(entry.id);
     const known = this.#servers.get(entry.id);
-    if (known && known.entry.address === entry.address) {
+    // A word of a former start may come late.
+    if (known && isOlderStart(entry, known.entry)) return;
+    this.#lapsedAtMs.delete(entry.id);
+    const isSame = known && isSameStart(entry.bornAtMs, known.entry);
+    if (isSame && known.entry.address === entry.address) {
       this.#tellDraining(known, entry);
       known.update(entry);
       return;
     }
+    // Nothing that was learned of the former start holds for the new one. What is under way at the
+    // former one ends by itself.
+    known?.channels.closeIdle();
     const options = this.#options.serverOptions(entry.service);
     this.#servers.set(entry.id, Server.create(entry, options));
-    const { id: server, service, address, draining } = entry;
+    const { id: server, service, address, draining, bornAtMs } = entry;
     this.#options.log.info({
-      event: "server_joined",
+      event: known && !isSame ? "server_restarted" : "server_joined",
       server,
       service,
       address,
       draining,
+      bornAtMs,
     });
   }
 
@@ -143,3 +160,8 @@
     this.#options.log.info({ event: "server_draining", server: entry.id });
   }
 }
+
+function isOlderStart(entry: BackendServer, known: BackendServer): boolean {
+  return entry.bornAtMs !== undefined && known.bornAtMs !== undefined &&
+    entry.bornAtMs < known.bornAtMs;
+}
--- a/src/router/in_force.ts
+++ b/src/router/in_force.ts
@@ -5,7 +5,7 @@
   decodeRemoval,
   type MalformedValue,
 } from "../platform/mod.ts";
-import { CacheBook } from "./cache_book.ts";
+import { CacheBook, type OwnedBook } from "./cache_book.ts";
 import type { PromptStore } from "./choose.ts";
 import type { Fleet } from "./fleet.ts";
 import type { MirrorChange } from "./mirror.ts";
@@ -77,18 +77,21 @@
 
   /**
    * @param id Id of a server, or address of the prompt store.
+   * @param bornAtMs The start of the server that is meant; left out: any.
    * @returns What is expected in its cache.
    */
-  cacheOf(id: string): CacheBook | undefined {
+  cacheOf(id: string, bornAtMs?: number): CacheBook | undefined {
     if (id === this.#promptStore?.address) return this.#promptStore.cache;
-    return this.#options.fleet.get(id)?.cache;
+    return this.#options.fleet.get(id, bornAtMs)?.cache;
   }
 
-  /** Caches of all servers and of the prompt store, by id or address. */
-  *books(): Generator<[string, CacheBook]> {
-    for (const { id, cache } of this.#options.fleet.all()) yield [id, cache];
+  /** Caches of all servers and of the prompt store. */
+  *books(): Generator<OwnedBook> {
+    for (const { entry, cache } of this.#options.fleet.all()) {
+      yield { id: entry.id, bornAtMs: entry.bornAtMs, cache };
+    }
     if (this.#promptStore) {
-      yield [this.#promptStore.address, this.#promptStore.cache];
+      yield { id: this.#promptStore.address, cache: this.#promptStore.cache };
     }
   }
 
--- a/src/router/lessons.ts
+++ b/src/router/lessons.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, Logger } from "../base/mod.ts";
 import { HttpCaller } from "../platform/mod.ts";
-import type { CacheBook, TaughtPart } from "./cache_book.ts";
+import type { CacheBook, OwnedBook, TaughtPart } from "./cache_book.ts";
 
 /** Path of the call, on the control address. */
 export const LESSONS_PATH = "/cached";
@@ -16,6 +16,8 @@
 /** A server, by id, or a store, by address, with the parts that it is expected to hold. */
 interface Lesson {
   id: string;
+  /** The server's start, if it is known. */
+  bornAtMs?: number;
   /** Key and tokens in turn, to be short. */
   parts: [string, number][];
 }
@@ -28,26 +30,28 @@
   controlPort: number;
   /** Whether servers are known, whose caches the lessons are about. */
   isReady(): boolean;
-  /** Expected cache of a server, by id, or of a store, by address. */
-  cacheOf(id: string): CacheBook | undefined;
+  /** Expected cache of a server's start, by id, or of a store, by address. */
+  cacheOf(id: string, bornAtMs?: number): CacheBook | undefined;
 }
 
 /**
- * @param books Expected caches by the id of their server or store.
+ * @param books Expected caches.
  * @param nowMs The time.
  * @returns The answer to a peer, as JSON.
  */
 export function lessonsAnswer(
-  books: Iterable<[string, CacheBook]>,
+  books: Iterable<OwnedBook>,
   nowMs: number,
 ): string {
   const lessons: Lesson[] = [];
-  for (const [id, book] of books) {
-    const parts = book.teach(nowMs).map(({ key, tokens }): [string, number] => [
+  for (const { id, bornAtMs, cache } of books) {
+    const parts = cache.teach(nowMs).map((
+      { key, tokens },
+    ): [string, number] => [
       key,
       tokens,
     ]);
-    lessons.push({ id, parts });
+    lessons.push({ id, bornAtMs, parts });
   }
   return JSON.stringify({ lessons });
 }
@@ -106,12 +110,12 @@
 
   #take(lessons: Lesson[]): number {
     let count = 0;
-    for (const { id, parts } of lessons) {
+    for (const { id, bornAtMs, parts } of lessons) {
       const taught = parts.map(([key, tokens]): TaughtPart => ({
         key,
         tokens,
       }));
-      this.#options.cacheOf(id)?.learn(taught);
+      this.#options.cacheOf(id, bornAtMs)?.learn(taught);
       count += taught.length;
     }
     return count;
@@ -126,8 +130,9 @@
 
 function isLesson(value: unknown): value is Lesson {
   if (typeof value !== "object" || value === null) return false;
-  const { id, parts } = value as Partial<Lesson>;
-  return typeof id === "string" && Array.isArray(parts) &&
+  const { id, bornAtMs, parts } = value as Partial<Lesson>;
+  const isStart = bornAtMs === undefined || Number.isFinite(bornAtMs);
+  return typeof id === "string" && isStart && Array.isArray(parts) &&
     parts.every((part) =>
       Array.isArray(part) && typeof part[0] === "string" &&
       Number.isFinite(part[1])
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -118,6 +118,19 @@
   weights: ReadonlyMap<string, number>;
 }
 
+/**
+ * @param bornAtMs Start that something was said of, if it is known.
+ * @param server A server.
+ * @returns Whether that may be the server's present start.
+ */
+export function isSameStart(
+  bornAtMs: number | undefined,
+  server: BackendServer,
+): boolean {
+  return bornAtMs === undefined || server.bornAtMs === undefined ||
+    bornAtMs === server.bornAtMs;
+}
+
 /** Weights that the operator wants in use. */
 export interface WantedWeights {
   model: string;
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -1,5 +1,11 @@
 /** What entries tell each other by datagrams. One that is wrong in one field counts as lost. */
 
+/**
+ * Start of a server that something was seen at; what was learned of a former one would keep the new
+ * one from being ordered weights that it lacks. 0: not known, or no server.
+ */
+export type Start = number;
+
 /** One datagram. */
 export interface Told {
   name: string;
@@ -7,16 +13,16 @@
   ageMs: number;
   /** Server, pending tokens, requests under way, those that are bound to it. */
   loads: [string, number, number, number][];
-  /** Server or store, salt, time until it is there, and the parts with their tokens. */
-  prompts: [string, string, number, [string, number][]][];
+  /** Server or store, salt, time until it is there, the parts with their tokens, and the start. */
+  prompts: [string, string, number, [string, number][], Start][];
   /** Servers that are to get nothing new. */
   heldBack: string[];
   /** Servers that have just gone silent. */
   silent: string[];
   /** The store answers this entry, and has done so for a while. */
   storeServes: boolean;
-  /** Server, model, version: weights that were seen there. */
-  weights: [string, string, number][];
+  /** Server, model, version, start: weights that were seen there. */
+  weights: [string, string, number, Start][];
 }
 
 /** Whether a field of a datagram has its form. */
@@ -28,6 +34,8 @@
 const isText: Check = (value) => typeof value === "string";
 const isCount: Check = (value) =>
   typeof value === "number" && Number.isFinite(value) && value >= 0;
+/** Entries that ran before this field was told leave it out. */
+const isStart: Check = (value) => value === undefined || isCount(value);
 
 /** One check for each field, so that none is added without. */
 const CHECKS: Record<keyof Told, Check> = {
@@ -36,12 +44,12 @@
   ageMs: isCount,
   loads: listOf(rowOf(isText, isCount, isCount, isCount)),
   prompts: listOf(
-    rowOf(isText, isText, isCount, listOf(rowOf(isText, isCount))),
+    rowOf(isText, isText, isCount, listOf(rowOf(isText, isCount)), isStart),
   ),
   heldBack: listOf(isText),
   silent: listOf(isText),
   storeServes: (value) => typeof value === "boolean",
-  weights: listOf(rowOf(isText, isText, isCount)),
+  weights: listOf(rowOf(isText, isText, isCount, isStart)),
 };
 
 /**
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -6,6 +6,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import type { Clock, Logger } from "../base/mod.ts";
 import type { CacheBook } from "./cache_book.ts";
+import type { BackendServer } from "./model.ts";
 import type { PlacedPrompt } from "./request.ts";
 import type { Fleet } from "./fleet.ts";
 import { readTold, type Told } from "./peer_datagram.ts";
@@ -35,8 +36,8 @@
   clock: Clock;
   log: Logger;
   fleet: Fleet;
-  /** Expected cache of a server, by id, or of a store, by address. */
-  cacheOf(id: string): CacheBook | undefined;
+  /** Expected cache of a server's start, by id, or of a store, by address. */
+  cacheOf(id: string, bornAtMs?: number): CacheBook | undefined;
   /** IP numbers of entries that may exist. */
   knownAddresses(): string[];
   /** Up to which revision of the store this entry knows everything, and how old that is. */
@@ -101,12 +102,13 @@
   }
 
   /** @param placed A prompt that a server reads, or a store is given. */
-  tellPrompt({ id, chain, readyInMs }: PlacedPrompt): void {
+  tellPrompt({ id, bornAtMs = 0, chain, readyInMs }: PlacedPrompt): void {
     const parts = chain.parts.map(({ id, tokens }): [string, number] => [
       id,
       tokens,
     ]);
-    this.#prompts.push([id, chain.salt, Math.round(readyInMs), parts]);
+    const inMs = Math.round(readyInMs);
+    this.#prompts.push([id, chain.salt, inMs, parts, bornAtMs]);
     if (this.#prompts.length > MAX_QUEUED_PROMPTS) this.#prompts.shift();
   }
 
@@ -116,12 +118,16 @@
   }
 
   /**
-   * @param serverId A server.
+   * @param server A server.
    * @param model A model.
    * @param version Version of its weights there.
    */
-  tellWeights(serverId: string, model: string, version: number): void {
-    this.#weights.push([serverId, model, version]);
+  tellWeights(
+    { id, bornAtMs = 0 }: BackendServer,
+    model: string,
+    version: number,
+  ): void {
+    this.#weights.push([id, model, version, bornAtMs]);
   }
 
   /** @param signal Ends the work. */
@@ -228,20 +234,22 @@
       const load = loads.get(server.id) ?? IDLE;
       server.setPeerLoad(told.name, load, nowMs);
     }
-    for (const [id, salt, readyInMs, parts] of told.prompts) {
+    for (const [id, salt, readyInMs, parts, start] of told.prompts) {
       const chain = {
         salt,
         parts: parts.map(([id, tokens]) => ({ id, tokens })),
       };
-      this.#options.cacheOf(id)?.use(chain, nowMs + readyInMs);
+      const cache = this.#options.cacheOf(id, start || undefined);
+      cache?.use(chain, nowMs + readyInMs);
     }
+    // These two hold for a second, and for a probe: they may as well be about a former start.
     for (const id of told.heldBack) {
       fleet.get(id)?.holdBack(nowMs + HELD_BACK_MS);
     }
     for (const id of told.silent) fleet.get(id)?.health.doubted(nowMs);
     if (told.storeServes) this.#storeServedPeerAtMs = nowMs;
-    for (const [id, model, version] of told.weights) {
-      fleet.get(id)?.learnWeights(model, version);
+    for (const [id, model, version, start] of told.weights) {
+      fleet.get(id, start || undefined)?.learnWeights(model, version);
     }
   }
 }
--- a/src/router/reborn_test.ts
+++ b/src/router/reborn_test.ts
@@ -90,11 +90,14 @@
 test("engine that has started again unregistered gets its orders by its report", async (t) => {
   const world = await openWorld(t);
   const worker = await world.engine("i-1");
-  const former = worker.entry("engines");
   await world.store.put("op/version/m", { model: "m", version: 2 });
   await until(() => worker.version === 2);
-  await ask(world, "/stream/a", PROMPT);
-  assert.deepEqual(await expectedCaches(world), ["i-1"]);
+  const former = worker.entry("engines");
+  await world.store.put("servers/i-1", former);
+  await until(async () => {
+    await ask(world, "/stream/a", PROMPT);
+    return (await expectedCaches(world)).includes("i-1");
+  });
   await worker.restart();
   await world.store.put("op/version/m", { model: "m", version: 3 });
   await until(() => worker.version === 3);
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -57,6 +57,8 @@
 export interface PlacedPrompt {
   /** The server's id, or the store's address. */
   id: string;
+  /** The start of the server that reads it, if that is known. */
+  bornAtMs?: number;
   chain: Chain;
   /** Expected time until it is there. */
   readyInMs: number;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -112,7 +112,7 @@
       ...this.#parts(),
       controlPort: options.settings.controlAddress.port,
       isReady: () => this.#mirror.revision > 0n,
-      cacheOf: (id) => this.#inForce.cacheOf(id),
+      cacheOf: (id, bornAtMs) => this.#inForce.cacheOf(id, bornAtMs),
     });
     this.#peers = this.#createPeers();
     this.#roll = this.#createRoll();
@@ -212,7 +212,7 @@
       ipAddress,
       port: peerPort,
       fleet: this.#fleet,
-      cacheOf: (id) => this.#inForce.cacheOf(id),
+      cacheOf: (id, bornAtMs) => this.#inForce.cacheOf(id, bornAtMs),
       isStoreServing: () => !this.#follower.recovering,
       knownAddresses: () => [
         ...seedAddresses.map((seed) => seed.ipAddress),
@@ -241,7 +241,7 @@
       engineServices: () => this.#inForce.engineServices(),
       wanted: () => this.#wanted.all(),
       onWeights: (server, model, version) =>
-        this.#peers.tellWeights(server.id, model, version),
+        this.#peers.tellWeights(server.entry, model, version),
     });
   }
 
--- a/src/router/run_mover.ts
+++ b/src/router/run_mover.ts
@@ -111,6 +111,11 @@
   #settle({ choice }: Send, target: Server, said: MoveAnswer): RunMove {
     switch (said.kind) {
       case "copied":
+        if (!this.#options.fleet.has(target)) {
+          // It has started again or left, and the copy is gone.
+          this.free({ source: choice.server.entry, copyId: said.copyId });
+          return { kind: "stopped" };
+        }
         return {
           kind: "copied",
           choice: this.#continueAt(target, choice, said.copyId),
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -125,7 +125,8 @@
     if (!chain || choice.copy) return;
     const { onPrompt, promptStore } = this.#options;
     server.cache.use(chain, nowMs + expectedMs);
-    onPrompt({ id: server.id, chain, readyInMs: expectedMs });
+    const { id, bornAtMs } = server.entry;
+    onPrompt({ id, bornAtMs, chain, readyInMs: expectedMs });
     if (saveTo === undefined) return;
     const savedInMs = expectedMs + SAVE_MS;
     promptStore()?.cache.use(chain, nowMs + savedInMs);
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -107,9 +107,10 @@
     return { pendingTokens, running, bound };
   }
 
-  /** @param entry A newer registration. */
+  /** @param entry A newer registration of the same start; one that doesn't name it changes it not. */
   update(entry: BackendServer): void {
-    this.#entry = entry;
+    const bornAtMs = entry.bornAtMs ?? this.#entry.bornAtMs;
+    this.#entry = { ...entry, bornAtMs };
     this.#learnAll(entry.weights);
   }
 
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -237,7 +237,11 @@
       this.#out.delete(server.id);
       server.holdBack(-Infinity);
       this.#retryAtMs.set(server.id, clock.nowMs() + RETRY_MS);
-      if (!lacks(server, wanted())) this.#retryAtMs.delete(server.id);
+      const isDone = !lacks(server, wanted());
+      // A server that has started again is another one, and is ordered at once.
+      if (isDone || !this.#options.fleet.has(server)) {
+        this.#retryAtMs.delete(server.id);
+      }
     }
   }
 
@@ -248,7 +252,9 @@
     await clock.sleep(TOLD_MS, signal);
     while (!signal.aborted) {
       const nowMs = clock.nowMs();
-      const isFree = server.load(nowMs).bound === 0;
+      // One that has started again, or left, has no runs to wait for.
+      const isFree = server.load(nowMs).bound === 0 ||
+        !this.#options.fleet.has(server);
       const isLate = nowMs - startMs >= DRAIN_MS;
       if (this.#orders.underWay < LOADS_AT_ONCE && (isFree || isLate)) return;
       await clock.sleep(LOOK_MS / 2, signal);
