--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -90,8 +90,8 @@
       lastEventId: request.facts.lastEventId,
     };
     const outcome = await this.#serve(request, sink, { progress });
-    const { servers, ttftMs, expectedMs } = progress;
-    return { outcome, servers, ttftMs, expectedMs };
+    const { servers, ttftMs, expectedMs, weights } = progress;
+    return { outcome, servers, ttftMs, expectedMs, weights };
   }
 
   async #serve(
@@ -170,6 +170,7 @@
       wantedVersion: this.#options.wanted.newest(prompt.model),
       replacedForMs: (version) =>
         this.#options.wanted.replacedForMs(prompt.model, version),
+      weightsLimits: this.#options.wanted.limits,
       store: this.#options.promptStore(),
       chainFor: (version) => ({
         salt: saltOf(version, request.workspace),
--- a/src/router/in_force.ts
+++ b/src/router/in_force.ts
@@ -22,6 +22,8 @@
   log: Logger;
   fleet: Fleet;
   wanted: WantedVersions;
+  /** For how long what the store says now may have been so; 0: it has just changed. */
+  maxAgeMs(): number;
   /** A newer configuration is in force. */
   onConfig(): void;
 }
@@ -150,8 +152,10 @@
   }
 
   #want(wanted: WantedWeights): void {
-    if (!this.#options.wanted.name(wanted)) return;
-    this.#options.log.info({ event: "weights_wanted", ...wanted });
+    const maxAgeMs = this.#options.maxAgeMs();
+    if (!this.#options.wanted.name(wanted, { maxAgeMs })) return;
+    const isFound = maxAgeMs > 0;
+    this.#options.log.info({ event: "weights_wanted", ...wanted, isFound });
   }
 
   /** What a store holds outlives changes of the configuration. */
--- a/src/router/in_force_test.ts
+++ b/src/router/in_force_test.ts
@@ -34,7 +34,7 @@
   constructor() {
     const clock = new TestClock();
     const log = this.#log();
-    this.wanted = WantedVersions.create(clock);
+    this.wanted = WantedVersions.create({ clock, boundMs: 10_000 });
     this.fleet = Fleet.create({
       clock,
       log,
@@ -49,6 +49,7 @@
       log,
       fleet: this.fleet,
       wanted: this.wanted,
+      maxAgeMs: () => 0,
       onConfig: () => {},
     });
   }
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -23,6 +23,8 @@
   storeServes: boolean;
   /** Server, model, version, start: weights that were seen there. */
   weights: [string, string, number, Start][];
+  /** Model, version, age in ms: weights that were named a while ago. */
+  named: [string, number, number][];
 }
 
 /** Whether a field of a datagram has its form. */
@@ -50,6 +52,7 @@
   silent: listOf(isText),
   storeServes: (value) => typeof value === "boolean",
   weights: listOf(rowOf(isText, isText, isCount, isStart)),
+  named: listOf(rowOf(isText, isCount, isCount)),
 };
 
 /**
--- a/src/router/peers_test.ts
+++ b/src/router/peers_test.ts
@@ -2,6 +2,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import { createServer, type Server } from "node:http";
 import { test, type TestContext } from "node:test";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import fc from "fast-check";
 import { ask } from "../standin/mod.ts";
 import { knows, openWorld, until, type World } from "./_world.ts";
@@ -22,6 +23,7 @@
   silent: [],
   storeServes: false,
   weights: [],
+  named: [],
 };
 
 /** Something that speaks to an entry as another one does. */
@@ -59,15 +61,16 @@
     return peer;
   }
 
-  /** Sends one datagram, and waits until it is on its way. */
-  send(bytes: Uint8Array): Promise<void> {
+  /** Sends one datagram, and lets it be read: a full buffer drops what comes next. */
+  async send(bytes: Uint8Array): Promise<void> {
     const { peerPort, ipAddress } = this.#world;
-    return new Promise((resolve, reject) => {
+    await new Promise<void>((resolve, reject) => {
       this.#socket.send(bytes, peerPort, ipAddress, (error) => {
         if (error) reject(error);
         else resolve();
       });
     });
+    await nextTurn();
   }
 
   tell(fields: object): Promise<void> {
@@ -83,8 +86,11 @@
 
 /** The entry still serves, hears of the store, and takes in what a proper peer tells. */
 async function assertSound(world: World, peer: FakePeer): Promise<void> {
-  await peer.tell({ weights: [["i-1", "m", 9]] });
-  await until(() => knows(world, '"entries":2'));
+  await until(async () => {
+    // Datagrams may be lost.
+    await peer.tell({ weights: [["i-1", "m", 9]] });
+    return knows(world, '"entries":2');
+  });
   await world.worker("i-last");
   assert.equal((await ask(world, "/look/a")).status, 200);
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -81,7 +81,10 @@
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
     this.#mirror = StoreMirror.create(this.#clock);
-    this.#wanted = WantedVersions.create(this.#clock);
+    this.#wanted = WantedVersions.create({
+      clock: this.#clock,
+      boundMs: options.settings.weightsBoundMs,
+    });
     this.#store = PlatformStore.create({
       address: textOf(options.settings.storeAddress),
       connectMs: STORE_CONNECT_MS,
@@ -97,6 +100,8 @@
       log: this.#log,
       fleet: this.#fleet,
       wanted: this.#wanted,
+      // The first that this process learns may be of any age.
+      maxAgeMs: () => this.#mirror.revision === 0n ? Infinity : 0,
       onConfig: () => this.#ingress.applyLimits(),
     });
     this.#relay = RelayReader.create({
@@ -214,6 +219,7 @@
       fleet: this.#fleet,
       cacheOf: (id, bornAtMs) => this.#inForce.cacheOf(id, bornAtMs),
       isStoreServing: () => !this.#follower.recovering,
+      wanted: this.#wanted,
       knownAddresses: () => [
         ...seedAddresses.map((seed) => seed.ipAddress),
         ...this.#registration.ipAddresses(),
--- a/src/standin/platform_worker.ts
+++ b/src/standin/platform_worker.ts
@@ -208,7 +208,8 @@
 
   #order({ body, response }: HostRequest): void {
     const order = JSON.parse(body.toString());
-    response.writeHead(this.#orders.judge(order));
+    const isRefused = take(this.faults, "refuseOrder");
+    response.writeHead(isRefused ? 409 : this.#orders.judge(order));
     response.end();
   }
 
