Show that a former start's refusal forgets the new one

Cause: a call that another server refuses at its address drops the server by its id; where the call was to the former start, the id is the new one's. Ruled out: that nothing is sent to a former start any more: requests that were chosen for it, and a run that moves, may still be on their way. Change: the two places that give a server up name the server, and a test, which fails.

--- a/src/router/engine_orders.ts
+++ b/src/router/engine_orders.ts
@@ -152,7 +152,7 @@
         await this.#options.onFenced();
         return true;
       case "wrong_server":
-        this.#options.fleet.drop(server.id, "address_has_another_server");
+        this.#options.fleet.giveUp(server);
         return true;
       case "refused":
       case "not_holder":
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -132,6 +132,15 @@
     this.#options.log.info({ event: "server_left", server: id, reason });
   }
 
+  /**
+   * Forgets a server that was called, and whose address has another one.
+   *
+   * @param server The server.
+   */
+  giveUp(server: Server): void {
+    this.drop(server.id, "address_has_another_server");
+  }
+
   /** Forgets servers whose registration lapsed in an outage and did not come back. */
   sweep(): void {
     const nowMs = this.#options.clock.nowMs();
--- a/src/router/fleet_test.ts
+++ b/src/router/fleet_test.ts
@@ -193,3 +193,16 @@
   fleet.sweep();
   assert.deepEqual(ids(fleet), []);
 });
+
+/*
+ * A server started again at another address, and another server took the one that it had. A call on
+ * its way to the former start was refused there, and the new start was forgotten for it.
+ */
+test("former start that is given up doesn't take the new one along", () => {
+  const { fleet, former } = withPast();
+  fleet.put(registration("a", { bornAtMs: 6, address: "127.0.0.1:2" }));
+  fleet.giveUp(former);
+  assert.deepEqual(ids(fleet), ["a"]);
+  fleet.giveUp(fleet.get("a")!);
+  assert.deepEqual(ids(fleet), []);
+});
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -236,7 +236,7 @@
     const { server } = choice;
     const nowMs = this.#options.clock.nowMs();
     if (facts.serverId !== undefined && facts.serverId !== server.id) {
-      this.#options.fleet.drop(server.id, "address_has_another_server");
+      this.#options.fleet.giveUp(server);
       return { kind: "not_run", reason: "wrong_server" };
     }
     const { prompt } = request.facts;
