Give up a server only while it is the one that is known

Ruled out: dropping by address: a server may be back at the one that it had. Change: Fleet.giveUp does nothing for a former start. Conclusion: what a former start's address says doesn't touch the new one.

--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -133,12 +133,13 @@
   }
 
   /**
-   * Forgets a server that was called, and whose address has another one.
+   * Forgets a server that was called, and whose address has another one. A call may have been on its
+   * way to a former start.
    *
    * @param server The server.
    */
   giveUp(server: Server): void {
-    this.drop(server.id, "address_has_another_server");
+    if (this.has(server)) this.drop(server.id, "address_has_another_server");
   }
 
   /** Forgets servers whose registration lapsed in an outage and did not come back. */
