Play restarts of servers among random steps

Cause: series of restarts, also ones that the store hears of only later, were covered by single tests alone. Ruled out: adding the step to the seeds that exist: they stay as they are. Change: fuzz_test.ts plays two more seeds in which servers start again, some of them unregistered until the end, and then waits until all engines have the weights named last; FUZZ_RESTART_SEEDS runs others.

--- a/src/router/fuzz_test.ts
+++ b/src/router/fuzz_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { seededRandom } from "../base/random.ts";
 import {
@@ -15,6 +15,13 @@
 
 /** Seeds that are always run; `FUZZ_SEEDS=a,b` runs others. */
 const SEEDS = (process.env["FUZZ_SEEDS"] ?? "1,2,3,4").split(",").map(Number);
+/** Seeds of the runs in which servers start again, too. */
+const RESTART_SEEDS = (process.env["FUZZ_RESTART_SEEDS"] ?? "1,2").split(",")
+  .map(Number);
+/** Steps of these runs that start a server again. */
+const RESTART_SHARE = 0.08;
+/** Restarts that the store doesn't hear of before the end. */
+const UNREGISTERED_SHARE = 0.3;
 const STEPS = 60;
 const EVENTS = 12;
 const STEP_MS = 15;
@@ -38,6 +45,12 @@
   answer: Promise<Asked | undefined>;
 }
 
+/** A world and its servers. */
+interface Place {
+  world: World;
+  workers: StandinPlatformWorker[];
+}
+
 /** One world under a series of random steps. */
 class Fuzz {
   readonly #world: World;
@@ -47,18 +60,28 @@
   #configVersion = 1;
   #weightsVersion = 1;
 
+  readonly #restarts: boolean;
+
   constructor(
-    world: World,
-    workers: StandinPlatformWorker[],
-    random: () => number,
+    { world, workers }: Place,
+    { random, restarts }: { random: () => number; restarts: boolean },
   ) {
     this.#world = world;
     this.#workers = workers;
     this.#random = random;
+    this.#restarts = restarts;
+  }
+
+  /** Version of the weights that was named last. */
+  get weightsVersion(): number {
+    return this.#weightsVersion;
   }
 
   async step(): Promise<void> {
     const { store, entries } = this.#world;
+    if (this.#restarts && this.#random() < RESTART_SHARE) {
+      return await this.#restart();
+    }
     const roll = this.#random();
     if (roll < 0.7) return this.#send();
     if (roll < 0.85) return this.#spoil();
@@ -76,12 +99,25 @@
   }
 
   /** Faults that are still to come, and links that are down, would keep requests waiting. */
-  heal(): void {
+  async heal(): Promise<void> {
     for (const { link } of this.#world.entries) link.up();
     for (const { faults } of this.#workers) {
       for (const fault of FAULTS) faults[fault] = 0;
       faults.cutAfterEvents = undefined;
     }
+    for (const worker of this.#workers) await this.#register(worker);
+  }
+
+  async #restart(): Promise<void> {
+    const worker = this.#pick(this.#workers);
+    const isHeardOf = this.#random() >= UNREGISTERED_SHARE;
+    await worker.restart();
+    if (isHeardOf) await this.#register(worker);
+  }
+
+  #register(worker: StandinPlatformWorker): Promise<void> {
+    const entry = worker.entry(worker.model ? "engines" : "plain");
+    return this.#world.store.put(`servers/${worker.id}`, entry);
   }
 
   #send(): void {
@@ -157,30 +193,53 @@
   }
 }
 
+async function openPlace(t: TestContext): Promise<Place> {
+  const world = await openWorld(t, { entryCount: 3, orderTurnMs: 50 });
+  const engine = { model: "m", events: EVENTS, eventMs: 5 };
+  const workers = [
+    await world.worker("i-1", engine),
+    await world.worker("i-2", engine),
+    await world.worker("i-3", engine),
+    await world.worker("i-4"),
+    await world.worker("i-5"),
+  ];
+  return { world, workers };
+}
+
+/** Takes random steps, and checks what became of the requests and orders. */
+async function play(fuzz: Fuzz, { world, workers }: Place): Promise<void> {
+  for (let i = 0; i < STEPS; i++) {
+    await fuzz.step();
+    await sleep(STEP_MS);
+  }
+  for (const sent of fuzz.sent) {
+    checkAnswer(sent, await sent.answer, workers);
+  }
+  await fuzz.heal();
+  checkOrders(workers);
+  // What was spoilt is served again.
+  for (const entry of world.entries) {
+    await until(async () => (await ask(entry, "/look/end")).status === 200);
+  }
+}
+
 for (const seed of SEEDS) {
   test(`random steps keep the promises, seed ${seed}`, async (t) => {
-    const world = await openWorld(t, { entryCount: 3, orderTurnMs: 50 });
-    const engine = { model: "m", events: EVENTS, eventMs: 5 };
-    const workers = [
-      await world.worker("i-1", engine),
-      await world.worker("i-2", engine),
-      await world.worker("i-3", engine),
-      await world.worker("i-4"),
-      await world.worker("i-5"),
-    ];
-    const fuzz = new Fuzz(world, workers, seededRandom(seed));
-    for (let i = 0; i < STEPS; i++) {
-      await fuzz.step();
-      await sleep(STEP_MS);
-    }
-    for (const sent of fuzz.sent) {
-      checkAnswer(sent, await sent.answer, workers);
-    }
-    fuzz.heal();
-    checkOrders(workers);
-    // What was spoilt is served again.
-    for (const entry of world.entries) {
-      await until(async () => (await ask(entry, "/look/end")).status === 200);
-    }
+    const place = await openPlace(t);
+    const random = seededRandom(seed);
+    await play(new Fuzz(place, { random, restarts: false }), place);
+  });
+}
+
+for (const seed of RESTART_SEEDS) {
+  test(`restarts of servers keep the promises, seed ${seed}`, async (t) => {
+    const place = await openPlace(t);
+    const random = seededRandom(seed);
+    const fuzz = new Fuzz(place, { random, restarts: true });
+    await play(fuzz, place);
+    const engines = place.workers.filter(({ model }) => model);
+    await until(() =>
+      engines.every(({ version }) => version === fuzz.weightsVersion)
+    );
   });
 }
--- a/src/standin/platform_worker.ts
+++ b/src/standin/platform_worker.ts
@@ -80,6 +80,11 @@
     return this.#options.id;
   }
 
+  /** The model that it serves; none: it is a plain server. */
+  get model(): string | undefined {
+    return this.#options.model;
+  }
+
   /** Version of the weights that are loaded. */
   get version(): number {
     return this.#orders.version;
