--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -55,6 +55,9 @@
   sleep = systemClock.sleep;
 }
 
+/** As the platform sets it. */
+const HEARTBEAT_MS = 1200;
+
 /** Settings of a {@link World}. */
 export interface WorldOptions {
   entryCount?: number;
@@ -135,6 +138,7 @@
         graceMs: 2000,
         orderTurnMs,
         weightsBoundMs,
+        heartbeatMs: HEARTBEAT_MS,
         logLevel: "silent",
         choice: ChoiceName.cost,
       },
--- a/src/router/fleet_test.ts
+++ b/src/router/fleet_test.ts
@@ -1,24 +1,34 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { registration, silentLog, TestClock } from "./_kit.ts";
+import { type LogLine, recordedLog, registration, TestClock } from "./_kit.ts";
 import { Fleet } from "./fleet.ts";
 import type { Server } from "./server.ts";
 
-function create(): { fleet: Fleet; clock: TestClock; outage: { is: boolean } } {
+interface Made {
+  fleet: Fleet;
+  clock: TestClock;
+  outage: { mayLapse: boolean; awaitsReturns: boolean };
+  lines: LogLine[];
+}
+
+function create(): Made {
   const clock = new TestClock();
-  const outage = { is: false };
+  const outage = { mayLapse: false, awaitsReturns: false };
+  const { log, lines } = recordedLog();
   const fleet = Fleet.create({
     clock,
-    log: silentLog,
+    log,
     serverOptions: () => ({
       connectMs: 1,
       idleMs: 1,
       cacheTokens: 1000,
       connectionLimit: 9,
     }),
-    isRecovering: () => outage.is,
+    outage: () =>
+      outage.mayLapse ? { isOver: false, lengthMs: 5000 } : undefined,
+    awaitsReturns: () => outage.awaitsReturns,
   });
-  return { fleet, clock, outage };
+  return { fleet, clock, outage, lines };
 }
 
 function ids(fleet: Fleet): string[] {
@@ -44,24 +54,61 @@
 test("server whose registration lapsed in an outage is kept until it had time to return", () => {
   const { fleet, clock, outage } = create();
   fleet.put(registration("a"));
-  outage.is = true;
+  outage.mayLapse = true;
+  outage.awaitsReturns = true;
   fleet.remove("a");
   clock.advance(60_000);
   fleet.sweep();
   assert.deepEqual(ids(fleet), ["a"]);
-  outage.is = false;
+  outage.mayLapse = false;
+  fleet.sweep();
+  assert.deepEqual(ids(fleet), ["a"]);
+  outage.awaitsReturns = false;
+  fleet.sweep();
+  assert.deepEqual(ids(fleet), []);
+});
+
+test("server that leaves while others have time to return is gone at once", () => {
+  const { fleet, outage } = create();
+  fleet.put(registration("a"));
+  fleet.put(registration("b"));
+  outage.mayLapse = true;
+  outage.awaitsReturns = true;
+  fleet.remove("a");
+  outage.mayLapse = false;
+  fleet.remove("b");
+  assert.deepEqual(ids(fleet), ["a"]);
+});
+
+test("server is kept no longer the later its deletion comes", () => {
+  const { fleet, outage } = create();
+  fleet.put(registration("a"));
+  outage.mayLapse = true;
+  fleet.remove("a");
   fleet.sweep();
   assert.deepEqual(ids(fleet), []);
 });
 
+test("server that is kept is told of, with the outage", () => {
+  const { fleet, outage, lines } = create();
+  fleet.put(registration("a"));
+  outage.mayLapse = true;
+  fleet.remove("a");
+  const kept = lines.filter(({ event }) => event === "server_kept");
+  assert.deepEqual(
+    kept.map(({ server, reason, outageMs }) => [server, reason, outageMs]),
+    [["a", "store_lost", 5000]],
+  );
+});
+
 test("server that registers again after an outage stays", () => {
-  const { fleet, clock, outage } = create();
+  const { fleet, outage } = create();
   fleet.put(registration("a"));
-  outage.is = true;
+  outage.mayLapse = true;
+  outage.awaitsReturns = true;
   fleet.remove("a");
   fleet.put(registration("a"));
-  outage.is = false;
-  clock.advance(60_000);
+  outage.awaitsReturns = false;
   fleet.sweep();
   assert.deepEqual(ids(fleet), ["a"]);
 });
@@ -148,6 +195,15 @@
   }
 });
 
+test("new start is logged as one", () => {
+  const { fleet, lines } = create();
+  fleet.put(registration("a", { bornAtMs: 5 }));
+  fleet.put(registration("a", { bornAtMs: 6 }));
+  fleet.put(registration("a", { bornAtMs: 6 }));
+  const events = lines.map(({ event }) => event);
+  assert.deepEqual(events, ["server_joined", "server_restarted"]);
+});
+
 test("registration of a former start is ignored", () => {
   const { fleet } = create();
   fleet.put(registration("a", { bornAtMs: 6 }));
@@ -171,25 +227,27 @@
 });
 
 test("server that lapsed in an outage and started again stays", () => {
-  const { fleet, clock, outage } = create();
+  const { fleet, outage } = create();
   fleet.put(registration("a", { bornAtMs: 5 }));
-  outage.is = true;
+  outage.mayLapse = true;
+  outage.awaitsReturns = true;
   fleet.remove("a");
   fleet.put(registration("a", { bornAtMs: 6 }));
-  outage.is = false;
-  clock.advance(60_000);
+  outage.mayLapse = false;
+  outage.awaitsReturns = false;
   fleet.sweep();
   assert.deepEqual(ids(fleet), ["a"]);
 });
 
 test("late word of a former start keeps no lapsed server", () => {
-  const { fleet, clock, outage } = create();
+  const { fleet, outage } = create();
   fleet.put(registration("a", { bornAtMs: 6 }));
-  outage.is = true;
+  outage.mayLapse = true;
+  outage.awaitsReturns = true;
   fleet.remove("a");
   fleet.put(registration("a", { bornAtMs: 5 }));
-  outage.is = false;
-  clock.advance(60_000);
+  outage.mayLapse = false;
+  outage.awaitsReturns = false;
   fleet.sweep();
   assert.deepEqual(ids(fleet), []);
 });
--- a/src/router/in_force_test.ts
+++ b/src/router/in_force_test.ts
@@ -1,9 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import type { Logger } from "../base/mod.ts";
 import { CONFIG } from "../standin/mod.ts";
-import { silentLog, TestClock } from "./_kit.ts";
+import { type LogLine, recordedLog, TestClock } from "./_kit.ts";
 import { Fleet } from "./fleet.ts";
 import { InForce } from "./in_force.ts";
 import { WantedVersions } from "./wanted_weights.ts";
@@ -18,14 +17,9 @@
   state: "ready",
 };
 
-interface Line {
-  event: string;
-  [field: string]: unknown;
-}
-
 /** What is in force, fed with values as the store holds them. */
 class Rig {
-  readonly lines: Line[] = [];
+  readonly lines: LogLine[];
   readonly fleet: Fleet;
   readonly wanted: WantedVersions;
   readonly inForce: InForce;
@@ -33,7 +27,8 @@
 
   constructor() {
     const clock = new TestClock();
-    const log = this.#log();
+    const { log, lines } = recordedLog();
+    this.lines = lines;
     this.wanted = WantedVersions.create({ clock, boundMs: 10_000 });
     this.fleet = Fleet.create({
       clock,
@@ -43,7 +38,8 @@
         idleMs: 1,
         ...this.inForce.limitsOf(service),
       }),
-      isRecovering: () => false,
+      outage: () => undefined,
+      awaitsReturns: () => false,
     });
     this.inForce = InForce.create({
       log,
@@ -81,15 +77,6 @@
   count(event: string): number {
     return this.lines.filter((line) => line.event === event).length;
   }
-
-  #log(): Logger {
-    const note = (line: Line) => void this.lines.push(line);
-    return Object.assign(Object.create(silentLog), {
-      info: note,
-      warn: note,
-      error: note,
-    });
-  }
 }
 
 test("server whose registration becomes malformed gets nothing until it is proper", () => {
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -22,6 +22,7 @@
 import { probe } from "./probe.ts";
 import type { ServerOptions } from "./server.ts";
 import type { RouterSettings, SocketAddress } from "./settings.ts";
+import { describeServer } from "./state_dump.ts";
 import { WantedVersions } from "./wanted_weights.ts";
 import { ROLL_LEASE_KEY, WeightsRoll } from "./weights_roll.ts";
 
@@ -29,9 +30,13 @@
 const STORE_CONNECT_MS = 500;
 /** A call without an answer by then is taken as lost; calls of a slow store take 60 times 4 ms. */
 const STORE_CALL_MS = 900;
-/** A watch is asked anew this often, so that a silent connection is noticed in time. */
-const WATCH_WAIT_MS = 2000;
-const WATCH_SLACK_MS = 700;
+/**
+ * A watch is asked anew this often, in heartbeat intervals of servers: 1.8 s where they are 1.2 s.
+ * So a connection that went silent is noticed within two of them, before a registration can lapse.
+ */
+const WATCH_WAIT_INTERVALS = 1.5;
+/** An answer of a slow store takes 60 times 4 ms; a watch that takes longer is a silent one. */
+const WATCH_SLACK_MS = 400;
 /** Servers are a few ms away; a connection that takes longer is to a dead one. */
 const SERVER_CONNECT_MS = 300;
 /** Idle connections to servers are closed after this, unless the server names a shorter time. */
@@ -89,19 +94,23 @@
       address: textOf(options.settings.storeAddress),
       connectMs: STORE_CONNECT_MS,
       callMs: STORE_CALL_MS,
-      watchWaitMs: WATCH_WAIT_MS,
+      watchWaitMs: Math.round(
+        WATCH_WAIT_INTERVALS * options.settings.heartbeatMs,
+      ),
       watchSlackMs: WATCH_SLACK_MS,
       onUnreadable: (item) =>
         this.#log.error({ event: "store_item_unreadable", ...item }),
     });
-    this.#follower = StoreFollower.create({ ...this.#parts() });
+    this.#follower = StoreFollower.create({
+      ...this.#parts(),
+      heartbeatMs: options.settings.heartbeatMs,
+    });
     this.#fleet = this.#createFleet();
     this.#inForce = InForce.create({
       log: this.#log,
       fleet: this.#fleet,
       wanted: this.#wanted,
-      // The first that this process learns may be of any age.
-      maxAgeMs: () => this.#mirror.revision === 0n ? Infinity : 0,
+      maxAgeMs: () => this.#follower.contact.maxAgeMs,
       onConfig: () => this.#ingress.applyLimits(),
     });
     this.#relay = RelayReader.create({
@@ -167,25 +176,15 @@
       configVersion: this.#inForce.table?.version,
       storeRevision: String(this.#mirror.revision),
       knowledgeAgeMs: Math.round(this.#mirror.ageMs),
-      storeConnected: this.#follower.connected,
+      storeConnected: this.#follower.contact.connected,
       storeCalls: this.#store.calls,
       entries: this.#peers.count,
       holdsRollLease: this.#roll.holdsLease,
       active: this.#ingress.active,
       wanted: this.#wanted.all(),
-      servers: [...this.#fleet.all()].map((server) => ({
-        id: server.id,
-        service: server.entry.service,
-        draining: server.entry.draining,
-        bornAtMs: server.entry.bornAtMs,
-        weights: Object.fromEntries(server.entry.weights),
-        load: server.load(nowMs),
-        slowness: server.health.slowness(nowMs),
-        failures: server.health.failures(nowMs),
-        isDown: server.health.isDown,
-        heldBack: server.isHeldBack(nowMs),
-        channels: server.channels.opened,
-      })),
+      servers: [...this.#fleet.all()].map((server) =>
+        describeServer(server, nowMs)
+      ),
     };
   }
 
@@ -204,8 +203,10 @@
       ...this.#parts(),
       serverOptions: (service) => this.#serverOptions(service),
       // What an entry says that the store serves well is no gap of an outage.
-      isRecovering: () =>
-        this.#follower.recovering && !this.#peers.storeServesPeer,
+      outage: () =>
+        this.#peers.storeServesPeer ? undefined : this.#follower.contact.outage,
+      awaitsReturns: () =>
+        !this.#peers.storeServesPeer && this.#follower.contact.awaitsReturns,
     });
   }
 
@@ -218,7 +219,7 @@
       port: peerPort,
       fleet: this.#fleet,
       cacheOf: (id, bornAtMs) => this.#inForce.cacheOf(id, bornAtMs),
-      isStoreServing: () => !this.#follower.recovering,
+      isStoreServing: () => !this.#follower.contact.awaitsReturns,
       wanted: this.#wanted,
       knownAddresses: () => [
         ...seedAddresses.map((seed) => seed.ipAddress),
@@ -242,7 +243,7 @@
       holderId: this.#settings.instance,
       turnMs: this.#settings.orderTurnMs,
       isLeaseHeld: () =>
-        this.#mirror.revision === 0n || !this.#follower.connected ||
+        this.#mirror.revision === 0n || !this.#follower.contact.connected ||
         this.#mirror.entries(ROLL_LEASE_KEY).length > 0,
       engineServices: () => this.#inForce.engineServices(),
       wanted: () => this.#wanted.all(),
@@ -278,10 +279,8 @@
   }
 
   async #start(): Promise<void> {
-    const { settings, lifecycle } = {
-      settings: this.#settings,
-      lifecycle: this.#lifecycle,
-    };
+    const settings = this.#settings;
+    const lifecycle = this.#lifecycle;
     lifecycle.own({ name: "store", close: () => this.#store.close() });
     const { clientAddress, readinessAddress, controlAddress } = settings;
     const control = await serveControl(controlAddress, {
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -31,6 +31,8 @@
   orderTurnMs: number;
   /** Answers may not begin on weights that were replaced this long ago. */
   weightsBoundMs: number;
+  /** Pause between a server's writes of its registration. */
+  heartbeatMs: number;
   logLevel: LogLevel;
   choice: ChoiceName;
 }
@@ -86,6 +88,7 @@
     graceMs: read("GRACE_S", "seconds", parseSeconds),
     orderTurnMs: readGiven("ORDER_TURN_MS", ORDER_TURN_MS),
     weightsBoundMs: readGiven("WEIGHTS_BOUND_MS", WEIGHTS_BOUND_MS),
+    heartbeatMs: read("HEARTBEAT_MS", "milliseconds above 0", parsePositiveMs),
     logLevel: readOr(env, "LOG_LEVEL", { faults, values: LOG_LEVELS }) ??
       "info",
     choice: readOr(env, "CHOICE", {
@@ -143,6 +146,10 @@
   return value !== "" && Number.isFinite(ms) && ms >= 0 ? ms : undefined;
 }
 
+function parsePositiveMs(value: string): number | undefined {
+  return parseMs(value) || undefined;
+}
+
 function parseSeconds(value: string): number | undefined {
   const seconds = parseMs(value);
   return seconds === undefined ? undefined : seconds * 1000;
--- a/src/router/settings_test.ts
+++ b/src/router/settings_test.ts
@@ -16,6 +16,7 @@
   CICADAHITCH_GRACE_S: "7.5",
   CICADAHITCH_ORDER_TURN_MS: "3500",
   CICADAHITCH_WEIGHTS_BOUND_MS: "8000",
+  CICADAHITCH_HEARTBEAT_MS: "1200",
 };
 
 test("settings are read from variables of their own", () => {
@@ -24,6 +25,7 @@
   assert.equal(settings.value.graceMs, 7500);
   assert.equal(settings.value.orderTurnMs, 3500);
   assert.equal(settings.value.weightsBoundMs, 8000);
+  assert.equal(settings.value.heartbeatMs, 1200);
   assert.equal(settings.value.seedAddresses.length, 2);
   assert.equal(settings.value.choice, ChoiceName.cost);
 });
@@ -53,6 +55,7 @@
     CICADAHITCH_STORE_ADDRESS: "store",
     CICADAHITCH_GRACE_S: "soon",
     CICADAHITCH_WEIGHTS_BOUND_MS: "long",
+    CICADAHITCH_HEARTBEAT_MS: "0",
     CICADAHITCH_CHOICE: "best",
     CICADAHITCH_LOG_LEVEL: "loud",
   });
@@ -63,6 +66,7 @@
   assert.deepEqual([...faults.keys()].sort(), [
     "CICADAHITCH_CHOICE",
     "CICADAHITCH_GRACE_S",
+    "CICADAHITCH_HEARTBEAT_MS",
     "CICADAHITCH_LOG_LEVEL",
     "CICADAHITCH_PEER_PORT",
     "CICADAHITCH_STORE_ADDRESS",
--- a/src/standin/tcp_relay.ts
+++ b/src/standin/tcp_relay.ts
@@ -24,6 +24,7 @@
   readonly #server: Server;
   readonly #relayed = new Set<Relayed>();
   #isDown = false;
+  #isSilent = false;
 
   private constructor(options: TcpRelayOptions) {
     this.#options = options;
@@ -65,6 +66,12 @@
     for (const relayed of this.#relayed) relayed.frozen = true;
   }
 
+  /** Passes nothing on until {@link up}, on connections that are open and on new ones. */
+  silent(): void {
+    this.#isSilent = true;
+    this.freezeOpen();
+  }
+
   /** Cuts open connections. */
   cutOpen(): void {
     for (const { near, far } of this.#relayed) {
@@ -79,9 +86,11 @@
     this.cutOpen();
   }
 
-  /** Passes new connections on again. */
+  /** Passes new connections on again; those of a {@link silent} time are cut. */
   up(): void {
+    if (this.#isSilent) this.cutOpen();
     this.#isDown = false;
+    this.#isSilent = false;
   }
 
   /** Stops for good. */
@@ -99,7 +108,7 @@
       return;
     }
     const far = connect(splitAddress(this.#options.targetAddress));
-    const relayed = { near, far, frozen: false };
+    const relayed = { near, far, frozen: this.#isSilent };
     this.#relayed.add(relayed);
     for (const socket of [near, far]) socket.setNoDelay(true);
     this.#pass(relayed, near, far);
