--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -139,6 +139,7 @@
         orderTurnMs,
         weightsBoundMs,
         heartbeatMs: HEARTBEAT_MS,
+        enginesCheckFences: true,
         logLevel: "silent",
         choice: ChoiceName.cost,
       },
--- a/src/router/engine_orders.ts
+++ b/src/router/engine_orders.ts
@@ -5,23 +5,37 @@
 import type { Fleet } from "./fleet.ts";
 import { isSameStart, type ServerReport, type WantedWeights } from "./model.ts";
 import type { Server } from "./server.ts";
+import type { WantedVersions } from "./wanted_weights.ts";
 
 /** Pause between looks at whether a registration told of the weights. */
 const LOOK_MS = 50;
-/** Time for one call to an engine. */
-const CALL_MS = 500;
+/** Time for one call to an engine; the lease must last as long for an order. */
+export const CALL_MS = 500;
 /** No engine has loaded by then: loads take 760 ms. */
 const FIRST_REPORT_MS = 750;
 /** Pause between reports of an engine that loads; they lag by some hundred ms. */
 const REPORT_MS = 200;
 /** Orders that an engine gets one after the other while none is answered. */
 const MAX_ORDERS = 4;
-/** An order that has no effect within this time is decided anew. */
-const ORDER_MS = 4000;
+/**
+ * An engine that loads, or waits for its runs, is waited for this long: no run lasts longer than
+ * the routes' 15 s. One that forgot its order, or is silent, is noticed by its reports.
+ */
+const ORDER_MS = 15_000;
+
+/** Calls to engines. */
+export interface EngineCalls {
+  fetchReport: typeof fetchReport;
+  sendOrder: typeof sendOrder;
+}
+
+/** The platform's own. */
+export const PLATFORM_CALLS: EngineCalls = { fetchReport, sendOrder };
 
 /** What {@link EngineOrders} work with. */
 export interface EngineOrdersOptions {
   clock: Clock;
+  calls: EngineCalls;
   log: Logger;
   fleet: Fleet;
   holderId: string;
@@ -31,6 +45,8 @@
   onFenced(): Promise<void>;
   /** Weights were seen at a server; other entries are told. */
   onWeights(server: Server, model: string, version: number): void;
+  /** Weights that the operator wants. */
+  wanted: WantedVersions;
 }
 
 /** What became of an order. */
@@ -88,7 +104,8 @@
     target: WantedWeights,
     { signal }: { signal: AbortSignal },
   ): Promise<boolean> {
-    const report = await fetchReport(server.entry, CALL_MS);
+    const { calls } = this.#options;
+    const report = await calls.fetchReport(server.entry, CALL_MS);
     if (report.isErr) {
       this.#unheard(server, report.error.kind);
       return true;
@@ -96,8 +113,7 @@
     if (this.#isVoid(server, report.value)) return true;
     if (this.#has(server, target, report.value)) return true;
     if (report.value.busy) {
-      await this.#awaitWeights(server, target, { signal });
-      return true;
+      return this.#awaitWeights(server, target, { signal });
     }
     const said = await this.#order(server, target, {
       orderSequence: report.value.orderSequence,
@@ -110,10 +126,12 @@
     target: WantedWeights,
     { orderSequence }: { orderSequence: number },
   ): Promise<OrderOutcome> {
-    const { holderId, log } = this.#options;
+    const { holderId, log, calls, wanted } = this.#options;
     const lease = this.#options.lease();
     if (!lease?.isHeldFor(CALL_MS)) return "not_holder";
-    const answer = await sendOrder(server.entry, {
+    const has = server.weights(target.model) ?? target.version;
+    const replacedMs = wanted.replacedForMs(target.model, has);
+    const answer = await calls.sendOrder(server.entry, {
       ...target,
       runs: "finish",
       holderId,
@@ -127,6 +145,7 @@
       version: target.version,
       sequence: orderSequence,
       answer: said,
+      replacedMs: Math.round(replacedMs),
     });
     return said;
   }
@@ -138,8 +157,7 @@
   ): Promise<boolean> {
     switch (said) {
       case "accepted":
-        await this.#awaitWeights(server, target, { signal });
-        return true;
+        return this.#awaitWeights(server, target, { signal });
       case "holds":
         this.#saw(server, target.model, target.version);
         return true;
@@ -160,25 +178,32 @@
     }
   }
 
+  /** @returns Whether there is nothing more to do for now; not if the engine forgot its order. */
   async #awaitWeights(
     server: Server,
     target: WantedWeights,
     { signal }: { signal: AbortSignal },
-  ): Promise<void> {
-    const { clock } = this.#options;
+  ): Promise<boolean> {
+    const { clock, calls } = this.#options;
     const untilMs = clock.nowMs() + ORDER_MS;
     let reportAtMs = clock.nowMs() + FIRST_REPORT_MS;
     while (!signal.aborted && clock.nowMs() < untilMs) {
       await clock.sleep(LOOK_MS, signal);
       // The server's registration may tell before its report does.
-      if (!lacks(server, [target]) || !this.#options.fleet.has(server)) return;
+      if (!lacks(server, [target])) return true;
+      if (!this.#options.fleet.has(server)) return true;
       if (clock.nowMs() < reportAtMs) continue;
       reportAtMs = clock.nowMs() + REPORT_MS;
-      const report = await fetchReport(server.entry, CALL_MS);
-      if (report.isErr) return this.#unheard(server, report.error.kind);
-      if (this.#isVoid(server, report.value)) return;
-      if (this.#has(server, target, report.value)) return;
+      const report = await calls.fetchReport(server.entry, CALL_MS);
+      if (report.isErr) {
+        this.#unheard(server, report.error.kind);
+        return true;
+      }
+      if (this.#isVoid(server, report.value)) return true;
+      if (this.#has(server, target, report.value)) return true;
+      if (!report.value.busy) return false;
     }
+    return true;
   }
 
   /**
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -9,6 +9,7 @@
 import { PlatformStore, READINESS_PATH } from "../platform/mod.ts";
 import { closeServer, serveControl, serveReadiness } from "./control.ts";
 import { Dispatcher } from "./dispatch.ts";
+import { PLATFORM_CALLS } from "./engine_orders.ts";
 import { Fleet } from "./fleet.ts";
 import { StoreFollower } from "./follower.ts";
 import { InForce } from "./in_force.ts";
@@ -22,9 +23,9 @@
 import { probe } from "./probe.ts";
 import type { ServerOptions } from "./server.ts";
 import type { RouterSettings, SocketAddress } from "./settings.ts";
-import { describeServer } from "./state_dump.ts";
 import { WantedVersions } from "./wanted_weights.ts";
-import { ROLL_LEASE_KEY, WeightsRoll } from "./weights_roll.ts";
+import { LAST_ROLL_KEY, ROLL_LEASE_KEY } from "./roll_lease.ts";
+import { WeightsRoll } from "./weights_roll.ts";
 
 /** The store answers in 4 ms; a connection that takes longer than this is a lost one. */
 const STORE_CONNECT_MS = 500;
@@ -182,9 +183,7 @@
       holdsRollLease: this.#roll.holdsLease,
       active: this.#ingress.active,
       wanted: this.#wanted.all(),
-      servers: [...this.#fleet.all()].map((server) =>
-        describeServer(server, nowMs)
-      ),
+      servers: [...this.#fleet.all()].map((server) => server.state(nowMs)),
     };
   }
 
@@ -240,13 +239,16 @@
     return WeightsRoll.create({
       ...this.#parts(),
       fleet: this.#fleet,
+      calls: PLATFORM_CALLS,
       holderId: this.#settings.instance,
       turnMs: this.#settings.orderTurnMs,
+      enginesCheckFences: this.#settings.enginesCheckFences,
       isLeaseHeld: () =>
         this.#mirror.revision === 0n || !this.#follower.contact.connected ||
         this.#mirror.entries(ROLL_LEASE_KEY).length > 0,
+      lastHolder: () => this.#mirror.entries(LAST_ROLL_KEY)[0],
       engineServices: () => this.#inForce.engineServices(),
-      wanted: () => this.#wanted.all(),
+      wanted: this.#wanted,
       onWeights: (server, model, version) =>
         this.#peers.tellWeights(server.entry, model, version),
     });
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -33,6 +33,8 @@
   weightsBoundMs: number;
   /** Pause between a server's writes of its registration. */
   heartbeatMs: number;
+  /** Whether engines refuse an order with a lower fencing number than one they have seen. */
+  enginesCheckFences: boolean;
   logLevel: LogLevel;
   choice: ChoiceName;
 }
@@ -52,6 +54,7 @@
 /** The deployments' own bounds. */
 const ORDER_TURN_MS = 3000;
 const WEIGHTS_BOUND_MS = 10_000;
+const HEARTBEAT_MS = 1200;
 
 /**
  * @param env Environment variables; those without the prefix `CICADAHITCH_` are ignored.
@@ -72,9 +75,13 @@
     if (parsed === undefined) faults.push({ variable, value, allowed });
     return parsed as T;
   };
-  // A platform without engines doesn't say these.
-  const readGiven = (name: string, defaultMs: number): number =>
-    env[PREFIX + name] ? read(name, "milliseconds", parseMs) : defaultMs;
+  // A platform leaves empty what it does not say.
+  const readGiven = (
+    name: string,
+    defaultMs: number,
+    parse: (value: string) => number | undefined,
+  ): number =>
+    env[PREFIX + name] ? read(name, "milliseconds or empty", parse) : defaultMs;
   const settings: RouterSettings = {
     instance: read("INSTANCE", "a name", nonEmpty),
     zone: read("ZONE", "a name", nonEmpty),
@@ -86,9 +93,18 @@
     seedAddresses: read("SEED_ADDRESSES", `${IP_PORT},…`, parseAddresses),
     storeAddress: read("STORE_ADDRESS", IP_PORT, parseAddress),
     graceMs: read("GRACE_S", "seconds", parseSeconds),
-    orderTurnMs: readGiven("ORDER_TURN_MS", ORDER_TURN_MS),
-    weightsBoundMs: readGiven("WEIGHTS_BOUND_MS", WEIGHTS_BOUND_MS),
-    heartbeatMs: read("HEARTBEAT_MS", "milliseconds above 0", parsePositiveMs),
+    orderTurnMs: readGiven("ORDER_TURN_MS", ORDER_TURN_MS, parseMs),
+    weightsBoundMs: readGiven(
+      "WEIGHTS_BOUND_MS",
+      WEIGHTS_BOUND_MS,
+      parsePositiveMs,
+    ),
+    heartbeatMs: readGiven("HEARTBEAT_MS", HEARTBEAT_MS, parsePositiveMs),
+    enginesCheckFences: read(
+      "ENGINES_CHECK_FENCES",
+      "true, false or empty",
+      parseFlag,
+    ),
     logLevel: readOr(env, "LOG_LEVEL", { faults, values: LOG_LEVELS }) ??
       "info",
     choice: readOr(env, "CHOICE", {
@@ -150,6 +166,12 @@
   return parseMs(value) || undefined;
 }
 
+/** The platform leaves empty what it does not say. */
+function parseFlag(value: string): boolean | undefined {
+  if (value === "true") return true;
+  return value === "false" || value === "" ? false : undefined;
+}
+
 function parseSeconds(value: string): number | undefined {
   const seconds = parseMs(value);
   return seconds === undefined ? undefined : seconds * 1000;
--- a/src/router/wanted_weights.ts
+++ b/src/router/wanted_weights.ts
@@ -8,6 +8,11 @@
 
 /** Before the bound, replaced weights begin no request that could as well begin elsewhere. */
 const STALE_MARGIN_MS = 3000;
+/**
+ * Before the bound, engines are ordered whatever runs there: one that has accepted its order begins
+ * nothing on its old weights, and a call without an answer takes half a second.
+ */
+const ORDER_MARGIN_MS = 1500;
 /** Before the bound, nothing new is sent to replaced weights: what is sent may wait there. */
 const RETIRED_MARGIN_MS = 1000;
 /** Before the bound, a request that has not begun is taken back: it takes some ms to get there. */
@@ -19,6 +24,8 @@
 export interface WeightsLimits {
   /** Used only if there is nothing else. */
   staleFromMs: number;
+  /** Ordered by then, without a wait. */
+  orderByMs: number;
   /** Sent nothing new. */
   retiredFromMs: number;
   /** What waits there and has not begun is taken back. */
@@ -56,6 +63,7 @@
     this.#boundMs = boundMs;
     this.limits = {
       staleFromMs: boundMs - STALE_MARGIN_MS,
+      orderByMs: boundMs - ORDER_MARGIN_MS,
       retiredFromMs: boundMs - RETIRED_MARGIN_MS,
       beginUntilMs: boundMs - BEGIN_MARGIN_MS,
     };
