Show that a key beside the lease's keeps the roll from beginning

Cause: the store's copy is asked by prefix whether the lease is held and who held it last. Ruled out: the lease itself, which is taken by its whole key.

--- a/src/router/malformed_test.ts
+++ b/src/router/malformed_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ask } from "../standin/mod.ts";
-import { knows, openWorld, until } from "./_world.ts";
+import { ask, CONFIG } from "../standin/mod.ts";
+import { knows, openBareWorld, openWorld, until } from "./_world.ts";
+import { LAST_ROLL_KEY, ROLL_LEASE_KEY } from "./roll_lease.ts";
 
 /*
  * One item whose value was no text made the whole list or watch that it came in count as lost. The
@@ -40,3 +41,18 @@
   await world.store.put("servers/i-1", first!.entry("plain"));
   await until(() => knows(world, "i-1"));
 });
+
+/*
+ * Whether the lease of the roll is held, and who held it last, was read from whatever keys begin
+ * with theirs. One that another writer had left there kept every entry from taking the lease.
+ */
+test("keys that begin as the lease's do neither hold it nor name its holder", async (t) => {
+  const world = await openBareWorld(t);
+  for (const key of [ROLL_LEASE_KEY, LAST_ROLL_KEY]) {
+    await world.store.put(`${key}.other`, {});
+  }
+  await world.store.configure(CONFIG);
+  const worker = await world.engine("i-1");
+  await world.store.put("op/version/m", { model: "m", version: 2 });
+  await until(() => worker.version === 2);
+});
