Look up the lease's keys as a whole

Ruled out: other keys of the router's own in the store: those of the entries are listed by their prefix, which is meant. Change: the store's copy finds one key's entry. Conclusion: what another writer leaves beside the lease doesn't stop the roll.

--- a/src/router/mirror.ts
+++ b/src/router/mirror.ts
@@ -59,6 +59,14 @@
     this.#listeners.push(listener);
   }
 
+  /**
+   * @param key A whole key.
+   * @returns Its entry, if it is known.
+   */
+  entry(key: string): KeyValueEntry | undefined {
+    return this.#entries.get(key);
+  }
+
   /**
    * @param prefix Prefix of the keys.
    * @returns The entries that are known.
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -245,8 +245,8 @@
       enginesCheckFences: this.#settings.enginesCheckFences,
       isLeaseHeld: () =>
         this.#mirror.revision === 0n || !this.#follower.contact.connected ||
-        this.#mirror.entries(ROLL_LEASE_KEY).length > 0,
-      lastHolder: () => this.#mirror.entries(LAST_ROLL_KEY)[0],
+        this.#mirror.entry(ROLL_LEASE_KEY) !== undefined,
+      lastHolder: () => this.#mirror.entry(LAST_ROLL_KEY),
       engineServices: () => this.#inForce.engineServices(),
       wanted: this.#wanted,
       onWeights: (server, model, version) =>
