Answer any target at the control address

Ruled out: catching what the URL parser throws: the target is a path and a query, and needs no such parser. Change: the target is split at its query. Besides, an order whose engine has left is no longer logged as void: only one that meets another start is. Conclusion: no target ends an entry.

--- a/src/router/control.ts
+++ b/src/router/control.ts
@@ -31,8 +31,7 @@
   options: ControlOptions,
 ): Promise<HttpServer> {
   const server = createServer((request, response) => {
-    const url = new URL(request.url ?? "/", "http://control");
-    const answer = answerOf(url, options);
+    const answer = answerOf(request.url ?? "/", options);
     response.writeHead(answer ? 200 : 404, {
       "content-type": answer?.type ?? "text/plain",
     });
@@ -75,10 +74,12 @@
   text: string;
 }
 
-function answerOf(url: URL, options: ControlOptions): Text | undefined {
-  switch (url.pathname) {
+function answerOf(target: string, options: ControlOptions): Text | undefined {
+  // Not parsed as a URL: others may send what is none.
+  const [path, query] = target.split("?", 2);
+  switch (path) {
     case RELAY_PATH: {
-      const after = url.searchParams.get("after") ?? "0";
+      const after = new URLSearchParams(query).get("after") ?? "0";
       if (!/^\d+$/.test(after)) return undefined;
       return { type: "application/json", text: options.relay(BigInt(after)) };
     }
--- a/src/router/engine_orders.ts
+++ b/src/router/engine_orders.ts
@@ -215,14 +215,15 @@
    */
   #isVoid(server: Server, { bornAtMs, weights }: ServerReport): boolean {
     const { fleet, log } = this.#options;
-    if (fleet.has(server) && isSameStart(bornAtMs, server.entry)) return false;
+    if (!fleet.has(server)) return true;
+    if (isSameStart(bornAtMs, server.entry)) return false;
     log.info({
       event: "order_void",
       server: server.id,
       bornAtMs,
       knownBornAtMs: server.entry.bornAtMs,
     });
-    if (fleet.has(server)) fleet.put({ ...server.entry, bornAtMs, weights });
+    fleet.put({ ...server.entry, bornAtMs, weights });
     return true;
   }
 
