--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -99,6 +99,8 @@
         WATCH_WAIT_INTERVALS * options.settings.heartbeatMs,
       ),
       watchSlackMs: WATCH_SLACK_MS,
+      onUnreadable: (item) =>
+        this.#log.error({ event: "store_item_unreadable", ...item }),
     });
     this.#follower = StoreFollower.create({
       ...this.#parts(),
@@ -125,7 +127,7 @@
       ...this.#parts(),
       controlPort: options.settings.controlAddress.port,
       isReady: () => this.#mirror.revision > 0n,
-      cacheOf: (id) => this.#inForce.cacheOf(id),
+      cacheOf: (id, bornAtMs) => this.#inForce.cacheOf(id, bornAtMs),
     });
     this.#peers = this.#createPeers();
     this.#roll = this.#createRoll();
@@ -215,7 +217,7 @@
       ipAddress,
       port: peerPort,
       fleet: this.#fleet,
-      cacheOf: (id) => this.#inForce.cacheOf(id),
+      cacheOf: (id, bornAtMs) => this.#inForce.cacheOf(id, bornAtMs),
       isStoreServing: () => !this.#follower.contact.awaitsReturns,
       wanted: this.#wanted,
       knownAddresses: () => [
@@ -243,12 +245,12 @@
       enginesCheckFences: this.#settings.enginesCheckFences,
       isLeaseHeld: () =>
         this.#mirror.revision === 0n || !this.#follower.contact.connected ||
-        this.#mirror.entries(ROLL_LEASE_KEY).length > 0,
-      lastHolder: () => this.#mirror.entries(LAST_ROLL_KEY)[0],
+        this.#mirror.entry(ROLL_LEASE_KEY) !== undefined,
+      lastHolder: () => this.#mirror.entry(LAST_ROLL_KEY),
       engineServices: () => this.#inForce.engineServices(),
       wanted: this.#wanted,
       onWeights: (server, model, version) =>
-        this.#peers.tellWeights(server.id, model, version),
+        this.#peers.tellWeights(server.entry, model, version),
     });
   }
 
--- a/src/router/run_mover_test.ts
+++ b/src/router/run_mover_test.ts
@@ -1,18 +1,28 @@
-// Runs were moved, with their memory, off an engine whose weights were about to change, to another
-// one that still had the old ones; 10.8 s and 10.9 s after these had been replaced they began anew
-// there. Only engines that a new request may still begin on are places to move to.
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { test, type TestContext } from "node:test";
 import { registration, silentLog, TestClock } from "./_kit.ts";
 import type { Send } from "./attempt.ts";
 import { Fleet } from "./fleet.ts";
 import { RunMover } from "./run_mover.ts";
 import { WantedVersions } from "./wanted_weights.ts";
 
-/** A run on engine `a`, and whether it was to be moved to `b`, some time after the naming. */
-async function isMoved(ageMs: number): Promise<boolean> {
+const REQUEST_ID = "attempt-1";
+const COPY_ID = "copy-1";
+const BOUND_MS = 10_000;
+
+interface Made {
+  clock: TestClock;
+  fleet: Fleet;
+  wanted: WantedVersions;
+  mover: RunMover;
+  /** Moves that were tried. */
+  tried: number;
+}
+
+function create(): Made {
   const clock = new TestClock();
-  const wanted = WantedVersions.create({ clock, boundMs: 10_000 });
   const fleet = Fleet.create({
     clock,
     log: silentLog,
@@ -25,8 +35,7 @@
     outage: () => undefined,
     awaitsReturns: () => false,
   });
-  for (const id of ["a", "b"]) fleet.put(registration(id));
-  let spent = 0;
+  const wanted = WantedVersions.create({ clock, boundMs: BOUND_MS });
   const mover = RunMover.create({
     clock,
     log: silentLog,
@@ -34,21 +43,74 @@
     wanted,
     zone: "a",
     random: () => 0,
-    spend: () => ++spent > 0,
+    spend: () => ++made.tried > 0,
   });
-  wanted.name({ model: "m", version: 2 }, { maxAgeMs: 0 });
-  clock.advance(ageMs);
-  const send = {
-    choice: { server: fleet.get("a"), weightsVersion: 1 },
-    progress: { tried: new Set(["a"]) },
+  const made: Made = { clock, fleet, wanted, mover, tried: 0 };
+  return made;
+}
+
+/** A send whose run, on version 1 of the weights, is under way at engine `from`. */
+function sendOf(fleet: Fleet): Send {
+  return {
     request: {
       service: "engines",
-      facts: { requestId: "r", prompt: { model: "m" } },
+      facts: { requestId: REQUEST_ID, prompt: { model: "m" } },
     },
+    choice: { server: fleet.get("from"), weightsVersion: 1 },
+    progress: { tried: new Set(["from"]) },
   } as unknown as Send;
+}
+
+/** An engine that copies any run; returns its address, and what it was called for. */
+async function copyingEngine(
+  t: TestContext,
+  onMove: () => void,
+): Promise<{ address: string; calls: string[] }> {
+  const calls: string[] = [];
+  const server = createServer((request, response) => {
+    calls.push(`${request.method} ${request.url}`);
+    if (request.method === "POST") onMove();
+    response.setHeader("content-type", "application/json");
+    response.end(JSON.stringify({ handle: COPY_ID }));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  return { address: `127.0.0.1:${port}`, calls };
+}
+
+/*
+ * A run was copied to an engine that started again meanwhile. The copy was gone, and the run was
+ * sent there all the same.
+ */
+test("run doesn't go on at an engine that has started again since it was copied", async (t) => {
+  for (const restarts of [false, true]) {
+    const { fleet, mover } = create();
+    const { address, calls } = await copyingEngine(t, () => {
+      if (restarts) fleet.put(registration("to", { bornAtMs: 2 }));
+    });
+    fleet.put(registration("from", { address }));
+    fleet.put(registration("to", { bornAtMs: 1 }));
+    const move = await mover.move(sendOf(fleet));
+    assert.equal(move.kind, restarts ? "stopped" : "copied");
+    const freed = () => calls.filter((call) => call.startsWith("DELETE"));
+    while (restarts && freed().length === 0) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    assert.equal(freed().length, restarts ? 1 : 0);
+  }
+});
+
+/** Whether a move was tried some time after the weights' replacement. */
+async function isMoved(ageMs: number): Promise<boolean> {
+  const made = create();
+  const { fleet, wanted, clock, mover } = made;
   // Nothing listens there: what counts is whether a move was tried.
-  await mover.move(send);
-  return spent > 0;
+  for (const id of ["from", "to"]) fleet.put(registration(id));
+  wanted.name({ model: "m", version: 2 }, { maxAgeMs: 0 });
+  clock.advance(ageMs);
+  await mover.move(sendOf(fleet));
+  return made.tried > 0;
 }
 
 test("run is moved to an engine whose weights may still begin answers", async () => {
@@ -56,6 +118,11 @@
   assert.ok(await isMoved(8000));
 });
 
+/*
+ * Runs were moved, with their memory, off an engine whose weights were about to change, to another
+ * one that still had the old ones; 10.8 s and 10.9 s after these had been replaced they began anew
+ * there. Only engines that a new request may still begin on are places to move to.
+ */
 test("run is not moved to an engine whose weights were replaced too long ago", async () => {
   assert.equal(await isMoved(9500), false);
 });
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -136,7 +136,8 @@
     if (!chain || choice.copy) return;
     const { onPrompt, promptStore } = this.#options;
     server.cache.use(chain, nowMs + expectedMs);
-    onPrompt({ id: server.id, chain, readyInMs: expectedMs });
+    const { id, bornAtMs } = server.entry;
+    onPrompt({ id, bornAtMs, chain, readyInMs: expectedMs });
     if (saveTo === undefined) return;
     const savedInMs = expectedMs + SAVE_MS;
     promptStore()?.cache.use(chain, nowMs + savedInMs);
@@ -235,7 +236,7 @@
     const { server } = choice;
     const nowMs = this.#options.clock.nowMs();
     if (facts.serverId !== undefined && facts.serverId !== server.id) {
-      this.#options.fleet.drop(server.id, "address_has_another_server");
+      this.#options.fleet.giveUp(server);
       return { kind: "not_run", reason: "wrong_server" };
     }
     const { prompt } = request.facts;
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -218,7 +218,11 @@
       server.holdBack(-Infinity);
       const retryMs = this.#isOverdue(server) ? LATE_RETRY_MS : RETRY_MS;
       this.#retryAtMs.set(server.id, clock.nowMs() + retryMs);
-      if (!lacks(server, wanted.all())) this.#retryAtMs.delete(server.id);
+      const isDone = !lacks(server, wanted.all());
+      // A server that has started again is another one, and is ordered at once.
+      if (isDone || !this.#options.fleet.has(server)) {
+        this.#retryAtMs.delete(server.id);
+      }
     }
   }
 
@@ -232,7 +236,9 @@
     if (!this.#isOverdue(server)) await clock.sleep(TOLD_MS, signal);
     while (!signal.aborted && !this.#isOverdue(server)) {
       const nowMs = clock.nowMs();
-      const isFree = server.load(nowMs).bound === 0;
+      // One that has started again, or left, has no runs to wait for.
+      const isFree = server.load(nowMs).bound === 0 ||
+        !this.#options.fleet.has(server);
       const isDrained = isFree || nowMs - startMs >= DRAIN_MS;
       const hasRoom = isLate || this.#orders.underWay < LOADS_AT_ONCE;
       if (hasRoom && isDrained) return;
