Accept times of the client limits that are no whole milliseconds

Cause: the stricter reading of the configuration refused it whole for such a time; a proper configuration that is refused costs more than an odd one that is taken.

--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -170,10 +170,10 @@
 
 function readLimits(limits: Json): ClientLimits {
   return {
-    headerBytes: wholeNumber(limits, "max_header_bytes"),
-    bodyBytes: wholeNumber(limits, "max_body_bytes"),
-    headerTimeoutMs: wholeNumber(limits, "header_timeout_ms"),
-    idleTimeoutMs: wholeNumber(limits, "idle_timeout_ms"),
+    headerBytes: number(limits, "max_header_bytes"),
+    bodyBytes: number(limits, "max_body_bytes"),
+    headerTimeoutMs: number(limits, "header_timeout_ms"),
+    idleTimeoutMs: number(limits, "idle_timeout_ms"),
   };
 }
 
