--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -16,6 +16,7 @@
 import { readServer } from "./decode_server.ts";
 import { CONFIG_KEY, SERVERS_PREFIX, WEIGHTS_PREFIX } from "./names.ts";
 import {
+  amount,
   asObject,
   type Json,
   list,
@@ -170,10 +171,10 @@
 
 function readLimits(limits: Json): ClientLimits {
   return {
-    headerBytes: number(limits, "max_header_bytes"),
-    bodyBytes: number(limits, "max_body_bytes"),
-    headerTimeoutMs: number(limits, "header_timeout_ms"),
-    idleTimeoutMs: number(limits, "idle_timeout_ms"),
+    headerBytes: amount(limits, "max_header_bytes"),
+    bodyBytes: amount(limits, "max_body_bytes"),
+    headerTimeoutMs: amount(limits, "header_timeout_ms"),
+    idleTimeoutMs: amount(limits, "idle_timeout_ms"),
   };
 }
 
--- a/src/platform/shape.ts
+++ b/src/platform/shape.ts
@@ -63,6 +63,17 @@
     : undefined;
 }
 
+/**
+ * @param object Where it stands.
+ * @param name Its name.
+ * @returns A number of 0 or more.
+ */
+export function amount(object: Json, name: string): number {
+  const value = number(object, name);
+  if (value < 0) throw new ShapeError(`Below 0: ${name}`);
+  return value;
+}
+
 /** @returns A field that is a count. */
 export function wholeNumber(object: Json, name: string): number {
   const value = object[name];
