--- a/src/router/run_mover.ts
+++ b/src/router/run_mover.ts
@@ -12,6 +12,7 @@
 import type { Fleet } from "./fleet.ts";
 import type { RunCopy } from "./model.ts";
 import type { Server } from "./server.ts";
+import type { WantedVersions } from "./wanted_weights.ts";
 
 /** Time for the call: a large prompt is copied in 60 ms, between zones in twice that, after others. */
 const MOVE_MS = 600;
@@ -31,6 +32,7 @@
   clock: Clock;
   log: Logger;
   fleet: Fleet;
+  wanted: WantedVersions;
   zone: string;
   random: () => number;
   /** Takes one send more of a request to the service from the budget, if it has room. */
@@ -143,9 +145,12 @@
 
   /** The engine with the same weights that has least to do. */
   #findTarget({ choice, request, progress }: Send): Server | undefined {
-    const { fleet, clock, zone, random } = this.#options;
+    const { fleet, clock, zone, random, wanted } = this.#options;
     const nowMs = clock.nowMs();
     const model = request.facts.prompt?.model ?? "";
+    // A run that goes on elsewhere begins there, and its copy takes its time.
+    const ageMs = wanted.replacedForMs(model, choice.weightsVersion ?? 0);
+    if (ageMs >= wanted.limits.retiredFromMs) return undefined;
     let best: { server: Server; score: number } | undefined;
     for (const server of fleet.open(request.service)) {
       if (progress.tried.has(server.id) || server.health.isDown) continue;
