Test an engine that was taken out under a former lease

What fails: a process takes an engine out, loses its lease to another holder, takes it again and orders the engine within its own turn.

Why: the turn is looked at when an engine is taken out, and not at its order.

--- a/src/router/weights_roll_test.ts
+++ b/src/router/weights_roll_test.ts
@@ -248,3 +248,21 @@
     await clock.advance(50);
   }
 });
+
+test("engine that was taken out under a former lease waits for the turn, too", async (t) => {
+  const world = await startRoll(t, { engineCount: 1 });
+  const { clock, store, holder, orders, hold } = world;
+  keepBusy(holder);
+  await clock.advance(100);
+  assert.equal(holder.roll.heldBack().length, 1);
+  // The lease ends under its holder, and another process has it for a moment.
+  const other = hold("b");
+  await store.revokeLease(1n);
+  await clock.advance(300);
+  assert.ok(other.roll.holdsLease);
+  await other.stop();
+  const stoppedAtMs = clock.nowMs();
+  await clock.advance(REPLACED_MS);
+  assert.ok(orders.length > 0);
+  assert.ok(orders.every(({ atMs }) => atMs - stoppedAtMs >= TURN_MS));
+});
