--- a/src/router/weights_roll_test.ts
+++ b/src/router/weights_roll_test.ts
@@ -264,7 +264,7 @@
   assert.ok(other.roll.holdsLease);
   await other.stop();
   const stoppedAtMs = clock.nowMs();
-  await clock.advance(REPLACED_MS);
+  await clock.advance(BOUND_MS);
   assert.ok(orders.length > 0);
   assert.ok(orders.every(({ atMs }) => atMs - stoppedAtMs >= TURN_MS));
 });
