--- a/src/router/_kit.ts
+++ b/src/router/_kit.ts
@@ -1,8 +1,9 @@
 /** What the router's tests share. */
 import { pino } from "pino";
-import { createSilentLogger, type Logger } from "../base/mod.ts";
+import { type Clock, createSilentLogger, type Logger } from "../base/mod.ts";
+import { Fleet, type FleetOptions } from "./fleet.ts";
 import type { BackendServer } from "./model.ts";
-import { Server } from "./server.ts";
+import { Server, type ServerOptions } from "./server.ts";
 
 /** A clock that a test moves. */
 export class TestClock {
@@ -51,6 +52,13 @@
   };
 }
 
+const SERVER_OPTIONS: ServerOptions = {
+  connectMs: 300,
+  idleMs: 1000,
+  cacheTokens: 10_000,
+  connectionLimit: 100,
+};
+
 /**
  * @param id The server's id.
  * @param fields What differs from a ready engine in zone `a`.
@@ -60,10 +68,24 @@
   id: string,
   fields: Partial<BackendServer> = {},
 ): Server {
-  return Server.create(registration(id, fields), {
-    connectMs: 300,
-    idleMs: 1000,
-    cacheTokens: 10_000,
-    connectionLimit: 100,
+  return Server.create(registration(id, fields), SERVER_OPTIONS);
+}
+
+/**
+ * @param clock Its clock.
+ * @param options What differs from a fleet without a log whose store never was away.
+ * @returns A fleet without servers.
+ */
+export function testFleet(
+  clock: Clock,
+  options: Partial<FleetOptions> = {},
+): Fleet {
+  return Fleet.create({
+    clock,
+    log: silentLog,
+    serverOptions: () => SERVER_OPTIONS,
+    outage: () => undefined,
+    awaitsReturns: () => false,
+    ...options,
   });
 }
--- a/src/router/_roll_kit.ts
+++ b/src/router/_roll_kit.ts
@@ -3,9 +3,9 @@
 import { Result } from "true-myth";
 import { ManualClock } from "../lease/manual_clock.ts";
 import { MemoryStore } from "../store/memory_store.ts";
-import { registration, silentLog } from "./_kit.ts";
+import { registration, silentLog, testFleet } from "./_kit.ts";
 import type { EngineCalls } from "./engine_orders.ts";
-import { Fleet } from "./fleet.ts";
+import type { Fleet } from "./fleet.ts";
 import { WantedVersions } from "./wanted_weights.ts";
 import { LAST_ROLL_KEY, ROLL_LEASE_KEY } from "./roll_lease.ts";
 import { WeightsRoll } from "./weights_roll.ts";
@@ -125,7 +125,7 @@
   const orders: AcceptedOrder[] = [];
   const calls = createCalls({ clock, engines, orders });
   const hold = (holderId: string): TestHolder => {
-    const fleet = createFleet(clock);
+    const fleet = testFleet(clock);
     for (const { id } of engines) fleet.put(registration(id));
     const end = new AbortController();
     let isKilled = false;
@@ -174,21 +174,6 @@
   });
 }
 
-function createFleet(clock: ManualClock): Fleet {
-  return Fleet.create({
-    clock,
-    log: silentLog,
-    serverOptions: () => ({
-      connectMs: 1,
-      idleMs: 1,
-      cacheTokens: 1000,
-      connectionLimit: 100,
-    }),
-    outage: () => undefined,
-    awaitsReturns: () => false,
-  });
-}
-
 function createCalls(
   { clock, engines, orders }: {
     clock: ManualClock;
