--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -75,7 +75,7 @@
   /** @param entry A registration, new or changed. */
   put(entry: BackendServer): void {
     const known = this.#servers.get(entry.id);
-    // A word of a former start may come late.
+    // A registration of an earlier start may arrive late.
     if (known && isOlderStart(entry, known.entry)) return;
     this.#missing.delete(entry.id);
     const isSame = known && isSameStart(entry.bornAtMs, known.entry);
@@ -84,8 +84,8 @@
       known.update(entry);
       return;
     }
-    // Nothing that was learned of the former start holds for the new one. What is under way at the
-    // former one ends by itself.
+    // Nothing that was learned of the earlier start holds for the new one. Requests under way at the
+    // earlier one end by themselves.
     known?.channels.closeIdle();
     const options = this.#options.serverOptions(entry.service);
     this.#servers.set(entry.id, Server.create(entry, options));
@@ -130,7 +130,7 @@
 
   /**
    * Forgets a server that was called, and whose address has another one. A call may have been on its
-   * way to a former start.
+   * way to an earlier start.
    *
    * @param server The server.
    */
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -25,7 +25,7 @@
 const MAX_QUEUED_PROMPTS = 100;
 /** A peer's word that the store answers it counts for this long. */
 const STORE_WORD_MS = 1000;
-/** A server is held back by a peer's word for this long after the last time it was said. */
+/** A server that a peer holds back is spared for this long after the peer's last datagram. */
 const HELD_BACK_MS = 1000;
 
 const IDLE = { pendingTokens: 0, running: 0, bound: 0 };
@@ -257,7 +257,7 @@
       const cache = this.#options.cacheOf(id, start || undefined);
       cache?.use(chain, nowMs + readyInMs);
     }
-    // These two hold for a second, and for a probe: they may as well be about a former start.
+    // These two hold for a second, and for a probe: they may as well be about an earlier start.
     for (const id of told.heldBack) {
       fleet.get(id)?.holdBack(nowMs + HELD_BACK_MS);
     }
--- a/src/router/roll_lease.ts
+++ b/src/router/roll_lease.ts
@@ -141,7 +141,7 @@
 
   /**
    * Another holder may have given an order just before its lease ended. What this instance itself
-   * ordered, also in a former life of its process, is no turn of another holder, and engines that
+   * ordered, also by an earlier process, is no turn of another holder, and engines that
    * check fences refuse it once they have seen a newer order. A wall clock that was set back makes
    * the wait no longer than a whole turn. One that was set forward shortens it, at most by the step:
    * the last order of another holder was given before this one took the lease at all.
--- a/src/router/store_contact.ts
+++ b/src/router/store_contact.ts
@@ -11,7 +11,7 @@
  */
 const AWAY_INTERVALS = 1;
 /**
- * Time without an answer that shows the same where calls were in vain for a shorter time. A watch
+ * Time without an answer that shows the same where calls failed for a shorter time. A watch
  * whose connection has gone silent, while the store serves everyone, takes less.
  */
 const SILENT_INTERVALS = 2;
@@ -100,7 +100,7 @@
   /**
    * A call got no answer.
    *
-   * @returns Whether it is the first one in vain.
+   * @returns Whether it is the first one since the last answer.
    */
   failed(): boolean {
     if (this.#lostAtMs !== undefined) return false;
@@ -111,7 +111,7 @@
   /**
    * A call was answered.
    *
-   * @returns Time since the first call in vain, if there was one.
+   * @returns Time since the first unanswered call, if there was one.
    */
   answered(): number | undefined {
     const nowMs = this.#nowMs;
--- a/src/router/wanted_weights.ts
+++ b/src/router/wanted_weights.ts
@@ -102,7 +102,7 @@
   }
 
   /**
-   * Takes in a peer's word, which may come before the store's.
+   * Takes in what a peer tells, which may come before the store's own change.
    *
    * @param age How long ago a version was named, at least.
    * @returns Whether it is newer than all before.
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -114,7 +114,7 @@
   #look(signal: AbortSignal): void {
     const nowMs = this.#options.clock.nowMs();
     this.#spare(nowMs);
-    // An engine that could be given no order in the end would be held back in vain.
+    // An engine that could not be ordered after all would be held back for nothing.
     if (!this.#lease.allowsOrdersFor(TOLD_MS + CALL_MS)) return;
     for (const service of this.#options.engineServices()) {
       for (const chosen of this.#chooseNext(service, nowMs)) {
