Close connections of stand-ins that Node can't reset

Cause: Node refuses (EINVAL) to reset a connection that it is shutting down, which it does once the client has ended it, and then never closes the handle; the long poll on it kept its process for 20 s. Ruled out: unread answers. Change: such a connection is destroyed instead.

--- a/src/standin/_http_host.ts
+++ b/src/standin/_http_host.ts
@@ -85,7 +85,11 @@
 
   /** Cuts all open connections. */
   cut(): void {
-    for (const socket of this.#sockets) socket.resetAndDestroy();
+    for (const socket of this.#sockets) {
+      // Node can't reset a connection that it is shutting down, and would leave it open.
+      if (socket.writableEnded) socket.destroy();
+      else socket.resetAndDestroy();
+    }
   }
 
   #track(socket: Socket): void {
