--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -36,6 +36,8 @@
   store: StandinPlatformStore;
   /** The first one's fields are the world's own, too. */
   entries: TestEntry[];
+  /** In the order in which they were made. */
+  workers: StandinPlatformWorker[];
   /** Makes a server and waits until the first entry knows it. */
   worker(
     id: string,
@@ -183,7 +185,7 @@
     entries.push(again);
     return again;
   };
-  return { ...first, store, entries, worker, engine, restart };
+  return { ...first, store, entries, workers, worker, engine, restart };
 }
 
 /**
--- a/src/router/router_test.ts
+++ b/src/router/router_test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import {
   ask,
+  type Asked,
   CONFIG,
   HOST,
   KEY,
@@ -121,29 +122,26 @@
   }
 });
 
+// A run was moved, the engine refused it, and the budget of resends had room for the move only: the
+// answer ended in the middle ("broken_off", "refused_503", servers 2, 13.3 s left).
+test("run is moved only if it can be sent on once more", async (t) => {
+  // Each entry's part of the budget is one resend at first.
+  const world = await openWorld(t, { entryCount: 16 });
+  const answers = await answersOfMovedRuns(world);
+  for (const { isWhole, body } of answers) {
+    assert.ok(isWhole);
+    assert.equal(body, streamOf(60));
+  }
+});
+
 test("copy that its engine does not take is freed, and the run resumed", async (t) => {
   const world = await openWorld(t);
-  const slow = { model: "m", events: 60, eventMs: 25 };
-  const workers = [
-    await world.worker("i-1", slow),
-    await world.worker("i-2", slow),
-  ];
-  const answers = ["/stream/a", "/stream/b"].map((path, i) =>
-    ask(world, path, {
-      ...PROMPT,
-      "prompt-prefix": `a${i}:1000,b${i}:200`,
-      "attempt-id": `freed-${path.at(-1)}`,
-    })
-  );
-  await until(() => workers.every(({ runs }) => runs.length > 0));
-  for (const worker of workers) worker.faults.refuse = 1;
-  await world.store.put("op/version/m", { model: "m", version: 2 });
-  for (const answer of answers) {
-    const { isWhole, body } = await answer;
+  const answers = await answersOfMovedRuns(world);
+  for (const { isWhole, body } of answers) {
     assert.ok(isWhole);
     assert.equal(body, streamOf(60));
   }
-  const freed = workers.flatMap(({ freedCopies }) => freedCopies);
+  const freed = world.workers.flatMap(({ freedCopies }) => freedCopies);
   assert.equal(freed.length, 1);
 });
 
@@ -385,3 +383,23 @@
   const asked = await ask(world, "/stream/a", PROMPT);
   assert.equal(asked.headers["weight-versions"], "2");
 });
+
+/** Two streams whose weights change while they run; the engines refuse the next run each. */
+async function answersOfMovedRuns(world: World): Promise<Asked[]> {
+  const slow = { model: "m", events: 60, eventMs: 25 };
+  const workers = [
+    await world.worker("i-1", slow),
+    await world.worker("i-2", slow),
+  ];
+  const answers = ["/stream/a", "/stream/b"].map((path, i) =>
+    ask(world, path, {
+      ...PROMPT,
+      "prompt-prefix": `a${i}:1000,b${i}:200`,
+      "attempt-id": `moved-${path.at(-1)}`,
+    })
+  );
+  await until(() => workers.every(({ runs }) => runs.length > 0));
+  for (const worker of workers) worker.faults.refuse = 1;
+  await world.store.put("op/version/m", { model: "m", version: 2 });
+  return Promise.all(answers);
+}
