Move a run only if it can be sent on twice, and take the resend bound from the platform

Cause: a move stops a run. It took one send from the budget; where the engine then refused the copy, a second one was needed, and an entry's part (40 of all, divided by the entries) was often spent. Change: two sends are set aside before a move, within the sends and servers that the request may have, and given back if they are not needed; a refused copy counts as a run elsewhere, so that no third server runs it; servers that refused may be asked again, those where it may have run not. The allowance is the platform's own (ratio, slack, window) where one site's stood as constants.

--- a/src/entry/retry_budget.ts
+++ b/src/entry/retry_budget.ts
@@ -7,18 +7,23 @@
 export class RetryBudget {
   readonly #credits = new Map<string, number>();
   readonly #burst: () => number;
+  readonly #least: number;
 
-  private constructor(burst: () => number) {
+  private constructor(burst: () => number, least: number) {
     this.#burst = burst;
+    this.#least = least;
   }
 
   /**
-   * @param burst Retries at once after a quiet time, which may change; below 1, the first must be
-   *   earned.
+   * @param burst Retries at once after a quiet time, which may change.
+   * @param least Retries that may be saved up where the burst is lower; they must be earned.
    * @returns Full budgets for every team.
    */
-  static create(burst: () => number = () => RETRY_BURST): RetryBudget {
-    return new RetryBudget(burst);
+  static create(
+    burst: () => number = () => RETRY_BURST,
+    least = 1,
+  ): RetryBudget {
+    return new RetryBudget(burst, least);
   }
 
   /**
@@ -29,8 +34,7 @@
    */
   earn(team: string, retryShare: number): void {
     const credit = this.#credit(team);
-    const burst = this.#burst();
-    this.#credits.set(team, Math.min(Math.max(1, burst), credit + retryShare));
+    this.#credits.set(team, Math.min(this.#most, credit + retryShare));
   }
 
   /**
@@ -43,17 +47,31 @@
 
   /**
    * @param team The team.
-   * @returns Whether one more try is within the budget; it is then spent.
+   * @param count How many tries.
+   * @returns Whether so many more tries are within the budget; they are then spent.
    */
-  spend(team: string): boolean {
+  spend(team: string, count = 1): boolean {
     const credit = this.#credit(team);
-    if (credit < 1) return false;
-    this.#credits.set(team, credit - 1);
+    if (credit < count) return false;
+    this.#credits.set(team, credit - count);
     return true;
   }
 
+  /**
+   * Gives back what was spent on tries that were not made.
+   *
+   * @param team The team.
+   * @param count How many tries.
+   */
+  refund(team: string, count: number): void {
+    this.#credits.set(team, this.#credit(team) + count);
+  }
+
   #credit(team: string): number {
-    const burst = this.#burst();
-    return Math.min(this.#credits.get(team) ?? burst, Math.max(1, burst));
+    return Math.min(this.#credits.get(team) ?? this.#burst(), this.#most);
+  }
+
+  get #most(): number {
+    return Math.max(this.#least, this.#burst());
   }
 }
--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -148,6 +148,7 @@
         weightsBoundMs,
         heartbeatMs: HEARTBEAT_MS,
         enginesCheckFences: true,
+        resendLimits: { ratio: 0.2, slack: 54, windowMs: 10_000 },
         logLevel: "silent",
         choice: ChoiceName.cost,
       },
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -20,11 +20,16 @@
 
 /** State of a request over its sends. */
 export interface Progress {
+  /** Ids of servers that it was sent to. */
   readonly tried: Set<string>;
+  /** Those of them at which it may have run, or may still run. */
+  readonly ranAt: Set<string>;
   readonly servers: string[];
   /** Sends that may have run; one that goes on from a copy is the same run. */
   runs: number;
   sends: number;
+  /** Sends that were taken from the budget of resends ahead. */
+  reservedSends: number;
   /** The client has the head of a stream. */
   begun: boolean;
   /** Last event that the client has. */
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -1,5 +1,4 @@
 /** Sends a request to backend servers until one has answered it, and passes the answer on. */
-import { RetryBudget } from "../entry/retry_budget.ts";
 import { echoHeaders, retryHeaders } from "../platform/mod.ts";
 import { comeBackMs, isWorthSending } from "./admission.ts";
 import { isIdempotent } from "./answer_rules.ts";
@@ -13,23 +12,14 @@
 import type { Workspace } from "./model.ts";
 import type { AnswerSink, Outcome, RoutedRequest, Served } from "./request.ts";
 import { AnswerPasser } from "./pass_answer.ts";
+import { ResendBudget, type ResendLimits } from "./resend_budget.ts";
 import { RunMover } from "./run_mover.ts";
 import { Sender, type SenderOptions } from "./send.ts";
 
 /** Sends of one request, those included that were not run. */
 const MAX_SENDS = 4;
-/** Resends at once after a quiet time, of all entries: the deployments allow 54 beside the share. */
-const RESEND_BURST = 40;
-/**
- * Resends of all entries right after they start: each may have spent its part of the burst a moment
- * ago, and the deployments allow no more than both together within the window. Eight entries that all
- * started again sent 96 of 160 requests once more before, where 86 are allowed.
- */
-const RESEND_START = 14;
-/** Time over which the deployments add resends up. */
-const RESEND_WINDOW_MS = 10_000;
-/** Resends as a share of requests: the deployments allow 0.2 of them in 10 s, over all entries. */
-const RESEND_SHARE = 0.15;
+/** Sends that a run's move may need: to where its copy is, and elsewhere if that refuses. */
+const MOVE_SENDS = 2;
 /** Less time than this is not worth another send. */
 const RESEND_MIN_LEFT_MS = 40;
 /** Refused clients are told to come back within this span, spread by chance. */
@@ -46,6 +36,7 @@
   zone: string;
   random: () => number;
   choice: ChoiceName;
+  resendLimits: ResendLimits;
   /** Entries that may live, this one included; they share the budget of resends. */
   entryCount(): number;
 }
@@ -54,21 +45,19 @@
 export class Dispatcher {
   readonly #options: DispatcherOptions;
   readonly #sender: Sender;
-  readonly #budget: RetryBudget;
+  readonly #budget: ResendBudget;
   readonly #mover: RunMover;
 
   private constructor(options: DispatcherOptions) {
     this.#options = options;
-    const startMs = options.clock.nowMs();
-    this.#budget = RetryBudget.create(() => {
-      const ageMs = options.clock.nowMs() - startMs;
-      const earned = Math.min(1, ageMs / RESEND_WINDOW_MS);
-      const burst = RESEND_START + (RESEND_BURST - RESEND_START) * earned;
-      return burst / options.entryCount();
+    this.#budget = ResendBudget.create({
+      clock: options.clock,
+      limits: options.resendLimits,
+      entryCount: options.entryCount,
     });
     this.#mover = RunMover.create({
       ...options,
-      spend: (service) => this.#budget.spend(service),
+      reserve: (request, progress) => this.#reserveMove(request, progress),
     });
     const passer = AnswerPasser.create({
       ...options,
@@ -92,16 +81,19 @@
    * @returns What became of it.
    */
   async serve(request: RoutedRequest, sink: AnswerSink): Promise<Served> {
-    this.#budget.earn(request.service, RESEND_SHARE);
+    this.#budget.earn(request.service);
     const progress: Progress = {
       tried: new Set(),
+      ranAt: new Set(),
       servers: [],
       runs: 0,
       sends: 0,
+      reservedSends: 0,
       begun: false,
       lastEventId: request.facts.lastEventId,
     };
     const outcome = await this.#serve(request, sink, { progress });
+    this.#budget.refund(request.service, progress.reservedSends);
     const { servers, ttftMs, expectedMs, weights } = progress;
     return { outcome, servers, ttftMs, expectedMs, weights };
   }
@@ -126,11 +118,16 @@
         choice,
       });
       if (end.kind === "done") return end.outcome;
-      if (end.kind === "not_run") this.#mover.free(choice.copy);
       if (end.kind === "moved") {
         movedTo = end.choice;
+        progress.reservedSends--;
         continue;
       }
+      if (end.kind === "not_run" && choice.copy) {
+        this.#mover.free(choice.copy);
+        // Its run has stopped where it was, and begins anew.
+        progress.runs++;
+      }
       reason = end.reason;
       if (!this.#maySendAgain(request, progress, end)) break;
     }
@@ -166,10 +163,10 @@
         random,
         choice,
       });
-    // With every server tried, one that refused before may take it by now.
     const found = choose_(progress.tried);
-    if (found || progress.runs > 0) return found;
-    return progress.sends > 0 ? choose_(new Set()) : undefined;
+    if (found || progress.sends === 0) return found;
+    // With every server tried, one that refused before may take it by now.
+    return choose_(progress.ranAt);
   }
 
   #promptOf(request: RoutedRequest): PromptPlacement | undefined {
@@ -220,9 +217,22 @@
         return false;
       }
     }
+    if (progress.reservedSends > 0) {
+      progress.reservedSends--;
+      return true;
+    }
     return this.#budget.spend(service);
   }
 
+  /** A run that is moved stops, so it is moved only if whatever comes of it can be followed up. */
+  #reserveMove({ route, service }: RoutedRequest, progress: Progress): boolean {
+    if (progress.sends + MOVE_SENDS > MAX_SENDS) return false;
+    if (progress.runs + 1 >= route.maxAttempts) return false;
+    if (!this.#budget.spend(service, MOVE_SENDS)) return false;
+    progress.reservedSends += MOVE_SENDS;
+    return true;
+  }
+
   #giveUp(
     request: RoutedRequest,
     sink: AnswerSink,
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -260,6 +260,7 @@
       fleet: this.#fleet,
       zone: this.#settings.zone,
       choice: this.#settings.choice,
+      resendLimits: this.#settings.resendLimits,
       wanted: this.#wanted,
       promptStore: () => this.#inForce.promptStore,
       entryCount: () => this.#peers.possibleCount,
--- a/src/router/run_mover.ts
+++ b/src/router/run_mover.ts
@@ -7,10 +7,11 @@
 import type { Clock, Logger } from "../base/mod.ts";
 import { dropCopy, type MoveAnswer, moveRun } from "../platform/mod.ts";
 import { isIdempotent } from "./answer_rules.ts";
-import type { RunMove, Send } from "./attempt.ts";
+import type { Progress, RunMove, Send } from "./attempt.ts";
 import type { Choice } from "./choose.ts";
 import type { Fleet } from "./fleet.ts";
 import type { RunCopy } from "./model.ts";
+import type { RoutedRequest } from "./request.ts";
 import type { Server } from "./server.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
@@ -35,8 +36,8 @@
   wanted: WantedVersions;
   zone: string;
   random: () => number;
-  /** Takes one send more of a request to the service from the budget, if it has room. */
-  spend(service: string): boolean;
+  /** Sets the sends aside that a move may need; not if the request may not be sent so often. */
+  reserve(request: RoutedRequest, progress: Progress): boolean;
 }
 
 /** Moves runs. */
@@ -78,10 +79,10 @@
    * @returns What became of it.
    */
   async move(send: Send): Promise<RunMove> {
-    const { clock, log, spend } = this.#options;
-    const { request, choice } = send;
+    const { clock, log, reserve } = this.#options;
+    const { request, choice, progress } = send;
     const target = this.#findTarget(send);
-    if (!target || !spend(request.service)) return { kind: "not_moved" };
+    if (!target || !reserve(request, progress)) return { kind: "not_moved" };
     const startMs = clock.nowMs();
     const answer = await moveRun(choice.server.entry, {
       requestId: request.facts.requestId,
--- a/src/router/run_mover_test.ts
+++ b/src/router/run_mover_test.ts
@@ -32,7 +32,7 @@
     wanted,
     zone: "a",
     random: () => 0,
-    spend: () => ++made.tried > 0,
+    reserve: () => ++made.tried > 0,
   });
   const made: Made = { clock, fleet, wanted, mover, tried: 0 };
   return made;
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -107,7 +107,10 @@
     try {
       const end = await this.#receive(send);
       const isOver = end.kind === "unknown" || end.kind === "done";
-      if (isOver && exchange.sent) progress.runs++;
+      if (isOver && exchange.sent) {
+        progress.runs++;
+        progress.ranAt.add(server.id);
+      }
       if (end.kind === "not_run" && choice.chain) {
         server.cache.forget(choice.chain, clock.nowMs());
       }
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -2,6 +2,7 @@
 import { Result } from "true-myth";
 import { LOG_LEVELS, type LogLevel } from "../base/log.ts";
 import { ChoiceName } from "./choose.ts";
+import type { ResendLimits } from "./resend_budget.ts";
 
 /** An address to listen at, or to connect to. */
 export interface SocketAddress {
@@ -35,6 +36,7 @@
   heartbeatMs: number;
   /** Whether engines refuse an order with a lower fencing number than one they have seen. */
   enginesCheckFences: boolean;
+  resendLimits: ResendLimits;
   logLevel: LogLevel;
   choice: ChoiceName;
 }
@@ -55,6 +57,7 @@
 const ORDER_TURN_MS = 3000;
 const WEIGHTS_BOUND_MS = 10_000;
 const HEARTBEAT_MS = 1200;
+const RESEND_LIMITS: ResendLimits = { ratio: 0.2, slack: 54, windowMs: 10_000 };
 
 /**
  * @param env Environment variables; those without the prefix `CICADAHITCH_` are ignored.
@@ -78,10 +81,10 @@
   // A platform leaves empty what it does not say.
   const readGiven = (
     name: string,
-    defaultMs: number,
+    fallback: number,
     parse: (value: string) => number | undefined,
   ): number =>
-    env[PREFIX + name] ? read(name, "milliseconds or empty", parse) : defaultMs;
+    env[PREFIX + name] ? read(name, "a number or empty", parse) : fallback;
   const settings: RouterSettings = {
     instance: read("INSTANCE", "a name", nonEmpty),
     zone: read("ZONE", "a name", nonEmpty),
@@ -93,18 +96,27 @@
     seedAddresses: read("SEED_ADDRESSES", `${IP_PORT},…`, parseAddresses),
     storeAddress: read("STORE_ADDRESS", IP_PORT, parseAddress),
     graceMs: read("GRACE_S", "seconds", parseSeconds),
-    orderTurnMs: readGiven("ORDER_TURN_MS", ORDER_TURN_MS, parseMs),
+    orderTurnMs: readGiven("ORDER_TURN_MS", ORDER_TURN_MS, parseNumber),
     weightsBoundMs: readGiven(
       "WEIGHTS_BOUND_MS",
       WEIGHTS_BOUND_MS,
-      parsePositiveMs,
+      parsePositive,
     ),
-    heartbeatMs: readGiven("HEARTBEAT_MS", HEARTBEAT_MS, parsePositiveMs),
+    heartbeatMs: readGiven("HEARTBEAT_MS", HEARTBEAT_MS, parsePositive),
     enginesCheckFences: read(
       "ENGINES_CHECK_FENCES",
       "true, false or empty",
       parseFlag,
     ),
+    resendLimits: {
+      ratio: readGiven("RESEND_RATIO", RESEND_LIMITS.ratio, parseNumber),
+      slack: readGiven("RESEND_SLACK", RESEND_LIMITS.slack, parseNumber),
+      windowMs: readGiven(
+        "RESEND_WINDOW_S",
+        RESEND_LIMITS.windowMs,
+        parsePositiveSeconds,
+      ),
+    },
     logLevel: readOr(env, "LOG_LEVEL", { faults, values: LOG_LEVELS }) ??
       "info",
     choice: readOr(env, "CHOICE", {
@@ -157,13 +169,19 @@
   return addresses;
 }
 
-function parseMs(value: string): number | undefined {
-  const ms = Number(value);
-  return value !== "" && Number.isFinite(ms) && ms >= 0 ? ms : undefined;
+function parseNumber(value: string): number | undefined {
+  const number = Number(value);
+  return value !== "" && Number.isFinite(number) && number >= 0
+    ? number
+    : undefined;
+}
+
+function parsePositive(value: string): number | undefined {
+  return parseNumber(value) || undefined;
 }
 
-function parsePositiveMs(value: string): number | undefined {
-  return parseMs(value) || undefined;
+function parsePositiveSeconds(value: string): number | undefined {
+  return parseSeconds(value) || undefined;
 }
 
 /** The platform leaves empty what it does not say. */
@@ -173,6 +191,6 @@
 }
 
 function parseSeconds(value: string): number | undefined {
-  const seconds = parseMs(value);
+  const seconds = parseNumber(value);
   return seconds === undefined ? undefined : seconds * 1000;
 }
--- a/src/router/settings_test.ts
+++ b/src/router/settings_test.ts
@@ -18,6 +18,9 @@
   CICADAHITCH_WEIGHTS_BOUND_MS: "8000",
   CICADAHITCH_HEARTBEAT_MS: "1200",
   CICADAHITCH_ENGINES_CHECK_FENCES: "true",
+  CICADAHITCH_RESEND_RATIO: "0.1",
+  CICADAHITCH_RESEND_SLACK: "176",
+  CICADAHITCH_RESEND_WINDOW_S: "5",
 };
 
 test("settings are read from variables of their own", () => {
@@ -28,6 +31,11 @@
   assert.equal(settings.value.weightsBoundMs, 8000);
   assert.equal(settings.value.heartbeatMs, 1200);
   assert.equal(settings.value.enginesCheckFences, true);
+  assert.deepEqual(settings.value.resendLimits, {
+    ratio: 0.1,
+    slack: 176,
+    windowMs: 5000,
+  });
   assert.equal(settings.value.seedAddresses.length, 2);
   assert.equal(settings.value.choice, ChoiceName.cost);
 });
