--- a/src/router/choose_test.ts
+++ b/src/router/choose_test.ts
@@ -115,6 +115,19 @@
   assert.ok(choose(placement({ ...busy, prompt: fresh })));
 });
 
+test("answer that would last until weights are too old goes elsewhere", () => {
+  const servers = ["old", "new"].map((id) => testServer(id));
+  servers[1]!.learnWeights("m", 2);
+  servers[1]!.begin(60_000, false);
+  const replacedForMs = (version: number) => version === 1 ? 6000 : 0;
+  const short = prompt({ wantedVersion: 2, replacedForMs });
+  const long = { ...short, outputTokens: 2000 };
+  const chosen = (prompt: PromptPlacement) =>
+    choose(placement({ servers, prompt }))?.server.id;
+  assert.equal(chosen(short), "old");
+  assert.equal(chosen(long), "new");
+});
+
 test("newer weights are preferred once the old ones cost", () => {
   const servers = [
     testServer("old"),
--- a/src/router/replaced_weights_test.ts
+++ b/src/router/replaced_weights_test.ts
@@ -106,3 +106,17 @@
   // At the client's deadline it would be 504.
   assert.equal((await asked).status, 502);
 });
+
+// All entries lost power 0.65 s after a request had been sent, 5.7 s after its engine's weights had
+// been replaced; nobody was left to take it back, and the engine began it 4.4 s later, at 10.07 s.
+test("engine itself gives up what waits on replaced weights beyond the bound", async (t) => {
+  const boundMs = 10_000;
+  const ageMs = 5700;
+  const world = await openWorld(t, { weightsBoundMs: boundMs });
+  const engine = await replaceWeights(world);
+  world.entries[0]!.clock.aheadMs = ageMs;
+  const headers = { ...PROMPT, "deadline-ms": "15000" };
+  assert.equal((await ask(world, "/stream/a", headers)).status, 200);
+  const [run] = engine.runs;
+  assert.ok(Number(run?.headers["deadline-ms"]) < boundMs - ageMs);
+});
