Tell engines when replaced weights may not be used any more

Change: what is sent to replaced weights carries the time until they may begin nothing more, if that is shorter, and goes there only if its answer is expected to be over by then (1.25 of the mean time of a token at that server, learned from whole answers). Ruled out: an earlier order after a start: a successor on another instance must wait for its turn.

--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -41,6 +41,11 @@
 const OLD_WEIGHTS_MS = 250;
 /** Price of weights that must soon begin no request any more. */
 const STALE_WEIGHTS_MS = 4000;
+/**
+ * Answers that may last until their weights are too old begin elsewhere, for the engine is told to
+ * end them then. Few take longer than this multiple of the mean.
+ */
+const OUTPUT_FACTOR = 1.25;
 /** Round trip to another zone, beside the same zone. */
 const FAR_MS = 2;
 /** Price of each recent failure at the server. */
@@ -99,6 +104,8 @@
   /** Tokens that the server has to read. */
   uncachedTokens: number;
   weightsVersion?: number;
+  /** Time in which its weights, which were replaced, may be used at all; left out: no end. */
+  weightsLeftMs?: number;
   chain?: Chain;
   /** Address of a server or store whose cache has more of the prompt. */
   copyFrom?: string;
@@ -124,7 +131,7 @@
     const candidate = placement.prompt
       ? weighPrompt(placement, placement.prompt, { server })
       : weighCall(placement, server);
-    if (beginsTooLate(candidate, placement.prompt)) continue;
+    if (placement.prompt && isTooLateFor(candidate, placement.prompt)) continue;
     if (!best || candidate.score < best.score) best = candidate;
   }
   return best;
@@ -174,6 +181,7 @@
     queueMs,
     uncachedTokens,
     weightsVersion,
+    weightsLeftMs: weightsLeftMs(prompt, weightsVersion),
     chain,
     copyFrom: copy?.address,
     saveTo: findStoreToSaveTo(placement, prompt.store, chain),
@@ -282,15 +290,24 @@
   return store.cache.cachedTokens(chain) < shared ? store.address : undefined;
 }
 
-/** Weights that will have been replaced too long ago when a request begins get nothing new. */
-function beginsTooLate(
-  { weightsVersion, expectedMs }: Candidate,
-  prompt: PromptPlacement | undefined,
+/** Weights that will have been replaced too long ago get nothing new. */
+function isTooLateFor(
+  { server, weightsLeftMs, expectedMs }: Candidate,
+  { outputTokens, weightsLimits }: PromptPlacement,
 ): boolean {
-  if (!prompt || weightsVersion === undefined) return false;
-  const replacedForMs = prompt.replacedForMs(weightsVersion);
-  if (replacedForMs === 0) return false;
-  return replacedForMs + expectedMs >= prompt.weightsLimits.retiredFromMs;
+  if (weightsLeftMs === undefined) return false;
+  const { beginUntilMs, retiredFromMs } = weightsLimits;
+  const toSendMs = weightsLeftMs - (beginUntilMs - retiredFromMs);
+  const outputMs = server.outputMs(outputTokens) * OUTPUT_FACTOR;
+  return expectedMs >= toSendMs || expectedMs + outputMs >= weightsLeftMs;
+}
+
+function weightsLeftMs(
+  { replacedForMs, weightsLimits }: PromptPlacement,
+  weightsVersion: number,
+): number | undefined {
+  const ageMs = replacedForMs(weightsVersion);
+  return ageMs > 0 ? weightsLimits.beginUntilMs - ageMs : undefined;
 }
 
 function oldWeightsPrice(
--- a/src/router/pass_answer.ts
+++ b/src/router/pass_answer.ts
@@ -103,11 +103,12 @@
     send: Send,
     { head, facts }: { head: AnswerHead; facts: AnswerFacts },
   ): Promise<SendEnd> {
-    const { sink, progress, choice } = send;
+    const { request, sink, progress, choice } = send;
     const { clock, mover } = this.#options;
     const problem = problemOf(facts);
     if (problem) return { kind: "unknown", reason: problem };
     const splitter = EventSplitter.create();
+    const startMs = clock.nowMs();
     while (true) {
       if (mover.isDue(send)) send.move = await mover.move(send);
       const step = await this.#nextOfStream(send);
@@ -136,6 +137,8 @@
       return { kind: "unknown", reason: "cut_event" };
     }
     this.#begin(send, head);
+    const tookMs = clock.nowMs() - startMs;
+    choice.server.learnOutput(tookMs, request.facts.prompt?.outputTokens ?? 0);
     sink.end();
     return done({ kind: "answered", status: facts.status });
   }
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -153,10 +153,12 @@
     choice: Choice,
   ): string[] {
     const { route, workspace } = request;
+    const leftMs = request.answerByMs - this.#options.clock.nowMs();
     const isResumed = progress.lastEventId !== request.facts.lastEventId;
     const priority = workspace?.priority ?? route.priority;
     return forwardHeaders(request.rawHeaders, {
-      deadlineMs: request.answerByMs - this.#options.clock.nowMs(),
+      // The engine ends what waits too long on replaced weights, also if nobody is left to say so.
+      deadlineMs: Math.min(leftMs, choice.weightsLeftMs ?? Infinity),
       serverId: choice.server.id,
       workspace: workspace?.name,
       cacheSalt: choice.chain?.salt,
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -6,6 +6,13 @@
 
 /** What another entry says of its own requests to a server is used for this long. */
 const PEER_LOAD_MS = 1500;
+/** Time for a generated token before any answer was seen; small models are some times faster. */
+const TOKEN_MS = 15;
+/** Bounds on it, so that one odd answer does not decide. */
+const TOKEN_MIN_MS = 1;
+const TOKEN_MAX_MS = 200;
+/** Weight of the newest answer in the moving average. */
+const TOKEN_SAMPLE_WEIGHT = 0.1;
 
 /** Requests that are under way to a server. */
 export interface ServerLoad {
@@ -58,6 +65,7 @@
   #heldBackUntilMs = -Infinity;
   #refusedUntilMs = -Infinity;
   #heardAtMs = -Infinity;
+  #tokenMs = TOKEN_MS;
 
   private constructor(entry: BackendServer, options: ServerOptions) {
     this.id = entry.id;
@@ -204,6 +212,29 @@
     this.#heardAtMs = nowMs;
   }
 
+  /**
+   * @param tokens Tokens that a request generates at most.
+   * @returns Expected time from its first token to its last.
+   */
+  outputMs(tokens: number): number {
+    return tokens * this.#tokenMs;
+  }
+
+  /**
+   * Notes how long a whole answer took.
+   *
+   * @param tookMs Time from its first token to its last.
+   * @param tokens Tokens that it might have generated at most.
+   */
+  learnOutput(tookMs: number, tokens: number): void {
+    if (tokens <= 0) return;
+    const sampleMs = Math.min(
+      TOKEN_MAX_MS,
+      Math.max(TOKEN_MIN_MS, tookMs / tokens),
+    );
+    this.#tokenMs += TOKEN_SAMPLE_WEIGHT * (sampleMs - this.#tokenMs);
+  }
+
   /**
    * Counts a request.
    *
