Load weights at a share of the engines, and pace the roll by how long loads take

Cause: two engines loaded at once however many there are, while a fifth were held back for it: of 53 engines 11 stood idle for two; and the time of a change was a constant of one model. Change: a quarter of a service's engines load at once, two at least; the time of a load is learned from loads. The mean time of a whole change, drain included, was tried in place of that of a load and not kept: two of six engines were held back early in a roll that was in time.

--- a/src/router/roll_pace.ts
+++ b/src/router/roll_pace.ts
@@ -1,15 +1,19 @@
 /** How many engines change their weights at once, so that all are ordered in time. */
 
-/** Mean time in which an engine is changed: 0.9 s without runs, up to 3.9 s behind long ones. */
-const ENGINE_MS = 1300;
+/** Mean time from holding an engine back to its order: at once without runs, 1.1 s behind long ones. */
+const EASE_MS = 550;
+/** Time from an order to the weights, before any engine has loaded: small models take this long. */
+export const LOAD_MS = 750;
 /**
  * Share of a service's engines that get nothing new at once; the rest must carry the load. Mean
  * worth of eight played days with six engines 0.700, with 0.3 of them held back 0.685.
  */
 const HELD_SHARE = 0.2;
 
-/** Engines that load at once; with more of them each takes longer. More do only if some are late. */
-export const LOADS_AT_ONCE = 2;
+/** Share of a service's engines that load at once: with more of them each load takes longer. */
+const LOADING_SHARE = 0.25;
+/** Few engines load by twos, so that those without runs are not changed one by one. */
+const LOADING_MIN = 2;
 
 /** Engines of one service. */
 export interface PaceInput {
@@ -22,6 +26,8 @@
   replacedMs: number[];
   /** Age of replaced weights at which an engine is to be ordered, at the latest. */
   orderByMs: number;
+  /** Mean time from an order to the weights. */
+  loadMs: number;
 }
 
 /** How many engines may be taken out now. */
@@ -32,6 +38,14 @@
   all: number;
 }
 
+/**
+ * @param engineCount Engines of a service.
+ * @returns How many of them load at once; more do only if some are late.
+ */
+export function loadsAtOnce(engineCount: number): number {
+  return Math.max(LOADING_MIN, Math.floor(engineCount * LOADING_SHARE));
+}
+
 /**
  * @param input Engines, and for how long their weights have been replaced.
  * @returns Room for engines with runs up to a share of all, so that the rest carries the load; for
@@ -41,7 +55,7 @@
   const { engineCount, outCount, busyOutCount } = input;
   const held = Math.max(1, Math.round(engineCount * HELD_SHARE));
   const half = Math.floor(engineCount / 2);
-  const most = Math.max(held, Math.min(LOADS_AT_ONCE, half));
+  const most = Math.max(held, Math.min(loadsAtOnce(engineCount), half));
   return { busy: held - busyOutCount, all: most - outCount };
 }
 
@@ -50,14 +64,14 @@
  * @returns How many must be taken out now, or some would be ordered too late.
  */
 export function countLate(
-  { outCount, replacedMs, orderByMs }: PaceInput,
+  { outCount, replacedMs, orderByMs, loadMs }: PaceInput,
 ): number {
   let late = 0;
   const oldestFirst = replacedMs.toSorted((a, b) => b - a);
   for (const [i, ms] of oldestFirst.entries()) {
     const leftMs = Math.max(0, orderByMs - ms);
     // Engines that can be ordered one after the other in this time, the first one now.
-    const turns = 1 + Math.floor(leftMs / ENGINE_MS);
+    const turns = 1 + Math.floor(leftMs / (EASE_MS + loadMs));
     const behindOthers = outCount * (turns - 1);
     late = Math.max(late, Math.ceil((i + 1 - behindOthers) / turns));
   }
--- a/src/router/roll_pace_test.ts
+++ b/src/router/roll_pace_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { countLate, roomToChange } from "./roll_pace.ts";
+import { countLate, LOAD_MS, loadsAtOnce, roomToChange } from "./roll_pace.ts";
 
 /** Age of replaced weights at which engines are to be ordered. */
 const ORDER_BY_MS = 8500;
@@ -12,6 +12,7 @@
     busyOutCount: outCount,
     replacedMs,
     orderByMs: ORDER_BY_MS,
+    loadMs: LOAD_MS,
   };
 }
 
@@ -51,7 +52,17 @@
   assert.deepEqual(roomToChange(idleOut), { busy: 1, all: 1 });
 });
 
-test("a fifth of many engines is more than two", () => {
+test("a fifth of many engines, and a quarter without runs, is more than two", () => {
   const many = { ...pace([]), engineCount: 20 };
-  assert.deepEqual(roomToChange(many), { busy: 4, all: 4 });
+  assert.deepEqual(roomToChange(many), { busy: 4, all: 5 });
+});
+
+test("more engines load at once the more there are", () => {
+  assert.deepEqual([3, 8, 13, 40, 53].map(loadsAtOnce), [2, 2, 3, 10, 13]);
+});
+
+test("more are late where weights load longer", () => {
+  const input = pace(sameAge(6, 3000));
+  const slow = countLate({ ...input, loadMs: 4000 });
+  assert.ok(slow > countLate(input));
 });
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -11,7 +11,7 @@
 } from "./engine_orders.ts";
 import type { Fleet } from "./fleet.ts";
 import { RollLease, type RollLeaseOptions } from "./roll_lease.ts";
-import { countLate, LOADS_AT_ONCE, roomToChange } from "./roll_pace.ts";
+import { countLate, LOAD_MS, loadsAtOnce, roomToChange } from "./roll_pace.ts";
 import type { Server } from "./server.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
@@ -26,6 +26,8 @@
 const LATE_RETRY_MS = 100;
 /** An engine is held back this long at a time, renewed while it is out of use. */
 const HOLD_MS = 1000;
+/** Weight of the newest engine in the mean time that a load takes. */
+const SAMPLE_WEIGHT = 0.2;
 
 /** What a {@link WeightsRoll} works with. */
 export interface WeightsRollOptions extends RollLeaseOptions {
@@ -56,6 +58,8 @@
   readonly #retryAtMs = new Map<string, number>();
   readonly #lease: RollLease;
   readonly #orders: EngineOrders;
+  /** Mean time from an order to the weights. */
+  #loadMs = LOAD_MS;
 
   private constructor(options: WeightsRollOptions) {
     this.#options = options;
@@ -138,6 +142,7 @@
       busyOutCount: out.filter(({ isBusy }) => isBusy).length,
       replacedMs: behind.map((server) => this.#replacedForMs(server)),
       orderByMs: wanted.limits.orderByMs,
+      loadMs: this.#loadMs,
     };
     const late = countLate(pace);
     const room = roomToChange(pace);
@@ -201,13 +206,15 @@
         if (!lacks(server, [target])) continue;
         await this.#orders.load(server, target, { signal });
       }
+      const loadedMs = clock.nowMs() - orderMs;
+      if (!lacks(server, wanted.all())) this.#learnPace(loadedMs);
       log.info({
         event: "engine_back",
         server: server.id,
         drainedMs: Math.round(orderMs - startMs),
         left,
         replacedMs: Math.round(replacedMs),
-        loadedMs: Math.round(clock.nowMs() - orderMs),
+        loadedMs: Math.round(loadedMs),
         behind: lacks(server, wanted.all()),
       });
     } catch (error) {
@@ -233,6 +240,9 @@
   ): Promise<void> {
     const { clock } = this.#options;
     const startMs = clock.nowMs();
+    const loads = loadsAtOnce(
+      this.#options.fleet.open(server.entry.service).length,
+    );
     if (!this.#isOverdue(server)) await clock.sleep(TOLD_MS, signal);
     while (!signal.aborted && !this.#isOverdue(server)) {
       const nowMs = clock.nowMs();
@@ -240,12 +250,16 @@
       const isFree = server.load(nowMs).bound === 0 ||
         !this.#options.fleet.has(server);
       const isDrained = isFree || nowMs - startMs >= DRAIN_MS;
-      const hasRoom = isLate || this.#orders.underWay < LOADS_AT_ONCE;
+      const hasRoom = isLate || this.#orders.underWay < loads;
       if (hasRoom && isDrained) return;
       await clock.sleep(LOOK_MS / 2, signal);
     }
   }
 
+  #learnPace(loadedMs: number): void {
+    this.#loadMs += SAMPLE_WEIGHT * (loadedMs - this.#loadMs);
+  }
+
   /** From now on it is ordered without a wait: what is sent back as not run goes elsewhere. */
   #isOverdue(server: Server): boolean {
     const { orderByMs } = this.#options.wanted.limits;
--- a/src/router/weights_roll_test.ts
+++ b/src/router/weights_roll_test.ts
@@ -131,6 +131,15 @@
   assert.equal(new Set(orders.map(({ engine }) => engine)).size, 6);
 });
 
+// Of 53 engines eleven were held back at once, and two of them loaded: the rest stood idle for it.
+test("engine that is held back does not wait long for others to load", async (t) => {
+  const world = await startRoll(t, { engineCount: 53 });
+  const { clock, orders } = world;
+  await clock.advance(2500);
+  // A quarter of them in each 0.9 s.
+  assert.ok(orders.length >= 26, `${orders.length}`);
+});
+
 test("half of few engines stays in use, also without runs", async (t) => {
   const world = await startRoll(t, { engineCount: 3 });
   assert.equal(await mostHeldBack(world, world.holder, { forMs: 3500 }), 1);
