Ask the next peer where one that has just started knew little

Cause: after all entries had lost power, each took the few parts that another one had learned within 0.1 s (caches_learned, parts 6) for all there was to know.

--- a/src/router/lessons.ts
+++ b/src/router/lessons.ts
@@ -34,33 +34,12 @@
   cacheOf(id: string, bornAtMs?: number): CacheBook | undefined;
 }
 
-/**
- * @param books Expected caches.
- * @param nowMs The time.
- * @returns The answer to a peer, as JSON.
- */
-export function lessonsAnswer(
-  books: Iterable<OwnedBook>,
-  nowMs: number,
-): string {
-  const lessons: Lesson[] = [];
-  for (const { id, bornAtMs, cache } of books) {
-    const parts = cache.teach(nowMs).map((
-      { key, tokens },
-    ): [string, number] => [
-      key,
-      tokens,
-    ]);
-    lessons.push({ id, bornAtMs, parts });
-  }
-  return JSON.stringify({ lessons });
-}
-
 /** Learns from the first peer that answers. */
 export class Learner {
   readonly #options: LearnerOptions;
   readonly #startedAtMs: number;
   readonly #asked = new Set<string>();
+  #isAsking = false;
   #hasLearned = false;
 
   private constructor(options: LearnerOptions) {
@@ -76,6 +55,22 @@
     return new Learner(options);
   }
 
+  /**
+   * @param books Expected caches.
+   * @returns The answer to a peer that asks, as JSON.
+   */
+  answer(books: Iterable<OwnedBook>): string {
+    const nowMs = this.#options.clock.nowMs();
+    const lessons: Lesson[] = [];
+    for (const { id, bornAtMs, cache } of books) {
+      const parts = cache.teach(nowMs).map((
+        { key, tokens },
+      ): [string, number] => [key, tokens]);
+      lessons.push({ id, bornAtMs, parts });
+    }
+    return JSON.stringify({ lessons, upForMs: nowMs - this.#startedAtMs });
+  }
+
   /**
    * Asks a peer in the first seconds of the process, each one once, until one knew something.
    *
@@ -84,10 +79,10 @@
   async meet(ipAddress: string): Promise<void> {
     const { clock, log, controlPort, isReady } = this.#options;
     const isOld = clock.nowMs() - this.#startedAtMs > LEARNING_MS;
-    if (this.#hasLearned || isOld || !isReady()) return;
+    if (this.#hasLearned || this.#isAsking || isOld || !isReady()) return;
     if (this.#asked.has(ipAddress)) return;
     this.#asked.add(ipAddress);
-    this.#hasLearned = true;
+    this.#isAsking = true;
     const caller = HttpCaller.create(`${ipAddress}:${controlPort}`, CALL_MS);
     const answer = await caller.send({
       method: "GET",
@@ -95,17 +90,16 @@
       callMs: CALL_MS,
     });
     await caller.close();
-    if (answer.isErr || answer.value.status !== 200) {
-      // The next peer that is met is asked instead.
-      this.#hasLearned = false;
-      return;
-    }
+    this.#isAsking = false;
+    // The next peer that is met is asked instead.
+    if (answer.isErr || answer.value.status !== 200) return;
     const lessons = readLessons(answer.value.body["lessons"]);
     if (!lessons) log.warn({ event: "peer_malformed", peer: ipAddress });
     const parts = this.#take(lessons ?? []);
-    // A peer that has just started, too, knows nothing.
-    this.#hasLearned = parts > 0;
-    log.info({ event: "caches_learned", peer: ipAddress, parts });
+    // A peer that has just started, too, knows next to nothing.
+    const upForMs = Number(answer.value.body["upForMs"] ?? Infinity);
+    this.#hasLearned = parts > 0 && upForMs >= LEARNING_MS;
+    log.info({ event: "caches_learned", peer: ipAddress, parts, upForMs });
   }
 
   #take(lessons: Lesson[]): number {
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -15,7 +15,7 @@
 import { InForce } from "./in_force.ts";
 import { Ingress } from "./ingress.ts";
 import { StoreMirror } from "./mirror.ts";
-import { Learner, lessonsAnswer } from "./lessons.ts";
+import { Learner } from "./lessons.ts";
 import { Peers } from "./peers.ts";
 import { Registration } from "./registration.ts";
 import { relayAnswer, RelayReader } from "./relay.ts";
@@ -288,7 +288,7 @@
     const { clientAddress, readinessAddress, controlAddress } = settings;
     const control = await serveControl(controlAddress, {
       relay: (after) => relayAnswer(this.#mirror, after),
-      lessons: () => lessonsAnswer(this.#inForce.books(), this.#clock.nowMs()),
+      lessons: () => this.#learner.answer(this.#inForce.books()),
       metrics: () => this.#metrics.render(),
       state: () => this.state(),
     });
