Tell load and prompts less often the more entries there are

Change: news of loads and prompts is told at most every 8 ms for each entry (50 ms for 6 entries or fewer, as before; 544 ms for 68), so that an entry hears 125 datagrams a second at most up to 75 entries; what keeps requests away from a server is told at once, and again every 200 ms while it holds. Since loads are older then, the price of a server has a chance part that grows with their age, or entries would all send to the same one.

--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -48,6 +48,14 @@
 const OUTPUT_FACTOR = 1.25;
 /** Round trip to another zone, beside the same zone. */
 const FAR_MS = 2;
+/**
+ * Chance in the price of a server, as a share of the age of what is known of its load: entries that
+ * all know the same, a while ago, would else all send to the same server. At 0.6 s it is worth 14
+ * requests under way; below the first limit loads are as good as new.
+ */
+const JITTER_SHARE = 0.125;
+const JITTER_FROM_MS = 50;
+const JITTER_MIN_MS = 1;
 /** Price of each recent failure at the server. */
 const FAILURE_MS = 150;
 /** Price of a server that can't be reached; chosen only if there is no other. */
@@ -66,6 +74,8 @@
   tried: ReadonlySet<string>;
   /** Left out for plain calls. */
   prompt?: PromptPlacement;
+  /** How old what other entries told of their load may be. */
+  loadAgeMs: number;
   random: () => number;
   choice: ChoiceName;
 }
@@ -190,14 +200,15 @@
 }
 
 function scoreOf(placement: Placement, server: Server, costMs: number): number {
-  const { nowMs, choice, random } = placement;
+  const { nowMs, choice, random, loadAgeMs } = placement;
   const isFar = server.entry.zone !== placement.zone;
   const avoidMs = (server.health.isDown ? DOWN_MS : 0) +
     (server.isHeldBack(nowMs) ? HELD_BACK_MS : 0) +
     server.health.failures(nowMs) * FAILURE_MS;
   switch (choice) {
     case ChoiceName.cost:
-      return costMs + avoidMs + (isFar ? FAR_MS : 0) + random();
+      return costMs + avoidMs + (isFar ? FAR_MS : 0) +
+        random() * jitterMs(loadAgeMs);
     case ChoiceName.leastLoaded:
       return server.load(nowMs).running + avoidMs + random();
     case ChoiceName.random:
@@ -205,6 +216,11 @@
   }
 }
 
+function jitterMs(loadAgeMs: number): number {
+  const ageMs = loadAgeMs - JITTER_FROM_MS;
+  return Math.max(JITTER_MIN_MS, ageMs * JITTER_SHARE);
+}
+
 interface Copy {
   address: string;
   /** Leading tokens that the source is expected to have. */
--- a/src/router/choose_test.ts
+++ b/src/router/choose_test.ts
@@ -40,6 +40,7 @@
     nowMs: 1000,
     tried: new Set(),
     prompt: prompt(),
+    loadAgeMs: 50,
     random: () => 0,
     choice: ChoiceName.cost,
     ...fields,
@@ -175,3 +176,21 @@
   assert.equal(choose(placement({ servers }))?.server.id, "a");
   assert.equal(choose(placement({ servers: [servers[1]!] })), undefined);
 });
+
+// Entries that all saw the same server as the idlest one, half a second ago, would all choose it.
+test("old knowledge of load spreads requests over servers that are about as busy", () => {
+  const servers = ["a", "b", "c"].map((id) => testServer(id));
+  servers[0]!.begin(0, false);
+  for (const server of servers) server.begin(0, false);
+  let seed = 0;
+  const random = () => (seed = (seed + 0.37) % 1);
+  const chosenAt = (loadAgeMs: number) => {
+    const ids = Array.from(
+      { length: 60 },
+      () => choose(placement({ servers, loadAgeMs, random }))?.server.id,
+    );
+    return new Set(ids).size;
+  };
+  assert.equal(chosenAt(50), 2);
+  assert.equal(chosenAt(600), 3);
+});
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -37,6 +37,8 @@
   random: () => number;
   choice: ChoiceName;
   resendLimits: ResendLimits;
+  /** How old what other entries told of their load may be. */
+  loadAgeMs(): number;
   /** Entries that may live, this one included; they share the budget of resends. */
   entryCount(): number;
 }
@@ -160,6 +162,7 @@
         nowMs: clock.nowMs(),
         tried,
         prompt: this.#promptOf(request),
+        loadAgeMs: this.#options.loadAgeMs(),
         random,
         choice,
       });
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -15,6 +15,15 @@
 
 /** Pause between datagrams while something changes: a tenth of the time to a first token. */
 const TELL_MS = 50;
+/**
+ * Loads and prompts are told less often the more entries there are, so that an entry hears at most
+ * 125 datagrams a second, whatever their number. With 68 entries that is a tenth of before.
+ */
+const TELL_MS_PER_ENTRY = 8;
+/** Within the time for which a load is believed, with room for a datagram that is lost. */
+const TELL_MOST_MS = 600;
+/** An entry that holds servers back says so this often, so that one lost datagram ends nothing. */
+const TELL_HELD_MS = 200;
 /** Longest pause between datagrams. */
 const TELL_IDLE_MS = 400;
 /** A peer that says nothing for this long counts as gone. */
@@ -70,7 +79,8 @@
   #storeServedPeerAtMs = -Infinity;
   /** Entries that are registered or seeds, this one included; looked at with each datagram. */
   #knownCount = 1;
-  #lastText = "";
+  #lastNews = "";
+  #lastOrders = "";
   #lastAtMs = -Infinity;
 
   private constructor(options: PeersOptions) {
@@ -101,6 +111,11 @@
     return Math.max(this.count, this.#knownCount);
   }
 
+  /** Pause between datagrams while loads and prompts change: how old others' loads may be. */
+  get tellPauseMs(): number {
+    return tellPauseMs(this.count);
+  }
+
   /** Whether the store answers some other entry. */
   get storeServesPeer(): boolean {
     const nowMs = this.#options.clock.nowMs();
@@ -159,17 +174,18 @@
   }
 
   #tell(): void {
-    const { clock } = this.#options;
     const told = this.#compose();
-    const text = JSON.stringify(told);
     // Ages alone are no news.
     const news = JSON.stringify({ ...told, ageMs: 0, named: [] });
-    const nowMs = clock.nowMs();
-    const isNews = news !== this.#lastText;
-    if (!isNews && nowMs - this.#lastAtMs < TELL_IDLE_MS) return;
-    this.#lastText = news;
-    this.#lastAtMs = nowMs;
-    const bytes = Buffer.from(text);
+    const orders = JSON.stringify([told.heldBack, told.silent, told.weights]);
+    if (!this.#isDue(told, news, orders)) return;
+    this.#prompts.splice(0, told.prompts.length);
+    this.#weights.splice(0, told.weights.length);
+    this.#silent.splice(0, told.silent.length);
+    this.#lastNews = news;
+    this.#lastOrders = orders;
+    this.#lastAtMs = this.#options.clock.nowMs();
+    const bytes = Buffer.from(JSON.stringify(told));
     for (const address of this.#addresses()) {
       this.#socket.send(bytes, this.#options.port, address, (error) => {
         if (error) this.#sendFailed(error);
@@ -177,6 +193,16 @@
     }
   }
 
+  /** What keeps requests away from a server is told at once; the rest, as the entries' number allows. */
+  #isDue({ heldBack }: Told, news: string, orders: string): boolean {
+    if (orders !== this.#lastOrders) return true;
+    const sinceMs = this.#options.clock.nowMs() - this.#lastAtMs;
+    const pauseMs = this.tellPauseMs;
+    if (heldBack.length > 0 && sinceMs >= TELL_HELD_MS) return true;
+    const isNews = news !== this.#lastNews;
+    return sinceMs >= (isNews ? pauseMs : Math.max(TELL_IDLE_MS, pauseMs));
+  }
+
   /** A datagram that can't be sent is like one that is lost. */
   #sendFailed(error: Error): void {
     this.#options.log.debug({
@@ -199,11 +225,11 @@
       revision: String(revision),
       ageMs: Math.round(Math.min(ageMs, Number.MAX_SAFE_INTEGER)),
       loads,
-      prompts: this.#prompts.splice(0, MAX_PROMPTS),
+      prompts: this.#prompts.slice(0, MAX_PROMPTS),
       heldBack: this.#heldBack(),
       storeServes: this.#options.isStoreServing(),
-      weights: this.#weights.splice(0),
-      silent: this.#silent.splice(0),
+      weights: [...this.#weights],
+      silent: [...this.#silent],
       named: wanted.ages().map(({ model, version, ageMs }) => [
         model,
         version,
@@ -272,3 +298,12 @@
     }
   }
 }
+
+/**
+ * @param entryCount Entries that live.
+ * @returns Pause between an entry's datagrams while loads and prompts change.
+ */
+export function tellPauseMs(entryCount: number): number {
+  const pauseMs = entryCount * TELL_MS_PER_ENTRY;
+  return Math.min(TELL_MOST_MS, Math.max(TELL_MS, pauseMs));
+}
--- a/src/router/peers_test.ts
+++ b/src/router/peers_test.ts
@@ -7,6 +7,7 @@
 import { ask } from "../standin/mod.ts";
 import { knows, openWorld, until, type World } from "./_world.ts";
 import { silentLog, TestClock } from "./_kit.ts";
+import { tellPauseMs } from "./peers.ts";
 import { StoreMirror } from "./mirror.ts";
 import { ENTRIES_PREFIX, Registration } from "./registration.ts";
 
@@ -236,3 +237,14 @@
   });
   assert.deepEqual(registration.ipAddresses(), ["10.0.0.1"]);
 });
+
+// With 68 entries each heard 1,340 datagrams a second; days were given up for their processor time.
+test("entries tell each other less often the more there are", () => {
+  const heardPerSecond = (entryCount: number) =>
+    (entryCount - 1) * 1000 / tellPauseMs(entryCount);
+  for (const entryCount of [2, 6, 31, 68]) {
+    assert.ok(heardPerSecond(entryCount) <= 125);
+  }
+  // Loads are believed for 1.5 s, so that one lost datagram does not end that.
+  assert.ok(tellPauseMs(1000) * 2 < 1500);
+});
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -22,7 +22,7 @@
 import { RequestLog } from "./request_log.ts";
 import { probe } from "./probe.ts";
 import type { ServerOptions } from "./server.ts";
-import type { RouterSettings, SocketAddress } from "./settings.ts";
+import { type RouterSettings, textOf } from "./settings.ts";
 import { WantedVersions } from "./wanted_weights.ts";
 import { LAST_ROLL_KEY, ROLL_LEASE_KEY } from "./roll_lease.ts";
 import { WeightsRoll } from "./weights_roll.ts";
@@ -264,6 +264,7 @@
       wanted: this.#wanted,
       promptStore: () => this.#inForce.promptStore,
       entryCount: () => this.#peers.possibleCount,
+      loadAgeMs: () => this.#peers.tellPauseMs,
       onSilent: (id) => this.#peers.tellSilent(id),
       onPrompt: (placed) => this.#peers.tellPrompt(placed),
     });
@@ -345,7 +346,3 @@
     };
   }
 }
-
-function textOf({ ipAddress, port }: SocketAddress): string {
-  return `${ipAddress}:${port}`;
-}
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -127,6 +127,11 @@
   return faults.length > 0 ? Result.err(faults) : Result.ok(settings);
 }
 
+/** @returns An address as `ip:port`. */
+export function textOf({ ipAddress, port }: SocketAddress): string {
+  return `${ipAddress}:${port}`;
+}
+
 function readOr<T extends string>(
   env: Environment,
   name: string,
