--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -199,8 +199,11 @@
     const sinceMs = this.#options.clock.nowMs() - this.#lastAtMs;
     const pauseMs = this.tellPauseMs;
     if (heldBack.length > 0 && sinceMs >= TELL_HELD_MS) return true;
-    const isNews = news !== this.#lastNews;
-    return sinceMs >= (isNews ? pauseMs : Math.max(TELL_IDLE_MS, pauseMs));
+    if (news === this.#lastNews) {
+      return sinceMs >= Math.max(TELL_IDLE_MS, pauseMs);
+    }
+    // Looks are no more frequent than this.
+    return pauseMs <= TELL_MS || sinceMs >= pauseMs;
   }
 
   /** A datagram that can't be sent is like one that is lost. */
