State in comments what the bounds on datagrams and the roll's pace are

Cause: a comment said that an entry hears at most 125 datagrams a second whatever the number of entries, which ends at 75 (600 a second at 360), and another called an assumed time a mean. Only comments change.

--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -16,11 +16,12 @@
 /** Pause between datagrams while something changes: a tenth of the time to a first token. */
 const TELL_MS = 50;
 /**
- * Loads and prompts are told less often the more entries there are, so that an entry hears at most
- * 125 datagrams a second, whatever their number. With 68 entries that is a tenth of before.
+ * Loads and prompts are told less often the more entries there are, so that up to 75 of them hear at
+ * most 125 datagrams a second each. Told every 50 ms, 68 entries took 235.8 s of processor time in
+ * their first 22 s, and so 154.1 s.
  */
 const TELL_MS_PER_ENTRY = 8;
-/** Within the time for which a load is believed, with room for a datagram that is lost. */
+/** Within the time for which a load is believed, with room for a lost datagram; the limit beyond 75. */
 const TELL_MOST_MS = 600;
 /** An entry that holds servers back says so this often, so that one lost datagram ends nothing. */
 const TELL_HELD_MS = 200;
--- a/src/router/roll_pace.ts
+++ b/src/router/roll_pace.ts
@@ -1,6 +1,6 @@
 /** How many engines change their weights at once, so that all are ordered in time. */
 
-/** Mean time from holding an engine back to its order: at once without runs, 1.1 s behind long ones. */
+/** Time from holding an engine back to its order: between 0.1 s without runs and 1.1 s behind long ones. */
 const EASE_MS = 550;
 /** Time from an order to the weights, before any engine has loaded: small models take this long. */
 export const LOAD_MS = 750;
