Show that long answers are refused when new weights are named, and cut streams closed

The time that an answer takes is a mean over answers of the time for a token, in which short answers, which wait for other prompts between their few tokens, count as much as long ones. A stream that its engine does end then needs a resend, and is closed where others have used the budget up. Failing tests; the stand-in stops work at its deadline, as engines do.

--- a/src/router/choose_test.ts
+++ b/src/router/choose_test.ts
@@ -23,6 +23,7 @@
     chainFor: (version) => ({ salt: `w${version}`, parts: PARTS }),
     wantedVersion: 1,
     replacedForMs: () => 0,
+    isResumable: true,
     weightsLimits: {
       staleFromMs: 7000,
       orderByMs: 8500,
@@ -129,6 +130,30 @@
   assert.equal(chosen(long), "new");
 });
 
+// At the moment when new weights were named, every engine's weights were replaced ones, and whoever
+// might still be generating when these had to end was refused: "no_server" 124 times in one played
+// day, the first 9 ms after "weights_wanted" with 14,443 ms left. 47 callers were never served.
+test("long answer begins on weights just replaced where no engine has others", () => {
+  const servers = [testServer("a"), testServer("b")];
+  const replaced = prompt({
+    wantedVersion: 2,
+    outputTokens: 2000,
+    replacedForMs: () => 30,
+  });
+  assert.ok(choose(placement({ servers, prompt: replaced })));
+});
+
+test("answer that can't go on elsewhere does not begin where its engine would end it", () => {
+  const servers = [testServer("a")];
+  const replaced = prompt({
+    wantedVersion: 2,
+    outputTokens: 2000,
+    replacedForMs: () => 30,
+    isResumable: false,
+  });
+  assert.equal(choose(placement({ servers, prompt: replaced })), undefined);
+});
+
 test("newer weights are preferred once the old ones cost", () => {
   const servers = [
     testServer("old"),
--- a/src/router/resend_budget_test.ts
+++ b/src/router/resend_budget_test.ts
@@ -64,3 +64,21 @@
   drain(budget);
   assert.ok(budget.spend("plain"));
 });
+
+// A stream that its engine cut in the middle was closed on its caller since other requests had used
+// the budget up a moment before.
+test("streams under way go on when the other resends are spent", () => {
+  const { budget } = create(4);
+  assert.ok(drain(budget) > 0);
+  assert.ok(budget.spendForBegun("engines"));
+});
+
+test("resends and streams that go on are within the allowance together", () => {
+  for (const entryCount of [1, 4, 16]) {
+    const { clock, budget } = create(entryCount);
+    clock.advance(LIMITS.windowMs);
+    let count = drain(budget);
+    while (budget.spendForBegun("engines")) count++;
+    assert.ok(count * entryCount <= LIMITS.slack, `${entryCount}: ${count}`);
+  }
+});
--- /dev/null
+++ b/src/router/server_test.ts
@@ -0,0 +1,22 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { testServer } from "./_kit.ts";
+
+// Short answers wait for other prompts between their few tokens: a mean over answers of the time for
+// a token took long ones for several times as long as they were, and they were refused.
+test("short answers do not make long ones look slow", () => {
+  const server = testServer("a");
+  for (let i = 0; i < 200; i++) {
+    const isLong = i % 5 === 0;
+    if (isLong) server.learnOutput(600, 80);
+    else server.learnOutput(200, 5);
+  }
+  assert.ok(server.outputMs(80) < 2 * 600 + 200, `${server.outputMs(80)}`);
+});
+
+test("odd answer does not decide how long others are expected to take", () => {
+  const server = testServer("a");
+  for (let i = 0; i < 100; i++) server.learnOutput(600, 80);
+  server.learnOutput(60_000, 80);
+  assert.ok(server.outputMs(80) < 5 * 600, `${server.outputMs(80)}`);
+});
--- a/src/standin/platform_worker.ts
+++ b/src/standin/platform_worker.ts
@@ -302,6 +302,7 @@
       "weight-versions": String(this.version),
     });
     const stream = { response, last: first - 1 };
+    this.#endAtDeadline(headers, response);
     const id = String(headers["attempt-id"]);
     this.#streams.set(id, stream);
     response.once("close", () => {
@@ -310,6 +311,14 @@
     void this.#writeEvents(stream, { cutAfter, events });
   }
 
+  /** Work on a stream stops when the time that came with it is over. */
+  #endAtDeadline(headers: IncomingHttpHeaders, response: ServerResponse): void {
+    const leftMs = Number(headers["deadline-ms"]);
+    if (!Number.isFinite(leftMs)) return;
+    const timer = setTimeout(() => response.destroy(), leftMs);
+    response.once("close", () => clearTimeout(timer));
+  }
+
   async #writeEvents(
     stream: RunningStream,
     { cutAfter, events }: { cutAfter: number | undefined; events: number },
