--- a/src/router/mirror.ts
+++ b/src/router/mirror.ts
@@ -21,6 +21,12 @@
   | { kind: "steps"; revision: bigint; changes: MirrorChange[] }
   | { kind: "all"; revision: bigint; entries: KeyValueEntry[] };
 
+/** Up to which revision of the store a process knows everything. */
+export interface Knowledge {
+  revision: bigint;
+  ageMs: number;
+}
+
 /** Keys and values up to one revision of the store. */
 export class StoreMirror {
   readonly #clock: Clock;
@@ -54,6 +60,11 @@
     return this.#clock.nowMs() - this.#confirmedAtMs;
   }
 
+  /** What peers are told of the copy. */
+  get knowledge(): Knowledge {
+    return { revision: this.#revision, ageMs: this.ageMs };
+  }
+
   /** @param listener Called for each change from now on. */
   onChange(listener: ChangeListener): void {
     this.#listeners.push(listener);
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -10,6 +10,7 @@
 import type { BackendServer } from "./model.ts";
 import type { PlacedPrompt } from "./request.ts";
 import type { Fleet } from "./fleet.ts";
+import type { Knowledge } from "./mirror.ts";
 import { readTold, type Told } from "./peer_datagram.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
@@ -62,12 +63,6 @@
   onKnowledge(ipAddress: string, knowledge: Knowledge): void;
 }
 
-/** Up to which revision of the store a process knows everything. */
-export interface Knowledge {
-  revision: bigint;
-  ageMs: number;
-}
-
 /** Tells other entries, and takes in what they tell. */
 export class Peers {
   readonly #options: PeersOptions;
--- a/src/router/relay.ts
+++ b/src/router/relay.ts
@@ -5,8 +5,12 @@
 import type { Clock, Logger } from "../base/mod.ts";
 import { HttpCaller } from "../platform/mod.ts";
 import type { KeyValueEntry } from "../store/store.ts";
-import type { Catchup, MirrorChange, StoreMirror } from "./mirror.ts";
-import type { Knowledge } from "./peers.ts";
+import type {
+  Catchup,
+  Knowledge,
+  MirrorChange,
+  StoreMirror,
+} from "./mirror.ts";
 
 /** Path of the call, on the control address. */
 export const RELAY_PATH = "/relay";
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -225,10 +225,7 @@
         ...seedAddresses.map((seed) => seed.ipAddress),
         ...this.#registration.ipAddresses(),
       ],
-      knowledge: () => ({
-        revision: this.#mirror.revision,
-        ageMs: this.#mirror.ageMs,
-      }),
+      knowledge: () => this.#mirror.knowledge,
       onKnowledge: (peer, knowledge) => {
         void this.#relay.heard(peer, knowledge);
         void this.#learner.meet(peer);
