Count each answer of the store once when copies are confirmed, whoever passes it on

Change: a confirmation names the process that the store answered and its count; a copy takes each at most once.

mirror_test and peers_test use the new form; a malformed case was added.

--- a/src/router/mirror.ts
+++ b/src/router/mirror.ts
@@ -2,11 +2,15 @@
  * A process's copy of the platform's store, kept by a watch and by what other entries pass on. It
  * never goes back: what is older than what it holds is ignored.
  */
+import { randomUUID } from "node:crypto";
 import type { Clock } from "../base/mod.ts";
+import { LRUMap } from "../placement/lru_map.ts";
 import type { KeyValueEntry, Listing, WatchStep } from "../store/store.ts";
 
 /** Steps that are kept for peers that are a little behind; a peer further behind gets it all. */
 const KEPT_STEPS = 2000;
+/** Processes whose last answer is kept: all that live, and those that they came after. */
+const KEPT_ORIGINS = 2000;
 
 /** A change of one key. */
 export type MirrorChange =
@@ -21,10 +25,20 @@
   | { kind: "steps"; revision: bigint; changes: MirrorChange[] }
   | { kind: "all"; revision: bigint; entries: KeyValueEntry[] };
 
-/** Up to which revision of the store a process knows everything. */
+/** An answer of the store that vouches for copies: whose it was, and how old it is. */
+export interface Confirmation {
+  /** The process that the store answered. */
+  origin: string;
+  /** Its how-manieth answer. */
+  count: number;
+  ageMs: number;
+}
+
+/** Up to which revision of the store a process knows everything, and who vouches for it. */
 export interface Knowledge {
   revision: bigint;
-  ageMs: number;
+  /** Left out: the store's answer is not known, or nothing is. */
+  confirmed?: Confirmation;
 }
 
 /** Keys and values up to one revision of the store. */
@@ -36,7 +50,15 @@
   /** Revision below which steps are no longer kept. */
   #stepsFrom = 0n;
   #revision = 0n;
-  #confirmedAtMs = -Infinity;
+  readonly #origin = randomUUID();
+  #ownAnswers = 0;
+  /**
+   * The newest answer that each process has had, as far as heard. Peers pass on what vouches for
+   * their copies, and each time it seems younger by the time that the news takes: taken twice, as on
+   * a way in a circle, copies would never grow old.
+   */
+  readonly #answers = LRUMap.create<string, number>(KEPT_ORIGINS);
+  #confirmed: { origin: string; count: number; atMs: number } | undefined;
 
   private constructor(clock: Clock) {
     this.#clock = clock;
@@ -57,12 +79,15 @@
 
   /** Time since the store, or a peer that had just heard from it, vouched for the copy. */
   get ageMs(): number {
-    return this.#clock.nowMs() - this.#confirmedAtMs;
+    return this.#clock.nowMs() - (this.#confirmed?.atMs ?? -Infinity);
   }
 
   /** What peers are told of the copy. */
   get knowledge(): Knowledge {
-    return { revision: this.#revision, ageMs: this.ageMs };
+    const revision = this.#revision;
+    if (!this.#confirmed) return { revision };
+    const { origin, count } = this.#confirmed;
+    return { revision, confirmed: { origin, count, ageMs: this.ageMs } };
   }
 
   /** @param listener Called for each change from now on. */
@@ -92,9 +117,24 @@
    * Takes a whole list of the store: keys that it lacks are gone.
    *
    * @param listing The list.
-   * @param ageMs Its age.
    */
-  replace(listing: Listing, ageMs = 0): void {
+  replace(listing: Listing): void {
+    this.#replace(listing);
+    this.#answered(listing.revision);
+  }
+
+  /**
+   * Takes a whole list that a peer has.
+   *
+   * @param listing The list.
+   * @param confirmed What vouches for it.
+   */
+  replaceFrom(listing: Listing, confirmed?: Confirmation): void {
+    this.#replace(listing);
+    this.confirm({ revision: listing.revision, confirmed });
+  }
+
+  #replace(listing: Listing): void {
     if (listing.revision < this.#revision) return;
     const listed = new Set(listing.entries.map(({ key }) => key));
     for (const [key, { modRevision }] of this.#entries) {
@@ -106,7 +146,6 @@
     // What lies between the last step and the list isn't known step by step.
     this.#steps.length = 0;
     this.#stepsFrom = listing.revision;
-    this.confirm(listing.revision, ageMs);
   }
 
   /**
@@ -118,7 +157,7 @@
     switch (step.kind) {
       case "progress":
         this.#advance(step.revision);
-        this.confirm(step.revision, 0);
+        this.#answered(step.revision);
         return;
       case "put":
         this.#step({ kind: "put", entry: step.entry }, step.entry.modRevision);
@@ -130,26 +169,28 @@
   }
 
   /**
-   * Notes that all steps up to a revision were taken.
+   * Notes that all steps up to a revision were taken, as a peer has them.
    *
-   * @param revision The revision.
-   * @param ageMs How long ago it was the store's own.
+   * @param knowledge What the peer knows.
    */
-  catchUpTo(revision: bigint, ageMs: number): void {
-    this.#advance(revision);
-    this.confirm(revision, ageMs);
+  catchUpTo(knowledge: Knowledge): void {
+    this.#advance(knowledge.revision);
+    this.confirm(knowledge);
   }
 
   /**
    * Notes that the copy was all there was a while ago.
    *
-   * @param revision Revision of the store at that time.
-   * @param ageMs How long ago.
+   * @param knowledge What a peer knows.
    */
-  confirm(revision: bigint, ageMs: number): void {
-    if (revision > this.#revision) return;
+  confirm({ revision, confirmed }: Knowledge): void {
+    if (!confirmed || revision > this.#revision) return;
+    const { origin, count, ageMs } = confirmed;
+    if (count <= (this.#answers.get(origin) ?? 0)) return;
+    this.#answers.set(origin, count);
     const atMs = this.#clock.nowMs() - ageMs;
-    if (atMs > this.#confirmedAtMs) this.#confirmedAtMs = atMs;
+    if (this.#confirmed && atMs <= this.#confirmed.atMs) return;
+    this.#confirmed = { origin, count, atMs };
   }
 
   /**
@@ -165,6 +206,12 @@
     return { kind: "steps", revision, changes };
   }
 
+  /** The store itself has just answered this process. */
+  #answered(revision: bigint): void {
+    const [origin, count, ageMs] = [this.#origin, ++this.#ownAnswers, 0];
+    this.confirm({ revision, confirmed: { origin, count, ageMs } });
+  }
+
   #step(change: MirrorChange, revision: bigint): void {
     // One commit may change several keys at one revision: equal ones are compared key by key.
     if (revision < this.#revision) return;
--- a/src/router/mirror_test.ts
+++ b/src/router/mirror_test.ts
@@ -65,10 +65,14 @@
   mirror.follow({ kind: "progress", revision: 7n });
   clock.advance(500);
   assert.equal(mirror.ageMs, 500);
-  mirror.confirm(7n, 100);
+  const confirmed = { origin: "peer", count: 1, ageMs: 100 };
+  mirror.confirm({ revision: 7n, confirmed });
   assert.equal(mirror.ageMs, 100);
   // Of what this copy lacks nobody can vouch.
-  mirror.confirm(8n, 0);
+  mirror.confirm({
+    revision: 8n,
+    confirmed: { ...confirmed, count: 2, ageMs: 0 },
+  });
   assert.equal(mirror.ageMs, 100);
 });
 
@@ -116,5 +120,5 @@
     return;
   }
   for (const change of catchup.changes) peer.follow(change);
-  peer.catchUpTo(catchup.revision, 0);
+  peer.catchUpTo({ ...mirror.knowledge, revision: catchup.revision });
 }
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -1,4 +1,5 @@
 /** What entries tell each other by datagrams. One that is wrong in one field counts as lost. */
+import type { Confirmation } from "./mirror.ts";
 
 /**
  * Start of a server that something was seen at; what was learned of a former one would keep the new
@@ -10,7 +11,10 @@
 export interface Told {
   name: string;
   revision: string;
+  /** Age of the copy, for entries that ran before `confirmed` was told. */
   ageMs: number;
+  /** The store's answer that vouches for this revision; left out if none is known. */
+  confirmed?: Confirmation;
   /** Server, pending tokens, requests under way, those that are bound to it. */
   loads: [string, number, number, number][];
   /** Server or store, salt, time until it is there, the parts with their tokens, and the start. */
@@ -44,6 +48,7 @@
   name: isText,
   revision: (value) => isText(value) && REVISION_PATTERN.test(value as string),
   ageMs: isCount,
+  confirmed: (value) => value === undefined || isConfirmation(value),
   loads: listOf(rowOf(isText, isCount, isCount, isCount)),
   prompts: listOf(
     rowOf(isText, isText, isCount, listOf(rowOf(isText, isCount)), isStart),
@@ -69,6 +74,16 @@
   return isTold(value) ? value : undefined;
 }
 
+/**
+ * @param value What a peer told.
+ * @returns Whether it has the form of an answer that vouches for a copy.
+ */
+export function isConfirmation(value: unknown): value is Confirmation {
+  if (typeof value !== "object" || value === null) return false;
+  const { origin, count, ageMs } = value as Record<string, unknown>;
+  return isText(origin) && isCount(count) && isCount(ageMs);
+}
+
 function isTold(value: unknown): value is Told {
   if (typeof value !== "object" || value === null) return false;
   const fields = value as Record<string, unknown>;
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -172,7 +172,12 @@
   #tell(): void {
     const told = this.#compose();
     // Ages alone are no news.
-    const news = JSON.stringify({ ...told, ageMs: 0, named: [] });
+    const news = JSON.stringify({
+      ...told,
+      ageMs: 0,
+      confirmed: undefined,
+      named: [],
+    });
     const orders = JSON.stringify([told.heldBack, told.silent, told.weights]);
     if (!this.#isDue(told, news, orders)) return;
     this.#prompts.splice(0, told.prompts.length);
@@ -212,7 +217,7 @@
 
   #compose(): Told {
     const { name, fleet, knowledge, wanted } = this.#options;
-    const { revision, ageMs } = knowledge();
+    const { revision, confirmed } = knowledge();
     const loads: Told["loads"] = [];
     for (const { id, ownLoad } of fleet.all()) {
       if (ownLoad.running === 0) continue;
@@ -222,7 +227,8 @@
     return {
       name,
       revision: String(revision),
-      ageMs: Math.round(Math.min(ageMs, Number.MAX_SAFE_INTEGER)),
+      ageMs: Math.round(confirmed?.ageMs ?? Number.MAX_SAFE_INTEGER),
+      confirmed,
       loads,
       prompts: this.#prompts.slice(0, MAX_PROMPTS),
       heldBack: this.#heldBack(),
@@ -259,7 +265,10 @@
     this.#heardAtMs.set(ipAddress, nowMs);
     this.#take(told, nowMs);
     const revision = BigInt(told.revision);
-    this.#options.onKnowledge(ipAddress, { revision, ageMs: told.ageMs });
+    this.#options.onKnowledge(ipAddress, {
+      revision,
+      confirmed: told.confirmed,
+    });
   }
 
   #take(told: Told, nowMs: number): void {
--- a/src/router/peers_test.ts
+++ b/src/router/peers_test.ts
@@ -151,6 +151,7 @@
     { ...relay, entries: [{ ...entry, key: 1 }] },
     { ...relay, entries: [{ ...entry, key: "a", value: 1 }] },
     { ...relay, entries: [], ageMs: "x" },
+    { ...relay, entries: [], confirmed: { origin: 1 } },
     { ...relay, entries: [], revision: "x" },
     { ...relay, entries: [], deletes: [{ revision: "99998" }] },
   ];
--- a/src/router/relay.ts
+++ b/src/router/relay.ts
@@ -3,10 +3,12 @@
  * is behind for a moment catches up by its own watch; only one that stays behind asks.
  */
 import type { Clock, Logger } from "../base/mod.ts";
+import { isConfirmation } from "./peer_datagram.ts";
 import { HttpCaller } from "../platform/mod.ts";
 import type { KeyValueEntry } from "../store/store.ts";
 import type {
   Catchup,
+  Confirmation,
   Knowledge,
   MirrorChange,
   StoreMirror,
@@ -33,7 +35,9 @@
 
 interface WireCatchup {
   revision: string;
+  /** For entries that ran before `confirmed` was told, which leave that out. */
   ageMs: number;
+  confirmed?: Confirmation;
   isAll: boolean;
   entries: WireEntry[];
   deletes: WireDelete[];
@@ -55,7 +59,7 @@
  */
 export function relayAnswer(mirror: StoreMirror, after: bigint): string {
   const catchup = mirror.catchup(after);
-  return JSON.stringify(encode(catchup, mirror.ageMs));
+  return JSON.stringify(encode(catchup, mirror.knowledge.confirmed));
 }
 
 /** Catches up by what peers know. */
@@ -85,7 +89,7 @@
   async heard(ipAddress: string, knowledge: Knowledge): Promise<void> {
     const { mirror, clock } = this.#options;
     if (knowledge.revision <= mirror.revision) {
-      mirror.confirm(knowledge.revision, knowledge.ageMs);
+      mirror.confirm(knowledge);
       if (knowledge.revision === mirror.revision) {
         this.#behindSinceMs = undefined;
       }
@@ -135,7 +139,10 @@
   }
 }
 
-function encode(catchup: Catchup, ageMs: number): WireCatchup {
+function encode(
+  catchup: Catchup,
+  confirmed: Confirmation | undefined,
+): WireCatchup {
   const changes: MirrorChange[] = catchup.kind === "steps"
     ? catchup.changes
     : catchup.entries.map((entry) => ({ kind: "put", entry }));
@@ -147,7 +154,8 @@
   }
   return {
     revision: String(catchup.revision),
-    ageMs: Math.round(Math.min(ageMs, Number.MAX_SAFE_INTEGER)),
+    ageMs: Math.round(confirmed?.ageMs ?? Number.MAX_SAFE_INTEGER),
+    confirmed,
     isAll: catchup.kind === "all",
     entries,
     deletes,
@@ -155,9 +163,7 @@
 }
 
 /** What a peer told, read in whole before any of it counts. */
-interface ReadCatchup {
-  revision: bigint;
-  ageMs: number;
+interface ReadCatchup extends Knowledge {
   isAll: boolean;
   entries: KeyValueEntry[];
   deletes: Extract<MirrorChange, { kind: "delete" }>[];
@@ -166,7 +172,7 @@
 function apply(mirror: StoreMirror, told: ReadCatchup): void {
   const { revision, entries } = told;
   if (told.isAll) {
-    mirror.replace({ entries, revision }, told.ageMs);
+    mirror.replaceFrom({ entries, revision }, told.confirmed);
     return;
   }
   const changes: MirrorChange[] = [
@@ -175,7 +181,7 @@
   ];
   changes.sort((a, b) => Number(revisionOf(a) - revisionOf(b)));
   for (const change of changes) mirror.follow(change);
-  mirror.catchUpTo(revision, told.ageMs);
+  mirror.catchUpTo(told);
 }
 
 function encodeEntry(entry: KeyValueEntry): WireEntry {
@@ -189,8 +195,11 @@
 
 /** Throws a TypeError where a field is missing or of another type. */
 function readCatchup(body: Record<string, unknown>): ReadCatchup {
-  const { ageMs, isAll, entries, deletes } = body as Partial<WireCatchup>;
-  if (!Number.isFinite(ageMs) || typeof isAll !== "boolean") {
+  const { ageMs, confirmed, isAll, entries, deletes } = body as Partial<
+    WireCatchup
+  >;
+  const isVouched = confirmed === undefined || isConfirmation(confirmed);
+  if (!Number.isFinite(ageMs) || !isVouched || typeof isAll !== "boolean") {
     throw new TypeError("Catch-up without its age");
   }
   if (!Array.isArray(entries) || !Array.isArray(deletes)) {
@@ -198,7 +207,7 @@
   }
   return {
     revision: readRevision(body["revision"]),
-    ageMs: Number(ageMs),
+    confirmed,
     isAll,
     entries: entries.map(decodeEntry),
     deletes: deletes.map((row) => ({
