Show four faults found by reading, each with a failing test

A peer's word on the store counts from its hearing; a 421 without a version teaches the newest one; what waited while a process stood still counts as new; a server that has started again counts as tried. The last one fails by its types (and "servers that were tried are left out", which names servers now).

--- a/src/router/choose_test.ts
+++ b/src/router/choose_test.ts
@@ -182,12 +182,21 @@
 
 test("servers that were tried are left out", () => {
   const servers = ["a", "b"].map((id) => testServer(id));
-  const tried = new Set(["a"]);
+  const tried = new Set([servers[0]!]);
   assert.equal(choose(placement({ servers, tried }))?.server.id, "b");
-  tried.add("b");
+  tried.add(servers[1]!);
   assert.equal(choose(placement({ servers, tried })), undefined);
 });
 
+// A stream that broke when its only server started again was broken off on its caller: the new
+// start was left out as the server that it had been sent to before.
+test("server that has started again is not one that was tried", () => {
+  const before = testServer("a", { bornAtMs: 1 });
+  const after = testServer("a", { bornAtMs: 2 });
+  const tried = new Set([before]);
+  assert.equal(choose(placement({ servers: [after], tried }))?.server, after);
+});
+
 test("server that takes no further connection is passed over", () => {
   const servers = ["a", "b"].map((id) => testServer(id));
   servers[1]!.limit({ cacheTokens: 10_000, connectionLimit: 1 });
--- a/src/router/peers_test.ts
+++ b/src/router/peers_test.ts
@@ -12,6 +12,8 @@
 import { ENTRIES_PREFIX, Registration } from "./registration.ts";
 
 const SEED = 20_261_203;
+/** Time without an answer of the store. */
+const OUTAGE_MS = 9000;
 
 /** A datagram that tells nothing new. */
 const TOLD = {
@@ -169,6 +171,41 @@
   assert.ok(!knows(world, '"storeRevision":"99999"'));
 });
 
+/** A world whose entry has lost the store, where only a peer tells that a server's registration is gone. */
+async function hearDeletion(
+  t: TestContext,
+  told: { storeServedMs: number },
+): Promise<World> {
+  const world = await openWorld(t);
+  await world.worker("i-1");
+  const peer = await FakePeer.create(t, world);
+  world.link.silent();
+  world.clock.aheadMs += OUTAGE_MS;
+  await until(() => knows(world, '"storeConnected":false'));
+  const revision = "99999";
+  const deletes = [{ key: "servers/i-1", revision }];
+  const catchup = { revision, ageMs: 0, isAll: false, entries: [], deletes };
+  peer.answers.set("/relay", JSON.stringify(catchup));
+  await until(async () => {
+    await peer.tell({ revision, storeServes: true, ...told });
+    return knows(world, '"storeRevision":"99999"');
+  });
+  return world;
+}
+
+// An entry says that the store serves it until it finds its own watch silent, up to 2.2 s late, and
+// peers counted that word for 1 s more from when they heard it. In an outage of the store a server
+// whose registration lapsed was so dropped until its next heartbeat, though it lived.
+test("server is kept whose lapse a peer tells that was served before the loss only", async (t) => {
+  const world = await hearDeletion(t, { storeServedMs: OUTAGE_MS + 1000 });
+  assert.equal((await ask(world, "/book/a")).status, 200);
+});
+
+test("server is dropped whose leaving a peer tells that the store serves since", async (t) => {
+  const world = await hearDeletion(t, { storeServedMs: 0 });
+  assert.equal((await ask(world, "/book/a")).status, 503);
+});
+
 /** Tokens that an entry expects in a server's cache. */
 async function taughtTokens(world: World, id: string): Promise<number> {
   const { ipAddress, controlPort } = world;
--- a/src/router/replaced_weights_test.ts
+++ b/src/router/replaced_weights_test.ts
@@ -152,3 +152,15 @@
   assert.equal(answer.body, streamOf(40));
   assert.equal(other.runs.length, 1);
 });
+
+// An engine that refused a request for its weights, and did not say which it has, counted as one
+// with the newest, and was never ordered them.
+test("engine that does not say which weights it has is still ordered the new ones", async (t) => {
+  const world = await openWorld(t);
+  const engine = await replaceWeights(world);
+  engine.faults.refuseWeights = 1;
+  await ask(world, "/stream/a", PROMPT);
+  assert.equal(engine.faults.refuseWeights, 0);
+  engine.faults.refuseOrder = 0;
+  await until(() => engine.version === 2);
+});
--- a/src/router/store_contact_test.ts
+++ b/src/router/store_contact_test.ts
@@ -186,3 +186,37 @@
   answer(made);
   assert.equal(contact.maxAgeMs, 0);
 });
+
+// A version that was named while a process stood still came as news when it went on, and the old
+// weights were used for as long again: up to 2 s where no other entry had heard it in time.
+test("what comes right behind a standstill may be as old as that", () => {
+  const made = create();
+  made.contact.tick();
+  made.clock.advance(2000);
+  made.contact.tick();
+  made.contact.answered();
+  assert.equal(made.contact.maxAgeMs, 2000);
+  // What was waiting has been read by then.
+  for (let i = 0; i < 10; i++) {
+    made.clock.advance(100);
+    made.contact.tick();
+  }
+  assert.equal(made.contact.maxAgeMs, 0);
+});
+
+test("process that runs all the time takes what it hears for new", () => {
+  const made = create();
+  for (let i = 0; i < 20; i++) {
+    made.clock.advance(100);
+    made.contact.tick();
+    assert.equal(made.contact.maxAgeMs, 0);
+  }
+});
+
+test("what comes before a late tick may be as old as the tick is late", () => {
+  const made = create();
+  made.contact.tick();
+  made.clock.advance(1500);
+  made.contact.answered();
+  assert.equal(made.contact.maxAgeMs, 1500);
+});
--- a/src/standin/platform_worker.ts
+++ b/src/standin/platform_worker.ts
@@ -248,6 +248,11 @@
 
   #run(request: HostRequest): void {
     const { response, headers } = request;
+    if (take(this.faults, "refuseWeights")) {
+      response.writeHead(421);
+      response.end();
+      return;
+    }
     const wanted = headers["expect-version"];
     if (wanted !== undefined && Number(wanted) !== this.version) {
       response.writeHead(421, { "weight-versions": String(this.version) });
--- a/src/standin/platform_worker_options.ts
+++ b/src/standin/platform_worker_options.ts
@@ -39,6 +39,8 @@
   hang: number;
   /** Runs that stop when they are to be moved, and are not copied. */
   moveFull: number;
+  /** Requests that are refused for their weights, without a word on which are loaded. */
+  refuseWeights: number;
   /** Orders that are refused, as if another were being carried out. */
   refuseOrder: number;
 }
@@ -64,6 +66,7 @@
   foreign: 0,
   hang: 0,
   moveFull: 0,
+  refuseWeights: 0,
   refuseOrder: 0,
 };
 
