Mend the four faults found by reading

A peer's word on the store: it tells how long ago the store answered it, and the word counts only if that lies in this entry's own outage and is not older than a silent watch. Before, a word from before the loss counted for a second from its hearing, and a server whose registration lapsed was dropped though it lived.

A 421 without a version leaves the engine alone for a moment and teaches nothing; its report says what it has. Before, the engine counted as up to date and was never ordered.

A process that stood still: a tick ten times a second shows it, and what is heard until 0.5 s behind it may have been so as long. Before, a version that was named meanwhile counted as new.

A server that has started again is another one for a stream that broke.

--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -7,7 +7,7 @@
   Outcome,
   RoutedRequest,
 } from "./request.ts";
-import type { LoadTicket } from "./server.ts";
+import type { LoadTicket, Server } from "./server.ts";
 
 /** How one send ended. */
 export type SendEnd =
@@ -20,10 +20,11 @@
 
 /** State of a request over its sends. */
 export interface Progress {
-  /** Ids of servers that it was sent to. */
-  readonly tried: Set<string>;
+  /** Servers that it was sent to. */
+  readonly tried: Set<Server>;
   /** Those of them at which it may have run, or may still run. */
-  readonly ranAt: Set<string>;
+  readonly ranAt: Set<Server>;
+  /** Ids of the servers that it was sent to, in order. */
   readonly servers: string[];
   /** Sends that may have run; one that goes on from a copy is the same run. */
   runs: number;
--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -59,8 +59,8 @@
   servers: Server[];
   zone: string;
   nowMs: number;
-  /** Servers that this request was sent to before. */
-  tried: ReadonlySet<string>;
+  /** Servers that this request was sent to before; one that has started again is another. */
+  tried: ReadonlySet<Server>;
   /** Left out for plain calls. */
   prompt?: PromptPlacement;
   /** How old what other entries told of their load may be. */
@@ -124,7 +124,7 @@
 export function choose(placement: Placement): Choice | undefined {
   let best: Candidate | undefined;
   for (const server of placement.servers) {
-    if (placement.tried.has(server.id)) continue;
+    if (placement.tried.has(server)) continue;
     if (server.isFull(placement.nowMs)) continue;
     const candidate = placement.prompt
       ? weighPrompt(placement, placement.prompt, { server })
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -15,6 +15,7 @@
 import { ResendBudget, type ResendLimits } from "./resend_budget.ts";
 import { RunMover } from "./run_mover.ts";
 import { Sender, type SenderOptions } from "./send.ts";
+import type { Server } from "./server.ts";
 
 /** Sends of one request, those included that were not run. */
 const MAX_SENDS = 4;
@@ -155,7 +156,7 @@
 
   #choose(request: RoutedRequest, progress: Progress): Choice | undefined {
     const { fleet, clock, zone, random, choice } = this.#options;
-    const choose_ = (tried: ReadonlySet<string>) =>
+    const choose_ = (tried: ReadonlySet<Server>) =>
       choose({
         servers: fleet.open(request.service),
         zone,
@@ -200,8 +201,8 @@
     if (answerByMs - this.#options.clock.nowMs() < RESEND_MIN_LEFT_MS) {
       return false;
     }
-    const others = this.#options.fleet.open(service).some(({ id }) =>
-      !progress.tried.has(id)
+    const others = this.#options.fleet.open(service).some((server) =>
+      !progress.tried.has(server)
     );
     return others && this.#budget.has(service);
   }
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -23,8 +23,10 @@
   heldBack: string[];
   /** Servers that have just gone silent. */
   silent: string[];
-  /** The store answers this entry, and has done so for a while. */
+  /** The store answers this entry, and has done so for a while; for those of earlier releases. */
   storeServes: boolean;
+  /** Time since its last answer; left out if it doesn't, or by entries of earlier releases. */
+  storeServedMs?: number;
   /** Server, model, version, start: weights that were seen there. */
   weights: [string, string, number, Start][];
   /** Model, version, age in ms: weights that were named a while ago. */
@@ -56,6 +58,7 @@
   heldBack: listOf(isText),
   silent: listOf(isText),
   storeServes: (value) => typeof value === "boolean",
+  storeServedMs: (value) => value === undefined || isCount(value),
   weights: listOf(rowOf(isText, isText, isCount, isStart)),
   named: listOf(rowOf(isText, isCount, isCount)),
 };
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -34,8 +34,6 @@
 const MAX_PROMPTS = 12;
 /** Prompts that wait to be told; the oldest are left out beyond it. */
 const MAX_QUEUED_PROMPTS = 100;
-/** A peer's word that the store answers it counts for this long. */
-const STORE_WORD_MS = 1000;
 /** A server that a peer holds back is spared for this long after the peer's last datagram. */
 const HELD_BACK_MS = 1000;
 
@@ -55,8 +53,8 @@
   knownAddresses(): string[];
   /** Up to which revision of the store this entry knows everything, and how old that is. */
   knowledge(): Knowledge;
-  /** Whether the store answers this entry, and has done so for a while. */
-  isStoreServing(): boolean;
+  /** Time since the store's last answer, while it has served this entry for a while. */
+  storeServedMs(): number | undefined;
   /** Ages of named weights, which entries tell each other. */
   wanted: WantedVersions;
   /** A peer told of its own knowledge. */
@@ -112,10 +110,9 @@
     return tellPauseMs(this.count);
   }
 
-  /** Whether the store answers some other entry. */
-  get storeServesPeer(): boolean {
-    const nowMs = this.#options.clock.nowMs();
-    return nowMs - this.#storeServedPeerAtMs < STORE_WORD_MS;
+  /** When the store last answered some other entry, as far as heard. */
+  get storeServedPeerAtMs(): number {
+    return this.#storeServedPeerAtMs;
   }
 
   /** @param heldBack Ids of servers that every entry is to spare. */
@@ -176,6 +173,7 @@
       ...told,
       ageMs: 0,
       confirmed: undefined,
+      storeServedMs: undefined,
       named: [],
     });
     const orders = JSON.stringify([told.heldBack, told.silent, told.weights]);
@@ -218,6 +216,7 @@
   #compose(): Told {
     const { name, fleet, knowledge, wanted } = this.#options;
     const { revision, confirmed } = knowledge();
+    const storeServedMs = this.#options.storeServedMs();
     const loads: Told["loads"] = [];
     for (const { id, ownLoad } of fleet.all()) {
       if (ownLoad.running === 0) continue;
@@ -232,7 +231,8 @@
       loads,
       prompts: this.#prompts.slice(0, MAX_PROMPTS),
       heldBack: this.#heldBack(),
-      storeServes: this.#options.isStoreServing(),
+      storeServes: storeServedMs !== undefined,
+      storeServedMs,
       weights: [...this.#weights],
       silent: [...this.#silent],
       named: wanted.ages().map(({ model, version, ageMs }) => [
@@ -296,7 +296,13 @@
       fleet.get(id)?.holdBack(nowMs + HELD_BACK_MS);
     }
     for (const id of told.silent) fleet.get(id)?.health.doubted(nowMs);
-    if (told.storeServes) this.#storeServedPeerAtMs = nowMs;
+    if (told.storeServedMs !== undefined) {
+      const servedAtMs = nowMs - told.storeServedMs;
+      this.#storeServedPeerAtMs = Math.max(
+        this.#storeServedPeerAtMs,
+        servedAtMs,
+      );
+    }
     for (const [id, model, version, start] of told.weights) {
       fleet.get(id, start || undefined)?.learnWeights(model, version);
     }
--- a/src/router/relay.ts
+++ b/src/router/relay.ts
@@ -18,6 +18,8 @@
 export const RELAY_PATH = "/relay";
 /** Time that the own watch has to bring what a peer knows already. */
 const BEHIND_MS = 150;
+/** Pause between questions to peers while nothing is known. */
+const ASK_MS = 250;
 /** Time for one call to a peer. */
 const CALL_MS = 1000;
 
@@ -100,6 +102,26 @@
     await this.ask(ipAddress);
   }
 
+  /**
+   * Asks peers in turn while nothing is known: the store may be down.
+   *
+   * @param ipAddresses Entries that may know.
+   * @param signal Ends the work.
+   */
+  async askUntilKnown(
+    ipAddresses: string[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { mirror, clock } = this.#options;
+    await clock.sleep(ASK_MS, signal);
+    for (let i = 0; !signal.aborted && mirror.revision === 0n; i++) {
+      const ipAddress = ipAddresses[i % ipAddresses.length];
+      if (ipAddress === undefined) return;
+      await this.ask(ipAddress);
+      await clock.sleep(ASK_MS, signal);
+    }
+  }
+
   /**
    * Asks a peer for what this entry lacks.
    *
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -45,8 +45,6 @@
 const SERVER_IDLE_MS = 4000;
 /** Pause between looks at registrations that lapsed and servers that are down. */
 const SWEEP_MS = 100;
-/** Pause between questions to seeds while nothing is known. */
-const SEED_MS = 250;
 /** Left of the grace time, for the process's own end. */
 const EXIT_MARGIN_MS = 700;
 
@@ -202,11 +200,10 @@
     return Fleet.create({
       ...this.#parts(),
       serverOptions: (service) => this.#serverOptions(service),
-      // What an entry says that the store serves well is no gap of an outage.
       outage: () =>
-        this.#peers.storeServesPeer ? undefined : this.#follower.contact.outage,
+        this.#isOutageOwn ? undefined : this.#follower.contact.outage,
       awaitsReturns: () =>
-        !this.#peers.storeServesPeer && this.#follower.contact.awaitsReturns,
+        !this.#isOutageOwn && this.#follower.contact.awaitsReturns,
     });
   }
 
@@ -219,7 +216,7 @@
       port: peerPort,
       fleet: this.#fleet,
       cacheOf: (id, bornAtMs) => this.#inForce.cacheOf(id, bornAtMs),
-      isStoreServing: () => !this.#follower.contact.awaitsReturns,
+      storeServedMs: () => this.#follower.contact.servedMs,
       wanted: this.#wanted,
       knownAddresses: () => [
         ...seedAddresses.map((seed) => seed.ipAddress),
@@ -309,26 +306,27 @@
     this.#log.info({ event: "listening", zone: settings.zone });
   }
 
+  /** The store served another entry while it didn't answer this one. */
+  get #isOutageOwn(): boolean {
+    const { contact } = this.#follower;
+    return contact.isServedElsewhere(this.#peers.storeServedPeerAtMs);
+  }
+
   #isReady(): boolean {
     return this.#inForce.table !== undefined && !this.#ingress.draining;
   }
 
-  /** While nothing is known, the store may be down: seeds may know. */
-  async #askSeeds(signal: AbortSignal): Promise<void> {
+  #askSeeds(signal: AbortSignal): Promise<void> {
     const { seedAddresses, ipAddress } = this.#settings;
-    const others = seedAddresses.filter((seed) => seed.ipAddress !== ipAddress);
-    await this.#clock.sleep(SEED_MS, signal);
-    for (let i = 0; !signal.aborted && this.#mirror.revision === 0n; i++) {
-      const seed = others[i % others.length];
-      if (!seed) return;
-      await this.#relay.ask(seed.ipAddress);
-      await this.#clock.sleep(SEED_MS, signal);
-    }
+    const others = seedAddresses.map((seed) => seed.ipAddress)
+      .filter((other) => other !== ipAddress);
+    return this.#relay.askUntilKnown(others, signal);
   }
 
   async #sweep(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.#clock.sleep(SWEEP_MS, signal);
+      this.#follower.contact.tick();
       this.#fleet.sweep();
       for (const server of this.#fleet.all()) {
         if (!server.health.isProbeDue(this.#clock.nowMs())) continue;
--- a/src/router/run_mover.ts
+++ b/src/router/run_mover.ts
@@ -154,7 +154,7 @@
     if (ageMs >= wanted.limits.retiredFromMs) return undefined;
     let best: { server: Server; score: number } | undefined;
     for (const server of fleet.open(request.service)) {
-      if (progress.tried.has(server.id) || server.health.isDown) continue;
+      if (progress.tried.has(server) || server.health.isDown) continue;
       if (server.isHeldBack(nowMs) || server.isFull(nowMs)) continue;
       if (server.weights(model) !== choice.weightsVersion) continue;
       const { running, pendingTokens } = server.load(nowMs);
--- a/src/router/run_mover_test.ts
+++ b/src/router/run_mover_test.ts
@@ -46,7 +46,7 @@
       facts: { requestId: REQUEST_ID, prompt: { model: "m" } },
     },
     choice: { server: fleet.get("from"), weightsVersion: 1 },
-    progress: { tried: new Set(["from"]) },
+    progress: { tried: new Set([fleet.get("from")]) },
   } as unknown as Send;
 }
 
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -80,7 +80,7 @@
     const { clock } = this.#options;
     const { server } = choice;
     const sentAtMs = clock.nowMs();
-    progress.tried.add(server.id);
+    progress.tried.add(server);
     progress.servers.push(server.id);
     progress.sends++;
     progress.expectedMs = choice.expectedMs;
@@ -109,7 +109,7 @@
       const isOver = end.kind === "unknown" || end.kind === "done";
       if (isOver && exchange.sent) {
         progress.runs++;
-        progress.ranAt.add(server.id);
+        progress.ranAt.add(server);
       }
       if (end.kind === "not_run" && choice.chain) {
         server.cache.forget(choice.chain, clock.nowMs());
@@ -246,9 +246,10 @@
     }
     const { prompt } = request.facts;
     if (facts.status === 421 && prompt) {
-      const version = facts.weightsVersion ??
-        this.#options.wanted.newest(prompt.model);
-      server.learnWeights(prompt.model, version);
+      // Which ones it has is for its report to say; taken for the newest, it would not be ordered them.
+      if (facts.weightsVersion === undefined) {
+        server.refused(nowMs + REFUSED_HOLD_MS);
+      } else server.learnWeights(prompt.model, facts.weightsVersion);
       return { kind: "not_run", reason: "other_weights" };
     }
     server.refused(nowMs + REFUSED_HOLD_MS);
--- a/src/router/store_contact.ts
+++ b/src/router/store_contact.ts
@@ -22,6 +22,11 @@
  */
 const RETURN_MS = 1900;
 
+/** A process that is not told that it runs for this long, some times the usual, has stood still. */
+const STANDSTILL_MS = 500;
+/** What waited while it did has been read by then. */
+const READ_MS = 500;
+
 /** A time in which the store didn't answer this process. */
 export interface Outage {
   isOver: boolean;
@@ -38,6 +43,7 @@
 
 /** An outage that is over. */
 interface PastOutage {
+  fromMs: number;
   silentMs: number;
   regainedAtMs: number;
 }
@@ -52,10 +58,15 @@
   #past: PastOutage | undefined;
   /** Time without an answer before the one that is taken now. */
   #gapMs = 0;
+  readonly #startedAtMs: number;
+  #tickedAtMs: number | undefined;
+  /** The last time in which the process stood still. */
+  #standstill: { lengthMs: number; endedAtMs: number } | undefined;
 
   private constructor({ clock, heartbeatMs }: StoreContactOptions) {
     this.#clock = clock;
     this.#heartbeatMs = heartbeatMs;
+    this.#startedAtMs = clock.nowMs();
   }
 
   /**
@@ -94,7 +105,36 @@
 
   /** For how long what is heard of the store now may have been so; 0: it has just changed. */
   get maxAgeMs(): number {
-    return this.connected ? this.#gapMs : this.#nowMs - this.#answeredAtMs;
+    if (!this.connected) return this.#nowMs - this.#answeredAtMs;
+    return Math.max(this.#gapMs, this.#standstillMs);
+  }
+
+  /**
+   * Whether others were served by the store while it didn't answer this process, so that what is
+   * deleted has another cause than the outage.
+   *
+   * @param servedAtMs When the store answered another entry.
+   */
+  isServedElsewhere(servedAtMs: number): boolean {
+    const isRecent =
+      this.#nowMs - servedAtMs < SILENT_INTERVALS * this.#heartbeatMs;
+    return isRecent && servedAtMs > this.#outageFromMs;
+  }
+
+  /** Time since the store's last answer, while it has served this process for a while. */
+  get servedMs(): number | undefined {
+    if (this.awaitsReturns) return undefined;
+    return this.#nowMs - this.#answeredAtMs;
+  }
+
+  /** The process runs; to be told often. */
+  tick(): void {
+    const nowMs = this.#nowMs;
+    const lengthMs = nowMs - (this.#tickedAtMs ?? nowMs);
+    if (lengthMs >= STANDSTILL_MS) {
+      this.#standstill = { lengthMs, endedAtMs: nowMs };
+    }
+    this.#tickedAtMs = nowMs;
   }
 
   /**
@@ -117,7 +157,8 @@
     const nowMs = this.#nowMs;
     const silentMs = nowMs - this.#answeredAtMs;
     if (this.#mayHaveLapsed(silentMs)) {
-      this.#past = { silentMs, regainedAtMs: nowMs };
+      const fromMs = this.#lostAtMs ?? this.#answeredAtMs;
+      this.#past = { fromMs, silentMs, regainedAtMs: nowMs };
     }
     const lostAtMs = this.#lostAtMs;
     if (!this.connected) this.#gapMs = silentMs;
@@ -140,6 +181,22 @@
     return this.#answeredAtMs - this.#regainedAtMs < RETURN_MS;
   }
 
+  /** When the store last was lost. */
+  get #outageFromMs(): number {
+    if (this.connected) return this.#past?.fromMs ?? -Infinity;
+    return this.#lostAtMs ?? this.#startedAtMs;
+  }
+
+  /** How long what is read now may have waited while the process stood still; 0: not at all. */
+  get #standstillMs(): number {
+    const sinceTickMs = this.#nowMs - (this.#tickedAtMs ?? this.#nowMs);
+    if (sinceTickMs >= STANDSTILL_MS) return sinceTickMs;
+    if (!this.#standstill) return 0;
+    const { lengthMs, endedAtMs } = this.#standstill;
+    const sinceMs = this.#nowMs - endedAtMs;
+    return sinceMs < READ_MS ? lengthMs + sinceMs : 0;
+  }
+
   get #sinceRegainedMs(): number {
     return this.#nowMs - this.#regainedAtMs;
   }
--- a/src/router/store_contact_test.ts
+++ b/src/router/store_contact_test.ts
@@ -191,6 +191,7 @@
 // weights were used for as long again: up to 2 s where no other entry had heard it in time.
 test("what comes right behind a standstill may be as old as that", () => {
   const made = create();
+  made.contact.caughtUp();
   made.contact.tick();
   made.clock.advance(2000);
   made.contact.tick();
@@ -206,6 +207,7 @@
 
 test("process that runs all the time takes what it hears for new", () => {
   const made = create();
+  made.contact.caughtUp();
   for (let i = 0; i < 20; i++) {
     made.clock.advance(100);
     made.contact.tick();
@@ -215,6 +217,7 @@
 
 test("what comes before a late tick may be as old as the tick is late", () => {
   const made = create();
+  made.contact.caughtUp();
   made.contact.tick();
   made.clock.advance(1500);
   made.contact.answered();
