Write log lines in pieces that a pipe keeps whole

Cause: each came right behind a process's thaw, when all its lines were written together, up to 16 KiB a write; the lines up to the tear had 8192 bytes together in both cases that were counted. Not two processes at one line, then, but one write that was longer than what is kept of it.

Change: writes are of 4096 bytes at most, what Linux keeps whole on a pipe with several writers. The test failed with a write of 16,327 bytes.

--- a/src/base/log.ts
+++ b/src/base/log.ts
@@ -17,6 +17,12 @@
 /** One of {@link LOG_LEVELS}. */
 export type LogLevel = (typeof LOG_LEVELS)[number];
 
+/**
+ * Lines that wait are written together up to this size, PIPE_BUF of Linux: a pipe that several
+ * processes write to keeps longer writes in pieces, with other processes' lines between them.
+ */
+const WHOLE_BYTES = 4096;
+
 /** What a logger is made from. */
 export interface LoggerOptions {
   /** Lowest severity that is written. */
@@ -40,7 +46,7 @@
       base: { role: options.role, processId: options.processId },
     },
     options.toStdout
-      ? destination({ dest: 1, sync: false })
+      ? destination({ dest: 1, sync: false, maxWrite: WHOLE_BYTES })
       : destination({ dest: 2, sync: true }),
   );
 }
--- /dev/null
+++ b/src/base/log_test.ts
@@ -0,0 +1,39 @@
+// Lines of two processes were torn into each other in what the platform had kept of their output:
+// the head of one line, then the next one, its own or another process's. All came right after a
+// process had stood still and wrote all its lines at once; in both cases that were counted, the
+// lines up to the tear had 8192 bytes together. A longer write is not kept whole.
+import assert from "node:assert/strict";
+import fs from "node:fs";
+import { mock, test } from "node:test";
+import { createLogger } from "./log.ts";
+
+/** Longest write that a pipe with several writers keeps in one piece: PIPE_BUF of Linux. */
+const WHOLE_BYTES = 4096;
+const LINES = 200;
+
+test("lines that are written at once stay whole", async () => {
+  const written: string[] = [];
+  mock.method(fs, "write", (...args: unknown[]) => {
+    const [, text, done] = args as [
+      number,
+      string,
+      (error: null, bytes: number) => void,
+    ];
+    written.push(text);
+    setImmediate(() => done(null, Buffer.byteLength(text)));
+  });
+  const log = createLogger({
+    level: "info",
+    role: "router",
+    processId: "test",
+    toStdout: true,
+  });
+  for (let i = 0; i < LINES; i++) log.info({ event: "request", i });
+  const isWritten = () => written.join("").split("\n").length > LINES;
+  while (!isWritten()) await new Promise((resolve) => setImmediate(resolve));
+  mock.restoreAll();
+  for (const text of written) {
+    assert.ok(Buffer.byteLength(text) <= WHOLE_BYTES, `${text.length}`);
+    assert.ok(text.endsWith("\n"));
+  }
+});
