--- /dev/null
+++ b/src/router/order_records_test.ts
@@ -0,0 +1,103 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { FencedLease } from "../lease/mod.ts";
+import { ManualClock } from "../lease/manual_clock.ts";
+import { MemoryStore } from "../store/memory_store.ts";
+import { prefixRange } from "../store/revision_table.ts";
+import { ORDER_RECORD_PREFIX, OrderRecords } from "./order_records.ts";
+import { ROLL_LEASE_KEY } from "./roll_lease.ts";
+
+const TURN_MS = 3000;
+const LEASE_MS = 1500;
+
+function setUp() {
+  const clock = ManualClock.create();
+  const store = MemoryStore.create({ clock });
+  const records = (holderId: string) =>
+    OrderRecords.create({
+      store,
+      clock,
+      holderId,
+      turnMs: TURN_MS,
+      orderRecords: () => store.table.list(prefixRange(ORDER_RECORD_PREFIX)),
+    });
+  const acquire = async (holderId: string) => {
+    const acquired = await FencedLease.acquire(store, {
+      key: ROLL_LEASE_KEY,
+      holderId,
+      ttlMs: LEASE_MS,
+      clock,
+    });
+    assert.ok(acquired.isOk);
+    return acquired.value;
+  };
+  return { clock, store, records, acquire };
+}
+
+test("recorded engine is another holder's for a turn, then nobody's", async () => {
+  const { clock, records, acquire } = setUp();
+  const lease = await acquire("a");
+  assert.ok(await records("a").record("e1", lease));
+  const other = records("b");
+  await clock.advance(TURN_MS);
+  assert.deepEqual(other.orderedByOthers(), new Set(["e1"]));
+  await clock.advance(TURN_MS);
+  assert.deepEqual(other.orderedByOthers(), new Set());
+});
+
+test("own records are nobody else's", async () => {
+  const { records, acquire } = setUp();
+  const own = records("a");
+  await own.record("e1", await acquire("a"));
+  assert.deepEqual(own.orderedByOthers(), new Set());
+});
+
+test("holder whose lease another one has taken records nothing", async () => {
+  const { clock, records, acquire } = setUp();
+  const before = await acquire("a");
+  await clock.advance(LEASE_MS + 1);
+  await acquire("b");
+  assert.equal(await records("a").record("e1", before), false);
+  assert.deepEqual(records("b").orderedByOthers(), new Set());
+});
+
+test("store that is down takes no record, and the next one is tried again", async () => {
+  const { store, records, acquire } = setUp();
+  const lease = await acquire("a");
+  const own = records("a");
+  store.faults.down = true;
+  assert.equal(await own.record("e1", lease), false);
+  store.faults.down = false;
+  assert.ok(await own.record("e1", lease));
+});
+
+test("process that starts again keeps what its former one recorded", async () => {
+  const { records, acquire } = setUp();
+  const lease = await acquire("a");
+  assert.ok(await records("a").record("e1", lease));
+  assert.ok(await records("a").record("e2", lease));
+  assert.deepEqual(records("b").orderedByOthers(), new Set(["e1", "e2"]));
+});
+
+test("many engines at once share records", async () => {
+  const { store, records, acquire } = setUp();
+  const lease = await acquire("a");
+  const own = records("a");
+  const before = store.table.revision;
+  const ids = Array.from({ length: 20 }, (_, i) => `e${i}`);
+  const written = await Promise.all(ids.map((id) => own.record(id, lease)));
+  assert.ok(written.every((isWritten) => isWritten));
+  assert.deepEqual(records("b").orderedByOthers(), new Set(ids));
+  // One commit for those that came before it began, as all here did.
+  assert.equal(store.table.revision - before, 1n);
+});
+
+test("value of another writer names no engine", async () => {
+  const { store, records } = setUp();
+  for (const text of ["{", "7", '{"serverIds":3}', '{"serverIds":[1,null]}']) {
+    const value = new TextEncoder().encode(text);
+    const key = `${ORDER_RECORD_PREFIX}x`;
+    await store.commit([], [{ kind: "put", key, value }]);
+    assert.deepEqual(records("a").orderedByOthers(), new Set());
+  }
+});
