Use every store of prompts, each prompt in one of them by rendezvous hashing

Cause: the platform may name several stores of cached prompts; only the first one was used. All engines copied from and saved to one link of 82 Gbit/s (some 120 Gbit/s asked for), transfers waited up to 2 s each, and the one store's 3.1 M tokens held half of the prompts in use. Change: stores by address, the one of a prompt by rendezvous hashing of its last shared part; copies are timed by the links' configured rates; what servers hold is looked up once a request and version, not once for each pair of servers.

--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -158,6 +158,7 @@
     address: text(service, "kv_store_addr"),
     zone: text(service, "zone"),
     cacheTokens: number(service, "kv_capacity_tokens"),
+    linkMbps: optionalNumber(service, "link_mbps"),
   };
 }
 
@@ -166,6 +167,8 @@
   return {
     slots: number(engine, "slots"),
     cacheTokens: number(engine, "kv_capacity_tokens"),
+    tokenBytes: optionalNumber(engine, "kv_token_bytes"),
+    linkMbps: optionalNumber(engine, "link_mbps"),
   };
 }
 
--- a/src/router/_kit.ts
+++ b/src/router/_kit.ts
@@ -57,6 +57,7 @@
   idleMs: 1000,
   cacheTokens: 10_000,
   connectionLimit: 100,
+  copyMsPerToken: 0.0012,
 };
 
 /**
--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -1,6 +1,7 @@
 /** Chooses the backend server for one attempt of a request. */
-import type { CacheBook, Chain } from "./cache_book.ts";
+import type { Chain } from "./cache_book.ts";
 import type { RunCopy } from "./model.ts";
+import { type PromptStore, storeOf } from "./prompt_store.ts";
 import type { Server } from "./server.ts";
 import { type ReplacedWeights, weighReplaced } from "./replaced_weights.ts";
 
@@ -20,8 +21,6 @@
 const FIRST_TOKEN_MS = 45;
 /** What one more running request adds to each step, over the steps that a first token waits. */
 const RUNNING_MS = 5;
-/** Time to copy a cached token from another server in the same zone: 18.4 KB over 130 Gbit/s. */
-const COPY_MS_PER_TOKEN = 0.0012;
 /** A copy between zones takes twice as long. */
 const FAR_COPY_FACTOR = 2;
 /** Time to set up a copy. */
@@ -80,14 +79,7 @@
   /** Newest version of the weights that is to be used. */
   wantedVersion: number;
   /** Where prompts are kept beside the engines' own caches. */
-  store?: PromptStore;
-}
-
-/** A store of cached prompts, and what it is expected to hold. */
-export interface PromptStore {
-  address: string;
-  zone: string;
-  cache: CacheBook;
+  stores: readonly PromptStore[];
 }
 
 /** Where a request goes, and what is expected there. */
@@ -122,12 +114,13 @@
  * @returns The server with the lowest expected cost, or nothing if there is none.
  */
 export function choose(placement: Placement): Choice | undefined {
+  const views: PromptViews = new Map();
   let best: Candidate | undefined;
   for (const server of placement.servers) {
     if (placement.tried.has(server)) continue;
     if (server.isFull(placement.nowMs)) continue;
     const candidate = placement.prompt
-      ? weighPrompt(placement, placement.prompt, { server })
+      ? weighPrompt(placement, placement.prompt, { server, views })
       : weighCall(placement, server);
     if (!candidate.maySend) continue;
     if (!best || candidate.score < best.score) best = candidate;
@@ -155,13 +148,14 @@
 function weighPrompt(
   placement: Placement,
   prompt: PromptPlacement,
-  { server }: { server: Server },
+  { server, views }: { server: Server; views: PromptViews },
 ): Candidate {
   const { nowMs } = placement;
   const weightsVersion = server.weights(prompt.model) ?? prompt.wantedVersion;
-  const chain = prompt.chainFor(weightsVersion);
+  const view = viewOf(placement, prompt, { weightsVersion, views });
+  const { chain } = view;
   const cached = server.cache.cachedTokens(chain);
-  const copy = findCopy(placement, prompt.store, { chain, server, cached });
+  const copy = findCopy(view, server, cached);
   const held = copy ? copy.tokens : cached;
   const uncachedTokens = Math.max(0, prompt.promptTokens - held);
   const load = server.load(nowMs);
@@ -171,7 +165,7 @@
   const ownMs = slowness *
     (FIRST_TOKEN_MS + uncachedTokens / READ_TOKENS_PER_MS);
   const expectedMs = queueMs + ownMs + (copy?.copyMs ?? 0);
-  const reread = Math.max(0, sharedTokens(chain) - held);
+  const reread = Math.max(0, view.sharedTokens - held);
   const weights = weighReplaced(prompt, {
     version: weightsVersion,
     expectedMs,
@@ -188,7 +182,7 @@
     maySend: weights.maySend,
     chain,
     copyFrom: copy?.address,
-    saveTo: findStoreToSaveTo(placement, prompt.store, chain),
+    saveTo: view.saveTo,
     score: scoreOf(placement, server, expectedMs + price),
   };
 }
@@ -215,70 +209,110 @@
   return Math.max(JITTER_MIN_MS, ageMs * JITTER_SHARE);
 }
 
+/** What holds of a prompt on all servers with the same weights. */
+interface PromptView {
+  chain: Chain;
+  /** Tokens that other requests may share. */
+  sharedTokens: number;
+  /** Address of the store that is to keep the prompt's parts. */
+  saveTo?: string;
+  /** Servers from which it may be copied. */
+  sources: CopySource[];
+  stored?: CopySource;
+}
+
+/** By version of the weights. */
+type PromptViews = Map<number, PromptView>;
+
+/** A server or store that has a part of a prompt. */
+interface CopySource {
+  /** Left out for a store. */
+  server?: Server;
+  address: string;
+  zone: string;
+  /** Leading tokens that it is expected to have. */
+  tokens: number;
+  copyMsPerToken: number;
+}
+
 interface Copy {
   address: string;
-  /** Leading tokens that the source is expected to have. */
+  /** Leading tokens that the server then has. */
   tokens: number;
   copyMs: number;
 }
 
-interface CopyTarget {
-  chain: Chain;
-  server: Server;
-  /** Leading tokens that the server has itself. */
-  cached: number;
+function viewOf(
+  placement: Placement,
+  prompt: PromptPlacement,
+  { weightsVersion, views }: { weightsVersion: number; views: PromptViews },
+): PromptView {
+  const known = views.get(weightsVersion);
+  if (known) return known;
+  const view = viewPrompt(placement, prompt, prompt.chainFor(weightsVersion));
+  views.set(weightsVersion, view);
+  return view;
+}
+
+function viewPrompt(
+  { servers, nowMs, choice }: Placement,
+  { stores }: PromptPlacement,
+  chain: Chain,
+): PromptView {
+  const view: PromptView = {
+    chain,
+    sharedTokens: sharedTokens(chain),
+    sources: [],
+  };
+  if (choice !== ChoiceName.cost) return view;
+  for (const server of servers) {
+    if (server.health.isDown) continue;
+    const tokens = server.cache.readyTokens(chain, nowMs);
+    if (tokens < COPY_MIN_TOKENS) continue;
+    const { entry: { address, zone }, copyMsPerToken } = server;
+    view.sources.push({ server, address, zone, tokens, copyMsPerToken });
+  }
+  const store = storeOf(stores, chain);
+  if (!store) return view;
+  const tokens = store.cache.readyTokens(chain, nowMs);
+  if (tokens >= COPY_MIN_TOKENS) view.stored = { ...store, tokens };
+  if (isToSave(store, chain, view.sharedTokens)) view.saveTo = store.address;
+  return view;
 }
 
 /** The server of the same weights, or the store, whose cache has most of the chain. */
 function findCopy(
-  placement: Placement,
-  store: PromptStore | undefined,
-  target: CopyTarget,
+  { sources, stored }: PromptView,
+  server: Server,
+  cached: number,
 ): Copy | undefined {
-  if (placement.choice !== ChoiceName.cost) return undefined;
   let best: Copy | undefined;
-  for (const source of placement.servers) {
-    if (source === target.server) continue;
-    if (source.health.isDown) continue;
-    const { address, zone } = source.entry;
-    const copy = weighCopy(placement, target, {
-      source: { address, zone, cache: source.cache },
-    });
+  for (const source of sources) {
+    if (source.server === server) continue;
+    const copy = weighCopy(source, server, cached);
     if (copy && (!best || isBetter(copy, best))) best = copy;
   }
-  const stored = store && weighCopy(placement, target, { source: store });
-  if (stored && (!best || stored.tokens >= best.tokens)) return stored;
+  const copy = stored && weighCopy(stored, server, cached);
+  if (copy && (!best || copy.tokens >= best.tokens)) return copy;
   // A server may have dropped what it is expected to have; then the store fills in, else it costs
   // nothing.
-  return best ?? (store && insurance(placement, target, { store }));
-}
-
-function insurance(
-  { nowMs }: Placement,
-  { chain, cached }: CopyTarget,
-  { store }: { store: PromptStore },
-): Copy | undefined {
-  const tokens = store.cache.readyTokens(chain, nowMs);
-  if (tokens < COPY_MIN_TOKENS) return undefined;
-  return {
-    address: store.address,
-    tokens: Math.max(tokens, cached),
+  return best ?? (stored && {
+    address: stored.address,
+    tokens: Math.max(stored.tokens, cached),
     copyMs: 0,
-  };
+  });
 }
 
 function weighCopy(
-  { nowMs }: Placement,
-  target: CopyTarget,
-  { source }: { source: PromptStore },
+  source: CopySource,
+  { entry }: Server,
+  cached: number,
 ): Copy | undefined {
-  const { chain, server, cached } = target;
-  const tokens = source.cache.readyTokens(chain, nowMs);
+  const { address, zone, tokens, copyMsPerToken } = source;
   if (tokens < cached + COPY_MIN_TOKENS) return undefined;
-  const factor = source.zone === server.entry.zone ? 1 : FAR_COPY_FACTOR;
-  const copyMs = COPY_SETUP_MS +
-    (tokens - cached) * COPY_MS_PER_TOKEN * factor;
-  return { address: source.address, tokens, copyMs };
+  const factor = zone === entry.zone ? 1 : FAR_COPY_FACTOR;
+  const copyMs = COPY_SETUP_MS + (tokens - cached) * copyMsPerToken * factor;
+  return { address, tokens, copyMs };
 }
 
 function isBetter(copy: Copy, other: Copy): boolean {
@@ -287,17 +321,11 @@
 }
 
 /** Prompts are saved whose shared parts the store doesn't have yet. */
-function findStoreToSaveTo(
-  placement: Placement,
-  store: PromptStore | undefined,
-  chain: Chain,
-): string | undefined {
-  if (!store || placement.choice !== ChoiceName.cost) return undefined;
-  const shared = sharedTokens(chain);
-  if (shared < COPY_MIN_TOKENS) return undefined;
+function isToSave(store: PromptStore, chain: Chain, shared: number): boolean {
+  if (shared < COPY_MIN_TOKENS) return false;
   const own = chain.parts.at(-1)?.tokens ?? 0;
-  if (own > shared * SAVE_OWN_FACTOR) return undefined;
-  return store.cache.cachedTokens(chain) < shared ? store.address : undefined;
+  if (own > shared * SAVE_OWN_FACTOR) return false;
+  return store.cache.cachedTokens(chain) < shared;
 }
 
 /** The last part belongs to the request alone. */
--- a/src/router/choose_test.ts
+++ b/src/router/choose_test.ts
@@ -22,6 +22,7 @@
     outputTokens: 80,
     chainFor: (version) => ({ salt: `w${version}`, parts: PARTS }),
     wantedVersion: 1,
+    stores: [],
     replacedForMs: () => 0,
     weightsLimits: {
       staleFromMs: 7000,
@@ -86,8 +87,8 @@
 test("store that lacks the shared part is given it, else copied from", () => {
   const servers = [testServer("a")];
   const cache = CacheBook.create(100_000);
-  const store = { address: "store", zone: "a", cache };
-  const asked = placement({ servers, prompt: prompt({ store }) });
+  const store = { address: "store", zone: "a", cache, copyMsPerToken: 0.002 };
+  const asked = placement({ servers, prompt: prompt({ stores: [store] }) });
   assert.equal(choose(asked)?.saveTo, "store");
   cache.use(CHAIN, 0);
   const again = choose(asked);
@@ -205,7 +206,11 @@
 
 test("server that takes no further connection is passed over", () => {
   const servers = ["a", "b"].map((id) => testServer(id));
-  servers[1]!.limit({ cacheTokens: 10_000, connectionLimit: 1 });
+  servers[1]!.limit({
+    cacheTokens: 10_000,
+    connectionLimit: 1,
+    copyMsPerToken: 0.0012,
+  });
   servers[1]!.cache.use(CHAIN, 0);
   assert.equal(choose(placement({ servers }))?.server.id, "b");
   servers[1]!.setPeerLoad(
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -12,6 +12,7 @@
 import type { Workspace } from "./model.ts";
 import type { AnswerSink, Outcome, RoutedRequest, Served } from "./request.ts";
 import { AnswerPasser } from "./pass_answer.ts";
+import type { PromptStore } from "./prompt_store.ts";
 import { ResendBudget, type ResendLimits } from "./resend_budget.ts";
 import { RunMover } from "./run_mover.ts";
 import { Sender, type SenderOptions } from "./send.ts";
@@ -38,6 +39,8 @@
   random: () => number;
   choice: ChoiceName;
   resendLimits: ResendLimits;
+  /** Where prompts are kept beside the engines' own caches. */
+  promptStores(): PromptStore[];
   /** How old what other entries told of their load may be. */
   loadAgeMs(): number;
   /** Entries that may live, this one included; they share the budget of resends. */
@@ -184,7 +187,7 @@
       replacedForMs: (version) =>
         this.#options.wanted.replacedForMs(prompt.model, version),
       weightsLimits: this.#options.wanted.limits,
-      store: this.#options.promptStore(),
+      stores: this.#options.promptStores(),
       chainFor: (version) => ({
         salt: saltOf(version, request.workspace),
         parts: prompt.parts,
--- a/src/router/in_force.ts
+++ b/src/router/in_force.ts
@@ -1,4 +1,4 @@
-/** What the platform's store says, in force: configuration, servers, weights and the prompt store. */
+/** What the platform's store says, in force: configuration, servers, weights and the prompt stores. */
 import type { Logger } from "../base/mod.ts";
 import {
   decodeFact,
@@ -6,10 +6,15 @@
   type MalformedValue,
 } from "../platform/mod.ts";
 import { CacheBook, type OwnedBook } from "./cache_book.ts";
-import type { PromptStore } from "./choose.ts";
 import type { Fleet } from "./fleet.ts";
 import type { MirrorChange } from "./mirror.ts";
-import type { RoutingConfig, Service, WantedWeights } from "./model.ts";
+import {
+  copyMsPerToken,
+  type RoutingConfig,
+  type Service,
+  type WantedWeights,
+} from "./model.ts";
+import type { PromptStore } from "./prompt_store.ts";
 import { RoutingTable } from "./routing_table.ts";
 import type { ServerLimits } from "./server.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
@@ -32,7 +37,8 @@
 export class InForce {
   readonly #options: InForceOptions;
   #table: RoutingTable | undefined;
-  #promptStore: PromptStore | undefined;
+  /** By address. */
+  #promptStores = new Map<string, PromptStore>();
   /** Keys whose value is malformed, so that each is logged once. */
   readonly #malformed = new Set<string>();
 
@@ -54,8 +60,8 @@
   }
 
   /** Where prompts are kept beside the engines' own caches. */
-  get promptStore(): PromptStore | undefined {
-    return this.#promptStore;
+  get promptStores(): PromptStore[] {
+    return [...this.#promptStores.values()];
   }
 
   /** @param change A change of the store; what is older than what is in force is ignored. */
@@ -78,22 +84,22 @@
   }
 
   /**
-   * @param id Id of a server, or address of the prompt store.
+   * @param id Id of a server, or address of a prompt store.
    * @param bornAtMs The start of the server that is meant; left out: any.
    * @returns What is expected in its cache.
    */
   cacheOf(id: string, bornAtMs?: number): CacheBook | undefined {
-    if (id === this.#promptStore?.address) return this.#promptStore.cache;
-    return this.#options.fleet.get(id, bornAtMs)?.cache;
+    const store = this.#promptStores.get(id);
+    return store?.cache ?? this.#options.fleet.get(id, bornAtMs)?.cache;
   }
 
-  /** Caches of all servers and of the prompt store. */
+  /** Caches of all servers and prompt stores. */
   *books(): Generator<OwnedBook> {
     for (const { entry, cache } of this.#options.fleet.all()) {
       yield { id: entry.id, bornAtMs: entry.bornAtMs, cache };
     }
-    if (this.#promptStore) {
-      yield { id: this.#promptStore.address, cache: this.#promptStore.cache };
+    for (const { address, cache } of this.#promptStores.values()) {
+      yield { id: address, cache };
     }
   }
 
@@ -115,6 +121,7 @@
     return {
       cacheTokens: (known?.engine?.cacheTokens ?? 0) * CACHE_SHARE,
       connectionLimit: known?.connectionLimit ?? Infinity,
+      copyMsPerToken: copyMsPerToken(known?.engine ?? {}),
     };
   }
 
@@ -142,7 +149,7 @@
     this.#table = RoutingTable.create(config);
     this.#options.fleet.applyLimits();
     this.#options.onConfig();
-    this.#usePromptStore(config.services);
+    this.#usePromptStores(config.services);
     this.#options.log.info({
       event: "config_in_force",
       version: config.version,
@@ -159,13 +166,24 @@
   }
 
   /** What a store holds outlives changes of the configuration. */
-  #usePromptStore(services: Service[]): void {
-    const store = services.find(({ cacheStore }) => cacheStore)?.cacheStore;
-    if (store?.address === this.#promptStore?.address) return;
-    this.#promptStore = store && {
-      address: store.address,
-      zone: store.zone,
-      cache: CacheBook.create(store.cacheTokens * CACHE_SHARE),
-    };
+  #usePromptStores(services: Service[]): void {
+    const tokenBytes = services.find(({ engine }) => engine)?.engine
+      ?.tokenBytes;
+    const before = this.#promptStores;
+    this.#promptStores = new Map();
+    for (const { cacheStore } of services) {
+      if (!cacheStore) continue;
+      const { address, zone, cacheTokens, linkMbps } = cacheStore;
+      const capacityTokens = cacheTokens * CACHE_SHARE;
+      const cache = before.get(address)?.cache ??
+        CacheBook.create(capacityTokens);
+      cache.resize(capacityTokens);
+      this.#promptStores.set(address, {
+        address,
+        zone,
+        cache,
+        copyMsPerToken: copyMsPerToken({ tokenBytes, linkMbps }),
+      });
+    }
   }
 }
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -49,6 +49,9 @@
   slots: number;
   /** Tokens that fit into one engine's memory. */
   cacheTokens: number;
+  /** Memory of one token. */
+  tokenBytes?: number;
+  linkMbps?: number;
 }
 
 /** A store of cached prompts that engines save to and copy from. */
@@ -57,6 +60,23 @@
   address: string;
   zone: string;
   cacheTokens: number;
+  linkMbps?: number;
+}
+
+/** Time to copy a token within a zone where no rate is known. */
+const COPY_MS_PER_TOKEN = 0.0012;
+const BITS_PER_BYTE = 8;
+
+/**
+ * @param link Rate of a server's or store's link, as configured, and the memory of a token.
+ * @returns Time to copy a token over it.
+ */
+export function copyMsPerToken(
+  { tokenBytes, linkMbps }: { tokenBytes?: number; linkMbps?: number },
+): number {
+  if (!tokenBytes || !linkMbps) return COPY_MS_PER_TOKEN;
+  const bitsPerMs = linkMbps * 1000;
+  return tokenBytes * BITS_PER_BYTE / bitsPerMs;
 }
 
 /** A group of backend servers that answer the same requests. */
--- /dev/null
+++ b/src/router/prompt_store_test.ts
@@ -0,0 +1,60 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CacheBook } from "./cache_book.ts";
+import { type PromptStore, storeOf } from "./prompt_store.ts";
+
+const SUBJECTS = 300;
+let nextOwn = 0;
+
+function stores(count: number): PromptStore[] {
+  return Array.from({ length: count }, (_, i) => ({
+    address: `10.0.0.${i}:80`,
+    zone: "a",
+    cache: CacheBook.create(1000),
+    copyMsPerToken: 0.002,
+  }));
+}
+
+function chain(subject: number) {
+  const parts = [
+    { id: "firm", tokens: 2000 },
+    { id: `subject${subject}`, tokens: 4000 },
+    { id: `own${nextOwn++}`, tokens: 1000 },
+  ];
+  return { salt: "w1", parts };
+}
+
+function placed(among: PromptStore[]): string[] {
+  return Array.from(
+    { length: SUBJECTS },
+    (_, subject) => storeOf(among, chain(subject))!.address,
+  );
+}
+
+test("prompts are spread over all stores", () => {
+  // With one store in use of three, a fleet asked its link for twice what it carries.
+  const counts = new Map<string, number>();
+  for (const address of placed(stores(3))) {
+    counts.set(address, (counts.get(address) ?? 0) + 1);
+  }
+  assert.equal(counts.size, 3);
+  for (const count of counts.values()) assert.ok(count > SUBJECTS / 6);
+});
+
+test("requests on the same subject share a store, whatever their own part", () => {
+  const among = stores(3);
+  assert.deepEqual(placed(among), placed(among.toReversed()));
+});
+
+test("prompts of a store that goes get another, the rest stay", () => {
+  const three = stores(3);
+  const before = placed(three);
+  const after = placed(three.slice(0, 2));
+  const kept = before.filter((address) => address !== three[2]!.address);
+  const same = before.filter((address, i) => address === after[i]);
+  assert.equal(same.length, kept.length);
+});
+
+test("without a store there is none", () => {
+  assert.equal(storeOf([], chain(1)), undefined);
+});
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -12,7 +12,8 @@
   type SendEnd,
 } from "./attempt.ts";
 import type { AnswerHead, AnswerStep, ChannelFailure } from "./channel.ts";
-import type { Choice, PromptStore } from "./choose.ts";
+import type { CacheBook } from "./cache_book.ts";
+import type { Choice } from "./choose.ts";
 import type { Fleet } from "./fleet.ts";
 import { type AnswerFacts, RequestKind } from "./model.ts";
 import type { AnswerPasser } from "./pass_answer.ts";
@@ -36,8 +37,8 @@
   log: Logger;
   fleet: Fleet;
   wanted: WantedVersions;
-  /** Where prompts are kept beside the engines' own caches. */
-  promptStore(): PromptStore | undefined;
+  /** Expected cache of a server, by id, or of a store, by address. */
+  cacheOf(id: string): CacheBook | undefined;
   /** A server has gone silent; other entries are told. */
   onSilent(serverId: string): void;
   /** A prompt was sent to a server or saved to a store; other entries are told. */
@@ -137,13 +138,13 @@
     const { server, chain, saveTo, expectedMs } = choice;
     // A copied run brings its memory along, and its parts are not known to be kept as a prompt's.
     if (!chain || choice.copy) return;
-    const { onPrompt, promptStore } = this.#options;
+    const { onPrompt, cacheOf } = this.#options;
     server.cache.use(chain, nowMs + expectedMs);
     const { id, bornAtMs } = server.entry;
     onPrompt({ id, bornAtMs, chain, readyInMs: expectedMs });
     if (saveTo === undefined) return;
     const savedInMs = expectedMs + SAVE_MS;
-    promptStore()?.cache.use(chain, nowMs + savedInMs);
+    cacheOf(saveTo)?.use(chain, nowMs + savedInMs);
     onPrompt({ id: saveTo, chain, readyInMs: savedInMs });
   }
 
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -37,6 +37,8 @@
   cacheTokens: number;
   /** Connections from all entries together. */
   connectionLimit: number;
+  /** Time to copy a cached token from it within its zone. */
+  copyMsPerToken: number;
 }
 
 /** Settings of a {@link Server}. */
@@ -64,6 +66,7 @@
   readonly #own: ServerLoad = { pendingTokens: 0, running: 0, bound: 0 };
   readonly #peers = new Map<string, PeerLoad>();
   #connectionLimit: number;
+  #copyMsPerToken: number;
   #heldBackUntilMs = -Infinity;
   #refusedUntilMs = -Infinity;
   #heardAtMs = -Infinity;
@@ -77,6 +80,7 @@
     this.channels = ChannelSet.create({ address: entry.address, ...options });
     this.cache = CacheBook.create(options.cacheTokens);
     this.#connectionLimit = options.connectionLimit;
+    this.#copyMsPerToken = options.copyMsPerToken;
     this.#learnAll(entry.weights);
   }
 
@@ -94,6 +98,11 @@
     return this.#entry;
   }
 
+  /** Time to copy a cached token from it within its zone. */
+  get copyMsPerToken(): number {
+    return this.#copyMsPerToken;
+  }
+
   /** This entry's own requests. */
   get ownLoad(): Readonly<ServerLoad> {
     return this.#own;
@@ -127,9 +136,10 @@
   }
 
   /** @param limits What it takes from now on. */
-  limit({ cacheTokens, connectionLimit }: ServerLimits): void {
+  limit({ cacheTokens, connectionLimit, copyMsPerToken }: ServerLimits): void {
     this.cache.resize(cacheTokens);
     this.#connectionLimit = connectionLimit;
+    this.#copyMsPerToken = copyMsPerToken;
   }
 
   /**
