Send engines whose weights change next no more long answers

Cause: while weights are rolled each engine was out of use for 3.1 to 5.9 s, of which a load takes 1.8 s: an order waits for the engine's runs, of which 8 to 25 were left, and the long ones of a route that can't be resumed can't be moved. Change: the holder of the lease names the engines that follow those that are out; entries price long answers away from them, short ones keep them in use. Who is named stays so until its turn.

--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -50,6 +50,10 @@
 const DOWN_MS = 20_000;
 /** Price of a server that takes nothing new because its weights change. */
 const HELD_BACK_MS = 10_000;
+/** An answer that takes longer than this would hold up the change of its engine's weights. */
+const LONG_ANSWER_MS = 1500;
+/** Price of such an answer where weights change next; short ones keep the engine in use. */
+const LONG_ANSWER_PRICE_MS = 2000;
 /** Time that a plain call takes before anything is known: the sheets' 21 to 86 ms. */
 const PLAIN_CALL_MS = 60;
 
@@ -166,12 +170,15 @@
     (FIRST_TOKEN_MS + uncachedTokens / READ_TOKENS_PER_MS);
   const expectedMs = queueMs + ownMs + (copy?.copyMs ?? 0);
   const reread = Math.max(0, view.sharedTokens - held);
+  const outputMs = server.outputMs(prompt.outputTokens);
   const weights = weighReplaced(prompt, {
     version: weightsVersion,
     expectedMs,
-    outputMs: server.outputMs(prompt.outputTokens),
+    outputMs,
   });
-  const price = reread * REREAD_MS_PER_TOKEN + weights.priceMs;
+  const holdsUp = outputMs > LONG_ANSWER_MS && server.isChangingNext(nowMs);
+  const price = reread * REREAD_MS_PER_TOKEN + weights.priceMs +
+    (holdsUp ? LONG_ANSWER_PRICE_MS : 0);
   return {
     server,
     expectedMs,
--- a/src/router/choose_test.ts
+++ b/src/router/choose_test.ts
@@ -239,3 +239,20 @@
   assert.equal(chosenAt(50), 2);
   assert.equal(chosenAt(600), 3);
 });
+
+test("long answers avoid an engine whose weights change next, short ones don't", () => {
+  const servers = ["next", "later"].map((id) => testServer(id));
+  servers[0]!.changesNext(2000);
+  servers[1]!.begin(8000, false);
+  const chosen = (outputTokens: number) =>
+    choose(placement({ servers, prompt: prompt({ outputTokens }) }))?.server.id;
+  assert.equal(chosen(800), "later");
+  assert.equal(chosen(5), "next");
+});
+
+test("engine whose weights change next gets long answers if there is no other", () => {
+  const servers = [testServer("next")];
+  servers[0]!.changesNext(2000);
+  const long = prompt({ outputTokens: 800 });
+  assert.equal(choose(placement({ servers, prompt: long }))?.server.id, "next");
+});
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -21,6 +21,8 @@
   prompts: [string, string, number, [string, number][], Start][];
   /** Servers that are to get nothing new. */
   heldBack: string[];
+  /** Servers that come after them; left out by entries of earlier releases. */
+  changingNext?: string[];
   /** Servers that have just gone silent. */
   silent: string[];
   /** The store answers this entry, and has done so for a while; for those of earlier releases. */
@@ -56,6 +58,7 @@
     rowOf(isText, isText, isCount, listOf(rowOf(isText, isCount)), isStart),
   ),
   heldBack: listOf(isText),
+  changingNext: (value) => value === undefined || listOf(isText)(value),
   silent: listOf(isText),
   storeServes: (value) => typeof value === "boolean",
   storeServedMs: (value) => value === undefined || isCount(value),
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -70,6 +70,7 @@
   readonly #weights: Told["weights"] = [];
   readonly #silent: string[] = [];
   #heldBack: () => string[] = () => [];
+  #changingNext: () => string[] = () => [];
   #storeServedPeerAtMs = -Infinity;
   /** Entries that are registered or seeds, this one included; looked at with each datagram. */
   #knownCount = 1;
@@ -115,9 +116,13 @@
     return this.#storeServedPeerAtMs;
   }
 
-  /** @param heldBack Ids of servers that every entry is to spare. */
-  tellHeldBack(heldBack: () => string[]): void {
+  /**
+   * @param heldBack Ids of servers that every entry is to spare.
+   * @param changingNext Ids of those that come after them.
+   */
+  tellHeldBack(heldBack: () => string[], changingNext: () => string[]): void {
     this.#heldBack = heldBack;
+    this.#changingNext = changingNext;
   }
 
   /** @param placed A prompt that a server reads, or a store is given. */
@@ -231,6 +236,7 @@
       loads,
       prompts: this.#prompts.slice(0, MAX_PROMPTS),
       heldBack: this.#heldBack(),
+      changingNext: this.#changingNext(),
       storeServes: storeServedMs !== undefined,
       storeServedMs,
       weights: [...this.#weights],
@@ -291,10 +297,13 @@
       const cache = this.#options.cacheOf(id, start || undefined);
       cache?.use(chain, nowMs + readyInMs);
     }
-    // These two hold for a second, and for a probe: they may as well be about an earlier start.
+    // These hold for a second, and for a probe: they may as well be about an earlier start.
     for (const id of told.heldBack) {
       fleet.get(id)?.holdBack(nowMs + HELD_BACK_MS);
     }
+    for (const id of told.changingNext ?? []) {
+      fleet.get(id)?.changesNext(nowMs + HELD_BACK_MS);
+    }
     for (const id of told.silent) fleet.get(id)?.health.doubted(nowMs);
     if (told.storeServedMs !== undefined) {
       const servedAtMs = nowMs - told.storeServedMs;
--- a/src/router/roll_pace.ts
+++ b/src/router/roll_pace.ts
@@ -46,6 +46,14 @@
   return Math.max(LOADING_MIN, Math.floor(engineCount * LOADING_SHARE));
 }
 
+/**
+ * @param engineCount Engines of a service.
+ * @returns How many with runs get nothing new at once; the rest must carry the load.
+ */
+export function heldAtOnce(engineCount: number): number {
+  return Math.max(1, Math.round(engineCount * HELD_SHARE));
+}
+
 /**
  * @param input Engines, and for how long their weights have been replaced.
  * @returns Room for engines with runs up to a share of all, so that the rest carries the load; for
@@ -53,7 +61,7 @@
  */
 export function roomToChange(input: PaceInput): Room {
   const { engineCount, outCount, busyOutCount } = input;
-  const held = Math.max(1, Math.round(engineCount * HELD_SHARE));
+  const held = heldAtOnce(engineCount);
   const half = Math.floor(engineCount / 2);
   const most = Math.max(held, Math.min(loadsAtOnce(engineCount), half));
   return { busy: held - busyOutCount, all: most - outCount };
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -136,7 +136,10 @@
     });
     this.#ingress = this.#createIngress();
     this.#mirror.onChange((change) => this.#inForce.take(change));
-    this.#peers.tellHeldBack(() => this.#roll.heldBack());
+    this.#peers.tellHeldBack(
+      () => this.#roll.heldBack(),
+      () => this.#roll.changingNext(),
+    );
   }
 
   /**
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -68,6 +68,7 @@
   #connectionLimit: number;
   #copyMsPerToken: number;
   #heldBackUntilMs = -Infinity;
+  #changesNextUntilMs = -Infinity;
   #refusedUntilMs = -Infinity;
   #heardAtMs = -Infinity;
   /** Mean time and mean most tokens of an answer. */
@@ -194,6 +195,23 @@
     this.#heldBackUntilMs = untilMs;
   }
 
+  /**
+   * Its weights change after those of the engines that are held back now.
+   *
+   * @param untilMs Until when, unless said again.
+   */
+  changesNext(untilMs: number): void {
+    this.#changesNextUntilMs = untilMs;
+  }
+
+  /**
+   * @param nowMs The time.
+   * @returns Whether long answers should go elsewhere, so that its change need not wait for them.
+   */
+  isChangingNext(nowMs: number): boolean {
+    return nowMs < this.#changesNextUntilMs;
+  }
+
   /**
    * Sends it nothing new for a moment, because it refused a request.
    *
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -12,7 +12,13 @@
 import type { Fleet } from "./fleet.ts";
 import { OrderRecords, type OrderRecordsOptions } from "./order_records.ts";
 import { RollLease, type RollLeaseOptions } from "./roll_lease.ts";
-import { countLate, LOAD_MS, loadsAtOnce, roomToChange } from "./roll_pace.ts";
+import {
+  countLate,
+  heldAtOnce,
+  LOAD_MS,
+  loadsAtOnce,
+  roomToChange,
+} from "./roll_pace.ts";
 import type { Server } from "./server.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
@@ -57,6 +63,8 @@
   readonly #options: WeightsRollOptions;
   /** Engines that are to change, by id. */
   readonly #out = new Map<string, Chosen>();
+  /** Those that are to change next, by id. */
+  #next = new Set<string>();
   readonly #retryAtMs = new Map<string, number>();
   readonly #lease: RollLease;
   readonly #orders: EngineOrders;
@@ -89,6 +97,14 @@
     return [...this.#out.keys()];
   }
 
+  /**
+   * Ids of engines that change their weights next. Sent no more long answers, they are out of use
+   * for little more than a load: an order waits for the longest run.
+   */
+  changingNext(): string[] {
+    return [...this.#next];
+  }
+
   /** Whether this entry holds the lease. */
   get holdsLease(): boolean {
     return this.#lease.isHeld;
@@ -115,7 +131,10 @@
     while (!signal.aborted) {
       await clock.sleep(LOOK_MS, signal);
       if (this.#lease.isHeld) this.#look(signal);
-      else await this.#lease.tryToTake(signal);
+      else {
+        this.#next.clear();
+        await this.#lease.tryToTake(signal);
+      }
     }
     await this.#lease.giveUp();
   }
@@ -126,10 +145,35 @@
     // An engine that could not be ordered after all would be held back for nothing.
     if (!this.#lease.allowsOrdersFor(TOLD_MS + CALL_MS)) return;
     const spared = this.#records.orderedByOthers();
+    const next = new Set<string>();
     for (const service of this.#options.engineServices()) {
       for (const chosen of this.#chooseNext(service, { nowMs, spared })) {
         void this.#bring(chosen, signal);
       }
+      for (const server of this.#queueUp(service, nowMs)) next.add(server.id);
+    }
+    this.#next = next;
+    this.#spareNext(nowMs);
+  }
+
+  /** Engines that follow those that are out; who is among them stays until its turn. */
+  #queueUp(service: string, nowMs: number): Server[] {
+    const { fleet, wanted } = this.#options;
+    const servers = fleet.open(service);
+    const behind = servers.filter((server) =>
+      lacks(server, wanted.all()) && !this.#out.has(server.id) &&
+      !server.health.isDown
+    );
+    behind.sort((a, b) =>
+      Number(this.#next.has(b.id)) - Number(this.#next.has(a.id)) ||
+      this.#compare(a, b, { nowMs })
+    );
+    return behind.slice(0, heldAtOnce(servers.length));
+  }
+
+  #spareNext(nowMs: number): void {
+    for (const id of this.#next) {
+      this.#options.fleet.get(id)?.changesNext(nowMs + HOLD_MS);
     }
   }
 
--- a/src/router/weights_roll_test.ts
+++ b/src/router/weights_roll_test.ts
@@ -326,3 +326,31 @@
   // The lease of its former life, and one turn.
   assert.ok(timesMs[0]! < LEASE_MS + TURN_MS + 500);
 });
+
+// Engines with 8 to 25 runs when they were ordered were out of use for 3.1 to 5.9 s, of which a load
+// takes 1.8: long answers that they had been sent shortly before held up their orders.
+test("engines that change next are told, and stay so until they are taken out", async (t) => {
+  const world = await startRoll(t, { engineCount: 10 });
+  const { clock, engines, holder: { roll } } = world;
+  keepBusy(world.holder);
+  const waited = new Set<string>();
+  let before: string[] = [];
+  while (engines.some(({ version }) => version === 1)) {
+    await clock.advance(50);
+    const next = roll.changingNext();
+    const out = new Set(roll.heldBack());
+    assert.ok(next.length <= 2);
+    for (const id of next) {
+      waited.add(id);
+      assert.ok(!out.has(id));
+    }
+    // Whoever is told no more has been taken out, or has the weights.
+    for (const id of before.filter((id) => !next.includes(id))) {
+      const engine = engines.find((engine) => engine.id === id);
+      assert.ok(out.has(id) || engine?.version === 2);
+    }
+    before = next;
+  }
+  // All but the first ones, which are taken out at once.
+  assert.ok(waited.size >= 8);
+});
