Record in the store when weights were named, for entries that all start at once

Cause: an entry that starts finds the named version but not since when, and takes it for nearly too old; peers correct that, but after power loss of all entries nobody is left to tell. Change: the holder of the roll's lease writes one record for each naming, under the condition that it holds the lease; entries that did not hear the naming take the age from it, higher by what clocks may differ. Peers' own ages still go before it.

--- a/src/router/in_force.ts
+++ b/src/router/in_force.ts
@@ -14,10 +14,11 @@
   type Service,
   type WantedWeights,
 } from "./model.ts";
+import { NAMED_RECORD_KEY } from "./named_record.ts";
 import type { PromptStore } from "./prompt_store.ts";
 import { RoutingTable } from "./routing_table.ts";
 import type { ServerLimits } from "./server.ts";
-import type { WantedVersions } from "./wanted_weights.ts";
+import type { NamedAge, WantedVersions } from "./wanted_weights.ts";
 
 /** Part of an engine's memory that is expected to hold cached prompts. */
 const CACHE_SHARE = 0.8;
@@ -29,6 +30,8 @@
   wanted: WantedVersions;
   /** For how long what the store says now may have been so; 0: it has just changed. */
   maxAgeMs(): number;
+  /** Ages of named weights, as the store's record has them, for those whose naming was not heard. */
+  recordedAges(): NamedAge[];
   /** A newer configuration is in force. */
   onConfig(): void;
 }
@@ -79,6 +82,7 @@
       case "weights":
         return this.#want(fact.value.wanted);
       case "other":
+        if (key === NAMED_RECORD_KEY) this.#recallAges();
         return;
     }
   }
@@ -162,9 +166,15 @@
     const maxAgeMs = this.#options.maxAgeMs();
     if (!this.#options.wanted.name(wanted, { maxAgeMs })) return;
     const isFound = maxAgeMs > 0;
+    if (isFound) this.#recallAges();
     this.#options.log.info({ event: "weights_wanted", ...wanted, isFound });
   }
 
+  #recallAges(): void {
+    const { wanted, recordedAges } = this.#options;
+    for (const age of recordedAges()) wanted.recall(age);
+  }
+
   /** What a store holds outlives changes of the configuration. */
   #usePromptStores(services: Service[]): void {
     const tokenBytes = services.find(({ engine }) => engine)?.engine
--- a/src/router/in_force_test.ts
+++ b/src/router/in_force_test.ts
@@ -5,7 +5,8 @@
 import { type LogLine, recordedLog, TestClock, testFleet } from "./_kit.ts";
 import type { Fleet } from "./fleet.ts";
 import { InForce } from "./in_force.ts";
-import { WantedVersions } from "./wanted_weights.ts";
+import { NAMED_RECORD_KEY } from "./named_record.ts";
+import { type NamedAge, WantedVersions } from "./wanted_weights.ts";
 
 const SEED = 20_261_203;
 
@@ -23,6 +24,8 @@
   readonly fleet: Fleet;
   readonly wanted: WantedVersions;
   readonly inForce: InForce;
+  maxAgeMs = 0;
+  recordedAges: NamedAge[] = [];
   #revision = 0n;
 
   constructor() {
@@ -42,7 +45,8 @@
       log,
       fleet: this.fleet,
       wanted: this.wanted,
-      maxAgeMs: () => 0,
+      maxAgeMs: () => this.maxAgeMs,
+      recordedAges: () => this.recordedAges,
       onConfig: () => {},
     });
   }
@@ -143,3 +147,32 @@
     { seed: SEED, numRuns: 300 },
   );
 });
+
+test("versions that are found at a start have the ages of the record", () => {
+  // All entries lost power 1.1 s after a naming: engines on the weights before counted as too old
+  // for any request, and the few with the new ones got all of them.
+  for (const recordFirst of [true, false]) {
+    const rig = new Rig();
+    rig.maxAgeMs = Infinity;
+    const name = () => rig.put("op/version/m", { model: "m", version: 3 });
+    const recall = () => {
+      rig.recordedAges = [
+        { model: "m", version: 2, ageMs: 9000 },
+        { model: "m", version: 3, ageMs: 3600 },
+      ];
+      rig.put(NAMED_RECORD_KEY, {});
+    };
+    if (recordFirst) recall();
+    name();
+    if (!recordFirst) recall();
+    assert.equal(rig.wanted.replacedForMs("m", 2), 3600);
+    assert.equal(rig.wanted.replacedForMs("m", 1), 9000);
+  }
+});
+
+test("without a record what is found at a start counts as old", () => {
+  const rig = new Rig();
+  rig.maxAgeMs = Infinity;
+  rig.put("op/version/m", { model: "m", version: 3 });
+  assert.equal(rig.wanted.replacedForMs("m", 2), 7000);
+});
--- /dev/null
+++ b/src/router/named_record_test.ts
@@ -0,0 +1,59 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { openRollWorld } from "./_roll_kit.ts";
+import { NAMED_RECORD_KEY, readNamedAges } from "./named_record.ts";
+
+/** Clocks of instances may differ by this much. */
+const CLOCK_ERROR_MS = 2500;
+
+test("holder of the lease records when weights were named, once", async (t) => {
+  const { clock, store, wanted, hold } = openRollWorld(t, { engineCount: 2 });
+  hold("entry-1");
+  await clock.advance(1000);
+  wanted.name({ model: "m", version: 2 }, { maxAgeMs: 0 });
+  await clock.advance(400);
+  const record = store.table.get(NAMED_RECORD_KEY);
+  await clock.advance(3000);
+  assert.equal(
+    store.table.get(NAMED_RECORD_KEY)?.modRevision,
+    record?.modRevision,
+  );
+  const [age, ...others] = readNamedAges(record, clock.wallMs());
+  assert.deepEqual(others, []);
+  assert.equal(age?.version, 2);
+  assert.ok(Math.abs(age!.ageMs - 3400 - CLOCK_ERROR_MS) < 100);
+});
+
+test("successor keeps what was recorded before", async (t) => {
+  const { clock, store, wanted, hold } = openRollWorld(t, { engineCount: 2 });
+  const first = hold("entry-1");
+  await clock.advance(1000);
+  wanted.name({ model: "m", version: 2 }, { maxAgeMs: 0 });
+  await clock.advance(400);
+  first.kill();
+  await clock.advance(3000);
+  hold("entry-2");
+  await clock.advance(3000);
+  wanted.name({ model: "m", version: 3 }, { maxAgeMs: 0 });
+  await clock.advance(400);
+  const record = store.table.get(NAMED_RECORD_KEY);
+  const ages = readNamedAges(record, clock.wallMs());
+  assert.deepEqual(ages.map(({ version }) => version), [2, 3]);
+});
+
+test("record that another writer has spoilt, or of a clock that is off, tells nothing", () => {
+  const read = (text: string, wallMs: number) =>
+    readNamedAges({
+      key: NAMED_RECORD_KEY,
+      value: new TextEncoder().encode(text),
+      modRevision: 1n,
+      createRevision: 1n,
+    }, wallMs);
+  assert.deepEqual(readNamedAges(undefined, 0), []);
+  for (const text of ["", "[]", '{"rows":7}', '{"rows":[null,{"model":1}]}']) {
+    assert.deepEqual(read(text, 0), []);
+  }
+  const row = { model: "m", version: 2, atWallMs: 100_000 };
+  assert.equal(read(JSON.stringify({ rows: [row] }), 50_000).length, 0);
+  assert.equal(read(JSON.stringify({ rows: [row] }), 100_000).length, 1);
+});
--- a/src/router/roll_lease.ts
+++ b/src/router/roll_lease.ts
@@ -61,6 +61,11 @@
     return this.#mayOrder() ? this.#lease : undefined;
   }
 
+  /** The lease while this entry holds it, also before it may give orders. */
+  get held(): FencedLease | undefined {
+    return this.isHeld ? this.#lease : undefined;
+  }
+
   /** Whether this entry holds the lease. */
   get isHeld(): boolean {
     return this.#lease?.isHeldFor(0) ?? false;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -6,7 +6,7 @@
   Metrics,
   systemClock,
 } from "../base/mod.ts";
-import { PlatformStore, READINESS_PATH } from "../platform/mod.ts";
+import { type PlatformStore, READINESS_PATH } from "../platform/mod.ts";
 import { closeServer, serveControl, serveReadiness } from "./control.ts";
 import { Dispatcher } from "./dispatch.ts";
 import { PLATFORM_CALLS } from "./engine_orders.ts";
@@ -22,23 +22,14 @@
 import { RequestLog } from "./request_log.ts";
 import { probe } from "./probe.ts";
 import type { ServerOptions } from "./server.ts";
-import { type RouterSettings, textOf } from "./settings.ts";
+import type { RouterSettings } from "./settings.ts";
+import { createStore } from "./store_client.ts";
 import { WantedVersions } from "./wanted_weights.ts";
+import { NAMED_RECORD_KEY, readNamedAges } from "./named_record.ts";
 import { ORDER_RECORD_PREFIX } from "./order_records.ts";
 import { LAST_ROLL_KEY, ROLL_LEASE_KEY } from "./roll_lease.ts";
 import { WeightsRoll } from "./weights_roll.ts";
 
-/** The store answers in 4 ms; a connection that takes longer than this is a lost one. */
-const STORE_CONNECT_MS = 500;
-/** A call without an answer by then is taken as lost; calls of a slow store take 60 times 4 ms. */
-const STORE_CALL_MS = 900;
-/**
- * A watch is asked anew this often, in heartbeat intervals of servers: 1.6 s where they are 1.2 s.
- * So a connection that went silent is noticed within two of them, before a registration can lapse.
- */
-const WATCH_WAIT_INTERVALS = 1.3;
-/** An answer of a slow store takes 60 times 4 ms; a watch that takes longer is a silent one. */
-const WATCH_SLACK_MS = 400;
 /** Servers are a few ms away; a connection that takes longer is to a dead one. */
 const SERVER_CONNECT_MS = 300;
 /** Idle connections to servers are closed after this, unless the server names a shorter time. */
@@ -90,17 +81,7 @@
       clock: this.#clock,
       boundMs: options.settings.weightsBoundMs,
     });
-    this.#store = PlatformStore.create({
-      address: textOf(options.settings.storeAddress),
-      connectMs: STORE_CONNECT_MS,
-      callMs: STORE_CALL_MS,
-      watchWaitMs: Math.round(
-        WATCH_WAIT_INTERVALS * options.settings.heartbeatMs,
-      ),
-      watchSlackMs: WATCH_SLACK_MS,
-      onUnreadable: (item) =>
-        this.#log.error({ event: "store_item_unreadable", ...item }),
-    });
+    this.#store = createStore(options.settings, this.#log);
     this.#follower = StoreFollower.create({
       ...this.#parts(),
       heartbeatMs: options.settings.heartbeatMs,
@@ -111,6 +92,11 @@
       fleet: this.#fleet,
       wanted: this.#wanted,
       maxAgeMs: () => this.#follower.contact.maxAgeMs,
+      recordedAges: () =>
+        readNamedAges(
+          this.#mirror.entry(NAMED_RECORD_KEY),
+          this.#clock.wallMs(),
+        ),
       onConfig: () => this.#ingress.applyLimits(),
     });
     this.#relay = RelayReader.create({
@@ -247,6 +233,7 @@
         this.#mirror.entry(ROLL_LEASE_KEY) !== undefined,
       lastHolder: () => this.#mirror.entry(LAST_ROLL_KEY),
       orderRecords: () => this.#mirror.entries(ORDER_RECORD_PREFIX),
+      namedRecord: () => this.#mirror.entry(NAMED_RECORD_KEY),
       engineServices: () => this.#inForce.engineServices(),
       wanted: this.#wanted,
       onWeights: (server, model, version) =>
--- a/src/router/wanted_weights.ts
+++ b/src/router/wanted_weights.ts
@@ -122,6 +122,23 @@
     return isNewest;
   }
 
+  /**
+   * Takes in an age that was recorded, for a version whose naming nobody here has heard.
+   *
+   * @param age How long ago it was named, at most.
+   */
+  recall({ model, version, ageMs }: NamedAge): void {
+    const named = this.#named.get(model) ?? [];
+    const namedAtMs = this.#clock.nowMs() - ageMs;
+    const known = named.find((one) => one.version === version);
+    if (known?.isAssumed) {
+      known.namedAtMs = Math.max(known.namedAtMs, namedAtMs);
+    }
+    if (known || this.newest(model) < version) return;
+    named.push({ version, namedAtMs, isAssumed: true });
+    named.sort((a, b) => a.version - b.version);
+  }
+
   /**
    * @returns Ages for peers: those that this entry, or one that told it, has heard itself. Of the
    *   versions of a model that were named long ago only the newest is told: the others were
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -10,6 +10,7 @@
   lacks,
 } from "./engine_orders.ts";
 import type { Fleet } from "./fleet.ts";
+import { NamedRecord, type NamedRecordOptions } from "./named_record.ts";
 import { OrderRecords, type OrderRecordsOptions } from "./order_records.ts";
 import { RollLease, type RollLeaseOptions } from "./roll_lease.ts";
 import {
@@ -38,7 +39,7 @@
 
 /** What a {@link WeightsRoll} works with. */
 export interface WeightsRollOptions
-  extends RollLeaseOptions, OrderRecordsOptions {
+  extends RollLeaseOptions, OrderRecordsOptions, NamedRecordOptions {
   fleet: Fleet;
   calls: EngineCalls;
   /** Services whose servers are engines. */
@@ -69,6 +70,7 @@
   readonly #lease: RollLease;
   readonly #orders: EngineOrders;
   readonly #records: OrderRecords;
+  readonly #named: NamedRecord;
   /** Mean time from an order to the weights. */
   #loadMs = LOAD_MS;
 
@@ -76,6 +78,7 @@
     this.#options = options;
     this.#lease = RollLease.create(options);
     this.#records = OrderRecords.create(options);
+    this.#named = NamedRecord.create(options);
     this.#orders = EngineOrders.create({
       ...options,
       records: this.#records,
@@ -130,8 +133,11 @@
     const { clock } = this.#options;
     while (!signal.aborted) {
       await clock.sleep(LOOK_MS, signal);
-      if (this.#lease.isHeld) this.#look(signal);
-      else {
+      const { held } = this.#lease;
+      if (held) {
+        void this.#named.update(held);
+        this.#look(signal);
+      } else {
         this.#next.clear();
         await this.#lease.tryToTake(signal);
       }
