Tell other entries of servers that refuse connections or have left their address

Change: both are told with the next datagram, at once; a peer drops the former start of the server that is named, and connects to the one that refuses before it sends it anything more.

--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -23,8 +23,10 @@
   heldBack: string[];
   /** Servers that come after them; left out by entries of earlier releases. */
   changingNext?: string[];
-  /** Servers that have just gone silent. */
+  /** Servers that have just gone silent, or refuse connections. */
   silent: string[];
+  /** Servers whose address another one has, by id and start; left out by entries of earlier releases. */
+  gone?: [string, Start][];
   /** The store answers this entry, and has done so for a while; for those of earlier releases. */
   storeServes: boolean;
   /** Time since its last answer; left out if it doesn't, or by entries of earlier releases. */
@@ -60,6 +62,7 @@
   heldBack: listOf(isText),
   changingNext: (value) => value === undefined || listOf(isText)(value),
   silent: listOf(isText),
+  gone: (value) => value === undefined || listOf(rowOf(isText, isStart))(value),
   storeServes: (value) => typeof value === "boolean",
   storeServedMs: (value) => value === undefined || isCount(value),
   weights: listOf(rowOf(isText, isText, isCount, isStart)),
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -11,7 +11,7 @@
 import type { PlacedPrompt } from "./request.ts";
 import type { Fleet } from "./fleet.ts";
 import type { Knowledge } from "./mirror.ts";
-import { readTold, type Told } from "./peer_datagram.ts";
+import { readTold, type Start, type Told } from "./peer_datagram.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
 /** Pause between datagrams while something changes: a tenth of the time to a first token. */
@@ -69,6 +69,7 @@
   readonly #prompts: Told["prompts"] = [];
   readonly #weights: Told["weights"] = [];
   readonly #silent: string[] = [];
+  readonly #gone: [string, Start][] = [];
   #heldBack: () => string[] = () => [];
   #changingNext: () => string[] = () => [];
   #storeServedPeerAtMs = -Infinity;
@@ -136,11 +137,16 @@
     if (this.#prompts.length > MAX_QUEUED_PROMPTS) this.#prompts.shift();
   }
 
-  /** @param serverId A server that has gone silent. */
+  /** @param serverId A server that has gone silent, or refuses connections. */
   tellSilent(serverId: string): void {
     this.#silent.push(serverId);
   }
 
+  /** @param server A server whose address another one has. */
+  tellGone({ id, bornAtMs = 0 }: BackendServer): void {
+    this.#gone.push([id, bornAtMs]);
+  }
+
   /**
    * @param server A server.
    * @param model A model.
@@ -181,11 +187,17 @@
       storeServedMs: undefined,
       named: [],
     });
-    const orders = JSON.stringify([told.heldBack, told.silent, told.weights]);
+    const orders = JSON.stringify([
+      told.heldBack,
+      told.silent,
+      told.gone,
+      told.weights,
+    ]);
     if (!this.#isDue(told, news, orders)) return;
     this.#prompts.splice(0, told.prompts.length);
     this.#weights.splice(0, told.weights.length);
     this.#silent.splice(0, told.silent.length);
+    this.#gone.splice(0, told.gone?.length);
     this.#lastNews = news;
     this.#lastOrders = orders;
     this.#lastAtMs = this.#options.clock.nowMs();
@@ -241,6 +253,7 @@
       storeServedMs,
       weights: [...this.#weights],
       silent: [...this.#silent],
+      gone: [...this.#gone],
       named: wanted.ages().map(({ model, version, ageMs }) => [
         model,
         version,
@@ -305,6 +318,10 @@
       fleet.get(id)?.changesNext(nowMs + HELD_BACK_MS);
     }
     for (const id of told.silent) fleet.get(id)?.health.doubted(nowMs);
+    for (const [id, start] of told.gone ?? []) {
+      const server = fleet.get(id, start || undefined);
+      if (server) fleet.giveUp(server);
+    }
     if (told.storeServedMs !== undefined) {
       const servedAtMs = nowMs - told.storeServedMs;
       this.#storeServedPeerAtMs = Math.max(
--- a/src/router/peers_test.ts
+++ b/src/router/peers_test.ts
@@ -122,6 +122,19 @@
   assert.ok(!knows(world, '"heldBack":true'));
 });
 
+test("datagram whose fields of later releases are malformed changes nothing", async (t) => {
+  const world = await openWorld(t);
+  await world.worker("i-1");
+  const peer = await FakePeer.create(t, world);
+  for (const name of ["gone", "changingNext"]) {
+    for (const value of [null, {}, "x", [null], [[7]], ["i-1", 7]]) {
+      await peer.tell({ heldBack: ["i-1"], [name]: value });
+    }
+  }
+  await assertSound(world, peer);
+  assert.ok(!knows(world, '"heldBack":true'));
+});
+
 test("datagrams of any bytes change nothing", async (t) => {
   const world = await openWorld(t);
   await world.worker("i-1");
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -254,6 +254,7 @@
       entryCount: () => this.#peers.possibleCount,
       loadAgeMs: () => this.#peers.tellPauseMs,
       onSilent: (id) => this.#peers.tellSilent(id),
+      onGone: (server) => this.#peers.tellGone(server),
       onPrompt: (placed) => this.#peers.tellPrompt(placed),
     });
   }
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -15,7 +15,7 @@
 import type { CacheBook } from "./cache_book.ts";
 import type { Choice } from "./choose.ts";
 import type { Fleet } from "./fleet.ts";
-import { type AnswerFacts, RequestKind } from "./model.ts";
+import { type AnswerFacts, type BackendServer, RequestKind } from "./model.ts";
 import type { AnswerPasser } from "./pass_answer.ts";
 import type {
   AnswerSink,
@@ -39,8 +39,10 @@
   wanted: WantedVersions;
   /** Expected cache of a server, by id, or of a store, by address. */
   cacheOf(id: string): CacheBook | undefined;
-  /** A server has gone silent; other entries are told. */
+  /** A server has gone silent or refuses connections; other entries are told. */
   onSilent(serverId: string): void;
+  /** Another server has its address; other entries are told. */
+  onGone(server: BackendServer): void;
   /** A prompt was sent to a server or saved to a store; other entries are told. */
   onPrompt(placed: PlacedPrompt): void;
   /** Passes answers on. */
@@ -234,7 +236,10 @@
   #failed(send: Send, { kind, message }: ChannelFailure): SendEnd {
     const nowMs = this.#options.clock.nowMs();
     if (kind === "broken") return endBroken(send, message, nowMs);
-    send.choice.server.health.unreachable(nowMs);
+    const { health, id } = send.choice.server;
+    // Idle as it seems, it would get the next requests of every entry.
+    if (!health.isDown) this.#options.onSilent(id);
+    health.unreachable(nowMs);
     return { kind: "not_run", reason: message };
   }
 
@@ -243,6 +248,7 @@
     const nowMs = this.#options.clock.nowMs();
     if (facts.serverId !== undefined && facts.serverId !== server.id) {
       this.#options.fleet.giveUp(server);
+      this.#options.onGone(server.entry);
       return { kind: "not_run", reason: "wrong_server" };
     }
     const { prompt } = request.facts;
