Tell of refused connections only, not of other failures to connect

A connection that fails otherwise may show the entry's own link, or one connection too many; told to all, a live server would be left by every entry until each has connected to it again. Found by reading; not played apart.

--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -29,6 +29,8 @@
 const SAVE_MS = 60;
 /** A server whose weights are being changed refuses; it is left alone for this long. */
 const REFUSED_HOLD_MS = 250;
+/** Nothing listens at the server's address. */
+const REFUSED_CODE = "ECONNREFUSED";
 /** Lowest priority that engines know. */
 const ENGINE_PRIORITY_MAX = 9;
 /** What a {@link Sender} works with. */
@@ -237,8 +239,9 @@
     const nowMs = this.#options.clock.nowMs();
     if (kind === "broken") return endBroken(send, message, nowMs);
     const { health, id } = send.choice.server;
-    // Idle as it seems, it would get the next requests of every entry.
-    if (!health.isDown) this.#options.onSilent(id);
+    // Idle as it seems, it would get the next requests of every entry. Other failures may be those
+    // of this entry's own links, or of one connection too many.
+    if (message === REFUSED_CODE && !health.isDown) this.#options.onSilent(id);
     health.unreachable(nowMs);
     return { kind: "not_run", reason: message };
   }
