Count weights that were named while changes were gathered as old as the pause

Cause, found by reading: after a change all entries pause together, 0.6 s with 31 of them; a naming in that time was taken for new by all, and no peer had heard it sooner. Answers may begin on replaced weights up to 0.4 s before the bound, so some could have begun 0.2 s beyond it. Change: what is heard behind a pause counts as old as the pause; too high an age only has engines ordered sooner. Tests in this commit: they don't compile on the code before.

--- a/src/router/follower.ts
+++ b/src/router/follower.ts
@@ -39,6 +39,7 @@
   readonly contact: StoreContact;
   readonly #options: FollowerOptions;
   #retryMs = RETRY_MIN_MS;
+  #gatheredMs = 0;
   #needsList = true;
   /** When the last call was sent; a watch calls again once it is answered. */
   #calledAtMs = -Infinity;
@@ -56,6 +57,11 @@
     return new StoreFollower(options);
   }
 
+  /** For how long what is heard now may have waited, because changes were gathered. */
+  get gatheredMs(): number {
+    return this.#gatheredMs;
+  }
+
   /**
    * @param signal Ends the work.
    */
@@ -98,7 +104,8 @@
       this.contact.caughtUp();
       // The first answer of a watch costs the store little: it may fail at the next one again.
       if (++answers > 1) this.#retryMs = RETRY_MIN_MS;
-      if (hasChanged) await clock.sleep(gatherMs(), signal);
+      this.#gatheredMs = hasChanged ? gatherMs() : 0;
+      if (hasChanged) await clock.sleep(this.#gatheredMs, signal);
       hasChanged = false;
     }
     return undefined;
--- a/src/router/follower_test.ts
+++ b/src/router/follower_test.ts
@@ -80,6 +80,8 @@
   deletions: [string, boolean][];
   /** For how long each of them may have been so. */
   agesMs: number[];
+  /** For how long each of them may have waited for the next call. */
+  gatheredMs: number[];
   events: unknown[];
   pausesMs: number[];
 }
@@ -94,6 +96,7 @@
   const followed: Followed = {
     deletions: [],
     agesMs: [],
+    gatheredMs: [],
     events: [],
     pausesMs: [],
   };
@@ -118,6 +121,7 @@
     const mayHaveLapsed = follower.contact.outage !== undefined;
     followed.deletions.push([change.key, mayHaveLapsed]);
     followed.agesMs.push(follower.contact.maxAgeMs);
+    followed.gatheredMs.push(follower.gatheredMs);
   });
   await follower.run(stop.signal);
   followed.events = lines.map(({ event }) => event);
@@ -325,3 +329,14 @@
   const longestMs = gatherMs(360, HEARTBEAT_MS) + 1.3 * HEARTBEAT_MS;
   assert.ok(longestMs < 2 * HEARTBEAT_MS);
 });
+
+test("change behind a pause may have waited, one that ends a watch's wait has not", async () => {
+  const { gatheredMs } = await follow([
+    listed(KEYS, 1n),
+    watched(2n, "a"),
+    watched(3n, "b"),
+    watched(3n),
+    watched(4n, "c"),
+  ]);
+  assert.deepEqual(gatheredMs, [0, GATHER_MS, 0]);
+});
--- a/src/router/in_force.ts
+++ b/src/router/in_force.ts
@@ -30,6 +30,8 @@
   wanted: WantedVersions;
   /** For how long what the store says now may have been so; 0: it has just changed. */
   maxAgeMs(): number;
+  /** For how long what is heard now may have waited before the store was asked again. */
+  gatheredMs(): number;
   /** Ages of named weights, as the store's record has them, for those whose naming was not heard. */
   recordedAges(): NamedAge[];
   /** A newer configuration is in force. */
@@ -164,7 +166,8 @@
 
   #want(wanted: WantedWeights): void {
     const maxAgeMs = this.#options.maxAgeMs();
-    if (!this.#options.wanted.name(wanted, { maxAgeMs })) return;
+    const gatheredMs = this.#options.gatheredMs();
+    if (!this.#options.wanted.name(wanted, { maxAgeMs, gatheredMs })) return;
     const isFound = maxAgeMs > 0;
     if (isFound) this.#recallAges();
     this.#options.log.info({ event: "weights_wanted", ...wanted, isFound });
--- a/src/router/in_force_test.ts
+++ b/src/router/in_force_test.ts
@@ -25,6 +25,7 @@
   readonly wanted: WantedVersions;
   readonly inForce: InForce;
   maxAgeMs = 0;
+  gatheredMs = 0;
   recordedAges: NamedAge[] = [];
   #revision = 0n;
 
@@ -46,6 +47,7 @@
       fleet: this.fleet,
       wanted: this.wanted,
       maxAgeMs: () => this.maxAgeMs,
+      gatheredMs: () => this.gatheredMs,
       recordedAges: () => this.recordedAges,
       onConfig: () => {},
     });
@@ -176,3 +178,15 @@
   rig.put("op/version/m", { model: "m", version: 3 });
   assert.equal(rig.wanted.replacedForMs("m", 2), 7000);
 });
+
+test("weights that were named while changes were gathered are as old as the pause", () => {
+  // All entries pause together after a change: each would take a naming in that time for new, and
+  // begin answers on replaced weights for as much longer than their bound.
+  const rig = new Rig();
+  rig.gatheredMs = 600;
+  rig.put("op/version/m", { model: "m", version: 2 });
+  assert.equal(rig.wanted.replacedForMs("m", 1), 600);
+  assert.deepEqual(rig.wanted.ages(), [
+    { model: "m", version: 2, ageMs: 600 },
+  ]);
+});
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -92,6 +92,7 @@
       fleet: this.#fleet,
       wanted: this.#wanted,
       maxAgeMs: () => this.#follower.contact.maxAgeMs,
+      gatheredMs: () => this.#follower.gatheredMs,
       recordedAges: () =>
         readNamedAges(
           this.#mirror.entry(NAMED_RECORD_KEY),
--- a/src/router/wanted_weights.ts
+++ b/src/router/wanted_weights.ts
@@ -80,12 +80,13 @@
 
   /**
    * @param wanted A version that was named.
-   * @param options For how long it may have been named before it was heard of; 0: heard at once.
+   * @param options For how long it may have been named before it was heard of; 0: heard at once, or
+   *   after the pause in which changes are gathered.
    * @returns Whether it is newer than all before.
    */
   name(
     { model, version }: WantedWeights,
-    { maxAgeMs }: { maxAgeMs: number },
+    { maxAgeMs, gatheredMs = 0 }: { maxAgeMs: number; gatheredMs?: number },
   ): boolean {
     if (this.newest(model) >= version) return false;
     const nowMs = this.#clock.nowMs();
@@ -94,7 +95,8 @@
     const assumedMs = Math.min(maxAgeMs, Math.max(0, this.limits.staleFromMs));
     named.push({
       version,
-      namedAtMs: nowMs - assumedMs,
+      // Too high an age only has engines ordered sooner.
+      namedAtMs: nowMs - Math.max(assumedMs, gatheredMs),
       isAssumed: maxAgeMs > 0,
     });
     this.#named.set(model, named);
