Log a digest of the request for each attempt that was not answered

Attempts have ids of their own, so lines could not show whether the requests under which servers ended are one. The digest covers method, host, path, caller (the workspace) and body.

--- a/src/router/request_log.ts
+++ b/src/router/request_log.ts
@@ -1,5 +1,6 @@
 /** One log line for each request, bounded in number, and the metrics of requests. */
 import type { Clock, Logger, Metrics } from "../base/mod.ts";
+import { digestOf } from "./request_digest.ts";
 import type { Outcome, RoutedRequest, Served } from "./request.ts";
 import type { LocalAnswer } from "./ingress.ts";
 import type { RequestFacts } from "./model.ts";
@@ -59,6 +60,8 @@
     this.#log.info({
       event: "request",
       id: request.facts.requestId,
+      // The client's other attempts have other ids.
+      digest: outcome.kind === "answered" ? undefined : digestOf(request),
       route: route.name,
       service,
       workspace: request.workspace?.name,
