--- a/src/standin/platform_worker.ts
+++ b/src/standin/platform_worker.ts
@@ -273,12 +273,26 @@
       headers,
       body: request.body.toString(),
     });
+    if (request.url.pathname === this.faults.endOnTarget) {
+      return this.#endUnder(request);
+    }
     if (take(this.faults, "hang")) return;
     if (take(this.faults, "loseAnswer")) return void response.destroy();
     if (this.#options.model === undefined) this.#answer(request);
     else this.#stream(request);
   }
 
+  /** Its process ends once the head of the answer is out, and all else that it runs with it. */
+  #endUnder({ headers, response }: HostRequest): void {
+    response.writeHead(200, {
+      "content-type": "text/event-stream",
+      "server-seal": `seal-${this.id}`,
+      "attempt-id": String(headers["attempt-id"]),
+    });
+    response.flushHeaders();
+    setImmediate(() => void this.down());
+  }
+
   #answer({ headers, response }: HostRequest): void {
     const isFailure = take(this.faults, "fail");
     const id = take(this.faults, "foreign")
--- a/src/standin/platform_worker_options.ts
+++ b/src/standin/platform_worker_options.ts
@@ -43,6 +43,8 @@
   refuseWeights: number;
   /** Orders that are refused, as if another were being carried out. */
   refuseOrder: number;
+  /** Path of a request that ends the server as soon as it runs. */
+  endOnTarget: string | undefined;
 }
 
 /** Settings unless said otherwise. */
@@ -68,12 +70,13 @@
   moveFull: 0,
   refuseWeights: 0,
   refuseOrder: 0,
+  endOnTarget: undefined,
 };
 
 /** Faults that are counted down. */
 type CountedFault = Exclude<
   keyof StandinPlatformWorkerFaults,
-  "cutAfterEvents"
+  "cutAfterEvents" | "endOnTarget"
 >;
 
 /**
