Quarantine requests under which backend servers end

Cause: each attempt is a new request to each entry. Nothing recognised one that came again, so what an entry could learn from a lost connection ended with that attempt. The class: a fact that one process learns and the fleet must not forget.

Change: requests are known by a digest of method, host, path, workspace and body. A connection that is lost counts only if its server has ended (its port is closed, or it left the store unannounced). Entries tell each other of such ends by datagrams, three times each and, for serious ones, again and again, at a rate that does not grow with their number; two ends and more are kept in the store. At three ends the request is refused as not run, with the time until it is run again. What merely ran beside it is not condemned: an end counts for the request that explains it best, output for a second, a good answer or a planned leaving of the server count against suspicion. Looked at before each send, so that it holds for resends and resumed streams; suspects are not moved.

Table, told and stored rows, probes and calls are bounded.

--- a/src/router/_kit.ts
+++ b/src/router/_kit.ts
@@ -87,6 +87,7 @@
     serverOptions: () => SERVER_OPTIONS,
     outage: () => undefined,
     awaitsReturns: () => false,
+    onLeft: () => {},
     ...options,
   });
 }
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -9,12 +9,19 @@
 } from "./request.ts";
 import type { LoadTicket, Server } from "./server.ts";
 
+/** How an answer was lost, where that may mean that its server has ended. */
+export type Loss =
+  /** Its connection broke. */
+  | "broken"
+  /** Nothing came in time. */
+  | "late";
+
 /** How one send ended. */
 export type SendEnd =
   | { kind: "done"; outcome: Outcome }
   | { kind: "not_run"; reason: string }
   /** It may have run. */
-  | { kind: "unknown"; reason: string }
+  | { kind: "unknown"; reason: string; loss?: Loss }
   /** Its run has stopped and goes on at another server, from a copy of its memory. */
   | { kind: "moved"; choice: Choice };
 
@@ -37,6 +44,10 @@
   lastEventId: string | undefined;
   ttftMs?: number;
   expectedMs?: number;
+  /** Servers that have ended under the request, in this attempt and earlier ones. */
+  endedServers?: number;
+  /** Time until the request is run again, where it is in quarantine. */
+  quarantinedForMs?: number;
   /** Weights at the last choice. */
   weights?: ChosenWeights;
 }
@@ -59,6 +70,10 @@
   exchange: Exchange;
   ticket: LoadTicket;
   sentAtMs: number;
+  /** The server has begun to answer. */
+  hasHead?: boolean;
+  /** When the server's first event came. */
+  runsFromMs?: number;
   /** Set once its run was to be moved. */
   move?: RunMove;
 }
@@ -81,7 +96,7 @@
   exchange.abort();
   choice.server.health.failed(nowMs);
   return wasSent
-    ? { kind: "unknown", reason: "no_answer" }
+    ? { kind: "unknown", reason: "no_answer", loss: "late" }
     : { kind: "not_run", reason: "no_connection" };
 }
 
@@ -104,6 +119,6 @@
     case "not_moved":
     case undefined:
       choice.server.health.failed(nowMs);
-      return { kind: "unknown", reason };
+      return { kind: "unknown", reason, loss: "broken" };
   }
 }
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -32,6 +32,8 @@
 
 /** Reason of refusals for want of time. */
 const TOO_LATE = "too_late";
+/** Reason of refusals of requests under which servers have ended. */
+const QUARANTINED = "quarantined";
 
 /** What a {@link Dispatcher} works with. */
 export interface DispatcherOptions extends Omit<SenderOptions, "passer"> {
@@ -100,8 +102,8 @@
     };
     const outcome = await this.#serve(request, sink, { progress });
     this.#budget.refund(request.service, progress.reservedSends);
-    const { servers, ttftMs, expectedMs, weights } = progress;
-    return { outcome, servers, ttftMs, expectedMs, weights };
+    const { servers, ttftMs, expectedMs, weights, endedServers } = progress;
+    return { outcome, servers, ttftMs, expectedMs, weights, endedServers };
   }
 
   async #serve(
@@ -112,6 +114,10 @@
     let reason = "no_server";
     let movedTo: Choice | undefined;
     while (!sink.gone) {
+      if (this.#isQuarantined(request, progress)) {
+        reason = QUARANTINED;
+        break;
+      }
       const choice = movedTo ?? this.#choose(request, progress);
       if (!choice) break;
       movedTo = undefined;
@@ -142,6 +148,22 @@
     return this.#giveUp(request, sink, { progress, reason });
   }
 
+  /** Looked at before each send: servers may have ended under this very attempt. */
+  #isQuarantined(request: RoutedRequest, progress: Progress): boolean {
+    const verdict = this.#options.quarantine.verdict(request);
+    switch (verdict.kind) {
+      case "clear":
+        return false;
+      case "suspected":
+        progress.endedServers = verdict.endCount;
+        return false;
+      case "quarantined":
+        progress.endedServers = verdict.endCount;
+        progress.quarantinedForMs = verdict.leftMs;
+        return true;
+    }
+  }
+
   #isWorthSending(
     { route, answerByMs }: RoutedRequest,
     choice: Choice,
@@ -247,6 +269,7 @@
     sink: AnswerSink,
     { progress, reason }: { progress: Progress; reason: string },
   ): Outcome {
+    if (reason === QUARANTINED) this.#options.quarantine.refused(request);
     if (progress.begun) {
       sink.breakOff();
       return { kind: "broken_off", reason };
@@ -255,9 +278,10 @@
     const leftMs = request.answerByMs - this.#options.clock.nowMs();
     if (progress.runs === 0) {
       const { random } = this.#options;
-      const pauseMs = reason === TOO_LATE
-        ? comeBackMs(leftMs, random)
-        : retryAfterMs(leftMs, random);
+      const pauseMs = progress.quarantinedForMs ??
+        (reason === TOO_LATE
+          ? comeBackMs(leftMs, random)
+          : retryAfterMs(leftMs, random));
       const headers = [...echo, ...retryHeaders(pauseMs)];
       sink.send(503, headers, Buffer.alloc(0));
       return { kind: "refused", reason };
--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -59,6 +59,8 @@
   no_server: "no server of the service takes requests",
   not_ready: "the entry knew no configuration yet",
   other_weights: "the server had other weights by then",
+  quarantined:
+    "three servers or more had ended under it, so it is not run for a while",
   run_stopped: "the run was stopped to be moved, and could not be copied",
   stopping: "the entry was stopping",
   too_large: "the body was above the configured bound",
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -14,6 +14,8 @@
   outage(): Outage | undefined;
   /** Whether registrations that lapsed in an outage may still be written again. */
   awaitsReturns(): boolean;
+  /** A server is gone, or has started again. */
+  onLeft(server: Server): void;
 }
 
 /** All backend servers. */
@@ -87,6 +89,7 @@
     // Nothing that was learned of the earlier start holds for the new one. Requests under way at the
     // earlier one end by themselves.
     known?.channels.closeIdle();
+    if (known) this.#options.onLeft(known);
     const options = this.#options.serverOptions(entry.service);
     this.#servers.set(entry.id, Server.create(entry, options));
     const { id: server, service, address, draining, bornAtMs } = entry;
@@ -125,6 +128,7 @@
     this.#servers.delete(id);
     this.#missing.delete(id);
     server.channels.closeIdle();
+    this.#options.onLeft(server);
     this.#options.log.info({ event: "server_left", server: id, reason });
   }
 
--- a/src/router/in_force.ts
+++ b/src/router/in_force.ts
@@ -17,6 +17,7 @@
 import { NAMED_RECORD_KEY } from "./named_record.ts";
 import type { PromptStore } from "./prompt_store.ts";
 import { RoutingTable } from "./routing_table.ts";
+import { SUSPECT_RECORD_KEY } from "./suspect_record.ts";
 import type { ServerLimits } from "./server.ts";
 import type { NamedAge, WantedVersions } from "./wanted_weights.ts";
 
@@ -34,6 +35,8 @@
   gatheredMs(): number;
   /** Ages of named weights, as the store's record has them, for those whose naming was not heard. */
   recordedAges(): NamedAge[];
+  /** The store's record of suspected requests is new. */
+  onSuspects(): void;
   /** A newer configuration is in force. */
   onConfig(): void;
 }
@@ -85,6 +88,7 @@
         return this.#want(fact.value.wanted);
       case "other":
         if (key === NAMED_RECORD_KEY) this.#recallAges();
+        if (key === SUSPECT_RECORD_KEY) this.#options.onSuspects();
         return;
     }
   }
--- a/src/router/in_force_test.ts
+++ b/src/router/in_force_test.ts
@@ -49,6 +49,7 @@
       maxAgeMs: () => this.maxAgeMs,
       gatheredMs: () => this.gatheredMs,
       recordedAges: () => this.recordedAges,
+      onSuspects: () => {},
       onConfig: () => {},
     });
   }
--- a/src/router/pass_answer.ts
+++ b/src/router/pass_answer.ts
@@ -123,6 +123,7 @@
       }
       if (step.kind === "end") break;
       if (step.kind !== "data") continue;
+      send.runsFromMs ??= clock.nowMs();
       const events = splitter.push(step.bytes);
       if (events.bytes.length === 0) continue;
       if (!follows(events.ids, progress.lastEventId)) {
@@ -134,7 +135,7 @@
       await sink.write(events.bytes);
     }
     if (splitter.rest.length > 0) {
-      return { kind: "unknown", reason: "cut_event" };
+      return { kind: "unknown", reason: "cut_event", loss: "broken" };
     }
     this.#begin(send, head);
     const tookMs = clock.nowMs() - startMs;
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -7,6 +7,12 @@
  */
 export type Start = number;
 
+/** A request, a server's start that ended under it, whether it had begun there (1 or 0), age in ms. */
+export type EndedUnder = [string, string, number, number];
+
+/** A request that was answered well, and how long ago in ms. */
+export type Cleared = [string, number];
+
 /** One datagram. */
 export interface Told {
   name: string;
@@ -27,6 +33,10 @@
   silent: string[];
   /** Servers whose address another one has, by id and start; left out by entries of earlier releases. */
   gone?: [string, Start][];
+  /** Servers that ended under requests; left out by entries of earlier releases. */
+  ended?: EndedUnder[];
+  /** Suspected requests that were answered well; left out by entries of earlier releases. */
+  cleared?: Cleared[];
   /** The store answers this entry, and has done so for a while; for those of earlier releases. */
   storeServes: boolean;
   /** Time since its last answer; left out if it doesn't, or by entries of earlier releases. */
@@ -63,6 +73,11 @@
   changingNext: (value) => value === undefined || listOf(isText)(value),
   silent: listOf(isText),
   gone: (value) => value === undefined || listOf(rowOf(isText, isStart))(value),
+  ended: (value) =>
+    value === undefined ||
+    listOf(rowOf(isText, isText, isCount, isCount))(value),
+  cleared: (value) =>
+    value === undefined || listOf(rowOf(isText, isCount))(value),
   storeServes: (value) => typeof value === "boolean",
   storeServedMs: (value) => value === undefined || isCount(value),
   weights: listOf(rowOf(isText, isText, isCount, isStart)),
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -12,18 +12,10 @@
 import type { Fleet } from "./fleet.ts";
 import type { Knowledge } from "./mirror.ts";
 import { readTold, type Start, type Told } from "./peer_datagram.ts";
+import type { Quarantine } from "./quarantine.ts";
+import { TELL_MS, tellPauseMs } from "./tell_pace.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
-/** Pause between datagrams while something changes: a tenth of the time to a first token. */
-const TELL_MS = 50;
-/**
- * Loads and prompts are told less often the more entries there are, so that up to 75 of them hear at
- * most 125 datagrams a second each. Told every 50 ms, 68 entries took 235.8 s of processor time in
- * their first 22 s, and so 154.1 s.
- */
-const TELL_MS_PER_ENTRY = 8;
-/** Within the time for which a load is believed, with room for a lost datagram; the limit beyond 75. */
-const TELL_MOST_MS = 600;
 /** An entry that holds servers back says so this often, so that one lost datagram ends nothing. */
 const TELL_HELD_MS = 200;
 /** Longest pause between datagrams. */
@@ -57,6 +49,8 @@
   storeServedMs(): number | undefined;
   /** Ages of named weights, which entries tell each other. */
   wanted: WantedVersions;
+  /** Requests under which servers ended. */
+  quarantine: Pick<Quarantine, "hasNews" | "takeNews" | "hear">;
   /** A peer told of its own knowledge. */
   onKnowledge(ipAddress: string, knowledge: Knowledge): void;
 }
@@ -193,7 +187,8 @@
       told.gone,
       told.weights,
     ]);
-    if (!this.#isDue(told, news, orders)) return;
+    const { quarantine } = this.#options;
+    if (!quarantine.hasNews && !this.#isDue(told, news, orders)) return;
     this.#prompts.splice(0, told.prompts.length);
     this.#weights.splice(0, told.weights.length);
     this.#silent.splice(0, told.silent.length);
@@ -201,7 +196,8 @@
     this.#lastNews = news;
     this.#lastOrders = orders;
     this.#lastAtMs = this.#options.clock.nowMs();
-    const bytes = Buffer.from(JSON.stringify(told));
+    const all: Told = { ...told, ...quarantine.takeNews() };
+    const bytes = Buffer.from(JSON.stringify(all));
     for (const address of this.#addresses()) {
       this.#socket.send(bytes, this.#options.port, address, (error) => {
         if (error) this.#sendFailed(error);
@@ -332,18 +328,11 @@
     for (const [id, model, version, start] of told.weights) {
       fleet.get(id, start || undefined)?.learnWeights(model, version);
     }
+    const { ended = [], cleared = [] } = told;
+    this.#options.quarantine.hear({ ended, cleared });
     for (const [model, version, ageMs] of told.named) {
       if (!wanted.tell({ model, version, ageMs })) continue;
       log.info({ event: "weights_wanted", model, version, peer: told.name });
     }
   }
 }
-
-/**
- * @param entryCount Entries that live.
- * @returns Pause between an entry's datagrams while loads and prompts change.
- */
-export function tellPauseMs(entryCount: number): number {
-  const pauseMs = entryCount * TELL_MS_PER_ENTRY;
-  return Math.min(TELL_MOST_MS, Math.max(TELL_MS, pauseMs));
-}
--- a/src/router/peers_test.ts
+++ b/src/router/peers_test.ts
@@ -7,7 +7,7 @@
 import { ask } from "../standin/mod.ts";
 import { knows, openWorld, until, type World } from "./_world.ts";
 import { silentLog, TestClock } from "./_kit.ts";
-import { tellPauseMs } from "./peers.ts";
+import { tellPauseMs } from "./tell_pace.ts";
 import { StoreMirror } from "./mirror.ts";
 import { ENTRIES_PREFIX, Registration } from "./registration.ts";
 
--- a/src/router/probe.ts
+++ b/src/router/probe.ts
@@ -1,4 +1,4 @@
-/** Finds out whether a server that was down can be connected to again. */
+/** Finds out whether a server can be connected to. */
 import { connect } from "node:net";
 import type { Clock } from "../base/mod.ts";
 import type { Server } from "./server.ts";
@@ -6,6 +6,14 @@
 /** Servers are a few ms away. */
 const CONNECT_MS = 300;
 
+/** What became of an attempt to connect. */
+export type Connected =
+  | "reached"
+  /** Nothing listens there. */
+  | "refused"
+  /** No answer, which a link may cause as well. */
+  | "unclear";
+
 /**
  * Opens a connection and closes it. Without one, the server stays down and is probed later; a
  * request that may run once only is too dear to find out with.
@@ -17,23 +25,33 @@
 export async function probe(server: Server, clock: Clock): Promise<boolean> {
   // The next probe is due later, whatever becomes of this one.
   server.health.unreachable(clock.nowMs());
-  const isReached = await canConnect(server.entry.address);
+  const isReached = await connectTo(server.entry.address) === "reached";
   if (isReached) server.health.reached();
   return isReached;
 }
 
-function canConnect(address: string): Promise<boolean> {
+/**
+ * Opens a connection and closes it.
+ *
+ * @param address `ip:port`.
+ * @returns What became of it.
+ */
+export function connectTo(address: string): Promise<Connected> {
   const at = address.lastIndexOf(":");
   const host = address.slice(0, at);
   const port = Number(address.slice(at + 1));
   return new Promise((resolve) => {
     const socket = connect({ host, port, timeout: CONNECT_MS });
-    const settle = (isReached: boolean) => {
+    const settle = (outcome: Connected) => {
       socket.destroy();
-      resolve(isReached);
+      resolve(outcome);
     };
-    socket.once("connect", () => settle(true));
-    socket.once("timeout", () => settle(false));
-    socket.once("error", () => settle(false));
+    socket.once("connect", () => settle("reached"));
+    socket.once("timeout", () => settle("unclear"));
+    socket.once(
+      "error",
+      ({ code }: NodeJS.ErrnoException) =>
+        settle(code === "ECONNREFUSED" ? "refused" : "unclear"),
+    );
   });
 }
--- /dev/null
+++ b/src/router/quarantine_test.ts
@@ -0,0 +1,110 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Metrics } from "../base/mod.ts";
+import { ask, PROMPT } from "../standin/mod.ts";
+import { recordedLog, silentLog, TestClock } from "./_kit.ts";
+import { knows, openWorld, until } from "./_world.ts";
+import { Quarantine } from "./quarantine.ts";
+
+/** Longer than a lost connection is looked into. */
+const LOOK_MS = 400;
+
+function create(clock = new TestClock(), log = silentLog) {
+  const metrics = Metrics.create();
+  return Quarantine.create({ clock, log, metrics, entryCount: () => 4 });
+}
+
+function learnEnds(quarantine: Quarantine, clock: TestClock, count: number) {
+  for (let i = 0; i < count; i++) {
+    const atMs = clock.nowMs();
+    quarantine.learn("cause", { server: `s${i}/0`, begun: true, atMs });
+  }
+}
+
+test("what one entry knows well reaches one that starts later", () => {
+  const clock = new TestClock();
+  const knowing = create(clock);
+  learnEnds(knowing, clock, 3);
+  const young = create(clock);
+  clock.advance(2000);
+  assert.ok(knowing.hasNews);
+  young.hear(knowing.takeNews());
+  assert.equal(young.table.verdict("cause").kind, "quarantined");
+  assert.ok(!knowing.hasNews);
+});
+
+test("nothing is told again of requests at which one server ended", () => {
+  const clock = new TestClock();
+  const knowing = create(clock);
+  learnEnds(knowing, clock, 1);
+  clock.advance(60_000);
+  assert.ok(!knowing.hasNews);
+});
+
+test("age of an end survives being told", () => {
+  const clock = new TestClock();
+  const [first, second] = [create(clock), create(clock)];
+  learnEnds(first, clock, 3);
+  const before = first.table.verdict("cause");
+  clock.advance(5000);
+  second.hear(first.takeNews());
+  const after = second.table.verdict("cause");
+  assert.ok(before.kind === "quarantined" && after.kind === "quarantined");
+  assert.equal(after.leftMs, before.leftMs - 5000);
+});
+
+test("good answer that is told releases a request everywhere", () => {
+  const clock = new TestClock();
+  const quarantine = create(clock);
+  learnEnds(quarantine, clock, 3);
+  quarantine.hear({ ended: [], cleared: [["cause", 0]] });
+  assert.equal(quarantine.table.verdict("cause").kind, "clear");
+});
+
+test("quarantine is logged once", () => {
+  const clock = new TestClock();
+  const { log, lines } = recordedLog();
+  learnEnds(create(clock, log), clock, 5);
+  const logged = lines.filter(({ event }) => event === "request_quarantined");
+  assert.equal(logged.length, 1);
+});
+
+test("request whose answers were lost at servers that live is still served", async (t) => {
+  const world = await openWorld(t);
+  for (let i = 0; i < 4; i++) {
+    const worker = await world.worker(`i-${i}`);
+    worker.faults.loseAnswer = 1;
+  }
+  const statuses: number[] = [];
+  for (let i = 0; i < 12; i++) {
+    statuses.push((await ask(world, "/book/a")).status);
+    await sleep(LOOK_MS / 4);
+  }
+  assert.equal(statuses.at(-1), 200);
+  assert.ok(!statuses.includes(503));
+});
+
+test("request at servers that end as planned is still served", async (t) => {
+  const world = await openWorld(t);
+  for (let i = 0; i < 4; i++) {
+    const worker = await world.worker(`i-${i}`, {
+      model: "m",
+      events: 1000,
+      eventMs: 20,
+    });
+    const asked = ask(world, "/once/long", { ...PROMPT });
+    await until(() => worker.runs.length > 0);
+    await world.store.put(`servers/i-${i}`, {
+      ...worker.entry("engines"),
+      state: "draining",
+    });
+    await until(() => knows(world, '"draining":true'));
+    await worker.down();
+    await asked;
+    await world.store.delete(`servers/i-${i}`);
+    await until(() => !knows(world, `"i-${i}"`));
+  }
+  await world.engine("i-5");
+  assert.equal((await ask(world, "/once/long", PROMPT)).status, 200);
+});
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -51,6 +51,8 @@
   ttftMs?: number;
   /** Expected at the last choice. */
   expectedMs?: number;
+  /** Servers that had ended under the request before its last send; left out: none is known. */
+  endedServers?: number;
   /** Weights at the last choice; left out for plain calls. */
   weights?: ChosenWeights;
 }
--- a/src/router/request_log.ts
+++ b/src/router/request_log.ts
@@ -71,6 +71,7 @@
       expectedMs: round(served.expectedMs),
       tookMs: round(this.#clock.nowMs() - request.arrivedAtMs),
       timeMs: round(request.answerByMs - request.arrivedAtMs),
+      endedServers: served.endedServers,
       promptTokens: request.facts.prompt?.promptTokens,
       weightsVersion: served.weights?.version,
       // Left out while the weights are the newest known.
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -17,13 +17,15 @@
 import { StoreMirror } from "./mirror.ts";
 import { Learner } from "./lessons.ts";
 import { Peers } from "./peers.ts";
+import { Quarantine } from "./quarantine.ts";
 import { Registration } from "./registration.ts";
 import { relayAnswer, RelayReader } from "./relay.ts";
 import { RequestLog } from "./request_log.ts";
-import { probe } from "./probe.ts";
 import type { ServerOptions } from "./server.ts";
 import type { RouterSettings } from "./settings.ts";
+import { sweepServers } from "./sweep.ts";
 import { createStore } from "./store_client.ts";
+import { SUSPECT_RECORD_KEY, SuspectRecord } from "./suspect_record.ts";
 import { WantedVersions } from "./wanted_weights.ts";
 import { NAMED_RECORD_KEY, readNamedAges } from "./named_record.ts";
 import { ORDER_RECORD_PREFIX } from "./order_records.ts";
@@ -34,8 +36,6 @@
 const SERVER_CONNECT_MS = 300;
 /** Idle connections to servers are closed after this, unless the server names a shorter time. */
 const SERVER_IDLE_MS = 4000;
-/** Pause between looks at registrations that lapsed and servers that are down. */
-const SWEEP_MS = 100;
 /** Left of the grace time, for the process's own end. */
 const EXIT_MARGIN_MS = 700;
 
@@ -59,6 +59,8 @@
   readonly #mirror: StoreMirror;
   readonly #store: PlatformStore;
   readonly #follower: StoreFollower;
+  readonly #quarantine: Quarantine;
+  readonly #suspectRecord: SuspectRecord;
   readonly #fleet: Fleet;
   readonly #peers: Peers;
   readonly #relay: RelayReader;
@@ -86,6 +88,18 @@
       ...this.#parts(),
       heartbeatMs: options.settings.heartbeatMs,
     });
+    this.#quarantine = Quarantine.create({
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      entryCount: () => this.#peers.count,
+    });
+    this.#suspectRecord = SuspectRecord.create({
+      ...this.#parts(),
+      quarantine: this.#quarantine,
+      record: () => this.#mirror.entry(SUSPECT_RECORD_KEY),
+      isStoreServing: () => this.#follower.contact.connected,
+    });
     this.#fleet = this.#createFleet();
     this.#inForce = InForce.create({
       log: this.#log,
@@ -98,6 +112,7 @@
           this.#mirror.entry(NAMED_RECORD_KEY),
           this.#clock.wallMs(),
         ),
+      onSuspects: () => this.#suspectRecord.recall(),
       onConfig: () => this.#ingress.applyLimits(),
     });
     this.#relay = RelayReader.create({
@@ -172,6 +187,7 @@
       holdsRollLease: this.#roll.holdsLease,
       active: this.#ingress.active,
       wanted: this.#wanted.all(),
+      suspects: this.#quarantine.state(),
       servers: [...this.#fleet.all()].map((server) => server.state(nowMs)),
     };
   }
@@ -195,6 +211,7 @@
         this.#isOutageOwn ? undefined : this.#follower.contact.outage,
       awaitsReturns: () =>
         !this.#isOutageOwn && this.#follower.contact.awaitsReturns,
+      onLeft: (server) => this.#quarantine.left(server),
     });
   }
 
@@ -209,6 +226,7 @@
       cacheOf: (id, bornAtMs) => this.#inForce.cacheOf(id, bornAtMs),
       storeServedMs: () => this.#follower.contact.servedMs,
       wanted: this.#wanted,
+      quarantine: this.#quarantine,
       knownAddresses: () => [
         ...seedAddresses.map((seed) => seed.ipAddress),
         ...this.#registration.ipAddresses(),
@@ -246,6 +264,7 @@
     return Dispatcher.create({
       ...this.#parts(),
       fleet: this.#fleet,
+      quarantine: this.#quarantine,
       zone: this.#settings.zone,
       choice: this.#settings.choice,
       resendLimits: this.#settings.resendLimits,
@@ -285,7 +304,8 @@
     });
     lifecycle.own({ name: "control", close: () => closeServer(control) });
     const readiness = await serveReadiness(readinessAddress, READINESS_PATH, {
-      isReady: () => this.#isReady(),
+      isReady: () =>
+        this.#inForce.table !== undefined && !this.#ingress.draining,
     });
     lifecycle.own({ name: "readiness", close: () => closeServer(readiness) });
     lifecycle.own({ name: "fleet", close: () => this.#fleet.close() });
@@ -296,7 +316,13 @@
     lifecycle.task("seeds", (signal) => this.#askSeeds(signal));
     lifecycle.task("registration", (signal) => this.#registration.run(signal));
     lifecycle.task("roll", (signal) => this.#roll.run(signal));
-    lifecycle.task("sweep", (signal) => this.#sweep(signal));
+    lifecycle.task("suspects", (signal) => this.#suspectRecord.run(signal));
+    const swept = {
+      clock: this.#clock,
+      contact: this.#follower.contact,
+      fleet: this.#fleet,
+    };
+    lifecycle.task("sweep", (signal) => sweepServers(swept, signal));
     this.#log.info({ event: "listening", zone: settings.zone });
   }
 
@@ -306,10 +332,6 @@
     return contact.isServedElsewhere(this.#peers.storeServedPeerAtMs);
   }
 
-  #isReady(): boolean {
-    return this.#inForce.table !== undefined && !this.#ingress.draining;
-  }
-
   #askSeeds(signal: AbortSignal): Promise<void> {
     const { seedAddresses, ipAddress } = this.#settings;
     const others = seedAddresses.map((seed) => seed.ipAddress)
@@ -317,18 +339,6 @@
     return this.#relay.askUntilKnown(others, signal);
   }
 
-  async #sweep(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await this.#clock.sleep(SWEEP_MS, signal);
-      this.#follower.contact.tick();
-      this.#fleet.sweep();
-      for (const server of this.#fleet.all()) {
-        if (!server.health.isProbeDue(this.#clock.nowMs())) continue;
-        void probe(server, this.#clock);
-      }
-    }
-  }
-
   #serverOptions(service: string): ServerOptions {
     return {
       connectMs: SERVER_CONNECT_MS,
--- a/src/router/run_mover.ts
+++ b/src/router/run_mover.ts
@@ -10,6 +10,7 @@
 import type { Progress, RunMove, Send } from "./attempt.ts";
 import type { Choice } from "./choose.ts";
 import type { Fleet } from "./fleet.ts";
+import type { Quarantine } from "./quarantine.ts";
 import type { RunCopy } from "./model.ts";
 import type { RoutedRequest } from "./request.ts";
 import type { Server } from "./server.ts";
@@ -36,6 +37,8 @@
   wanted: WantedVersions;
   zone: string;
   random: () => number;
+  /** Requests under which servers ended stay where they are. */
+  quarantine: Pick<Quarantine, "verdict">;
   /** Sets the sends aside that a move may need; not if the request may not be sent so often. */
   reserve(request: RoutedRequest, progress: Progress): boolean;
 }
@@ -69,7 +72,8 @@
       isIdempotent(request.route) &&
       choice.server.isChanging(nowMs) &&
       (facts.prompt?.outputTokens ?? 0) > LONG_OUTPUT_TOKENS &&
-      answerByMs - nowMs > MIN_LEFT_MS;
+      answerByMs - nowMs > MIN_LEFT_MS &&
+      this.#options.quarantine.verdict(request).kind === "clear";
   }
 
   /**
--- a/src/router/run_mover_test.ts
+++ b/src/router/run_mover_test.ts
@@ -32,6 +32,7 @@
     wanted,
     zone: "a",
     random: () => 0,
+    quarantine: { verdict: () => ({ kind: "clear" }) },
     reserve: () => ++made.tried > 0,
   });
   const made: Made = { clock, fleet, wanted, mover, tried: 0 };
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -17,6 +17,7 @@
 import type { Fleet } from "./fleet.ts";
 import { type AnswerFacts, type BackendServer, RequestKind } from "./model.ts";
 import type { AnswerPasser } from "./pass_answer.ts";
+import type { Quarantine } from "./quarantine.ts";
 import type {
   AnswerSink,
   ChosenWeights,
@@ -47,6 +48,8 @@
   onGone(server: BackendServer): void;
   /** A prompt was sent to a server or saved to a store; other entries are told. */
   onPrompt(placed: PlacedPrompt): void;
+  /** Is told of requests whose answer was lost, and of those that were answered well. */
+  quarantine: Quarantine;
   /** Passes answers on. */
   passer: AnswerPasser;
 }
@@ -100,7 +103,7 @@
     });
     this.#notePrompt(choice, sentAtMs);
     sink.onGone(() => exchange.abort());
-    const send = {
+    const send: Send = {
       request,
       sink,
       progress,
@@ -111,6 +114,7 @@
     };
     try {
       const end = await this.#receive(send);
+      this.#judge(send, end);
       const isOver = end.kind === "unknown" || end.kind === "done";
       if (isOver && exchange.sent) {
         progress.runs++;
@@ -126,6 +130,16 @@
     }
   }
 
+  /** What the end says of the request: did its server end under it, or answer it well? */
+  #judge(send: Send, end: SendEnd): void {
+    const { quarantine } = this.#options;
+    if (end.kind === "unknown" && end.loss && send.exchange.sent) {
+      return quarantine.lost(send, end.loss);
+    }
+    if (end.kind !== "done" || end.outcome.kind !== "answered") return;
+    if (end.outcome.status < 500) quarantine.answered(send.request);
+  }
+
   #weightsOf(
     { facts }: RoutedRequest,
     { weightsVersion }: Choice,
@@ -195,6 +209,7 @@
       return { kind: "unknown", reason: "foreign_answer" };
     }
     if (facts.notRun) return this.#refusedBy(send, facts);
+    send.hasHead = true;
     this.#learn(send, facts, nowMs);
     progress.ttftMs ??= nowMs - request.arrivedAtMs;
     const isStream = request.route.kind === RequestKind.stream;
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -99,6 +99,11 @@
     return this.#entry;
   }
 
+  /** Whether it is to end soon, and takes nothing new. */
+  get isLeaving(): boolean {
+    return this.#entry.draining;
+  }
+
   /** Time to copy a cached token from it within its zone. */
   get copyMsPerToken(): number {
     return this.#copyMsPerToken;
--- /dev/null
+++ b/src/router/server_ends.ts
@@ -0,0 +1,124 @@
+/**
+ * Finds out whether a connection that was lost means that its backend server has ended. A server
+ * that resets a connection, or stops a run, may well live.
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Clock } from "../base/mod.ts";
+import { connectTo } from "./probe.ts";
+import type { Server } from "./server.ts";
+
+/** Other connections to the server are lost within this time, and its port closes. */
+const GATHER_MS = 20;
+/** Pause between probes of one server, which may reset many connections and live. */
+const PROBE_PAUSE_MS = 200;
+/** A server that can't be reached either way may leave the store within this time. */
+const UNCLEAR_MS = 5000;
+/** Requests that are kept for one server. */
+const MAX_LOST = 64;
+
+/** A request whose connection to a server was lost before its answer was whole. */
+export interface LostRequest {
+  requestId: string;
+  digest: string;
+  /** The server had begun to answer it. */
+  begun: boolean;
+}
+
+/** What a {@link ServerEnds} works with. */
+export interface ServerEndsOptions {
+  clock: Clock;
+  /** A server has ended while it had these requests. */
+  onEnd(server: Server, lost: LostRequest[]): void;
+}
+
+interface Unclear {
+  lost: LostRequest[];
+  atMs: number;
+  isProbed: boolean;
+}
+
+/** Servers to which connections were lost. */
+export class ServerEnds {
+  readonly #options: ServerEndsOptions;
+  readonly #unclear = new Map<Server, Unclear>();
+  readonly #probedAtMs = new WeakMap<Server, number>();
+
+  private constructor(options: ServerEndsOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * @param options Clock, and who is told of ends.
+   * @returns Nothing was lost yet.
+   */
+  static create(options: ServerEndsOptions): ServerEnds {
+    return new ServerEnds(options);
+  }
+
+  /**
+   * @param server A server to which a connection was lost.
+   * @param request The request that was under way on it.
+   */
+  lost(server: Server, request: LostRequest): void {
+    const unclear = this.#add(server, request);
+    if (!unclear || unclear.isProbed) return;
+    unclear.isProbed = true;
+    void this.#find(server, unclear);
+  }
+
+  /**
+   * @param server A server that has not answered in time.
+   * @param request The request that waited.
+   */
+  late(server: Server, request: LostRequest): void {
+    // Most often it is only slow, and a probe would load it more.
+    this.#add(server, request);
+  }
+
+  /** @param server A server that has left the store, or whose address another one has. */
+  left(server: Server): void {
+    const unclear = this.#unclear.get(server);
+    if (!unclear) return;
+    const isRecent = this.#options.clock.nowMs() - unclear.atMs < UNCLEAR_MS;
+    if (isRecent && !server.isLeaving) return this.#settle(server, true);
+    this.#settle(server, false);
+  }
+
+  #add(server: Server, request: LostRequest): Unclear | undefined {
+    // One that was to go goes, whatever it still runs.
+    if (server.isLeaving) return undefined;
+    const nowMs = this.#options.clock.nowMs();
+    const known = this.#unclear.get(server);
+    if (known && nowMs - known.atMs < UNCLEAR_MS) {
+      if (known.lost.length < MAX_LOST) known.lost.push(request);
+      return known;
+    }
+    const unclear = { lost: [request], atMs: nowMs, isProbed: false };
+    this.#unclear.set(server, unclear);
+    return unclear;
+  }
+
+  async #find(server: Server, unclear: Unclear): Promise<void> {
+    const { clock } = this.#options;
+    const sinceMs = clock.nowMs() - (this.#probedAtMs.get(server) ?? -Infinity);
+    await sleep(Math.max(GATHER_MS, PROBE_PAUSE_MS - sinceMs));
+    this.#probedAtMs.set(server, clock.nowMs());
+    const outcome = await connectTo(server.entry.address);
+    if (this.#unclear.get(server) !== unclear) return;
+    switch (outcome) {
+      case "reached":
+        return this.#settle(server, false);
+      case "refused":
+        return this.#settle(server, true);
+      case "unclear":
+        // The store may tell, or whoever has the address next.
+        return;
+    }
+  }
+
+  #settle(server: Server, hasEnded: boolean): void {
+    const unclear = this.#unclear.get(server);
+    this.#unclear.delete(server);
+    if (unclear && hasEnded) this.#options.onEnd(server, unclear.lost);
+  }
+}
--- a/src/standin/platform_worker.ts
+++ b/src/standin/platform_worker.ts
@@ -3,12 +3,16 @@
  * headers, its report, and orders for weights.
  */
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
-import { setTimeout as sleep } from "node:timers/promises";
 import { type HostRequest, HttpHost } from "./_http_host.ts";
 import {
   PlatformOrders,
   type StandinPlatformOrder,
 } from "./_platform_orders.ts";
+import {
+  endAtDeadline,
+  type RunningStream,
+  writeEvents,
+} from "./_platform_stream.ts";
 import {
   DEFAULT_OPTIONS,
   NO_FAULTS,
@@ -25,13 +29,6 @@
   body: string;
 }
 
-/** A stream under way. */
-interface RunningStream {
-  response: ServerResponse;
-  /** Last event that was sent. */
-  last: number;
-}
-
 /** Addresses of the servers that hold copies of runs, by where they came from and their id. */
 const copies = new Map<string, string>();
 
@@ -322,38 +319,13 @@
       "weight-versions": String(this.version),
     });
     const stream = { response, last: first - 1 };
-    this.#endAtDeadline(headers, response);
+    endAtDeadline(headers, response);
     const id = String(headers["attempt-id"]);
     this.#streams.set(id, stream);
     response.once("close", () => {
       if (this.#streams.get(id) === stream) this.#streams.delete(id);
     });
-    void this.#writeEvents(stream, { cutAfter, events });
-  }
-
-  /** Work on a stream stops when the time that came with it is over. */
-  #endAtDeadline(headers: IncomingHttpHeaders, response: ServerResponse): void {
-    const leftMs = Number(headers["deadline-ms"]);
-    if (!Number.isFinite(leftMs)) return;
-    const timer = setTimeout(() => response.destroy(), leftMs);
-    response.once("close", () => clearTimeout(timer));
-  }
-
-  async #writeEvents(
-    stream: RunningStream,
-    { cutAfter, events }: { cutAfter: number | undefined; events: number },
-  ): Promise<void> {
-    const { response } = stream;
-    for (let i = stream.last + 1; i <= events; i++) {
-      if (response.destroyed) return;
-      if (cutAfter !== undefined && i > cutAfter) {
-        response.write(`id: ${i}\nda`, () => response.destroy());
-        return;
-      }
-      response.write(`id: ${i}\ndata: x${i}\n\n`);
-      stream.last = i;
-      if (this.#options.eventMs > 0) await sleep(this.#options.eventMs);
-    }
-    response.end();
+    const { eventMs } = this.#options;
+    void writeEvents(stream, { cutAfter, events, eventMs });
   }
 }
