Count ends of servers under concurrent attempts of a request once

A rack that fails while attempts of one request run at several of its servers would have quarantined it. Ends count only where one attempt followed the other; times told between entries may be 0.1 s off.

--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -7,8 +7,11 @@
  */
 export type Start = number;
 
-/** A request, a server's start that ended under it, whether it had begun there (1 or 0), age in ms. */
-export type EndedUnder = [string, string, number, number];
+/**
+ * A request, a server's start that ended under it, whether it had begun there (1 or 0), how long ago
+ * in ms, and how long it had been there in ms.
+ */
+export type EndedUnder = [string, string, number, number, number];
 
 /** A request that was answered well, and how long ago in ms. */
 export type Cleared = [string, number];
@@ -75,7 +78,7 @@
   gone: (value) => value === undefined || listOf(rowOf(isText, isStart))(value),
   ended: (value) =>
     value === undefined ||
-    listOf(rowOf(isText, isText, isCount, isCount))(value),
+    listOf(rowOf(isText, isText, isCount, isCount, isCount))(value),
   cleared: (value) =>
     value === undefined || listOf(rowOf(isText, isCount))(value),
   storeServes: (value) => typeof value === "boolean",
--- a/src/router/quarantine.ts
+++ b/src/router/quarantine.ts
@@ -11,7 +11,7 @@
 import { digestOf } from "./request_digest.ts";
 import type { Server } from "./server.ts";
 import { type LostRequest, ServerEnds } from "./server_ends.ts";
-import { SuspectTable, type Verdict } from "./suspect_table.ts";
+import { type ServerEnd, SuspectTable, type Verdict } from "./suspect_table.ts";
 
 /** A run that has brought output for this long is past what could have ended its server. */
 const SETTLED_MS = 1000;
@@ -43,12 +43,11 @@
 }
 
 type News =
-  | { kind: "ended"; digest: string; server: string; begun: boolean }
-  | { kind: "cleared"; digest: string };
+  | { kind: "ended"; digest: string; end: ServerEnd }
+  | { kind: "cleared"; digest: string; atMs: number };
 
 interface Waiting {
   news: News;
-  atMs: number;
   tellingsLeft: number;
 }
 
@@ -102,7 +101,8 @@
    * @param send A send whose answer was lost before it was whole.
    * @param loss How.
    */
-  lost({ request, choice, runsFromMs, hasHead }: Send, loss: Loss): void {
+  lost(send: Send, loss: Loss): void {
+    const { request, choice, runsFromMs, hasHead, sentAtMs } = send;
     const nowMs = this.#options.clock.nowMs();
     const isSettled = runsFromMs !== undefined &&
       nowMs - runsFromMs >= SETTLED_MS;
@@ -111,6 +111,8 @@
       requestId: request.facts.requestId,
       digest: digestOf(request),
       begun: hasHead === true,
+      atMs: nowMs,
+      runMs: nowMs - sentAtMs,
     };
     switch (loss) {
       case "broken":
@@ -128,7 +130,7 @@
     const nowMs = clock.nowMs();
     if (this.table.verdict(digest).kind === "clear") return;
     this.table.clear(digest, nowMs);
-    this.#enqueue({ kind: "cleared", digest }, nowMs);
+    this.#enqueue({ kind: "cleared", digest, atMs: nowMs });
     this.#hasOwnNews = true;
     log.info({
       event: "suspect_cleared",
@@ -165,7 +167,7 @@
     const told: QuarantineNews = { ended: [], cleared: [] };
     const nowMs = this.#options.clock.nowMs();
     for (const waiting of this.#waiting.splice(0, MAX_TOLD)) {
-      addTo(told, waiting, nowMs);
+      addTo(told, waiting.news, nowMs);
       waiting.tellingsLeft--;
       if (waiting.tellingsLeft > 0) this.#waiting.push(waiting);
     }
@@ -179,8 +181,9 @@
     for (const [digest, ageMs] of cleared) {
       this.table.clear(digest, nowMs - ageMs);
     }
-    for (const [digest, server, begun, ageMs] of ended) {
-      this.learn(digest, { server, begun: begun > 0, atMs: nowMs - ageMs });
+    for (const [digest, server, begun, ageMs, runMs] of ended) {
+      const atMs = nowMs - ageMs;
+      this.learn(digest, { server, begun: begun > 0, atMs, runMs });
     }
   }
 
@@ -188,7 +191,7 @@
    * @param digest A request.
    * @param end A server that ended under it, as others have seen.
    */
-  learn(digest: string, end: Parameters<SuspectTable["note"]>[1]): void {
+  learn(digest: string, end: ServerEnd): void {
     const before = this.table.verdict(digest);
     if (!this.table.note(digest, end)) return;
     this.#tellVerdict(digest, before);
@@ -204,7 +207,7 @@
   }
 
   #ended(server: Server, lost: LostRequest[]): void {
-    const { log, metrics, clock } = this.#options;
+    const { log, metrics } = this.#options;
     const { id, service } = server.entry;
     metrics.counter("server_ends_total", {
       help: "Backend servers that ended while they had requests, by service",
@@ -216,17 +219,12 @@
       service,
       requests: lost.map(({ requestId }) => requestId),
     });
-    const atMs = clock.nowMs();
-    for (const { digest, begun } of lost) {
-      const news: News = {
-        kind: "ended",
-        digest,
-        server: startOf(server.entry),
-        begun,
-      };
+    const start = startOf(server.entry);
+    for (const { digest, begun, atMs, runMs } of lost) {
+      const end = { server: start, begun, atMs, runMs };
       const before = this.table.verdict(digest);
-      if (!this.table.note(digest, { ...news, atMs })) continue;
-      this.#enqueue(news, atMs);
+      if (!this.table.note(digest, end)) continue;
+      this.#enqueue({ kind: "ended", digest, end });
       this.#hasOwnNews = true;
       this.#tellVerdict(digest, before);
     }
@@ -244,8 +242,8 @@
     });
   }
 
-  #enqueue(news: News, atMs: number): void {
-    this.#waiting.push({ news, atMs, tellingsLeft: TELLINGS });
+  #enqueue(news: News): void {
+    this.#waiting.push({ news, tellingsLeft: TELLINGS });
     if (this.#waiting.length > MAX_NEWS) this.#waiting.shift();
   }
 
@@ -258,13 +256,7 @@
   #retell(told: QuarantineNews, nowMs: number): void {
     if (nowMs - this.#retoldAtMs < this.#retellPauseMs) return;
     const rows = this.table.suspects(SERIOUS_ENDS).flatMap(
-      ({ digest, ends }) =>
-        ends.map(({ server, begun, atMs }): EndedUnder => [
-          digest,
-          server,
-          Number(begun),
-          Math.round(nowMs - atMs),
-        ]),
+      ({ digest, ends }) => ends.map((end) => toTold(digest, end, nowMs)),
     );
     if (rows.length === 0) return;
     this.#retoldAtMs = nowMs;
@@ -274,23 +266,25 @@
   }
 }
 
-function addTo(
-  told: QuarantineNews,
-  { news, atMs }: Waiting,
-  nowMs: number,
-): void {
-  const ageMs = Math.round(nowMs - atMs);
+function addTo(told: QuarantineNews, news: News, nowMs: number): void {
   switch (news.kind) {
-    case "ended": {
-      const { digest, server, begun } = news;
-      told.ended.push([digest, server, Number(begun), ageMs]);
+    case "ended":
+      told.ended.push(toTold(news.digest, news.end, nowMs));
       return;
-    }
     case "cleared":
-      told.cleared.push([news.digest, ageMs]);
+      told.cleared.push([news.digest, Math.round(nowMs - news.atMs)]);
   }
 }
 
+function toTold(
+  digest: string,
+  { server, begun, atMs, runMs }: ServerEnd,
+  nowMs: number,
+): EndedUnder {
+  const ageMs = Math.round(nowMs - atMs);
+  return [digest, server, Number(begun), ageMs, Math.round(runMs)];
+}
+
 /** A server that starts again under its id can end again. */
 function startOf({ id, bornAtMs = 0 }: BackendServer): string {
   return `${id}/${bornAtMs}`;
--- a/src/router/server_ends.ts
+++ b/src/router/server_ends.ts
@@ -22,6 +22,10 @@
   digest: string;
   /** The server had begun to answer it. */
   begun: boolean;
+  /** When the connection was lost. */
+  atMs: number;
+  /** Time from when it was sent. */
+  runMs: number;
 }
 
 /** What a {@link ServerEnds} works with. */
--- a/src/router/suspect_record.ts
+++ b/src/router/suspect_record.ts
@@ -19,7 +19,7 @@
 /** Requests that the record holds. */
 const MAX_ROWS = 64;
 /** Ends of each of them: enough for a verdict. */
-const MAX_ROW_ENDS = 4;
+const MAX_ROW_ENDS = 6;
 
 /** One end, in the record. */
 interface EndRow {
@@ -27,6 +27,7 @@
   begun: boolean;
   /** Time of day, since 1970. */
   atWallMs: number;
+  runMs: number;
 }
 
 /** One request, in the record. */
@@ -74,11 +75,11 @@
     const { clock, quarantine, record } = this.#options;
     const wallMs = clock.wallMs();
     for (const { digest, ends } of readRows(record()?.value)) {
-      for (const { server, begun, atWallMs } of ends) {
+      for (const { server, begun, atWallMs, runMs } of ends) {
         // A clock that is behind the writer's makes nothing younger than now.
         const ageMs = Math.max(0, wallMs - atWallMs);
         const atMs = clock.nowMs() - ageMs;
-        quarantine.learn(digest, { server, begun, atMs });
+        quarantine.learn(digest, { server, begun, atMs, runMs });
       }
     }
   }
@@ -148,10 +149,10 @@
 }
 
 function toRow(
-  { server, begun, atMs }: ServerEnd,
+  { server, begun, atMs, runMs }: ServerEnd,
   wallAheadMs: number,
 ): EndRow {
-  return { server, begun, atWallMs: Math.floor(atMs + wallAheadMs) };
+  return { server, begun, atWallMs: Math.floor(atMs + wallAheadMs), runMs };
 }
 
 /** Ends beyond those that are written are not lacking. */
@@ -177,7 +178,7 @@
 
 function isEnd(value: unknown): value is EndRow {
   if (typeof value !== "object" || value === null) return false;
-  const { server, begun, atWallMs } = value as Partial<EndRow>;
+  const { server, begun, atWallMs, runMs } = value as Partial<EndRow>;
   return typeof server === "string" && typeof begun === "boolean" &&
-    Number.isFinite(atWallMs);
+    Number.isFinite(atWallMs) && Number.isFinite(runMs);
 }
--- a/src/router/suspect_table.ts
+++ b/src/router/suspect_table.ts
@@ -7,10 +7,12 @@
 import type { Clock } from "../base/mod.ts";
 import { LRUMap } from "../placement/lru_map.ts";
 
-/** Servers that end under a request before it is quarantined. */
+/** Ends of servers under a request before it is quarantined. */
 export const ENDS_TO_QUARANTINE = 3;
+/** What entries tell each other of times is so far off, with the way that it takes. */
+const SKEW_MS = 100;
 /** Ends beyond these add nothing to a verdict. */
-const MAX_ENDS = 6;
+const MAX_ENDS = 8;
 /** Ends among them that no other suspect explains better. */
 const LEAST_UNEXPLAINED = 2;
 /** Time from the last end until a request is tried again. */
@@ -26,6 +28,8 @@
   begun: boolean;
   /** By this process's clock. */
   atMs: number;
+  /** Time from when it was sent there. */
+  runMs: number;
 }
 
 /** What is known of one request. */
@@ -124,14 +128,14 @@
       this.#suspects.delete(digest);
       return CLEAR;
     }
-    const endCount = ends.size;
+    const endCount = countInTurn(ends);
     return endCount >= ENDS_TO_QUARANTINE && this.#isLikelyCause(digest, ends)
       ? { kind: "quarantined", endCount, leftMs }
       : { kind: "suspected", endCount };
   }
 
   /**
-   * @param leastEnds Ends that a request must have.
+   * @param leastEnds Servers that must have ended under a request.
    * @returns Such requests, those with most ends first.
    */
   suspects(leastEnds: number): Suspect[] {
@@ -153,20 +157,22 @@
 
   /** Requests that merely ran beside the cause share its ends, and have few others. */
   #isLikelyCause(digest: string, ends: Ends): boolean {
-    let unexplained = 0;
-    for (const end of ends.values()) {
-      if (!this.#isExplained(digest, ends, end)) unexplained++;
+    const unexplained: Ends = new Map();
+    for (const [server, end] of ends) {
+      if (!this.#isExplained(digest, ends, end)) unexplained.set(server, end);
     }
-    return unexplained >= LEAST_UNEXPLAINED;
+    return countInTurn(unexplained) >= LEAST_UNEXPLAINED;
   }
 
   #isExplained(digest: string, ends: Ends, end: ServerEnd): boolean {
+    const count = countInTurn(ends);
     for (const [otherDigest, others] of this.#suspects) {
       const other = others.get(end.server);
       if (!other || otherDigest === digest) continue;
-      if (others.size < ENDS_TO_QUARANTINE) continue;
-      if (others.size > ends.size) return true;
-      if (others.size === ends.size && other.begun && !end.begun) return true;
+      const otherCount = countInTurn(others);
+      if (otherCount < ENDS_TO_QUARANTINE) continue;
+      if (otherCount > count) return true;
+      if (otherCount === count && other.begun && !end.begun) return true;
     }
     return false;
   }
@@ -186,6 +192,22 @@
   return lastMs;
 }
 
+/**
+ * Counts ends that came one after the other. Servers that end while attempts of one request run at
+ * all of them have a cause of their own, such as their rack.
+ */
+function countInTurn(ends: Ends): number {
+  const inOrder = [...ends.values()].sort((a, b) => a.atMs - b.atMs);
+  let count = 0;
+  let lastMs = -Infinity;
+  for (const { atMs, runMs } of inOrder) {
+    if (atMs - Math.max(0, runMs - SKEW_MS) < lastMs) continue;
+    count++;
+    lastMs = atMs;
+  }
+  return count;
+}
+
 function isWeaker(ends: Ends, other: Ends): boolean {
   if (ends.size !== other.size) return ends.size < other.size;
   return lastOf(ends) < lastOf(other);
