--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -111,6 +111,8 @@
       headers["transfer-encoding"] !== undefined,
     serverId: single(headers, Header.serverId),
     weightsVersion: positive(single(headers, Header.weightsVersion)),
+    leaving: single(headers, Header.leaving) === "1",
+    retryAfterMs: inMs(positive(single(headers, Header.retryAfter))),
   };
 }
 
@@ -224,6 +226,10 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
+function inMs(seconds: number | undefined): number | undefined {
+  return seconds === undefined ? undefined : seconds * 1000;
+}
+
 function positive(value: string | undefined): number | undefined {
   if (value === undefined || value.trim() === "") return undefined;
   const parsed = Number(value);
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -15,6 +15,7 @@
   notRun: "not-executed",
   retryAfter: "retry-after",
   serverId: "instance-id",
+  leaving: "server-leaving",
   model: "model",
   tokenCounts: "token-usage",
   cacheSalt: "cache-salt",
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -244,6 +244,10 @@
   /** Id of the server that answered, where it says so. */
   serverId?: string;
   weightsVersion?: number;
+  /** The server is to end soon. */
+  leaving: boolean;
+  /** For how long the server wants nothing more from this entry, where it says so. */
+  retryAfterMs?: number;
 }
 
 /** A server's own account of its load; some hundred ms old. */
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -203,6 +203,13 @@
     const facts = readAnswer(head.head.status, head.head.headers);
     const nowMs = this.#options.clock.nowMs();
     server.heard(nowMs);
+    if (facts.leaving) {
+      this.#options.log.info({
+        event: "server_leaving",
+        server: server.id,
+        id: request.facts.requestId,
+      });
+    }
     if (facts.requestId && facts.requestId !== request.facts.requestId) {
       // A late answer to an earlier request: this request's own may still follow.
       server.health.failed(nowMs);
