--- a/src/standin/platform_worker.ts
+++ b/src/standin/platform_worker.ts
@@ -38,6 +38,8 @@
 /** A backend server with faults. */
 export class StandinPlatformWorker {
   readonly runs: StandinPlatformRun[] = [];
+  /** Requests that it turned away because it wants a pause. */
+  turnedAway = 0;
   /** Ids of copies that were freed before a run went on from them. */
   readonly freedCopies: string[] = [];
   readonly faults: StandinPlatformWorkerFaults;
@@ -172,6 +174,7 @@
 
   #serve(request: HostRequest): void {
     const { response, headers } = request;
+    if (this.faults.leaving) response.setHeader("server-leaving", "1");
     const expected = headers["expect-instance"];
     if (expected !== undefined && expected !== this.id) {
       response.writeHead(421, { "instance-id": this.id });
@@ -250,6 +253,8 @@
       response.end();
       return;
     }
+    const { pauseS } = this.faults;
+    if (pauseS !== undefined) return this.#turnAway(response, pauseS);
     const wanted = headers["expect-version"];
     if (wanted !== undefined && Number(wanted) !== this.version) {
       response.writeHead(421, { "weight-versions": String(this.version) });
@@ -279,6 +284,15 @@
     else this.#stream(request);
   }
 
+  #turnAway(response: ServerResponse, pauseS: number): void {
+    this.turnedAway++;
+    response.writeHead(503, {
+      "not-executed": "1",
+      "retry-after": String(pauseS),
+    });
+    response.end();
+  }
+
   /** Its process ends once the head of the answer is out, and all else that it runs with it. */
   #endUnder({ headers, response }: HostRequest): void {
     response.writeHead(200, {
--- a/src/standin/platform_worker_options.ts
+++ b/src/standin/platform_worker_options.ts
@@ -45,6 +45,10 @@
   refuseOrder: number;
   /** Path of a request that ends the server as soon as it runs. */
   endOnTarget: string | undefined;
+  /** All answers say that the server leaves. */
+  leaving: boolean;
+  /** Requests are refused as not run, and nothing more is wanted for so many seconds. */
+  pauseS: number | undefined;
 }
 
 /** Settings unless said otherwise. */
@@ -71,12 +75,14 @@
   refuseWeights: 0,
   refuseOrder: 0,
   endOnTarget: undefined,
+  leaving: false,
+  pauseS: undefined,
 };
 
 /** Faults that are counted down. */
 type CountedFault = Exclude<
   keyof StandinPlatformWorkerFaults,
-  "cutAfterEvents" | "endOnTarget"
+  "cutAfterEvents" | "endOnTarget" | "leaving" | "pauseS"
 >;
 
 /**
