Believe a server's own word that it leaves or wants a pause

Callers' requests went to a server 2.4 to 3.7 s after its answer had said that it leaves, while the platform's store was away and could not say so.

Cause: that word stands in the heads of answers, and only registrations were read.

Change: the word holds for that start of the server, whatever its registration says, for at most ten minutes, at all entries: each tells the others in every datagram, with the age of the server's own word, until the store says so, too, so that entries which start meanwhile learn it. A refusal that names a time gives the server that pause, at the entry that was refused; it may get new weights meanwhile. Callers who are refused for it hear when the first server takes requests again.

--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -32,6 +32,8 @@
 
 /** Reason of refusals for want of time. */
 const TOO_LATE = "too_late";
+/** Reason of refusals where all servers want a pause. */
+const PAUSED = "paused";
 /** Reason of refusals of requests under which servers have ended. */
 const QUARANTINED = "quarantined";
 
@@ -119,7 +121,10 @@
         break;
       }
       const choice = movedTo ?? this.#choose(request, progress);
-      if (!choice) break;
+      if (!choice) {
+        if (this.#pausedMs(request) !== undefined) reason = PAUSED;
+        break;
+      }
       movedTo = undefined;
       if (progress.sends === 0 && !this.#isWorthSending(request, choice)) {
         reason = TOO_LATE;
@@ -148,6 +153,10 @@
     return this.#giveUp(request, sink, { progress, reason });
   }
 
+  #pausedMs({ service }: RoutedRequest): number | undefined {
+    return this.#options.fleet.pausedMs(service);
+  }
+
   /** Looked at before each send: servers may have ended under this very attempt. */
   #isQuarantined(request: RoutedRequest, progress: Progress): boolean {
     const verdict = this.#options.quarantine.verdict(request);
@@ -183,7 +192,7 @@
     const { fleet, clock, zone, random, choice } = this.#options;
     const choose_ = (tried: ReadonlySet<Server>) =>
       choose({
-        servers: fleet.open(request.service),
+        servers: fleet.taking(request.service),
         zone,
         nowMs: clock.nowMs(),
         tried,
@@ -225,7 +234,7 @@
     if (answerByMs - this.#options.clock.nowMs() < RESEND_MIN_LEFT_MS) {
       return false;
     }
-    const others = this.#options.fleet.open(service).some((server) =>
+    const others = this.#options.fleet.taking(service).some((server) =>
       !progress.tried.has(server)
     );
     return others && this.#budget.has(service);
@@ -279,6 +288,7 @@
     if (progress.runs === 0) {
       const { random } = this.#options;
       const pauseMs = progress.quarantinedForMs ??
+        this.#pausedMs(request) ??
         (reason === TOO_LATE
           ? comeBackMs(leftMs, random)
           : retryAfterMs(leftMs, random));
--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -59,6 +59,7 @@
   no_server: "no server of the service takes requests",
   not_ready: "the entry knew no configuration yet",
   other_weights: "the server had other weights by then",
+  paused: "all servers of the service wanted no requests for a while",
   quarantined:
     "three servers or more had ended under it, so it is not run for a while",
   run_stopped: "the run was stopped to be moved, and could not be copied",
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -62,18 +62,57 @@
 
   /**
    * @param service Name of a service.
-   * @returns Its servers that take new requests.
+   * @returns Its servers that are not about to end.
    */
   open(service: string): Server[] {
+    const nowMs = this.#options.clock.nowMs();
     const open: Server[] = [];
     for (const server of this.#servers.values()) {
-      const { entry } = server;
-      if (entry.service !== service || entry.draining) continue;
-      open.push(server);
+      if (server.entry.service !== service) continue;
+      if (!server.isLeaving(nowMs)) open.push(server);
     }
     return open;
   }
 
+  /**
+   * @param service Name of a service.
+   * @returns Those of them that want no pause.
+   */
+  taking(service: string): Server[] {
+    const nowMs = this.#options.clock.nowMs();
+    return this.open(service).filter(({ announced }) =>
+      announced.pausedMs(nowMs) === 0
+    );
+  }
+
+  /**
+   * @param service Name of a service.
+   * @returns Time until the first of its servers takes requests again, if all want a pause.
+   */
+  pausedMs(service: string): number | undefined {
+    const nowMs = this.#options.clock.nowMs();
+    const pauses = this.open(service).map(({ announced }) =>
+      announced.pausedMs(nowMs)
+    );
+    const shortestMs = Math.min(...pauses);
+    return pauses.length > 0 && shortestMs > 0 ? shortestMs : undefined;
+  }
+
+  /**
+   * A server has said that it leaves.
+   *
+   * @param server The server.
+   * @param saidAtMs When.
+   */
+  leaves(server: Server, saidAtMs: number): void {
+    if (!server.announced.leaves(saidAtMs)) return;
+    this.#options.log.info({
+      event: "server_leaving",
+      server: server.id,
+      saidMs: Math.round(this.#options.clock.nowMs() - saidAtMs),
+    });
+  }
+
   /** @param entry A registration, new or changed. */
   put(entry: BackendServer): void {
     const known = this.#servers.get(entry.id);
--- a/src/router/fleet_test.ts
+++ b/src/router/fleet_test.ts
@@ -263,3 +263,48 @@
   fleet.giveUp(fleet.get("a")!);
   assert.deepEqual(ids(fleet), []);
 });
+
+test("server that said it leaves is open again once it has started again", () => {
+  const clock = new TestClock();
+  const fleet = testFleet(clock);
+  fleet.put(registration("i-1", { bornAtMs: 1 }));
+  fleet.leaves(fleet.get("i-1")!, clock.nowMs());
+  assert.equal(fleet.open("engines").length, 0);
+  fleet.put(registration("i-1", { bornAtMs: 2 }));
+  assert.equal(fleet.open("engines").length, 1);
+});
+
+test("server's word that it leaves is forgotten some time", () => {
+  const clock = new TestClock();
+  const fleet = testFleet(clock);
+  fleet.put(registration("i-1"));
+  fleet.leaves(fleet.get("i-1")!, clock.nowMs());
+  clock.advance(60_000);
+  assert.equal(fleet.open("engines").length, 0);
+  clock.advance(3_600_000);
+  assert.equal(fleet.open("engines").length, 1);
+});
+
+test("server that wants a pause may get new weights meanwhile", () => {
+  const clock = new TestClock();
+  const fleet = testFleet(clock);
+  fleet.put(registration("i-1"));
+  fleet.get("i-1")!.announced.pause(clock.nowMs(), 5000);
+  assert.equal(fleet.taking("engines").length, 0);
+  assert.equal(fleet.open("engines").length, 1);
+  assert.equal(fleet.pausedMs("engines"), 5000);
+  clock.advance(5000);
+  assert.equal(fleet.taking("engines").length, 1);
+  assert.equal(fleet.pausedMs("engines"), undefined);
+});
+
+test("longer pause is not cut short by a shorter one", () => {
+  const clock = new TestClock();
+  const fleet = testFleet(clock);
+  fleet.put(registration("i-1"));
+  const { announced } = fleet.get("i-1")!;
+  announced.pause(clock.nowMs(), 5000);
+  announced.pause(clock.nowMs(), 100);
+  clock.advance(4999);
+  assert.equal(fleet.taking("engines").length, 0);
+});
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -36,6 +36,8 @@
   silent: string[];
   /** Servers whose address another one has, by id and start; left out by entries of earlier releases. */
   gone?: [string, Start][];
+  /** Servers that said they leave, by id and start, and how long ago in ms; as `gone`. */
+  leaving?: [string, Start, number][];
   /** Servers that ended under requests; left out by entries of earlier releases. */
   ended?: EndedUnder[];
   /** Suspected requests that were answered well; left out by entries of earlier releases. */
@@ -76,6 +78,8 @@
   changingNext: (value) => value === undefined || listOf(isText)(value),
   silent: listOf(isText),
   gone: (value) => value === undefined || listOf(rowOf(isText, isStart))(value),
+  leaving: (value) =>
+    value === undefined || listOf(rowOf(isText, isCount, isCount))(value),
   ended: (value) =>
     value === undefined ||
     listOf(rowOf(isText, isText, isCount, isCount, isCount))(value),
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -10,6 +10,7 @@
 import type { BackendServer } from "./model.ts";
 import type { PlacedPrompt } from "./request.ts";
 import type { Fleet } from "./fleet.ts";
+import { LeavingNews } from "./leaving_news.ts";
 import type { Knowledge } from "./mirror.ts";
 import { readTold, type Start, type Told } from "./peer_datagram.ts";
 import type { Quarantine } from "./quarantine.ts";
@@ -64,6 +65,7 @@
   readonly #weights: Told["weights"] = [];
   readonly #silent: string[] = [];
   readonly #gone: [string, Start][] = [];
+  readonly #leaving: LeavingNews;
   #heldBack: () => string[] = () => [];
   #changingNext: () => string[] = () => [];
   #storeServedPeerAtMs = -Infinity;
@@ -76,6 +78,7 @@
   private constructor(options: PeersOptions) {
     this.#options = options;
     this.#socket = createSocket("udp4");
+    this.#leaving = LeavingNews.create(options);
   }
 
   /**
@@ -186,6 +189,7 @@
       told.silent,
       told.gone,
       told.weights,
+      this.#leaving.ids,
     ]);
     const { quarantine } = this.#options;
     if (!quarantine.hasNews && !this.#isDue(told, news, orders)) return;
@@ -196,7 +200,8 @@
     this.#lastNews = news;
     this.#lastOrders = orders;
     this.#lastAtMs = this.#options.clock.nowMs();
-    const all: Told = { ...told, ...quarantine.takeNews() };
+    const leaving = this.#leaving.take();
+    const all: Told = { ...told, leaving, ...quarantine.takeNews() };
     const bytes = Buffer.from(JSON.stringify(all));
     for (const address of this.#addresses()) {
       this.#socket.send(bytes, this.#options.port, address, (error) => {
@@ -318,6 +323,7 @@
       const server = fleet.get(id, start || undefined);
       if (server) fleet.giveUp(server);
     }
+    this.#leaving.hear(told.leaving ?? []);
     if (told.storeServedMs !== undefined) {
       const servedAtMs = nowMs - told.storeServedMs;
       this.#storeServedPeerAtMs = Math.max(
--- a/src/router/run_mover.ts
+++ b/src/router/run_mover.ts
@@ -157,7 +157,7 @@
     const ageMs = wanted.replacedForMs(model, choice.weightsVersion ?? 0);
     if (ageMs >= wanted.limits.retiredFromMs) return undefined;
     let best: { server: Server; score: number } | undefined;
-    for (const server of fleet.open(request.service)) {
+    for (const server of fleet.taking(request.service)) {
       if (progress.tried.has(server) || server.health.isDown) continue;
       if (server.isHeldBack(nowMs) || server.isFull(nowMs)) continue;
       if (server.weights(model) !== choice.weightsVersion) continue;
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -203,13 +203,7 @@
     const facts = readAnswer(head.head.status, head.head.headers);
     const nowMs = this.#options.clock.nowMs();
     server.heard(nowMs);
-    if (facts.leaving) {
-      this.#options.log.info({
-        event: "server_leaving",
-        server: server.id,
-        id: request.facts.requestId,
-      });
-    }
+    if (facts.leaving) this.#options.fleet.leaves(server, nowMs);
     if (facts.requestId && facts.requestId !== request.facts.requestId) {
       // A late answer to an earlier request: this request's own may still follow.
       server.health.failed(nowMs);
@@ -271,6 +265,7 @@
   #refusedBy({ choice, request }: Send, facts: AnswerFacts): SendEnd {
     const { server } = choice;
     const nowMs = this.#options.clock.nowMs();
+    if (facts.retryAfterMs) server.announced.pause(nowMs, facts.retryAfterMs);
     if (facts.serverId !== undefined && facts.serverId !== server.id) {
       this.#options.fleet.giveUp(server);
       this.#options.onGone(server.entry);
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -1,4 +1,5 @@
 /** A backend server as this entry sees it: its registration, load, health and expected cache. */
+import { Announced } from "./announced.ts";
 import { CacheBook } from "./cache_book.ts";
 import { ChannelSet } from "./channel.ts";
 import { Health } from "./health.ts";
@@ -61,6 +62,8 @@
   readonly channels: ChannelSet;
   readonly cache: CacheBook;
   readonly health = Health.create();
+  /** What it said of itself in its answers. */
+  readonly announced = Announced.create();
   #entry: BackendServer;
   readonly #weights = new Map<string, number>();
   readonly #own: ServerLoad = { pendingTokens: 0, running: 0, bound: 0 };
@@ -99,9 +102,13 @@
     return this.#entry;
   }
 
-  /** Whether it is to end soon, and takes nothing new. */
-  get isLeaving(): boolean {
-    return this.#entry.draining;
+  /**
+   * @param nowMs The time.
+   * @returns Whether it is to end soon and takes nothing new, by its registration or its own word.
+   */
+  isLeaving(nowMs: number): boolean {
+    return this.#entry.draining ||
+      this.announced.leavingSaidMs(nowMs) !== undefined;
   }
 
   /** Time to copy a cached token from it within its zone. */
@@ -311,6 +318,8 @@
       id: this.id,
       service: this.entry.service,
       draining: this.entry.draining,
+      leaving: this.isLeaving(nowMs),
+      pausedMs: Math.round(this.announced.pausedMs(nowMs)),
       bornAtMs: this.entry.bornAtMs,
       weights: Object.fromEntries(this.entry.weights),
       load: this.load(nowMs),
--- a/src/router/server_ends.ts
+++ b/src/router/server_ends.ts
@@ -83,15 +83,15 @@
   left(server: Server): void {
     const unclear = this.#unclear.get(server);
     if (!unclear) return;
-    const isRecent = this.#options.clock.nowMs() - unclear.atMs < UNCLEAR_MS;
-    if (isRecent && !server.isLeaving) return this.#settle(server, true);
-    this.#settle(server, false);
+    const nowMs = this.#options.clock.nowMs();
+    const isRecent = nowMs - unclear.atMs < UNCLEAR_MS;
+    this.#settle(server, isRecent && !server.isLeaving(nowMs));
   }
 
   #add(server: Server, request: LostRequest): Unclear | undefined {
     // One that was to go goes, whatever it still runs.
-    if (server.isLeaving) return undefined;
     const nowMs = this.#options.clock.nowMs();
+    if (server.isLeaving(nowMs)) return undefined;
     const known = this.#unclear.get(server);
     if (known && nowMs - known.atMs < UNCLEAR_MS) {
       if (known.lost.length < MAX_LOST) known.lost.push(request);
