Add a failing test of a leaving server whose registration lapses, listed as known red

Found by reading: what a server announced is kept with its registration, which lapses in an outage of the store and comes back, at times as ready.

--- a/src/router/fleet_test.ts
+++ b/src/router/fleet_test.ts
@@ -308,3 +308,17 @@
   clock.advance(4999);
   assert.equal(fleet.taking("engines").length, 0);
 });
+
+test("server whose registration lapsed keeps its word when it is back", () => {
+  const clock = new TestClock();
+  const fleet = testFleet(clock);
+  fleet.put(registration("i-1"));
+  fleet.leaves(fleet.get("i-1")!, clock.nowMs());
+  fleet.put(registration("i-2"));
+  fleet.get("i-2")!.announced.pause(clock.nowMs(), 5000);
+  for (const id of ["i-1", "i-2"]) {
+    fleet.drop(id, "registration_lapsed");
+    fleet.put(registration(id));
+  }
+  assert.deepEqual(fleet.taking("engines"), []);
+});
