Keep what a server announced when its registration lapses and comes back

A registration that lapses in an outage of the store is dropped and written again after it, at times as ready while the server leaves. Its announcements went with it; they now belong to the server's start. Test in fleet_test.ts, failing before.

--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -1,6 +1,8 @@
 /** The backend servers that are known, by id and by service. */
 import type { Clock, Logger } from "../base/mod.ts";
-import { type BackendServer, isSameStart } from "./model.ts";
+import { LRUMap } from "../placement/lru_map.ts";
+import type { Announced } from "./announced.ts";
+import { type BackendServer, isSameStart, startOf } from "./model.ts";
 import { Server, type ServerOptions } from "./server.ts";
 import type { Outage } from "./store_contact.ts";
 
@@ -18,6 +20,9 @@
   onLeft(server: Server): void;
 }
 
+/** Servers that were dropped whose announcements are kept. */
+const MAX_KEPT = 1000;
+
 /** All backend servers. */
 export class Fleet {
   readonly #options: FleetOptions;
@@ -25,6 +30,9 @@
   /** Servers whose registration may have lapsed in an outage, and may come back. */
   readonly #missing = new Set<string>();
 
+  /** By id and start; a registration that lapsed may come back. */
+  readonly #announced = LRUMap.create<string, Announced>(MAX_KEPT);
+
   private constructor(options: FleetOptions) {
     this.#options = options;
   }
@@ -130,16 +138,12 @@
     known?.channels.closeIdle();
     if (known) this.#options.onLeft(known);
     const options = this.#options.serverOptions(entry.service);
-    this.#servers.set(entry.id, Server.create(entry, options));
-    const { id: server, service, address, draining, bornAtMs } = entry;
-    this.#options.log.info({
-      event: known && !isSame ? "server_restarted" : "server_joined",
-      server,
-      service,
-      address,
-      draining,
-      bornAtMs,
-    });
+    const announced = isSame
+      ? known.announced
+      : this.#announced.get(startOf(entry));
+    const server = Server.create(entry, { ...options, announced });
+    this.#servers.set(entry.id, server);
+    this.#tellJoined(server, known && !isSame);
   }
 
   /**
@@ -166,6 +170,7 @@
     if (!server) return;
     this.#servers.delete(id);
     this.#missing.delete(id);
+    this.#announced.set(startOf(server.entry), server.announced);
     server.channels.closeIdle();
     this.#options.onLeft(server);
     this.#options.log.info({ event: "server_left", server: id, reason });
@@ -199,6 +204,18 @@
     for (const { channels } of this.#servers.values()) channels.closeIdle();
   }
 
+  #tellJoined({ entry }: Server, hasRestarted: boolean | undefined): void {
+    const { id: server, service, address, draining, bornAtMs } = entry;
+    this.#options.log.info({
+      event: hasRestarted ? "server_restarted" : "server_joined",
+      server,
+      service,
+      address,
+      draining,
+      bornAtMs,
+    });
+  }
+
   #tellKept(id: string, { isOver, lengthMs }: Outage): void {
     this.#options.log.info({
       event: "server_kept",
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -151,6 +151,14 @@
     bornAtMs === server.bornAtMs;
 }
 
+/**
+ * @param server A server.
+ * @returns Its id with its start: one that starts again under its id is another.
+ */
+export function startOf({ id, bornAtMs = 0 }: BackendServer): string {
+  return `${id}/${bornAtMs}`;
+}
+
 /** Weights that the operator wants in use. */
 export interface WantedWeights {
   model: string;
--- a/src/router/quarantine.ts
+++ b/src/router/quarantine.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Logger, Metrics } from "../base/mod.ts";
 import type { Loss, Send } from "./attempt.ts";
-import type { BackendServer } from "./model.ts";
+import { startOf } from "./model.ts";
 import type { Cleared, EndedUnder } from "./peer_datagram.ts";
 import type { RoutedRequest } from "./request.ts";
 import { digestOf } from "./request_digest.ts";
@@ -284,8 +284,3 @@
   const ageMs = Math.round(nowMs - atMs);
   return [digest, server, Number(begun), ageMs, Math.round(runMs)];
 }
-
-/** A server that starts again under its id can end again. */
-function startOf({ id, bornAtMs = 0 }: BackendServer): string {
-  return `${id}/${bornAtMs}`;
-}
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -46,6 +46,8 @@
 export interface ServerOptions extends ServerLimits {
   connectMs: number;
   idleMs: number;
+  /** What this start of it announced before its registration lapsed; left out: nothing. */
+  announced?: Announced;
 }
 
 /** One request under way, in this entry's count of a server's load. */
@@ -63,7 +65,7 @@
   readonly cache: CacheBook;
   readonly health = Health.create();
   /** What it said of itself in its answers. */
-  readonly announced = Announced.create();
+  readonly announced: Announced;
   #entry: BackendServer;
   readonly #weights = new Map<string, number>();
   readonly #own: ServerLoad = { pendingTokens: 0, running: 0, bound: 0 };
@@ -81,6 +83,7 @@
   private constructor(entry: BackendServer, options: ServerOptions) {
     this.id = entry.id;
     this.#entry = entry;
+    this.announced = options.announced ?? Announced.create();
     this.channels = ChannelSet.create({ address: entry.address, ...options });
     this.cache = CacheBook.create(options.cacheTokens);
     this.#connectionLimit = options.connectionLimit;
