--- a/src/standin/_engine_routes.ts
+++ b/src/standin/_engine_routes.ts
@@ -41,9 +41,9 @@
   const { response } = request;
   switch (`${request.method} ${request.url.pathname}`) {
     case "POST /v1/chat/completions":
-      return run(state, "chat", request);
+      return run(state, request, { api: "chat", control });
     case "POST /v1/completions":
-      return run(state, "text", request);
+      return run(state, request, { api: "text", control });
     case "GET /info":
       return answerJson(response, 200, info(state));
     case "GET /load":
@@ -76,8 +76,8 @@
 
 function run(
   state: EngineState,
-  api: "chat" | "text",
   request: HostRequest,
+  { api, control }: { api: "chat" | "text"; control: EngineControl },
 ): void {
   const body = readJson<Record<string, unknown>>(request);
   const refusal = refuse(state, body);
@@ -85,6 +85,10 @@
   const model = state.models.find(requestedModel(body))!;
   const { response } = request;
   const entry = createRun(state, { api, body, model, request });
+  if (isCrashing(state, request)) {
+    state.executions.push(entry.execution);
+    return void control.setFaults({ crash: true });
+  }
   response.once("close", () => {
     state.scheduler.cancel(entry);
     recordLoad(state);
@@ -93,6 +97,10 @@
   recordLoad(state);
 }
 
+function isCrashing({ faults }: EngineState, { body }: HostRequest): boolean {
+  return faults.crashOnText !== "" && body.includes(faults.crashOnText);
+}
+
 function refuse(
   state: EngineState,
   body: Record<string, unknown>,
--- a/src/standin/engine_options.ts
+++ b/src/standin/engine_options.ts
@@ -37,6 +37,8 @@
   rejectNext: number;
   /** True: crashes once and comes back empty. */
   crash: boolean;
+  /** Each run of a request whose body holds this text crashes it; empty: off. */
+  crashOnText: string;
   /** Crashes, and comes back empty after this time; 0: does nothing. */
   downMs: number;
 }
--- a/src/standin/engine_server.ts
+++ b/src/standin/engine_server.ts
@@ -176,6 +176,7 @@
     cutAfterPieces: -1,
     rejectNext: 0,
     crash: false,
+    crashOnText: "",
     downMs: 0,
   };
 }
