Quarantine prompts under which engines end, on the path through agents too

An agent now tells a broken connection from an engine that ended; entries count ends by request with the table that the router uses (moved to src/suspects), tell each other with their exchanges of versions, and keep serious ones in the store.

Engines that cut connections and live condemn nothing.

--- a/src/agent/engine_watch.ts
+++ b/src/agent/engine_watch.ts
@@ -31,6 +31,8 @@
 /** Info is also read when the incarnation changes, and after orders. */
 const INFO_MS = 8000;
 const FAILURES_UNTIL_DOWN = 2;
+/** An engine beside the agent answers in a few ms, or refuses the connection at once. */
+const ENDED_ANSWER_MS = 500;
 
 /** Polls one engine. */
 export class EngineWatch {
@@ -107,6 +109,20 @@
     return true;
   }
 
+  /**
+   * A connection to the engine broke, which a living one may do as well.
+   *
+   * @param incarnation Of the engine that had the connection.
+   * @returns Whether that engine is known to have ended.
+   */
+  async hasEnded(incarnation: string): Promise<boolean> {
+    const { clock } = this.#options;
+    const asked = this.readInfo();
+    const late = clock.sleep(ENDED_ANSWER_MS).then(() => false);
+    const isAnswered = await Promise.race([asked, late]);
+    return isAnswered ? this.incarnation !== incarnation : !this.#isUp;
+  }
+
   /** A run could not reach the engine: no need to wait for the next polls. */
   noteUnreachable(): void {
     this.#goDown();
--- a/src/agent/model_server.ts
+++ b/src/agent/model_server.ts
@@ -152,9 +152,9 @@
     run.matchedTokens = assessed.matchedTokens;
     run.engineIncarnation = this.watch.incarnation;
     const entered = this.admission.enter(assessed.demand, options.isHeld);
-    if (entered.isOk && this.#options.countsInFlight !== false) {
-      this.prefills.enter(entered.value, run.ask, { weightsVersion });
-    }
+    const isCounted = this.#options.countsInFlight !== false;
+    if (entered.isErr || !isCounted) return entered;
+    this.prefills.enter(entered.value, run.ask, { weightsVersion });
     return entered;
   }
 
@@ -243,7 +243,7 @@
       while (!output.hasRoom && !run.signal.aborted) await output.waitForRoom();
     }
     if (run.signal.aborted) this.#endCancelled(run);
-    else run.end(RunOutcome.FAILED, "The engine's stream has no end");
+    else await this.#endBroken(run, "The engine's stream has no end");
   }
 
   #notePrefilled(ticket: Ticket): void {
@@ -265,28 +265,34 @@
       outputTokens: end.completionTokens,
       totalMs: nowMs - ticket.placedMs,
     });
-    const promised = run.matchedTokens;
-    if (promised < DRIFT_MIN_TOKENS) return;
-    if (end.cachedTokens < promised * DRIFT_SHARE) this.follower.resync();
+    const { matchedTokens } = run;
+    if (matchedTokens < DRIFT_MIN_TOKENS) return;
+    if (end.cachedTokens < matchedTokens * DRIFT_SHARE) this.follower.resync();
   }
 
   #endCancelled(run: Run): void {
-    const isRestart = run.engineIncarnation !== this.watch.incarnation;
-    const outcome = isRestart ? RunOutcome.FAILED : RunOutcome.CANCELLED;
-    run.end(outcome, run.cancelReason);
+    const isSame = run.engineIncarnation === this.watch.incarnation;
+    if (isSame) run.end(RunOutcome.CANCELLED, run.cancelReason);
+    else run.endWithEngine(run.cancelReason);
+  }
+
+  async #endBroken(run: Run, message: string): Promise<void> {
+    const hasEnded = await this.watch.hasEnded(run.engineIncarnation);
+    if (hasEnded) run.endWithEngine(message);
+    else run.end(RunOutcome.FAILED, message);
   }
 
-  #failRun(run: Run, failure: EngineFailure): void {
+  #failRun(run: Run, failure: EngineFailure): Promise<void> | void {
     const message = describeFailure(failure);
     switch (failure.kind) {
       case "unreachable":
         run.refuse(refuseDown());
-        this.watch.noteUnreachable();
-        return;
+        return this.watch.noteUnreachable();
       case "rejected":
         if (failure.status === STATUS_NOT_FOUND) void this.watch.readInfo();
         return run.refuse(refuseRejected(failure));
       case "broken":
+        return this.#endBroken(run, message);
       case "fenced":
         return run.end(RunOutcome.FAILED, message);
     }
--- a/src/agent/run.ts
+++ b/src/agent/run.ts
@@ -23,6 +23,8 @@
   promptTokens: number;
   completionTokens: number;
   cachedTokens: number;
+  /** Incarnation of the engine that ended while it had the run. */
+  endedEngine?: string;
 }
 
 /** What a run is made from. */
@@ -123,6 +125,12 @@
     const end = { outcome, message, pieceCount, ...usage };
     this.output.finish({ kind: "end", end });
   }
+
+  /** @param message For people; the engine ended while it had the run. */
+  endWithEngine(message: string): void {
+    const endedEngine = this.engineIncarnation || undefined;
+    this.end(RunOutcome.FAILED, message, { ...NO_USAGE, endedEngine });
+  }
 }
 
 /**
--- a/src/config/gossip.ts
+++ b/src/config/gossip.ts
@@ -28,6 +28,10 @@
   peers: PeerCalls;
   clock: Clock;
   log: Logger;
+  /** Adds to each digest what other parts of the process have to say. */
+  extend: (digest: VersionDigest) => VersionDigest;
+  /** Is given each digest of a peer. */
+  hear: (digest: VersionDigest) => void;
 }
 
 /** What an exchange came to. */
@@ -65,8 +69,8 @@
 
   /** @returns What this process holds, without the list of versions. */
   digest(): VersionDigest {
-    const { branches, freshness, processId, address } = this.#options;
-    return {
+    const { branches, freshness, processId, address, extend } = this.#options;
+    return extend({
       processId,
       address: address(),
       versions: [],
@@ -74,7 +78,7 @@
       confirmedAgeMs: freshness.confirmedAgeMs,
       hash: branches.hash,
       unreadCount: branches.unreadCount,
-    };
+    });
   }
 
   /**
@@ -204,6 +208,7 @@
 
   #note(digest: VersionDigest, nowMs: number): void {
     const isPeer = digest.processId !== this.#options.processId;
+    if (isPeer) this.#options.hear(digest);
     if (isPeer && digest.address !== "") this.book.note(digest, nowMs);
   }
 }
--- a/src/config/gossip_test.ts
+++ b/src/config/gossip_test.ts
@@ -36,6 +36,8 @@
     peers,
     clock: systemClock,
     log: createSilentLogger(),
+    extend: (digest) => digest,
+    hear: () => {},
   });
 }
 
--- a/src/config/sync.ts
+++ b/src/config/sync.ts
@@ -53,6 +53,8 @@
       peers,
       clock,
       log,
+      extend: options.extend,
+      hear: options.hear,
     });
     this.#follower = store && StoreFollower.create({
       store,
--- a/src/config/sync_options.ts
+++ b/src/config/sync_options.ts
@@ -1,6 +1,7 @@
 /** Settings of the spread of configuration, and their defaults. */
 import type { Clock, Lifecycle, Logger } from "../base/mod.ts";
 import type { KeyValueStore } from "../store/store.ts";
+import type { VersionDigest } from "../wire/gen/cicadahitch.ts";
 import type { BranchSet } from "./branch_set.ts";
 import type { PeerCalls } from "./peer_calls.ts";
 
@@ -37,6 +38,10 @@
   exchangeIntervalMs?: number;
   /** Peers asked in a round. */
   fanout?: number;
+  /** Adds to what peers are told what other parts of the process have to say. */
+  extend?: (digest: VersionDigest) => VersionDigest;
+  /** Is given what peers tell. */
+  hear?: (digest: VersionDigest) => void;
   /** Without an answer from store, peer or agent for this long, the process is isolated, in ms. */
   isolationLimitMs?: number;
 }
@@ -56,6 +61,8 @@
     exchangeIntervalMs: DEFAULT_EXCHANGE_INTERVAL_MS,
     fanout: DEFAULT_FANOUT,
     isolationLimitMs: DEFAULT_ISOLATION_LIMIT_MS,
+    extend: (digest) => digest,
+    hear: () => {},
     ...options,
   };
 }
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -25,6 +25,7 @@
 } from "./failures.ts";
 import type { Members, ServerMember } from "./members.ts";
 import type { RetryBudget } from "./retry_budget.ts";
+import type { RunSuspects, SuspectedCall } from "./run_suspects.ts";
 import { RunStream } from "./run_stream.ts";
 import type { EntryTuning } from "./tuning.ts";
 
@@ -35,6 +36,7 @@
   policy: Policy;
   config: AgentConfig;
   budget: RetryBudget;
+  suspects: RunSuspects;
   clock: Clock;
   random: () => number;
   tuning: EntryTuning;
@@ -151,6 +153,8 @@
       const target: Target | undefined = again ?? await route.next();
       again = undefined;
       if (!target) break;
+      const refusal = this.#options.suspects.refusalOf(callOf(request));
+      if (refusal) return Result.err(withEarlier(refusal, earlier));
       report.attempts++;
       report.address = target.member.address;
       const verdict = await this.#attempt(request, target, report);
@@ -175,8 +179,10 @@
     target: Target,
     report: DispatchReport,
   ): Promise<Verdict> {
-    const { policy } = this.#options;
+    const { policy, clock, suspects } = this.#options;
     const memberId = target.member.id;
+    const sentAtMs = clock.nowMs();
+    let firstPieceAtMs: number | undefined;
     const stream = this.#open(request, target, report.attempts);
     const outcome = await passOn(stream, request.sink, {
       onStarted: ({ agentIncarnation }) => {
@@ -185,6 +191,7 @@
         request.onStarted();
       },
       onFirstPiece: () => {
+        firstPieceAtMs = clock.nowMs();
         policy.learn({ kind: "answered", memberId });
         request.onFirstPiece();
       },
@@ -193,8 +200,12 @@
     switch (outcome.kind) {
       case "refused":
         return this.#judgeRefusal(request, target, outcome.refusal);
-      case "ended":
-        return this.#judgeEnd(request, memberId, outcome.end);
+      case "ended": {
+        const { end } = outcome;
+        const run = { memberId, end, sentAtMs, firstPieceAtMs };
+        suspects.ended(callOf(request), run);
+        return this.#judgeEnd(request, memberId, end);
+      }
       case "lost": {
         const { cause } = request.caller;
         if (!cause) policy.learn({ kind: "failed", memberId });
@@ -271,7 +282,10 @@
 
   #judgeEnd(request: RunRequest, memberId: string, end: RunEnd): Verdict {
     const failure = endFailure(end);
-    if (!failure) return { kind: "done", end };
+    if (!failure) {
+      this.#options.suspects.answered(callOf(request));
+      return { kind: "done", end };
+    }
     const isBroken = end.outcome === RunOutcome.FAILED ||
       end.outcome === RunOutcome.UNKNOWN;
     if (!isBroken) return { kind: "failed", failure };
@@ -281,6 +295,10 @@
   }
 }
 
+function callOf({ ask, call }: RunRequest): SuspectedCall {
+  return { team: ask.team, workspace: ask.workspace, call };
+}
+
 /** A run is for the weights that were offered. */
 function versionOf({ weightsVersion }: Target): Partial<AskRequest> {
   return weightsVersion === undefined ? {} : { weightsVersion };
--- a/src/entry/entry_parts.ts
+++ b/src/entry/entry_parts.ts
@@ -23,6 +23,7 @@
 import type { EntryOptions } from "./options.ts";
 import { PoolPlanners } from "./pool_planners.ts";
 import { RetryBudget } from "./retry_budget.ts";
+import { RunSuspects } from "./run_suspects.ts";
 import { TeamShares } from "./team_shares.ts";
 import { DEFAULT_TUNING, type EntryTuning } from "./tuning.ts";
 import { VersionMemory } from "./version_memory.ts";
@@ -39,6 +40,7 @@
   policy: Policy;
   follower: InstanceFollower;
   shares: TeamShares;
+  suspects: RunSuspects;
   sync: ConfigSync;
   demand: DemandMeter;
   /** Undefined: planning is off, or there is no store. */
@@ -74,7 +76,17 @@
     sync: () => sync,
   });
   const store = openStore(options, life);
-  const base = { options, tuning, branches, members, channels, listener };
+  const suspects = RunSuspects.create({ clock, log: options.log, store });
+  life.task("suspects", (signal) => suspects.run(signal));
+  const base = {
+    options,
+    tuning,
+    branches,
+    members,
+    channels,
+    listener,
+    suspects,
+  };
   const sync = buildSync(base, store, { life });
   const follower = buildFollower(base, life);
   const demand = DemandMeter.create(clock);
@@ -117,6 +129,7 @@
     policy,
     config: asker.config,
     budget,
+    suspects: parts.suspects,
     clock,
     random: Math.random,
     tuning,
@@ -161,7 +174,13 @@
 
 type BaseParts = Pick<
   EntryParts,
-  "options" | "tuning" | "branches" | "members" | "channels" | "listener"
+  | "options"
+  | "tuning"
+  | "branches"
+  | "members"
+  | "channels"
+  | "listener"
+  | "suspects"
 >;
 
 function openStore(
@@ -184,7 +203,7 @@
 }
 
 function buildSync(
-  { options, branches, members, channels, listener }: BaseParts,
+  { options, branches, members, channels, listener, suspects }: BaseParts,
   store: KeyValueStore | undefined,
   { life }: { life: Lifecycle },
 ): ConfigSync {
@@ -200,6 +219,8 @@
     lifecycle: life,
     log,
     clock,
+    extend: (digest) => suspects.extend(digest),
+    hear: (digest) => suspects.hear(digest),
   });
 }
 
--- a/src/entry/errors.ts
+++ b/src/entry/errors.ts
@@ -36,6 +36,7 @@
   overloaded: [503, "overloaded_error"],
   no_servers: [503, "overloaded_error"],
   store_unavailable: [503, "server_error"],
+  quarantined: [503, "server_error"],
   not_ready: [503, "server_error"],
   deadline_exceeded: [504, "timeout_error"],
 } as const;
--- a/src/proof/poison_test.ts
+++ b/src/proof/poison_test.ts
@@ -58,3 +58,22 @@
   }
   assert.ok(runsOf(fleet) <= MOST_RUNS, String(runsOf(fleet)));
 });
+
+test("prompt whose connections broke at engines that live is still served", async (context) => {
+  const fleet = await ProofFleet.create({ engines: 2, services: 0 });
+  context.after(() => fleet.close());
+  const [slot] = fleet.entries;
+  const body = chatBody("cut again and again", 8);
+  for (const engine of fleet.engines) {
+    await engine.setFaults({ cutAfterPieces: 2 });
+  }
+  for (let i = 0; i < 4; i++) {
+    const seen = await callStream(slot!, body);
+    assert.notEqual(seen.code, "quarantined");
+  }
+  for (const engine of fleet.engines) {
+    await engine.setFaults({ cutAfterPieces: -1 });
+  }
+  const seen = await callStream(slot!, body);
+  assert.equal(seen.text, answerTo(body));
+});
--- a/src/router/in_force.ts
+++ b/src/router/in_force.ts
@@ -17,7 +17,7 @@
 import { NAMED_RECORD_KEY } from "./named_record.ts";
 import type { PromptStore } from "./prompt_store.ts";
 import { RoutingTable } from "./routing_table.ts";
-import { SUSPECT_RECORD_KEY } from "./suspect_record.ts";
+import { SUSPECT_RECORD_KEY } from "../suspects/mod.ts";
 import type { ServerLimits } from "./server.ts";
 import type { NamedAge, WantedVersions } from "./wanted_weights.ts";
 
--- a/src/router/quarantine.ts
+++ b/src/router/quarantine.ts
@@ -11,7 +11,13 @@
 import { digestOf } from "./request_digest.ts";
 import type { Server } from "./server.ts";
 import { type LostRequest, ServerEnds } from "./server_ends.ts";
-import { type ServerEnd, SuspectTable, type Verdict } from "./suspect_table.ts";
+import {
+  SERIOUS_ENDS,
+  type ServerEnd,
+  type SuspectSource,
+  SuspectTable,
+  type Verdict,
+} from "../suspects/mod.ts";
 
 /** A run that has brought output for this long is past what could have ended its server. */
 const SETTLED_MS = 1000;
@@ -21,8 +27,6 @@
 const MAX_NEWS = 256;
 /** News in one datagram. */
 const MAX_TOLD = 16;
-/** Ends from which on a request is told of again and again, and kept in the store. */
-export const SERIOUS_ENDS = 2;
 /** Pause between these tellings, for each entry there is: together they tell as often. */
 const RETELL_MS_PER_ENTRY = 250;
 const RETELL_MIN_MS = 1000;
@@ -52,7 +56,7 @@
 }
 
 /** Requests that are not sent any more, and those that are suspected. */
-export class Quarantine {
+export class Quarantine implements SuspectSource {
   readonly table: SuspectTable;
   readonly #options: QuarantineOptions;
   readonly #ends: ServerEnds;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -25,7 +25,7 @@
 import type { RouterSettings } from "./settings.ts";
 import { sweepServers } from "./sweep.ts";
 import { createStore } from "./store_client.ts";
-import { SUSPECT_RECORD_KEY, SuspectRecord } from "./suspect_record.ts";
+import { SUSPECT_RECORD_KEY, SuspectRecord } from "../suspects/mod.ts";
 import { WantedVersions } from "./wanted_weights.ts";
 import { NAMED_RECORD_KEY, readNamedAges } from "./named_record.ts";
 import { ORDER_RECORD_PREFIX } from "./order_records.ts";
@@ -96,7 +96,7 @@
     });
     this.#suspectRecord = SuspectRecord.create({
       ...this.#parts(),
-      quarantine: this.#quarantine,
+      source: this.#quarantine,
       record: () => this.#mirror.entry(SUSPECT_RECORD_KEY),
       isStoreServing: () => this.#follower.contact.connected,
     });
--- a/src/router/suspect_record.ts
+++ b/src/suspects/suspect_record.ts
@@ -5,8 +5,12 @@
 import type { Clock, Logger } from "../base/mod.ts";
 import { readJson } from "../lease/mod.ts";
 import type { KeyValueEntry, KeyValueStore } from "../store/store.ts";
-import { type Quarantine, SERIOUS_ENDS } from "./quarantine.ts";
-import type { ServerEnd, Suspect } from "./suspect_table.ts";
+import {
+  SERIOUS_ENDS,
+  type ServerEnd,
+  type Suspect,
+  type SuspectTable,
+} from "./suspect_table.ts";
 
 /** Key of the record. */
 export const SUSPECT_RECORD_KEY = "cicadahitch/suspects";
@@ -36,6 +40,17 @@
   ends: EndRow[];
 }
 
+/** What is suspected by a process. */
+export interface SuspectSource {
+  readonly table: SuspectTable;
+  /** Whether this process saw what the record may lack. */
+  readonly hasOwnNews: boolean;
+  /** Takes an end that others have seen. */
+  learn(digest: string, end: ServerEnd): void;
+  /** The record has all that is known. */
+  recorded(): void;
+}
+
 /** What a {@link SuspectRecord} works with. */
 export interface SuspectRecordOptions {
   store: Pick<KeyValueStore, "commit">;
@@ -43,11 +58,13 @@
   log: Logger;
   /** 0 to 1. */
   random: () => number;
-  quarantine: Quarantine;
+  source: SuspectSource;
   /** The record, as the copy of the store has it. */
   record(): KeyValueEntry | undefined;
   /** Whether the store answers. */
   isStoreServing(): boolean;
+  /** Reads the record anew, where nothing else keeps the copy up to date. */
+  refresh?(): Promise<void>;
 }
 
 /** Keeps the record. */
@@ -72,14 +89,14 @@
 
   /** Takes in what the record says; values that another writer has spoilt say nothing. */
   recall(): void {
-    const { clock, quarantine, record } = this.#options;
+    const { clock, source, record } = this.#options;
     const wallMs = clock.wallMs();
     for (const { digest, ends } of readRows(record()?.value)) {
       for (const { server, begun, atWallMs, runMs } of ends) {
         // A clock that is behind the writer's makes nothing younger than now.
         const ageMs = Math.max(0, wallMs - atWallMs);
         const atMs = clock.nowMs() - ageMs;
-        quarantine.learn(digest, { server, begun, atMs, runMs });
+        source.learn(digest, { server, begun, atMs, runMs });
       }
     }
   }
@@ -91,15 +108,16 @@
       await clock.sleep(LOOK_MS, signal);
       if (signal.aborted) return;
       if (await this.#update()) continue;
+      await this.#options.refresh?.();
       await clock.sleep(RETRY_MS * (1 + random()), signal);
     }
   }
 
   /** @returns False: the write failed. */
   async #update(): Promise<boolean> {
-    const { quarantine, record, isStoreServing, clock } = this.#options;
+    const { source, record, isStoreServing, clock } = this.#options;
     const known = [...readRows(record()?.value), ...this.#written];
-    const serious = quarantine.table.suspects(SERIOUS_ENDS).slice(0, MAX_ROWS);
+    const serious = source.table.suspects(SERIOUS_ENDS).slice(0, MAX_ROWS);
     if (!this.#isDue(known, serious)) return true;
     if (!isStoreServing()) return true;
     this.#lacksSinceMs = undefined;
@@ -107,7 +125,7 @@
   }
 
   #isDue(known: SuspectRow[], serious: Suspect[]): boolean {
-    const { clock, quarantine, random } = this.#options;
+    const { clock, source, random } = this.#options;
     const isLacking = lacksAny(known, serious) ||
       known.some(({ digest }) => this.#isCleared(digest));
     if (!isLacking) {
@@ -116,18 +134,18 @@
     }
     const nowMs = clock.nowMs();
     this.#lacksSinceMs ??= nowMs;
-    if (quarantine.hasOwnNews) return true;
+    if (source.hasOwnNews) return true;
     return nowMs - this.#lacksSinceMs >= HEARD_WAIT_MS * (1 + random());
   }
 
   #isCleared(digest: string): boolean {
-    const { table } = this.#options.quarantine;
+    const { table } = this.#options.source;
     return table.clearedAtMs(digest) !== undefined &&
       table.verdict(digest).kind === "clear";
   }
 
   async #write(serious: Suspect[], wallAheadMs: number): Promise<boolean> {
-    const { store, record, log, quarantine } = this.#options;
+    const { store, record, log, source } = this.#options;
     const modRevision = record()?.modRevision ?? 0n;
     const rows = serious.map(({ digest, ends }): SuspectRow => ({
       digest,
@@ -141,7 +159,7 @@
     const isWritten = committed.isOk && committed.value.kind === "committed";
     if (isWritten) {
       this.#written = rows;
-      quarantine.recorded();
+      source.recorded();
     }
     log.info({ event: "suspects_recorded", rows: rows.length, isWritten });
     return isWritten;
--- a/src/router/suspect_table.ts
+++ b/src/suspects/suspect_table.ts
@@ -9,6 +9,8 @@
 
 /** Ends of servers under a request before it is quarantined. */
 export const ENDS_TO_QUARANTINE = 3;
+/** Ends from which on a request is told of again and again, and kept in the store. */
+export const SERIOUS_ENDS = 2;
 /** What entries tell each other of times is so far off, with the way that it takes. */
 const SKEW_MS = 100;
 /** Ends beyond these add nothing to a verdict. */
--- a/src/router/suspect_table_test.ts
+++ b/src/suspects/suspect_table_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { TestClock } from "./_kit.ts";
+import { TestClock } from "../router/_kit.ts";
 import { SuspectTable } from "./suspect_table.ts";
 
 const SEED = 20_261_203;
--- a/src/wire/gen/cicadahitch.ts
+++ b/src/wire/gen/cicadahitch.ts
@@ -265,6 +265,8 @@
   promptTokens: number;
   completionTokens: number;
   cachedTokens: number;
+  /** Incarnation of the engine that ended while it ran this; left out: none did, as far as known. */
+  endedEngine?: string | undefined;
 }
 
 export interface CancelRequest {
@@ -365,7 +367,32 @@
     | LimitDigest
     | undefined;
   /** Branches held but not in force, since this process can't read them. */
-  unreadCount?: number | undefined;
+  unreadCount?:
+    | number
+    | undefined;
+  /** Requests under which engines ended. */
+  suspects?: SuspectDigest | undefined;
+}
+
+export interface SuspectDigest {
+  ended: SuspectEnd[];
+  cleared: ClearedSuspect[];
+}
+
+/** An engine that ended under a request. */
+export interface SuspectEnd {
+  digest: string;
+  /** Seat and incarnation. */
+  server: string;
+  begun: boolean;
+  ageMs: number;
+  runMs: number;
+}
+
+/** A suspected request that was answered well. */
+export interface ClearedSuspect {
+  digest: string;
+  ageMs: number;
 }
 
 /** Demands towards the entry that divides these teams' limits; shares in its answer. */
@@ -2064,6 +2091,9 @@
     if (message.cachedTokens !== 0) {
       writer.uint32(48).uint32(message.cachedTokens);
     }
+    if (message.endedEngine !== undefined) {
+      writer.uint32(58).string(message.endedEngine);
+    }
     return writer;
   },
 
@@ -2128,6 +2158,14 @@
             message.cachedTokens = reader.uint32();
             continue;
           }
+          case 7: {
+            if (tag !== 58) {
+              break;
+            }
+
+            message.endedEngine = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2151,6 +2189,7 @@
     message.promptTokens = object.promptTokens ?? 0;
     message.completionTokens = object.completionTokens ?? 0;
     message.cachedTokens = object.cachedTokens ?? 0;
+    message.endedEngine = object.endedEngine ?? undefined;
     return message;
   },
 };
@@ -3157,6 +3196,9 @@
     if (message.unreadCount !== undefined) {
       writer.uint32(64).uint32(message.unreadCount);
     }
+    if (message.suspects !== undefined) {
+      SuspectDigest.encode(message.suspects, writer.uint32(74).fork()).join();
+    }
     return writer;
   },
 
@@ -3237,6 +3279,14 @@
             message.unreadCount = reader.uint32();
             continue;
           }
+          case 9: {
+            if (tag !== 74) {
+              break;
+            }
+
+            message.suspects = SuspectDigest.decode(reader, reader.uint32());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -3264,6 +3314,246 @@
       ? LimitDigest.fromPartial(object.limits)
       : undefined;
     message.unreadCount = object.unreadCount ?? undefined;
+    message.suspects = (object.suspects !== undefined && object.suspects !== null)
+      ? SuspectDigest.fromPartial(object.suspects)
+      : undefined;
+    return message;
+  },
+};
+
+function createBaseSuspectDigest(): SuspectDigest {
+  return { ended: [], cleared: [] };
+}
+
+export const SuspectDigest: MessageFns<SuspectDigest> = {
+  encode(message: SuspectDigest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    for (const v of message.ended) {
+      SuspectEnd.encode(v!, writer.uint32(10).fork()).join();
+    }
+    for (const v of message.cleared) {
+      ClearedSuspect.encode(v!, writer.uint32(18).fork()).join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): SuspectDigest {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseSuspectDigest();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.ended.push(SuspectEnd.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.cleared.push(ClearedSuspect.decode(reader, reader.uint32()));
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<SuspectDigest>): SuspectDigest {
+    return SuspectDigest.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<SuspectDigest>): SuspectDigest {
+    const message = createBaseSuspectDigest();
+    message.ended = object.ended?.map((e) => SuspectEnd.fromPartial(e)) || [];
+    message.cleared = object.cleared?.map((e) => ClearedSuspect.fromPartial(e)) || [];
+    return message;
+  },
+};
+
+function createBaseSuspectEnd(): SuspectEnd {
+  return { digest: "", server: "", begun: false, ageMs: 0, runMs: 0 };
+}
+
+export const SuspectEnd: MessageFns<SuspectEnd> = {
+  encode(message: SuspectEnd, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.digest !== "") {
+      writer.uint32(10).string(message.digest);
+    }
+    if (message.server !== "") {
+      writer.uint32(18).string(message.server);
+    }
+    if (message.begun !== false) {
+      writer.uint32(24).bool(message.begun);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(32).uint32(message.ageMs);
+    }
+    if (message.runMs !== 0) {
+      writer.uint32(40).uint32(message.runMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): SuspectEnd {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseSuspectEnd();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.digest = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.server = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.begun = reader.bool();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.runMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<SuspectEnd>): SuspectEnd {
+    return SuspectEnd.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<SuspectEnd>): SuspectEnd {
+    const message = createBaseSuspectEnd();
+    message.digest = object.digest ?? "";
+    message.server = object.server ?? "";
+    message.begun = object.begun ?? false;
+    message.ageMs = object.ageMs ?? 0;
+    message.runMs = object.runMs ?? 0;
+    return message;
+  },
+};
+
+function createBaseClearedSuspect(): ClearedSuspect {
+  return { digest: "", ageMs: 0 };
+}
+
+export const ClearedSuspect: MessageFns<ClearedSuspect> = {
+  encode(message: ClearedSuspect, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.digest !== "") {
+      writer.uint32(10).string(message.digest);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(16).uint32(message.ageMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ClearedSuspect {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseClearedSuspect();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.digest = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<ClearedSuspect>): ClearedSuspect {
+    return ClearedSuspect.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<ClearedSuspect>): ClearedSuspect {
+    const message = createBaseClearedSuspect();
+    message.digest = object.digest ?? "";
+    message.ageMs = object.ageMs ?? 0;
     return message;
   },
 };
