--- a/src/entry/run_suspects.ts
+++ b/src/entry/run_suspects.ts
@@ -110,13 +110,13 @@
     const atMs = this.#options.clock.nowMs();
     const { endedEngine } = end;
     if (endedEngine === undefined) return;
-    const isSettled = firstPieceAtMs !== undefined &&
-      atMs - firstPieceAtMs >= SETTLED_MS;
-    if (isSettled) return;
+    const answeringMs = firstPieceAtMs && atMs - firstPieceAtMs;
+    if (answeringMs !== undefined && answeringMs >= SETTLED_MS) return;
     const server = `${memberId}/${endedEngine}`;
     const runMs = atMs - sentAtMs;
     const digest = digestOf(call);
-    if (!this.table.note(digest, { server, begun: true, atMs, runMs })) return;
+    const seen = { server, answeringMs, atMs, runMs };
+    if (!this.table.note(digest, seen)) return;
     this.#hasOwnNews = true;
     this.#tell(digest);
   }
@@ -203,10 +203,10 @@
     const ageOf = (atMs: number) => Math.max(0, Math.round(nowMs - atMs));
     const ended = this.table.suspects(1).slice(0, MAX_TOLD).flatMap(
       ({ digest, ends }) =>
-        ends.map(({ server, begun, atMs, runMs }) => ({
+        ends.map(({ server, answeringMs, atMs, runMs }) => ({
           digest,
           server,
-          begun,
+          answeringMs: answeringMs && Math.round(answeringMs),
           ageMs: ageOf(atMs),
           runMs: Math.round(runMs),
         })),
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -70,8 +70,8 @@
   exchange: Exchange;
   ticket: LoadTicket;
   sentAtMs: number;
-  /** The server has begun to answer. */
-  hasHead?: boolean;
+  /** When the server began to answer. */
+  headAtMs?: number;
   /** When the server's first event came. */
   runsFromMs?: number;
   /** Set once its run was to be moved. */
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -8,10 +8,10 @@
 export type Start = number;
 
 /**
- * A request, a server's start that ended under it, whether it had begun there (1 or 0), how long ago
- * in ms, and how long it had been there in ms.
+ * A request, a server's start that ended under it, time since its answer had begun (null: it had
+ * not), how long ago that was, and how long it had been there; in ms.
  */
-export type EndedUnder = [string, string, number, number, number];
+export type EndedUnder = [string, string, number | null, number, number];
 
 /** A request that was answered well, and how long ago in ms. */
 export type Cleared = [string, number];
@@ -61,6 +61,7 @@
 const isText: Check = (value) => typeof value === "string";
 const isCount: Check = (value) =>
   typeof value === "number" && Number.isFinite(value) && value >= 0;
+const isCountOrNone: Check = (value) => value === null || isCount(value);
 /** Entries that ran before this field was told leave it out. */
 const isStart: Check = (value) => value === undefined || isCount(value);
 
@@ -82,7 +83,7 @@
     value === undefined || listOf(rowOf(isText, isCount, isCount))(value),
   ended: (value) =>
     value === undefined ||
-    listOf(rowOf(isText, isText, isCount, isCount, isCount))(value),
+    listOf(rowOf(isText, isText, isCountOrNone, isCount, isCount))(value),
   cleared: (value) =>
     value === undefined || listOf(rowOf(isText, isCount))(value),
   storeServes: (value) => typeof value === "boolean",
--- a/src/router/quarantine.ts
+++ b/src/router/quarantine.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Logger, Metrics } from "../base/mod.ts";
 import type { Loss, Send } from "./attempt.ts";
-import { startOf } from "./model.ts";
+import { type BackendServer, startOf } from "./model.ts";
 import type { Cleared, EndedUnder } from "./peer_datagram.ts";
 import type { RoutedRequest } from "./request.ts";
 import { digestOf } from "./request_digest.ts";
@@ -71,7 +71,7 @@
     this.table = SuspectTable.create(options.clock);
     this.#ends = ServerEnds.create({
       clock: options.clock,
-      onEnd: (server, lost) => this.#ended(server, lost),
+      onEnd: (server, lost) => this.ended(server.entry, lost),
     });
   }
 
@@ -106,7 +106,7 @@
    * @param loss How.
    */
   lost(send: Send, loss: Loss): void {
-    const { request, choice, runsFromMs, hasHead, sentAtMs } = send;
+    const { request, choice, runsFromMs, headAtMs, sentAtMs } = send;
     const nowMs = this.#options.clock.nowMs();
     const isSettled = runsFromMs !== undefined &&
       nowMs - runsFromMs >= SETTLED_MS;
@@ -114,7 +114,7 @@
     const lost = {
       requestId: request.facts.requestId,
       digest: digestOf(request),
-      begun: hasHead === true,
+      answeringMs: headAtMs === undefined ? undefined : nowMs - headAtMs,
       atMs: nowMs,
       runMs: nowMs - sentAtMs,
     };
@@ -185,9 +185,10 @@
     for (const [digest, ageMs] of cleared) {
       this.table.clear(digest, nowMs - ageMs);
     }
-    for (const [digest, server, begun, ageMs, runMs] of ended) {
+    for (const [digest, server, answering, ageMs, runMs] of ended) {
+      const answeringMs = answering ?? undefined;
       const atMs = nowMs - ageMs;
-      this.learn(digest, { server, begun: begun > 0, atMs, runMs });
+      this.learn(digest, { server, answeringMs, atMs, runMs });
     }
   }
 
@@ -210,9 +211,13 @@
     }));
   }
 
-  #ended(server: Server, lost: LostRequest[]): void {
+  /**
+   * @param server A server that has ended.
+   * @param lost What this entry had under way there.
+   */
+  ended(server: BackendServer, lost: LostRequest[]): void {
     const { log, metrics } = this.#options;
-    const { id, service } = server.entry;
+    const { id, service } = server;
     metrics.counter("server_ends_total", {
       help: "Backend servers that ended while they had requests, by service",
       labels: { service },
@@ -223,9 +228,9 @@
       service,
       requests: lost.map(({ requestId }) => requestId),
     });
-    const start = startOf(server.entry);
-    for (const { digest, begun, atMs, runMs } of lost) {
-      const end = { server: start, begun, atMs, runMs };
+    const start = startOf(server);
+    for (const { digest, answeringMs, atMs, runMs } of lost) {
+      const end = { server: start, answeringMs, atMs, runMs };
       const before = this.table.verdict(digest);
       if (!this.table.note(digest, end)) continue;
       this.#enqueue({ kind: "ended", digest, end });
@@ -282,9 +287,15 @@
 
 function toTold(
   digest: string,
-  { server, begun, atMs, runMs }: ServerEnd,
+  { server, answeringMs, atMs, runMs }: ServerEnd,
   nowMs: number,
 ): EndedUnder {
-  const ageMs = Math.round(nowMs - atMs);
-  return [digest, server, Number(begun), ageMs, Math.round(runMs)];
+  const answering = answeringMs === undefined ? null : Math.round(answeringMs);
+  return [
+    digest,
+    server,
+    answering,
+    Math.round(nowMs - atMs),
+    Math.round(runMs),
+  ];
 }
--- a/src/router/quarantine_test.ts
+++ b/src/router/quarantine_test.ts
@@ -21,7 +21,7 @@
     const atMs = clock.nowMs();
     quarantine.learn("cause", {
       server: `s${i}/0`,
-      begun: true,
+      answeringMs: 10,
       atMs,
       runMs: 50,
     });
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -210,7 +210,7 @@
       return { kind: "unknown", reason: "foreign_answer" };
     }
     if (facts.notRun) return this.#refusedBy(send, facts);
-    send.hasHead = true;
+    send.headAtMs = nowMs;
     this.#learn(send, facts, nowMs);
     progress.ttftMs ??= nowMs - request.arrivedAtMs;
     const isStream = request.route.kind === RequestKind.stream;
--- a/src/router/server_ends.ts
+++ b/src/router/server_ends.ts
@@ -20,8 +20,8 @@
 export interface LostRequest {
   requestId: string;
   digest: string;
-  /** The server had begun to answer it. */
-  begun: boolean;
+  /** Time since the server had begun to answer it; left out: it had not. */
+  answeringMs?: number;
   /** When the connection was lost. */
   atMs: number;
   /** Time from when it was sent. */
--- a/src/suspects/suspect_record.ts
+++ b/src/suspects/suspect_record.ts
@@ -28,7 +28,7 @@
 /** One end, in the record. */
 interface EndRow {
   server: string;
-  begun: boolean;
+  answeringMs?: number;
   /** Time of day, since 1970. */
   atWallMs: number;
   runMs: number;
@@ -92,11 +92,11 @@
     const { clock, source, record } = this.#options;
     const wallMs = clock.wallMs();
     for (const { digest, ends } of readRows(record()?.value)) {
-      for (const { server, begun, atWallMs, runMs } of ends) {
+      for (const { atWallMs, ...end } of ends) {
         // A clock that is behind the writer's makes nothing younger than now.
         const ageMs = Math.max(0, wallMs - atWallMs);
         const atMs = clock.nowMs() - ageMs;
-        source.learn(digest, { server, begun, atMs, runMs });
+        source.learn(digest, { ...end, atMs });
       }
     }
   }
@@ -107,14 +107,18 @@
     while (!signal.aborted) {
       await clock.sleep(LOOK_MS, signal);
       if (signal.aborted) return;
-      if (await this.#update()) continue;
+      if (await this.update()) continue;
       await this.#options.refresh?.();
       await clock.sleep(RETRY_MS * (1 + random()), signal);
     }
   }
 
-  /** @returns False: the write failed. */
-  async #update(): Promise<boolean> {
+  /**
+   * Writes what the record lacks, if it is this process's turn.
+   *
+   * @returns False: the write failed.
+   */
+  async update(): Promise<boolean> {
     const { source, record, isStoreServing, clock } = this.#options;
     const known = [...readRows(record()?.value), ...this.#written];
     const serious = source.table.suspects(SERIOUS_ENDS).slice(0, MAX_ROWS);
@@ -167,10 +171,10 @@
 }
 
 function toRow(
-  { server, begun, atMs, runMs }: ServerEnd,
+  { atMs, ...end }: ServerEnd,
   wallAheadMs: number,
 ): EndRow {
-  return { server, begun, atWallMs: Math.floor(atMs + wallAheadMs), runMs };
+  return { ...end, atWallMs: Math.floor(atMs + wallAheadMs) };
 }
 
 /** Ends beyond those that are written are not lacking. */
@@ -196,7 +200,7 @@
 
 function isEnd(value: unknown): value is EndRow {
   if (typeof value !== "object" || value === null) return false;
-  const { server, begun, atWallMs, runMs } = value as Partial<EndRow>;
-  return typeof server === "string" && typeof begun === "boolean" &&
+  const { server, answeringMs = 0, atWallMs, runMs } = value as Partial<EndRow>;
+  return typeof server === "string" && Number.isFinite(answeringMs) &&
     Number.isFinite(atWallMs) && Number.isFinite(runMs);
 }
--- a/src/suspects/suspect_table.ts
+++ b/src/suspects/suspect_table.ts
@@ -26,8 +26,8 @@
 export interface ServerEnd {
   /** Id and start of the server. */
   server: string;
-  /** The server had begun to answer the request. */
-  begun: boolean;
+  /** Time since the server had begun to answer the request; left out: it had not. */
+  answeringMs?: number;
   /** By this process's clock. */
   atMs: number;
   /** Time from when it was sent there. */
@@ -174,7 +174,7 @@
       const otherCount = countInTurn(others);
       if (otherCount < ENDS_TO_QUARANTINE) continue;
       if (otherCount > count) return true;
-      if (otherCount === count && other.begun && !end.begun) return true;
+      if (otherCount === count && isLikelier(other, end)) return true;
     }
     return false;
   }
@@ -210,6 +210,11 @@
   return count;
 }
 
+/** A server ends soon after it has begun what ends it; most of the others wait, or are under way. */
+function isLikelier(end: ServerEnd, than: ServerEnd): boolean {
+  return (end.answeringMs ?? Infinity) < (than.answeringMs ?? Infinity);
+}
+
 function isWeaker(ends: Ends, other: Ends): boolean {
   if (ends.size !== other.size) return ends.size < other.size;
   return lastOf(ends) < lastOf(other);
--- a/src/suspects/suspect_table_test.ts
+++ b/src/suspects/suspect_table_test.ts
@@ -12,18 +12,18 @@
   readonly clock = new TestClock();
   readonly table = SuspectTable.create(this.clock);
 
-  /** A server ends under these requests; those named first had begun. */
-  end(server: string, digests: string[], begun = 1): void {
+  /** A server ends under these requests; it had begun the first one last. */
+  end(server: string, digests: string[]): void {
     this.clock.advance(1000);
-    this.endTogether(server, digests, begun);
+    this.endTogether(server, digests);
   }
 
   /** At the same moment as the end before; requests had been there for longer than a moment. */
-  endTogether(server: string, digests: string[], begun = 1): void {
+  endTogether(server: string, digests: string[]): void {
     digests.forEach((digest, i) =>
       this.table.note(digest, {
         server,
-        begun: i < begun,
+        answeringMs: i < 2 ? 50 + 100 * i : undefined,
         atMs: this.clock.nowMs(),
         runMs: 500,
       })
@@ -50,20 +50,22 @@
   assert.equal(made.kind("cause"), "suspected");
 });
 
-test("request that waited beside the cause is not quarantined", () => {
+test("requests beside the cause that waited or had begun earlier are not quarantined", () => {
   const made = new Made();
   for (const server of ["s1", "s2", "s3"]) {
-    made.end(server, ["cause", "beside"]);
+    made.end(server, ["cause", "beside", "waiting"]);
   }
   assert.equal(made.kind("cause"), "quarantined");
   assert.equal(made.kind("beside"), "suspected");
+  assert.equal(made.kind("waiting"), "suspected");
 });
 
 test("request that ran beside the cause is released when the cause has more ends", () => {
   const made = new Made();
   for (const server of ["s1", "s2", "s3"]) {
-    made.end(server, ["cause", "beside"], 2);
+    made.end(server, ["beside", "cause"]);
   }
+  assert.equal(made.kind("beside"), "quarantined");
   made.end("s4", ["cause"]);
   assert.equal(made.kind("cause"), "quarantined");
   assert.equal(made.kind("beside"), "suspected");
@@ -86,14 +88,14 @@
   for (const server of ["s1", "s2", "s3"]) {
     made.clock.advance(10);
     const atMs = made.clock.nowMs();
-    made.table.note("cause", { server, begun: true, atMs, runMs: 8 });
+    made.table.note("cause", { server, answeringMs: 5, atMs, runMs: 8 });
   }
   assert.equal(made.kind("cause"), "quarantined");
 });
 
 test("two causes that once met are both quarantined", () => {
   const made = new Made();
-  made.end("s1", ["one", "two"], 2);
+  made.end("s1", ["one", "two"]);
   for (const server of ["s2", "s3"]) made.end(server, ["one"]);
   for (const server of ["s4", "s5"]) made.end(server, ["two"]);
   assert.equal(made.kind("one"), "quarantined");
@@ -104,7 +106,7 @@
   const made = new Made();
   const early = {
     server: "s0",
-    begun: true,
+    answeringMs: 5,
     atMs: made.clock.nowMs(),
     runMs: 50,
   };
@@ -130,7 +132,7 @@
   const made = new Made();
   const end = {
     server: "s1",
-    begun: true,
+    answeringMs: 5,
     atMs: made.clock.nowMs(),
     runMs: 50,
   };
@@ -155,7 +157,7 @@
       // Each of them is answered in the end, or never had a fifth server.
       ends.forEach((digests, i) => {
         const others = i < 4 ? digests : [];
-        made.end(`s${i}`, ["cause", ...others], 1 + others.length);
+        made.end(`s${i}`, ["cause", ...others]);
       });
       assert.equal(made.kind("cause"), "quarantined");
       for (const digest of "abcdef") {
--- a/src/wire/gen/cicadahitch.ts
+++ b/src/wire/gen/cicadahitch.ts
@@ -384,7 +384,8 @@
   digest: string;
   /** Seat and incarnation. */
   server: string;
-  begun: boolean;
+  /** Time since the engine had begun to answer; left out: it had not. */
+  answeringMs?: number | undefined;
   ageMs: number;
   runMs: number;
 }
@@ -3389,7 +3390,7 @@
 };
 
 function createBaseSuspectEnd(): SuspectEnd {
-  return { digest: "", server: "", begun: false, ageMs: 0, runMs: 0 };
+  return { digest: "", server: "", ageMs: 0, runMs: 0 };
 }
 
 export const SuspectEnd: MessageFns<SuspectEnd> = {
@@ -3400,8 +3401,8 @@
     if (message.server !== "") {
       writer.uint32(18).string(message.server);
     }
-    if (message.begun !== false) {
-      writer.uint32(24).bool(message.begun);
+    if (message.answeringMs !== undefined) {
+      writer.uint32(24).uint32(message.answeringMs);
     }
     if (message.ageMs !== 0) {
       writer.uint32(32).uint32(message.ageMs);
@@ -3446,7 +3447,7 @@
               break;
             }
 
-            message.begun = reader.bool();
+            message.answeringMs = reader.uint32();
             continue;
           }
           case 4: {
@@ -3484,7 +3485,7 @@
     const message = createBaseSuspectEnd();
     message.digest = object.digest ?? "";
     message.server = object.server ?? "";
-    message.begun = object.begun ?? false;
+    message.answeringMs = object.answeringMs ?? undefined;
     message.ageMs = object.ageMs ?? 0;
     message.runMs = object.runMs ?? 0;
     return message;
