Show the other attempts of a request in explain, by its digest

A refusal as quarantined names no server, so explain showed nothing of the ends before it, which lie on other entries and further back.

--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -131,7 +131,13 @@
   const entries = new Set(lines.map(({ processId }) => processId));
   const [fromMs, untilMs] = spanOf(lines);
   const own = new Set(lines);
+  const digests = new Set(lines.flatMap(({ fields }) => digestsOf(fields)));
   return inOrder(log.filter((line) => {
+    // Other attempts of the request, however long ago, and what was thought of it.
+    const isSameRequest = digestsOf(line.fields).some((digest) =>
+      digests.has(digest)
+    );
+    if (isSameRequest) return !own.has(line);
     if (own.has(line) || line.time < fromMs || line.time > untilMs) {
       return false;
     }
@@ -156,6 +162,10 @@
     .filter((id): id is string => typeof id === "string");
 }
 
+function digestsOf({ digest }: Record<string, unknown>): string[] {
+  return typeof digest === "string" ? [digest] : [];
+}
+
 function inOrder(lines: LogLine[]): LogLine[] {
   return lines.toSorted((a, b) => a.time - b.time);
 }
--- a/src/router/explain_test.ts
+++ b/src/router/explain_test.ts
@@ -53,6 +53,34 @@
   assert.equal(text.at(-1), "Answered 200 by i-2 after 700 ms.");
 });
 
+test("refusal of a quarantined request shows its other attempts, on all entries", () => {
+  const digest = "1b0cd48f5d9ab8a5d19ba7b1";
+  const failed = { outcome: "failed", status: 502, reason: "UND_ERR_SOCKET" };
+  const log = [
+    line(1000, "request", { id: "r1", digest, servers: ["i-1"], ...failed }),
+    line(1010, "server_ended", { server: "i-1", requests: ["r1", "r9"] }),
+    line(2000, "request", { id: "r8", digest: "other", ...failed }),
+    line(50_000, "request_quarantined", { digest, endedServers: 3 }),
+    line(90_000, "request", {
+      id: "r3",
+      digest,
+      servers: [],
+      outcome: "refused",
+      reason: "quarantined",
+      endedServers: 3,
+    }),
+  ];
+  const { context, outcome } = explain("r3", log);
+  assert.deepEqual(context.map(({ event }) => event), [
+    "request",
+    "request_quarantined",
+  ]);
+  assert.match(
+    outcome!,
+    /^Refused as not run: three servers or more had ended/,
+  );
+});
+
 test("outcomes say what is known of the run", () => {
   const outcomeOf = (fields: Record<string, unknown>) =>
     explain("r", [line(1, "request", { id: "r", ...fields })]).outcome;
