--- a/src/entry/run_suspects.ts
+++ b/src/entry/run_suspects.ts
@@ -2,12 +2,13 @@
  * Requests under which engines ended, as this entry saw them by its agents and as other entries tell.
  * One that ends engine after engine is refused for a while, wherever it comes.
  */
-import { createHash } from "node:crypto";
 import type { Clock, Logger } from "../base/mod.ts";
 import type { KeyValueEntry, KeyValueStore } from "../store/mod.ts";
 import {
+  hashRequest,
   SERIOUS_ENDS,
   type ServerEnd,
+  SETTLED_MS,
   SUSPECT_RECORD_KEY,
   SuspectRecord,
   type SuspectSource,
@@ -21,10 +22,6 @@
 } from "../wire/gen/cicadahitch.ts";
 import { notRun, type RequestFailure } from "./errors.ts";
 
-/** Hexadecimal digits that are kept: nobody finds another request with the same 96 bits. */
-const DIGITS = 24;
-/** A run that has brought output for this long is past what could have ended its engine. */
-const SETTLED_MS = 1000;
 /** Requests that are told of in one exchange. */
 const MAX_TOLD = 32;
 /** Good answers that are told of, the newest. */
@@ -228,19 +225,14 @@
 
 /** Calls of one team and workspace with the same content are one request. */
 function digestOf({ team, workspace, call }: SuspectedCall): string {
-  const hash = createHash("sha256");
-  hash.update(JSON.stringify([team, workspace, call.$case]));
   switch (call.$case) {
-    case "modelCall":
-      hash.update(call.value.api).update(call.value.body);
-      break;
-    case "plainCall":
-      hash.update(JSON.stringify([
-        call.value.service,
-        call.value.method,
-        call.value.path,
-      ]));
-      hash.update(call.value.body);
-  }
-  return hash.digest("hex").slice(0, DIGITS);
+    case "modelCall": {
+      const { api, body } = call.value;
+      return hashRequest([team, workspace, api], body);
+    }
+    case "plainCall": {
+      const { service, method, path, body } = call.value;
+      return hashRequest([team, workspace, service, method, path], body);
+    }
+  }
 }
--- a/src/router/quarantine.ts
+++ b/src/router/quarantine.ts
@@ -14,13 +14,12 @@
 import {
   SERIOUS_ENDS,
   type ServerEnd,
+  SETTLED_MS,
   type SuspectSource,
   SuspectTable,
   type Verdict,
 } from "../suspects/mod.ts";
 
-/** A run that has brought output for this long is past what could have ended its server. */
-const SETTLED_MS = 1000;
 /** Each piece of news is told so often, as datagrams may be lost. */
 const TELLINGS = 3;
 /** News that wait to be told; the oldest are left out beyond it. */
--- a/src/router/request_digest.ts
+++ b/src/router/request_digest.ts
@@ -1,10 +1,7 @@
 /** Tells whether two attempts of clients are the same request. */
-import { createHash } from "node:crypto";
+import { hashRequest } from "../suspects/mod.ts";
 import type { RoutedRequest } from "./request.ts";
 
-/** Hexadecimal digits that are kept: nobody finds another request with the same 96 bits. */
-const DIGITS = 24;
-
 /** What a digest covers. */
 type HashedRequest = Pick<RoutedRequest, "facts" | "workspace" | "body">;
 
@@ -24,10 +21,5 @@
 
 function hash({ facts, workspace, body }: HashedRequest): string {
   const { method, host, target } = facts;
-  // Lengths keep one field's end from being taken for the next one's beginning.
-  const fields = [method, host, target, workspace?.name ?? ""]
-    .map((field) => `${field.length}:${field}`);
-  const sha = createHash("sha256").update(fields.join(""));
-  if (body) sha.update(body);
-  return sha.digest("hex").slice(0, DIGITS);
+  return hashRequest([method, host, target, workspace?.name ?? ""], body);
 }
--- a/src/suspects/suspect_table.ts
+++ b/src/suspects/suspect_table.ts
@@ -11,6 +11,8 @@
 export const ENDS_TO_QUARANTINE = 3;
 /** Ends from which on a request is told of again and again, and kept in the store. */
 export const SERIOUS_ENDS = 2;
+/** A run that has brought output for this long is past what could have ended its server. */
+export const SETTLED_MS = 1000;
 /** What entries tell each other of times is so far off, with the way that it takes. */
 const SKEW_MS = 100;
 /** Ends beyond these add nothing to a verdict. */
