Suspect requests for broken connections only, not for silence

Found by reading: a server that is cut off falls silent, its registration lapses within the time in which an unclear end is believed, and it may live. A request that waited at three such servers in turn would have been quarantined. The tests of ended servers pass unchanged.

--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -9,19 +9,12 @@
 } from "./request.ts";
 import type { LoadTicket, Server } from "./server.ts";
 
-/** How an answer was lost, where that may mean that its server has ended. */
-export type Loss =
-  /** Its connection broke. */
-  | "broken"
-  /** Nothing came in time. */
-  | "late";
-
 /** How one send ended. */
 export type SendEnd =
   | { kind: "done"; outcome: Outcome }
   | { kind: "not_run"; reason: string }
-  /** It may have run. */
-  | { kind: "unknown"; reason: string; loss?: Loss }
+  /** It may have run. `isBroken`: its connection broke, and its server may have ended. */
+  | { kind: "unknown"; reason: string; isBroken?: boolean }
   /** Its run has stopped and goes on at another server, from a copy of its memory. */
   | { kind: "moved"; choice: Choice };
 
@@ -96,7 +89,7 @@
   exchange.abort();
   choice.server.health.failed(nowMs);
   return wasSent
-    ? { kind: "unknown", reason: "no_answer", loss: "late" }
+    ? { kind: "unknown", reason: "no_answer" }
     : { kind: "not_run", reason: "no_connection" };
 }
 
@@ -119,6 +112,6 @@
     case "not_moved":
     case undefined:
       choice.server.health.failed(nowMs);
-      return { kind: "unknown", reason, loss: "broken" };
+      return { kind: "unknown", reason, isBroken: true };
   }
 }
--- a/src/router/pass_answer.ts
+++ b/src/router/pass_answer.ts
@@ -135,7 +135,7 @@
       await sink.write(events.bytes);
     }
     if (splitter.rest.length > 0) {
-      return { kind: "unknown", reason: "cut_event", loss: "broken" };
+      return { kind: "unknown", reason: "cut_event", isBroken: true };
     }
     this.#begin(send, head);
     const tookMs = clock.nowMs() - startMs;
--- a/src/router/quarantine.ts
+++ b/src/router/quarantine.ts
@@ -4,7 +4,7 @@
  * request came to; what is told stays bounded, and good answers are told as well.
  */
 import type { Clock, Logger, Metrics } from "../base/mod.ts";
-import type { Loss, Send } from "./attempt.ts";
+import type { Send } from "./attempt.ts";
 import { type BackendServer, startOf } from "./model.ts";
 import type { Cleared, EndedUnder } from "./peer_datagram.ts";
 import type { RoutedRequest } from "./request.ts";
@@ -26,7 +26,7 @@
 const MAX_NEWS = 256;
 /** News in one datagram. */
 const MAX_TOLD = 16;
-/** Pause between these tellings, for each entry there is: together they tell as often. */
+/** Serious suspects are told of again after this, times the entries: all together tell as often. */
 const RETELL_MS_PER_ENTRY = 250;
 const RETELL_MIN_MS = 1000;
 
@@ -100,29 +100,20 @@
     }).add();
   }
 
-  /**
-   * @param send A send whose answer was lost before it was whole.
-   * @param loss How.
-   */
-  lost(send: Send, loss: Loss): void {
+  /** @param send A send whose connection broke before its answer was whole. */
+  broken(send: Send): void {
     const { request, choice, runsFromMs, headAtMs, sentAtMs } = send;
     const nowMs = this.#options.clock.nowMs();
     const isSettled = runsFromMs !== undefined &&
       nowMs - runsFromMs >= SETTLED_MS;
     if (isSettled) return;
-    const lost = {
+    this.#ends.lost(choice.server, {
       requestId: request.facts.requestId,
       digest: digestOf(request),
       answeringMs: headAtMs === undefined ? undefined : nowMs - headAtMs,
       atMs: nowMs,
       runMs: nowMs - sentAtMs,
-    };
-    switch (loss) {
-      case "broken":
-        return this.#ends.lost(choice.server, lost);
-      case "late":
-        return this.#ends.late(choice.server, lost);
-    }
+    });
   }
 
   /** @param request A request that a server has answered well. */
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -48,7 +48,7 @@
   onGone(server: BackendServer): void;
   /** A prompt was sent to a server or saved to a store; other entries are told. */
   onPrompt(placed: PlacedPrompt): void;
-  /** Is told of requests whose answer was lost, and of those that were answered well. */
+  /** Is told of requests whose connection broke, and of those that were answered well. */
   quarantine: Quarantine;
   /** Passes answers on. */
   passer: AnswerPasser;
@@ -133,8 +133,8 @@
   /** What the end says of the request: did its server end under it, or answer it well? */
   #judge(send: Send, end: SendEnd): void {
     const { quarantine } = this.#options;
-    if (end.kind === "unknown" && end.loss && send.exchange.sent) {
-      return quarantine.lost(send, end.loss);
+    if (end.kind === "unknown" && end.isBroken && send.exchange.sent) {
+      return quarantine.broken(send);
     }
     if (end.kind !== "done" || end.outcome.kind !== "answered") return;
     if (end.outcome.status < 500) quarantine.answered(send.request);
--- a/src/router/server_ends.ts
+++ b/src/router/server_ends.ts
@@ -38,7 +38,6 @@
 interface Unclear {
   lost: LostRequest[];
   atMs: number;
-  isProbed: boolean;
 }
 
 /** Servers to which connections were lost. */
@@ -64,21 +63,19 @@
    * @param request The request that was under way on it.
    */
   lost(server: Server, request: LostRequest): void {
-    const unclear = this.#add(server, request);
-    if (!unclear || unclear.isProbed) return;
-    unclear.isProbed = true;
+    const nowMs = this.#options.clock.nowMs();
+    // One that was to go goes, whatever it still runs.
+    if (server.isLeaving(nowMs)) return;
+    const known = this.#unclear.get(server);
+    if (known && nowMs - known.atMs < UNCLEAR_MS) {
+      if (known.lost.length < MAX_LOST) known.lost.push(request);
+      return;
+    }
+    const unclear = { lost: [request], atMs: nowMs };
+    this.#unclear.set(server, unclear);
     void this.#find(server, unclear);
   }
 
-  /**
-   * @param server A server that has not answered in time.
-   * @param request The request that waited.
-   */
-  late(server: Server, request: LostRequest): void {
-    // Most often it is only slow, and a probe would load it more.
-    this.#add(server, request);
-  }
-
   /** @param server A server that has left the store, or whose address another one has. */
   left(server: Server): void {
     const unclear = this.#unclear.get(server);
@@ -88,20 +85,6 @@
     this.#settle(server, isRecent && !server.isLeaving(nowMs));
   }
 
-  #add(server: Server, request: LostRequest): Unclear | undefined {
-    // One that was to go goes, whatever it still runs.
-    const nowMs = this.#options.clock.nowMs();
-    if (server.isLeaving(nowMs)) return undefined;
-    const known = this.#unclear.get(server);
-    if (known && nowMs - known.atMs < UNCLEAR_MS) {
-      if (known.lost.length < MAX_LOST) known.lost.push(request);
-      return known;
-    }
-    const unclear = { lost: [request], atMs: nowMs, isProbed: false };
-    this.#unclear.set(server, unclear);
-    return unclear;
-  }
-
   async #find(server: Server, unclear: Unclear): Promise<void> {
     const { clock } = this.#options;
     const sinceMs = clock.nowMs() - (this.#probedAtMs.get(server) ?? -Infinity);
