Count ends by when servers had begun a request, and each verdict's ends once

Attempts that waited at several servers at a time counted as one end, though the servers ended in turn, as soon as each began its one; a caller that repeats at once would have had more servers ended.

--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -24,6 +24,7 @@
   PlacedPrompt,
   RoutedRequest,
 } from "./request.ts";
+import type { Server } from "./server.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
 /** Time from a prompt's last token read until the store has it. */
@@ -203,7 +204,7 @@
     const facts = readAnswer(head.head.status, head.head.headers);
     const nowMs = this.#options.clock.nowMs();
     server.heard(nowMs);
-    if (facts.leaving) this.#options.fleet.leaves(server, nowMs);
+    this.#hearOf(server, facts, nowMs);
     if (facts.requestId && facts.requestId !== request.facts.requestId) {
       // A late answer to an earlier request: this request's own may still follow.
       server.health.failed(nowMs);
@@ -265,7 +266,6 @@
   #refusedBy({ choice, request }: Send, facts: AnswerFacts): SendEnd {
     const { server } = choice;
     const nowMs = this.#options.clock.nowMs();
-    if (facts.retryAfterMs) server.announced.pause(nowMs, facts.retryAfterMs);
     if (facts.serverId !== undefined && facts.serverId !== server.id) {
       this.#options.fleet.giveUp(server);
       this.#options.onGone(server.entry);
@@ -283,6 +283,16 @@
     return { kind: "not_run", reason: `refused_${facts.status}` };
   }
 
+  /** What an answer says of its server, whatever it says of the request. */
+  #hearOf(server: Server, facts: AnswerFacts, nowMs: number): void {
+    const { leaving, notRun, status, retryAfterMs } = facts;
+    if (leaving) this.#options.fleet.leaves(server, nowMs);
+    const isTurnedAway = notRun || status === 503;
+    if (isTurnedAway && retryAfterMs) {
+      server.announced.pause(nowMs, retryAfterMs);
+    }
+  }
+
   #learn(send: Send, facts: AnswerFacts, nowMs: number): void {
     const { choice, sentAtMs, ticket, request } = send;
     const { server } = choice;
--- a/src/suspects/suspect_table.ts
+++ b/src/suspects/suspect_table.ts
@@ -53,10 +53,16 @@
 /** By server. */
 type Ends = Map<string, ServerEnd>;
 
+/** A request's ends, and how many came one after the other. */
+interface Row {
+  ends: Ends;
+  endCount: number;
+}
+
 /** Requests that are suspected. */
 export class SuspectTable {
   readonly #clock: Clock;
-  readonly #suspects = new Map<string, Ends>();
+  readonly #suspects = new Map<string, Row>();
   /** When requests were answered well; ends before that say nothing. */
   readonly #clearedAtMs = LRUMap.create<string, number>(MAX_SUSPECTS);
 
@@ -85,10 +91,10 @@
   note(digest: string, end: ServerEnd): boolean {
     if (this.#isForgotten(end.atMs)) return false;
     if (end.atMs <= (this.#clearedAtMs.get(digest) ?? -Infinity)) return false;
-    const ends = this.#suspects.get(digest) ?? new Map();
+    const ends: Ends = this.#suspects.get(digest)?.ends ?? new Map();
     if (ends.has(end.server) || ends.size >= MAX_ENDS) return false;
     ends.set(end.server, end);
-    this.#suspects.set(digest, ends);
+    this.#suspects.set(digest, { ends, endCount: countInTurn(ends) });
     if (this.#suspects.size > MAX_SUSPECTS) this.#leaveOut();
     return this.#suspects.has(digest);
   }
@@ -103,12 +109,13 @@
   clear(digest: string, atMs: number): boolean {
     const before = this.#clearedAtMs.get(digest) ?? -Infinity;
     this.#clearedAtMs.set(digest, Math.max(before, atMs));
-    const ends = this.#suspects.get(digest);
-    if (!ends) return false;
-    for (const [server, end] of ends) {
-      if (end.atMs <= atMs) ends.delete(server);
+    const row = this.#suspects.get(digest);
+    if (!row) return false;
+    for (const [server, end] of row.ends) {
+      if (end.atMs <= atMs) row.ends.delete(server);
     }
-    if (ends.size === 0) this.#suspects.delete(digest);
+    row.endCount = countInTurn(row.ends);
+    if (row.endCount === 0) this.#suspects.delete(digest);
     return true;
   }
 
@@ -125,15 +132,15 @@
    * @returns What is thought of it.
    */
   verdict(digest: string): Verdict {
-    const ends = this.#suspects.get(digest);
-    if (!ends) return CLEAR;
-    const leftMs = this.#leftMs(ends);
+    const row = this.#suspects.get(digest);
+    if (!row) return CLEAR;
+    const leftMs = this.#leftMs(row.ends);
     if (leftMs <= 0) {
       this.#suspects.delete(digest);
       return CLEAR;
     }
-    const endCount = countInTurn(ends);
-    return endCount >= ENDS_TO_QUARANTINE && this.#isLikelyCause(digest, ends)
+    const { endCount } = row;
+    return endCount >= ENDS_TO_QUARANTINE && this.#isLikelyCause(digest, row)
       ? { kind: "quarantined", endCount, leftMs }
       : { kind: "suspected", endCount };
   }
@@ -144,7 +151,7 @@
    */
   suspects(leastEnds: number): Suspect[] {
     const found: Suspect[] = [];
-    for (const [digest, ends] of this.#suspects) {
+    for (const [digest, { ends }] of this.#suspects) {
       if (ends.size < leastEnds || this.#leftMs(ends) <= 0) continue;
       found.push({ digest, ends: [...ends.values()] });
     }
@@ -160,30 +167,27 @@
   }
 
   /** Requests that merely ran beside the cause share its ends, and have few others. */
-  #isLikelyCause(digest: string, ends: Ends): boolean {
+  #isLikelyCause(digest: string, row: Row): boolean {
     const unexplained: Ends = new Map();
-    for (const [server, end] of ends) {
-      if (!this.#isExplained(digest, ends, end)) unexplained.set(server, end);
+    for (const [server, end] of row.ends) {
+      if (!this.#isExplained(digest, row, end)) unexplained.set(server, end);
     }
     return countInTurn(unexplained) >= LEAST_UNEXPLAINED;
   }
 
-  #isExplained(digest: string, ends: Ends, end: ServerEnd): boolean {
-    const count = countInTurn(ends);
-    for (const [otherDigest, others] of this.#suspects) {
-      const other = others.get(end.server);
+  #isExplained(digest: string, { endCount }: Row, end: ServerEnd): boolean {
+    for (const [otherDigest, { ends, endCount: count }] of this.#suspects) {
+      if (count < ENDS_TO_QUARANTINE || count < endCount) continue;
+      const other = ends.get(end.server);
       if (!other || otherDigest === digest) continue;
-      const otherCount = countInTurn(others);
-      if (otherCount < ENDS_TO_QUARANTINE) continue;
-      if (otherCount > count) return true;
-      if (otherCount === count && isLikelier(other, end)) return true;
+      if (count > endCount || isLikelier(other, end)) return true;
     }
     return false;
   }
 
   #leaveOut(): void {
     let least: { digest: string; ends: Ends } | undefined;
-    for (const [digest, ends] of this.#suspects) {
+    for (const [digest, { ends }] of this.#suspects) {
       if (!least || isWeaker(ends, least.ends)) least = { digest, ends };
     }
     if (least) this.#suspects.delete(least.digest);
@@ -198,14 +202,15 @@
 
 /**
  * Counts ends that came one after the other. Servers that end while attempts of one request run at
- * all of them have a cause of their own, such as their rack.
+ * all of them have a cause of their own, such as their rack; attempts that waited did not run.
  */
 function countInTurn(ends: Ends): number {
   const inOrder = [...ends.values()].sort((a, b) => a.atMs - b.atMs);
   let count = 0;
   let lastMs = -Infinity;
-  for (const { atMs, runMs } of inOrder) {
-    if (atMs - Math.max(0, runMs - SKEW_MS) < lastMs) continue;
+  for (const { atMs, answeringMs, runMs } of inOrder) {
+    const ranMs = Math.max(0, (answeringMs ?? runMs) - SKEW_MS);
+    if (atMs - ranMs < lastMs) continue;
     count++;
     lastMs = atMs;
   }
