Keep workspaces' limits over all entries together

Cause: the configuration's rates and bursts of workspaces were not read on the platform's path, so a workspace could run any number of tokens.

Change: each entry has a copy of each workspace's token bucket (src/limits/shared_bucket.ts), takes from it at once and tells the others its running total in the datagrams that they send anyway. Between two words an entry is assumed to go on as before; one that is silent for 0.85 s, or was never heard, keeps an equal part of rate and burst, so that both sides of a partition together stay within the limit. A copy begins with a quarter of its part of the burst, so that entries that start together don't bring a burst each, and takes over the level of an older entry. A resend, a move or a resumed stream counts again where it runs again; what has not run is given back. What lies beyond is refused with 429 and the time at which there is room.

Any request passes while something is left, and may leave a debt: else short prompts would use up what comes in and long ones never pass.

--- a/src/limits/mod.ts
+++ b/src/limits/mod.ts
@@ -1,5 +1,12 @@
 /** Limits of teams across entries. */
 export { floorShare, type Limits } from "./_division.ts";
+export { type RateLimit, SharedBucket } from "./shared_bucket.ts";
+export {
+  type BucketRow,
+  type BucketState,
+  type BucketVerdict,
+  SharedBuckets,
+} from "./shared_buckets.ts";
 export {
   ShareExchange,
   type ShareFailure,
--- /dev/null
+++ b/src/limits/shared_bucket.ts
@@ -0,0 +1,311 @@
+/**
+ * A token bucket that several processes take from, each by its own copy. Every process tells the
+ * others the total that it has taken; until it is heard again, it is assumed to go on as before. A
+ * process that has fallen silent keeps a part of the rate, the same in every copy, so that both sides
+ * of a partition together stay within the limit.
+ */
+
+/** A rate and the size of its bucket, both in the unit that requests are counted in. */
+export interface RateLimit {
+  perSecond: number;
+  burst: number;
+}
+
+/** What a {@link SharedBucket} knows of the processes that share it. */
+export interface BucketMembers {
+  /** Processes that may live, this one included. */
+  readonly count: number;
+  /** When each other process was last heard, by its address; the clock's time. */
+  readonly heardAtMs: ReadonlyMap<string, number>;
+}
+
+/** What one process tells of a bucket. */
+export interface BucketTold {
+  /** Taken since the process started. */
+  total: number;
+  /** Level of its own copy. */
+  level: number;
+}
+
+/** What this process knows of another one's use. */
+interface MemberUse {
+  total: number;
+  /** Decaying mean, for what it has taken since its last word. */
+  perMs: number;
+  /** The same over a longer time, for its part of the rate. */
+  slowPerMs: number;
+  /** Taken off the level since it was last heard, without its word. */
+  assumed: number;
+  /** Part of the rate that is set aside for it while it is silent. */
+  silentShare: number | undefined;
+}
+
+/** A process that tells nothing for longer than this is silent; the longest pause of one is 0.6 s. */
+export const SILENT_MS = 850;
+/** Time over which a process's use is averaged. */
+const USE_MEAN_MS = 1000;
+/** The same for parts of the rate: a sudden use at one process must not change what each believes. */
+const SLOW_MEAN_MS = 8000;
+/** What came in while the bucket was full still counts for takes that are told this much later. */
+const LATE_FILL_MS = 400;
+/** Part of the rate that silent processes share evenly; the rest goes by their last use. */
+const EVEN_SHARE = 1;
+/** Part of the burst that a process's copy begins with, over all processes. */
+const START_SHARE = 0.25;
+/** A copy this young takes over the level of an older one. */
+const YOUNG_MS = 1500;
+
+/** Settings of a {@link SharedBucket}. */
+export interface SharedBucketOptions {
+  limit: RateLimit;
+  members: BucketMembers;
+  nowMs: number;
+}
+
+/** One process's copy. */
+export class SharedBucket {
+  readonly #members: BucketMembers;
+  readonly #uses = new Map<string, MemberUse>();
+  readonly #bornAtMs: number;
+  #limit: RateLimit;
+  #level: number;
+  #atMs: number;
+  #total = 0;
+  #ownSlowPerMs = 0;
+  /** Did not fit into the bucket lately. */
+  #overflow = 0;
+  #isTaught = false;
+  /** Refused requests that were told when to come back. */
+  #booked = 0;
+
+  private constructor({ limit, members, nowMs }: SharedBucketOptions) {
+    this.#limit = limit;
+    this.#members = members;
+    this.#bornAtMs = nowMs;
+    this.#atMs = nowMs;
+    this.#level = limit.burst * START_SHARE / Math.max(1, members.count);
+  }
+
+  /**
+   * @param options Limit and processes.
+   * @returns A copy that holds this process's part of the burst.
+   */
+  static create(options: SharedBucketOptions): SharedBucket {
+    return new SharedBucket(options);
+  }
+
+  /** The limit in force. */
+  get limit(): RateLimit {
+    return this.#limit;
+  }
+
+  /** Taken by this process since it started. */
+  get total(): number {
+    return this.#total;
+  }
+
+  /**
+   * @param limit A new rate and size; what is at hand is cut to it.
+   * @param nowMs The time.
+   */
+  resize(limit: RateLimit, nowMs: number): void {
+    this.#advance(nowMs);
+    this.#limit = limit;
+    this.#level = Math.min(this.#level, limit.burst);
+  }
+
+  /**
+   * @param nowMs The time.
+   * @returns What may be taken now; negative: more was taken than the limit allows.
+   */
+  level(nowMs: number): number {
+    this.#advance(nowMs);
+    return this.#level;
+  }
+
+  /**
+   * Any request passes while something is left, and may leave a debt: with large ones refused as long
+   * as small ones use up what comes in, they would never pass.
+   *
+   * @param count What a request takes.
+   * @param nowMs The time.
+   * @returns Whether it was taken.
+   */
+  tryTake(count: number, nowMs: number): boolean {
+    const level = this.level(nowMs);
+    const isUnsure = nowMs - this.#bornAtMs < SILENT_MS && this.#unheard() > 0;
+    // Many that start together would each go into debt with their first request.
+    const needed = isUnsure ? Math.min(count, this.#limit.burst) : 0;
+    if (level <= 0 || level < needed) return false;
+    this.#take(count);
+    return true;
+  }
+
+  /**
+   * @param count What is taken, whatever is left; negative: what is given back.
+   * @param nowMs The time.
+   */
+  take(count: number, nowMs: number): void {
+    this.#advance(nowMs);
+    this.#take(count);
+  }
+
+  /**
+   * Books room for a request that was refused, behind those refused before it.
+   *
+   * @param count What it takes.
+   * @param nowMs The time.
+   * @returns Time until there is room for it.
+   */
+  book(count: number, nowMs: number): number {
+    this.#advance(nowMs);
+    const { perSecond, burst } = this.#limit;
+    const perMs = perSecond / 1000;
+    const ownPerMs = perMs * this.#shareOf(this.#ownSlowPerMs);
+    const waitMs = Math.max(0, -this.#level) / perMs +
+      this.#booked / Math.max(ownPerMs, Number.MIN_VALUE);
+    this.#booked += Math.min(count, burst);
+    return waitMs;
+  }
+
+  /**
+   * Takes in what another process tells; left out: it told nothing of this bucket, and so took nothing.
+   *
+   * @param address The process.
+   * @param told Its word.
+   * @param options The time, and whether it started before this one.
+   */
+  hear(
+    address: string,
+    told: BucketTold | undefined,
+    { nowMs, isOlder }: { nowMs: number; isOlder: boolean },
+  ): void {
+    this.#advance(nowMs);
+    const use = this.#uses.get(address) ??
+      this.#meet(address, isOlder ? told?.total : 0);
+    if (!use) return;
+    const isYoung = nowMs - this.#bornAtMs < YOUNG_MS;
+    if (told && isOlder && isYoung && !this.#isTaught) {
+      this.#isTaught = true;
+      this.#level = Math.min(this.#limit.burst, told.level - this.#total);
+    }
+    const taken = told ? told.total - use.total : 0;
+    use.total += taken;
+    this.#settle(use, taken);
+  }
+
+  /** @param address A process that has started anew, and counts from 0. */
+  reborn(address: string): void {
+    const use = this.#uses.get(address);
+    if (use) use.total = 0;
+  }
+
+  /** @param address A process that is gone for good. */
+  forget(address: string): void {
+    this.#uses.delete(address);
+  }
+
+  /** What an older process took before this copy was there is not known, and no matter. */
+  #meet(address: string, total: number | undefined): MemberUse | undefined {
+    if (total === undefined) return undefined;
+    const use = {
+      total,
+      perMs: 0,
+      slowPerMs: 0,
+      assumed: 0,
+      silentShare: undefined,
+    };
+    this.#uses.set(address, use);
+    return use;
+  }
+
+  #settle(use: MemberUse, taken: number): void {
+    const missed = taken - use.assumed;
+    const late = Math.max(0, Math.min(missed, this.#overflow));
+    this.#overflow -= late;
+    this.#level = Math.min(this.#limit.burst, this.#level - missed + late);
+    use.perMs += taken / USE_MEAN_MS;
+    use.slowPerMs += taken / SLOW_MEAN_MS;
+    use.assumed = 0;
+    use.silentShare = undefined;
+  }
+
+  #take(count: number): void {
+    this.#level = Math.min(this.#limit.burst, this.#level - count);
+    this.#total += count;
+    this.#ownSlowPerMs += count / SLOW_MEAN_MS;
+  }
+
+  /** Fills up to the time, less what the other processes are assumed to take. */
+  #advance(nowMs: number): void {
+    const passedMs = nowMs - this.#atMs;
+    if (passedMs <= 0) return;
+    this.#atMs = nowMs;
+    const { perSecond, burst } = this.#limit;
+    const perMs = perSecond / 1000;
+    const slowDecay = Math.exp(-passedMs / SLOW_MEAN_MS);
+    const silentShare = this.#decaySilent(passedMs, slowDecay);
+    const assumed = this.#assume(passedMs);
+    const filled = this.#level + perMs * (1 - silentShare) * passedMs - assumed;
+    // Silent processes have their parts of the burst, too.
+    const most = burst * (1 - silentShare);
+    const overflow = this.#overflow + Math.max(0, filled - most);
+    this.#overflow = Math.min(perMs * LATE_FILL_MS, overflow);
+    this.#level = Math.min(most, filled);
+    const ownPerMs = perMs * this.#shareOf(this.#ownSlowPerMs);
+    this.#booked = Math.max(0, this.#booked - ownPerMs * passedMs);
+    this.#ownSlowPerMs *= slowDecay;
+  }
+
+  /** @returns Part of the rate that is set aside for silent processes. */
+  #decaySilent(passedMs: number, slowDecay: number): number {
+    const { perSecond } = this.#limit;
+    let silent = this.#unheard() * this.#evenShare();
+    for (const [address, heardAtMs] of this.#members.heardAtMs) {
+      const use = this.#uses.get(address);
+      if (this.#atMs - heardAtMs <= SILENT_MS) {
+        if (use) use.slowPerMs *= slowDecay;
+        continue;
+      }
+      if (!use) {
+        silent += this.#evenShare();
+        continue;
+      }
+      use.silentShare ??= this.#shareOf(use.slowPerMs);
+      use.assumed += use.silentShare * passedMs * perSecond / 1000;
+      silent += use.silentShare;
+    }
+    return Math.min(1, silent);
+  }
+
+  /** @returns What processes that are not silent are assumed to have taken. */
+  #assume(passedMs: number): number {
+    const decay = Math.exp(-passedMs / USE_MEAN_MS);
+    let sum = 0;
+    for (const use of this.#uses.values()) {
+      if (use.silentShare !== undefined) continue;
+      const assumed = use.perMs * USE_MEAN_MS * (1 - decay);
+      use.perMs *= decay;
+      use.assumed += assumed;
+      sum += assumed;
+    }
+    return sum;
+  }
+
+  /** Part of the rate of a process with this use, where all have to keep to their parts. */
+  #shareOf(slowPerMs: number): number {
+    let total = this.#ownSlowPerMs;
+    for (const use of this.#uses.values()) total += use.slowPerMs;
+    const byUse = total > 0 ? slowPerMs / total : this.#evenShare();
+    return EVEN_SHARE * this.#evenShare() + (1 - EVEN_SHARE) * byUse;
+  }
+
+  #evenShare(): number {
+    return 1 / Math.max(1, this.#members.count);
+  }
+
+  /** Processes that may live, and were never heard. */
+  #unheard(): number {
+    return Math.max(0, this.#members.count - 1 - this.#members.heardAtMs.size);
+  }
+}
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -5,6 +5,7 @@
   type CacheStore,
   type ClientLimits,
   type EngineLimits,
+  QuotaUnit,
   RequestKind,
   type Route,
   type RoutingConfig,
@@ -12,6 +13,7 @@
   type ServiceShare,
   type WantedWeights,
   type Workspace,
+  type WorkspaceQuota,
 } from "../router/model.ts";
 import { readServer } from "./decode_server.ts";
 import { CONFIG_KEY, SERVERS_PREFIX, WEIGHTS_PREFIX } from "./names.ts";
@@ -22,6 +24,7 @@
   list,
   nonEmptyText,
   number,
+  optionalAmount,
   optionalList,
   optionalNumber,
   parseObject,
@@ -189,6 +192,21 @@
     keys: optionalList(tenant, "api_keys").map(String),
     priority: optionalNumber(tenant, "priority"),
     isolated: tenant["isolated"] === true,
+    quota: readQuota(tenant),
+  };
+}
+
+/** A rate of 0, or none, is no limit. */
+function readQuota(tenant: Json): WorkspaceQuota | undefined {
+  const perSecond = optionalAmount(tenant, "rate_per_s") ?? 0;
+  if (perSecond === 0) return undefined;
+  return {
+    unit: tenant["unit"] === "token_count"
+      ? QuotaUnit.tokens
+      : QuotaUnit.requests,
+    perSecond,
+    burst: optionalAmount(tenant, "burst") ?? perSecond,
+    plainTokens: optionalAmount(tenant, "plain_tokens") ?? 1,
   };
 }
 
--- a/src/platform/decode_test.ts
+++ b/src/platform/decode_test.ts
@@ -43,6 +43,53 @@
   assert.deepEqual(workspaces, []);
 });
 
+function quotaOf(fields: object) {
+  const fact = decodeFact(
+    "op/config",
+    bytes({
+      version: 1,
+      routes: [],
+      services: [],
+      limits: {
+        max_header_bytes: 1,
+        max_body_bytes: 2,
+        header_timeout_ms: 3,
+        idle_timeout_ms: 4,
+      },
+      tenants: [{ name: "w", api_keys: [], ...fields }],
+    }),
+  );
+  if (fact.isErr) return fact.error.reason;
+  assert.equal(fact.value.kind, "config");
+  return fact.value.kind === "config"
+    ? fact.value.config.workspaces[0]?.quota
+    : undefined;
+}
+
+test("workspace without a rate, or with a rate of 0, has no limit", () => {
+  assert.equal(quotaOf({}), undefined);
+  assert.equal(quotaOf({ rate_per_s: 0, burst: 5 }), undefined);
+});
+
+test("workspace's limit is counted in tokens or in requests", () => {
+  const rates = { rate_per_s: 5, burst: 7 };
+  assert.deepEqual(
+    quotaOf({ ...rates, unit: "token_count", plain_tokens: 200 }),
+    { unit: "tokens", perSecond: 5, burst: 7, plainTokens: 200 },
+  );
+  assert.deepEqual(quotaOf(rates), {
+    unit: "requests",
+    perSecond: 5,
+    burst: 7,
+    plainTokens: 1,
+  });
+});
+
+test("limit of another form is named", () => {
+  assert.equal(quotaOf({ rate_per_s: "9" }), "No number: rate_per_s");
+  assert.equal(quotaOf({ rate_per_s: 9, burst: -1 }), "Below 0: burst");
+});
+
 test("value of another form is told with its key", () => {
   for (const key of ["op/config", "op/version/m", "servers/i-1"]) {
     for (const value of ["", "[]", "{}", "null", '{"version":"x"}']) {
--- a/src/platform/shape.ts
+++ b/src/platform/shape.ts
@@ -74,6 +74,14 @@
   return value;
 }
 
+/** @returns A field that is a number of 0 or more, if it is there at all. */
+export function optionalAmount(
+  object: Json,
+  name: string,
+): number | undefined {
+  return object[name] === undefined ? undefined : amount(object, name);
+}
+
 /** @returns A field that is a count. */
 export function wholeNumber(object: Json, name: string): number {
   const value = object[name];
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -13,6 +13,7 @@
 import type { AnswerSink, Outcome, RoutedRequest, Served } from "./request.ts";
 import { AnswerPasser } from "./pass_answer.ts";
 import type { PromptStore } from "./prompt_store.ts";
+import type { Quotas } from "./quotas.ts";
 import { ResendBudget, type ResendLimits } from "./resend_budget.ts";
 import { RunMover } from "./run_mover.ts";
 import { Sender, type SenderOptions } from "./send.ts";
@@ -37,12 +38,17 @@
 /** Reason of refusals of requests under which servers have ended. */
 const QUARANTINED = "quarantined";
 
+/** Reason of refusals of what lies beyond a workspace's limit. */
+const OVER_QUOTA = "over_quota";
+
 /** What a {@link Dispatcher} works with. */
 export interface DispatcherOptions extends Omit<SenderOptions, "passer"> {
   zone: string;
   random: () => number;
   choice: ChoiceName;
   resendLimits: ResendLimits;
+  /** Limits of workspaces. */
+  quotas: Pick<Quotas, "admit" | "runsAgain" | "giveBack">;
   /** Where prompts are kept beside the engines' own caches. */
   promptStores(): PromptStore[];
   /** How old what other entries told of their load may be. */
@@ -102,12 +108,30 @@
       begun: false,
       lastEventId: request.facts.lastEventId,
     };
-    const outcome = await this.#serve(request, sink, { progress });
+    const outcome = await this.#serveWithinQuota(request, sink, { progress });
     this.#budget.refund(request.service, progress.reservedSends);
     const { servers, ttftMs, expectedMs, weights, endedServers } = progress;
     return { outcome, servers, ttftMs, expectedMs, weights, endedServers };
   }
 
+  async #serveWithinQuota(
+    request: RoutedRequest,
+    sink: AnswerSink,
+    { progress }: { progress: Progress },
+  ): Promise<Outcome> {
+    const { quotas } = this.#options;
+    const verdict = quotas.admit(request);
+    if (verdict.kind === "refused") {
+      const echo = echoHeaders(request.facts.requestId);
+      const headers = [...echo, ...retryHeaders(verdict.retryAfterMs)];
+      sink.send(429, headers, Buffer.alloc(0));
+      return { kind: "refused", reason: OVER_QUOTA };
+    }
+    const outcome = await this.#serve(request, sink, { progress });
+    if (progress.runs === 0) quotas.giveBack(request);
+    return outcome;
+  }
+
   async #serve(
     request: RoutedRequest,
     sink: AnswerSink,
@@ -125,6 +149,7 @@
         if (this.#pausedMs(request) !== undefined) reason = PAUSED;
         break;
       }
+      if (movedTo || progress.runs > 0) this.#options.quotas.runsAgain(request);
       movedTo = undefined;
       if (progress.sends === 0 && !this.#isWorthSending(request, choice)) {
         reason = TOO_LATE;
--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -59,6 +59,7 @@
   no_server: "no server of the service takes requests",
   not_ready: "the entry knew no configuration yet",
   other_weights: "the server had other weights by then",
+  over_quota: "its workspace was at its limit",
   paused: "all servers of the service wanted no requests for a while",
   quarantined:
     "three servers or more had ended under it, so it is not run for a while",
--- a/src/router/in_force.ts
+++ b/src/router/in_force.ts
@@ -38,7 +38,7 @@
   /** The store's record of suspected requests is new. */
   onSuspects(): void;
   /** A newer configuration is in force. */
-  onConfig(): void;
+  onConfig(config: RoutingConfig): void;
 }
 
 /** What is in force. */
@@ -158,7 +158,7 @@
     const before = this.#table?.version;
     this.#table = RoutingTable.create(config);
     this.#options.fleet.applyLimits();
-    this.#options.onConfig();
+    this.#options.onConfig(config);
     this.#usePromptStores(config.services);
     this.#options.log.info({
       event: "config_in_force",
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -107,6 +107,29 @@
   priority?: number;
   /** Shares no cached prompt with any other workspace. */
   isolated: boolean;
+  /** Left out: no limit. */
+  quota?: WorkspaceQuota;
+}
+
+/** What a workspace's requests are counted in. */
+export const QuotaUnit = {
+  requests: "requests",
+  /** Tokens of the prompt and those that are generated at most. */
+  tokens: "tokens",
+} as const;
+
+/** One of {@link QuotaUnit}. */
+export type QuotaUnit = typeof QuotaUnit[keyof typeof QuotaUnit];
+
+/** What a workspace may run, over all entries together. */
+export interface WorkspaceQuota {
+  unit: QuotaUnit;
+  /** In units. */
+  perSecond: number;
+  /** What may be run at once after a pause, in units. */
+  burst: number;
+  /** What a request without a prompt counts as, where tokens are counted. */
+  plainTokens: number;
 }
 
 /** One version of the operator's configuration. */
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -42,6 +42,10 @@
   ended?: EndedUnder[];
   /** Suspected requests that were answered well; left out by entries of earlier releases. */
   cleared?: Cleared[];
+  /** When the entry started, since 1970, by its own clock; left out by entries of earlier releases. */
+  startedAtMs?: number;
+  /** Workspace, units that this entry has taken of its limit since it started, and what is left. */
+  taken?: [string, number, number][];
   /** The store answers this entry, and has done so for a while; for those of earlier releases. */
   storeServes: boolean;
   /** Time since its last answer; left out if it doesn't, or by entries of earlier releases. */
@@ -61,6 +65,8 @@
 const isText: Check = (value) => typeof value === "string";
 const isCount: Check = (value) =>
   typeof value === "number" && Number.isFinite(value) && value >= 0;
+const isNumber: Check = (value) =>
+  typeof value === "number" && Number.isFinite(value);
 const isCountOrNone: Check = (value) => value === null || isCount(value);
 /** Entries that ran before this field was told leave it out. */
 const isStart: Check = (value) => value === undefined || isCount(value);
@@ -86,6 +92,9 @@
     listOf(rowOf(isText, isText, isCountOrNone, isCount, isCount))(value),
   cleared: (value) =>
     value === undefined || listOf(rowOf(isText, isCount))(value),
+  startedAtMs: isStart,
+  taken: (value) =>
+    value === undefined || listOf(rowOf(isText, isNumber, isNumber))(value),
   storeServes: (value) => typeof value === "boolean",
   storeServedMs: (value) => value === undefined || isCount(value),
   weights: listOf(rowOf(isText, isText, isCount, isStart)),
--- a/src/router/peers.ts
+++ b/src/router/peers.ts
@@ -12,8 +12,10 @@
 import type { Fleet } from "./fleet.ts";
 import { LeavingNews } from "./leaving_news.ts";
 import type { Knowledge } from "./mirror.ts";
+import { hearLoads, tellLoads } from "./peer_loads.ts";
 import { readTold, type Start, type Told } from "./peer_datagram.ts";
 import type { Quarantine } from "./quarantine.ts";
+import type { Quotas } from "./quotas.ts";
 import { TELL_MS, tellPauseMs } from "./tell_pace.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
@@ -30,8 +32,6 @@
 /** A server that a peer holds back is spared for this long after the peer's last datagram. */
 const HELD_BACK_MS = 1000;
 
-const IDLE = { pendingTokens: 0, running: 0, bound: 0 };
-
 /** What a {@link Peers} works with. */
 export interface PeersOptions {
   name: string;
@@ -52,6 +52,8 @@
   wanted: WantedVersions;
   /** Requests under which servers ended. */
   quarantine: Pick<Quarantine, "hasNews" | "takeNews" | "hear">;
+  /** What entries take of the limits of workspaces. */
+  quotas: Pick<Quotas, "hasNews" | "takeNews" | "hear">;
   /** A peer told of its own knowledge. */
   onKnowledge(ipAddress: string, knowledge: Knowledge): void;
 }
@@ -191,7 +193,7 @@
       told.weights,
       this.#leaving.ids,
     ]);
-    const { quarantine } = this.#options;
+    const { quarantine, quotas } = this.#options;
     if (!quarantine.hasNews && !this.#isDue(told, news, orders)) return;
     this.#prompts.splice(0, told.prompts.length);
     this.#weights.splice(0, told.weights.length);
@@ -201,7 +203,12 @@
     this.#lastOrders = orders;
     this.#lastAtMs = this.#options.clock.nowMs();
     const leaving = this.#leaving.take();
-    const all: Told = { ...told, leaving, ...quarantine.takeNews() };
+    const all: Told = {
+      ...told,
+      leaving,
+      ...quarantine.takeNews(),
+      ...quotas.takeNews(),
+    };
     const bytes = Buffer.from(JSON.stringify(all));
     for (const address of this.#addresses()) {
       this.#socket.send(bytes, this.#options.port, address, (error) => {
@@ -216,7 +223,7 @@
     const sinceMs = this.#options.clock.nowMs() - this.#lastAtMs;
     const pauseMs = this.tellPauseMs;
     if (heldBack.length > 0 && sinceMs >= TELL_HELD_MS) return true;
-    if (news === this.#lastNews) {
+    if (news === this.#lastNews && !this.#options.quotas.hasNews) {
       return sinceMs >= Math.max(TELL_IDLE_MS, pauseMs);
     }
     // Looks are no more frequent than this.
@@ -235,18 +242,12 @@
     const { name, fleet, knowledge, wanted } = this.#options;
     const { revision, confirmed } = knowledge();
     const storeServedMs = this.#options.storeServedMs();
-    const loads: Told["loads"] = [];
-    for (const { id, ownLoad } of fleet.all()) {
-      if (ownLoad.running === 0) continue;
-      const { pendingTokens, running, bound } = ownLoad;
-      loads.push([id, pendingTokens, running, bound]);
-    }
     return {
       name,
       revision: String(revision),
       ageMs: Math.round(confirmed?.ageMs ?? Number.MAX_SAFE_INTEGER),
       confirmed,
-      loads,
+      loads: tellLoads(fleet),
       prompts: this.#prompts.slice(0, MAX_PROMPTS),
       heldBack: this.#heldBack(),
       changingNext: this.#changingNext(),
@@ -284,6 +285,10 @@
     }
     this.#heardAtMs.set(ipAddress, nowMs);
     this.#take(told, nowMs);
+    const { startedAtMs, taken } = told;
+    if (startedAtMs !== undefined && taken) {
+      this.#options.quotas.hear(ipAddress, { startedAtMs, taken });
+    }
     const revision = BigInt(told.revision);
     this.#options.onKnowledge(ipAddress, {
       revision,
@@ -293,16 +298,7 @@
 
   #take(told: Told, nowMs: number): void {
     const { fleet, wanted, log } = this.#options;
-    const loads = new Map(
-      told.loads.map(([id, pendingTokens, running, bound]) => [
-        id,
-        { pendingTokens, running, bound },
-      ]),
-    );
-    for (const server of fleet.all()) {
-      const load = loads.get(server.id) ?? IDLE;
-      server.setPeerLoad(told.name, load, nowMs);
-    }
+    hearLoads(fleet, told, nowMs);
     for (const [id, salt, readyInMs, parts, start] of told.prompts) {
       const chain = {
         salt,
--- a/src/router/peers_test.ts
+++ b/src/router/peers_test.ts
@@ -126,7 +126,16 @@
   const world = await openWorld(t);
   await world.worker("i-1");
   const peer = await FakePeer.create(t, world);
-  for (const name of ["gone", "changingNext", "leaving", "ended", "cleared"]) {
+  const later = [
+    "gone",
+    "changingNext",
+    "leaving",
+    "ended",
+    "cleared",
+    "startedAtMs",
+    "taken",
+  ];
+  for (const name of later) {
     for (const value of [null, {}, "x", [null], [[7]], ["i-1", 7]]) {
       await peer.tell({ heldBack: ["i-1"], [name]: value });
     }
--- /dev/null
+++ b/src/router/quotas_test.ts
@@ -0,0 +1,114 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ask, CONFIG, PROMPT } from "../standin/mod.ts";
+import { knows, openWorld, until, useConfig, type World } from "./_world.ts";
+
+/** Tokens of {@link PROMPT}, generated ones included. */
+const PROMPT_COST = 1280;
+
+/** The configuration with a limit of its workspace, in tokens. */
+function limited(version: number, perSecond: number, burst = perSecond) {
+  const [workspace] = CONFIG.tenants;
+  const quota = {
+    rate_per_s: perSecond,
+    burst,
+    unit: "token_count",
+    plain_tokens: 200,
+  };
+  return { ...CONFIG, version, tenants: [{ ...workspace!, ...quota }] };
+}
+
+function level({ router }: World["entries"][number]): number {
+  const { quotas } = router.state() as { quotas: { level: number }[] };
+  return quotas[0]?.level ?? NaN;
+}
+
+test("what lies beyond a workspace's limit is refused, has not run, and may come back", async (t) => {
+  const world = await openWorld(t);
+  const engine = await world.engine("i-1");
+  await useConfig(world, limited(2, 100));
+  assert.equal((await ask(world, "/stream/a", PROMPT)).status, 200);
+  const refused = await ask(world, "/stream/a", PROMPT);
+  assert.equal(refused.status, 429);
+  assert.ok(Number(refused.headers["retry-after"]) > 1);
+  assert.equal(engine.runs.length, 1);
+  const metrics = await fetch(
+    `http://${world.ipAddress}:${world.controlPort}/metrics`,
+  );
+  assert.match(
+    await metrics.text(),
+    /over_quota_requests_total\{workspace="w"\} 1/,
+  );
+});
+
+test("entries share a workspace's limit", async (t) => {
+  const world = await openWorld(t, { entryCount: 3 });
+  await world.engine("i-1");
+  await useConfig(world, limited(2, 100));
+  const [first, ...others] = world.entries;
+  for (const entry of others) {
+    await until(() => knows(entry, '"configVersion":2'));
+    await until(() => knows(entry, '"i-1"'));
+  }
+  await until(() => level(first!) > 50);
+  assert.equal((await ask(first!, "/stream/a", PROMPT)).status, 200);
+  for (const entry of others) {
+    await until(() => level(entry) < 0);
+    assert.equal((await ask(entry, "/stream/a", PROMPT)).status, 429);
+  }
+});
+
+test("entry that has just started does not have the limit anew", async (t) => {
+  const world = await openWorld(t, { entryCount: 2 });
+  await world.engine("i-1");
+  await useConfig(world, limited(2, 1000));
+  const [first, second] = world.entries;
+  await until(() => level(first!) === 1000);
+  await useConfig(world, limited(3, 10, 1000));
+  await until(() => knows(second!, '"configVersion":3'));
+  assert.equal((await ask(first!, "/stream/a", PROMPT)).status, 200);
+  await until(() => level(second!) < 0);
+  await second!.router.stop();
+  const again = await world.restart(second!);
+  await until(() => level(again) < 0);
+  assert.equal((await ask(again, "/stream/a", PROMPT)).status, 429);
+});
+
+test("request that no server ran counts nothing", async (t) => {
+  const world = await openWorld(t);
+  await useConfig(world, limited(2, 1000, 100_000));
+  const before = level(world);
+  assert.equal((await ask(world, "/stream/a", PROMPT)).status, 503);
+  assert.ok(level(world) >= before);
+});
+
+test("request that runs at a second server counts twice", async (t) => {
+  const world = await openWorld(t);
+  const [first, second] = [
+    await world.engine("i-1"),
+    await world.engine("i-2"),
+  ];
+  await useConfig(world, limited(2, 1, 100_000));
+  const before = level(world);
+  first.faults.cutAfterEvents = second.faults.cutAfterEvents = 1;
+  await ask(world, "/stream/a", PROMPT);
+  assert.ok(level(world) <= before - 2 * PROMPT_COST + 10);
+});
+
+test("request without a prompt counts as configured", async (t) => {
+  const world = await openWorld(t);
+  await world.worker("i-1");
+  await useConfig(world, limited(2, 1, 100_000));
+  const before = level(world);
+  assert.equal((await ask(world, "/look/a")).status, 200);
+  assert.ok(Math.abs(before - level(world) - 200) <= 10);
+});
+
+test("workspace without a limit is not counted", async (t) => {
+  const world = await openWorld(t);
+  await world.worker("i-1");
+  for (let i = 0; i < 20; i++) {
+    assert.equal((await ask(world, "/look/a")).status, 200);
+  }
+  assert.ok(knows(world, '"quotas":[]'));
+});
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -6,23 +6,24 @@
   Metrics,
   systemClock,
 } from "../base/mod.ts";
-import { type PlatformStore, READINESS_PATH } from "../platform/mod.ts";
-import { closeServer, serveControl, serveReadiness } from "./control.ts";
+import type { PlatformStore } from "../platform/mod.ts";
 import { Dispatcher } from "./dispatch.ts";
 import { PLATFORM_CALLS } from "./engine_orders.ts";
 import { Fleet } from "./fleet.ts";
 import { gatherMs, StoreFollower } from "./follower.ts";
 import { InForce } from "./in_force.ts";
 import { Ingress } from "./ingress.ts";
+import { openListeners } from "./listeners.ts";
 import { StoreMirror } from "./mirror.ts";
 import { Learner } from "./lessons.ts";
 import { Peers } from "./peers.ts";
 import { Quarantine } from "./quarantine.ts";
+import { Quotas } from "./quotas.ts";
 import { Registration } from "./registration.ts";
 import { relayAnswer, RelayReader } from "./relay.ts";
 import { RequestLog } from "./request_log.ts";
-import type { ServerOptions } from "./server.ts";
-import type { RouterSettings } from "./settings.ts";
+import { CONNECTION_TIMES, type ServerOptions } from "./server.ts";
+import { otherSeeds, type RouterSettings } from "./settings.ts";
 import { sweepServers } from "./sweep.ts";
 import { createStore } from "./store_client.ts";
 import { SUSPECT_RECORD_KEY, SuspectRecord } from "../suspects/mod.ts";
@@ -32,10 +33,6 @@
 import { LAST_ROLL_KEY, ROLL_LEASE_KEY } from "./roll_lease.ts";
 import { WeightsRoll } from "./weights_roll.ts";
 
-/** Servers are a few ms away; a connection that takes longer is to a dead one. */
-const SERVER_CONNECT_MS = 300;
-/** Idle connections to servers are closed after this, unless the server names a shorter time. */
-const SERVER_IDLE_MS = 4000;
 /** Left of the grace time, for the process's own end. */
 const EXIT_MARGIN_MS = 700;
 
@@ -61,6 +58,7 @@
   readonly #follower: StoreFollower;
   readonly #quarantine: Quarantine;
   readonly #suspectRecord: SuspectRecord;
+  readonly #quotas: Quotas;
   readonly #fleet: Fleet;
   readonly #peers: Peers;
   readonly #relay: RelayReader;
@@ -100,6 +98,11 @@
       record: () => this.#mirror.entry(SUSPECT_RECORD_KEY),
       isStoreServing: () => this.#follower.contact.connected,
     });
+    this.#quotas = Quotas.create({
+      ...this.#parts(),
+      metrics: this.#metrics,
+      entryCount: () => this.#peers.possibleCount,
+    });
     this.#fleet = this.#createFleet();
     this.#inForce = InForce.create({
       log: this.#log,
@@ -113,7 +116,10 @@
           this.#clock.wallMs(),
         ),
       onSuspects: () => this.#suspectRecord.recall(),
-      onConfig: () => this.#ingress.applyLimits(),
+      onConfig: ({ workspaces }) => {
+        this.#ingress.applyLimits();
+        this.#quotas.use(workspaces);
+      },
     });
     this.#relay = RelayReader.create({
       ...this.#parts(),
@@ -188,6 +194,7 @@
       active: this.#ingress.active,
       wanted: this.#wanted.all(),
       suspects: this.#quarantine.state(),
+      quotas: this.#quotas.state(),
       servers: [...this.#fleet.all()].map((server) => server.state(nowMs)),
     };
   }
@@ -227,6 +234,7 @@
       storeServedMs: () => this.#follower.contact.servedMs,
       wanted: this.#wanted,
       quarantine: this.#quarantine,
+      quotas: this.#quotas,
       knownAddresses: () => [
         ...seedAddresses.map((seed) => seed.ipAddress),
         ...this.#registration.ipAddresses(),
@@ -265,6 +273,7 @@
       ...this.#parts(),
       fleet: this.#fleet,
       quarantine: this.#quarantine,
+      quotas: this.#quotas,
       zone: this.#settings.zone,
       choice: this.#settings.choice,
       resendLimits: this.#settings.resendLimits,
@@ -295,25 +304,24 @@
     const settings = this.#settings;
     const lifecycle = this.#lifecycle;
     lifecycle.own({ name: "store", close: () => this.#store.close() });
-    const { clientAddress, readinessAddress, controlAddress } = settings;
-    const control = await serveControl(controlAddress, {
+    await openListeners(lifecycle, settings, {
       relay: (after) => relayAnswer(this.#mirror, after),
       lessons: () => this.#learner.answer(this.#inForce.books()),
       metrics: () => this.#metrics.render(),
       state: () => this.state(),
-    });
-    lifecycle.own({ name: "control", close: () => closeServer(control) });
-    const readiness = await serveReadiness(readinessAddress, READINESS_PATH, {
       isReady: () =>
         this.#inForce.table !== undefined && !this.#ingress.draining,
     });
-    lifecycle.own({ name: "readiness", close: () => closeServer(readiness) });
     lifecycle.own({ name: "fleet", close: () => this.#fleet.close() });
     lifecycle.own({ name: "ingress", close: () => this.#ingress.close() });
+    const { clientAddress } = settings;
     await this.#ingress.listen(clientAddress.ipAddress, clientAddress.port);
     lifecycle.task("follower", (signal) => this.#follower.run(signal));
     lifecycle.task("peers", (signal) => this.#peers.run(signal));
-    lifecycle.task("seeds", (signal) => this.#askSeeds(signal));
+    lifecycle.task(
+      "seeds",
+      (signal) => this.#relay.askUntilKnown(otherSeeds(settings), signal),
+    );
     lifecycle.task("registration", (signal) => this.#registration.run(signal));
     lifecycle.task("roll", (signal) => this.#roll.run(signal));
     lifecycle.task("suspects", (signal) => this.#suspectRecord.run(signal));
@@ -332,18 +340,7 @@
     return contact.isServedElsewhere(this.#peers.storeServedPeerAtMs);
   }
 
-  #askSeeds(signal: AbortSignal): Promise<void> {
-    const { seedAddresses, ipAddress } = this.#settings;
-    const others = seedAddresses.map((seed) => seed.ipAddress)
-      .filter((other) => other !== ipAddress);
-    return this.#relay.askUntilKnown(others, signal);
-  }
-
   #serverOptions(service: string): ServerOptions {
-    return {
-      connectMs: SERVER_CONNECT_MS,
-      idleMs: SERVER_IDLE_MS,
-      ...this.#inForce.limitsOf(service),
-    };
+    return { ...CONNECTION_TIMES, ...this.#inForce.limitsOf(service) };
   }
 }
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -17,6 +17,14 @@
 /** Tokens of an answer before any was seen; after a few answers their own count decides. */
 const OUTPUT_TOKENS = 50;
 
+/** Times of connections to servers. */
+export const CONNECTION_TIMES = {
+  /** Servers are a few ms away; a connection that takes longer is to a dead one. */
+  connectMs: 300,
+  /** Idle ones are closed after this, unless the server names a shorter time. */
+  idleMs: 4000,
+} as const;
+
 /** Requests that are under way to a server. */
 export interface ServerLoad {
   /** Tokens to be read before the first token of requests that wait for it. */
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -132,6 +132,17 @@
   return `${ipAddress}:${port}`;
 }
 
+/**
+ * @param settings Settings of a process.
+ * @returns IP numbers of the other entries that they name.
+ */
+export function otherSeeds(
+  { seedAddresses, ipAddress }: RouterSettings,
+): string[] {
+  return seedAddresses.map((seed) => seed.ipAddress)
+    .filter((other) => other !== ipAddress);
+}
+
 function readOr<T extends string>(
   env: Environment,
   name: string,
