--- a/src/limits/shared_bucket.ts
+++ b/src/limits/shared_bucket.ts
@@ -50,6 +50,10 @@
 const LATE_FILL_MS = 400;
 /** Part of the rate that silent processes share evenly; the rest goes by their last use. */
 const EVEN_SHARE = 1;
+/** A process with this part of the rate or less stands nearly alone. */
+const ALONE_SHARE = 0.2;
+/** Largest request that it passes, as a multiple of its part of the burst. */
+const ALONE_BURSTS = 2;
 /** Part of the burst that a process's copy begins with, over all processes. */
 const START_SHARE = 0.25;
 /** A copy this young takes over the level of an older one. */
@@ -75,6 +79,8 @@
   /** Did not fit into the bucket lately. */
   #overflow = 0;
   #isTaught = false;
+  /** Part of the rate that is set aside for silent processes. */
+  #silentShare = 0;
   /** Refused requests that were told when to come back. */
   #booked = 0;
 
@@ -136,7 +142,7 @@
     const isUnsure = nowMs - this.#bornAtMs < SILENT_MS && this.#unheard() > 0;
     // Many that start together would each go into debt with their first request.
     const needed = isUnsure ? Math.min(count, this.#limit.burst) : 0;
-    if (level <= 0 || level < needed) return false;
+    if (level <= 0 || level < needed || this.#isTooLarge(count)) return false;
     this.#take(count);
     return true;
   }
@@ -245,6 +251,7 @@
     const perMs = perSecond / 1000;
     const slowDecay = Math.exp(-passedMs / SLOW_MEAN_MS);
     const silentShare = this.#decaySilent(passedMs, slowDecay);
+    this.#silentShare = silentShare;
     const assumed = this.#assume(passedMs);
     const filled = this.#level + perMs * (1 - silentShare) * passedMs - assumed;
     // Silent processes have their parts of the burst, too.
@@ -257,6 +264,13 @@
     this.#ownSlowPerMs *= slowDecay;
   }
 
+  /** Alone with its part, a process pays off what is larger only after seconds, as all others do. */
+  #isTooLarge(count: number): boolean {
+    const ownShare = 1 - this.#silentShare;
+    if (ownShare > ALONE_SHARE) return false;
+    return count > this.#limit.burst * ownShare * ALONE_BURSTS;
+  }
+
   /** @returns Part of the rate that is set aside for silent processes. */
   #decaySilent(passedMs: number, slowDecay: number): number {
     const { perSecond } = this.#limit;
