Sum other entries' requests at a server when they are told

Cause: each choice summed the words of all entries for every server: 38 servers and 29 other entries make 1,102 look-ups a request.

--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -4,9 +4,8 @@
 import { ChannelSet } from "./channel.ts";
 import { Health } from "./health.ts";
 import type { BackendServer } from "./model.ts";
+import { PeerLoadSum, type ServerLoad } from "./peer_load_sum.ts";
 
-/** What another entry says of its own requests to a server is used for this long. */
-const PEER_LOAD_MS = 1500;
 /** Time for a generated token before any answer was seen; small models are some times faster. */
 const TOKEN_MS = 15;
 /** Bounds on it, so that one odd answer does not decide. */
@@ -25,21 +24,6 @@
   idleMs: 4000,
 } as const;
 
-/** Requests that are under way to a server. */
-export interface ServerLoad {
-  /** Tokens to be read before the first token of requests that wait for it. */
-  pendingTokens: number;
-  /** Requests under way. */
-  running: number;
-  /** Those of them that can't go on at another server. */
-  bound: number;
-}
-
-/** What another entry said, and when. */
-interface PeerLoad extends ServerLoad {
-  atMs: number;
-}
-
 /** What a server takes; the configuration of its service says so. */
 export interface ServerLimits {
   /** Room for cached prompts that may be counted on. */
@@ -77,7 +61,7 @@
   #entry: BackendServer;
   readonly #weights = new Map<string, number>();
   readonly #own: ServerLoad = { pendingTokens: 0, running: 0, bound: 0 };
-  readonly #peers = new Map<string, PeerLoad>();
+  readonly #peers = new PeerLoadSum();
   #connectionLimit: number;
   #copyMsPerToken: number;
   #heldBackUntilMs = -Infinity;
@@ -142,14 +126,13 @@
    * @returns Requests of all entries.
    */
   load(nowMs: number): ServerLoad {
-    let { pendingTokens, running, bound } = this.#own;
-    for (const peer of this.#peers.values()) {
-      if (nowMs - peer.atMs > PEER_LOAD_MS) continue;
-      pendingTokens += peer.pendingTokens;
-      running += peer.running;
-      bound += peer.bound;
-    }
-    return { pendingTokens, running, bound };
+    const { pendingTokens, running, bound } = this.#own;
+    const peers = this.#peers.at(nowMs);
+    return {
+      pendingTokens: pendingTokens + peers.pendingTokens,
+      running: running + peers.running,
+      bound: bound + peers.bound,
+    };
   }
 
   /** @param entry A newer registration of the same start; one that doesn't name it changes it not. */
@@ -183,7 +166,7 @@
    * @param nowMs The time.
    */
   setPeerLoad(peer: string, load: ServerLoad, nowMs: number): void {
-    this.#peers.set(peer, { ...load, atMs: nowMs });
+    this.#peers.set(peer, load, nowMs);
   }
 
   /**
