Spare what is left of a limit between two words of the entries

In virtual time the same came from two things: what a silent entry is assumed to take faded within the 0.85 s until it counts as silent, and while a limit is nearly used up all entries took what each saw left.

Change: what an entry is assumed to take fades with its words only; below 0.4 of the burst an entry takes, between two of its own words, at most three times its part of what is left, or one request.

--- a/src/limits/_measure_sharing.ts
+++ b/src/limits/_measure_sharing.ts
@@ -53,6 +53,14 @@
       fleet.run(12_000, rate * HOT);
     },
   },
+  {
+    name: "hot, then a third cut off",
+    run: (fleet, rate) => {
+      fleet.run(4000, rate * HOT);
+      cutThird(fleet);
+      fleet.run(10_000, rate * HOT);
+    },
+  },
   {
     name: "a third cut off, usual",
     run: (fleet, rate) => {
--- a/src/limits/shared_bucket.ts
+++ b/src/limits/shared_bucket.ts
@@ -32,6 +32,8 @@
   total: number;
   /** Decaying mean, for what it has taken since its last word. */
   perMs: number;
+  /** When that was. */
+  toldAtMs: number;
   /** The same over a longer time, for its part of the rate. */
   slowPerMs: number;
   /** Taken off the level since it was last heard, without its word. */
@@ -54,6 +56,10 @@
 const ALONE_SHARE = 0.2;
 /** Largest request that it passes, as a multiple of its part of the burst. */
 const ALONE_BURSTS = 2;
+/** What all processes together may take between two words, as a multiple of what is left. */
+const UNTOLD_FACTOR = 3;
+/** With more than this part of the burst left, nothing need be spared between two words. */
+const AMPLE_SHARE = 0.4;
 /** Part of the burst that a process's copy begins with, over all processes. */
 const START_SHARE = 0.25;
 /** A copy this young takes over the level of an older one. */
@@ -79,6 +85,8 @@
   /** Did not fit into the bucket lately. */
   #overflow = 0;
   #isTaught = false;
+  /** Taken since the others were last told. */
+  #untold = 0;
   /** Part of the rate that is set aside for silent processes. */
   #silentShare = 0;
   /** Refused requests that were told when to come back. */
@@ -143,10 +151,18 @@
     // Many that start together would each go into debt with their first request.
     const needed = isUnsure ? Math.min(count, this.#limit.burst) : 0;
     if (level <= 0 || level < needed || this.#isTooLarge(count)) return false;
+    if (this.#untold > 0 && this.#untold + count > this.#untoldMost()) {
+      return false;
+    }
     this.#take(count);
     return true;
   }
 
+  /** The others have been told the total. */
+  told(): void {
+    this.#untold = 0;
+  }
+
   /**
    * @param count What is taken, whatever is left; negative: what is given back.
    * @param nowMs The time.
@@ -217,6 +233,7 @@
     const use = {
       total,
       perMs: 0,
+      toldAtMs: this.#atMs,
       slowPerMs: 0,
       assumed: 0,
       silentShare: undefined,
@@ -230,7 +247,9 @@
     const late = Math.max(0, Math.min(missed, this.#overflow));
     this.#overflow -= late;
     this.#level = Math.min(this.#limit.burst, this.#level - missed + late);
-    use.perMs += taken / USE_MEAN_MS;
+    const decay = Math.exp(-(this.#atMs - use.toldAtMs) / USE_MEAN_MS);
+    use.perMs = use.perMs * decay + taken / USE_MEAN_MS;
+    use.toldAtMs = this.#atMs;
     use.slowPerMs += taken / SLOW_MEAN_MS;
     use.assumed = 0;
     use.silentShare = undefined;
@@ -239,6 +258,7 @@
   #take(count: number): void {
     this.#level = Math.min(this.#limit.burst, this.#level - count);
     this.#total += count;
+    this.#untold = Math.max(0, this.#untold + count);
     this.#ownSlowPerMs += count / SLOW_MEAN_MS;
   }
 
@@ -264,6 +284,13 @@
     this.#ownSlowPerMs *= slowDecay;
   }
 
+  /** What this process may take between two words: all together at most a few times what is left. */
+  #untoldMost(): number {
+    const left = this.#level + this.#untold;
+    if (left > this.#limit.burst * AMPLE_SHARE) return Infinity;
+    return left * this.#shareOf(this.#ownSlowPerMs) * UNTOLD_FACTOR;
+  }
+
   /** Alone with its part, a process pays off what is larger only after seconds, as all others do. */
   #isTooLarge(count: number): boolean {
     const ownShare = 1 - this.#silentShare;
@@ -294,12 +321,10 @@
 
   /** @returns What processes that are not silent are assumed to have taken. */
   #assume(passedMs: number): number {
-    const decay = Math.exp(-passedMs / USE_MEAN_MS);
     let sum = 0;
     for (const use of this.#uses.values()) {
       if (use.silentShare !== undefined) continue;
-      const assumed = use.perMs * USE_MEAN_MS * (1 - decay);
-      use.perMs *= decay;
+      const assumed = use.perMs * passedMs;
       use.assumed += assumed;
       sum += assumed;
     }
--- a/src/limits/shared_buckets.ts
+++ b/src/limits/shared_buckets.ts
@@ -153,6 +153,7 @@
       const { bucket, tellingsLeft } = tracked;
       if (tellingsLeft === 0 && retold++ >= MAX_RETOLD) continue;
       rows.push([name, bucket.total, Math.round(bucket.level(nowMs))]);
+      bucket.told();
       tracked.tellingsLeft = Math.max(0, tellingsLeft - 1);
       // Those that are left out come first next time.
       this.#tracked.delete(name);
