Write log lines of a moment together

Cause: each line was a write of its own, handed to a thread. In a profile of one entry at 84 requests a second and 125 datagrams a second, writes of log lines took 5.4% of its processor time, datagrams 9%, choices 2%.

Change: lines wait up to 100 ms or 2 KiB. A killed process loses those of its last 100 ms.

--- a/src/base/log.ts
+++ b/src/base/log.ts
@@ -1,5 +1,10 @@
 /** Logs: JSON lines. Prompts, answers and keys are never logged. */
-import { destination, type Logger as PinoLogger, pino } from "pino";
+import {
+  destination,
+  type DestinationStream,
+  type Logger as PinoLogger,
+  pino,
+} from "pino";
 
 /** A logger of JSON lines. */
 export type Logger = PinoLogger;
@@ -23,6 +28,10 @@
  */
 const WHOLE_BYTES = 4096;
 
+/** Lines wait for more up to this size, or this long: each write costs a turn of a thread. */
+const GATHERED_BYTES = 2048;
+const FLUSH_MS = 100;
+
 /** What a logger is made from. */
 export interface LoggerOptions {
   /** Lowest severity that is written. */
@@ -45,12 +54,33 @@
       level: options.level,
       base: { role: options.role, processId: options.processId },
     },
-    options.toStdout
-      ? destination({ dest: 1, sync: false, maxWrite: WHOLE_BYTES })
-      : destination({ dest: 2, sync: true }),
+    options.toStdout ? gatheredOutput() : destination({ dest: 2, sync: true }),
   );
 }
 
+/** Standard output; lines that come within a moment are written together. */
+function gatheredOutput(): DestinationStream {
+  const output = destination({
+    dest: 1,
+    sync: false,
+    maxWrite: WHOLE_BYTES,
+    minLength: GATHERED_BYTES,
+  });
+  let isFlushDue = false;
+  const flush = () => {
+    isFlushDue = false;
+    output.flush();
+  };
+  return {
+    write(line) {
+      output.write(line);
+      if (isFlushDue) return;
+      isFlushDue = true;
+      setTimeout(flush, FLUSH_MS).unref();
+    },
+  };
+}
+
 /**
  * @returns A logger that writes nothing, for tests and tools.
  */
--- a/src/base/log_test.ts
+++ b/src/base/log_test.ts
@@ -37,3 +37,32 @@
     assert.ok(text.endsWith("\n"));
   }
 });
+
+test("lines that come within a moment are written together", async () => {
+  const written: string[] = [];
+  mock.method(fs, "write", (...args: unknown[]) => {
+    const [, text, done] = args as [
+      number,
+      string,
+      (error: null, bytes: number) => void,
+    ];
+    written.push(text);
+    setImmediate(() => done(null, Buffer.byteLength(text)));
+  });
+  const log = createLogger({
+    level: "info",
+    role: "router",
+    processId: "test",
+    toStdout: true,
+  });
+  for (let i = 0; i < 10; i++) {
+    log.info({ event: "request", i });
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  while (written.length === 0) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  mock.restoreAll();
+  assert.equal(written.length, 1);
+  assert.equal(written.join("").split("\n").length, 11);
+});
