Give up connections that are not answered in their own time

Change: connections are opened here, with a timer of their own. The test failed before: no step within 1.5 times the time.

--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -2,9 +2,9 @@
  * Connections to one backend server. Each carries one request at a time and is used again only
  * after an answer that came whole and as announced.
  */
-import type { Socket } from "node:net";
 import type { IncomingHttpHeaders } from "node:http";
-import { buildConnector, Client, type Dispatcher } from "undici";
+import { connect, type Socket } from "node:net";
+import { type buildConnector, Client, type Dispatcher } from "undici";
 
 /** What is sent over a channel. */
 export interface ChannelRequest {
@@ -169,14 +169,13 @@
     onRelease: (channel: Channel, isSound: boolean) => void,
   ) {
     this.#onRelease = onRelease;
-    const connect = buildConnector({ timeout: options.connectMs });
     this.#client = new Client(`http://${options.address}`, {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: options.idleMs,
-      connect: (target, callback) =>
-        connect(target, (...result) => {
+      connect: (_target, callback) =>
+        dial(options, (...result) => {
           const socket = result[1];
           if (socket) this.#observe(socket);
           callback(...result);
@@ -289,6 +288,36 @@
   }
 }
 
+/** Undici's own connector looks at its timeouts every half second only. */
+function dial(
+  { address, connectMs }: ChannelOptions,
+  callback: buildConnector.Callback,
+): void {
+  const at = address.lastIndexOf(":");
+  const host = address.slice(0, at);
+  const port = Number(address.slice(at + 1));
+  const socket = connect({ host, port, noDelay: true });
+  const timer = setTimeout(
+    () => socket.destroy(new ConnectTimeout()),
+    connectMs,
+  );
+  const fail = (error: Error) => {
+    clearTimeout(timer);
+    callback(error, null);
+  };
+  socket.once("error", fail);
+  socket.once("connect", () => {
+    clearTimeout(timer);
+    socket.off("error", fail);
+    callback(null, socket);
+  });
+}
+
+class ConnectTimeout extends Error {
+  override readonly name = "ConnectTimeout";
+  readonly code = "CONNECT_TIMEOUT";
+}
+
 class ExchangeAborted extends Error {
   override readonly name = "ExchangeAborted";
 }
--- /dev/null
+++ b/src/router/connect_test.ts
@@ -0,0 +1,52 @@
+import assert from "node:assert/strict";
+import { connect, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { Worker } from "node:worker_threads";
+import { ChannelSet } from "./channel.ts";
+
+const CONNECT_MS = 300;
+const REQUEST = { method: "GET", target: "/", headers: [], body: undefined };
+
+/** Listens, and takes no connection: further ones get no answer once its queue is full. */
+const STUCK = `
+  const { createServer } = require("node:net");
+  const { parentPort } = require("node:worker_threads");
+  const server = createServer();
+  server.listen({ port: 0, host: "127.0.0.1", backlog: 1 }, () => {
+    parentPort.postMessage(server.address().port);
+    setImmediate(() => Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0));
+  });
+`;
+
+async function openStuck(t: TestContext): Promise<number> {
+  const worker = new Worker(STUCK, { eval: true });
+  const port = await new Promise<number>((resolve) =>
+    worker.once("message", resolve)
+  );
+  const fillers: Socket[] = [];
+  t.after(async () => {
+    for (const socket of fillers) socket.destroy();
+    await worker.terminate();
+  });
+  for (let i = 0; i < 4; i++) {
+    const socket = connect(port, "127.0.0.1");
+    socket.on("error", () => {});
+    fillers.push(socket);
+  }
+  await new Promise((resolve) => setTimeout(resolve, CONNECT_MS));
+  return port;
+}
+
+test("connection that is not answered is given up in its time", async (t) => {
+  const port = await openStuck(t);
+  const channels = ChannelSet.create({
+    address: `127.0.0.1:${port}`,
+    connectMs: CONNECT_MS,
+    idleMs: 4000,
+  });
+  const exchange = channels.send(REQUEST);
+  const step = await exchange.next(CONNECT_MS * 1.5);
+  exchange.abort();
+  assert.ok(step?.kind === "failed");
+  assert.equal(step.failure.kind, "unreachable");
+});
