--- a/src/router/loop_lag.ts
+++ b/src/router/loop_lag.ts
@@ -1,51 +1,77 @@
 /**
- * How far the process is behind with what has arrived. A request that is read late may be one whose
- * client has left since: its leaving is read one turn of the event loop later.
+ * How far the process is behind with what has arrived. Timers may be on time while what other hosts
+ * sent waits to be read, so the process sends datagrams to itself and sees how long they wait.
  */
+import { createSocket, type Socket } from "node:dgram";
 import { setImmediate as nextTurn } from "node:timers/promises";
-import type { Clock } from "../base/mod.ts";
+import type { Clock, Logger } from "../base/mod.ts";
 
-/** Pause between looks. */
+/** Pause between datagrams. */
 const LOOK_MS = 100;
+/** A datagram that has not come after this is lost. */
+const LOST_MS = 3000;
 /** A process that is behind by less reads what arrives as it comes. */
 const BEHIND_MS = 100;
-
 /** Turns from the read of a request to that of its connection's end, and until all know of it. */
 const TURNS = 10;
 
-/** Measures the time between turns of the event loop. */
+/** What a {@link LoopLag} works with. */
+export interface LoopLagOptions {
+  clock: Clock;
+  log: Logger;
+  /** The process's own address. */
+  ipAddress: string;
+}
+
+/** Measures how long what arrives waits to be read. */
 export class LoopLag {
-  readonly #clock: Clock;
-  #lookedAtMs: number;
+  readonly #options: LoopLagOptions;
+  readonly #socket: Socket;
+  /** When the datagram was sent that has not come yet. */
+  #sentAtMs: number | undefined;
   #lagMs = 0;
+  #lookedAtMs: number;
+  /** How late the last look was. */
+  #lateMs = 0;
 
-  private constructor(clock: Clock) {
-    this.#clock = clock;
-    this.#lookedAtMs = clock.nowMs();
+  private constructor(options: LoopLagOptions) {
+    this.#options = options;
+    this.#socket = createSocket("udp4");
+    this.#lookedAtMs = options.clock.nowMs();
   }
 
   /**
-   * @param clock The process's clock.
+   * @param options Clock and address.
    * @returns A meter that sees nothing yet.
    */
-  static create(clock: Clock): LoopLag {
-    return new LoopLag(clock);
+  static create(options: LoopLagOptions): LoopLag {
+    return new LoopLag(options);
   }
 
-  /** How late the last look was, or the next one is by now. */
+  /** How long the last datagram waited, or the next one has by now; or how late that one is. */
   get ms(): number {
-    const sinceMs = this.#clock.nowMs() - this.#lookedAtMs;
-    return Math.max(this.#lagMs, sinceMs - LOOK_MS, 0);
+    const nowMs = this.#options.clock.nowMs();
+    const waitsMs = nowMs - (this.#sentAtMs ?? nowMs);
+    return Math.max(this.#lagMs, this.#lateMs, waitsMs, this.#lateAt(nowMs));
   }
 
   /** @param signal Ends the work. */
   async run(signal: AbortSignal): Promise<void> {
+    const { clock, log, ipAddress } = this.#options;
+    const socket = this.#socket;
+    socket.on("message", () => this.#hear());
+    socket.on("error", ({ message }) => {
+      log.warn({ event: "lag_socket_failed", reason: message });
+    });
+    await new Promise<void>((resolve) => socket.bind(0, ipAddress, resolve));
     while (!signal.aborted) {
-      await this.#clock.sleep(LOOK_MS, signal);
-      const nowMs = this.#clock.nowMs();
-      this.#lagMs = Math.max(0, nowMs - this.#lookedAtMs - LOOK_MS);
+      const nowMs = clock.nowMs();
+      this.#lateMs = this.#lateAt(nowMs);
       this.#lookedAtMs = nowMs;
+      this.#send();
+      await clock.sleep(LOOK_MS, signal);
     }
+    socket.close();
   }
 
   /** While the process is behind, lets it read what has arrived meanwhile on all connections. */
@@ -53,4 +79,24 @@
     if (this.ms < BEHIND_MS) return;
     for (let turn = 0; turn < TURNS; turn++) await nextTurn();
   }
+
+  #lateAt(nowMs: number): number {
+    return Math.max(0, nowMs - this.#lookedAtMs - LOOK_MS);
+  }
+
+  #send(): void {
+    const nowMs = this.#options.clock.nowMs();
+    const isWaiting = this.#sentAtMs !== undefined &&
+      nowMs - this.#sentAtMs < LOST_MS;
+    if (isWaiting) return;
+    this.#sentAtMs = nowMs;
+    const { address, port } = this.#socket.address();
+    this.#socket.send("", port, address);
+  }
+
+  #hear(): void {
+    if (this.#sentAtMs === undefined) return;
+    this.#lagMs = this.#options.clock.nowMs() - this.#sentAtMs;
+    this.#sentAtMs = undefined;
+  }
 }
