Measure an entry's lag by the machine's clock

Three tests failed whose clock jumps by seconds: a jump looked like a backlog, and requests were turned away.

--- a/src/router/loop_lag.ts
+++ b/src/router/loop_lag.ts
@@ -4,7 +4,7 @@
  */
 import { createSocket, type Socket } from "node:dgram";
 import { setImmediate as nextTurn } from "node:timers/promises";
-import type { Clock, Logger } from "../base/mod.ts";
+import { type Logger, systemClock } from "../base/mod.ts";
 
 /** Pause between datagrams. */
 const LOOK_MS = 100;
@@ -17,7 +17,6 @@
 
 /** What a {@link LoopLag} works with. */
 export interface LoopLagOptions {
-  clock: Clock;
   log: Logger;
   /** The process's own address. */
   ipAddress: string;
@@ -37,11 +36,11 @@
   private constructor(options: LoopLagOptions) {
     this.#options = options;
     this.#socket = createSocket("udp4");
-    this.#lookedAtMs = options.clock.nowMs();
+    this.#lookedAtMs = systemClock.nowMs();
   }
 
   /**
-   * @param options Clock and address.
+   * @param options Log and address.
    * @returns A meter that sees nothing yet.
    */
   static create(options: LoopLagOptions): LoopLag {
@@ -50,14 +49,14 @@
 
   /** How long the last datagram waited, or the next one has by now; or how late that one is. */
   get ms(): number {
-    const nowMs = this.#options.clock.nowMs();
+    const nowMs = systemClock.nowMs();
     const waitsMs = nowMs - (this.#sentAtMs ?? nowMs);
     return Math.max(this.#lagMs, this.#lateMs, waitsMs, this.#lateAt(nowMs));
   }
 
   /** @param signal Ends the work. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, log, ipAddress } = this.#options;
+    const { log, ipAddress } = this.#options;
     const socket = this.#socket;
     socket.on("message", () => this.#hear());
     socket.on("error", ({ message }) => {
@@ -65,11 +64,11 @@
     });
     await new Promise<void>((resolve) => socket.bind(0, ipAddress, resolve));
     while (!signal.aborted) {
-      const nowMs = clock.nowMs();
+      const nowMs = systemClock.nowMs();
       this.#lateMs = this.#lateAt(nowMs);
       this.#lookedAtMs = nowMs;
       this.#send();
-      await clock.sleep(LOOK_MS, signal);
+      await systemClock.sleep(LOOK_MS, signal);
     }
     socket.close();
   }
@@ -85,7 +84,7 @@
   }
 
   #send(): void {
-    const nowMs = this.#options.clock.nowMs();
+    const nowMs = systemClock.nowMs();
     const isWaiting = this.#sentAtMs !== undefined &&
       nowMs - this.#sentAtMs < LOST_MS;
     if (isWaiting) return;
@@ -96,7 +95,7 @@
 
   #hear(): void {
     if (this.#sentAtMs === undefined) return;
-    this.#lagMs = this.#options.clock.nowMs() - this.#sentAtMs;
+    this.#lagMs = systemClock.nowMs() - this.#sentAtMs;
     this.#sentAtMs = undefined;
   }
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -78,7 +78,7 @@
     this.#log = options.log;
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
-    this.#lag = LoopLag.create({ ...options.settings, ...this.#parts() });
+    this.#lag = LoopLag.create({ ...options.settings, log: options.log });
     this.#mirror = StoreMirror.create(this.#clock);
     this.#wanted = WantedVersions.create({
       clock: this.#clock,
