Add a failing test of entries that come back after a long cut

An entry that was silent for 20 s is forgotten; when it is heard again its whole total counts as taken just now.

--- a/src/limits/shared_bucket_test.ts
+++ b/src/limits/shared_bucket_test.ts
@@ -134,6 +134,19 @@
   assertWithin(fleet.result());
 });
 
+test("entries that come back after a long cut are not counted anew", () => {
+  const rate = RATES[0]!;
+  const fleet = open(rate);
+  fleet.run(8000, rate * USUAL);
+  for (const [i, entry] of fleet.entries.entries()) entry.side = i % 2;
+  fleet.run(25_000, rate * USUAL);
+  for (const entry of fleet.entries) entry.side = 0;
+  fleet.run(1000, rate * USUAL);
+  fleet.reset();
+  fleet.run(6000, rate * USUAL);
+  assert.ok(wronglyRefused(fleet.result()) < 0.01);
+});
+
 test("lowered limit binds one window later", () => {
   const rate = RATES[0]!;
   const fleet = open(rate);
