Count an entry that comes back after a long cut from its next word on

Cause: an entry that had been silent for 20 s was forgotten with its total; when it was heard again, its whole total was taken off the level at once, and a workspace was refused for as long as that takes to fill.

Change: forgotten entries are remembered by their address until they start anew; their first total is where counting begins again.

--- a/src/limits/shared_bucket.ts
+++ b/src/limits/shared_bucket.ts
@@ -70,6 +70,8 @@
 export class SharedBucket {
   readonly #members: BucketMembers;
   readonly #uses = new Map<string, MemberUse>();
+  /** Processes that were forgotten, and may come back without having started anew. */
+  readonly #forgotten = new Set<string>();
   readonly #bornAtMs: number;
   #limit: RateLimit;
   #level: number;
@@ -199,7 +201,7 @@
   ): void {
     this.#advance(nowMs);
     const use = this.#uses.get(address) ??
-      this.#meet(address, isOlder ? told?.total : 0);
+      this.#meet(address, told, isOlder);
     if (!use) return;
     const isYoung = nowMs - this.#bornAtMs < YOUNG_MS;
     if (told && isOlder && isYoung && !this.#isTaught) {
@@ -213,6 +215,7 @@
 
   /** @param address A process that has started anew, and counts from 0. */
   reborn(address: string): void {
+    this.#forgotten.delete(address);
     const use = this.#uses.get(address);
     if (use) use.total = 0;
   }
@@ -222,11 +225,22 @@
     const use = this.#uses.get(address);
     if (use?.silentFromMs === undefined) this.#othersPerMs -= use?.perMs ?? 0;
     this.#uses.delete(address);
+    this.#forgotten.add(address);
   }
 
-  /** What an older process took before this copy was there is not known, and no matter. */
-  #meet(address: string, total: number | undefined): MemberUse | undefined {
+  /**
+   * What an older process took before this copy was there is not known, nor what one took that was
+   * forgotten; neither lies in a window that still matters.
+   */
+  #meet(
+    address: string,
+    told: BucketTold | undefined,
+    isOlder: boolean,
+  ): MemberUse | undefined {
+    const isUnknown = isOlder || this.#forgotten.has(address);
+    const total = isUnknown ? told?.total : 0;
     if (total === undefined) return undefined;
+    this.#forgotten.delete(address);
     const use = { total, perMs: 0, toldAtMs: this.#atMs };
     this.#uses.set(address, use);
     return use;
