--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -73,6 +73,8 @@
   orderTurnMs?: number;
   /** Answers may not begin on weights that were replaced this long ago. */
   weightsBoundMs?: number;
+  /** IP numbers in the settings at which no entry lives. */
+  staleSeeds?: string[];
 }
 
 /**
@@ -99,8 +101,12 @@
  */
 export async function openBareWorld(
   t: TestContext,
-  { entryCount = 1, orderTurnMs = 0, weightsBoundMs = 10_000 }: WorldOptions =
-    {},
+  {
+    entryCount = 1,
+    orderTurnMs = 0,
+    weightsBoundMs = 10_000,
+    staleSeeds = [],
+  }: WorldOptions = {},
 ): Promise<World> {
   const store = await StandinPlatformStore.create();
   const entries: TestEntry[] = [];
@@ -138,7 +144,7 @@
         readinessAddress: at(ports.readiness),
         controlAddress: at(ports.control),
         peerPort: ports.peer,
-        seedAddresses: ipAddresses.map((ipAddress) => ({
+        seedAddresses: [...ipAddresses, ...staleSeeds].map((ipAddress) => ({
           ipAddress,
           port: ports.peer,
         })),
--- a/src/router/quotas_test.ts
+++ b/src/router/quotas_test.ts
@@ -74,6 +74,14 @@
   assert.equal((await ask(again, "/stream/a", PROMPT)).status, 429);
 });
 
+test("stale seeds have no part of a limit", async (t) => {
+  const world = await openWorld(t, {
+    staleSeeds: ["127.0.0.77", "127.0.0.78"],
+  });
+  await useConfig(world, limited(2, 1000));
+  await until(() => level(world) === 1000);
+});
+
 test("request that no server ran counts nothing", async (t) => {
   const world = await openWorld(t);
   await useConfig(world, limited(2, 1000, 100_000));
