Share limits among the entries that are registered or heard, not among seeds

Cause: seeds of the settings may be stale; each kept a part of every limit for good, up to three of seven in a fleet of four. The processes that share are also counted every 50 ms in place of at each use: a count looks at every entry, several times for each bucket and datagram.

--- a/src/limits/shared_buckets.ts
+++ b/src/limits/shared_buckets.ts
@@ -21,6 +21,8 @@
 const MAX_ROWS = 40;
 /** Those of them that are no news. */
 const MAX_RETOLD = 4;
+/** Processes are counted this often; it is asked for with each request and datagram. */
+const COUNT_MS = 50;
 /** A silent process keeps its part of each rate for this long. */
 const FORGET_MS = 20_000;
 /** A process that started this much before another one has seen more. */
@@ -66,13 +68,16 @@
   readonly #heardAtMs = new Map<string, number>();
   readonly #startsAtMs = new Map<string, number>();
   readonly #members: BucketMembers;
+  #counted = 1;
+  #countedAtMs = -Infinity;
 
   private constructor(options: SharedBucketsOptions) {
     this.#options = options;
     this.#startedAtMs = Math.round(options.clock.wallMs());
+    const count = () => this.#memberCount();
     this.#members = {
       get count() {
-        return options.memberCount();
+        return count();
       },
       heardAtMs: this.#heardAtMs,
     };
@@ -196,6 +201,16 @@
     }));
   }
 
+  #memberCount(): number {
+    const { clock, memberCount } = this.#options;
+    const nowMs = clock.nowMs();
+    if (nowMs - this.#countedAtMs >= COUNT_MS) {
+      this.#countedAtMs = nowMs;
+      this.#counted = memberCount();
+    }
+    return this.#counted;
+  }
+
   #track(name: string, limit: RateLimit, nowMs: number): void {
     const members = this.#members;
     const bucket = SharedBucket.create({ limit, members, nowMs });
--- a/src/router/registration.ts
+++ b/src/router/registration.ts
@@ -48,6 +48,11 @@
       .filter(isIPv4);
   }
 
+  /** Entries that are registered, this one included. */
+  get count(): number {
+    return Math.max(1, this.ipAddresses().length);
+  }
+
   /** @param signal Ends the renewals; the registration lapses. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.#options;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -104,7 +104,8 @@
     this.#quotas = Quotas.create({
       ...this.#parts(),
       metrics: this.#metrics,
-      entryCount: () => this.#peers.possibleCount,
+      // Seeds may be stale, and would have their parts for good.
+      entryCount: () => Math.max(this.#peers.count, this.#registration.count),
     });
     this.#fleet = this.#createFleet();
     this.#inForce = InForce.create({
