--- a/src/base/log_test.ts
+++ b/src/base/log_test.ts
@@ -5,13 +5,14 @@
 import assert from "node:assert/strict";
 import fs from "node:fs";
 import { mock, test } from "node:test";
-import { createLogger } from "./log.ts";
+import { createLogger, type Logger } from "./log.ts";
 
 /** Longest write that a pipe with several writers keeps in one piece: PIPE_BUF of Linux. */
 const WHOLE_BYTES = 4096;
 const LINES = 200;
 
-test("lines that are written at once stay whole", async () => {
+/** A log to standard output, and what is written there, a text a write. */
+function recordWrites(): { log: Logger; written: string[] } {
   const written: string[] = [];
   mock.method(fs, "write", (...args: unknown[]) => {
     const [, text, done] = args as [
@@ -28,6 +29,11 @@
     processId: "test",
     toStdout: true,
   });
+  return { log, written };
+}
+
+test("lines that are written at once stay whole", async () => {
+  const { log, written } = recordWrites();
   for (let i = 0; i < LINES; i++) log.info({ event: "request", i });
   const isWritten = () => written.join("").split("\n").length > LINES;
   while (!isWritten()) await new Promise((resolve) => setImmediate(resolve));
@@ -39,22 +45,7 @@
 });
 
 test("lines that come within a moment are written together", async () => {
-  const written: string[] = [];
-  mock.method(fs, "write", (...args: unknown[]) => {
-    const [, text, done] = args as [
-      number,
-      string,
-      (error: null, bytes: number) => void,
-    ];
-    written.push(text);
-    setImmediate(() => done(null, Buffer.byteLength(text)));
-  });
-  const log = createLogger({
-    level: "info",
-    role: "router",
-    processId: "test",
-    toStdout: true,
-  });
+  const { log, written } = recordWrites();
   for (let i = 0; i < 10; i++) {
     log.info({ event: "request", i });
     await new Promise((resolve) => setImmediate(resolve));
