Say in a request's line how each of its sends ended and why none followed

The line of a broken stream said "no_answer" for three different waits: the client's time, a pause of the stream, and an answer that did not begin; and nothing said why no other server was asked. `ends` now has the end of each send with its time, `notResent` the reason, and explain tells both.

--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -9,6 +9,32 @@
 } from "./request.ts";
 import type { LoadTicket, Server } from "./server.ts";
 
+/** Why the rest of an answer was waited for no longer. */
+export const LateReason = {
+  /** The client's deadline or the route's timeout had come. */
+  deadline: "deadline",
+  /** A stream paused, and another server could go on with it. */
+  noEvent: "no_event",
+  /** No answer began, and another server could be asked. */
+  noHead: "no_head",
+} as const;
+
+/** One of {@link LateReason}. */
+export type LateReason = typeof LateReason[keyof typeof LateReason];
+
+/** Why a request is not sent again. */
+export const ResendRefusal = {
+  notRepeatable: "not_repeatable",
+  attemptsUsed: "attempts_used",
+  sendsUsed: "sends_used",
+  noTime: "no_time",
+  noBudget: "no_budget",
+  noServer: "no_other_server",
+} as const;
+
+/** One of {@link ResendRefusal}. */
+export type ResendRefusal = typeof ResendRefusal[keyof typeof ResendRefusal];
+
 /** How one send ended. */
 export type SendEnd =
   | { kind: "done"; outcome: Outcome }
@@ -26,6 +52,10 @@
   readonly ranAt: Set<Server>;
   /** Ids of the servers that it was sent to, in order. */
   readonly servers: string[];
+  /** How each send ended that was not the last of all: `reason@ms`, from its start. */
+  readonly ends: string[];
+  /** Why the last of them was followed by none. */
+  notResent?: ResendRefusal;
   /** Sends that may have run; one that goes on from a copy is the same run. */
   runs: number;
   sends: number;
@@ -80,16 +110,21 @@
 }
 
 /**
- * @param send A send whose answer, or the rest of it, did not come in time.
+ * @param send A send whose answer, or the rest of it, is waited for no longer.
+ * @param reason Why.
  * @param nowMs The time.
  * @returns Its end.
  */
-export function endLate({ exchange, choice }: Send, nowMs: number): SendEnd {
+export function endLate(
+  { exchange, choice }: Send,
+  reason: LateReason,
+  nowMs: number,
+): SendEnd {
   const wasSent = exchange.sent;
   exchange.abort();
   choice.server.health.failed(nowMs);
   return wasSent
-    ? { kind: "unknown", reason: "no_answer" }
+    ? { kind: "unknown", reason }
     : { kind: "not_run", reason: "no_connection" };
 }
 
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -1,8 +1,7 @@
 /** Sends a request to backend servers until one has answered it, and passes the answer on. */
 import { echoHeaders, retryHeaders } from "../platform/mod.ts";
 import { comeBackMs, isWorthSending } from "./admission.ts";
-import { isIdempotent } from "./answer_rules.ts";
-import type { Progress, SendEnd } from "./attempt.ts";
+import { type Progress, ResendRefusal } from "./attempt.ts";
 import {
   type Choice,
   type ChoiceName,
@@ -14,17 +13,11 @@
 import { AnswerPasser } from "./pass_answer.ts";
 import type { PromptStore } from "./prompt_store.ts";
 import type { Quotas } from "./quotas.ts";
-import { ResendBudget, type ResendLimits } from "./resend_budget.ts";
+import { RESEND_MIN_LEFT_MS, Resends, type ResendsOptions } from "./resends.ts";
 import { RunMover } from "./run_mover.ts";
 import { Sender, type SenderOptions } from "./send.ts";
 import type { Server } from "./server.ts";
 
-/** Sends of one request, those included that were not run. */
-const MAX_SENDS = 4;
-/** Sends that a run's move may need: to where its copy is, and elsewhere if that refuses. */
-const MOVE_SENDS = 2;
-/** Less time than this is not worth another send. */
-const RESEND_MIN_LEFT_MS = 40;
 /** Refused clients are told to come back within this span, spread by chance. */
 const RETRY_AFTER_MIN_MS = 200;
 const RETRY_AFTER_MAX_MS = 700;
@@ -42,43 +35,42 @@
 const OVER_QUOTA = "over_quota";
 
 /** What a {@link Dispatcher} works with. */
-export interface DispatcherOptions extends Omit<SenderOptions, "passer"> {
+export interface DispatcherOptions
+  extends Omit<SenderOptions, "passer">, Omit<ResendsOptions, "hasOther"> {
   zone: string;
   random: () => number;
   choice: ChoiceName;
-  resendLimits: ResendLimits;
   /** Limits of workspaces. */
   quotas: Pick<Quotas, "admit" | "runsAgain" | "giveBack">;
   /** Where prompts are kept beside the engines' own caches. */
   promptStores(): PromptStore[];
   /** How old what other entries told of their load may be. */
   loadAgeMs(): number;
-  /** Entries that may live, this one included; they share the budget of resends. */
-  entryCount(): number;
 }
 
 /** Sends requests and passes answers on. */
 export class Dispatcher {
   readonly #options: DispatcherOptions;
   readonly #sender: Sender;
-  readonly #budget: ResendBudget;
+  readonly #resends: Resends;
   readonly #mover: RunMover;
 
   private constructor(options: DispatcherOptions) {
     this.#options = options;
-    this.#budget = ResendBudget.create({
-      clock: options.clock,
-      limits: options.resendLimits,
-      entryCount: options.entryCount,
+    this.#resends = Resends.create({
+      ...options,
+      hasOther: (request, progress) => this.#hasOther(request, progress),
     });
     this.#mover = RunMover.create({
       ...options,
-      reserve: (request, progress) => this.#reserveMove(request, progress),
+      reserve: (request, progress) =>
+        this.#resends.reserveMove(request, progress),
     });
     const passer = AnswerPasser.create({
       ...options,
       mover: this.#mover,
-      mayReplace: (request, progress) => this.#mayReplace(request, progress),
+      mayReplace: (request, progress) =>
+        this.#resends.mayReplace(request, progress),
     });
     this.#sender = Sender.create({ ...options, passer });
   }
@@ -97,11 +89,12 @@
    * @returns What became of it.
    */
   async serve(request: RoutedRequest, sink: AnswerSink): Promise<Served> {
-    this.#budget.earn(request.service);
+    this.#resends.earn(request.service);
     const progress: Progress = {
       tried: new Set(),
       ranAt: new Set(),
       servers: [],
+      ends: [],
       runs: 0,
       sends: 0,
       reservedSends: 0,
@@ -109,9 +102,19 @@
       lastEventId: request.facts.lastEventId,
     };
     const outcome = await this.#serveWithinQuota(request, sink, { progress });
-    this.#budget.refund(request.service, progress.reservedSends);
-    const { servers, ttftMs, expectedMs, weights, endedServers } = progress;
-    return { outcome, servers, ttftMs, expectedMs, weights, endedServers };
+    this.#resends.refund(request, progress);
+    const { servers, ends, notResent, ttftMs, expectedMs } = progress;
+    const { weights, endedServers } = progress;
+    return {
+      outcome,
+      servers,
+      ends,
+      notResent,
+      ttftMs,
+      expectedMs,
+      weights,
+      endedServers,
+    };
   }
 
   async #serveWithinQuota(
@@ -146,6 +149,7 @@
       }
       const choice = movedTo ?? this.#choose(request, progress);
       if (!choice) {
+        if (progress.sends > 0) progress.notResent = ResendRefusal.noServer;
         if (this.#pausedMs(request) !== undefined) reason = PAUSED;
         break;
       }
@@ -171,7 +175,8 @@
         progress.runs++;
       }
       reason = end.reason;
-      if (!this.#maySendAgain(request, progress, end)) break;
+      progress.notResent = this.#resends.refusalAfter(request, progress, end);
+      if (progress.notResent) break;
     }
     this.#mover.free(movedTo?.copy);
     if (sink.gone) return { kind: "client_gone" };
@@ -251,51 +256,10 @@
     };
   }
 
-  /** A failed answer of a server is replaced only where another server may still be asked. */
-  #mayReplace(request: RoutedRequest, progress: Progress): boolean {
-    const { route, service, answerByMs } = request;
-    if (!isIdempotent(route)) return false;
-    if (progress.runs + 1 >= route.maxAttempts) return false;
-    if (answerByMs - this.#options.clock.nowMs() < RESEND_MIN_LEFT_MS) {
-      return false;
-    }
-    const others = this.#options.fleet.taking(service).some((server) =>
-      !progress.tried.has(server)
+  #hasOther({ service }: RoutedRequest, { tried }: Progress): boolean {
+    return this.#options.fleet.taking(service).some((server) =>
+      !tried.has(server)
     );
-    return others && this.#budget.has(service);
-  }
-
-  #maySendAgain(
-    request: RoutedRequest,
-    progress: Progress,
-    end: Exclude<SendEnd, { kind: "done" | "moved" }>,
-  ): boolean {
-    const { route, service, answerByMs } = request;
-    if (progress.sends >= MAX_SENDS) return false;
-    if (answerByMs - this.#options.clock.nowMs() < RESEND_MIN_LEFT_MS) {
-      return false;
-    }
-    if (end.kind === "unknown") {
-      if (!isIdempotent(route) || progress.runs >= route.maxAttempts) {
-        return false;
-      }
-    }
-    if (progress.reservedSends > 0) {
-      progress.reservedSends--;
-      return true;
-    }
-    return progress.begun
-      ? this.#budget.spendForBegun(service)
-      : this.#budget.spend(service);
-  }
-
-  /** A run that is moved stops, so it is moved only if whatever comes of it can be followed up. */
-  #reserveMove({ route, service }: RoutedRequest, progress: Progress): boolean {
-    if (progress.sends + MOVE_SENDS > MAX_SENDS) return false;
-    if (progress.runs + 1 >= route.maxAttempts) return false;
-    if (!this.#budget.spend(service, MOVE_SENDS)) return false;
-    progress.reservedSends += MOVE_SENDS;
-    return true;
   }
 
   #giveUp(
--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -1,4 +1,5 @@
 /** Gathers what the logs of all entries say of one request, and tells how it ended. */
+import { ResendRefusal } from "./attempt.ts";
 
 /** One line of a log. */
 export interface LogLine {
@@ -55,7 +56,9 @@
   events_out_of_order: "the server sent events that don't follow the last one",
   foreign_answer: "the server sent the answer to another request",
   headers_too_large: "the request's headers were above the configured bound",
-  no_answer: "nothing more came in time",
+  deadline: "nothing more came before its time was over",
+  no_event: "its stream paused, and another server could go on with it",
+  no_head: "no answer began in time, and another server could be asked",
   no_connection: "no connection to the server was made in time",
   no_server: "no server of the service takes requests",
   not_ready: "the entry knew no configuration yet",
@@ -79,6 +82,16 @@
   wrong_server: "another server had the address",
 };
 
+/** What it means that a request was not sent again. */
+const RESEND_REFUSALS: Record<string, string> = {
+  [ResendRefusal.notRepeatable]: "it may not run twice",
+  [ResendRefusal.attemptsUsed]: "its route allows no further attempt",
+  [ResendRefusal.sendsUsed]: "it had been sent as often as any request",
+  [ResendRefusal.noTime]: "no time was left",
+  [ResendRefusal.noBudget]: "the budget of resends was used up",
+  [ResendRefusal.noServer]: "no other server could take it",
+};
+
 /**
  * @param text A line of a log; what stands before its JSON is left aside.
  * @returns The line, unless it is none of a router's.
@@ -186,8 +199,9 @@
 }
 
 function describeOutcome(fields: Record<string, unknown>): string {
-  const { outcome, status, reason, tookMs } = fields;
+  const { outcome, status, reason, tookMs, notResent } = fields;
   const servers = Array.isArray(fields["servers"]) ? fields["servers"] : [];
+  const sends = `${sentTo(servers)}${notSentAgain(notResent)}`;
   const last = servers.at(-1);
   const why = reason === undefined
     ? ""
@@ -196,11 +210,11 @@
     case "answered":
       return `Answered ${status} by ${last} after ${tookMs} ms.`;
     case "refused":
-      return `Refused as not run${why}. ${sentTo(servers)}`;
+      return `Refused as not run${why}. ${sends}`;
     case "failed":
-      return `Failed with ${status}${why}. ${sentTo(servers)} It may have run.`;
+      return `Failed with ${status}${why}. ${sends} It may have run.`;
     case "broken_off":
-      return `Broken off in the middle of its stream${why}. ${sentTo(servers)}`;
+      return `Broken off in the middle of its stream${why}. ${sends}`;
     case "client_gone":
       return `Its client left after ${tookMs} ms. ${sentTo(servers)}`;
     case "local":
@@ -215,3 +229,9 @@
     ? "It was sent to no server."
     : `It was sent to ${servers.join(", then ")}.`;
 }
+
+function notSentAgain(notResent: unknown): string {
+  if (notResent === undefined) return "";
+  const why = RESEND_REFUSALS[String(notResent)] ?? String(notResent);
+  return ` It was not sent again: ${why}.`;
+}
--- a/src/router/explain_test.ts
+++ b/src/router/explain_test.ts
@@ -119,3 +119,21 @@
     { seed: SEED },
   );
 });
+
+test("stream that is not sent again says why", () => {
+  const log = [
+    line(9000, "request", {
+      id: "r1",
+      servers: ["i-1"],
+      ends: ["no_event@1262"],
+      notResent: "no_budget",
+      outcome: "broken_off",
+      reason: "no_event",
+    }),
+  ];
+  assert.equal(
+    formatExplanation(explain("r1", log)).at(-1),
+    "Broken off in the middle of its stream: its stream paused, and another server could go on " +
+      "with it. It was sent to i-1. It was not sent again: the budget of resends was used up.",
+  );
+});
--- a/src/router/pass_answer.ts
+++ b/src/router/pass_answer.ts
@@ -6,6 +6,7 @@
   done,
   endBroken,
   endLate,
+  LateReason,
   type Progress,
   type Send,
   type SendEnd,
@@ -65,7 +66,7 @@
     while (true) {
       const step = await exchange.next(request.answerByMs - clock.nowMs());
       if (sink.gone) return done({ kind: "client_gone" });
-      if (!step) return endLate(send, clock.nowMs());
+      if (!step) return endLate(send, LateReason.deadline, clock.nowMs());
       if (step.kind === "failed") {
         return endBroken(send, step.failure.message, clock.nowMs());
       }
@@ -160,7 +161,11 @@
       send.exchange.abort();
       return { kind: "moved", choice: send.move.choice };
     }
-    return endLate(send, this.#options.clock.nowMs());
+    const nowMs = this.#options.clock.nowMs();
+    const reason = nowMs >= send.request.answerByMs
+      ? LateReason.deadline
+      : LateReason.noEvent;
+    return endLate(send, reason, nowMs);
   }
 
   #begin({ sink, progress }: Send, head: AnswerHead): void {
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -47,6 +47,10 @@
   outcome: Outcome;
   /** Ids of the servers that it was sent to. */
   servers: string[];
+  /** How each send ended that brought no whole answer. */
+  ends: string[];
+  /** Why the last of them was followed by none. */
+  notResent?: string;
   /** Time to the first byte of the answer; left out without one. */
   ttftMs?: number;
   /** Expected at the last choice. */
--- a/src/router/request_log.ts
+++ b/src/router/request_log.ts
@@ -66,6 +66,8 @@
       service,
       workspace: request.workspace?.name,
       servers: served.servers,
+      ends: served.ends.length > 0 ? served.ends : undefined,
+      notResent: served.notResent,
       ...describe(outcome),
       ttftMs: round(served.ttftMs),
       expectedMs: round(served.expectedMs),
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -8,6 +8,7 @@
   done,
   endBroken,
   endLate,
+  LateReason,
   type Progress,
   type Send,
   type SendEnd,
@@ -115,6 +116,11 @@
     try {
       const end = await this.#receive(send);
       this.#judge(send, end);
+      if (end.kind !== "done") {
+        const reason = end.kind === "moved" ? end.kind : end.reason;
+        const tookMs = Math.round(clock.nowMs() - sentAtMs);
+        progress.ends.push(`${reason}@${tookMs}`);
+      }
       const isOver = end.kind === "unknown" || end.kind === "done";
       if (isOver && exchange.sent) {
         progress.runs++;
@@ -227,7 +233,7 @@
     if (send.sink.gone) return done({ kind: "client_gone" });
     switch (awaited.kind) {
       case "late":
-        return endLate(send, this.#options.clock.nowMs());
+        return this.#endWithoutHead(send);
       case "weights_retired":
         // Taken back by closing the connection, before the engine begins it.
         return { kind: "unknown", reason: "weights_retired" };
@@ -236,6 +242,14 @@
     }
   }
 
+  #endWithoutHead(send: Send): SendEnd {
+    const nowMs = this.#options.clock.nowMs();
+    const reason = nowMs >= send.request.answerByMs
+      ? LateReason.deadline
+      : LateReason.noHead;
+    return endLate(send, reason, nowMs);
+  }
+
   #headOf(
     send: Send,
     step: AnswerStep,
