Wait for a silent server as long as nobody else can go on with its request

Callers got a broken stream, or a 502, with most of their time left: a stream whose engine paused for 1.2 s, or whose first event came 1.5 s late, was ended also where no other server could take it (the last server, all attempts or sends used, no budget), and a call that may run again after 0.4 of its time.

Cause: the waits looked at what the route allows, and whether anybody could go on was decided after the send had been given up. Now the wait asks first (Resends.reserveNext), sets the send aside that it would need, and waits on otherwise; it looks again four times a second. A run that is to be moved is moved during a pause, too.

Ruled out: a longer gap, which only moves the moment.

--- a/src/router/await_head.ts
+++ b/src/router/await_head.ts
@@ -19,7 +19,7 @@
 /** A resumable stream whose first event is this late, and later than expected, goes elsewhere. */
 const FIRST_EVENT_MIN_MS = 1500;
 const FIRST_EVENT_FACTOR = 4;
-/** Pause between looks at the weights' age, which may change while a request waits. */
+/** Pause between looks at what may change while a request waits. */
 const LOOK_MS = 250;
 
 /** What came of waiting for an answer. */
@@ -35,6 +35,8 @@
   clock: Clock;
   log: Logger;
   wanted: WantedVersions;
+  /** Whether another server can take a request; a send is then set aside for it. */
+  mayLeave(send: Send): boolean;
   /** A server has gone silent; other entries are told. */
   onSilent(serverId: string): void;
 }
@@ -60,7 +62,8 @@
    * @returns The first step of the answer, or why it is waited for no longer.
    */
   async wait(send: Send): Promise<Awaited> {
-    const { clock } = this.#options;
+    const { clock, mayLeave } = this.#options;
+    const { answerByMs } = send.request;
     const suspectAtMs = suspectTimeOf(send);
     const headUntilMs = headTimeOf(send);
     let isSuspected = false;
@@ -68,7 +71,8 @@
       const startMs = clock.nowMs();
       const beginUntilMs = this.#beginTimeOf(send, startMs);
       const wakeAtMs = Math.min(
-        headUntilMs,
+        answerByMs,
+        startMs < headUntilMs ? headUntilMs : Infinity,
         beginUntilMs,
         isSuspected ? Infinity : suspectAtMs,
         startMs + LOOK_MS,
@@ -76,7 +80,8 @@
       const step = await send.exchange.next(wakeAtMs - startMs);
       if (step) return { kind: "step", step };
       const nowMs = clock.nowMs();
-      if (send.sink.gone || nowMs >= headUntilMs) return { kind: "late" };
+      if (send.sink.gone || nowMs >= answerByMs) return { kind: "late" };
+      if (nowMs >= headUntilMs && mayLeave(send)) return { kind: "late" };
       if (nowMs >= beginUntilMs) return { kind: "weights_retired" };
       if (isSuspected || nowMs < suspectAtMs) continue;
       this.#suspect(send);
@@ -113,12 +118,10 @@
   return sentAtMs + Math.max(minMs, SUSPECT_FACTOR * choice.expectedMs);
 }
 
-/** When to stop waiting for the first byte at this server. */
-function headTimeOf({ request, progress, choice, sentAtMs }: Send): number {
+/** When the request would go elsewhere for want of a first byte. */
+function headTimeOf({ request, choice, sentAtMs }: Send): number {
   const { route, answerByMs } = request;
-  if (!isIdempotent(route) || progress.runs + 1 >= route.maxAttempts) {
-    return answerByMs;
-  }
+  if (!isIdempotent(route)) return answerByMs;
   const leftMs = answerByMs - sentAtMs;
   const waitMs = route.kind === RequestKind.stream
     ? Math.max(FIRST_EVENT_MIN_MS, FIRST_EVENT_FACTOR * choice.expectedMs)
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -1,7 +1,7 @@
 /** Sends a request to backend servers until one has answered it, and passes the answer on. */
 import { echoHeaders, retryHeaders } from "../platform/mod.ts";
 import { comeBackMs, isWorthSending } from "./admission.ts";
-import { type Progress, ResendRefusal } from "./attempt.ts";
+import { type Progress, ResendRefusal, type Send } from "./attempt.ts";
 import {
   type Choice,
   type ChoiceName,
@@ -36,7 +36,9 @@
 
 /** What a {@link Dispatcher} works with. */
 export interface DispatcherOptions
-  extends Omit<SenderOptions, "passer">, Omit<ResendsOptions, "hasOther"> {
+  extends
+    Omit<SenderOptions, "passer" | "mayLeave">,
+    Omit<ResendsOptions, "hasOther" | "hasNext"> {
   zone: string;
   random: () => number;
   choice: ChoiceName;
@@ -60,19 +62,22 @@
     this.#resends = Resends.create({
       ...options,
       hasOther: (request, progress) => this.#hasOther(request, progress),
+      hasNext: (send) => this.#hasNext(send),
     });
     this.#mover = RunMover.create({
       ...options,
       reserve: (request, progress) =>
         this.#resends.reserveMove(request, progress),
     });
+    const mayLeave = (send: Send) => this.#resends.reserveNext(send);
     const passer = AnswerPasser.create({
       ...options,
       mover: this.#mover,
+      mayLeave,
       mayReplace: (request, progress) =>
         this.#resends.mayReplace(request, progress),
     });
-    this.#sender = Sender.create({ ...options, passer });
+    this.#sender = Sender.create({ ...options, passer, mayLeave });
   }
 
   /**
@@ -219,22 +224,36 @@
   }
 
   #choose(request: RoutedRequest, progress: Progress): Choice | undefined {
-    const { fleet, clock, zone, random, choice } = this.#options;
-    const choose_ = (tried: ReadonlySet<Server>) =>
-      choose({
-        servers: fleet.taking(request.service),
-        zone,
-        nowMs: clock.nowMs(),
-        tried,
-        prompt: this.#promptOf(request),
-        loadAgeMs: this.#options.loadAgeMs(),
-        random,
-        choice,
-      });
-    const found = choose_(progress.tried);
+    const found = this.#chooseBut(request, progress.tried);
     if (found || progress.sends === 0) return found;
     // With every server tried, one that refused before may take it by now.
-    return choose_(progress.ranAt);
+    return this.#chooseBut(request, progress.ranAt);
+  }
+
+  #hasNext({ request, progress, choice }: Send): boolean {
+    const left = new Set([...progress.ranAt, choice.server]);
+    const next = this.#chooseBut(request, progress.tried) ??
+      this.#chooseBut(request, left);
+    const nowMs = this.#options.clock.nowMs();
+    return next !== undefined && !next.server.health.isDown &&
+      !next.server.isHeldBack(nowMs);
+  }
+
+  #chooseBut(
+    request: RoutedRequest,
+    tried: ReadonlySet<Server>,
+  ): Choice | undefined {
+    const { fleet, clock, zone, random, choice } = this.#options;
+    return choose({
+      servers: fleet.taking(request.service),
+      zone,
+      nowMs: clock.nowMs(),
+      tried,
+      prompt: this.#promptOf(request),
+      loadAgeMs: this.#options.loadAgeMs(),
+      random,
+      choice,
+    });
   }
 
   #promptOf(request: RoutedRequest): PromptPlacement | undefined {
--- a/src/router/pass_answer.ts
+++ b/src/router/pass_answer.ts
@@ -17,8 +17,10 @@
 import type { RunMover } from "./run_mover.ts";
 import type { RoutedRequest } from "./request.ts";
 
-/** A resumable stream without an event for this long goes on elsewhere. */
+/** A resumable stream without an event for this long goes on elsewhere, if any server can. */
 const STREAM_GAP_MS = 1200;
+/** Pause between looks at whether one can by now. */
+const LOOK_MS = 250;
 /** A run that was copied stops before the copy is complete; its stream is closed soon after. */
 const MOVED_CLOSE_MS = 200;
 /** Answers that are not streams are passed on once they are whole; larger ones are failed. */
@@ -28,6 +30,8 @@
 export interface AnswerPasserOptions {
   clock: Clock;
   mover: RunMover;
+  /** Whether another server can go on with a request; a send is then set aside for it. */
+  mayLeave(send: Send): boolean;
   /** Whether a server's own failure may be replaced by another server's answer. */
   mayReplace(request: RoutedRequest, progress: Progress): boolean;
 }
@@ -111,7 +115,6 @@
     const splitter = EventSplitter.create();
     const startMs = clock.nowMs();
     while (true) {
-      if (mover.isDue(send)) send.move = await mover.move(send);
       const step = await this.#nextOfStream(send);
       if (sink.gone) {
         if (send.move?.kind === "copied") mover.free(send.move.choice.copy);
@@ -145,15 +148,24 @@
     return done({ kind: "answered", status: facts.status });
   }
 
-  #nextOfStream(send: Send): Promise<AnswerStep | undefined> {
-    const { request, exchange, move } = send;
-    const gapMs = move?.kind === "copied"
-      ? MOVED_CLOSE_MS
-      : isIdempotent(request.route)
-      ? STREAM_GAP_MS
-      : Infinity;
-    const leftMs = request.answerByMs - this.#options.clock.nowMs();
-    return exchange.next(Math.min(leftMs, gapMs));
+  /** The next step; nothing once the server is to be waited for no longer. */
+  async #nextOfStream(send: Send): Promise<AnswerStep | undefined> {
+    const { request, exchange, sink } = send;
+    const { clock, mover, mayLeave } = this.#options;
+    const sinceMs = clock.nowMs();
+    while (true) {
+      if (mover.isDue(send)) send.move = await mover.move(send);
+      const nowMs = clock.nowMs();
+      const gapLeftMs = sinceMs + gapOf(send) - nowMs;
+      const waitMs = gapLeftMs > 0 ? gapLeftMs : LOOK_MS;
+      const leftMs = request.answerByMs - nowMs;
+      const step = await exchange.next(Math.min(leftMs, waitMs));
+      if (step || sink.gone) return step;
+      const endMs = clock.nowMs();
+      if (endMs >= request.answerByMs) return undefined;
+      if (endMs < sinceMs + gapOf(send)) continue;
+      if (send.move?.kind === "copied" || mayLeave(send)) return undefined;
+    }
   }
 
   #endSilent(send: Send): SendEnd {
@@ -174,3 +186,9 @@
     sink.begin(head.status, answerHeaders(head.headers));
   }
 }
+
+/** Silence after which a stream goes on elsewhere. */
+function gapOf({ move, request }: Send): number {
+  if (move?.kind === "copied") return MOVED_CLOSE_MS;
+  return isIdempotent(request.route) ? STREAM_GAP_MS : Infinity;
+}
--- a/src/router/resends.ts
+++ b/src/router/resends.ts
@@ -1,7 +1,12 @@
 /** Whether a request that was sent to a server may be sent again, and to whom the allowance goes. */
 import type { Clock } from "../base/mod.ts";
 import { isIdempotent } from "./answer_rules.ts";
-import { type Progress, ResendRefusal, type SendEnd } from "./attempt.ts";
+import {
+  type Progress,
+  ResendRefusal,
+  type Send,
+  type SendEnd,
+} from "./attempt.ts";
 import type { RoutedRequest } from "./request.ts";
 import { ResendBudget, type ResendLimits } from "./resend_budget.ts";
 
@@ -20,6 +25,8 @@
   entryCount(): number;
   /** Whether a server takes the request that it was not sent to yet. */
   hasOther(request: RoutedRequest, progress: Progress): boolean;
+  /** Whether a server that is up and takes requests may go on with one that leaves its server. */
+  hasNext(send: Send): boolean;
 }
 
 /** Decides about further sends of requests, and keeps their budget. */
@@ -89,6 +96,23 @@
     return true;
   }
 
+  /**
+   * Sets one send aside for a request that would leave its server, which says nothing: it waits on
+   * where nobody else can go on with it.
+   *
+   * @param send A send whose answer, or the rest of it, has not come.
+   * @returns Whether the request may leave.
+   */
+  reserveNext(send: Send): boolean {
+    const { request, progress } = send;
+    if (this.#refusalOfNext(request, progress)) return false;
+    if (!this.#options.hasNext(send)) return false;
+    if (progress.reservedSends > 0) return true;
+    if (!this.#spend(request.service, progress)) return false;
+    progress.reservedSends++;
+    return true;
+  }
+
   /**
    * Takes one more send from what is set aside or from the budget.
    *
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -45,6 +45,8 @@
   cacheOf(id: string): CacheBook | undefined;
   /** A server has gone silent or refuses connections; other entries are told. */
   onSilent(serverId: string): void;
+  /** Whether another server can take a request; a send is then set aside for it. */
+  mayLeave(send: Send): boolean;
   /** Another server has its address; other entries are told. */
   onGone(server: BackendServer): void;
   /** A prompt was sent to a server or saved to a store; other entries are told. */
--- a/src/standin/_platform_stream.ts
+++ b/src/standin/_platform_stream.ts
@@ -1,6 +1,7 @@
 /** Streams of the stand-in for a backend server of the platform. */
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { StreamStall } from "./platform_worker_options.ts";
 
 /** A stream under way. */
 export interface RunningStream {
@@ -17,6 +18,8 @@
   eventMs: number;
   /** Breaks off in the middle of the event after this one; left out: not at all. */
   cutAfter?: number;
+  /** Left out: it does not pause. */
+  stall?: StreamStall;
 }
 
 /**
@@ -41,10 +44,13 @@
  */
 export async function writeEvents(
   stream: RunningStream,
-  { events, eventMs, cutAfter }: EventsOptions,
+  { events, eventMs, cutAfter, stall }: EventsOptions,
 ): Promise<void> {
   const { response } = stream;
   for (let i = stream.last + 1; i <= events; i++) {
+    if (stall && i === stall.afterEvent + 1) {
+      await sleep(stall.pauseMs, undefined, { ref: false });
+    }
     if (response.destroyed) return;
     if (cutAfter !== undefined && i > cutAfter) {
       response.write(`id: ${i}\nda`, () => response.destroy());
--- a/src/standin/platform_worker.ts
+++ b/src/standin/platform_worker.ts
@@ -280,8 +280,10 @@
     }
     if (take(this.faults, "hang")) return;
     if (take(this.faults, "loseAnswer")) return void response.destroy();
-    if (this.#options.model === undefined) this.#answer(request);
-    else this.#stream(request);
+    if (this.#options.model !== undefined) return this.#stream(request);
+    const { lateMs } = this.faults;
+    if (lateMs === 0) return this.#answer(request);
+    setTimeout(() => this.#answer(request), lateMs);
   }
 
   #turnAway(response: ServerResponse, pauseS: number): void {
@@ -340,6 +342,7 @@
       if (this.#streams.get(id) === stream) this.#streams.delete(id);
     });
     const { eventMs } = this.#options;
-    void writeEvents(stream, { cutAfter, events, eventMs });
+    const { stall } = this.faults;
+    void writeEvents(stream, { cutAfter, events, eventMs, stall });
   }
 }
--- a/src/standin/platform_worker_options.ts
+++ b/src/standin/platform_worker_options.ts
@@ -21,6 +21,12 @@
   faults?: StandinPlatformWorkerFaults;
 }
 
+/** A pause in a stream. */
+export interface StreamStall {
+  afterEvent: number;
+  pauseMs: number;
+}
+
 /** What goes wrong with the next requests. */
 export interface StandinPlatformWorkerFaults {
   /** Requests that are refused as not run. */
@@ -31,6 +37,10 @@
   fail: number;
   /** Streams that break off in the middle of an event, after this many whole ones. */
   cutAfterEvents: number | undefined;
+  /** A pause in each stream, before the event after this one. */
+  stall: StreamStall | undefined;
+  /** Time that plain answers take. */
+  lateMs: number;
   /** Plain answers without a length. */
   unframed: number;
   /** Plain answers that carry the id of another request. */
@@ -68,6 +78,8 @@
   loseAnswer: 0,
   fail: 0,
   cutAfterEvents: undefined,
+  stall: undefined,
+  lateMs: 0,
   unframed: 0,
   foreign: 0,
   hang: 0,
@@ -82,7 +94,7 @@
 /** Faults that are counted down. */
 type CountedFault = Exclude<
   keyof StandinPlatformWorkerFaults,
-  "cutAfterEvents" | "endOnTarget" | "leaving" | "pauseS"
+  "cutAfterEvents" | "stall" | "lateMs" | "endOnTarget" | "leaving" | "pauseS"
 >;
 
 /**
