Read what has arrived before a wait for a server's answer is over

A process that stood still, or was held up, for longer than a wait ended streams whose events lay unread in its sockets: Node runs timers before it polls. The wait now ends one turn of the loop after its timer, which has the sockets read.

--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -149,12 +149,16 @@
 
   #wait(waitMs: number): Promise<void> {
     return new Promise((resolve) => {
+      let turn: NodeJS.Immediate | undefined;
       const settle = () => {
         clearTimeout(timer);
+        clearImmediate(turn);
         this.#wake = undefined;
         resolve();
       };
-      const timer = setTimeout(settle, Math.max(0, waitMs));
+      // Timers run before sockets are read: in a process that stood still a step may be there already.
+      const readThenSettle = () => turn = setImmediate(settle);
+      const timer = setTimeout(readThenSettle, Math.max(0, waitMs));
       this.#wake = settle;
     });
   }
--- a/src/router/channel_test.ts
+++ b/src/router/channel_test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { createServer, type Server, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
+import { Worker } from "node:worker_threads";
 import { type AnswerStep, ChannelSet, type Exchange } from "./channel.ts";
 
 const WAIT_MS = 5000;
@@ -124,3 +126,34 @@
   exchange.abort();
   await closed;
 });
+
+// A process that stood still ended streams whose events waited unread in its sockets.
+test("answer that came while the process stood still is not taken for late", async (t) => {
+  // In another thread, so that it answers meanwhile.
+  const server = new Worker(
+    `const { parentPort } = require("node:worker_threads");
+    const server = require("node:net").createServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", () => {
+        socket.write("HTTP/1.1 200 OK\\r\\ncontent-length: 2\\r\\n\\r\\na");
+        setTimeout(() => socket.write("b"), 100);
+      });
+    });
+    server.listen(0, "127.0.0.1", () => parentPort.postMessage(server.address().port));`,
+    { eval: true },
+  );
+  t.after(() => server.terminate());
+  const [port] = await once(server, "message");
+  const channels = ChannelSet.create({
+    address: `127.0.0.1:${port}`,
+    connectMs: 1000,
+    idleMs: 4000,
+  });
+  t.after(() => channels.closeIdle());
+  const exchange = channels.send(REQUEST);
+  assert.equal((await exchange.next(WAIT_MS))?.kind, "head");
+  assert.equal((await exchange.next(WAIT_MS))?.kind, "data");
+  const next = exchange.next(50);
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 600);
+  assert.equal((await next)?.kind, "data");
+});
