Accept connections before requests are served, and count a request's time from when it came

An entry read what was seconds old while its datagrams to itself were quick.

With much to do in each turn, new connections wait for seconds, and nothing measured that: datagrams are read every turn.

Now a request is served once a turn has passed without a new connection, one in a turn; how long that lasts counts as being behind; requests read while behind wait until their client's end would have been seen. Their time runs from the middle of the span in which they may have come, not from their reading; what is over by then is refused at once.

--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -54,6 +54,7 @@
   cut_event: "the stream ended in the middle of an event",
   encoded_answer: "the server encoded a body that nobody asked it to encode",
   events_out_of_order: "the server sent events that don't follow the last one",
+  expired: "its time was over before the entry came to it",
   foreign_answer: "the server sent the answer to another request",
   headers_too_large: "the request's headers were above the configured bound",
   deadline: "nothing more came before its time was over",
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -13,6 +13,7 @@
 import { readRequest, retryHeaders } from "../platform/mod.ts";
 import { isShed } from "./admission.ts";
 import { retryAfterMs } from "./dispatch.ts";
+import { Intake } from "./intake.ts";
 import type { LoopLag } from "./loop_lag.ts";
 import { ResponseSink } from "./response_sink.ts";
 import type { AnswerSink, RoutedRequest, Served } from "./request.ts";
@@ -42,6 +43,7 @@
   | "stopping"
   | "unsure"
   | "overloaded"
+  | "expired"
   | "client_gone";
 
 /** What an {@link Ingress} works with. */
@@ -49,7 +51,7 @@
   clock: Clock;
   random: () => number;
   /** How far the process is behind. */
-  lag: Pick<LoopLag, "catchUp" | "ms">;
+  lag: Pick<LoopLag, "ms">;
   /** The configuration in force, once one is known. */
   table(): RoutingTable | undefined;
   /** Time since the configuration was known to be the newest. */
@@ -65,6 +67,7 @@
 export class Ingress {
   readonly #options: IngressOptions;
   readonly #server: HttpServer;
+  readonly #intake: Intake;
   /** Open connections, with the requests under way on each. */
   readonly #connections = new Map<Socket, number>();
   #isDraining = false;
@@ -74,6 +77,10 @@
 
   private constructor(options: IngressOptions) {
     this.#options = options;
+    this.#intake = Intake.create({
+      clock: options.clock,
+      lagMs: () => options.lag.ms,
+    });
     this.#server = createServer(
       { maxHeaderSize: PARSED_HEADER_BYTES, noDelay: true, keepAlive: true },
       (request, response) => void this.#handle(request, response),
@@ -161,6 +168,7 @@
   }
 
   #track(socket: Socket): void {
+    this.#intake.accepted();
     this.#connections.set(socket, 0);
     socket.once("close", () => this.#connections.delete(socket));
   }
@@ -175,7 +183,10 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const arrivedAtMs = this.#options.clock.nowMs();
+    const { clock } = this.#options;
+    const readAtMs = clock.nowMs();
+    // It came at some time since its socket, or those that wait to be accepted, were last looked at.
+    const arrivedAtMs = readAtMs - this.#intake.behindMs / 2;
     const { socket } = request;
     this.#count(socket, 1);
     response.once("close", () => this.#count(socket, -1));
@@ -199,10 +210,13 @@
     const maxBytes = table?.limits.bodyBytes ?? 0;
     const body = await readBody(request, table ? maxBytes : Infinity);
     if (body.kind === "cut") return;
-    await this.#options.lag.catchUp();
+    const enteredAtMs = clock.nowMs();
+    await this.#intake.enter();
     if (sink.gone) return this.#options.onLocal(facts, "client_gone");
     if (this.#isClosing) return this.#refuse(facts, sink, "stopping");
-    if (isShed(this.#options.lag.ms, this.#options.random())) {
+    const nowMs = clock.nowMs();
+    const behindMs = Math.max(this.#intake.behindMs, nowMs - enteredAtMs);
+    if (isShed(behindMs, this.#options.random())) {
       return this.#refuse(facts, sink, "overloaded");
     }
     if (!table) return this.#refuse(facts, sink, "not_ready");
@@ -220,6 +234,8 @@
       (facts.deadlineMs ?? Infinity) - ANSWER_MARGIN_MS,
       routed.route.timeoutMs,
     );
+    const answerByMs = arrivedAtMs + timeLeftMs;
+    if (answerByMs <= nowMs) return this.#refuse(facts, sink, "expired");
     const ready: RoutedRequest = {
       facts,
       route: routed.route,
@@ -228,7 +244,7 @@
       rawHeaders: request.rawHeaders,
       body: body.bytes,
       arrivedAtMs,
-      answerByMs: arrivedAtMs + timeLeftMs,
+      answerByMs,
     };
     const served = await this.#options.serve(ready, sink);
     this.#options.onServed(ready, served);
@@ -264,7 +280,7 @@
   #refuse(
     facts: RequestFacts,
     sink: AnswerSink,
-    why: "not_ready" | "stopping" | "unsure" | "overloaded",
+    why: "not_ready" | "stopping" | "unsure" | "overloaded" | "expired",
   ): void {
     const leftMs = Math.min(facts.deadlineMs ?? Infinity, NOT_READY_LEFT_MS);
     const pauseMs = retryAfterMs(leftMs, this.#options.random);
--- a/src/router/loop_lag.ts
+++ b/src/router/loop_lag.ts
@@ -3,17 +3,12 @@
  * sent waits to be read, so the process sends datagrams to itself and sees how long they wait.
  */
 import { createSocket, type Socket } from "node:dgram";
-import { setImmediate as nextTurn } from "node:timers/promises";
 import { type Logger, systemClock } from "../base/mod.ts";
 
 /** Pause between datagrams. */
 const LOOK_MS = 100;
 /** A datagram that has not come after this is lost. */
 const LOST_MS = 3000;
-/** A process that is behind by less reads what arrives as it comes. */
-const BEHIND_MS = 100;
-/** Turns from the read of a request to that of its connection's end, and until all know of it. */
-const TURNS = 10;
 
 /** What a {@link LoopLag} works with. */
 export interface LoopLagOptions {
@@ -73,12 +68,6 @@
     socket.close();
   }
 
-  /** While the process is behind, lets it read what has arrived meanwhile on all connections. */
-  async catchUp(): Promise<void> {
-    if (this.ms < BEHIND_MS) return;
-    for (let turn = 0; turn < TURNS; turn++) await nextTurn();
-  }
-
   #lateAt(nowMs: number): number {
     return Math.max(0, nowMs - this.#lookedAtMs - LOOK_MS);
   }
