Count a call's wait while the process runs

Beside load, calls on the path through agents were refused as no_servers: "a server that leaves keeps its streams…" and "streams side by side are exact…".

Cause: the gRPC library ends a call by a timer, and Node runs timers before it reads sockets. A process that was not scheduled for an ask's 250 ms took answers that lay unread for late, from every candidate, and no server was left. A call's wait now has ten parts, each of which ends with a look at what has arrived, as a run's stream has; the call is cancelled after the last.

calls_test.ts, second test: failed before.

--- a/src/wire/calls.ts
+++ b/src/wire/calls.ts
@@ -33,6 +33,12 @@
   signal?: AbortSignal;
 }
 
+/**
+ * Parts of a wait. After each the process reads what has arrived, so one that was not scheduled does
+ * not take its peer's answer for late.
+ */
+const WAIT_PARTS = 10;
+
 /**
  * @param method The client's method, bound to it.
  * @param request The request.
@@ -46,15 +52,22 @@
 ): Promise<Result<A, CallFailure>> {
   const { timeoutMs, signal } = options;
   return new Promise((resolve) => {
-    const deadline = new Date(Date.now() + timeoutMs);
     let call: ClientUnaryCall | undefined;
+    let isLate = false;
     const cancel = () => call?.cancel();
+    const stopTimer = startTimer(timeoutMs, () => {
+      isLate = true;
+      cancel();
+    });
     try {
-      call = method(request, new Metadata(), { deadline }, (error, answer) => {
+      call = method(request, new Metadata(), {}, (error, answer) => {
+        stopTimer();
         signal?.removeEventListener("abort", cancel);
-        resolve(error ? Result.err(failureOf(error)) : Result.ok(answer));
+        if (!error) return resolve(Result.ok(answer));
+        resolve(Result.err(isLate ? timeout() : failureOf(error)));
       });
     } catch (error) {
+      stopTimer();
       // The library throws when the channel was closed, as on a stop.
       const message = error instanceof Error ? error.message : String(error);
       return resolve(Result.err({ kind: "unreachable", message }));
@@ -84,6 +97,21 @@
   }
 }
 
+function timeout(): CallFailure {
+  return { kind: "timeout", message: "No answer in time" };
+}
+
+/** Returns how to stop it. */
+function startTimer(waitMs: number, onEnd: () => void): () => void {
+  let partsLeft = WAIT_PARTS;
+  const timer = setTimeout(() => {
+    partsLeft--;
+    if (partsLeft > 0) timer.refresh();
+    else onEnd();
+  }, waitMs / WAIT_PARTS);
+  return () => clearTimeout(timer);
+}
+
 // The library has no code for this; channels_test.ts pins the wording of its version.
 function wasSent(message: string): boolean {
   return !message.startsWith("No connection established") &&
