--- a/src/router/main.ts
+++ b/src/router/main.ts
@@ -45,4 +45,4 @@
   });
 }
 
-await main();
+void main();
