Leave a request where it waits for its turn at an engine

An entry now sees whether answers have begun there since, in order: if so the request stays. It leaves where the engine has begun nothing since, or has begun a request that was sent later and is no more urgent.

--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -93,6 +93,8 @@
   exchange: Exchange;
   ticket: LoadTicket;
   sentAtMs: number;
+  /** Its priority at the server; 0 is served first. */
+  priority: number;
   /** When the server began to answer. */
   headAtMs?: number;
   /** When the server's first event came. */
--- a/src/router/await_head.ts
+++ b/src/router/await_head.ts
@@ -81,7 +81,11 @@
       if (step) return { kind: "step", step };
       const nowMs = clock.nowMs();
       if (send.sink.gone || nowMs >= answerByMs) return { kind: "late" };
-      if (nowMs >= headUntilMs && mayLeave(send)) return { kind: "late" };
+      // At the end of another server's queue it would wait anew.
+      const isQueued = send.choice.server.order.isQueued(send);
+      if (nowMs >= headUntilMs && !isQueued && mayLeave(send)) {
+        return { kind: "late" };
+      }
       if (nowMs >= beginUntilMs) return { kind: "weights_retired" };
       if (isSuspected || nowMs < suspectAtMs) continue;
       this.#suspect(send);
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -98,10 +98,11 @@
     progress.weights = this.#weightsOf(request, choice);
     const isBound = !isIdempotent(request.route);
     const ticket = server.begin(choice.uncachedTokens, isBound);
+    const priority = this.#priorityOf(request, progress);
     const exchange = server.channels.send({
       method: request.facts.method,
       target: request.facts.target,
-      headers: this.#headers(request, progress, choice),
+      headers: this.#headers(request, progress, { choice, priority }),
       body: request.body,
     });
     this.#notePrompt(choice, sentAtMs);
@@ -114,6 +115,7 @@
       exchange,
       ticket,
       sentAtMs,
+      priority,
     };
     try {
       const end = await this.#receive(send);
@@ -174,15 +176,27 @@
     onPrompt({ id: saveTo, chain, readyInMs: savedInMs });
   }
 
+  #priorityOf(
+    { route, workspace, answerByMs, facts }: RoutedRequest,
+    { lastEventId }: Progress,
+  ): number {
+    // A stream that goes on is late after a short pause, so it is admitted first.
+    if (lastEventId !== facts.lastEventId) return 0;
+    const leftMs = answerByMs - this.#options.clock.nowMs();
+    return enginePriority(
+      workspace?.priority ?? route.priority,
+      hasComeBack(leftMs, route.timeoutMs),
+    );
+  }
+
   #headers(
     request: RoutedRequest,
     progress: Progress,
-    choice: Choice,
+    { choice, priority }: { choice: Choice; priority: number },
   ): string[] {
-    const { route, workspace } = request;
+    const { workspace } = request;
     const leftMs = request.answerByMs - this.#options.clock.nowMs();
     const isResumed = progress.lastEventId !== request.facts.lastEventId;
-    const priority = workspace?.priority ?? route.priority;
     return forwardHeaders(request.rawHeaders, {
       // The engine ends what waits too long on replaced weights, also if nobody is left to say so.
       deadlineMs: Math.min(leftMs, choice.weightsLeftMs ?? Infinity),
@@ -190,12 +204,7 @@
       workspace: workspace?.name,
       cacheSalt: choice.chain?.salt,
       weightsVersion: choice.weightsVersion,
-      // A stream that goes on is late after a short pause, so it is admitted first.
-      enginePriority: !choice.chain
-        ? undefined
-        : isResumed
-        ? 0
-        : enginePriority(priority, hasComeBack(leftMs, route.timeoutMs)),
+      enginePriority: choice.chain ? priority : undefined,
       copyFrom: choice.copyFrom,
       saveTo: choice.saveTo,
       copy: choice.copy,
@@ -313,6 +322,7 @@
     const { server } = choice;
     const baseMs = choice.expectedMs / server.health.slowness(nowMs);
     server.health.answered(nowMs, (nowMs - sentAtMs) / Math.max(1, baseMs));
+    server.order.began(send, nowMs);
     ticket.started();
     const { prompt } = request.facts;
     if (prompt && facts.weightsVersion !== undefined) {
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -1,5 +1,6 @@
 /** A backend server as this entry sees it: its registration, load, health and expected cache. */
 import { Announced } from "./announced.ts";
+import { AnswerOrder } from "./answer_order.ts";
 import { CacheBook } from "./cache_book.ts";
 import { ChannelSet } from "./channel.ts";
 import { Health } from "./health.ts";
@@ -57,6 +58,7 @@
   readonly channels: ChannelSet;
   readonly cache: CacheBook;
   readonly health = Health.create();
+  readonly order = AnswerOrder.create();
   /** What it said of itself in its answers. */
   readonly announced: Announced;
   #entry: BackendServer;
