Accept callers' connections before their requests are served on the path through agents

late_read_test.ts: of 40 requests 14 were served before their callers left; then the other 26 were before this change, and none is now.

--- a/src/entry/http_server.ts
+++ b/src/entry/http_server.ts
@@ -10,6 +10,7 @@
 import { toNodeHandler } from "h3/node";
 import { Result } from "true-myth";
 import type { Clock, Owned } from "../base/mod.ts";
+import { Intake } from "../router/intake.ts";
 import type { ListenFailure } from "../wire/mod.ts";
 import { writeFailure } from "./answer_sink.ts";
 import { notRun } from "./errors.ts";
@@ -47,6 +48,7 @@
   readonly name = "http-server";
   readonly #options: HttpServerOptions;
   readonly #server: Server;
+  readonly #intake: Intake;
   #address: string;
   #inFlight = 0;
   #isStopping = false;
@@ -54,6 +56,7 @@
   private constructor(options: HttpServerOptions) {
     this.#options = options;
     this.#address = options.address;
+    this.#intake = Intake.create({ clock: options.clock, lagMs: () => 0 });
     const handle = toNodeHandler(this.#routes());
     const direct = this.#directRoutes();
     this.#server = createServer((request, response) => {
@@ -64,6 +67,7 @@
       else if (isDecodable(request.url)) void handle(request, response);
       else writeFailure(response, BAD_PATH);
     });
+    this.#server.on("connection", () => this.#intake.accepted());
     this.#server.requestTimeout = options.requestTimeoutMs;
     this.#server.keepAliveTimeout = KEEP_ALIVE_MS;
   }
@@ -156,11 +160,14 @@
   }
 
   #counted(handler: RequestHandler): RequestHandler {
-    return (request, response) => {
+    return async (request, response) => {
       this.#inFlight++;
       response.once("close", () => this.#inFlight--);
+      await this.#intake.enter();
+      // Its caller left before it could be served.
+      if (response.destroyed) return;
       if (this.#isStopping) response.shouldKeepAlive = false;
-      return handler(request, response);
+      await handler(request, response);
     };
   }
 
