--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -18,6 +18,11 @@
   type StandinEngineOptions,
 } from "./engine_options.ts";
 export { StandinEngine } from "./engine_server.ts";
+export {
+  askAndLeave,
+  type ImpatientClients,
+  keepBusy,
+} from "./impatient_clients.ts";
 export {
   StandinInstanceList,
   type StandinInstanceListOptions,
