Close no run for its server's silence: ask another one beside it

Callers got a stream cut in the middle, or a 502 in place of an answer, with most of their time left, while the engine that made it went on. An entry that heard nothing for 1.2 s (1.5 s before the first event, 0.4 of a call's time) closed the run and then asked another server. Whether that one takes a request is known only afterwards: one that loads weights, is full or starts refuses in a few ms, and nobody could go back.

Forced by tests: every pause beside an engine that refuses three times or more was cut after 1.2 s of 30.

Cause: silence ended a run.

Now one place says who may close a run, and when (answering.ts): another run of the request that has answered, its client, its deadline, weights that may begin nothing, or its engine. Refusals while a run is open are spaced (250 ms, doubled) and bounded (four sends). A begun stream that nobody runs waits, and looks again for a server and the budget, in place of being cut; its refused sends don't count as runs do. Requests of which callers have nothing are given up as before.

Ruled out: a longer gap, and more sends, which only move the moment; leaving only for a server heard a moment ago, which is a guess as well.

--- /dev/null
+++ b/src/router/answering.ts
@@ -0,0 +1,373 @@
+/**
+ * One request from its first send to its answer. Silence ends no run: another server is asked beside
+ * the silent one, both runs stay open, and the one that answers first goes on. A run is closed only
+ * - when another run of the request has answered, or goes on with the answer,
+ * - when its engine has stopped it to move it,
+ * - before it begins on weights that may begin no answer any more,
+ * - when its client has gone or its time is over.
+ * A stream that nobody runs, and that may be sent again, waits for a server and for the budget while
+ * its client waits.
+ */
+import type { Logger } from "../base/mod.ts";
+import { answerHeaders } from "../platform/mod.ts";
+import { CloseReason, type Send, type SendEnd } from "./attempt.ts";
+import type { Choice } from "./choose.ts";
+import type { NextServer } from "./next_server.ts";
+import {
+  type AnsweringTask,
+  OpenRuns,
+  type OpenRunsParts,
+} from "./open_runs.ts";
+import { isSilent, patienceEndsAtMs, suspectAtMs } from "./patience.ts";
+import type { AnswerPart } from "./read_answer.ts";
+import { ResendRefusal, type RoutedRequest } from "./request.ts";
+import { Wake } from "./wake.ts";
+import type { WantedVersions } from "./wanted_weights.ts";
+
+/** Longest pause between looks at what may change while a server is waited for. */
+const LOOK_MS = 250;
+/** Pause before a stream that nobody runs is sent again after a refusal; it doubles with each. */
+const RETRY_MIN_MS = 25;
+/** The same while a run is open, and its answer may still come. */
+const RETRY_OPEN_MIN_MS = 250;
+const RETRY_MAX_MS = 1000;
+/** A run that was copied stops before the copy is complete; its stream is closed soon after. */
+const MOVED_CLOSE_MS = 200;
+
+/** Reason of refusals for want of a server. */
+const NO_SERVER = "no_server";
+/** Reason of refusals for want of time. */
+export const TOO_LATE = "too_late";
+/** Reason of refusals of requests under which servers have ended. */
+export const QUARANTINED = "quarantined";
+
+/** How the answering of a request ended. */
+export type AnswerEnd =
+  | { kind: "answered"; status: number }
+  | { kind: "client_gone" }
+  /** Its client has no whole answer, and gets none. */
+  | { kind: "given_up"; reason: string; refusal: ResendRefusal };
+
+/** What an {@link Answering} works with. */
+export interface AnsweringParts extends OpenRunsParts {
+  log: Logger;
+  wanted: WantedVersions;
+  servers: NextServer;
+  /** Whether a first send is not bound to be late. */
+  isWorthSending(request: RoutedRequest, choice: Choice): boolean;
+  /** A server has gone silent; other entries are told. */
+  onSilent(serverId: string): void;
+}
+
+/** Answers one request. */
+export class Answering {
+  readonly #parts: AnsweringParts;
+  readonly #task: AnsweringTask;
+  readonly #wake = Wake.create();
+  readonly #open: OpenRuns;
+  /** Not sent again before. */
+  #nextAtMs = -Infinity;
+  /** Times in a row that nobody has taken it. */
+  #vainCount = 0;
+  #reason = NO_SERVER;
+
+  private constructor(parts: AnsweringParts, task: AnsweringTask) {
+    this.#parts = parts;
+    this.#task = task;
+    this.#open = OpenRuns.create(parts, task, { wake: this.#wake });
+  }
+
+  /**
+   * @param parts Servers and helpers.
+   * @param task The request.
+   * @returns Its answering, which has not begun.
+   */
+  static create(parts: AnsweringParts, task: AnsweringTask): Answering {
+    return new Answering(parts, task);
+  }
+
+  /** @returns How it ended; where it was given up, its client is yet to be told. */
+  async run(): Promise<AnswerEnd> {
+    const { sink } = this.#task;
+    sink.onGone(() => {
+      this.#open.abort();
+      this.#wake.notify();
+    });
+    while (!sink.gone) {
+      const end = await this.#step();
+      if (!end) continue;
+      this.#open.closeAll(CloseReason.deadline);
+      return end;
+    }
+    this.#open.closeAll(CloseReason.clientGone);
+    return { kind: "client_gone" };
+  }
+
+  /** Takes what has come; else does what is due, and waits. */
+  async #step(): Promise<AnswerEnd | undefined> {
+    const read = this.#open.read();
+    if (read) return await this.#take(read.send, read.part);
+    if (this.#nowMs >= this.#task.request.answerByMs) return this.#endLate();
+    await this.#moveIfDue();
+    for (const send of this.#open.all) this.#tend(send);
+    const end = this.#sendIfDue();
+    if (!end) await this.#wake.wait(this.#wakeAtMs() - this.#nowMs);
+    return end;
+  }
+
+  get #nowMs(): number {
+    return this.#parts.clock.nowMs();
+  }
+
+  async #take(send: Send, part: AnswerPart): Promise<AnswerEnd | undefined> {
+    switch (part.kind) {
+      case "began":
+        this.#goOnWith(send);
+        return undefined;
+      case "events":
+        this.#goOnWith(send);
+        await this.#passOn(send, part);
+        return undefined;
+      case "stream_end":
+        this.#goOnWith(send);
+        this.#begin(send);
+        this.#learnOutput(send);
+        this.#task.sink.end();
+        return this.#answered(send);
+      case "whole":
+        return this.#takeWhole(send, part.body);
+      case "over":
+        this.#over(send, part.end);
+        return undefined;
+    }
+  }
+
+  async #passOn(
+    send: Send,
+    { bytes, lastEventId }: Extract<AnswerPart, { kind: "events" }>,
+  ): Promise<void> {
+    const { sink, progress } = this.#task;
+    this.#begin(send);
+    progress.lastEventId = lastEventId ?? progress.lastEventId;
+    await sink.write(bytes);
+    send.quietSinceMs = this.#nowMs;
+  }
+
+  #begin({ answer }: Send): void {
+    const { sink, progress } = this.#task;
+    if (progress.begun) return;
+    progress.begun = true;
+    const { head } = answer!;
+    sink.begin(head.status, answerHeaders(head.headers));
+  }
+
+  #learnOutput({ choice, headAtMs }: Send): void {
+    const tookMs = this.#nowMs - headAtMs!;
+    const { prompt } = this.#task.request.facts;
+    choice.server.learnOutput(tookMs, prompt?.outputTokens ?? 0);
+  }
+
+  #takeWhole(send: Send, body: Buffer): AnswerEnd | undefined {
+    const { request, progress, sink } = this.#task;
+    const { head, facts: { status } } = send.answer!;
+    const isReplaced = status >= 500 && (this.#open.count > 1 ||
+      this.#parts.resends.mayReplace(request, progress));
+    // Only a stream goes on with a stream.
+    if (isReplaced || progress.begun) {
+      this.#over(send, { kind: "unknown", reason: `status_${status}` });
+      return undefined;
+    }
+    this.#goOnWith(send);
+    sink.send(status, answerHeaders(head.headers), body);
+    return this.#answered(send);
+  }
+
+  #answered(send: Send): AnswerEnd {
+    this.#open.answered(send);
+    return { kind: "answered", status: send.answer!.facts.status };
+  }
+
+  #goOnWith(send: Send): void {
+    this.#vainCount = 0;
+    this.#nextAtMs = -Infinity;
+    this.#open.goOnWith(send);
+  }
+
+  async #moveIfDue(): Promise<void> {
+    const [send, other] = this.#open.all;
+    const { mover } = this.#parts;
+    if (!send || other || !mover.isDue(send)) return;
+    send.move = await mover.move(send);
+  }
+
+  /** Does what follows from a server's silence. */
+  #tend(send: Send): void {
+    const nowMs = this.#nowMs;
+    const { move } = send;
+    if (move?.kind === "copied") {
+      if (nowMs < send.quietSinceMs + MOVED_CLOSE_MS) return;
+      return this.#over(send, { kind: "moved", choice: move.choice });
+    }
+    if (send.answer) return;
+    if (nowMs >= this.#beginUntilMs(send, nowMs)) {
+      // Taken back by closing the connection, before the engine begins it.
+      return this.#over(send, { kind: "unknown", reason: "weights_retired" });
+    }
+    if (!send.isSuspected && nowMs >= suspectAtMs(send)) this.#suspect(send);
+  }
+
+  /** When the server's weights, if they were replaced, may begin no answer any more. */
+  #beginUntilMs({ choice, answer }: Send, nowMs: number): number {
+    const { wanted } = this.#parts;
+    const { prompt } = this.#task.request.facts;
+    const { weightsVersion } = choice;
+    if (answer || !prompt || weightsVersion === undefined) return Infinity;
+    const ageMs = wanted.replacedForMs(prompt.model, weightsVersion);
+    return ageMs > 0 ? nowMs + wanted.limits.beginUntilMs - ageMs : Infinity;
+  }
+
+  #suspect(send: Send): void {
+    send.isSuspected = true;
+    const { choice: { server, expectedMs }, sentAtMs } = send;
+    if (server.heardAtMs >= sentAtMs) return;
+    server.health.unreachable(this.#nowMs);
+    this.#parts.onSilent(server.id);
+    this.#parts.log.warn({
+      event: "server_silent",
+      server: server.id,
+      id: this.#task.request.facts.requestId,
+      expectedMs: Math.round(expectedMs),
+    });
+  }
+
+  /** Sends the request if no run of it is open, or all are silent. */
+  #sendIfDue(): AnswerEnd | undefined {
+    const nowMs = this.#nowMs;
+    if (nowMs < this.#nextAtMs) return undefined;
+    if (this.#open.all.some((send) => !isSilent(send, nowMs))) return undefined;
+    const refusal = this.#sendNext();
+    if (!refusal) return undefined;
+    if (this.#open.count === 0 && !this.#mayWait(refusal)) {
+      return { kind: "given_up", reason: this.#reason, refusal };
+    }
+    this.#noteVain();
+    return undefined;
+  }
+
+  /** Whether what keeps a request that nobody runs from being sent may pass. */
+  #mayWait(refusal: ResendRefusal): boolean {
+    switch (refusal) {
+      case ResendRefusal.noBudget:
+      case ResendRefusal.noServer:
+        // Clients that have nothing yet are better off when they come back.
+        return this.#task.progress.begun;
+      case ResendRefusal.notRepeatable:
+      case ResendRefusal.attemptsUsed:
+      case ResendRefusal.sendsUsed:
+      case ResendRefusal.noTime:
+      case ResendRefusal.quarantined:
+        return false;
+    }
+  }
+
+  /** Sends it to one more server; else says why not. */
+  #sendNext(): ResendRefusal | undefined {
+    const { request, progress } = this.#task;
+    const { resends, isWorthSending } = this.#parts;
+    const open = { count: this.#open.count, isHopeless: this.#isHopeless };
+    const refusal = resends.refusalOf(request, progress, open);
+    if (refusal) return refusal;
+    if (this.#isQuarantined()) return ResendRefusal.quarantined;
+    const choice = this.#choose();
+    if (!choice) return ResendRefusal.noServer;
+    if (progress.sends === 0 && !isWorthSending(request, choice)) {
+      this.#reason = TOO_LATE;
+      return ResendRefusal.noTime;
+    }
+    const payment = resends.pay(request, progress, open);
+    if (payment === "refused") return ResendRefusal.noBudget;
+    this.#open.open(choice, payment === "paid");
+    return undefined;
+  }
+
+  /** Whether no run is open at a server that is up. */
+  get #isHopeless(): boolean {
+    return this.#open.all.every(({ choice }) => choice.server.health.isDown);
+  }
+
+  #choose(): Choice | undefined {
+    const { servers } = this.#parts;
+    const { request, progress } = this.#task;
+    return progress.begun || this.#open.count > 0
+      ? servers.ready(request, progress, this.#open.servers)
+      : servers.any(request, progress);
+  }
+
+  /** Looked at before each send: servers may have ended under this very attempt. */
+  #isQuarantined(): boolean {
+    const { request, progress } = this.#task;
+    const verdict = this.#parts.quarantine.verdict(request);
+    switch (verdict.kind) {
+      case "clear":
+        return false;
+      case "suspected":
+        progress.endedServers = verdict.endCount;
+        return false;
+      case "quarantined":
+        progress.endedServers = verdict.endCount;
+        progress.quarantinedForMs = verdict.leftMs;
+        this.#reason = QUARANTINED;
+        return true;
+    }
+  }
+
+  /** A send is over without a whole answer. */
+  #over(send: Send, end: SendEnd): void {
+    this.#open.over(send, end);
+    switch (end.kind) {
+      case "moved":
+        this.#task.progress.reservedSends--;
+        return this.#open.open(end.choice, true);
+      case "not_run":
+        this.#reason = end.reason;
+        // A server that was not reached is known to be down, and another one may be free.
+        if (!end.isUnsent) this.#noteVain();
+        return;
+      case "unknown":
+        this.#reason = end.reason;
+    }
+  }
+
+  /** Nobody has taken it: a request that can wait is not sent again at once. */
+  #noteVain(): void {
+    const isOpen = this.#open.count > 0;
+    if (!this.#task.progress.begun && !isOpen) return;
+    const minMs = isOpen ? RETRY_OPEN_MIN_MS : RETRY_MIN_MS;
+    const pauseMs = Math.min(RETRY_MAX_MS, minMs * 2 ** this.#vainCount);
+    this.#vainCount++;
+    this.#nextAtMs = this.#nowMs + pauseMs;
+  }
+
+  #endLate(): AnswerEnd {
+    if (this.#open.count > 0) this.#reason = CloseReason.deadline;
+    const reason = this.#reason;
+    return { kind: "given_up", reason, refusal: ResendRefusal.noTime };
+  }
+
+  #wakeAtMs(): number {
+    const nowMs = this.#nowMs;
+    let wakeAtMs = Math.min(this.#task.request.answerByMs, nowMs + LOOK_MS);
+    if (this.#nextAtMs > nowMs) wakeAtMs = Math.min(wakeAtMs, this.#nextAtMs);
+    for (const send of this.#open.all) {
+      const times = [patienceEndsAtMs(send), this.#beginUntilMs(send, nowMs)];
+      if (!send.isSuspected) times.push(suspectAtMs(send));
+      if (send.move?.kind === "copied") {
+        times.push(send.quietSinceMs + MOVED_CLOSE_MS);
+      }
+      for (const atMs of times) {
+        if (atMs > nowMs) wakeAtMs = Math.min(wakeAtMs, atMs);
+      }
+    }
+    return wakeAtMs;
+  }
+}
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -1,44 +1,37 @@
 /** One send of a request to a backend server: its state, and how it may end. */
-import type { Exchange } from "./channel.ts";
+import type { AnswerHead, Exchange } from "./channel.ts";
 import type { Choice } from "./choose.ts";
+import type { EventSplitter } from "./event_splitter.ts";
+import type { AnswerFacts } from "./model.ts";
 import type {
   AnswerSink,
   ChosenWeights,
-  Outcome,
+  GivenUp,
   RoutedRequest,
 } from "./request.ts";
 import type { LoadTicket, Server } from "./server.ts";
 
-/** Why the rest of an answer was waited for no longer. */
-export const LateReason = {
+/** Why an open run was closed. */
+export const CloseReason = {
   /** The client's deadline or the route's timeout had come. */
   deadline: "deadline",
-  /** A stream paused, and another server could go on with it. */
+  /** Its stream paused, and another run went on with it. */
   noEvent: "no_event",
-  /** No answer began, and another server could be asked. */
+  /** It had not begun to answer, and another run had. */
   noHead: "no_head",
+  /** Another run had been asked beside it, and it went on by itself. */
+  notNeeded: "not_needed",
+  /** The client had gone. */
+  clientGone: "client_gone",
 } as const;
 
-/** One of {@link LateReason}. */
-export type LateReason = typeof LateReason[keyof typeof LateReason];
+/** One of {@link CloseReason}. */
+export type CloseReason = typeof CloseReason[keyof typeof CloseReason];
 
-/** Why a request is not sent again. */
-export const ResendRefusal = {
-  notRepeatable: "not_repeatable",
-  attemptsUsed: "attempts_used",
-  sendsUsed: "sends_used",
-  noTime: "no_time",
-  noBudget: "no_budget",
-  noServer: "no_other_server",
-} as const;
-
-/** One of {@link ResendRefusal}. */
-export type ResendRefusal = typeof ResendRefusal[keyof typeof ResendRefusal];
-
-/** How one send ended. */
+/** How one send ended without a whole answer. */
 export type SendEnd =
-  | { kind: "done"; outcome: Outcome }
-  | { kind: "not_run"; reason: string }
+  /** `isUnsent`: it never reached the server. */
+  | { kind: "not_run"; reason: string; isUnsent?: boolean }
   /** It may have run. `isBroken`: its connection broke, and its server may have ended. */
   | { kind: "unknown"; reason: string; isBroken?: boolean }
   /** Its run has stopped and goes on at another server, from a copy of its memory. */
@@ -48,17 +41,19 @@
 export interface Progress {
   /** Servers that it was sent to. */
   readonly tried: Set<Server>;
-  /** Those of them at which it may have run, or may still run. */
+  /** Those of them at which it may have run, and whose run is over. */
   readonly ranAt: Set<Server>;
   /** Ids of the servers that it was sent to, in order. */
   readonly servers: string[];
   /** How each send ended that was not the last of all: `reason@ms`, from its start. */
   readonly ends: string[];
-  /** Why the last of them was followed by none. */
-  notResent?: ResendRefusal;
-  /** Sends that may have run; one that goes on from a copy is the same run. */
+  /** What was known when the request was given up. */
+  givenUp?: GivenUp;
+  /** Runs that may have begun and are over; one that goes on from a copy is the same run. */
   runs: number;
   sends: number;
+  /** Sends that may have reached a server. */
+  arrivals: number;
   /** Sends that were taken from the budget of resends ahead. */
   reservedSends: number;
   /** The client has the head of a stream. */
@@ -84,6 +79,18 @@
   /** As far as known the run goes on where it is. */
   | { kind: "not_moved" };
 
+/** An answer as far as it was read. */
+export interface PartialAnswer {
+  head: AnswerHead;
+  facts: AnswerFacts;
+  body: PartialBody;
+}
+
+/** Body of a {@link PartialAnswer}. */
+export type PartialBody =
+  | { kind: "stream"; splitter: EventSplitter }
+  | { kind: "whole"; chunks: Buffer[]; sizeBytes: number };
+
 /** One send of a request. */
 export interface Send {
   request: RoutedRequest;
@@ -95,6 +102,16 @@
   sentAtMs: number;
   /** Its priority at the server; 0 is served first. */
   priority: number;
+  /** It was taken from the budget of resends. */
+  isPaid: boolean;
+  /** Another run of its request had begun, or may have. */
+  isRepeat: boolean;
+  /** Since when nothing of the answer has come. */
+  quietSinceMs: number;
+  /** Its server was reported as silent. */
+  isSuspected: boolean;
+  /** Set once the server has begun to answer. */
+  answer?: PartialAnswer;
   /** When the server began to answer. */
   headAtMs?: number;
   /** When the server's first event came. */
@@ -104,30 +121,33 @@
 }
 
 /**
- * @param outcome How the request ended.
- * @returns The end of a send after which nothing is sent any more.
+ * @param lastEventId Last event that the client has, from an earlier attempt.
+ * @returns Progress of a request that was not sent yet.
  */
-export function done(outcome: Outcome): SendEnd {
-  return { kind: "done", outcome };
+export function startProgress(lastEventId: string | undefined): Progress {
+  return {
+    tried: new Set(),
+    ranAt: new Set(),
+    servers: [],
+    ends: [],
+    runs: 0,
+    sends: 0,
+    arrivals: 0,
+    reservedSends: 0,
+    begun: false,
+    lastEventId,
+  };
 }
 
 /**
- * @param send A send whose answer, or the rest of it, is waited for no longer.
+ * @param send An open run that is to be closed.
  * @param reason Why.
- * @param nowMs The time.
  * @returns Its end.
  */
-export function endLate(
-  { exchange, choice }: Send,
-  reason: LateReason,
-  nowMs: number,
-): SendEnd {
-  const wasSent = exchange.sent;
-  exchange.abort();
-  choice.server.health.failed(nowMs);
-  return wasSent
+export function endClosed({ exchange }: Send, reason: CloseReason): SendEnd {
+  return exchange.sent
     ? { kind: "unknown", reason }
-    : { kind: "not_run", reason: "no_connection" };
+    : { kind: "not_run", reason: "no_connection", isUnsent: true };
 }
 
 /**
--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -5,6 +5,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { connect, type Socket } from "node:net";
 import { type buildConnector, Client, type Dispatcher } from "undici";
+import { Wake } from "./wake.ts";
 
 /** What is sent over a channel. */
 export interface ChannelRequest {
@@ -47,13 +48,14 @@
   readonly #steps: AnswerStep[] = [];
   #controller: Dispatcher.DispatchController | undefined;
   #queuedBytes = 0;
-  #wake: (() => void) | undefined;
+  readonly #wake: Wake;
   #aborted: Error | undefined;
   #sent = false;
   #done = false;
 
-  constructor(channel: Channel) {
+  constructor(channel: Channel, wake: Wake) {
     this.#channel = channel;
+    this.#wake = wake;
   }
 
   /** Whether the request may have reached the server. */
@@ -68,7 +70,12 @@
    * @returns The step, or nothing if none came in time.
    */
   async next(waitMs: number): Promise<AnswerStep | undefined> {
-    if (this.#steps.length === 0) await this.#wait(waitMs);
+    if (this.#steps.length === 0) await this.#wake.wait(waitMs);
+    return this.take();
+  }
+
+  /** @returns The next step, if it has come. */
+  take(): AnswerStep | undefined {
     const step = this.#steps.shift();
     if (step?.kind === "data") this.#taken(step.bytes.length);
     return step;
@@ -137,7 +144,7 @@
 
   #push(step: AnswerStep): void {
     this.#steps.push(step);
-    this.#wake?.();
+    this.#wake.notify();
   }
 
   #taken(bytes: number): void {
@@ -146,22 +153,6 @@
       this.#controller.resume();
     }
   }
-
-  #wait(waitMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      let turn: NodeJS.Immediate | undefined;
-      const settle = () => {
-        clearTimeout(timer);
-        clearImmediate(turn);
-        this.#wake = undefined;
-        resolve();
-      };
-      // Timers run before sockets are read: in a process that stood still a step may be there already.
-      const readThenSettle = () => turn = setImmediate(settle);
-      const timer = setTimeout(readThenSettle, Math.max(0, waitMs));
-      this.#wake = settle;
-    });
-  }
 }
 
 /** One connection, opened with its first request and again where the server closed it. */
@@ -196,10 +187,11 @@
 
   /**
    * @param request What to send.
+   * @param wake Told of each step of the answer.
    * @returns The exchange, to be read to its end or aborted.
    */
-  send(request: ChannelRequest): Exchange {
-    const exchange = new Exchange(this);
+  send(request: ChannelRequest, wake: Wake): Exchange {
+    const exchange = new Exchange(this, wake);
     this.#client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.target,
@@ -271,14 +263,14 @@
 
   /**
    * @param request What to send.
-   * @param isFresh Whether to open a new connection rather than use a kept one.
+   * @param wake Told of each step of the answer.
    * @returns The exchange, to be read to its end or aborted.
    */
-  send(request: ChannelRequest, isFresh = false): Exchange {
+  send(request: ChannelRequest, wake = Wake.create()): Exchange {
     // The most recently used one, so that the others can time out.
-    const channel = (isFresh ? undefined : this.#idle.pop()) ?? this.#open();
+    const channel = this.#idle.pop() ?? this.#open();
     this.#busy.add(channel);
-    return channel.send(request);
+    return channel.send(request, wake);
   }
 
   /** Closes the connections that are idle now. */
--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -1,5 +1,5 @@
 /** Gathers what the logs of all entries say of one request, and tells how it ended. */
-import { ResendRefusal } from "./attempt.ts";
+import { ResendRefusal } from "./request.ts";
 
 /** One line of a log. */
 export interface LogLine {
@@ -91,6 +91,7 @@
   [ResendRefusal.noTime]: "no time was left",
   [ResendRefusal.noBudget]: "the budget of resends was used up",
   [ResendRefusal.noServer]: "no other server could take it",
+  [ResendRefusal.quarantined]: "servers had ended under it",
 };
 
 /**
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -34,6 +34,49 @@
   send(status: number, headers: string[], body: Buffer): void;
 }
 
+/** Why a request is not sent again. */
+export const ResendRefusal = {
+  notRepeatable: "not_repeatable",
+  attemptsUsed: "attempts_used",
+  sendsUsed: "sends_used",
+  noTime: "no_time",
+  noBudget: "no_budget",
+  noServer: "no_other_server",
+  quarantined: "quarantined",
+} as const;
+
+/** One of {@link ResendRefusal}. */
+export type ResendRefusal = typeof ResendRefusal[keyof typeof ResendRefusal];
+
+/** Why a server of its service was not asked for a request. */
+export const PassedOver = {
+  /** A run of the request is open there, or may have been. */
+  ran: "ran",
+  down: "down",
+  /** Its weights change, or it refused a request a moment ago. */
+  heldBack: "held_back",
+  full: "full",
+  /** It refused this request. */
+  refused: "refused",
+  /** It could have been asked. */
+  free: "free",
+} as const;
+
+/** One of {@link PassedOver}. */
+export type PassedOver = typeof PassedOver[keyof typeof PassedOver];
+
+/** What was known when a request was given up that had been sent. */
+export interface GivenUp {
+  /** Why it was not sent again. */
+  refusal: ResendRefusal;
+  /** Time that it had left. */
+  leftMs: number;
+  /** Resends that this entry might have made at once for its service. */
+  resendsLeft: number;
+  /** Servers of its service, by why they were not asked. */
+  passedOver: Partial<Record<PassedOver, number>>;
+}
+
 /** How a request ended, for log and metrics. */
 export type Outcome =
   | { kind: "answered"; status: number }
@@ -50,7 +93,7 @@
   /** How each send ended that brought no whole answer. */
   ends: string[];
   /** Why the last of them was followed by none. */
-  notResent?: string;
+  givenUp?: GivenUp;
   /** Time to the first byte of the answer; left out without one. */
   ttftMs?: number;
   /** Expected at the last choice. */
--- a/src/router/request_log.ts
+++ b/src/router/request_log.ts
@@ -1,7 +1,7 @@
 /** One log line for each request, bounded in number, and the metrics of requests. */
 import type { Clock, Logger, Metrics } from "../base/mod.ts";
 import { digestOf } from "./request_digest.ts";
-import type { Outcome, RoutedRequest, Served } from "./request.ts";
+import type { GivenUp, Outcome, RoutedRequest, Served } from "./request.ts";
 import type { LocalAnswer } from "./ingress.ts";
 import type { RequestFacts } from "./model.ts";
 
@@ -67,7 +67,7 @@
       workspace: request.workspace?.name,
       servers: served.servers,
       ends: served.ends.length > 0 ? served.ends : undefined,
-      notResent: served.notResent,
+      ...describeGivenUp(served.givenUp),
       ...describe(outcome),
       ttftMs: round(served.ttftMs),
       expectedMs: round(served.expectedMs),
@@ -141,6 +141,19 @@
   }
 }
 
+function describeGivenUp(
+  givenUp: GivenUp | undefined,
+): Record<string, unknown> {
+  if (!givenUp) return {};
+  const { refusal, leftMs, resendsLeft, passedOver } = givenUp;
+  return {
+    notResent: refusal,
+    leftMs: round(leftMs),
+    resendsLeft: Math.floor(resendsLeft),
+    passedOver,
+  };
+}
+
 function round(ms: number | undefined): number | undefined {
   return ms === undefined ? undefined : Math.round(ms);
 }
--- a/src/router/resend_budget.ts
+++ b/src/router/resend_budget.ts
@@ -95,6 +95,14 @@
     return this.#budget.spend(service);
   }
 
+  /**
+   * @param service Name of a service.
+   * @returns Resends within the budget, what is kept included.
+   */
+  left(service: string): number {
+    return this.#budget.credit(service);
+  }
+
   /**
    * Gives back what was spent on resends that were not made.
    *
--- a/src/router/resends.ts
+++ b/src/router/resends.ts
@@ -1,16 +1,11 @@
 /** Whether a request that was sent to a server may be sent again, and to whom the allowance goes. */
 import type { Clock } from "../base/mod.ts";
 import { isIdempotent } from "./answer_rules.ts";
-import {
-  type Progress,
-  ResendRefusal,
-  type Send,
-  type SendEnd,
-} from "./attempt.ts";
-import type { RoutedRequest } from "./request.ts";
+import { type Progress } from "./attempt.ts";
+import { ResendRefusal, type RoutedRequest } from "./request.ts";
 import { ResendBudget, type ResendLimits } from "./resend_budget.ts";
 
-/** Sends of one request, those included that were not run. */
+/** Sends of a request, those included that were not run; a stream that would be cut has more. */
 const MAX_SENDS = 4;
 /** Sends that a run's move may need: to where its copy is, and elsewhere if that refuses. */
 const MOVE_SENDS = 2;
@@ -25,10 +20,18 @@
   entryCount(): number;
   /** Whether a server takes the request that it was not sent to yet. */
   hasOther(request: RoutedRequest, progress: Progress): boolean;
-  /** Whether a server that is up and takes requests may go on with one that leaves its server. */
-  hasNext(send: Send): boolean;
 }
 
+/** Runs of a request that may still answer it. */
+export interface OpenState {
+  count: number;
+  /** None is at a server that is up. */
+  isHopeless: boolean;
+}
+
+/** How a send is paid for. */
+export type Payment = "free" | "paid" | "refused";
+
 /** Decides about further sends of requests, and keeps their budget. */
 export class Resends {
   readonly #options: ResendsOptions;
@@ -66,13 +69,31 @@
     this.#budget.refund(service, reservedSends);
   }
 
+  /**
+   * A send never reached its server, so it is none of the resends that are bounded.
+   *
+   * @param request Its request.
+   */
+  refundUnsent({ service }: RoutedRequest): void {
+    this.#budget.refund(service, 1);
+  }
+
+  /**
+   * @param service Name of a service.
+   * @returns Resends that this entry may make at once.
+   */
+  left(service: string): number {
+    return this.#budget.left(service);
+  }
+
   /**
    * @param request A request whose server failed it.
    * @param progress What happened to it.
    * @returns Whether another server may still be asked in place of passing the failure on.
    */
   mayReplace(request: RoutedRequest, progress: Progress): boolean {
-    return this.#refusalOfNext(request, progress) === undefined &&
+    const open = { count: 1, isHopeless: false };
+    return this.refusalOf(request, progress, open) === undefined &&
       this.#options.hasOther(request, progress) &&
       this.#budget.has(request.service);
   }
@@ -89,7 +110,6 @@
     { route, service }: RoutedRequest,
     progress: Progress,
   ): boolean {
-    if (progress.sends + MOVE_SENDS > MAX_SENDS) return false;
     if (progress.runs + 1 >= route.maxAttempts) return false;
     if (!this.#budget.spend(service, MOVE_SENDS)) return false;
     progress.reservedSends += MOVE_SENDS;
@@ -97,74 +117,49 @@
   }
 
   /**
-   * Sets one send aside for a request that would leave its server, which says nothing: it waits on
-   * where nobody else can go on with it.
-   *
-   * @param send A send whose answer, or the rest of it, has not come.
-   * @returns Whether the request may leave.
+   * @param request A request.
+   * @param progress What happened to it.
+   * @param open Its open runs.
+   * @returns Why it may not be sent once more; nothing if it may.
    */
-  reserveNext(send: Send): boolean {
-    const { request, progress } = send;
-    if (this.#refusalOfNext(request, progress)) return false;
-    if (!this.#options.hasNext(send)) return false;
-    if (progress.reservedSends > 0) return true;
-    if (!this.#spend(request.service, progress)) return false;
-    progress.reservedSends++;
-    return true;
+  refusalOf(
+    { route, answerByMs }: RoutedRequest,
+    { runs, sends, begun }: Progress,
+    open: OpenState,
+  ): ResendRefusal | undefined {
+    if (sends === 0) return undefined;
+    const runCount = runs + open.count;
+    if (runCount > 0 && !isIdempotent(route)) {
+      return ResendRefusal.notRepeatable;
+    }
+    if (runCount >= route.maxAttempts) return ResendRefusal.attemptsUsed;
+    const leftMs = answerByMs - this.#options.clock.nowMs();
+    if (leftMs < RESEND_MIN_LEFT_MS) return ResendRefusal.noTime;
+    if (sends < MAX_SENDS || (begun && open.isHopeless)) return undefined;
+    return ResendRefusal.sendsUsed;
   }
 
   /**
-   * Takes one more send from what is set aside or from the budget.
+   * Takes a send from what is set aside or from the budget. The first that reaches a server is free.
    *
-   * @param request A request.
-   * @param progress What happened to it, its last send included.
-   * @param end How that send ended.
-   * @returns Why it is not sent again; nothing if it is.
+   * @param request A request that is to be sent.
+   * @param progress What happened to it.
+   * @param open Its open runs.
+   * @returns How it is paid for.
    */
-  refusalAfter(
-    request: RoutedRequest,
+  pay(
+    { service }: RoutedRequest,
     progress: Progress,
-    end: Exclude<SendEnd, { kind: "done" | "moved" }>,
-  ): ResendRefusal | undefined {
-    const { route, service } = request;
-    const refusal = this.#refusalOfAny(request, progress);
-    if (refusal) return refusal;
-    if (end.kind === "unknown") {
-      if (!isIdempotent(route)) return ResendRefusal.notRepeatable;
-      if (progress.runs >= route.maxAttempts) return ResendRefusal.attemptsUsed;
-    }
+    open: OpenState,
+  ): Payment {
+    if (progress.arrivals === 0) return "free";
     if (progress.reservedSends > 0) {
       progress.reservedSends--;
-      return undefined;
+      return "paid";
     }
-    return this.#spend(service, progress) ? undefined : ResendRefusal.noBudget;
-  }
-
-  /** Why a request whose present send may be its last may not be sent once more. */
-  #refusalOfNext(
-    request: RoutedRequest,
-    progress: Progress,
-  ): ResendRefusal | undefined {
-    const { route } = request;
-    if (!isIdempotent(route)) return ResendRefusal.notRepeatable;
-    if (progress.runs + 1 >= route.maxAttempts) {
-      return ResendRefusal.attemptsUsed;
-    }
-    return this.#refusalOfAny(request, progress);
-  }
-
-  #refusalOfAny(
-    { answerByMs }: RoutedRequest,
-    { sends }: Progress,
-  ): ResendRefusal | undefined {
-    if (sends >= MAX_SENDS) return ResendRefusal.sendsUsed;
-    const leftMs = answerByMs - this.#options.clock.nowMs();
-    return leftMs < RESEND_MIN_LEFT_MS ? ResendRefusal.noTime : undefined;
-  }
-
-  #spend(service: string, { begun }: Progress): boolean {
-    return begun
+    const isSpent = progress.begun && open.isHopeless
       ? this.#budget.spendForBegun(service)
       : this.#budget.spend(service);
+    return isSpent ? "paid" : "refused";
   }
 }
