--- /dev/null
+++ b/src/router/_patient_world.ts
@@ -0,0 +1,135 @@
+/** Worlds whose requests have far more time than any pause takes, and what their callers get. */
+import assert from "node:assert/strict";
+import type { TestContext } from "node:test";
+import {
+  type Asked,
+  CONFIG,
+  PROMPT,
+  type StandinPlatformWorker,
+  streamOf,
+} from "../standin/mod.ts";
+import { type LogLine, recordedLog } from "./_kit.ts";
+import { knows, openWorld, until, useConfig, type World } from "./_world.ts";
+
+/** Far beyond what the pauses take, also beside load. */
+export const TIME_MS = 30_000;
+/** Headers of a model request with that time. */
+export const ASKED = { ...PROMPT, "deadline-ms": `${TIME_MS}` };
+
+/** What the platform allows beside a fifth of the requests; no test here has five. */
+const RESEND_SLACK = 54;
+
+/** A world with what its entries log. */
+export interface PatientWorld extends World {
+  lines: LogLine[];
+}
+
+/** Settings of a {@link PatientWorld}. */
+export interface PatientWorldOptions {
+  entryCount?: number;
+  /** Of all routes; left out: as they have it. */
+  maxAttempts?: number;
+}
+
+/**
+ * @param t The test; its end stops everything.
+ * @param options How many entries, and how often a request may run.
+ * @returns A world whose routes leave that time, too, and whose entries know each other.
+ */
+export async function openPatientWorld(
+  t: TestContext,
+  { entryCount = 1, maxAttempts }: PatientWorldOptions = {},
+): Promise<PatientWorld> {
+  const { log, lines } = recordedLog();
+  const world = await openWorld(t, { entryCount, log });
+  const routes = CONFIG.routes.map((route) => ({
+    ...route,
+    timeout_ms: TIME_MS,
+    max_attempts: maxAttempts ?? route["max_attempts"],
+  }));
+  await useConfig(world, { ...CONFIG, version: 2, routes });
+  for (const entry of world.entries) {
+    await until(() =>
+      knows(entry, `"entries":${entryCount}`) &&
+      knows(entry, '"configVersion":2')
+    );
+  }
+  return { ...world, lines };
+}
+
+/**
+ * @param asked What a caller got.
+ * @param what Shown if it isn't a whole stream.
+ * @param options How many events a whole one has.
+ */
+export function assertWhole(
+  { isWhole, body, status }: Asked,
+  what?: string,
+  { events = 4 }: { events?: number } = {},
+): void {
+  assert.equal(status, 200, what);
+  assert.ok(isWhole, what);
+  assert.equal(body, streamOf(events), what);
+}
+
+/**
+ * @param world A world in which requests were answered.
+ * @param asked What callers got.
+ * @param options How many events a whole stream has, and how many requests there were in all.
+ */
+export function assertAllWhole(
+  world: PatientWorld,
+  asked: Asked[],
+  options: { events?: number; requests?: number } = {},
+): void {
+  for (const answer of asked) {
+    const { status, isWhole, body } = answer;
+    const eventCount = body.split("\n\n").length - 1;
+    const seen = { status, isWhole, eventCount, entry: linesOf(world) };
+    assertWhole(answer, JSON.stringify(seen), options);
+  }
+  assertResendsWithinLimits(world, options.requests ?? asked.length);
+}
+
+/**
+ * @param world A world.
+ * @returns How many requests its servers ran; one that ran twice counts twice.
+ */
+export function runsOf(world: World): number {
+  return world.workers.flatMap(({ runs }) => runs).length;
+}
+
+/**
+ * @param worker Refuses all requests as not run.
+ * @param forMs For so long.
+ */
+export function refuseFor(worker: StandinPlatformWorker, forMs: number): void {
+  worker.faults.refuse = Infinity;
+  setTimeout(() => worker.faults.refuse = 0, forMs);
+}
+
+/** A stream with its events held back until a test lets them go. */
+export interface Gate {
+  opened: Promise<void>;
+  open(): void;
+}
+
+/** @returns A gate that is shut. */
+export function shutGate(): Gate {
+  let open = () => {};
+  const opened = new Promise<void>((resolve) => open = resolve);
+  return { opened, open };
+}
+
+function assertResendsWithinLimits(world: World, requests: number): void {
+  const refused = world.workers.reduce((sum, { refused }) => sum + refused, 0);
+  const resends = runsOf(world) + refused - requests;
+  assert.ok(resends <= requests * 0.2 + RESEND_SLACK, `${resends} resends`);
+}
+
+/** What entries logged of requests, as far as it tells where they went and why they ended. */
+function linesOf({ lines }: PatientWorld): LogLine[] {
+  return lines.filter(({ event }) => event === "request").map((
+    { servers, ends, notResent, outcome, reason, tookMs },
+  ) => ({ servers, ends, notResent, outcome, reason, tookMs }));
+}
--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -3,7 +3,7 @@
 import { createServer } from "node:http";
 import process from "node:process";
 import type { TestContext } from "node:test";
-import { type Clock, systemClock } from "../base/mod.ts";
+import { type Clock, type Logger, systemClock } from "../base/mod.ts";
 import {
   CONFIG,
   readiness,
@@ -75,6 +75,8 @@
   weightsBoundMs?: number;
   /** IP numbers in the settings at which no entry lives. */
   staleSeeds?: string[];
+  /** Left out: nothing is logged. */
+  log?: Logger;
 }
 
 /**
@@ -106,6 +108,7 @@
     orderTurnMs = 0,
     weightsBoundMs = 10_000,
     staleSeeds = [],
+    log = silentLog,
   }: WorldOptions = {},
 ): Promise<World> {
   const store = await StandinPlatformStore.create();
@@ -134,7 +137,7 @@
     const [linkHost = "", linkPort] = link.address.split(":");
     const at = (port: number) => ({ ipAddress, port });
     return Router.create({
-      log: silentLog,
+      log,
       clock,
       settings: {
         instance: name,
--- /dev/null
+++ b/src/router/broken_answer_test.ts
@@ -0,0 +1,236 @@
+/**
+ * Streams whose engine breaks off: they go on as soon as an engine takes them, within their time.
+ */
+import assert from "node:assert/strict";
+import { setTimeout as sleep } from "node:timers/promises";
+import { test, type TestContext } from "node:test";
+import {
+  ask,
+  type Asked,
+  NO_FAULTS,
+  type StandinPlatformWorker,
+  streamOf,
+} from "../standin/mod.ts";
+import {
+  ASKED,
+  assertAllWhole,
+  type Gate,
+  openPatientWorld,
+  type PatientWorld,
+  type PatientWorldOptions,
+  refuseFor,
+  runsOf,
+  shutGate,
+} from "./_patient_world.ts";
+import { type TestEntry, until } from "./_world.ts";
+
+/** As long as an engine or its place in the store may need to come back. */
+const AWAY_MS = 500;
+const ENTRY_COUNTS = [1, 16];
+/** Streams at the engines that end together. */
+const STREAM_COUNT = 8;
+
+interface Open {
+  world: PatientWorld;
+  engine: StandinPlatformWorker;
+  answer: Promise<Asked>;
+  /** Opened, the engine breaks the stream off behind two events. */
+  gate: Gate;
+}
+
+/** A stream at the only engine, which will break it off. */
+async function openStream(
+  t: TestContext,
+  options: PatientWorldOptions & { path?: string } = {},
+): Promise<Open> {
+  const world = await openPatientWorld(t, options);
+  const gate = shutGate();
+  const stall = { afterEvent: 2, pauseMs: 0, opened: gate.opened };
+  const faults = { ...NO_FAULTS, cutAfterEvents: 2, stall };
+  const engine = await world.worker("i-1", { model: "m", faults });
+  const answer = ask(world, options.path ?? "/stream/a", ASKED);
+  await until(() => engine.runs.length > 0);
+  return { world, engine, answer, gate };
+}
+
+function askOther(entry: TestEntry, i: number): Promise<Asked> {
+  return ask(entry, `/stream/other-${i}`, {
+    ...ASKED,
+    "attempt-id": `other-${i}`,
+    "prompt-prefix": `a${i}:1000,b${i}:200`,
+  });
+}
+
+for (const entryCount of ENTRY_COUNTS) {
+  // The sends were used up within milliseconds at an engine that refused for a moment.
+  test(`engine breaks off, the only other one refuses for a while, ${entryCount} entries`, async (t) => {
+    const { world, answer, gate } = await openStream(t, { entryCount });
+    const other = await world.engine("i-2");
+    refuseFor(other, AWAY_MS);
+    gate.open();
+    assertAllWhole(world, [await answer]);
+    assert.equal(runsOf(world), 2);
+  });
+
+  // Refused connections used up the sends, though nothing had arrived.
+  test(`engine breaks off while the other one's port is closed, ${entryCount} entries`, async (t) => {
+    const { world, answer, gate } = await openStream(t, { entryCount });
+    const other = await world.engine("i-2");
+    await other.down();
+    gate.open();
+    await sleep(AWAY_MS);
+    await other.up();
+    assertAllWhole(world, [await answer]);
+    assert.equal(runsOf(world), 2);
+  });
+
+  // Streams of engines that ended together were sent to one that had ended as well, and cut.
+  test(`several engines end at once and one is left, ${entryCount} entries`, async (t) => {
+    const world = await openPatientWorld(t, { entryCount });
+    const stall = { afterEvent: 2, pauseMs: 0, opened: shutGate().opened };
+    const ending: StandinPlatformWorker[] = [];
+    for (const id of ["i-1", "i-2", "i-3", "i-4"]) {
+      const faults = { ...NO_FAULTS, stall };
+      ending.push(await world.worker(id, { model: "m", faults }));
+    }
+    const takers = world.entries.slice(0, STREAM_COUNT);
+    await until(() => takers.every((entry) => hasEngines(entry, 4)));
+    const answers = Array.from(
+      { length: STREAM_COUNT },
+      (_, i) => askOther(takers[i % takers.length]!, i),
+    );
+    await until(() => runsOf(world) === STREAM_COUNT);
+    await world.engine("i-5");
+    await until(() => takers.every((entry) => hasEngines(entry, 5)));
+    await Promise.all(ending.map((engine) => engine.down()));
+    assertAllWhole(world, await Promise.all(answers));
+    assert.equal(runsOf(world), 2 * STREAM_COUNT);
+  });
+}
+
+// An engine that wants a pause is not asked, and the answer was cut as if nobody were left.
+test("engine breaks off while the only other one wants a pause", async (t) => {
+  const { world, answer, gate } = await openStream(t);
+  const other = await world.engine("i-2");
+  other.faults.pauseS = AWAY_MS / 1000;
+  gate.open();
+  await until(() => other.turnedAway > 0);
+  await sleep(AWAY_MS);
+  other.faults.pauseS = undefined;
+  assertAllWhole(world, [await answer]);
+  assert.equal(runsOf(world), 2);
+});
+
+// A begun answer ended as soon as no engine was there to go on with it.
+test("engine ends, and another one registers a moment later", async (t) => {
+  const { world, engine, answer } = await openStream(t);
+  await engine.down();
+  await world.store.delete("servers/i-1");
+  await sleep(AWAY_MS);
+  await world.engine("i-2");
+  assertAllWhole(world, [await answer]);
+  assert.equal(runsOf(world), 2);
+});
+
+// The same where the engine itself comes back under another id, at its address.
+test("engine starts again under a new id", async (t) => {
+  const { world, engine, answer } = await openStream(t);
+  const listenAddress = engine.address;
+  await engine.down();
+  await sleep(AWAY_MS);
+  await world.store.delete("servers/i-1");
+  await world.worker("i-1-again", { model: "m", listenAddress });
+  assertAllWhole(world, [await answer]);
+  assert.equal(runsOf(world), 2);
+});
+
+// A begun answer ended for want of a budget that other requests earned a moment later.
+test("budget of resends is empty when an engine breaks off", async (t) => {
+  const { world, engine, answer, gate } = await openStream(t, {
+    entryCount: 16,
+  });
+  const other = await world.engine("i-2");
+  // Its part of the budget goes to requests that break off, too.
+  other.faults.loseAnswer = Infinity;
+  await Promise.all([1, 2, 3].map((i) => askOther(world, i)));
+  other.faults.loseAnswer = 0;
+  gate.open();
+  await until(() => engine.streams === 0);
+  for (let i = 10; i < 30; i++) await askOther(world, i);
+  const asked = await answer;
+  assertAllWhole(world, [asked], { requests: 24 });
+});
+
+// A run whose copy was refused was broken off where the other engine refused for a moment, too.
+test("copy of a moved run is refused, and the other engine refuses for a while", async (t) => {
+  const world = await openPatientWorld(t);
+  const slow = { model: "m", events: 60, eventMs: 25 };
+  const engines = [
+    await world.worker("i-1", slow),
+    await world.worker("i-2", slow),
+  ];
+  const answers = [1, 2].map((i) => askOther(world, i));
+  await until(() => engines.every(({ runs }) => runs.length > 0));
+  for (const { faults } of engines) faults.refuse = Infinity;
+  await world.store.put("op/version/m", { model: "m", version: 2 });
+  await until(() => engines.some(({ refused }) => refused > 0));
+  for (const engine of engines) refuseFor(engine, AWAY_MS);
+  const asked = await Promise.all(answers);
+  assert.ok(
+    world.lines.some(({ event, answer }) =>
+      event === "run_moved" && answer === "copied"
+    ),
+  );
+  assertAllWhole(world, asked, { events: 60 });
+});
+
+// What may run once is not run again, however much of its time is left.
+test("stream that may run once is cut where its engine breaks off", async (t) => {
+  for (
+    const [path, maxAttempts] of [["/stream/a", 1], ["/once/a", 2]] as const
+  ) {
+    const opened = await openStream(t, { path, maxAttempts });
+    const { world, answer, gate } = opened;
+    await world.engine("i-2");
+    gate.open();
+    const { isWhole, body } = await answer;
+    assert.ok(!isWhole);
+    assert.equal(body, streamOf(2));
+    assert.equal(runsOf(world), 1);
+    await world.router.stop();
+  }
+});
+
+// The same before its first event: its connection ends without an answer.
+test("stream that may run once is failed where its answer is lost", async (t) => {
+  for (
+    const [path, maxAttempts] of [["/stream/a", 1], ["/once/a", 2]] as const
+  ) {
+    const world = await openPatientWorld(t, { maxAttempts });
+    const faults = { ...NO_FAULTS, loseAnswer: 1 };
+    for (const id of ["i-1", "i-2"]) {
+      await world.worker(id, { model: "m", faults });
+    }
+    assert.equal((await ask(world, path, ASKED)).status, 502);
+    assert.equal(runsOf(world), 1);
+    await world.router.stop();
+  }
+});
+
+// Waiting for an engine must not lead to more runs than the route allows.
+test("stream that breaks off everywhere runs as often as its route allows", async (t) => {
+  const world = await openPatientWorld(t, { maxAttempts: 2 });
+  for (const id of ["i-1", "i-2", "i-3", "i-4"]) {
+    const faults = { ...NO_FAULTS, cutAfterEvents: 1 };
+    await world.worker(id, { model: "m", faults });
+  }
+  assert.ok(!(await ask(world, "/stream/a", ASKED)).isWhole);
+  assert.equal(runsOf(world), 2);
+});
+
+function hasEngines(entry: TestEntry, count: number): boolean {
+  const text = JSON.stringify(entry.router.state());
+  return Array.from({ length: count }, (_, i) => `i-${i + 1}`).every((id) =>
+    text.includes(id)
+  );
+}
--- /dev/null
+++ b/src/router/open_answer_test.ts
@@ -0,0 +1,221 @@
+/**
+ * Answers that an engine has open while it says nothing for a while: what holds of other engines at
+ * one instant is no reason to give them up.
+ */
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import {
+  ask,
+  type Asked,
+  NO_FAULTS,
+  type StandinPlatformWorker,
+  type StandinPlatformWorkerFaults,
+} from "../standin/mod.ts";
+import {
+  ASKED,
+  assertAllWhole,
+  openPatientWorld,
+  type PatientWorld,
+  type PatientWorldOptions,
+  refuseFor,
+  runsOf,
+  shutGate,
+} from "./_patient_world.ts";
+import { until } from "./_world.ts";
+
+/** Longer than an entry waits for an event while another engine may have it. */
+const PAUSE_MS = 3000;
+const GONE_MS = 60_000;
+const REFUSED_FOR_MS = 500;
+/** More often than a request is ever sent. */
+const OFTEN = 99;
+const ENTRY_COUNTS = [1, 16];
+
+/** Faults of the engines that are there besides the one that pauses. */
+type OtherFaults = Partial<StandinPlatformWorkerFaults>;
+
+interface Paused {
+  world: PatientWorld;
+  pausing: StandinPlatformWorker;
+  others: StandinPlatformWorker[];
+  answer: Promise<Asked>;
+}
+
+/** A stream that runs at the engine that will pause before any other engine is there. */
+async function pausedStream(
+  t: TestContext,
+  others: OtherFaults[],
+  options: PatientWorldOptions & {
+    stall?: StandinPlatformWorkerFaults["stall"];
+    path?: string;
+    timeMs?: number;
+  } = {},
+): Promise<Paused> {
+  const world = await openPatientWorld(t, options);
+  const stall = options.stall ?? { afterEvent: 2, pauseMs: PAUSE_MS };
+  const pausing = await world.worker("i-1", {
+    model: "m",
+    faults: { ...NO_FAULTS, stall },
+  });
+  const timeMs = options.timeMs;
+  const headers = timeMs ? { ...ASKED, "deadline-ms": `${timeMs}` } : ASKED;
+  const answer = ask(world, options.path ?? "/stream/a", headers);
+  await until(() => pausing.runs.length > 0);
+  const made: StandinPlatformWorker[] = [];
+  for (const [i, faults] of others.entries()) {
+    const own = { ...NO_FAULTS, ...faults };
+    made.push(await world.worker(`i-${i + 2}`, { model: "m", faults: own }));
+  }
+  return { world, pausing, others: made, answer };
+}
+
+async function assertOutlasts(
+  t: TestContext,
+  others: OtherFaults[],
+  options: Parameters<typeof pausedStream>[2] = {},
+): Promise<void> {
+  const { world, answer } = await pausedStream(t, others, options);
+  assertAllWhole(world, [await answer]);
+  assert.ok(runsOf(world) <= 2);
+}
+
+for (const entryCount of ENTRY_COUNTS) {
+  for (const refuse of [1, 2, 3, 5, OFTEN]) {
+    // The only run was ended in its pause for an engine that refused, and the answer was cut.
+    test(`pause behind an event, other engine refuses ${refuse} times, ${entryCount} entries`, async (t) => {
+      await assertOutlasts(t, [{ refuse }], { entryCount });
+    });
+
+    // The same before the first event: a 502 in place of the answer.
+    test(`pause before the head, other engine refuses ${refuse} times, ${entryCount} entries`, async (t) => {
+      const stall = { afterEvent: 0, pauseMs: PAUSE_MS };
+      await assertOutlasts(t, [{ refuse }], { entryCount, stall });
+    });
+  }
+
+  // The same where the head is there: that wait is the one for further events.
+  test(`pause between head and first event, other engine refuses, ${entryCount} entries`, async (t) => {
+    const stall = { afterEvent: 0, pauseMs: PAUSE_MS, isBehindHead: true };
+    await assertOutlasts(t, [{ refuse: OFTEN }], { entryCount, stall });
+  });
+
+  // All sends of a request went to engines that refuse, one right behind the other.
+  test(`pause while two engines refuse, ${entryCount} entries`, async (t) => {
+    const refuse = OFTEN;
+    await assertOutlasts(t, [{ refuse }, { refuse }], { entryCount });
+  });
+
+  // The sends were used up before the engine took what it refuses only for a moment.
+  test(`engine is gone, the only other one refuses for a while, ${entryCount} entries`, async (t) => {
+    const stall = { afterEvent: 2, pauseMs: GONE_MS };
+    const { world, others, answer } = await pausedStream(
+      t,
+      [{ refuse: Infinity }],
+      { entryCount, stall },
+    );
+    const [other] = others;
+    await until(() => other!.refused > 0);
+    refuseFor(other!, REFUSED_FOR_MS);
+    assertAllWhole(world, [await answer]);
+    assert.equal(runsOf(world), 2);
+  });
+}
+
+// A refusal for other weights left the request without an engine, too.
+test("pause while the other engine refuses for its weights", async (t) => {
+  await assertOutlasts(t, [{ refuseWeights: OFTEN }]);
+});
+
+// An engine that wants a pause is not asked again, and so nobody was left.
+test("pause while the other engine wants a pause", async (t) => {
+  await assertOutlasts(t, [{ pauseS: 20 }]);
+});
+
+// A refused connection never arrives, yet the run was ended for it.
+test("pause while the other engine's port is closed", async (t) => {
+  const { world, others, answer } = await pausedStream(t, [{}]);
+  await others[0]!.down();
+  assertAllWhole(world, [await answer]);
+  assert.equal(runsOf(world), 1);
+});
+
+// The run was ended for an engine that took the request and then said nothing.
+test("engine speaks again while the other one hangs", async (t) => {
+  const { world, answer } = await pausedStream(t, [{ hang: 1 }], {
+    timeMs: 10_000,
+  });
+  assertAllWhole(world, [await answer]);
+  assert.ok(runsOf(world) <= 2);
+});
+
+// The same before the first event: whichever engine speaks first is to be heard.
+test("engine begins its answer while the other one hangs", async (t) => {
+  const stall = { afterEvent: 0, pauseMs: PAUSE_MS };
+  const { world, answer } = await pausedStream(t, [{ hang: 1 }], {
+    timeMs: 10_000,
+    stall,
+  });
+  assertAllWhole(world, [await answer]);
+  assert.ok(runsOf(world) <= 2);
+});
+
+// Two engines going on with one stream would send events twice and work in vain.
+test("silent engine is ended once the other one has answered", async (t) => {
+  for (const afterEvent of [0, 2]) {
+    const stall = { afterEvent, pauseMs: GONE_MS };
+    const { world, pausing, answer } = await pausedStream(t, [{}], { stall });
+    assertAllWhole(world, [await answer]);
+    assert.equal(runsOf(world), 2);
+    await until(() => pausing.streams === 0);
+    await world.router.stop();
+  }
+});
+
+// Events of both engines would be joined where the silent one speaks as the other one does.
+test("two engines that speak at the same moment give each event once", async (t) => {
+  for (const afterEvent of [0, 2]) {
+    const gate = shutGate();
+    const stall = { afterEvent, pauseMs: 0, opened: gate.opened };
+    const { world, pausing, others, answer } = await pausedStream(
+      t,
+      [{ stall: { ...stall, isBehindHead: true } }],
+      { stall },
+    );
+    await until(() => others[0]!.runs.length > 0);
+    gate.open();
+    assertAllWhole(world, [await answer]);
+    await until(() => pausing.streams + others[0]!.streams === 0);
+    await world.router.stop();
+  }
+});
+
+// Where a request may run once, a pause is no reason to run it elsewhere.
+test("stream that may run once outlasts pauses where it is", async (t) => {
+  for (
+    const [path, maxAttempts] of [["/stream/a", 1], ["/once/a", 2]] as const
+  ) {
+    for (const afterEvent of [0, 2]) {
+      const { world, answer } = await pausedStream(t, [{}], {
+        path,
+        maxAttempts,
+        stall: { afterEvent, pauseMs: PAUSE_MS },
+      });
+      assertAllWhole(world, [await answer]);
+      assert.equal(runsOf(world), 1);
+      await world.router.stop();
+    }
+  }
+});
+
+// What waits for an open answer must not hold a request that no engine has taken.
+test("request that no engine takes is refused as not run", async (t) => {
+  const world = await openPatientWorld(t);
+  for (const id of ["i-1", "i-2"]) {
+    const faults = { ...NO_FAULTS, refuse: Infinity };
+    await world.worker(id, { model: "m", faults });
+  }
+  const { status, headers } = await ask(world, "/stream/a", ASKED);
+  assert.equal(status, 503);
+  assert.ok(Number(headers["retry-after"]) > 0);
+  assert.equal(runsOf(world), 0);
+});
--- a/src/router/silent_engine_test.ts
+++ b/src/router/silent_engine_test.ts
@@ -1,38 +1,23 @@
 import assert from "node:assert/strict";
-import { test, type TestContext } from "node:test";
+import { test } from "node:test";
 import {
   ask,
-  type Asked,
   CONFIG,
   NO_FAULTS,
-  PROMPT,
   type StandinPlatformWorker,
   streamOf,
 } from "../standin/mod.ts";
+import {
+  ASKED,
+  assertWhole,
+  openPatientWorld,
+  runsOf,
+} from "./_patient_world.ts";
 import { openWorld, until, useConfig, type World } from "./_world.ts";
 
 /** Longer than a stream may pause while another engine can go on with it. */
 const PAUSE_MS = 1800;
 const GONE_MS = 60_000;
-/** Far beyond what the pauses take, also beside load. */
-const TIME_MS = 30_000;
-const ASKED = { ...PROMPT, "deadline-ms": `${TIME_MS}` };
-
-/** A world whose routes leave that time, too. */
-async function openPatientWorld(
-  t: TestContext,
-  { entryCount, maxAttempts }: { entryCount?: number; maxAttempts?: number } =
-    {},
-): Promise<World> {
-  const world = await openWorld(t, { entryCount });
-  const routes = CONFIG.routes.map((route) => ({
-    ...route,
-    timeout_ms: TIME_MS,
-    max_attempts: maxAttempts ?? route["max_attempts"],
-  }));
-  await useConfig(world, { ...CONFIG, version: 2, routes });
-  return world;
-}
 
 /** An engine whose streams all pause behind an event. */
 function pausing(
@@ -44,16 +29,6 @@
   return world.worker(id, { model: "m", faults: { ...NO_FAULTS, stall } });
 }
 
-function assertWhole({ isWhole, body, status }: Asked, what?: string): void {
-  assert.equal(status, 200, what);
-  assert.ok(isWhole, what);
-  assert.equal(body, streamOf(4), what);
-}
-
-function runsOf(world: World): number {
-  return world.workers.flatMap(({ runs }) => runs).length;
-}
-
 // A stream was cut after 1.2 s of its engine's silence though nobody could go on with it.
 test("stream of the only engine outlasts a pause, wherever it is", async (t) => {
   for (const afterEvent of [0, 2, 3]) {
--- a/src/standin/_platform_stream.ts
+++ b/src/standin/_platform_stream.ts
@@ -49,7 +49,9 @@
   const { response } = stream;
   for (let i = stream.last + 1; i <= events; i++) {
     if (stall && i === stall.afterEvent + 1) {
+      if (stall.isBehindHead) response.flushHeaders();
       await sleep(stall.pauseMs, undefined, { ref: false });
+      await stall.opened;
     }
     if (response.destroyed) return;
     if (cutAfter !== undefined && i > cutAfter) {
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -47,8 +47,8 @@
   StandinPlatformStore,
   type StandinPlatformStoreOptions,
 } from "./platform_store_server.ts";
+export { PLAIN_BODY } from "./_platform_answer.ts";
 export {
-  PLAIN_BODY,
   type StandinPlatformRun,
   StandinPlatformWorker,
 } from "./platform_worker.ts";
--- a/src/standin/platform_worker.ts
+++ b/src/standin/platform_worker.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import { type HostRequest, HttpHost } from "./_http_host.ts";
+import { answerCall } from "./_platform_answer.ts";
 import {
   PlatformOrders,
   type StandinPlatformOrder,
@@ -32,14 +33,13 @@
 /** Addresses of the servers that hold copies of runs, by where they came from and their id. */
 const copies = new Map<string, string>();
 
-/** Body of every plain answer. */
-export const PLAIN_BODY = "done";
-
 /** A backend server with faults. */
 export class StandinPlatformWorker {
   readonly runs: StandinPlatformRun[] = [];
   /** Requests that it turned away because it wants a pause. */
   turnedAway = 0;
+  /** Requests that it refused as not run. */
+  refused = 0;
   /** Ids of copies that were freed before a run went on from them. */
   readonly freedCopies: string[] = [];
   readonly faults: StandinPlatformWorkerFaults;
@@ -80,6 +80,11 @@
     return this.#options.id;
   }
 
+  /** Streams under way. */
+  get streams(): number {
+    return this.#streams.size;
+  }
+
   /** The model that it serves; none: it is a plain server. */
   get model(): string | undefined {
     return this.#options.model;
@@ -134,6 +139,11 @@
     return this.#host.down();
   }
 
+  /** Listens again, as the same start of it. */
+  up(): Promise<void> {
+    return this.#host.up();
+  }
+
   /**
    * Starts again under its id. Its runs are cut, it holds no copy and counts its orders anew; the
    * weights that it has loaded stay.
@@ -265,6 +275,7 @@
     const isCopyHere = copy === undefined ||
       copies.get(String(copy)) === this.address;
     if (take(this.faults, "refuse") || !isCopyHere) {
+      this.refused++;
       response.writeHead(503, { "not-executed": "1" });
       response.end();
       return;
@@ -282,8 +293,10 @@
     if (take(this.faults, "loseAnswer")) return void response.destroy();
     if (this.#options.model !== undefined) return this.#stream(request);
     const { lateMs } = this.faults;
-    if (lateMs === 0) return this.#answer(request);
-    setTimeout(() => this.#answer(request), lateMs);
+    const answer = () =>
+      answerCall(request, { faults: this.faults, seal: `seal-${this.id}` });
+    if (lateMs === 0) return answer();
+    setTimeout(answer, lateMs);
   }
 
   #turnAway(response: ServerResponse, pauseS: number): void {
@@ -306,23 +319,6 @@
     setImmediate(() => void this.down());
   }
 
-  #answer({ headers, response }: HostRequest): void {
-    const isFailure = take(this.faults, "fail");
-    const id = take(this.faults, "foreign")
-      ? "other"
-      : String(headers["attempt-id"]);
-    const head = { "server-seal": `seal-${this.id}`, "attempt-id": id };
-    if (take(this.faults, "unframed")) {
-      response.socket?.end(
-        `HTTP/1.1 200 OK\r\nserver-seal: s\r\nattempt-id: ${id}\r\n\r\n` +
-          PLAIN_BODY,
-      );
-      return;
-    }
-    response.writeHead(isFailure ? 500 : 200, head);
-    response.end(PLAIN_BODY);
-  }
-
   #stream({ headers, response }: HostRequest): void {
     const { events } = this.#options;
     const first = Number(headers["last-event-id"] ?? 0) + 1;
--- a/src/standin/platform_worker_options.ts
+++ b/src/standin/platform_worker_options.ts
@@ -25,6 +25,10 @@
 export interface StreamStall {
   afterEvent: number;
   pauseMs: number;
+  /** The pause lasts until this is settled, too. */
+  opened?: Promise<unknown>;
+  /** Whether the head of the answer goes out before it. */
+  isBehindHead?: boolean;
 }
 
 /** What goes wrong with the next requests. */
@@ -41,6 +45,8 @@
   stall: StreamStall | undefined;
   /** Time that plain answers take. */
   lateMs: number;
+  /** Time between a plain answer's head and its body. */
+  bodyLateMs: number;
   /** Plain answers without a length. */
   unframed: number;
   /** Plain answers that carry the id of another request. */
@@ -80,6 +86,7 @@
   cutAfterEvents: undefined,
   stall: undefined,
   lateMs: 0,
+  bodyLateMs: 0,
   unframed: 0,
   foreign: 0,
   hang: 0,
@@ -94,7 +101,13 @@
 /** Faults that are counted down. */
 type CountedFault = Exclude<
   keyof StandinPlatformWorkerFaults,
-  "cutAfterEvents" | "stall" | "lateMs" | "endOnTarget" | "leaving" | "pauseS"
+  | "cutAfterEvents"
+  | "stall"
+  | "lateMs"
+  | "bodyLateMs"
+  | "endOnTarget"
+  | "leaving"
+  | "pauseS"
 >;
 
 /**
