--- a/src/router/_patient_world.ts
+++ b/src/router/_patient_world.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import type { TestContext } from "node:test";
 import {
+  ask,
   type Asked,
   CONFIG,
   PROMPT,
@@ -9,7 +10,14 @@
   streamOf,
 } from "../standin/mod.ts";
 import { type LogLine, recordedLog } from "./_kit.ts";
-import { knows, openWorld, until, useConfig, type World } from "./_world.ts";
+import {
+  knows,
+  openWorld,
+  type TestEntry,
+  until,
+  useConfig,
+  type World,
+} from "./_world.ts";
 
 /** Far beyond what the pauses take, also beside load. */
 export const TIME_MS = 30_000;
@@ -57,6 +65,19 @@
   return { ...world, lines };
 }
 
+/**
+ * @param entry Whom to ask.
+ * @param i Number of the request, whose prompt is its own.
+ * @returns What its caller gets.
+ */
+export function askOther(entry: TestEntry, i: number): Promise<Asked> {
+  return ask(entry, `/stream/other-${i}`, {
+    ...ASKED,
+    "attempt-id": `other-${i}`,
+    "prompt-prefix": `a${i}:1000,b${i}:200`,
+  });
+}
+
 /**
  * @param asked What a caller got.
  * @param what Shown if it isn't a whole stream.
@@ -85,7 +106,12 @@
   for (const answer of asked) {
     const { status, isWhole, body } = answer;
     const eventCount = body.split("\n\n").length - 1;
-    const seen = { status, isWhole, eventCount, entry: linesOf(world) };
+    const seen = {
+      status,
+      isWhole,
+      eventCount,
+      entry: requestsOf(world.lines),
+    };
     assertWhole(answer, JSON.stringify(seen), options);
   }
   assertResendsWithinLimits(world, options.requests ?? asked.length);
@@ -127,8 +153,11 @@
   assert.ok(resends <= requests * 0.2 + RESEND_SLACK, `${resends} resends`);
 }
 
-/** What entries logged of requests, as far as it tells where they went and why they ended. */
-function linesOf({ lines }: PatientWorld): LogLine[] {
+/**
+ * @param lines What entries logged.
+ * @returns Where requests went and why they ended.
+ */
+export function requestsOf(lines: LogLine[]): LogLine[] {
   return lines.filter(({ event }) => event === "request").map((
     { servers, ends, notResent, outcome, reason, tookMs },
   ) => ({ servers, ends, notResent, outcome, reason, tookMs }));
--- a/src/router/broken_answer_test.ts
+++ b/src/router/broken_answer_test.ts
@@ -13,6 +13,7 @@
 } from "../standin/mod.ts";
 import {
   ASKED,
+  askOther,
   assertAllWhole,
   type Gate,
   openPatientWorld,
@@ -22,13 +23,15 @@
   runsOf,
   shutGate,
 } from "./_patient_world.ts";
-import { type TestEntry, until } from "./_world.ts";
+import { knows, until } from "./_world.ts";
 
 /** As long as an engine or its place in the store may need to come back. */
 const AWAY_MS = 500;
 const ENTRY_COUNTS = [1, 16];
 /** Streams at the engines that end together. */
 const STREAM_COUNT = 8;
+/** Streams at the engine that is left, beforehand. */
+const BUSY_COUNT = 16;
 
 interface Open {
   world: PatientWorld;
@@ -53,14 +56,6 @@
   return { world, engine, answer, gate };
 }
 
-function askOther(entry: TestEntry, i: number): Promise<Asked> {
-  return ask(entry, `/stream/other-${i}`, {
-    ...ASKED,
-    "attempt-id": `other-${i}`,
-    "prompt-prefix": `a${i}:1000,b${i}:200`,
-  });
-}
-
 for (const entryCount of ENTRY_COUNTS) {
   // The sends were used up within milliseconds at an engine that refused for a moment.
   test(`engine breaks off, the only other one refuses for a while, ${entryCount} entries`, async (t) => {
@@ -87,24 +82,30 @@
   // Streams of engines that ended together were sent to one that had ended as well, and cut.
   test(`several engines end at once and one is left, ${entryCount} entries`, async (t) => {
     const world = await openPatientWorld(t, { entryCount });
-    const stall = { afterEvent: 2, pauseMs: 0, opened: shutGate().opened };
+    const takers = world.entries.slice(0, STREAM_COUNT);
+    const askAt = (count: number, prefix: number) =>
+      Array.from(
+        { length: count },
+        (_, i) => askOther(takers[i % takers.length]!, prefix + i),
+      );
+    const slow = { model: "m", events: 100, eventMs: 20 };
+    // The one that is left has most to do, so it looks worst.
+    const left = await world.worker("i-1", slow);
+    await until(() => takers.every((entry) => knows(entry, "i-1")));
+    const busy = askAt(BUSY_COUNT, 100);
+    await until(() => left.runs.length === BUSY_COUNT);
     const ending: StandinPlatformWorker[] = [];
-    for (const id of ["i-1", "i-2", "i-3", "i-4"]) {
-      const faults = { ...NO_FAULTS, stall };
-      ending.push(await world.worker(id, { model: "m", faults }));
+    for (const id of ["i-2", "i-3", "i-4", "i-5"]) {
+      ending.push(await world.worker(id, slow));
+      await until(() => takers.every((entry) => knows(entry, id)));
     }
-    const takers = world.entries.slice(0, STREAM_COUNT);
-    await until(() => takers.every((entry) => hasEngines(entry, 4)));
-    const answers = Array.from(
-      { length: STREAM_COUNT },
-      (_, i) => askOther(takers[i % takers.length]!, i),
-    );
-    await until(() => runsOf(world) === STREAM_COUNT);
-    await world.engine("i-5");
-    await until(() => takers.every((entry) => hasEngines(entry, 5)));
+    const answers = askAt(STREAM_COUNT, 0);
+    await until(() => runsOf(world) === BUSY_COUNT + STREAM_COUNT);
+    assert.equal(left.runs.length, BUSY_COUNT);
     await Promise.all(ending.map((engine) => engine.down()));
-    assertAllWhole(world, await Promise.all(answers));
-    assert.equal(runsOf(world), 2 * STREAM_COUNT);
+    const asked = await Promise.all([...busy, ...answers]);
+    assertAllWhole(world, asked, { events: slow.events });
+    assert.equal(runsOf(world), BUSY_COUNT + 2 * STREAM_COUNT);
   });
 }
 
@@ -150,9 +151,11 @@
     entryCount: 16,
   });
   const other = await world.engine("i-2");
-  // Its part of the budget goes to requests that break off, too.
+  // The entry's part of the budget goes to other requests.
+  engine.faults.refuse = Infinity;
   other.faults.loseAnswer = Infinity;
-  await Promise.all([1, 2, 3].map((i) => askOther(world, i)));
+  for (const i of [1, 2, 3]) await askOther(world, i);
+  engine.faults.refuse = 0;
   other.faults.loseAnswer = 0;
   gate.open();
   await until(() => engine.streams === 0);
@@ -227,10 +230,3 @@
   assert.ok(!(await ask(world, "/stream/a", ASKED)).isWhole);
   assert.equal(runsOf(world), 2);
 });
-
-function hasEngines(entry: TestEntry, count: number): boolean {
-  const text = JSON.stringify(entry.router.state());
-  return Array.from({ length: count }, (_, i) => `i-${i + 1}`).every((id) =>
-    text.includes(id)
-  );
-}
--- a/src/router/open_answer_test.ts
+++ b/src/router/open_answer_test.ts
@@ -13,6 +13,7 @@
 } from "../standin/mod.ts";
 import {
   ASKED,
+  askOther,
   assertAllWhole,
   openPatientWorld,
   type PatientWorld,
@@ -52,11 +53,12 @@
   } = {},
 ): Promise<Paused> {
   const world = await openPatientWorld(t, options);
-  const stall = options.stall ?? { afterEvent: 2, pauseMs: PAUSE_MS };
-  const pausing = await world.worker("i-1", {
-    model: "m",
-    faults: { ...NO_FAULTS, stall },
-  });
+  const pausing = await world.engine("i-1");
+  // Earns each entry one resend that it may use, and not two.
+  for (const i of [1, 2]) await askOther(world, i);
+  pausing.runs.length = 0;
+  pausing.faults.stall = options.stall ??
+    { afterEvent: 2, pauseMs: PAUSE_MS };
   const timeMs = options.timeMs;
   const headers = timeMs ? { ...ASKED, "deadline-ms": `${timeMs}` } : ASKED;
   const answer = ask(world, options.path ?? "/stream/a", headers);
