Bound resends by what was spent in the window, not by what was saved up

Cause: the allowance counts over a window, but an entry kept its part as credit that a request raises by 0.15, up to its part of the slack (2.3 resends with 26 entries). What it had spent came back with requests only, and what requests of the last seconds allow could not be spent in one moment.

Now an entry counts its requests and resends of the last window, and may make as many as its part of the allowance, whenever it needs them. A property test plays eight entries that spend all at random moments over a minute: no window has more than the ratio and the slack allow. "what was spent is there again after a whole window" failed before.

Ruled out: uneven parts by need, which take a message for each resend.

--- a/src/entry/retry_budget.ts
+++ b/src/entry/retry_budget.ts
@@ -33,7 +33,7 @@
    * @param retryShare Retries as a share of first tries.
    */
   earn(team: string, retryShare: number): void {
-    const credit = this.credit(team);
+    const credit = this.#credit(team);
     this.#credits.set(team, Math.min(this.most, credit + retryShare));
   }
 
@@ -43,7 +43,7 @@
    * @returns Whether so many more tries are within the budget.
    */
   has(team: string, count = 1): boolean {
-    return this.credit(team) >= count;
+    return this.#credit(team) >= count;
   }
 
   /** Tries that a team may save up. */
@@ -58,7 +58,7 @@
    */
   spend(team: string, count = 1): boolean {
     if (!this.has(team, count)) return false;
-    this.#credits.set(team, this.credit(team) - count);
+    this.#credits.set(team, this.#credit(team) - count);
     return true;
   }
 
@@ -69,14 +69,10 @@
    * @param count How many tries.
    */
   refund(team: string, count: number): void {
-    this.#credits.set(team, this.credit(team) + count);
+    this.#credits.set(team, this.#credit(team) + count);
   }
 
-  /**
-   * @param team The team.
-   * @returns Tries within its budget.
-   */
-  credit(team: string): number {
+  #credit(team: string): number {
     return Math.min(this.#credits.get(team) ?? this.#burst(), this.most);
   }
 }
--- a/src/router/resend_budget.ts
+++ b/src/router/resend_budget.ts
@@ -3,7 +3,6 @@
  * by giving each an equal part of what the platform allows.
  */
 import type { Clock } from "../base/mod.ts";
-import { RetryBudget } from "../entry/retry_budget.ts";
 
 /** Part of what is allowed that is used; entries may not all know of each other at every moment. */
 const USED_SHARE = 0.75;
@@ -13,12 +12,12 @@
  */
 const START_SHARE = 0.26;
 /**
- * Part of what may be saved up that is kept for streams whose caller has had some of them: they can
- * only be broken off, while others are refused or answered late.
+ * Part of the allowance that is kept for streams whose caller has had some of them: they can only be
+ * broken off, while others are refused or answered late.
  */
 const KEPT_SHARE = 0.1;
-/** One request may need two, for its move and to go on where that is refused, beside what is kept. */
-const LEAST_BURST = 2 / (1 - KEPT_SHARE);
+/** Parts of the window in which requests and resends are counted. */
+const SLOTS = 20;
 
 /** What the platform allows for each service, over all entries. */
 export interface ResendLimits {
@@ -40,18 +39,13 @@
 
 /** This entry's part of the allowance. */
 export class ResendBudget {
-  readonly #ratio: number;
-  readonly #budget: RetryBudget;
-
-  private constructor({ clock, limits, entryCount }: ResendBudgetOptions) {
-    const startMs = clock.nowMs();
-    this.#ratio = limits.ratio * USED_SHARE;
-    this.#budget = RetryBudget.create(() => {
-      const ageMs = clock.nowMs() - startMs;
-      const earned = Math.min(1, ageMs / limits.windowMs);
-      const share = START_SHARE + (USED_SHARE - START_SHARE) * earned;
-      return limits.slack * share / entryCount();
-    }, LEAST_BURST);
+  readonly #options: ResendBudgetOptions;
+  readonly #startMs: number;
+  readonly #usage = new Map<string, Usage>();
+
+  private constructor(options: ResendBudgetOptions) {
+    this.#options = options;
+    this.#startMs = options.clock.nowMs();
   }
 
   /**
@@ -64,7 +58,7 @@
 
   /** @param service A request for it has come. */
   earn(service: string): void {
-    this.#budget.earn(service, this.#ratio);
+    this.#usageOf(service).requests.add(1);
   }
 
   /**
@@ -81,8 +75,9 @@
    * @returns Whether so many are within the budget; they are then spent.
    */
   spend(service: string, count = 1): boolean {
-    return this.#hasBeyondKept(service, count) &&
-      this.#budget.spend(service, count);
+    if (!this.#hasBeyondKept(service, count)) return false;
+    this.#usageOf(service).resends.add(count);
+    return true;
   }
 
   /**
@@ -92,7 +87,9 @@
    * @returns Whether one more resend is within the budget, also of what is kept; it is then spent.
    */
   spendForBegun(service: string): boolean {
-    return this.#budget.spend(service);
+    if (this.left(service) < 1) return false;
+    this.#usageOf(service).resends.add(1);
+    return true;
   }
 
   /**
@@ -100,7 +97,7 @@
    * @returns Resends within the budget, what is kept included.
    */
   left(service: string): number {
-    return this.#budget.credit(service);
+    return this.#allowed(service) - this.#usageOf(service).resends.sum(SLOTS);
   }
 
   /**
@@ -110,10 +107,86 @@
    * @param count How many resends.
    */
   refund(service: string, count: number): void {
-    this.#budget.refund(service, count);
+    this.#usageOf(service).resends.takeBack(count);
   }
 
   #hasBeyondKept(service: string, count: number): boolean {
-    return this.#budget.has(service, count + KEPT_SHARE * this.#budget.most);
+    return this.left(service) >= count + KEPT_SHARE * this.#allowed(service);
+  }
+
+  /** Resends of this entry in any window. */
+  #allowed(service: string): number {
+    const { clock, limits, entryCount } = this.#options;
+    const ageMs = clock.nowMs() - this.#startMs;
+    const sinceStart = Math.min(1, ageMs / limits.windowMs);
+    const share = START_SHARE + (USED_SHARE - START_SHARE) * sinceStart;
+    // Resends of a whole window and the slot that has begun count, of requests no more than a window.
+    const requests = this.#usageOf(service).requests.sum(SLOTS - 1);
+    return requests * limits.ratio * USED_SHARE +
+      limits.slack * share / entryCount();
+  }
+
+  #usageOf(service: string): Usage {
+    const nowMs = this.#options.clock.nowMs();
+    const slotMs = this.#options.limits.windowMs / SLOTS;
+    const slot = Math.floor((nowMs - this.#startMs) / slotMs);
+    let usage = this.#usage.get(service);
+    if (!usage) {
+      usage = { requests: new SlotCount(), resends: new SlotCount() };
+      this.#usage.set(service, usage);
+    }
+    usage.requests.goTo(slot);
+    usage.resends.goTo(slot);
+    return usage;
+  }
+}
+
+interface Usage {
+  requests: SlotCount;
+  resends: SlotCount;
+}
+
+/** Counts by slot of the window, the newest slot and the {@link SLOTS} before it. */
+class SlotCount {
+  readonly #counts = new Array<number>(SLOTS + 1).fill(0);
+  #slot = 0;
+
+  /** @param slot The newest one from now on. */
+  goTo(slot: number): void {
+    const first = Math.max(this.#slot + 1, slot - SLOTS);
+    for (let i = first; i <= slot; i++) this.#counts[indexOf(i)] = 0;
+    this.#slot = Math.max(this.#slot, slot);
   }
+
+  add(count: number): void {
+    this.#counts[indexOf(this.#slot)]! += count;
+  }
+
+  /** Takes from the newest that there are. */
+  takeBack(count: number): void {
+    let left = count;
+    for (let i = 0; i <= SLOTS && left > 0; i++) {
+      const at = indexOf(this.#slot - i);
+      const taken = Math.min(left, this.#counts[at]!);
+      this.#counts[at]! -= taken;
+      left -= taken;
+    }
+  }
+
+  /**
+   * @param before How many slots before the newest count, too.
+   * @returns Their sum.
+   */
+  sum(before: number): number {
+    let sum = 0;
+    for (let i = 0; i <= before; i++) {
+      sum += this.#counts[indexOf(this.#slot - i)]!;
+    }
+    return sum;
+  }
+}
+
+/** Slots before the first one are empty, and share their places with later ones. */
+function indexOf(slot: number): number {
+  return (slot + SLOTS + 1) % (SLOTS + 1);
 }
--- a/src/router/resend_budget_test.ts
+++ b/src/router/resend_budget_test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import fc from "fast-check";
+import { seededRandom } from "../base/random.ts";
 import { TestClock } from "./_kit.ts";
 import { ResendBudget } from "./resend_budget.ts";
 
@@ -82,3 +84,80 @@
     assert.ok(count * entryCount <= LIMITS.slack, `${entryCount}: ${count}`);
   }
 });
+
+// What an entry had spent once came back only with requests, so streams were cut at entries that had
+// made no resend for a long time.
+test("what was spent is there again after a whole window", () => {
+  const { clock, budget } = create(4);
+  clock.advance(LIMITS.windowMs);
+  const first = drain(budget);
+  clock.advance(LIMITS.windowMs / 2);
+  assert.equal(drain(budget), 0);
+  clock.advance(LIMITS.windowMs);
+  assert.equal(drain(budget), first);
+});
+
+test("resends that were not made are given back", () => {
+  const { clock, budget } = create(4);
+  drain(budget);
+  clock.advance(LIMITS.windowMs / 4);
+  const left = budget.left("engines");
+  budget.refund("engines", 2);
+  assert.equal(budget.left("engines"), left + 2);
+});
+
+// Entries that spend all they can at the moments that suit them worst.
+test("no window has more resends than all entries together are allowed", () => {
+  const entryCount = 8;
+  const stepMs = 100;
+  const steps = 600;
+  fc.assert(
+    fc.property(fc.integer(), (seed) => {
+      const random = seededRandom(seed);
+      const { clock, budget } = create(entryCount);
+      const budgets = [budget];
+      while (budgets.length < entryCount) {
+        budgets.push(ResendBudget.create({
+          clock,
+          limits: LIMITS,
+          entryCount: () => entryCount,
+        }));
+      }
+      const requests: number[] = [];
+      const resends: number[] = [];
+      for (let step = 0; step < steps; step++) {
+        const load = random() < 0.5 ? 0 : Math.floor(20 * random());
+        requests.push(0);
+        resends.push(0);
+        for (const each of budgets) {
+          for (let i = 0; i < load * random(); i++) {
+            each.earn("engines");
+            requests[step]!++;
+          }
+          if (random() < 0.1) resends[step]! += drain(each);
+          while (random() < 0.3 && each.spendForBegun("engines")) {
+            resends[step]!++;
+          }
+        }
+        clock.advance(stepMs);
+      }
+      const window = LIMITS.windowMs / stepMs;
+      for (let end = 2 * window; end <= steps; end++) {
+        const of = (counts: number[], before: number) =>
+          sum(counts.slice(end - window - before, end - before));
+        const most = Math.max(
+          of(requests, 0),
+          of(requests, window / 2),
+          of(requests, window),
+        );
+        const allowed = LIMITS.ratio * most + LIMITS.slack;
+        assert.ok(of(resends, 0) <= allowed, `step ${end}`);
+      }
+    }),
+    { numRuns: 20, seed: 7 },
+  );
+});
+
+function sum(counts: number[]): number {
+  return counts.reduce((all, count) => all + count, 0);
+}
