--- a/src/router/answering.ts
+++ b/src/router/answering.ts
@@ -18,9 +18,16 @@
   OpenRuns,
   type OpenRunsParts,
 } from "./open_runs.ts";
-import { isSilent, patienceEndsAtMs, suspectAtMs } from "./patience.ts";
+import {
+  beginUntilMs,
+  isSilent,
+  movedAtMs,
+  nextLookAtMs,
+  suspectAtMs,
+} from "./patience.ts";
 import type { AnswerPart } from "./read_answer.ts";
 import { ResendRefusal, type RoutedRequest } from "./request.ts";
+import { mayPass } from "./resends.ts";
 import { Wake } from "./wake.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
@@ -31,8 +38,6 @@
 /** The same while a run is open, and its answer may still come. */
 const RETRY_OPEN_MIN_MS = 250;
 const RETRY_MAX_MS = 1000;
-/** A run that was copied stops before the copy is complete; its stream is closed soon after. */
-const MOVED_CLOSE_MS = 200;
 
 /** Reason of refusals for want of a server. */
 const NO_SERVER = "no_server";
@@ -205,27 +210,17 @@
     const nowMs = this.#nowMs;
     const { move } = send;
     if (move?.kind === "copied") {
-      if (nowMs < send.quietSinceMs + MOVED_CLOSE_MS) return;
+      if (nowMs < movedAtMs(send)) return;
       return this.#over(send, { kind: "moved", choice: move.choice });
     }
     if (send.answer) return;
-    if (nowMs >= this.#beginUntilMs(send, nowMs)) {
+    if (nowMs >= beginUntilMs(send, { wanted: this.#parts.wanted, nowMs })) {
       // Taken back by closing the connection, before the engine begins it.
       return this.#over(send, { kind: "unknown", reason: "weights_retired" });
     }
     if (!send.isSuspected && nowMs >= suspectAtMs(send)) this.#suspect(send);
   }
 
-  /** When the server's weights, if they were replaced, may begin no answer any more. */
-  #beginUntilMs({ choice, answer }: Send, nowMs: number): number {
-    const { wanted } = this.#parts;
-    const { prompt } = this.#task.request.facts;
-    const { weightsVersion } = choice;
-    if (answer || !prompt || weightsVersion === undefined) return Infinity;
-    const ageMs = wanted.replacedForMs(prompt.model, weightsVersion);
-    return ageMs > 0 ? nowMs + wanted.limits.beginUntilMs - ageMs : Infinity;
-  }
-
   #suspect(send: Send): void {
     send.isSuspected = true;
     const { choice: { server, expectedMs }, sentAtMs } = send;
@@ -247,29 +242,15 @@
     if (this.#open.all.some((send) => !isSilent(send, nowMs))) return undefined;
     const refusal = this.#sendNext();
     if (!refusal) return undefined;
-    if (this.#open.count === 0 && !this.#mayWait(refusal)) {
+    // Clients that have nothing yet are better off when they come back.
+    const mayWait = this.#task.progress.begun && mayPass(refusal);
+    if (this.#open.count === 0 && !mayWait) {
       return { kind: "given_up", reason: this.#reason, refusal };
     }
     this.#noteVain();
     return undefined;
   }
 
-  /** Whether what keeps a request that nobody runs from being sent may pass. */
-  #mayWait(refusal: ResendRefusal): boolean {
-    switch (refusal) {
-      case ResendRefusal.noBudget:
-      case ResendRefusal.noServer:
-        // Clients that have nothing yet are better off when they come back.
-        return this.#task.progress.begun;
-      case ResendRefusal.notRepeatable:
-      case ResendRefusal.attemptsUsed:
-      case ResendRefusal.sendsUsed:
-      case ResendRefusal.noTime:
-      case ResendRefusal.quarantined:
-        return false;
-    }
-  }
-
   /** Sends it to one more server; else says why not. */
   #sendNext(): ResendRefusal | undefined {
     const { request, progress } = this.#task;
@@ -355,19 +336,15 @@
   }
 
   #wakeAtMs(): number {
+    const { wanted } = this.#parts;
     const nowMs = this.#nowMs;
-    let wakeAtMs = Math.min(this.#task.request.answerByMs, nowMs + LOOK_MS);
-    if (this.#nextAtMs > nowMs) wakeAtMs = Math.min(wakeAtMs, this.#nextAtMs);
+    const times = [this.#task.request.answerByMs, this.#nextAtMs];
     for (const send of this.#open.all) {
-      const times = [patienceEndsAtMs(send), this.#beginUntilMs(send, nowMs)];
-      if (!send.isSuspected) times.push(suspectAtMs(send));
-      if (send.move?.kind === "copied") {
-        times.push(send.quietSinceMs + MOVED_CLOSE_MS);
-      }
-      for (const atMs of times) {
-        if (atMs > nowMs) wakeAtMs = Math.min(wakeAtMs, atMs);
-      }
+      times.push(nextLookAtMs(send, { wanted, nowMs }));
     }
-    return wakeAtMs;
+    return times.reduce(
+      (first, atMs) => atMs > nowMs ? Math.min(first, atMs) : first,
+      nowMs + LOOK_MS,
+    );
   }
 }
--- a/src/router/resends.ts
+++ b/src/router/resends.ts
@@ -163,3 +163,21 @@
     return isSpent ? "paid" : "refused";
   }
 }
+
+/**
+ * @param refusal Why a request is not sent again.
+ * @returns Whether it may be some moments later.
+ */
+export function mayPass(refusal: ResendRefusal): boolean {
+  switch (refusal) {
+    case ResendRefusal.noBudget:
+    case ResendRefusal.noServer:
+      return true;
+    case ResendRefusal.notRepeatable:
+    case ResendRefusal.attemptsUsed:
+    case ResendRefusal.sendsUsed:
+    case ResendRefusal.noTime:
+    case ResendRefusal.quarantined:
+      return false;
+  }
+}
