Count no run at a server that has ended as an attempt

A refused connection now means that the server's process has ended, wherever it is met (a send, a probe, the look after a lost connection), until it is reached again; runs at such servers leave the count. The test is cut without the change ("attempts_used" behind the second engine's end). Ruled out: taking silent or cut-off servers for ended, as their runs may go on.

--- a/src/router/broken_answer_test.ts
+++ b/src/router/broken_answer_test.ts
@@ -220,6 +220,22 @@
   }
 });
 
+// Streams under which a second engine ended were cut for want of attempts.
+test("engines that have ended are none of a route's attempts", async (t) => {
+  const world = await openPatientWorld(t, { maxAttempts: 2 });
+  const stall = { afterEvent: 2, pauseMs: 0, opened: shutGate().opened };
+  const answer = askOther(world, 1);
+  for (const id of ["i-1", "i-2"]) {
+    const faults = { ...NO_FAULTS, stall };
+    const engine = await world.worker(id, { model: "m", faults });
+    await until(() => engine.runs.length > 0);
+    await engine.down();
+  }
+  await world.engine("i-3");
+  assertAllWhole(world, [await answer], { requests: 1 });
+  assert.equal(runsOf(world), 3);
+});
+
 // Waiting for an engine must not lead to more runs than the route allows.
 test("stream that breaks off everywhere runs as often as its route allows", async (t) => {
   const world = await openPatientWorld(t, { maxAttempts: 2 });
--- a/src/router/health.ts
+++ b/src/router/health.ts
@@ -17,6 +17,7 @@
 /** Health of one backend server, judged from traffic alone. */
 export class Health {
   #isDown = false;
+  #hasEnded = false;
   #probeAtMs = -Infinity;
   #downForMs = DOWN_MIN_MS;
   #failures = 0;
@@ -36,6 +37,11 @@
     return this.#isDown;
   }
 
+  /** Whether nothing listens at its address, as far as known: its process has ended. */
+  get hasEnded(): boolean {
+    return this.#hasEnded;
+  }
+
   /**
    * @param nowMs The time.
    * @returns Whether to try to connect to a server that is down.
@@ -76,6 +82,16 @@
     this.#downForMs = Math.min(DOWN_MAX_MS, this.#downForMs * 2);
   }
 
+  /**
+   * Nothing listens at the server's address.
+   *
+   * @param nowMs The time.
+   */
+  refusedConnection(nowMs: number): void {
+    this.#hasEnded = true;
+    this.unreachable(nowMs);
+  }
+
   /**
    * Another entry found the server silent.
    *
@@ -90,6 +106,7 @@
   /** A connection could be made. */
   reached(): void {
     this.#isDown = false;
+    this.#hasEnded = false;
   }
 
   /**
@@ -109,7 +126,7 @@
    * @param ratio Time that it took, as a multiple of what was expected.
    */
   answered(nowMs: number, ratio: number): void {
-    this.#isDown = false;
+    this.reached();
     this.#downForMs = DOWN_MIN_MS;
     const bounded = Math.min(SLOWNESS_MAX, Math.max(SLOWNESS_MIN, ratio));
     const before = this.slowness(nowMs);
--- a/src/router/probe.ts
+++ b/src/router/probe.ts
@@ -25,9 +25,17 @@
 export async function probe(server: Server, clock: Clock): Promise<boolean> {
   // The next probe is due later, whatever becomes of this one.
   server.health.unreachable(clock.nowMs());
-  const isReached = await connectTo(server.entry.address) === "reached";
-  if (isReached) server.health.reached();
-  return isReached;
+  const outcome = await connectTo(server.entry.address);
+  switch (outcome) {
+    case "reached":
+      server.health.reached();
+      return true;
+    case "refused":
+      server.health.refusedConnection(clock.nowMs());
+      return false;
+    case "unclear":
+      return false;
+  }
 }
 
 /**
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -168,8 +168,10 @@
     const { health, id } = send.choice.server;
     // Idle as it seems, it would get the next requests of every entry. Other failures may be those
     // of this entry's own links, or of one connection too many.
-    if (message === REFUSED_CODE && !health.isDown) this.#options.onSilent(id);
-    health.unreachable(nowMs);
+    const hasEnded = message === REFUSED_CODE;
+    if (hasEnded && !health.isDown) this.#options.onSilent(id);
+    if (hasEnded) health.refusedConnection(nowMs);
+    else health.unreachable(nowMs);
     return { kind: "not_run", reason: message, isUnsent: true };
   }
 
--- a/src/router/resends.ts
+++ b/src/router/resends.ts
@@ -124,7 +124,7 @@
    */
   refusalOf(
     { route, answerByMs }: RoutedRequest,
-    { runs, sends, begun }: Progress,
+    { runs, sends, begun, ranAt }: Progress,
     open: OpenState,
   ): ResendRefusal | undefined {
     if (sends === 0) return undefined;
@@ -132,7 +132,12 @@
     if (runCount > 0 && !isIdempotent(route)) {
       return ResendRefusal.notRepeatable;
     }
-    if (runCount >= route.maxAttempts) return ResendRefusal.attemptsUsed;
+    // Runs at servers that have ended are none of the attempts that a route bounds.
+    const endedCount =
+      [...ranAt].filter(({ health }) => health.hasEnded).length;
+    if (runCount - endedCount >= route.maxAttempts) {
+      return ResendRefusal.attemptsUsed;
+    }
     const leftMs = answerByMs - this.#options.clock.nowMs();
     if (leftMs < RESEND_MIN_LEFT_MS) return ResendRefusal.noTime;
     if (sends < MAX_SENDS || (begun && open.isHopeless)) return undefined;
--- a/src/router/server_ends.ts
+++ b/src/router/server_ends.ts
@@ -96,6 +96,7 @@
       case "reached":
         return this.#settle(server, false);
       case "refused":
+        server.health.refusedConnection(clock.nowMs());
         return this.#settle(server, true);
       case "unclear":
         // The store may tell, or whoever has the address next.
