Begin a stream's silence anew with its head

A stream whose first event took longer than 1.2 s was asked for elsewhere in the instant in which it came, where the head was read before the event: its silence still counted from when it was sent. Each such send was closed within a ms, after it had used an attempt, a resend and an engine's time.

--- /dev/null
+++ b/src/router/patience_test.ts
@@ -0,0 +1,71 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { TestClock, testFleet, testServer } from "./_kit.ts";
+import { type Send, startProgress } from "./attempt.ts";
+import type { AnswerStep } from "./channel.ts";
+import { RequestKind } from "./model.ts";
+import { isSilent } from "./patience.ts";
+import { AnswerReader } from "./read_answer.ts";
+
+const HEAD: AnswerStep = {
+  kind: "head",
+  head: { status: 200, headers: { "server-seal": "s", "attempt-id": "r-1" } },
+};
+const EVENT: AnswerStep = {
+  kind: "data",
+  bytes: Buffer.from("id: 1\ndata: x\n\n"),
+};
+
+function create(): { clock: TestClock; reader: AnswerReader } {
+  const clock = new TestClock();
+  const reader = AnswerReader.create({
+    clock,
+    fleet: testFleet(clock),
+    onSilent: () => {},
+    onGone: () => {},
+  });
+  return { clock, reader };
+}
+
+/** A resumable stream whose answer has these steps. */
+function sendOf(clock: TestClock, steps: AnswerStep[]): Send {
+  const server = testServer("i-1");
+  const nowMs = clock.nowMs();
+  return {
+    request: {
+      facts: { requestId: "r-1" },
+      route: { kind: RequestKind.stream, resumable: true },
+      arrivedAtMs: nowMs,
+      answerByMs: nowMs + 30_000,
+    },
+    progress: startProgress(undefined),
+    choice: { server, expectedMs: 100 },
+    exchange: { take: () => steps.shift() },
+    ticket: server.begin(0, false),
+    sentAtMs: nowMs,
+    quietSinceMs: nowMs,
+    priority: 0,
+  } as unknown as Send;
+}
+
+test("silence begins anew with each part of an answer", () => {
+  const { clock, reader } = create();
+  const steps: AnswerStep[] = [];
+  const send = sendOf(clock, steps);
+  // Other engines were asked at once where the head came late and the first event behind it.
+  for (const step of [HEAD, EVENT]) {
+    clock.advance(5000);
+    assert.ok(isSilent(send, clock.nowMs()));
+    steps.push(step);
+    assert.ok(reader.read(send));
+    assert.ok(!isSilent(send, clock.nowMs()));
+  }
+});
+
+test("stream that may run once is never silent for too long", () => {
+  const { clock } = create();
+  const send = sendOf(clock, []);
+  send.request.route.resumable = false;
+  clock.advance(29_000);
+  assert.ok(!isSilent(send, clock.nowMs()));
+});
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -95,6 +95,7 @@
     if (facts.notRun) return over(this.#refused(send, facts));
     this.#learn(send, facts, nowMs);
     send.headAtMs = nowMs;
+    send.quietSinceMs = nowMs;
     progress.ttftMs ??= nowMs - request.arrivedAtMs;
     const isStream = request.route.kind === RequestKind.stream &&
       facts.status === 200;
