Let sleepers under one signal share an abort listener

Cause: each sleep of the system clock put a listener of its own on its signal, and all tasks of the router sleep under the one signal of its life cycle. Four engines at a time make twelve. How many change at a time grows with the engines and has no fixed bound, so a higher limit would be no true one.

Ruled out by the stacks: calls over HTTP, watches of the store, probes, orders to engines and the relay to peers; only the watch is given that signal, and its listener is removed when the call ends.

Change: sleepers under one signal share one listener, which is removed when the last of them wakes. The bound of ten stays and still shows a leak.

--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -1,6 +1,4 @@
 /** Time, behind an interface so that tests can drive it. */
-import { setTimeout as delay } from "node:timers/promises";
-
 /** A source of time. */
 export interface Clock {
   /** Monotonic time in ms; only differences mean something. */
@@ -15,12 +13,48 @@
 export const systemClock: Clock = {
   nowMs: () => performance.now(),
   wallMs: () => Date.now(),
-  sleep: async (ms, signal) => {
-    if (signal?.aborted) return;
-    try {
-      await delay(ms, undefined, { signal });
-    } catch {
-      // Aborted: the caller looks at its signal.
-    }
-  },
+  sleep: (ms, signal) =>
+    new Promise((resolve) => {
+      if (signal?.aborted) return resolve();
+      const wake = () => {
+        clearTimeout(timer);
+        if (signal) forget(signal, wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, ms);
+      if (signal) wakeOnAbort(signal, wake);
+    }),
 };
+
+/** Those who sleep under one signal. */
+interface Sleepers {
+  wakes: Set<() => void>;
+  wakeAll(): void;
+}
+
+/**
+ * As many sleep under a process's one signal as engines change their weights. They share a listener,
+ * so that Node's bound on listeners still shows a leak.
+ */
+const sleepersOf = new WeakMap<AbortSignal, Sleepers>();
+
+function wakeOnAbort(signal: AbortSignal, wake: () => void): void {
+  const known = sleepersOf.get(signal);
+  if (known) {
+    known.wakes.add(wake);
+    return;
+  }
+  const wakes = new Set([wake]);
+  const wakeAll = () => {
+    for (const one of wakes) one();
+  };
+  sleepersOf.set(signal, { wakes, wakeAll });
+  signal.addEventListener("abort", wakeAll, { once: true });
+}
+
+function forget(signal: AbortSignal, wake: () => void): void {
+  const sleepers = sleepersOf.get(signal);
+  if (!sleepers?.wakes.delete(wake) || sleepers.wakes.size > 0) return;
+  sleepersOf.delete(signal);
+  signal.removeEventListener("abort", sleepers.wakeAll);
+}
