Write warnings of Node as log lines

Seen: MaxListenersExceededWarning stood in plain text among the router's JSON lines; what reads those lines passed over it.

Cause: Node's own listener of "warning" writes text to standard error, and nothing in the router listened.

Change: main takes that listener off and writes process_warning with name, message and stack through the logger.

Evidence: the new test starts the deployed program, has it emit a warning once it listens, and wants nothing on standard error and the line on standard output. The test before it now waits for its router's end, as both listen at the same addresses; its checks are the same.

--- a/src/router/main.ts
+++ b/src/router/main.ts
@@ -35,6 +35,11 @@
     });
     log.flush(() => process.exit(FAILED));
   });
+  // Node's own listener writes plain text.
+  process.removeAllListeners("warning");
+  process.on("warning", ({ name, message, stack }) => {
+    log.warn({ event: "process_warning", name, message, stack });
+  });
   const router = await Router.create({ settings: settings.value, log });
   process.on("SIGHUP", () => {
     // Settings come from the environment and hold as long as the process does.
--- a/src/router/start_test.ts
+++ b/src/router/start_test.ts
@@ -1,9 +1,14 @@
 import assert from "node:assert/strict";
-import { execFileSync, spawn } from "node:child_process";
+import {
+  type ChildProcessWithoutNullStreams,
+  execFileSync,
+  spawn,
+} from "node:child_process";
+import { once } from "node:events";
 import { existsSync, readFileSync } from "node:fs";
 import { createInterface } from "node:readline";
 import process from "node:process";
-import { test } from "node:test";
+import { test, type TestContext } from "node:test";
 
 const IP_ADDRESS = "127.9.7.1";
 const ENV = {
@@ -28,11 +33,25 @@
   return run.split(" ");
 }
 
+/** Emits a warning as soon as a byte comes in. */
+const WARN_ON_INPUT = "data:text/javascript," + encodeURIComponent(
+  'process.stdin.once("data", () => process.emitWarning("Odd", "OddWarning"));',
+);
+
+function startRouter(
+  t: TestContext,
+  options: string[] = [],
+): ChildProcessWithoutNullStreams {
+  const args = [...options, ...deployedCommand()];
+  const router = spawn(process.execPath, args, { env: ENV });
+  t.after(() => router.kill("SIGKILL"));
+  return router;
+}
+
 test("deployed program starts, from code that the build compiled", async (t) => {
   execFileSync(process.execPath, ["deploy/build.mjs"]);
   assert.ok(existsSync("target/router.cache"));
-  const router = spawn(process.execPath, deployedCommand(), { env: ENV });
-  t.after(() => router.kill("SIGKILL"));
+  const router = startRouter(t);
   const events: string[] = [];
   for await (const line of createInterface({ input: router.stdout })) {
     events.push(JSON.parse(line).event);
@@ -40,4 +59,30 @@
   }
   assert.ok(events.includes("listening"));
   assert.ok(!events.includes("compiled_code_rejected"));
+  // The next test listens at the same addresses.
+  const ended = once(router, "exit");
+  router.kill("SIGKILL");
+  await ended;
+});
+
+// Node's own plain text stood among the log lines, and no tool that reads them knew of the warning.
+test("warning of Node is a log line, and no plain text", async (t) => {
+  const router = startRouter(t, ["--import", WARN_ON_INPUT]);
+  const ended = once(router, "close");
+  let plain = "";
+  router.stderr.on("data", (chunk: Buffer) => {
+    plain += chunk;
+    // Without its line the test would wait for nothing.
+    router.kill("SIGKILL");
+  });
+  const lines: { event: string; name?: string; message?: string }[] = [];
+  for await (const line of createInterface({ input: router.stdout })) {
+    lines.push(JSON.parse(line));
+    if (lines.at(-1)?.event === "listening") router.stdin.write("\n");
+    if (lines.at(-1)?.event === "process_warning") router.kill("SIGKILL");
+  }
+  await ended;
+  assert.equal(plain, "");
+  const { name, message } = lines.at(-1) ?? {};
+  assert.deepEqual({ name, message }, { name: "OddWarning", message: "Odd" });
 });
