Guard that a server that has recovered gets its part of a load

Seen: a server whose first answer was slow was not asked again in 130, nor in 319, requests one behind the other.

Cause: without news its slowness goes back to 1 (half of it each 8 s), while the others' is held below 1 by their own answers; nobody else being asked, it can't show that it has recovered.

Change: a test alone, seeded and in virtual time, that this stays so: 20 s after its recovery the server gets at least half of an even part. It fails if slowness isn't forgotten (half-life of 8,000 s: none of the requests).

--- /dev/null
+++ b/src/router/recovered_server_test.ts
@@ -0,0 +1,114 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { seededRandom } from "../base/random.ts";
+import { TestClock, testServer } from "./_kit.ts";
+import { ChoiceName, choose, type PromptPlacement } from "./choose.ts";
+
+const SERVERS = 6;
+/** Enough that a server without requests leaves the others with more to do. */
+const REQUESTS_PER_S = 120;
+const SLOW_FOR_MS = 20_000;
+const SLOW_FACTOR = 5;
+/** From here on requests are counted. */
+const COUNT_FROM_MS = 40_000;
+const END_MS = 60_000;
+const PROMPT_TOKENS = 1500;
+const OUTPUT_MS = 400;
+
+/** What happens later, in order of time. */
+class Agenda {
+  readonly #clock: TestClock;
+  readonly #events: { atMs: number; act: () => void }[] = [];
+
+  constructor(clock: TestClock) {
+    this.#clock = clock;
+  }
+
+  after(ms: number, act: () => void): void {
+    const atMs = this.#clock.nowMs() + ms;
+    const events = this.#events;
+    let i = events.length;
+    while (i > 0 && events[i - 1]!.atMs < atMs) i--;
+    events.splice(i, 0, { atMs, act });
+  }
+
+  run(): void {
+    for (let next = this.#events.pop(); next; next = this.#events.pop()) {
+      this.#clock.advance(next.atMs - this.#clock.nowMs());
+      next.act();
+    }
+  }
+}
+
+function prompt(id: string): PromptPlacement {
+  return {
+    model: "m",
+    promptTokens: PROMPT_TOKENS,
+    outputTokens: 80,
+    chainFor: () => ({ salt: "w1", parts: [{ id, tokens: PROMPT_TOKENS }] }),
+    wantedVersion: 1,
+    stores: [],
+    replacedForMs: () => 0,
+    weightsLimits: {
+      staleFromMs: 7000,
+      orderByMs: 8500,
+      retiredFromMs: 9000,
+      beginUntilMs: 9600,
+    },
+  };
+}
+
+/** @returns Part of the later requests that go to the server that was slow. */
+function shareAfterRecovery(seed: number): number {
+  const random = seededRandom(seed);
+  const clock = new TestClock();
+  const agenda = new Agenda(clock);
+  const startMs = clock.nowMs();
+  const servers = Array.from(
+    { length: SERVERS },
+    (_, i) => testServer(`i-${i}`),
+  );
+  const counts = servers.map(() => 0);
+  let requests = 0;
+  const arrive = () => {
+    const nowMs = clock.nowMs();
+    const ageMs = nowMs - startMs;
+    if (ageMs >= END_MS) return;
+    agenda.after(-Math.log(1 - random()) * 1000 / REQUESTS_PER_S, arrive);
+    const id = String(requests++);
+    const { server, expectedMs, uncachedTokens } = choose({
+      servers,
+      zone: "a",
+      nowMs,
+      tried: new Set(),
+      loadAgeMs: 50,
+      random,
+      choice: ChoiceName.cost,
+      prompt: prompt(id),
+    })!;
+    const i = servers.indexOf(server);
+    if (ageMs >= COUNT_FROM_MS) counts[i]!++;
+    const isSlow = i === 0 && ageMs < SLOW_FOR_MS;
+    // Servers are twice as fast as expected, so that the others' speed counts for them.
+    const ratio = (isSlow ? SLOW_FACTOR : 0.5) * (0.8 + 0.4 * random());
+    const tookMs = ratio * expectedMs / server.health.slowness(nowMs);
+    const ticket = server.begin(uncachedTokens, false);
+    agenda.after(tookMs, () => {
+      ticket.started();
+      server.health.answered(clock.nowMs(), ratio);
+    });
+    agenda.after(tookMs + OUTPUT_MS * random(), () => ticket.ended());
+  };
+  agenda.after(0, arrive);
+  agenda.run();
+  return counts[0]! / counts.reduce((sum, count) => sum + count, 0);
+}
+
+// A server that was slow and has recovered is not asked while faster ones are free; it would be
+// lost as one more if that lasted while they have much to do.
+test("server that has recovered gets its part of a load", () => {
+  for (const seed of [1, 2, 3]) {
+    const share = shareAfterRecovery(seed);
+    assert.ok(share > 0.5 / SERVERS, `seed ${seed}: ${share}`);
+  }
+});
