Take only chunked answers without a length for framed

An answer with a transfer coding other than chunked ends with its connection; one that was cut passed as a whole 200.

--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -108,7 +108,8 @@
     encoded: encoding !== undefined && encoding !== "identity",
     framed: status === 204 || status === 304 ||
       headers["content-length"] !== undefined ||
-      headers["transfer-encoding"] !== undefined,
+      // Any other coding ends with the connection.
+      /(^|,)\s*chunked\s*$/i.test(headers["transfer-encoding"] ?? ""),
     serverId: single(headers, Header.serverId),
     weightsVersion: positive(single(headers, Header.weightsVersion)),
     leaving: single(headers, Header.leaving) === "1",
