Move no run to an engine that began to leave while it was copied

The target is chosen before the copy, which takes up to 0.6 s, and was not looked at again. Found by reading for DRAIN; run_mover_test.ts failed before.

--- a/src/router/run_mover.ts
+++ b/src/router/run_mover.ts
@@ -118,8 +118,11 @@
   #settle({ choice }: Send, target: Server, said: MoveAnswer): RunMove {
     switch (said.kind) {
       case "copied":
-        if (!this.#options.fleet.has(target)) {
-          // It has started again or left, and the copy is gone.
+        if (
+          !this.#options.fleet.has(target) ||
+          target.isLeaving(this.#options.clock.nowMs())
+        ) {
+          // It has started again or left, and the copy is gone, or it is about to leave.
           this.free({ source: choice.server.entry, copyId: said.copyId });
           return { kind: "stopped" };
         }
