--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -9,7 +9,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { Clock } from "../base/mod.ts";
+import type { Clock, Logger } from "../base/mod.ts";
 import { readRequest, retryHeaders } from "../platform/mod.ts";
 import { isShed } from "./admission.ts";
 import { retryAfterMs } from "./dispatch.ts";
@@ -49,6 +49,7 @@
 /** What an {@link Ingress} works with. */
 export interface IngressOptions {
   clock: Clock;
+  log: Logger;
   random: () => number;
   /** How far the process is behind. */
   lag: Pick<LoopLag, "ms">;
@@ -83,7 +84,13 @@
     });
     this.#server = createServer(
       { maxHeaderSize: PARSED_HEADER_BYTES, noDelay: true, keepAlive: true },
-      (request, response) => void this.#handle(request, response),
+      (request, response) => {
+        this.#handle(request, response).catch((error) => {
+          // A fault of one request must not end those of all others.
+          options.log.error({ event: "request_fault", error });
+          response.destroy();
+        });
+      },
     );
     this.#server.requestTimeout = 0;
     this.#server.on("connection", (socket) => this.#track(socket));
