--- a/src/router/response_sink.ts
+++ b/src/router/response_sink.ts
@@ -40,9 +40,15 @@
 
   async write(bytes: Buffer): Promise<void> {
     if (this.#gone || this.#response.write(bytes)) return;
+    const response = this.#response;
     await new Promise<void>((resolve) => {
-      this.#response.once("drain", resolve);
-      this.#response.once("close", resolve);
+      const settle = () => {
+        response.off("drain", settle);
+        response.off("close", settle);
+        resolve();
+      };
+      response.once("drain", settle);
+      response.once("close", settle);
     });
   }
 
