--- a/src/router/peers_test.ts
+++ b/src/router/peers_test.ts
@@ -14,6 +14,8 @@
 const SEED = 20_261_203;
 /** Time without an answer of the store. */
 const OUTAGE_MS = 9000;
+/** Requests may reach a server for this long after the store has taken that it leaves. */
+const DRAIN_MS = 2000;
 
 /** A datagram that tells nothing new. */
 const TOLD = {
@@ -239,6 +241,30 @@
   assert.equal((await ask(world, "/book/a")).status, 503);
 });
 
+/*
+ * An entry that loses the store notices it up to 2 s later. Of a deletion that the store told the
+ * other entries just before, it heard after that, and kept the server until the store answered a peer
+ * once more: with 30 entries, 0.6 s (their pause after changes) and 1.56 s (a watch's wait) later.
+ */
+test("server whose leaving a peer heard just before the loss is noticed is let go in time", async (t) => {
+  const world = await openWorld(t);
+  await world.worker("i-1");
+  const peer = await FakePeer.create(t, world);
+  world.link.silent();
+  await until(() => knows(world, '"storeConnected":false'));
+  const deletedAtMs = performance.now() - 100;
+  const revision = "99999";
+  const deletes = [{ key: "servers/i-1", revision }];
+  const catchup = { revision, ageMs: 0, isAll: false, entries: [], deletes };
+  peer.answers.set("/relay", JSON.stringify(catchup));
+  while (knows(world, '"i-1"')) {
+    const storeServedMs = Math.round(performance.now() - deletedAtMs);
+    assert.ok(storeServedMs < DRAIN_MS, "The server is used still");
+    await peer.tell({ revision, storeServes: true, storeServedMs });
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+});
+
 /** Tokens that an entry expects in a server's cache. */
 async function taughtTokens(world: World, id: string): Promise<number> {
   const { ipAddress, controlPort } = world;
--- a/src/router/run_mover_test.ts
+++ b/src/router/run_mover_test.ts
@@ -103,6 +103,30 @@
   return made.tried > 0;
 }
 
+/*
+ * The engine that a run goes to is picked before the copy is made, which takes up to 0.6 s; what it
+ * said of itself meanwhile was not looked at again.
+ */
+test("run doesn't go on at an engine that began to leave while it was copied", async (t) => {
+  for (const isRegistered of [true, false]) {
+    const { clock, fleet, mover } = create();
+    const { address, calls } = await copyingEngine(t, () => {
+      if (isRegistered) {
+        return fleet.put(registration("to", { draining: true }));
+      }
+      const target = fleet.get("to");
+      assert.ok(target);
+      fleet.leaves(target, clock.nowMs());
+    });
+    fleet.put(registration("from", { address }));
+    fleet.put(registration("to"));
+    const move = await mover.move(sendOf(fleet));
+    assert.equal(move.kind, "stopped");
+    await until(() => calls.length === 2);
+    assert.equal(calls[1], `DELETE /v1/kv-handle/${COPY_ID}`);
+  }
+});
+
 test("run is moved to an engine whose weights may still begin answers", async () => {
   assert.ok(await isMoved(0));
   assert.ok(await isMoved(8000));
--- /dev/null
+++ b/src/router/spoilt_answers_test.ts
@@ -0,0 +1,317 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import process from "node:process";
+import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { ask, type Asked, PROMPT } from "../standin/mod.ts";
+import { knows, openWorld, until, type World } from "./_world.ts";
+
+/** Answers with bytes; a server that answers nothing more has ended its connection by itself. */
+type Answer = (socket: Socket, attemptId: string, nth: number) => void;
+
+const SEALED = "HTTP/1.1 200 OK\r\nserver-seal: s\r\n";
+/** More than an entry needs to see the end of a connection. */
+const SEEN_MS = 50;
+
+/** Registers a server that writes bytes of the test's own; its service has no other one. */
+async function serveBytes(
+  t: TestContext,
+  world: World,
+  { id, service, answer }: { id: string; service: string; answer: Answer },
+): Promise<{ requests: string[]; connections: () => number }> {
+  const requests: string[] = [];
+  const sockets = new Set<Socket>();
+  let connections = 0;
+  const server = createServer((socket) => {
+    connections++;
+    sockets.add(socket);
+    socket.on("error", () => {});
+    socket.on("data", (bytes) => {
+      const head = bytes.toString("latin1");
+      if (!head.startsWith("POST ")) return;
+      const [, attemptId = ""] = /attempt-id: (.*)\r\n/i.exec(head) ?? [];
+      requests.push(head);
+      answer(socket, attemptId, requests.length);
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.after(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  const { port } = server.address() as AddressInfo;
+  const models = service === "engines"
+    ? [{ name: "m", version: 1, adapters: [] }]
+    : [];
+  await world.store.put(`servers/${id}`, {
+    service,
+    address: `127.0.0.1:${port}`,
+    zone: "a",
+    version: "v1",
+    slots: 4,
+    state: "ready",
+    models,
+    cold_left_ms: 0,
+    sequence: 0,
+    born: 1,
+  });
+  await until(() => knows(world, `"${id}"`));
+  return { requests, connections: () => connections };
+}
+
+/** Rejections that nobody handles: a router's process ends by them, with all that it serves. */
+function watchRejections(t: TestContext): unknown[] {
+  const rejections: unknown[] = [];
+  const note = (reason: unknown) => rejections.push(reason);
+  process.on("unhandledRejection", note);
+  t.after(() => process.off("unhandledRejection", note));
+  return rejections;
+}
+
+/** An entry that is behind, as on a busy machine, turns requests away, which it answers by itself. */
+async function askWhenTaken(
+  world: World,
+  path: string,
+  headers: Record<string, string> = {},
+): Promise<Asked> {
+  while (true) {
+    const asked = await ask(world, path, headers);
+    const isTurnedAway = asked.status === 503 &&
+      asked.headers["attempt-id"] === undefined;
+    if (!isTurnedAway) return asked;
+    await sleep(SEEN_MS);
+  }
+}
+
+// An answer that ends early must not look complete, whatever its head says of its end.
+const CUT_ANSWERS: Record<string, (id: string) => string> = {
+  "length, and closes": (id) =>
+    `${SEALED}attempt-id: ${id}\r\nconnection: close\r\ncontent-length: 9\r\n\r\nhalf`,
+  "chunks, and closes, cut in one": (id) =>
+    `${SEALED}attempt-id: ${id}\r\nconnection: close\r\n` +
+    `transfer-encoding: chunked\r\n\r\n9\r\nhalf`,
+  "chunks, and closes, cut between two": (id) =>
+    `${SEALED}attempt-id: ${id}\r\nconnection: close\r\n` +
+    `transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n`,
+  "chunks, and closes, cut in the last": (id) =>
+    `${SEALED}attempt-id: ${id}\r\nconnection: close\r\n` +
+    `transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n`,
+  "no length": (id) => `${SEALED}attempt-id: ${id}\r\n\r\nhalf`,
+  "no length, of an older protocol": (id) =>
+    `HTTP/1.0 200 OK\r\nserver-seal: s\r\nattempt-id: ${id}\r\n\r\nhalf`,
+  "an encoding that is not chunked": (id) =>
+    `${SEALED}attempt-id: ${id}\r\ntransfer-encoding: identity\r\n\r\nhalf`,
+};
+
+for (const [name, bytes] of Object.entries(CUT_ANSWERS)) {
+  for (const isReset of [false, true]) {
+    const end = isReset ? "reset" : "closed";
+    test(`answer that is cut is not passed on as whole: ${name}, ${end}`, async (t) => {
+      const world = await openWorld(t);
+      await serveBytes(t, world, {
+        id: "i-raw",
+        service: "plain",
+        answer: (socket, attemptId) => {
+          socket.write(bytes(attemptId), () => {
+            setTimeout(() => {
+              if (isReset) socket.resetAndDestroy();
+              else socket.end();
+            }, 20);
+          });
+        },
+      });
+      assert.equal((await askWhenTaken(world, "/book/a")).status, 502);
+    });
+  }
+}
+
+test("interim answers are no answers", async (t) => {
+  for (const interim of ["103 Early Hints", "102 Processing"]) {
+    const world = await openWorld(t);
+    await serveBytes(t, world, {
+      id: "i-raw",
+      service: "plain",
+      answer: (socket, id) => {
+        socket.write(`HTTP/1.1 ${interim}\r\nserver-seal: no\r\n\r\n`);
+        socket.write(
+          `${SEALED}attempt-id: ${id}\r\ncontent-length: 4\r\n\r\ndone`,
+        );
+      },
+    });
+    const asked = await askWhenTaken(world, "/book/a");
+    assert.equal(asked.status, 200);
+    assert.equal(asked.headers["server-seal"], "s");
+    assert.equal(asked.body, "done");
+    await world.router.stop();
+  }
+});
+
+// An extra answer may come where the next request's is expected; it bears the id of its own request.
+test("late extra answer to an earlier request reaches nobody", async (t) => {
+  const world = await openWorld(t);
+  const { requests } = await serveBytes(t, world, {
+    id: "i-raw",
+    service: "plain",
+    answer: (socket, id, nth) => {
+      const of = nth === 2 ? "attempt-0" : id;
+      const answer =
+        `${SEALED}attempt-id: ${of}\r\ncontent-length: 4\r\n\r\ndone`;
+      socket.write(answer);
+    },
+  });
+  assert.equal((await askWhenTaken(world, "/book/a")).status, 200);
+  assert.equal((await askWhenTaken(world, "/book/a")).status, 502);
+  assert.equal((await askWhenTaken(world, "/book/a")).status, 200);
+  assert.equal(requests.length, 3);
+});
+
+test("answer that names no request is nobody's", async (t) => {
+  const world = await openWorld(t);
+  await serveBytes(t, world, {
+    id: "i-raw",
+    service: "plain",
+    answer: (socket, id, nth) => {
+      const name = nth === 2 ? "" : `attempt-id: ${id}\r\n`;
+      socket.write(`${SEALED}${name}content-length: 4\r\n\r\ndone`);
+    },
+  });
+  assert.equal((await askWhenTaken(world, "/book/a")).status, 200);
+  assert.equal((await askWhenTaken(world, "/book/a")).status, 502);
+});
+
+test("bytes behind an answer are not the next request's answer", async (t) => {
+  for (const behindMs of [0, 1, 20]) {
+    const world = await openWorld(t);
+    const { connections } = await serveBytes(t, world, {
+      id: "i-raw",
+      service: "plain",
+      answer: (socket, id, nth) => {
+        socket.write(
+          `${SEALED}attempt-id: ${id}\r\ncontent-length: 4\r\n\r\ndone`,
+        );
+        if (nth > 1) return;
+        const extra =
+          `${SEALED}attempt-id: ${id}\r\ncontent-length: 4\r\n\r\nevil`;
+        if (behindMs === 0) socket.write(extra);
+        else setTimeout(() => socket.write(extra), behindMs);
+      },
+    });
+    assert.equal((await askWhenTaken(world, "/book/a")).body, "done");
+    await sleep(SEEN_MS);
+    const second = await askWhenTaken(world, "/book/b", { "attempt-id": "attempt-2" });
+    assert.equal(second.status, 200);
+    assert.equal(second.body, "done");
+    assert.equal(connections(), 2);
+    await world.router.stop();
+  }
+});
+
+// The answer's head is written anew for the client, and Node refuses some bytes that may stand in one.
+for (
+  const [name, value] of [["beyond ASCII", "caf\xe9"], ["control", "a\x01b"]]
+) {
+  test(`header with a byte ${name} in an answer doesn't end the process`, async (t) => {
+    const rejections = watchRejections(t);
+    const world = await openWorld(t);
+    await serveBytes(t, world, {
+      id: "i-raw",
+      service: "plain",
+      answer: (socket, id) => {
+        const head = `${SEALED}attempt-id: ${id}\r\nx-note: ${value}\r\n`;
+        socket.write(`${head}content-length: 4\r\n\r\ndone`, "latin1");
+      },
+    });
+    const asked = askWhenTaken(world, "/book/a");
+    const answered = await Promise.race([asked, sleep(2000)]);
+    assert.deepEqual(rejections, []);
+    assert.ok(answered, "No answer came");
+    assert.ok([200, 502].includes(answered.status));
+  });
+}
+
+/** An engine's stream that breaks behind two events, unless it is resumed. */
+function breakFirst(resumed: (id: string) => string): Answer {
+  return (socket, id, nth) => {
+    const head = `${SEALED}attempt-id: ${id}\r\n` +
+      `content-type: text/event-stream\r\nweight-versions: 1\r\n`;
+    if (nth > 1) return void socket.end(resumed(id), "latin1");
+    const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    const size = events.length.toString(16);
+    socket.write(
+      `${head}transfer-encoding: chunked\r\n\r\n${size}\r\n${events}\r\n`,
+      () => setTimeout(() => socket.destroy(), 20),
+    );
+  };
+}
+
+// The client has the head of the stream already: another answer's head can't follow.
+const OTHER_ANSWERS: Record<string, (id: string) => string> = {
+  "server's own failure": (id) =>
+    `HTTP/1.1 500 Failed\r\nserver-seal: s\r\nattempt-id: ${id}\r\ncontent-length: 2\r\n\r\nno`,
+  "refusal of the request": (id) =>
+    `HTTP/1.1 400 Bad\r\nserver-seal: s\r\nattempt-id: ${id}\r\ncontent-length: 2\r\n\r\nno`,
+  "no content": (id) =>
+    `HTTP/1.1 204 None\r\nserver-seal: s\r\nattempt-id: ${id}\r\n\r\n`,
+};
+
+for (const [name, resumed] of Object.entries(OTHER_ANSWERS)) {
+  test(`broken stream whose next server answers otherwise ends broken: ${name}`, async (t) => {
+    const rejections = watchRejections(t);
+    const world = await openWorld(t);
+    let nth = 0;
+    const answer = breakFirst(resumed);
+    for (const id of ["i-1", "i-2"]) {
+      await serveBytes(t, world, {
+        id,
+        service: "engines",
+        answer: (socket, attemptId) => answer(socket, attemptId, ++nth),
+      });
+    }
+    const read = await Promise.race([askWhenTaken(world, "/stream/a", PROMPT), sleep(3000)]);
+    assert.deepEqual(rejections, []);
+    assert.ok(read, "The stream did not end");
+    assert.equal(nth, 2);
+    assert.equal(read.isWhole, false);
+    assert.equal(read.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  });
+}
+
+test("events that a resumed stream repeats are not joined to those before", async (t) => {
+  const world = await openWorld(t);
+  const events = "id: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+  let nth = 0;
+  const answer = breakFirst((id) =>
+    `${SEALED}attempt-id: ${id}\r\ncontent-length: ${events.length}\r\n\r\n${events}`
+  );
+  for (const id of ["i-1", "i-2"]) {
+    await serveBytes(t, world, {
+      id,
+      service: "engines",
+      answer: (socket, attemptId) => answer(socket, attemptId, ++nth),
+    });
+  }
+  const read = await askWhenTaken(world, "/stream/a", PROMPT);
+  assert.equal(read.isWhole, false);
+  assert.equal(read.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+});
+
+test("resumed stream that is cut between events ends broken", async (t) => {
+  const world = await openWorld(t);
+  const events = "id: 3\ndata: c\n\n";
+  let nth = 0;
+  const answer = breakFirst((id) =>
+    `${SEALED}attempt-id: ${id}\r\nconnection: close\r\n` +
+    `transfer-encoding: chunked\r\n\r\n${events.length.toString(16)}\r\n${events}\r\n`
+  );
+  for (const id of ["i-1", "i-2"]) {
+    await serveBytes(t, world, {
+      id,
+      service: "engines",
+      answer: (socket, attemptId) => answer(socket, attemptId, ++nth),
+    });
+  }
+  const read = await askWhenTaken(world, "/stream/a", PROMPT);
+  assert.equal(read.isWhole, false);
+});
