--- a/src/router/answering.ts
+++ b/src/router/answering.ts
@@ -9,8 +9,8 @@
  * its client waits.
  */
 import type { Logger } from "../base/mod.ts";
-import { answerHeaders } from "../platform/mod.ts";
-import { CloseReason, type Send, type SendEnd } from "./attempt.ts";
+import { AnswerWriter } from "./answer_writer.ts";
+import { CloseReason, endClosed, type Send, type SendEnd } from "./attempt.ts";
 import type { Choice } from "./choose.ts";
 import type { NextServer } from "./next_server.ts";
 import {
@@ -33,6 +33,8 @@
 
 /** Longest pause between looks at what may change while a server is waited for. */
 const LOOK_MS = 250;
+/** The same for a stream that nobody runs. */
+const LOOK_ALONE_MS = 100;
 /** Pause before a stream that nobody runs is sent again after a refusal; it doubles with each. */
 const RETRY_MIN_MS = 25;
 /** The same while a run is open, and its answer may still come. */
@@ -70,16 +72,18 @@
   readonly #task: AnsweringTask;
   readonly #wake = Wake.create();
   readonly #open: OpenRuns;
+  readonly #writer: AnswerWriter;
   /** Not sent again before. */
   #nextAtMs = -Infinity;
-  /** Times in a row that nobody has taken it. */
-  #vainCount = 0;
+  /** Times in a row that it was refused. */
+  #refusedCount = 0;
   #reason = NO_SERVER;
 
   private constructor(parts: AnsweringParts, task: AnsweringTask) {
     this.#parts = parts;
     this.#task = task;
     this.#open = OpenRuns.create(parts, task, { wake: this.#wake });
+    this.#writer = AnswerWriter.create(task);
   }
 
   /**
@@ -102,7 +106,9 @@
       const end = await this.#step();
       if (!end) continue;
       this.#open.closeAll(CloseReason.deadline);
-      return end;
+      if (end.kind !== "given_up") return end;
+      const status = this.#writer.failure();
+      return status === undefined ? end : { kind: "answered", status };
     }
     this.#open.closeAll(CloseReason.clientGone);
     return { kind: "client_gone" };
@@ -113,7 +119,12 @@
     const read = this.#open.read();
     if (read) return await this.#take(read.send, read.part);
     if (this.#nowMs >= this.#task.request.answerByMs) return this.#endLate();
-    await this.#moveIfDue();
+    const [first] = this.#open.all;
+    if (first && this.#isMoveDue(first)) {
+      // What comes during the call is read before anything else is done.
+      first.move = await this.#parts.mover.move(first);
+      return undefined;
+    }
     for (const send of this.#open.all) this.#tend(send);
     const end = this.#sendIfDue();
     if (!end) await this.#wake.wait(this.#wakeAtMs() - this.#nowMs);
@@ -127,17 +138,17 @@
   async #take(send: Send, part: AnswerPart): Promise<AnswerEnd | undefined> {
     switch (part.kind) {
       case "began":
-        this.#goOnWith(send);
+        // The other runs are closed once there is something to go on with.
         return undefined;
       case "events":
         this.#goOnWith(send);
-        await this.#passOn(send, part);
+        await this.#writer.events(send, part);
+        send.quietSinceMs = this.#nowMs;
         return undefined;
       case "stream_end":
         this.#goOnWith(send);
-        this.#begin(send);
         this.#learnOutput(send);
-        this.#task.sink.end();
+        this.#writer.endOfStream(send);
         return this.#answered(send);
       case "whole":
         return this.#takeWhole(send, part.body);
@@ -147,25 +158,6 @@
     }
   }
 
-  async #passOn(
-    send: Send,
-    { bytes, lastEventId }: Extract<AnswerPart, { kind: "events" }>,
-  ): Promise<void> {
-    const { sink, progress } = this.#task;
-    this.#begin(send);
-    progress.lastEventId = lastEventId ?? progress.lastEventId;
-    await sink.write(bytes);
-    send.quietSinceMs = this.#nowMs;
-  }
-
-  #begin({ answer }: Send): void {
-    const { sink, progress } = this.#task;
-    if (progress.begun) return;
-    progress.begun = true;
-    const { head } = answer!;
-    sink.begin(head.status, answerHeaders(head.headers));
-  }
-
   #learnOutput({ choice, headAtMs }: Send): void {
     const tookMs = this.#nowMs - headAtMs!;
     const { prompt } = this.#task.request.facts;
@@ -173,17 +165,18 @@
   }
 
   #takeWhole(send: Send, body: Buffer): AnswerEnd | undefined {
-    const { request, progress, sink } = this.#task;
-    const { head, facts: { status } } = send.answer!;
+    const { request, progress } = this.#task;
+    const { status } = send.answer!.facts;
     const isReplaced = status >= 500 && (this.#open.count > 1 ||
       this.#parts.resends.mayReplace(request, progress));
+    if (isReplaced) this.#writer.keepFailure(send, body);
     // Only a stream goes on with a stream.
     if (isReplaced || progress.begun) {
       this.#over(send, { kind: "unknown", reason: `status_${status}` });
       return undefined;
     }
     this.#goOnWith(send);
-    sink.send(status, answerHeaders(head.headers), body);
+    this.#writer.whole(send, body);
     return this.#answered(send);
   }
 
@@ -193,16 +186,13 @@
   }
 
   #goOnWith(send: Send): void {
-    this.#vainCount = 0;
+    this.#refusedCount = 0;
     this.#nextAtMs = -Infinity;
     this.#open.goOnWith(send);
   }
 
-  async #moveIfDue(): Promise<void> {
-    const [send, other] = this.#open.all;
-    const { mover } = this.#parts;
-    if (!send || other || !mover.isDue(send)) return;
-    send.move = await mover.move(send);
+  #isMoveDue(send: Send): boolean {
+    return this.#open.count === 1 && this.#parts.mover.isDue(send);
   }
 
   /** Does what follows from a server's silence. */
@@ -216,7 +206,7 @@
     if (send.answer) return;
     if (nowMs >= beginUntilMs(send, { wanted: this.#parts.wanted, nowMs })) {
       // Taken back by closing the connection, before the engine begins it.
-      return this.#over(send, { kind: "unknown", reason: "weights_retired" });
+      return this.#over(send, endClosed(send, CloseReason.weightsRetired));
     }
     if (!send.isSuspected && nowMs >= suspectAtMs(send)) this.#suspect(send);
   }
@@ -247,7 +237,7 @@
     if (this.#open.count === 0 && !mayWait) {
       return { kind: "given_up", reason: this.#reason, refusal };
     }
-    this.#noteVain();
+    this.#nextAtMs = nowMs + (this.#open.count > 0 ? LOOK_MS : LOOK_ALONE_MS);
     return undefined;
   }
 
@@ -255,7 +245,7 @@
   #sendNext(): ResendRefusal | undefined {
     const { request, progress } = this.#task;
     const { resends, isWorthSending } = this.#parts;
-    const open = { count: this.#open.count, isHopeless: this.#isHopeless };
+    const open = { count: this.#open.count, isAnyUp: this.#isAnyUp };
     const refusal = resends.refusalOf(request, progress, open);
     if (refusal) return refusal;
     if (this.#isQuarantined()) return ResendRefusal.quarantined;
@@ -266,14 +256,15 @@
       return ResendRefusal.noTime;
     }
     const payment = resends.pay(request, progress, open);
-    if (payment === "refused") return ResendRefusal.noBudget;
-    this.#open.open(choice, payment === "paid");
+    if (payment.kind === "refused") return ResendRefusal.noBudget;
+    if (open.count > 0) progress.sendsBeside++;
+    this.#open.open(choice, payment);
     return undefined;
   }
 
-  /** Whether no run is open at a server that is up. */
-  get #isHopeless(): boolean {
-    return this.#open.all.every(({ choice }) => choice.server.health.isDown);
+  /** Whether a run is open at a server that is up. */
+  get #isAnyUp(): boolean {
+    return this.#open.all.some(({ choice }) => !choice.server.health.isDown);
   }
 
   #choose(): Choice | undefined {
@@ -307,25 +298,28 @@
     this.#open.over(send, end);
     switch (end.kind) {
       case "moved":
-        this.#task.progress.reservedSends--;
-        return this.#open.open(end.choice, true);
+        return this.#open.open(
+          end.choice,
+          this.#parts.resends.payReserved(this.#task.progress),
+        );
       case "not_run":
         this.#reason = end.reason;
         // A server that was not reached is known to be down, and another one may be free.
-        if (!end.isUnsent) this.#noteVain();
+        if (!end.isUnsent) this.#noteRefused();
         return;
       case "unknown":
         this.#reason = end.reason;
+        this.#nextAtMs = -Infinity;
     }
   }
 
-  /** Nobody has taken it: a request that can wait is not sent again at once. */
-  #noteVain(): void {
+  /** A request that can wait is not sent again at once. */
+  #noteRefused(): void {
     const isOpen = this.#open.count > 0;
     if (!this.#task.progress.begun && !isOpen) return;
     const minMs = isOpen ? RETRY_OPEN_MIN_MS : RETRY_MIN_MS;
-    const pauseMs = Math.min(RETRY_MAX_MS, minMs * 2 ** this.#vainCount);
-    this.#vainCount++;
+    const pauseMs = Math.min(RETRY_MAX_MS, minMs * 2 ** this.#refusedCount);
+    this.#refusedCount++;
     this.#nextAtMs = this.#nowMs + pauseMs;
   }
 
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -11,6 +11,13 @@
 } from "./request.ts";
 import type { LoadTicket, Server } from "./server.ts";
 
+/** How a send is paid for. */
+export type Payment =
+  /** It is the first that may reach a server. */
+  | { kind: "free" }
+  /** From the budget of resends, at this time. */
+  | { kind: "paid"; atMs: number };
+
 /** Why an open run was closed. */
 export const CloseReason = {
   /** The client's deadline or the route's timeout had come. */
@@ -21,6 +28,8 @@
   noHead: "no_head",
   /** Another run had been asked beside it, and it went on by itself. */
   notNeeded: "not_needed",
+  /** Its weights may begin no answer any more. */
+  weightsRetired: "weights_retired",
   /** The client had gone. */
   clientGone: "client_gone",
 } as const;
@@ -52,10 +61,13 @@
   /** Runs that may have begun and are over; one that goes on from a copy is the same run. */
   runs: number;
   sends: number;
+  /** Sends beside a run that was silent. */
+  sendsBeside: number;
   /** Sends that may have reached a server. */
   arrivals: number;
-  /** Sends that were taken from the budget of resends ahead. */
+  /** Sends that were taken from the budget of resends ahead, and when. */
   reservedSends: number;
+  reservedAtMs: number;
   /** The client has the head of a stream. */
   begun: boolean;
   /** Last event that the client has. */
@@ -102,8 +114,8 @@
   sentAtMs: number;
   /** Its priority at the server; 0 is served first. */
   priority: number;
-  /** It was taken from the budget of resends. */
-  isPaid: boolean;
+  /** How it was paid for. */
+  payment: Payment;
   /** Another run of its request had begun, or may have. */
   isRepeat: boolean;
   /** Since when nothing of the answer has come. */
@@ -132,8 +144,10 @@
     ends: [],
     runs: 0,
     sends: 0,
+    sendsBeside: 0,
     arrivals: 0,
     reservedSends: 0,
+    reservedAtMs: -Infinity,
     begun: false,
     lastEventId,
   };
--- a/src/router/open_runs.ts
+++ b/src/router/open_runs.ts
@@ -3,6 +3,7 @@
 import {
   CloseReason,
   endClosed,
+  type Payment,
   type Progress,
   type Send,
   type SendEnd,
@@ -84,15 +85,15 @@
 
   /**
    * @param choice Where the request is sent.
-   * @param isPaid Whether that was taken from the budget of resends.
+   * @param payment How that is paid for.
    */
-  open(choice: Choice, isPaid: boolean): void {
+  open(choice: Choice, payment: Payment): void {
     const { request, progress, sink } = this.#task;
     const isRepeat = progress.runs + this.count > 0 ||
       choice.copy !== undefined;
     if (isRepeat) this.#parts.quotas.runsAgain(request);
     const wake = this.#wake;
-    const task = { sink, progress, choice, isPaid, isRepeat, wake };
+    const task = { sink, progress, choice, payment, isRepeat, wake };
     this.#sends = [...this.#sends, this.#parts.sender.send(request, task)];
   }
 
@@ -178,13 +179,14 @@
     this.#task.progress.ranAt.add(choice.server);
   }
 
-  #countUnrun({ choice, isPaid, isRepeat }: Send, isUnsent: boolean): void {
-    const { mover, quotas, resends } = this.#parts;
+  #countUnrun(send: Send, isUnsent: boolean): void {
+    const { mover, resends } = this.#parts;
     const { request, progress } = this.#task;
-    if (isRepeat) quotas.giveBack(request);
+    const { choice, payment } = send;
+    this.#giveBackRun(send);
     if (isUnsent) {
       progress.arrivals--;
-      if (isPaid) resends.refundUnsent(request);
+      resends.refundUnsent(request, payment);
     }
     if (!choice.copy) return;
     mover.free(choice.copy);
@@ -192,6 +194,16 @@
     progress.runs++;
   }
 
+  /** The first run is within what the request was admitted for, each further one was counted. */
+  #giveBackRun(send: Send): void {
+    const repeat = send.isRepeat
+      ? send
+      : this.#sends.find(({ isRepeat }) => isRepeat);
+    if (!repeat) return;
+    repeat.isRepeat = false;
+    this.#parts.quotas.giveBack(this.#task.request);
+  }
+
   #remove(send: Send): void {
     this.#sends = this.#sends.filter((other) => other !== send);
     send.ticket.ended();
--- a/src/router/patience.ts
+++ b/src/router/patience.ts
@@ -15,6 +15,8 @@
 const FIRST_EVENT_FACTOR = 4;
 /** A resumable stream without an event for this long is asked for elsewhere. */
 const STREAM_GAP_MS = 1200;
+/** A server that has said nothing for this long, to anyone, is not known to work off its queue. */
+const QUEUE_GAP_MS = 1200;
 /** A run that was copied stops before the copy is complete; its stream is closed soon after. */
 const MOVED_CLOSE_MS = 200;
 
@@ -31,8 +33,10 @@
  */
 export function isSilent(send: Send, nowMs: number): boolean {
   if (nowMs < patienceEndsAtMs(send)) return false;
+  if (send.answer) return true;
   // At the end of another server's queue it would wait anew.
-  return send.answer !== undefined || !send.choice.server.order.isQueued(send);
+  const { order, heardAtMs } = send.choice.server;
+  return !order.isQueued(send) || nowMs - heardAtMs >= QUEUE_GAP_MS;
 }
 
 /**
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -87,7 +87,7 @@
     const nowMs = this.#options.clock.nowMs();
     choice.server.heard(nowMs);
     this.#hearOf(choice.server, facts, nowMs);
-    if (facts.requestId && facts.requestId !== request.facts.requestId) {
+    if (isForeign(facts, request.facts.requestId)) {
       // A late answer to an earlier request: this request's own may still follow.
       choice.server.health.failed(nowMs);
       return over({ kind: "unknown", reason: "foreign_answer" });
@@ -228,6 +228,12 @@
     : { kind: "stream_end" };
 }
 
+/** Servers name the request in whatever they answer; a refusal runs nothing, whosever it is. */
+function isForeign({ requestId, notRun }: AnswerFacts, ownId: string): boolean {
+  if (requestId !== undefined) return requestId !== ownId;
+  return !notRun && ownId !== "";
+}
+
 function over(end: SendEnd): AnswerPart {
   return { kind: "over", end };
 }
--- a/src/router/resend_budget.ts
+++ b/src/router/resend_budget.ts
@@ -3,6 +3,7 @@
  * by giving each an equal part of what the platform allows.
  */
 import type { Clock } from "../base/mod.ts";
+import { RetryBudget } from "../entry/retry_budget.ts";
 
 /** Part of what is allowed that is used; entries may not all know of each other at every moment. */
 const USED_SHARE = 0.75;
@@ -16,6 +17,8 @@
  * broken off, while others are refused or answered late.
  */
 const KEPT_SHARE = 0.1;
+/** One request may need two, for its move and to go on where that is refused, beside what is kept. */
+const LEAST_BURST = 2 / (1 - KEPT_SHARE);
 /** Parts of the window in which requests and resends are counted. */
 const SLOTS = 20;
 
@@ -37,15 +40,20 @@
   entryCount(): number;
 }
 
-/** This entry's part of the allowance. */
+/**
+ * This entry's part of the allowance. Streams that nobody runs may use all of it at once. Other resends
+ * are smoothed: in a burst of them, requests that are refused and come back later ease the load.
+ */
 export class ResendBudget {
   readonly #options: ResendBudgetOptions;
   readonly #startMs: number;
   readonly #usage = new Map<string, Usage>();
+  readonly #smoothed: RetryBudget;
 
   private constructor(options: ResendBudgetOptions) {
     this.#options = options;
     this.#startMs = options.clock.nowMs();
+    this.#smoothed = RetryBudget.create(() => this.#slack, LEAST_BURST);
   }
 
   /**
@@ -59,6 +67,7 @@
   /** @param service A request for it has come. */
   earn(service: string): void {
     this.#usageOf(service).requests.add(1);
+    this.#smoothed.earn(service, this.#options.limits.ratio * USED_SHARE);
   }
 
   /**
@@ -76,6 +85,7 @@
    */
   spend(service: string, count = 1): boolean {
     if (!this.#hasBeyondKept(service, count)) return false;
+    this.#smoothed.spend(service, count);
     this.#usageOf(service).resends.add(count);
     return true;
   }
@@ -105,31 +115,44 @@
    *
    * @param service Name of a service.
    * @param count How many resends.
+   * @param spent When they were spent; what has left the window is free by now.
    */
-  refund(service: string, count: number): void {
-    this.#usageOf(service).resends.takeBack(count);
+  refund(service: string, count: number, { atMs }: { atMs: number }): void {
+    this.#usageOf(service).resends.takeBack(count, this.#slotAt(atMs));
+    this.#smoothed.refund(service, count);
   }
 
   #hasBeyondKept(service: string, count: number): boolean {
-    return this.left(service) >= count + KEPT_SHARE * this.#allowed(service);
+    const keptOfMost = KEPT_SHARE * this.#smoothed.most;
+    const kept = KEPT_SHARE * this.#allowed(service);
+    return this.#smoothed.has(service, count + keptOfMost) &&
+      this.left(service) >= count + kept;
   }
 
   /** Resends of this entry in any window. */
   #allowed(service: string): number {
+    const { ratio } = this.#options.limits;
+    // Resends of a whole window and the slot that has begun count, of requests no more than a window.
+    const requests = this.#usageOf(service).requests.sum(SLOTS - 1);
+    return requests * ratio * USED_SHARE + this.#slack;
+  }
+
+  /** This entry's part of what is allowed beside the ratio. */
+  get #slack(): number {
     const { clock, limits, entryCount } = this.#options;
     const ageMs = clock.nowMs() - this.#startMs;
     const sinceStart = Math.min(1, ageMs / limits.windowMs);
     const share = START_SHARE + (USED_SHARE - START_SHARE) * sinceStart;
-    // Resends of a whole window and the slot that has begun count, of requests no more than a window.
-    const requests = this.#usageOf(service).requests.sum(SLOTS - 1);
-    return requests * limits.ratio * USED_SHARE +
-      limits.slack * share / entryCount();
+    return limits.slack * share / entryCount();
   }
 
-  #usageOf(service: string): Usage {
-    const nowMs = this.#options.clock.nowMs();
+  #slotAt(atMs: number): number {
     const slotMs = this.#options.limits.windowMs / SLOTS;
-    const slot = Math.floor((nowMs - this.#startMs) / slotMs);
+    return Math.floor((atMs - this.#startMs) / slotMs);
+  }
+
+  #usageOf(service: string): Usage {
+    const slot = this.#slotAt(this.#options.clock.nowMs());
     let usage = this.#usage.get(service);
     if (!usage) {
       usage = { requests: new SlotCount(), resends: new SlotCount() };
@@ -162,15 +185,10 @@
     this.#counts[indexOf(this.#slot)]! += count;
   }
 
-  /** Takes from the newest that there are. */
-  takeBack(count: number): void {
-    let left = count;
-    for (let i = 0; i <= SLOTS && left > 0; i++) {
-      const at = indexOf(this.#slot - i);
-      const taken = Math.min(left, this.#counts[at]!);
-      this.#counts[at]! -= taken;
-      left -= taken;
-    }
+  /** Takes from the slot in which it was added, if that counts still. */
+  takeBack(count: number, slot: number): void {
+    if (slot < this.#slot - SLOTS) return;
+    this.#counts[indexOf(slot)]! -= count;
   }
 
   /**
--- a/src/router/resends.ts
+++ b/src/router/resends.ts
@@ -1,11 +1,14 @@
 /** Whether a request that was sent to a server may be sent again, and to whom the allowance goes. */
 import type { Clock } from "../base/mod.ts";
 import { isIdempotent } from "./answer_rules.ts";
-import { type Progress } from "./attempt.ts";
+import type { Payment, Progress } from "./attempt.ts";
 import { ResendRefusal, type RoutedRequest } from "./request.ts";
 import { ResendBudget, type ResendLimits } from "./resend_budget.ts";
 
-/** Sends of a request, those included that were not run; a stream that would be cut has more. */
+/**
+ * Sends of a request, those included that were not run. Those beside a silent run are bounded by their
+ * pauses and the budget, and so are those of a stream that would be cut.
+ */
 const MAX_SENDS = 4;
 /** Sends that a run's move may need: to where its copy is, and elsewhere if that refuses. */
 const MOVE_SENDS = 2;
@@ -25,13 +28,10 @@
 /** Runs of a request that may still answer it. */
 export interface OpenState {
   count: number;
-  /** None is at a server that is up. */
-  isHopeless: boolean;
+  /** Whether one is at a server that is up. */
+  isAnyUp: boolean;
 }
 
-/** How a send is paid for. */
-export type Payment = "free" | "paid" | "refused";
-
 /** Decides about further sends of requests, and keeps their budget. */
 export class Resends {
   readonly #options: ResendsOptions;
@@ -65,17 +65,21 @@
    * @param request A request that is over.
    * @param progress What happened to it.
    */
-  refund({ service }: RoutedRequest, { reservedSends }: Progress): void {
-    this.#budget.refund(service, reservedSends);
+  refund(
+    { service }: RoutedRequest,
+    { reservedSends, reservedAtMs }: Progress,
+  ): void {
+    this.#budget.refund(service, reservedSends, { atMs: reservedAtMs });
   }
 
   /**
    * A send never reached its server, so it is none of the resends that are bounded.
    *
    * @param request Its request.
+   * @param payment How it was paid for.
    */
-  refundUnsent({ service }: RoutedRequest): void {
-    this.#budget.refund(service, 1);
+  refundUnsent({ service }: RoutedRequest, payment: Payment): void {
+    if (payment.kind === "paid") this.#budget.refund(service, 1, payment);
   }
 
   /**
@@ -92,7 +96,7 @@
    * @returns Whether another server may still be asked in place of passing the failure on.
    */
   mayReplace(request: RoutedRequest, progress: Progress): boolean {
-    const open = { count: 1, isHopeless: false };
+    const open = { count: 1, isAnyUp: true };
     return this.refusalOf(request, progress, open) === undefined &&
       this.#options.hasOther(request, progress) &&
       this.#budget.has(request.service);
@@ -107,15 +111,30 @@
    * @returns Whether they are set aside.
    */
   reserveMove(
-    { route, service }: RoutedRequest,
+    request: RoutedRequest,
     progress: Progress,
   ): boolean {
+    const { route, service } = request;
     if (progress.runs + 1 >= route.maxAttempts) return false;
+    // Those of an earlier move are set aside still.
+    if (progress.reservedSends >= MOVE_SENDS) return true;
+    this.refund(request, progress);
+    progress.reservedSends = 0;
     if (!this.#budget.spend(service, MOVE_SENDS)) return false;
-    progress.reservedSends += MOVE_SENDS;
+    progress.reservedSends = MOVE_SENDS;
+    progress.reservedAtMs = this.#options.clock.nowMs();
     return true;
   }
 
+  /**
+   * @param progress Of a request for which sends are set aside.
+   * @returns Payment of one of them.
+   */
+  payReserved(progress: Progress): Payment {
+    progress.reservedSends--;
+    return { kind: "paid", atMs: progress.reservedAtMs };
+  }
+
   /**
    * @param request A request.
    * @param progress What happened to it.
@@ -124,7 +143,7 @@
    */
   refusalOf(
     { route, answerByMs }: RoutedRequest,
-    { runs, sends, begun, ranAt }: Progress,
+    { runs, sends, sendsBeside, begun, ranAt }: Progress,
     open: OpenState,
   ): ResendRefusal | undefined {
     if (sends === 0) return undefined;
@@ -140,8 +159,9 @@
     }
     const leftMs = answerByMs - this.#options.clock.nowMs();
     if (leftMs < RESEND_MIN_LEFT_MS) return ResendRefusal.noTime;
-    if (sends < MAX_SENDS || (begun && open.isHopeless)) return undefined;
-    return ResendRefusal.sendsUsed;
+    const isCut = begun && !open.isAnyUp;
+    const isUsed = sends - sendsBeside >= MAX_SENDS;
+    return isUsed && !isCut ? ResendRefusal.sendsUsed : undefined;
   }
 
   /**
@@ -156,16 +176,14 @@
     { service }: RoutedRequest,
     progress: Progress,
     open: OpenState,
-  ): Payment {
-    if (progress.arrivals === 0) return "free";
-    if (progress.reservedSends > 0) {
-      progress.reservedSends--;
-      return "paid";
-    }
-    const isSpent = progress.begun && open.isHopeless
+  ): Payment | { kind: "refused" } {
+    if (progress.arrivals === 0) return { kind: "free" };
+    if (progress.reservedSends > 0) return this.payReserved(progress);
+    const isSpent = progress.begun && !open.isAnyUp
       ? this.#budget.spendForBegun(service)
       : this.#budget.spend(service);
-    return isSpent ? "paid" : "refused";
+    const atMs = this.#options.clock.nowMs();
+    return isSpent ? { kind: "paid", atMs } : { kind: "refused" };
   }
 }
 
--- a/src/router/run_mover.ts
+++ b/src/router/run_mover.ts
@@ -63,10 +63,10 @@
    * @param send A send whose stream has begun.
    * @returns Whether its run should be moved now.
    */
-  isDue({ choice, request, progress, move }: Send): boolean {
+  isDue({ choice, request, progress, move, answer }: Send): boolean {
     const nowMs = this.#options.clock.nowMs();
     const { facts, answerByMs } = request;
-    return move === undefined &&
+    return move === undefined && answer !== undefined &&
       progress.begun && progress.lastEventId !== undefined &&
       // If the copy can't be used after all, it goes on behind the last event.
       isIdempotent(request.route) &&
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -3,7 +3,7 @@
 import { forwardHeaders } from "../platform/mod.ts";
 import { enginePriority, hasComeBack } from "./admission.ts";
 import { isIdempotent } from "./answer_rules.ts";
-import type { Progress, Send } from "./attempt.ts";
+import type { Payment, Progress, Send } from "./attempt.ts";
 import type { CacheBook } from "./cache_book.ts";
 import type { Choice } from "./choose.ts";
 import type {
@@ -34,8 +34,7 @@
   /** What happened to it before. */
   progress: Progress;
   choice: Choice;
-  /** It was taken from the budget of resends. */
-  isPaid: boolean;
+  payment: Payment;
   /** Another run of the request has begun, or may have. */
   isRepeat: boolean;
   /** Told of each step of the answer. */
@@ -65,7 +64,7 @@
    */
   send(
     request: RoutedRequest,
-    { sink, progress, choice, isPaid, isRepeat, wake }: SendTask,
+    { sink, progress, choice, payment, isRepeat, wake }: SendTask,
   ): Send {
     const { server } = choice;
     const sentAtMs = this.#options.clock.nowMs();
@@ -94,7 +93,7 @@
       ticket,
       sentAtMs,
       priority,
-      isPaid,
+      payment,
       isRepeat,
       quietSinceMs: sentAtMs,
       isSuspected: false,
