Let credit for smoothed resends grow with the window

With smoothing, an entry that had spent its credit got it back with requests only: a stream whose engine was gone asked the other engine once and then never again (open_answer_test.ts, "engine is gone, the only other one refuses for a while, 16 entries", red without the change). The window, which bounds all resends, allows the slack anew in each.

--- a/src/router/resend_budget.ts
+++ b/src/router/resend_budget.ts
@@ -3,7 +3,6 @@
  * by giving each an equal part of what the platform allows.
  */
 import type { Clock } from "../base/mod.ts";
-import { RetryBudget } from "../entry/retry_budget.ts";
 
 /** Part of what is allowed that is used; entries may not all know of each other at every moment. */
 const USED_SHARE = 0.75;
@@ -48,12 +47,10 @@
   readonly #options: ResendBudgetOptions;
   readonly #startMs: number;
   readonly #usage = new Map<string, Usage>();
-  readonly #smoothed: RetryBudget;
 
   private constructor(options: ResendBudgetOptions) {
     this.#options = options;
     this.#startMs = options.clock.nowMs();
-    this.#smoothed = RetryBudget.create(() => this.#slack, LEAST_BURST);
   }
 
   /**
@@ -66,8 +63,9 @@
 
   /** @param service A request for it has come. */
   earn(service: string): void {
-    this.#usageOf(service).requests.add(1);
-    this.#smoothed.earn(service, this.#options.limits.ratio * USED_SHARE);
+    const usage = this.#usageOf(service);
+    usage.requests.add(1);
+    usage.credit += this.#options.limits.ratio * USED_SHARE;
   }
 
   /**
@@ -85,8 +83,9 @@
    */
   spend(service: string, count = 1): boolean {
     if (!this.#hasBeyondKept(service, count)) return false;
-    this.#smoothed.spend(service, count);
-    this.#usageOf(service).resends.add(count);
+    const usage = this.#usageOf(service);
+    usage.credit -= count;
+    usage.resends.add(count);
     return true;
   }
 
@@ -118,14 +117,15 @@
    * @param spent When they were spent; what has left the window is free by now.
    */
   refund(service: string, count: number, { atMs }: { atMs: number }): void {
-    this.#usageOf(service).resends.takeBack(count, this.#slotAt(atMs));
-    this.#smoothed.refund(service, count);
+    const usage = this.#usageOf(service);
+    usage.resends.takeBack(count, this.#slotAt(atMs));
+    usage.credit += count;
   }
 
   #hasBeyondKept(service: string, count: number): boolean {
-    const keptOfMost = KEPT_SHARE * this.#smoothed.most;
+    const { credit } = this.#usageOf(service);
     const kept = KEPT_SHARE * this.#allowed(service);
-    return this.#smoothed.has(service, count + keptOfMost) &&
+    return credit >= count + KEPT_SHARE * this.#mostCredit &&
       this.left(service) >= count + kept;
   }
 
@@ -137,6 +137,10 @@
     return requests * ratio * USED_SHARE + this.#slack;
   }
 
+  get #mostCredit(): number {
+    return Math.max(LEAST_BURST, this.#slack);
+  }
+
   /** This entry's part of what is allowed beside the ratio. */
   get #slack(): number {
     const { clock, limits, entryCount } = this.#options;
@@ -152,12 +156,22 @@
   }
 
   #usageOf(service: string): Usage {
-    const slot = this.#slotAt(this.#options.clock.nowMs());
+    const nowMs = this.#options.clock.nowMs();
+    const slot = this.#slotAt(nowMs);
     let usage = this.#usage.get(service);
     if (!usage) {
-      usage = { requests: new SlotCount(), resends: new SlotCount() };
+      usage = {
+        requests: new SlotCount(),
+        resends: new SlotCount(),
+        credit: this.#slack,
+        creditAtMs: nowMs,
+      };
       this.#usage.set(service, usage);
     }
+    const sinceMs = nowMs - usage.creditAtMs;
+    const grown = this.#slack * sinceMs / this.#options.limits.windowMs;
+    usage.credit = Math.min(this.#mostCredit, usage.credit + grown);
+    usage.creditAtMs = nowMs;
     usage.requests.goTo(slot);
     usage.resends.goTo(slot);
     return usage;
@@ -167,6 +181,9 @@
 interface Usage {
   requests: SlotCount;
   resends: SlotCount;
+  /** Resends that are smoothed may be so many now. */
+  credit: number;
+  creditAtMs: number;
 }
 
 /** Counts by slot of the window, the newest slot and the {@link SLOTS} before it. */
