Keep reading a silent run for as long as its caller waits

Callers saw: a stream broken off in the middle, or a 502 run_lost in place of an answer, while the run went on at its agent and nearly all of the deadline was left. Three silent attaches were enough, which is a few seconds at most, or one silence while the list of instances called the server gone.

Cause: RunStream decided by itself that a silent run was lost, and cancelled it then; pieces missing on a few connections in a row had the same effect within milliseconds. What had been passed on, whether the request could be run again and how much time its caller had played no part.

Evidence: on the code before, 9 of the 11 tests of silent_agent_test.ts fail (streams end as "terminated", whole answers and calls with a key as 502 instead of 200, a repeatable call is cancelled before anybody has taken it), and "a stream goes on though the list calls its server gone" in src/proof/streams_test.ts does. The other two, and "an unbegun answer is run elsewhere", pass on both: they hold the ends that have to stay quick.

Ruled out: a slow engine behind an agent that answers. Each attach that is answered started the count anew, so that alone never lost a run ("a slow engine does not churn connections").

Change: run_fate.ts says who may end a run and when: its agent (an end, a refusal, another incarnation), an address that refuses connections, the caller or its deadline. RunStream reports a silence and goes on attaching, with waits and pauses that grow and are bounded (_attach_pace.ts). Where nothing was passed on, a request that may always be run again, or one whose server the list calls gone, is begun at another agent while the silent run stays attached; that one is cancelled once the other has started it, and goes on if it speaks first or nobody takes it. A model run that its agent never confirmed is asked for by a cancellation as before, and goes on being attached to when nobody answers. Calls that may not be repeated are only attached to.

--- a/src/entry/_run_connection.ts
+++ b/src/entry/_run_connection.ts
@@ -1,6 +1,11 @@
 /** One gRPC stream of a run: messages are polled, and waiting has a limit. */
 import type { ClientDuplexStream, ServiceError } from "@grpc/grpc-js";
-import { type CallFailure, type ChannelLease, failureOf } from "../wire/mod.ts";
+import {
+  type CallFailure,
+  type ChannelLease,
+  failureOf,
+  isRefused,
+} from "../wire/mod.ts";
 import type { RunDown, RunUp, StartRun } from "../wire/gen/cicadahitch.ts";
 
 /** Why a wait ended. */
@@ -62,6 +67,21 @@
     return this.#failure;
   }
 
+  /** Whether nobody listens at the agent's address. */
+  get isRefused(): boolean {
+    return this.#failure !== undefined && isRefused(this.#failure);
+  }
+
+  /** Whether the stream has ended, well or not. */
+  get isClosed(): boolean {
+    return this.#closed;
+  }
+
+  /** Whether {@link poll} has something. */
+  get hasMessage(): boolean {
+    return this.#call.readableLength > 0;
+  }
+
   /** @returns The next message, if one is there. */
   poll(): RunDown | undefined {
     return this.#call.read() ?? undefined;
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -9,12 +9,14 @@
   /** The agent ended the run, well or not. */
   | { kind: "ended"; end: RunEnd }
   | { kind: "refused"; refusal: Refusal }
-  | { kind: "lost"; loss: RunLoss };
+  | { kind: "lost"; loss: RunLoss }
+  /** The agent is silent; reading may go on. */
+  | { kind: "silent"; silences: number };
 
 /** Told of an attempt's progress. */
 export interface AttemptObserver {
   onStarted(started: RunStarted): void;
-  onFirstPiece(): void;
+  onPieces(): void;
 }
 
 /**
@@ -28,7 +30,6 @@
   sink: AnswerSink,
   observer: AttemptObserver,
 ): Promise<AttemptOutcome> {
-  let isFirst = true;
   for (;;) {
     const event = await stream.next();
     switch (event.kind) {
@@ -39,8 +40,7 @@
         sink.head(event.head);
         break;
       case "pieces": {
-        if (isFirst) observer.onFirstPiece();
-        isFirst = false;
+        observer.onPieces();
         const room = sink.pieces(event.data);
         if (room) await room;
         stream.consumed();
@@ -52,6 +52,8 @@
         return { kind: "refused", refusal: event.refusal };
       case "lost":
         return { kind: "lost", loss: event.loss };
+      case "silent":
+        return event;
     }
   }
 }
--- a/src/entry/cancel_run.ts
+++ b/src/entry/cancel_run.ts
@@ -1,5 +1,5 @@
 /** Cancels a run at its agent and learns whether it was run. */
-import { callUnary, type ChannelLease } from "../wire/mod.ts";
+import { callUnary, type ChannelLease, isRefused } from "../wire/mod.ts";
 import type { CancelReply, CancelRequest } from "../wire/gen/cicadahitch.ts";
 import { Execution } from "./errors.ts";
 
@@ -45,8 +45,7 @@
     Ok: (reply) => verdictOf(reply, options.agentIncarnation),
     Err: (failure) => ({
       execution: Execution.Unknown,
-      agentGone: failure.kind === "unreachable" &&
-        failure.message.includes("ECONNREFUSED"),
+      agentGone: isRefused(failure),
       answered: false,
     }),
   });
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -1,20 +1,15 @@
 /** The life of a request between its checks and its answer: choose, run, and when to go elsewhere. */
 import { Result } from "true-myth";
-import type { Clock } from "../base/mod.ts";
-import type { Policy } from "../placement/mod.ts";
-import type { ChannelPool } from "../wire/mod.ts";
 import {
-  type AskRequest,
   type Refusal,
   RefusalCode,
   type RunEnd,
   RunOutcome,
-  type StartRun,
 } from "../wire/gen/cicadahitch.ts";
-import type { AnswerSink } from "./answer_sink.ts";
 import type { AgentConfig } from "./ask.ts";
-import { passOn } from "./attempt.ts";
-import { AbortCause, type Caller } from "./caller.ts";
+import { type AttemptOutcome, passOn } from "./attempt.ts";
+import { type Attempt, Attempts, type AttemptsOptions } from "./attempts.ts";
+import { AbortCause } from "./caller.ts";
 import { Execution, notRun, type RequestFailure } from "./errors.ts";
 import {
   endFailure,
@@ -23,106 +18,44 @@
   lossFailure,
   refusedByAll,
 } from "./failures.ts";
-import type { Members, ServerMember } from "./members.ts";
 import type { RetryBudget } from "./retry_budget.ts";
+import type { RunLoss } from "./run_events.ts";
+import {
+  judgeLoss,
+  judgeRerun,
+  judgeSilence,
+  SilenceMove,
+  type Verdict,
+} from "./run_fate.ts";
+import type { DispatchReport, RunRequest, Target } from "./run_request.ts";
 import type { RunSuspects, SuspectedCall } from "./run_suspects.ts";
-import { RunStream } from "./run_stream.ts";
-import type { EntryTuning } from "./tuning.ts";
 
 /** What a dispatcher works with. */
-export interface DispatcherOptions {
-  channels: ChannelPool;
-  members: Members;
-  policy: Policy;
+export interface DispatcherOptions extends AttemptsOptions {
   config: AgentConfig;
   budget: RetryBudget;
   suspects: RunSuspects;
-  clock: Clock;
   random: () => number;
-  tuning: EntryTuning;
-}
-
-/** When a request that may have run may be run again. */
-export const Rerun = {
-  Never: "never",
-  /** When its first run is known to be over, or its agent process to be gone. */
-  WhenOver: "when_over",
-  Always: "always",
-} as const;
-/** One of {@link Rerun}. */
-export type Rerun = (typeof Rerun)[keyof typeof Rerun];
-
-/** A server to try next, chosen by a {@link Route}. */
-export interface Target {
-  member: ServerMember;
-  /** Empty: no place is held. */
-  holdId: string;
-  /** Weights that were offered; left out: none were. */
-  weightsVersion?: string;
-  agentIncarnation: string;
-  runId: string;
-}
-
-/** Chooses the servers of one request, one after the other. */
-export interface Route {
-  /** @returns The next server to try; undefined: none is left. */
-  next(): Promise<Target | undefined>;
-  /** Refusals heard while choosing. */
-  readonly refusals: Refusal[];
-  /** A target took the request. */
-  placed(target: Target): void;
-  /**
-   * @param target A server that lacked the team's branch and has it now.
-   * @returns The same server once more; undefined: it was tried again already.
-   */
-  again(target: Target): Target | undefined;
-}
-
-/** One request, ready to be run. */
-export interface RunRequest {
-  requestId: string;
-  ask: AskRequest;
-  call: NonNullable<StartRun["call"]>;
-  route: Route;
-  caller: Caller;
-  sink: AnswerSink;
-  rerun: Rerun;
-  /** The caller gave a key that makes a repeat recognisable. */
-  hasIdempotencyKey: boolean;
-  windowPieces: number;
-  /** Retries as a share of first tries. */
-  retryShare: number;
-  onStarted: () => void;
-  onFirstPiece: () => void;
-}
-
-/** How a request was served. */
-export interface DispatchReport {
-  attempts: number;
-  reattaches: number;
-  address: string;
 }
 
 /** Runs after the first one that a request may have because that one came to nothing. */
 const MAX_RERUNS = 1;
+const SILENT_MESSAGE = "The agent does not answer";
 
-/** What to do after an attempt. */
-type Verdict =
-  | { kind: "done"; end: RunEnd }
-  /** Not run here: another server may take it. */
-  | { kind: "elsewhere" }
-  /** It lacked the branch and has it now. */
-  | { kind: "again"; target: Target }
-  /** It ran, came to nothing, and may be run again. */
-  | { kind: "rerun"; failure: RequestFailure }
-  | { kind: "failed"; failure: RequestFailure };
+/** What a request has come to so far. */
+interface Progress {
+  report: DispatchReport;
+  reruns: number;
+}
 
 /** Runs requests. */
 export class Dispatcher {
   readonly #options: DispatcherOptions;
+  readonly #attempts: Attempts;
 
   private constructor(options: DispatcherOptions) {
     this.#options = options;
+    this.#attempts = Attempts.create(options);
   }
 
   /**
@@ -146,8 +79,8 @@
   ): Promise<Result<RunEnd, RequestFailure>> {
     const { route, ask } = request;
     this.#options.budget.earn(ask.team, request.retryShare);
+    const progress: Progress = { report, reruns: 0 };
     let earlier: RequestFailure | undefined;
-    let reruns = 0;
     let again: Target | undefined;
     while (!request.caller.signal.aborted) {
       const target: Target | undefined = again ?? await route.next();
@@ -155,9 +88,7 @@
       if (!target) break;
       const refusal = this.#options.suspects.refusalOf(callOf(request));
       if (refusal) return Result.err(withEarlier(refusal, earlier));
-      report.attempts++;
-      report.address = target.member.address;
-      const verdict = await this.#attempt(request, target, report);
+      const verdict = await this.#attempt(request, target, progress);
       if (verdict.kind === "done") return Result.ok(verdict.end);
       if (verdict.kind === "failed") {
         return Result.err(withEarlier(verdict.failure, earlier));
@@ -165,7 +96,7 @@
       if (verdict.kind === "again") again = verdict.target;
       if (verdict.kind !== "rerun") continue;
       earlier = withEarlier(verdict.failure, earlier);
-      if (++reruns > MAX_RERUNS) break;
+      if (++progress.reruns > MAX_RERUNS) break;
       request.sink.reset();
     }
     const { cause } = request.caller;
@@ -177,77 +108,127 @@
   async #attempt(
     request: RunRequest,
     target: Target,
-    report: DispatchReport,
+    progress: Progress,
   ): Promise<Verdict> {
-    const { policy, clock, suspects } = this.#options;
+    let attempt = this.#attempts.begin(request, target, progress.report);
+    for (;;) {
+      const observer = this.#attempts.observe(request, attempt);
+      const outcome = await passOn(attempt.stream, request.sink, observer);
+      if (outcome.kind !== "silent") {
+        progress.report.reattaches += attempt.stream.reattaches;
+        return await this.#judge(request, attempt, outcome);
+      }
+      switch (this.#judgeSilence(request, attempt, outcome.silences)) {
+        case SilenceMove.Wait:
+          break;
+        case SilenceMove.Withdraw: {
+          const loss = await attempt.stream.withdraw(SILENT_MESSAGE);
+          if (loss) return this.#judgeLost(request, attempt, loss);
+          break;
+        }
+        case SilenceMove.Relieve:
+          attempt = await this.#relieve(request, attempt, progress) ?? attempt;
+      }
+    }
+  }
+
+  async #judge(
+    request: RunRequest,
+    attempt: Attempt,
+    outcome: Exclude<AttemptOutcome, { kind: "silent" }>,
+  ): Promise<Verdict> {
+    const { target, sentAtMs, firstPieceAtMs } = attempt;
     const memberId = target.member.id;
-    const sentAtMs = clock.nowMs();
-    let firstPieceAtMs: number | undefined;
-    const stream = this.#open(request, target, report.attempts);
-    const outcome = await passOn(stream, request.sink, {
-      onStarted: ({ agentIncarnation }) => {
-        this.#options.members.noteIncarnation(memberId, agentIncarnation);
-        request.route.placed(target);
-        request.onStarted();
-      },
-      onFirstPiece: () => {
-        firstPieceAtMs = clock.nowMs();
-        policy.learn({ kind: "answered", memberId });
-        request.onFirstPiece();
-      },
-    });
-    report.reattaches += stream.reattaches;
     switch (outcome.kind) {
       case "refused":
-        return this.#judgeRefusal(request, target, outcome.refusal);
+        return await this.#judgeRefusal(request, target, outcome.refusal);
       case "ended": {
         const { end } = outcome;
         const run = { memberId, end, sentAtMs, firstPieceAtMs };
-        suspects.ended(callOf(request), run);
+        this.#options.suspects.ended(callOf(request), run);
         return this.#judgeEnd(request, memberId, end);
       }
-      case "lost": {
-        const { cause } = request.caller;
-        if (!cause) policy.learn({ kind: "failed", memberId });
-        const failure = lossFailure(outcome.loss, cause);
-        if (cause) return { kind: "failed", failure };
-        return judgeLoss(request, failure, outcome.loss.agentGone);
-      }
+      case "lost":
+        return this.#judgeLost(request, attempt, outcome.loss);
     }
   }
 
-  #open(request: RunRequest, target: Target, attempt: number): RunStream {
-    const { channels, clock, tuning, members } = this.#options;
-    const { member, agentIncarnation } = target;
-    const deadlineMs = Math.ceil(request.caller.leftMs);
-    return RunStream.create({
-      channels,
-      clock,
-      address: member.address,
-      start: {
-        ask: {
-          ...request.ask,
-          ...versionOf(target),
-          runId: target.runId,
-          deadlineMs,
-        },
-        holdId: target.holdId,
-        attempt,
-        nextSeq: 0,
-        attachOnly: false,
-        call: request.call,
-        windowPieces: request.windowPieces,
-      },
-      agentIncarnation,
-      progressMs: tuning.progressMs,
-      probeMs: tuning.probeMs,
-      maxAttaches: tuning.maxAttaches,
-      cancelTimeoutMs: tuning.cancelTimeoutMs,
-      signal: request.caller.signal,
-      isGone: () => members.isGone(member.id),
+  #judgeLost(
+    request: RunRequest,
+    { target }: Attempt,
+    loss: RunLoss,
+  ): Verdict {
+    const { policy, members } = this.#options;
+    const memberId = target.member.id;
+    const { cause } = request.caller;
+    if (!cause) policy.learn({ kind: "failed", memberId });
+    const failure = lossFailure(loss, cause);
+    if (cause) return { kind: "failed", failure };
+    const agentGone = loss.agentGone || members.isGone(memberId);
+    return judgeLoss(request, failure, { agentGone });
+  }
+
+  #judgeSilence(
+    request: RunRequest,
+    { target, stream }: Attempt,
+    silences: number,
+  ): SilenceMove {
+    return judgeSilence(request, {
+      silences,
+      maxAttaches: this.#options.tuning.maxAttaches,
+      hasStarted: stream.hasStarted,
+      isGone: this.#options.members.isGone(target.member.id),
     });
   }
 
+  /**
+   * Looks for an agent that takes a request over from a silent one, whose run is kept until another
+   * has started it.
+   */
+  async #relieve(
+    request: RunRequest,
+    silent: Attempt,
+    progress: Progress,
+  ): Promise<Attempt | undefined> {
+    const { policy } = this.#options;
+    const { report } = progress;
+    while (progress.reruns < MAX_RERUNS && !request.caller.signal.aborted) {
+      if (this.#options.suspects.refusalOf(callOf(request))) return undefined;
+      const target = await request.route.next();
+      if (!target) return undefined;
+      const relief = this.#attempts.begin(request, target, report);
+      const event = await relief.stream.next();
+      switch (event.kind) {
+        case "refused":
+          await this.#judgeRefusal(request, target, event.refusal);
+          continue;
+        case "lost":
+          policy.learn({ kind: "failed", memberId: target.member.id });
+          if (event.loss.execution === Execution.NotRun) continue;
+          progress.reruns++;
+          return undefined;
+        case "started":
+          progress.reruns++;
+          break;
+        default:
+          progress.reruns++;
+          await relief.stream.abandon(SILENT_MESSAGE);
+          return undefined;
+      }
+      if (silent.stream.hasMessage) {
+        await relief.stream.abandon("Another agent goes on with it");
+        return undefined;
+      }
+      report.reattaches += silent.stream.reattaches;
+      policy.learn({ kind: "failed", memberId: silent.target.member.id });
+      void silent.stream.abandon("Another agent has taken it over");
+      this.#attempts.observe(request, relief).onStarted(event.started);
+      request.sink.reset();
+      return relief;
+    }
+    return undefined;
+  }
+
   async #judgeRefusal(
     request: RunRequest,
     target: Target,
@@ -291,7 +272,7 @@
     if (!isBroken) return { kind: "failed", failure };
     this.#options.policy.learn({ kind: "failed", memberId });
     const isOver = end.outcome === RunOutcome.FAILED;
-    return judgeRerun(request, failure, isOver);
+    return judgeRerun(request, failure, { isOver });
   }
 }
 
@@ -299,33 +280,6 @@
   return { team: ask.team, workspace: ask.workspace, call };
 }
 
-/** A run is for the weights that were offered. */
-function versionOf({ weightsVersion }: Target): Partial<AskRequest> {
-  return weightsVersion === undefined ? {} : { weightsVersion };
-}
-
-function judgeLoss(
-  request: RunRequest,
-  failure: RequestFailure,
-  agentGone: boolean,
-): Verdict {
-  const isUnsent = failure.execution === Execution.NotRun;
-  if (isUnsent && !request.sink.isCommitted) return { kind: "elsewhere" };
-  const isOver = agentGone || failure.execution === Execution.Ran;
-  return judgeRerun(request, failure, isOver);
-}
-
-function judgeRerun(
-  request: RunRequest,
-  failure: RequestFailure,
-  isOver: boolean,
-): Verdict {
-  const mayRerun = request.rerun === Rerun.Always ||
-    (request.rerun === Rerun.WhenOver && isOver);
-  const kind = mayRerun && !request.sink.isCommitted ? "rerun" : "failed";
-  return { kind, failure };
-}
-
 /** A request that ran earlier has run, whatever became of its last attempt. */
 function withEarlier(
   failure: RequestFailure,
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -3,9 +3,9 @@
 import { Result } from "true-myth";
 import type { Clock } from "../base/mod.ts";
 import { Caller } from "./caller.ts";
-import type { DispatchReport } from "./dispatch.ts";
 import type { RequestKind } from "./entry_metrics.ts";
 import { notRun, type RequestFailure } from "./errors.ts";
+import type { DispatchReport } from "./run_request.ts";
 
 /** What is known of a request; it holds no prompt and no key. */
 export interface RequestRecord extends DispatchReport {
--- a/src/entry/model_handler.ts
+++ b/src/entry/model_handler.ts
@@ -8,7 +8,6 @@
 import type { AskRequest, RunEnd } from "../wire/gen/cicadahitch.ts";
 import { type AnswerSink, writeFailure } from "./answer_sink.ts";
 import type { Identity } from "./auth.ts";
-import { Rerun } from "./dispatch.ts";
 import type { RequestFailure } from "./errors.ts";
 import { type Exchange, readBody } from "./exchange.ts";
 import { admit, type HandlerDeps, identify } from "./handler_deps.ts";
@@ -19,6 +18,7 @@
 } from "./model_request.ts";
 import { readSettings, type RequestSettings } from "./request_headers.ts";
 import { OfferRoute } from "./routes.ts";
+import { Rerun } from "./run_request.ts";
 import { StreamSink } from "./stream_sink.ts";
 import { WholeSink } from "./whole_sink.ts";
 
--- a/src/entry/routes.ts
+++ b/src/entry/routes.ts
@@ -16,9 +16,9 @@
 import type { Asker, AskOutcome } from "./ask.ts";
 import type { DemandMeter } from "../planner/mod.ts";
 import type { Caller } from "./caller.ts";
-import type { Route, Target } from "./dispatch.ts";
 import type { Members, ServerMember } from "./members.ts";
 import type { RetryBudget } from "./retry_budget.ts";
+import type { Route, Target } from "./run_request.ts";
 import type { EntryTuning } from "./tuning.ts";
 import type { VersionMemory } from "./version_memory.ts";
 
--- a/src/entry/run_events.ts
+++ b/src/entry/run_events.ts
@@ -13,9 +13,11 @@
   Aborted: "aborted",
   /** The request never left. */
   Unreachable: "unreachable",
-  /** No connection to the agent brought anything. */
-  Silent: "silent",
-  /** Pieces are missing, or there are more than the end counts. */
+  /** The agent's address refuses connections. */
+  Gone: "gone",
+  /** The agent answered a cancellation and nothing else. */
+  Withdrawn: "withdrawn",
+  /** The agent ended the run with a count that its pieces don't have. */
   Incomplete: "incomplete",
   /** The agent no longer knows the run, or answers as another process. */
   Forgotten: "forgotten",
@@ -42,4 +44,6 @@
   | { kind: "end"; end: RunEnd }
   /** Not run here, and never will be. */
   | { kind: "refused"; refusal: Refusal }
-  | { kind: "lost"; loss: RunLoss };
+  | { kind: "lost"; loss: RunLoss }
+  /** The agent said nothing, and the run has been attached to again. */
+  | { kind: "silent"; silences: number };
--- a/src/entry/run_stream.ts
+++ b/src/entry/run_stream.ts
@@ -1,6 +1,7 @@
 /**
  * A run at an agent as the entry reads it: complete, in order, and across connections. A connection
- * without progress is given up and the run attached to again at the next piece that is missing.
+ * without progress is given up and the run attached to again at the next piece that is missing; see
+ * `run_fate.ts` for what ends a run.
  */
 import type { Clock } from "../base/mod.ts";
 import type {
@@ -13,6 +14,8 @@
 } from "../wire/gen/cicadahitch.ts";
 import { RunOutcome } from "../wire/gen/cicadahitch.ts";
 import type { ChannelLease, ChannelPool } from "../wire/mod.ts";
+import { AttachPace } from "./_attach_pace.ts";
+import { PieceCounter } from "./_piece_counter.ts";
 import { RunConnection } from "./_run_connection.ts";
 import { cancelRun, type CancelVerdict } from "./cancel_run.ts";
 import { Execution } from "./errors.ts";
@@ -29,32 +32,25 @@
   progressMs: number;
   /** How long an agent may take to answer an attach on the same connection. */
   probeMs: number;
-  maxAttaches: number;
   cancelTimeoutMs: number;
   /** Aborted when the caller is gone or out of time. */
   signal: AbortSignal;
-  /** Whether the platform says that the instance is gone. */
-  isGone: () => boolean;
 }
 
-const ACK_SHARE = 4;
-const ACK_BYTES = 16 * 1024;
-const MAX_WAIT_FACTOR = 8;
-const REATTACH_PAUSE_MS = 50;
+const GONE_MESSAGE = "The agent's process is gone";
+const ABORTED_MESSAGE = "The caller is gone or out of time";
+/** Ends in a row that don't fit the pieces, after which the agent's word is taken. */
+const MAX_FALSE_ENDS = 3;
 
-/** Reads one run; {@link RunStream.next} until `end`, `refused` or `lost`. */
+/** Reads one run until its end, or until it is abandoned. */
 export class RunStream {
   readonly #options: RunStreamOptions;
-  readonly #ackEvery: number;
+  readonly #pieces: PieceCounter;
+  readonly #pace: AttachPace;
   #lease: ChannelLease;
   #connection: RunConnection;
   #agentIncarnation: string;
-  #waitMs: number;
-  #nextSeq = 0;
-  #ackedSeq = 0;
-  #unackedBytes = 0;
-  #silences = 0;
-  #faults = 0;
+  #falseEnds = 0;
   #everStarted = false;
   #startedHere = false;
   #attached = false;
@@ -66,9 +62,8 @@
   private constructor(options: RunStreamOptions) {
     this.#options = options;
     this.#agentIncarnation = options.agentIncarnation;
-    this.#waitMs = options.progressMs;
-    const window = options.start.windowPieces;
-    this.#ackEvery = Math.max(1, Math.floor(window / ACK_SHARE));
+    this.#pace = AttachPace.create(options);
+    this.#pieces = PieceCounter.create(options.start.windowPieces);
     this.#lease = options.channels.acquire(options.address);
     this.#connection = this.#open(options.start);
   }
@@ -81,16 +76,21 @@
     return new RunStream(options);
   }
 
-  /** Pieces given so far. */
-  get pieceCount(): number {
-    return this.#nextSeq;
-  }
-
   /** Times that the run was attached to again. */
   get reattaches(): number {
     return this.#reattaches;
   }
 
+  /** Whether the agent ever said that it has the run. */
+  get hasStarted(): boolean {
+    return this.#everStarted;
+  }
+
+  /** Whether the agent has said something that was not read yet. */
+  get hasMessage(): boolean {
+    return this.#connection.hasMessage;
+  }
+
   /** @returns The next event; after `end`, `refused` and `lost` the stream is closed. */
   async next(): Promise<RunEvent> {
     for (;;) {
@@ -104,12 +104,7 @@
 
   /** Says that the caller has taken all events given so far. */
   consumed(): void {
-    const isDue = this.#nextSeq - this.#ackedSeq >= this.#ackEvery ||
-      this.#unackedBytes >= ACK_BYTES;
-    if (!isDue) return;
-    this.#ackedSeq = this.#nextSeq;
-    this.#unackedBytes = 0;
-    this.#connection.ack(this.#nextSeq);
+    if (this.#pieces.takeDue()) this.#connection.ack(this.#pieces.nextSeq);
   }
 
   /**
@@ -118,11 +113,22 @@
    * @param message Why.
    * @returns Whether it was run.
    */
-  async abandon(message: string): Promise<RunLoss> {
+  abandon(message: string): Promise<RunLoss> {
+    return this.#settle(LossReason.Aborted, message);
+  }
+
+  /**
+   * Asks a silent agent by a cancellation.
+   *
+   * @param message Why.
+   * @returns Whether it was run; undefined: nobody answered, and the run can be read on.
+   */
+  async withdraw(message: string): Promise<RunLoss | undefined> {
+    const verdict = await this.#cancel(message);
+    if (!verdict.answered && !verdict.agentGone) return undefined;
     this.#connection.cut();
-    const loss = await this.#settle(LossReason.Aborted, message);
     this.#lease.release();
-    return loss;
+    return this.#lossOf(LossReason.Withdrawn, message, verdict);
   }
 
   #open(start: StartRun): RunConnection {
@@ -131,18 +137,12 @@
   }
 
   async #waitForMore(): Promise<RunEvent | undefined> {
-    const { probeMs, progressMs } = this.#options;
-    const answerMs = this.#isProbing ? probeMs : progressMs;
-    const waitMs = this.#startedHere ? this.#waitMs : answerMs;
-    const wake = await this.#connection.wait(waitMs);
+    const wake = await this.#connection.wait(this.#waitMs);
     switch (wake) {
       case "readable":
         return undefined;
       case "aborted":
-        return {
-          kind: "lost",
-          loss: await this.abandon("The caller is gone or out of time"),
-        };
+        return await this.#lose(LossReason.Aborted, ABORTED_MESSAGE);
       case "closed":
         return this.#wasNeverSent
           ? this.#refuseUnsent()
@@ -152,6 +152,11 @@
     }
   }
 
+  get #waitMs(): number {
+    if (this.#startedHere) return this.#pace.pieceWaitMs;
+    return this.#pace.answerWaitMs({ isProbe: this.#isProbing });
+  }
+
   #take(
     message: RunDown,
   ): Promise<RunEvent | undefined> | RunEvent | undefined {
@@ -181,9 +186,7 @@
   ): Promise<RunEvent | undefined> | RunEvent | undefined {
     const isOurs = started.attempt === this.#options.start.attempt &&
       started.runId === this.#options.start.ask?.runId;
-    if (!isOurs && !started.repeated) {
-      return this.#handleFault("Answered for another attempt");
-    }
+    if (!isOurs && !started.repeated) return this.#reopen();
     if (
       this.#everStarted && started.agentIncarnation !== this.#agentIncarnation
     ) {
@@ -192,38 +195,38 @@
     this.#agentIncarnation = started.agentIncarnation;
     this.#startedHere = true;
     this.#repeated ||= started.repeated;
-    this.#silences = 0;
+    this.#pace.answered();
     if (this.#everStarted) return undefined;
     this.#everStarted = true;
+    this.#pace.progressed();
     return { kind: "started", started };
   }
 
   #takePieces(
     pieces: Pieces,
   ): Promise<RunEvent | undefined> | RunEvent | undefined {
-    const known = this.#nextSeq - pieces.firstSeq;
-    if (known < 0) return this.#handleFault("Pieces are missing");
+    const known = this.#pieces.nextSeq - pieces.firstSeq;
+    if (known < 0) return this.#reopen();
     if (known >= pieces.data.length) return undefined;
     const data = known === 0 ? pieces.data : pieces.data.slice(known);
-    this.#nextSeq += data.length;
-    for (const piece of data) this.#unackedBytes += piece.length;
-    this.#faults = 0;
-    this.#waitMs = this.#options.progressMs;
+    this.#pieces.add(data);
+    this.#falseEnds = 0;
+    this.#pace.progressed();
     return { kind: "pieces", data };
   }
 
   #takeEnd(end: RunEnd): Promise<RunEvent | undefined> | RunEvent {
     const isDone = end.outcome === RunOutcome.DONE;
-    if (isDone && end.pieceCount > this.#nextSeq) {
-      return this.#handleFault("The stream ended before its last piece");
+    if (isDone && end.pieceCount > this.#pieces.nextSeq) {
+      return this.#handleFalseEnd("The stream ended before its last piece");
     }
-    if (isDone && end.pieceCount < this.#nextSeq) {
+    if (isDone && end.pieceCount < this.#pieces.nextSeq) {
       return this.#lose(
         LossReason.Incomplete,
         "The stream has more pieces than its end counts",
       );
     }
-    this.#connection.ack(this.#nextSeq);
+    this.#connection.ack(this.#pieces.nextSeq);
     this.#connection.finish();
     this.#lease.release();
     return { kind: "end", end };
@@ -248,87 +251,90 @@
     this.#connection.finish();
     this.#lease.release();
     const message = this.#connection.failure?.message ?? "";
-    const loss: RunLoss = {
-      reason: LossReason.Unreachable,
-      execution: Execution.NotRun,
-      agentGone: false,
-      message,
-    };
-    return { kind: "lost", loss };
+    const reason = LossReason.Unreachable;
+    const execution = Execution.NotRun;
+    const agentGone = false;
+    return { kind: "lost", loss: { reason, execution, agentGone, message } };
   }
 
-  #handleSilence(): Promise<RunEvent | undefined> {
+  async #handleSilence(): Promise<RunEvent | undefined> {
+    const { isRefused, isClosed } = this.#connection;
+    if (isRefused) return await this.#lose(LossReason.Gone, GONE_MESSAGE);
     if (this.#isProbing && !this.#startedHere) return this.#attachAnew();
-    this.#silences++;
-    const { maxAttaches, isGone } = this.#options;
-    if (this.#silences > maxAttaches || isGone()) {
-      return this.#lose(LossReason.Silent, "The agent does not answer");
-    }
-    if (!this.#startedHere || this.#connection.failure) {
-      return this.#attachAnew();
-    }
-    // Either the connection is dead or the engine is slow: an agent that is there answers at once.
-    const longestMs = this.#options.progressMs * MAX_WAIT_FACTOR;
-    this.#waitMs = Math.min(this.#waitMs * 2, longestMs);
-    return this.#attach({ isProbe: true });
+    this.#pace.silent();
+    if (isClosed) await this.#reopen();
+    else if (this.#startedHere) this.#probe();
+    else this.#attachAnew();
+    return { kind: "silent", silences: this.#pace.silences };
   }
 
-  #handleFault(message: string): Promise<RunEvent | undefined> {
-    this.#faults++;
-    if (this.#faults > this.#options.maxAttaches) {
+  #handleFalseEnd(message: string): Promise<RunEvent | undefined> {
+    this.#falseEnds++;
+    if (this.#falseEnds > MAX_FALSE_ENDS) {
       return this.#lose(LossReason.Incomplete, message);
     }
-    return this.#attachAnew();
+    return this.#reopen();
   }
 
-  async #attachAnew(): Promise<undefined> {
-    const pauseMs = this.#connection.failure
-      ? REATTACH_PAUSE_MS * 2 ** this.#silences
-      : 0;
-    if (pauseMs > 0) {
-      await this.#options.clock.sleep(pauseMs, this.#options.signal);
-    }
-    const stale = this.#lease;
+  /** Either the connection is dead or the engine is slow: an agent that is there answers at once. */
+  #probe(): void {
+    this.#pace.slow();
+    this.#attach({ isProbe: true });
+  }
+
+  async #reopen(): Promise<undefined> {
+    const { clock, signal } = this.#options;
+    const pauseMs = this.#pace.takePauseMs();
+    this.#connection.cut();
+    if (pauseMs > 0) await clock.sleep(pauseMs, signal);
+    this.#attachAnew();
+  }
+
+  #attachAnew(): undefined {
     this.#connection.cut();
-    this.#lease = this.#options.channels.replace(stale);
-    return this.#attach({ isProbe: false });
+    this.#lease = this.#options.channels.replace(this.#lease);
+    this.#attach({ isProbe: false });
   }
 
-  #attach({ isProbe }: { isProbe: boolean }): Promise<undefined> {
+  #attach({ isProbe }: { isProbe: boolean }): void {
     this.#connection.cut();
     this.#isProbing = isProbe;
     this.#attached = true;
     this.#reattaches++;
-    this.#ackedSeq = this.#nextSeq;
-    this.#unackedBytes = 0;
+    this.#pieces.acknowledged();
     this.#connection = this.#open({
       ...this.#options.start,
       call: undefined,
       attachOnly: true,
-      nextSeq: this.#nextSeq,
+      nextSeq: this.#pieces.nextSeq,
     });
-    return Promise.resolve(undefined);
   }
 
   async #lose(reason: LossReason, message: string): Promise<RunEvent> {
-    this.#connection.cut();
-    const loss = await this.#settle(reason, message);
-    this.#lease.release();
-    return { kind: "lost", loss };
+    return { kind: "lost", loss: await this.#settle(reason, message) };
   }
 
   async #settle(reason: LossReason, message: string): Promise<RunLoss> {
-    let verdict = reason === LossReason.Aborted && this.#silences === 0
+    this.#connection.cut();
+    let verdict = reason === LossReason.Aborted && this.#pace.silences === 0
       ? await this.#cancel(message)
       : undefined;
     if (!verdict?.answered) {
       this.#lease = this.#options.channels.replace(this.#lease);
       verdict = await this.#cancel(message);
     }
-    const agentGone = verdict.agentGone || this.#options.isGone();
-    const execution = this.#repeated && verdict.execution === Execution.NotRun
-      ? Execution.Unknown
-      : verdict.execution;
+    this.#lease.release();
+    return this.#lossOf(reason, message, verdict);
+  }
+
+  #lossOf(
+    reason: LossReason,
+    message: string,
+    verdict: CancelVerdict,
+  ): RunLoss {
+    const agentGone = verdict.agentGone || reason === LossReason.Gone;
+    const isUnsure = this.#repeated && verdict.execution === Execution.NotRun;
+    const execution = isUnsure ? Execution.Unknown : verdict.execution;
     return { reason, execution, agentGone, message };
   }
 
--- a/src/entry/service_handler.ts
+++ b/src/entry/service_handler.ts
@@ -7,13 +7,13 @@
 } from "../wire/gen/cicadahitch.ts";
 import { writeFailure } from "./answer_sink.ts";
 import type { Identity } from "./auth.ts";
-import { Rerun } from "./dispatch.ts";
 import type { RequestFailure } from "./errors.ts";
 import { type Exchange, readBody } from "./exchange.ts";
 import { admit, type HandlerDeps, identify } from "./handler_deps.ts";
 import { conclude } from "./model_handler.ts";
 import { HeaderName, readSettings } from "./request_headers.ts";
 import { PlainRoute } from "./routes.ts";
+import { Rerun } from "./run_request.ts";
 import { serviceHeaders } from "./service_headers.ts";
 import {
   fingerprintOf,
--- a/src/entry/tuning.ts
+++ b/src/entry/tuning.ts
@@ -6,7 +6,7 @@
   progressMs: number;
   /** How long an agent may take to answer on a connection that may be dead, in ms. */
   probeMs: number;
-  /** Times that a silent run is attached to again before it is given up. */
+  /** Times that a silent run is attached to again before another agent is looked for. */
   maxAttaches: number;
   /** Longest wait for offers, in ms. */
   askTimeoutMs: number;
--- a/src/proof/streams_test.ts
+++ b/src/proof/streams_test.ts
@@ -1,7 +1,14 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { answerTo, callStream, callWhole, chatBody } from "./_calls.ts";
-import { ProofFleet, type ProofFleetOptions, type Seat } from "./_fleet.ts";
+import {
+  type EntrySlot,
+  PROGRESS_MS,
+  ProofFleet,
+  type ProofFleetOptions,
+  type Seat,
+} from "./_fleet.ts";
 
 const SLOW = { engine: { decodeMsPerToken: 10 }, services: 0 };
 const TOKENS = 80;
@@ -37,6 +44,41 @@
   });
 }
 
+// The list's word that an instance is gone, for a moment and wrong, ended runs that went on there.
+test("a stream goes on though the list calls its server gone", async (context) => {
+  const fleet = await start(context);
+  const [slot] = fleet.entries;
+  const body = chatBody("still here", TOKENS);
+  const seen = await callStream(slot!, body, {
+    onEvent: (number) => {
+      if (number !== EVENTS_BEFORE) return;
+      for (const seat of fleet.seats) fleet.showState(seat, "gone");
+      for (const link of slot!.links) link.silent();
+      void untilGone(slot!).then(() => {
+        for (const link of slot!.links) link.up();
+      });
+    },
+  });
+  assert.equal(seen.kind, "answer", JSON.stringify(seen));
+  assert.equal(seen.text, answerTo(body));
+  assert.equal(runCount(fleet), 1);
+});
+
+// Servers that vanish with their zone refuse no connection, and their callers still need an answer.
+test("an unbegun answer is run elsewhere once its server is silent and called gone", async (context) => {
+  const fleet = await start(context);
+  const [slot] = fleet.entries;
+  const body = chatBody("lost zone", TOKENS);
+  const answer = callWhole(slot!, body);
+  await until(() => fleet.busySeat !== undefined);
+  const lost = fleet.busySeat!;
+  slot!.links[fleet.seats.indexOf(lost)]!.silent();
+  fleet.showState(lost, "gone");
+  const seen = await answer;
+  assert.equal(seen.text, answerTo(body), JSON.stringify(seen));
+  assert.equal(runCount(fleet), 2);
+});
+
 test("a dead engine's stream ends with an error, and its prefix is right", async (context) => {
   const fleet = await start(context);
   const body = chatBody("crash", TOKENS);
@@ -74,6 +116,17 @@
   await stopped;
 });
 
+async function untilGone({ entry }: EntrySlot): Promise<void> {
+  const isGone = ({ state }: { state: string }) => state === "gone";
+  await until(() => entry.dumpState().instances.some(isGone));
+  // Long enough for the stream's silence to be noticed, more than once.
+  await sleep(8 * PROGRESS_MS);
+}
+
+async function until(holds: () => boolean): Promise<void> {
+  while (!holds()) await sleep(2);
+}
+
 function engineOf({ server }: Seat) {
   if (server.kind !== "engine") throw new Error("Not an engine");
   return server.standin;
--- a/src/wire/calls.ts
+++ b/src/wire/calls.ts
@@ -97,6 +97,15 @@
   }
 }
 
+/**
+ * @param failure Why a call gave no answer.
+ * @returns Whether nobody listens at the peer's address, so that the process there is gone.
+ */
+export function isRefused(failure: CallFailure): boolean {
+  return failure.kind === "unreachable" &&
+    failure.message.includes("ECONNREFUSED");
+}
+
 function timeout(): CallFailure {
   return { kind: "timeout", message: "No answer in time" };
 }
--- a/src/wire/mod.ts
+++ b/src/wire/mod.ts
@@ -3,6 +3,7 @@
   type CallFailure,
   callUnary,
   failureOf,
+  isRefused,
   type UnaryMethod,
   type UnaryOptions,
 } from "./calls.ts";
