Read a paused server's answer on until its caller's time is over

Callers saw: an answer cut, or run_failed in its place, once an engine had paused for 20 s in the middle or taken 60 s to its first byte; for a service 20 and 30 s, and a call that may not be repeated was then unknown. The caller's deadline and the service's timeout allow longer.

Cause: the adapters that the agent builds close a connection that brings no byte for that long, and the agent ends the run as broken.

Ruled out elsewhere in the agent: EngineWatch calls an engine down after two polls that fail, which refuses runs that wait, never one that was passed on; runs are ended by the engine's next incarnation.

Change: an agent's adapters have no bound on silence. What ends a run is its caller (the entry cancels at the deadline), a service's timeoutMs, a connection that breaks, an engine that has started anew, and 10 s without any reader. The adapters keep their own bounds for other users and their tests.

--- a/src/agent/agent_parts.ts
+++ b/src/agent/agent_parts.ts
@@ -51,13 +51,22 @@
   return parts;
 }
 
+/**
+ * A server that pauses goes on with its answer, so silence ends no run: its caller's deadline, the
+ * service's timeout and the end of the engine's process do.
+ */
+const PATIENT = { headMs: 0, silenceMs: 0 };
+
 function buildServer(server: AgentOptions["server"]): ServerAdapter {
   const { url } = server;
   switch (server.kind) {
     case "engine":
-      return { kind: "engine", engine: HttpEngine.create({ url }) };
+      return { kind: "engine", engine: HttpEngine.create({ url, ...PATIENT }) };
     case "service":
-      return { kind: "service", service: HttpService.create({ url }) };
+      return {
+        kind: "service",
+        service: HttpService.create({ url, ...PATIENT }),
+      };
   }
 }
 
