Relay a claimed call for as long as its run goes on

Callers saw: a repeat of a call that may not be repeated was told "unknown", and so was each later repeat with its key at that agent, while another agent still ran the call and answered it a moment later.

Cause: the agent that copies another one's answer gave up after 5 s without a message, or as soon as its only connection broke, and ended its own run as unknown, which is kept for repeats.

Evidence: on the code before (with the 5 s made a parameter), "a run whose service is slow is relayed to its end" and "a run is relayed over another connection where the first one is cut" get undefined in place of { kind: "done", status: 201 }.

Change: the relay attaches again at the next missing piece, over a fresh connection, with pauses up to 2 s, until the claimant says how the run ended, answers as another process, refuses connections or has forgotten the run, or the deadline of the waiting run is over. The claimed call still runs once.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -168,7 +168,7 @@
           service: parts.server.service,
           clock,
           journal: () => this.#journal,
-          relay: GrpcRelay.create(this.#channels),
+          relay: GrpcRelay.create({ channels: this.#channels, clock }),
         });
         return { kind: "service", plain };
       }
--- a/src/agent/relay.ts
+++ b/src/agent/relay.ts
@@ -1,5 +1,6 @@
 /** Copies the answer of a run that another agent has, for a key that was claimed there. */
-import type { ClientDuplexStream } from "@grpc/grpc-js";
+import type { ClientDuplexStream, ServiceError } from "@grpc/grpc-js";
+import type { Clock } from "../base/mod.ts";
 import type { Claimant, ClaimEnd } from "../journal/mod.ts";
 import {
   type PlainCall,
@@ -9,7 +10,12 @@
   type RunUp,
   type StartRun,
 } from "../wire/gen/cicadahitch.ts";
-import type { ChannelPool } from "../wire/mod.ts";
+import {
+  type ChannelLease,
+  type ChannelPool,
+  failureOf,
+  isRefused,
+} from "../wire/mod.ts";
 import type { Run } from "./run.ts";
 
 /** What to read, and where. */
@@ -30,46 +36,90 @@
   copy(run: Run, options: RelayOptions): Promise<ClaimEnd | undefined>;
 }
 
+/** What a {@link GrpcRelay} is made from. */
+export interface GrpcRelayOptions {
+  /** Channels to other agents. */
+  channels: ChannelPool;
+  clock: Clock;
+  /** A connection without a message for this long is replaced, in ms. */
+  silenceMs?: number;
+}
+
+/** What one connection to the claimant came to. */
+type Reading =
+  /** Nothing more will come; without an end, nobody can tell how the run ended. */
+  | { kind: "over"; end: ClaimEnd | undefined }
+  /** The connection brought nothing more; the run may go on. */
+  | { kind: "quiet" };
+
 const SILENCE_MS = 5000;
 const WINDOW_PIECES = 64;
+const FIRST_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 2000;
+const OVER: Reading = { kind: "over", end: undefined };
+const QUIET: Reading = { kind: "quiet" };
 
-/** The relay over gRPC. */
+/**
+ * The relay over gRPC. The claimed run goes on while its agent or its service is silent, so it is
+ * attached to again until the claimant says how it ended, its process is gone, or the deadline of
+ * the run that waits for it is over.
+ */
 export class GrpcRelay implements Relay {
-  readonly #channels: ChannelPool;
+  readonly #options: Required<GrpcRelayOptions>;
 
-  private constructor(channels: ChannelPool) {
-    this.#channels = channels;
+  private constructor(options: Required<GrpcRelayOptions>) {
+    this.#options = options;
   }
 
   /**
-   * @param channels Channels to other agents.
+   * @param options Channels and times.
    * @returns A relay.
    */
-  static create(channels: ChannelPool): GrpcRelay {
-    return new GrpcRelay(channels);
+  static create(options: GrpcRelayOptions): GrpcRelay {
+    return new GrpcRelay({ silenceMs: SILENCE_MS, ...options });
   }
 
   async copy(run: Run, options: RelayOptions): Promise<ClaimEnd | undefined> {
-    const lease = this.#channels.acquire(options.claimant.address);
+    const { channels, clock } = this.#options;
+    let lease = channels.acquire(options.claimant.address);
+    let pauseMs = FIRST_PAUSE_MS;
+    let reading = QUIET;
+    while (!channels.isClosed && clock.nowMs() < run.deadlineAtMs) {
+      const before = run.output.pieceCount;
+      reading = await this.#readOnce(run, lease, options);
+      if (reading.kind === "over") break;
+      if (run.output.pieceCount > before) pauseMs = FIRST_PAUSE_MS;
+      await clock.sleep(pauseMs);
+      pauseMs = Math.min(pauseMs * 2, MAX_PAUSE_MS);
+      lease = channels.replace(lease);
+    }
+    lease.release();
+    if (!run.output.ending) {
+      run.end(RunOutcome.UNKNOWN, "The agent that has the call is gone");
+    }
+    return reading.kind === "over" ? reading.end : undefined;
+  }
+
+  async #readOnce(
+    run: Run,
+    lease: ChannelLease,
+    options: RelayOptions,
+  ): Promise<Reading> {
     const stream = lease.agent.run();
-    const silence = setTimeout(() => stream.cancel(), SILENCE_MS);
+    const { silenceMs } = this.#options;
+    const silence = setTimeout(() => stream.cancel(), silenceMs);
     stream.write({ step: { $case: "start", value: attachTo(run, options) } });
     try {
       return await read(run, stream, {
         incarnation: options.claimant.agentIncarnation,
         onMessage: () => silence.refresh(),
       });
-    } catch {
-      // Broken or silent: said below, like any other end without an answer.
+    } catch (error) {
+      return isRefused(failureOf(error as ServiceError)) ? OVER : QUIET;
     } finally {
       clearTimeout(silence);
       stream.cancel();
-      lease.release();
-      if (!run.output.ending) {
-        run.end(RunOutcome.UNKNOWN, "The agent that has the call is gone");
-      }
     }
-    return undefined;
   }
 }
 
@@ -79,7 +129,7 @@
     ask: run.ask,
     holdId: "",
     attempt: run.attempt,
-    nextSeq: 0,
+    nextSeq: run.output.pieceCount,
     attachOnly: true,
     call: { $case: "plainCall", value: call },
     windowPieces: WINDOW_PIECES,
@@ -90,14 +140,14 @@
   run: Run,
   stream: ClientDuplexStream<RunUp, RunDown>,
   options: { incarnation: string; onMessage: () => void },
-): Promise<ClaimEnd | undefined> {
+): Promise<Reading> {
   let isStarted = false;
   for await (const { step } of stream as AsyncIterable<RunDown>) {
     options.onMessage();
     switch (step?.$case) {
       case "started":
         if (step.value.agentIncarnation !== options.incarnation) {
-          return undefined;
+          return OVER;
         }
         isStarted = true;
         break;
@@ -105,18 +155,19 @@
         run.output.setHead(step.value);
         break;
       case "pieces":
+        if (step.value.firstSeq !== run.output.pieceCount) return QUIET;
         for (const piece of step.value.data) run.output.append(piece);
         acknowledge(stream, run.output.pieceCount);
         break;
       case "end":
-        return takeEnd(run, step.value);
+        return { kind: "over", end: takeEnd(run, step.value) };
       case "refusal":
-        if (!isStarted) return undefined;
+        if (!isStarted) return OVER;
         run.refuse(step.value);
-        return { kind: "not_run" };
+        return { kind: "over", end: { kind: "not_run" } };
     }
   }
-  return undefined;
+  return QUIET;
 }
 
 function acknowledge(
--- a/src/agent/relay_test.ts
+++ b/src/agent/relay_test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { createSilentLogger, systemClock } from "../base/mod.ts";
 import { StoreClaimsJournal } from "../journal/mod.ts";
+import { TcpRelay } from "../standin/mod.ts";
 import { MemoryStore } from "../store/memory_store.ts";
 import { RunOutcome } from "../wire/gen/cicadahitch.ts";
 import { ChannelPool } from "../wire/mod.ts";
@@ -21,7 +23,7 @@
   fingerprint: Buffer.from("x"),
 };
 
-async function openRelay() {
+async function openRelay(options: { silenceMs?: number } = {}) {
   const service = FakeService.create();
   const store = MemoryStore.create();
   const clock = systemClock;
@@ -46,7 +48,13 @@
     call: { $case: "plainCall", value: CALL },
   });
   const first = RunReader.open(client, claimed);
-  return { agent, service, first, relay: GrpcRelay.create(channels), closeAll };
+  return {
+    agent,
+    service,
+    first,
+    relay: GrpcRelay.create({ channels, clock, ...options }),
+    closeAll,
+  };
 }
 
 function waitingRun() {
@@ -68,6 +76,45 @@
   await closeAll();
 });
 
+// A service that took longer than a few seconds to answer was called unknown, for repeats as well.
+test("a run whose service is slow is relayed to its end", async (context) => {
+  const { agent, service, first, relay, closeAll } = await openRelay({
+    silenceMs: 30,
+  });
+  context.after(closeAll);
+  service.hold();
+  while (service.calls.length === 0) await service.arrived.wait();
+  const run = waitingRun();
+  const { address, agentIncarnation } = agent;
+  const claimant = { address, agentIncarnation, runId: "r1" };
+  const copied = relay.copy(run, { call: CALL, claimant });
+  await sleep(600);
+  service.release();
+  assert.deepEqual(await copied, { kind: "done", status: 201 });
+  assert.equal(run.output.pieceCount, 1);
+  assert.equal(service.calls.length, 1);
+  await first.rest();
+});
+
+// A connection that fails says nothing about the run behind it.
+test("a run is relayed over another connection where the first one is cut", async (context) => {
+  const { agent, service, first, relay, closeAll } = await openRelay();
+  context.after(closeAll);
+  service.hold();
+  while (service.calls.length === 0) await service.arrived.wait();
+  const link = await TcpRelay.create({ targetAddress: agent.address });
+  context.after(() => link.close());
+  const run = waitingRun();
+  const { agentIncarnation } = agent;
+  const claimant = { address: link.address, agentIncarnation, runId: "r1" };
+  const copied = relay.copy(run, { call: CALL, claimant });
+  while (agent.dumpState().runs.attached < 2) await sleep(5);
+  link.cutOpen();
+  service.release();
+  assert.deepEqual(await copied, { kind: "done", status: 201 });
+  await first.rest();
+});
+
 test("another process in the claimant's place knows nothing", async () => {
   const { agent, first, relay, closeAll } = await openRelay();
   await first.rest();
--- a/src/wire/channels.ts
+++ b/src/wire/channels.ts
@@ -67,6 +67,7 @@
   readonly #retired = new Set<PooledChannel>();
   readonly #sweep: NodeJS.Timeout;
   #opened = 0;
+  #isClosed = false;
 
   private constructor(options: Required<ChannelPoolOptions>) {
     this.#options = options;
@@ -131,8 +132,14 @@
     }
   }
 
+  /** Whether {@link ChannelPool.close} was called. */
+  get isClosed(): boolean {
+    return this.#isClosed;
+  }
+
   /** Closes every channel. */
   close(): void {
+    this.#isClosed = true;
     clearInterval(this.#sweep);
     for (const pooled of this.#channels.values()) pooled.channel.close();
     for (const pooled of this.#retired) pooled.channel.close();
