Let a caller with time left read a finished answer to its end

Callers saw: a slow reader's answer was cut 30 s after its last byte had been written, though its deadline allowed longer.

Cause: what was left in the connection's buffers was given lingerMs, whatever time the caller had. A whole answer is written at once, so nearly all of it can be left then.

Evidence: "answer is read to its end by a slow caller with time left" fails on the code before as "aborted" and passes now.

Ruled out: the bound on uploads (bodyTimeoutMs) ends with the body, before an answer begins.

Change: the time left until the deadline, and lingerMs where that is longer.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -6,6 +6,7 @@
 import type { BranchSet } from "../config/mod.ts";
 import type { ListenFailure } from "../wire/mod.ts";
 import { writeFailure } from "./answer_sink.ts";
+import type { Caller } from "./caller.ts";
 import {
   addPeerService,
   buildHandlerDeps,
@@ -195,7 +196,7 @@
       endBroken(response, failure);
     }
     caller.finish();
-    cutLate(response, this.#parts.tuning.lingerMs);
+    cutLate(response, lingerOf(caller, this.#parts.tuning.lingerMs));
     this.#records.delete(record);
     noteRequest(this.#parts, record, { failure });
   }
@@ -212,6 +213,11 @@
   response.once("close", () => clearTimeout(cut));
 }
 
+/** A caller with time left may read that long, however slowly. */
+function lingerOf({ leftMs }: Caller, lingerMs: number): number {
+  return Number.isFinite(leftMs) ? Math.max(leftMs, lingerMs) : lingerMs;
+}
+
 function endBroken(response: ServerResponse, failure: RequestFailure): void {
   writeFailure(response, failure);
   if (!response.writableEnded) response.destroy();
--- a/src/entry/tuning.ts
+++ b/src/entry/tuning.ts
@@ -23,7 +23,7 @@
   cancelTimeoutMs: number;
   /** How long an upload of a body may take, in ms. */
   bodyTimeoutMs: number;
-  /** How long a caller may take to read what is left of a finished answer, in ms. */
+  /** How long a caller without time left may take to read the rest of a finished answer, in ms. */
   lingerMs: number;
   /** Channels kept open to agents and peers. */
   maxChannels: number;
