--- a/src/entry/tuning.ts
+++ b/src/entry/tuning.ts
@@ -6,7 +6,7 @@
   progressMs: number;
   /** How long an agent may take to answer on a connection that may be dead, in ms. */
   probeMs: number;
-  /** Times that a silent run is attached to again before it is given up. */
+  /** Times that a silent run is attached to again before another agent is looked for. */
   maxAttaches: number;
   /** Longest wait for offers, in ms. */
   askTimeoutMs: number;
@@ -23,7 +23,7 @@
   cancelTimeoutMs: number;
   /** How long an upload of a body may take, in ms. */
   bodyTimeoutMs: number;
-  /** How long a caller may take to read what is left of a finished answer, in ms. */
+  /** How long a caller without time left may take to read the rest of a finished answer, in ms. */
   lingerMs: number;
   /** Channels kept open to agents and peers. */
   maxChannels: number;
