Count no run at a server that another one has taken the place of

A server that left the list, or whose address answers for another one, has ended as well. The new test in broken_answer_test.ts is cut without the change.

--- a/src/router/broken_answer_test.ts
+++ b/src/router/broken_answer_test.ts
@@ -239,6 +239,24 @@
   assert.equal(runsOf(world), 3);
 });
 
+// The same where another engine has the address by then, so that connections are not refused.
+test("engine whose address another one has is none of a route's attempts", async (t) => {
+  const world = await openPatientWorld(t, { maxAttempts: 1 });
+  const gate = shutGate();
+  const stall = { afterEvent: 2, pauseMs: 0, opened: gate.opened };
+  const faults = { ...NO_FAULTS, stall };
+  const engine = await world.worker("i-1", { model: "m", faults });
+  const answer = askOther(world, 1);
+  await until(() => engine.runs.length > 0);
+  const listenAddress = engine.address;
+  await world.store.delete("servers/i-1");
+  await until(() => !knows(world, '"i-1"'));
+  await engine.down();
+  await world.worker("i-2", { model: "m", listenAddress });
+  assertAllWhole(world, [await answer], { requests: 1 });
+  assert.equal(runsOf(world), 2);
+});
+
 // Waiting for an engine must not lead to more runs than the route allows.
 test("stream that breaks off everywhere runs as often as its route allows", async (t) => {
   const world = await openPatientWorld(t, { maxAttempts: 2 });
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -41,7 +41,7 @@
     NextServerOptions,
     SenderOptions,
     AnswerReaderOptions,
-    Omit<ResendsOptions, "hasOther">,
+    Omit<ResendsOptions, "hasOther" | "fleet">,
     Pick<AnsweringParts, "log" | "quarantine"> {
   /** Limits of workspaces. */
   quotas: Pick<Quotas, "admit" | "runsAgain" | "giveBack">;
--- a/src/router/resends.ts
+++ b/src/router/resends.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../base/mod.ts";
 import { isIdempotent } from "./answer_rules.ts";
 import type { Payment, Progress } from "./attempt.ts";
+import type { Fleet } from "./fleet.ts";
 import { ResendRefusal, type RoutedRequest } from "./request.ts";
 import { ResendBudget, type ResendLimits } from "./resend_budget.ts";
 
@@ -18,6 +19,8 @@
 /** What {@link Resends} work with. */
 export interface ResendsOptions {
   clock: Clock;
+  /** A server that is not there any more has ended. */
+  fleet: Pick<Fleet, "has">;
   resendLimits: ResendLimits;
   /** Entries that may live, this one included; they share the budget of resends. */
   entryCount(): number;
@@ -152,8 +155,11 @@
       return ResendRefusal.notRepeatable;
     }
     // Runs at servers that have ended are none of the attempts that a route bounds.
+    const { fleet } = this.#options;
     const endedCount =
-      [...ranAt].filter(({ health }) => health.hasEnded).length;
+      [...ranAt].filter((server) =>
+        server.health.hasEnded || !fleet.has(server)
+      ).length;
     if (runCount - endedCount >= route.maxAttempts) {
       return ResendRefusal.attemptsUsed;
     }
