Place streams at one engine each where their runs are moved

Tests of moved runs asked for two streams at once and waited until both engines had one. Where a request goes is a matter of chance when an entry has not heard of the others' load for a while (the jitter grows with that age), and beside load an entry refuses some: then the wait had no end ("run is moved only if it can be sent on once more" hung, with 16 entries).

streamAtEach in _patient_world.ts asks for the first stream while there is one engine, and for the second while the first engine's registration says that it leaves; then it is ready again. Requests that were not taken are asked for anew. Ruled out: loading the first engine (the jitter has no bound), and another prompt (a further run changes what is counted).

Spoilt answers share their two engines.

_patient_world.ts spelt names of the platform's, and names_test.ts failed.

--- a/src/router/_patient_world.ts
+++ b/src/router/_patient_world.ts
@@ -5,7 +5,9 @@
 import {
   ask,
   type Asked,
-  CONFIG,
+  attemptOf,
+  configWith,
+  headersOf,
   PROMPT,
   type StandinPlatformWorker,
   streamOf,
@@ -23,7 +25,10 @@
 /** Far beyond what the pauses take, also beside load. */
 export const TIME_MS = 30_000;
 /** Headers of a model request with that time. */
-export const ASKED = { ...PROMPT, "deadline-ms": `${TIME_MS}` };
+export const ASKED: Record<string, string> = {
+  ...PROMPT,
+  ...headersOf({ timeMs: TIME_MS }),
+};
 
 /** Pause of clients before they come back. */
 const COME_BACK_MS = 100;
@@ -53,12 +58,7 @@
 ): Promise<PatientWorld> {
   const { log, lines } = recordedLog();
   const world = await openWorld(t, { entryCount, log });
-  const routes = CONFIG.routes.map((route) => ({
-    ...route,
-    timeout_ms: TIME_MS,
-    max_attempts: maxAttempts ?? route["max_attempts"],
-  }));
-  await useConfig(world, { ...CONFIG, version: 2, routes });
+  await useConfig(world, configWith(2, { timeoutMs: TIME_MS, maxAttempts }));
   for (const entry of world.entries) {
     await until(() =>
       knows(entry, `"entries":${entryCount}`) &&
@@ -85,10 +85,10 @@
     entry?: TestEntry;
   } = {},
 ): Promise<Asked> {
-  const id = headers["attempt-id"] ?? "attempt-1";
+  const id = attemptOf(headers) ?? "attempt-1";
   const hasRun = () =>
     world.workers.some(({ runs }) =>
-      runs.some((run) => run.headers["attempt-id"] === id)
+      runs.some((run) => attemptOf(run.headers) === id)
     );
   while (true) {
     const asked = await ask(entry, path, headers);
@@ -108,11 +108,7 @@
   i: number,
   entry: TestEntry = world,
 ): Promise<Asked> {
-  const headers = {
-    ...ASKED,
-    "attempt-id": `other-${i}`,
-    "prompt-prefix": `a${i}:1000,b${i}:200`,
-  };
+  const headers = { ...ASKED, ...headersOf({ id: `other-${i}`, prompt: i }) };
   return askTaken(world, `/stream/other-${i}`, { headers, entry });
 }
 
@@ -172,6 +168,57 @@
   setTimeout(() => worker.faults.refuse = 0, forMs);
 }
 
+/** Two engines, and a stream at each. */
+export interface StreamAtEach {
+  engines: StandinPlatformWorker[];
+  /** In the engines' order. */
+  answers: Promise<Asked>[];
+}
+
+/** Events of a {@link StreamAtEach}. */
+export const LONG_EVENTS = 60;
+
+/**
+ * Streams that run long enough to be moved. Which engine a request goes to is a matter of chance
+ * where an entry has not heard of the other ones' load for a while: only one takes requests as each
+ * of the streams is asked for.
+ *
+ * @param world A world without engines.
+ * @param options Name of the streams' route, and headers.
+ * @returns The streams, which have begun to run.
+ */
+export async function streamAtEach(
+  world: World,
+  { route = "stream", headers = PROMPT }: {
+    route?: string;
+    headers?: Record<string, string>;
+  } = {},
+): Promise<StreamAtEach> {
+  const slow = { model: "m", events: LONG_EVENTS, eventMs: 25 };
+  const askAt = async (engine: StandinPlatformWorker, prompt: number) => {
+    const own = headersOf({ id: `long-${prompt}`, prompt });
+    const answer = askTaken(world, `/${route}/${prompt}`, {
+      headers: { ...headers, ...own },
+    });
+    await until(() => engine.runs.length > 0);
+    return { answer };
+  };
+  const first = await world.worker("i-1", slow);
+  const atFirst = await askAt(first, 0);
+  const second = await world.worker("i-2", slow);
+  const key = "servers/i-1";
+  const isLeaving = (entry: TestEntry) => knows(entry, '"leaving":true');
+  await world.store.put(key, first.entry("engines", { state: "draining" }));
+  await until(() => isLeaving(world));
+  const atSecond = await askAt(second, 1);
+  await world.store.put(key, first.entry("engines"));
+  await until(() => !world.entries.some(isLeaving));
+  return {
+    engines: [first, second],
+    answers: [atFirst.answer, atSecond.answer],
+  };
+}
+
 /** A stream with its events held back until a test lets them go. */
 export interface Gate {
   opened: Promise<void>;
--- a/src/router/router_test.ts
+++ b/src/router/router_test.ts
@@ -3,7 +3,6 @@
 import { test } from "node:test";
 import {
   ask,
-  type Asked,
   CONFIG,
   HOST,
   KEY,
@@ -88,85 +87,6 @@
   assert.equal(workers.flatMap(({ runs }) => runs).length, 1);
 });
 
-test("long runs go on elsewhere when their engine's weights are to change", async (t) => {
-  for (const moveFull of [0, 9]) {
-    const world = await openWorld(t);
-    const slow = { model: "m", events: 60, eventMs: 25 };
-    const workers = [
-      await world.worker("i-1", slow),
-      await world.worker("i-2", slow),
-    ];
-    for (const worker of workers) worker.faults.moveFull = moveFull;
-    const paths = ["/stream/a", "/stream/b"];
-    const answers = paths.map((path, i) =>
-      ask(world, path, {
-        ...PROMPT,
-        "prompt-prefix": `a${i}:1000,b${i}:200`,
-        "attempt-id": `${path}-${moveFull}`,
-      })
-    );
-    await until(() => workers.every(({ runs }) => runs.length > 0));
-    await world.store.put("op/version/m", { model: "m", version: 2 });
-    for (const answer of answers) {
-      const { isWhole, body } = await answer;
-      assert.equal(body, streamOf(60));
-      assert.ok(isWhole);
-    }
-    const runs = workers.flatMap(({ runs }) => runs);
-    const resumed = runs.filter((run) => run.headers["last-event-id"]);
-    assert.equal(resumed.length, 1);
-    const copied = resumed.filter((run) => run.headers["kv-from"]);
-    assert.equal(copied.length, moveFull ? 0 : 1);
-    await until(() => workers.every(({ version }) => version === 2));
-    await world.router.stop();
-  }
-});
-
-// A run was moved, the engine refused it, and the budget of resends had room for the move only: the
-// answer ended in the middle ("broken_off", "refused_503", servers 2, 13.3 s left).
-test("run is moved only if it can be sent on once more", async (t) => {
-  // Each entry's part of the budget is one resend at first.
-  const world = await openWorld(t, { entryCount: 16 });
-  const answers = await answersOfMovedRuns(world);
-  for (const { isWhole, body } of answers) {
-    assert.ok(isWhole);
-    assert.equal(body, streamOf(60));
-  }
-});
-
-test("copy that its engine does not take is freed, and the run resumed", async (t) => {
-  const world = await openWorld(t);
-  const answers = await answersOfMovedRuns(world);
-  for (const { isWhole, body } of answers) {
-    assert.ok(isWhole);
-    assert.equal(body, streamOf(60));
-  }
-  const freed = world.workers.flatMap(({ freedCopies }) => freedCopies);
-  assert.equal(freed.length, 1);
-});
-
-test("run that may not be repeated ends where it began", async (t) => {
-  const world = await openWorld(t);
-  const slow = { model: "m", events: 60, eventMs: 25 };
-  const workers = [
-    await world.worker("i-1", slow),
-    await world.worker("i-2", slow),
-  ];
-  const answers = ["a", "b"].map((path, i) =>
-    ask(world, `/once/${path}`, {
-      ...PROMPT,
-      "prompt-prefix": `a${i}:1000,b${i}:200`,
-      "attempt-id": path,
-    })
-  );
-  await until(() => workers.every(({ runs }) => runs.length > 0));
-  await world.store.put("op/version/m", { model: "m", version: 2 });
-  for (const answer of answers) {
-    assert.equal((await answer).body, streamOf(60));
-  }
-  assert.equal(workers.flatMap(({ runs }) => runs).length, 2);
-});
-
 test("call that may have run is not sent again", async (t) => {
   const world = await openWorld(t);
   const workers = [await world.worker("i-1"), await world.worker("i-2")];
@@ -383,23 +303,3 @@
   const asked = await ask(world, "/stream/a", PROMPT);
   assert.equal(asked.headers["weight-versions"], "2");
 });
-
-/** Two streams whose weights change while they run; the engines refuse the next run each. */
-async function answersOfMovedRuns(world: World): Promise<Asked[]> {
-  const slow = { model: "m", events: 60, eventMs: 25 };
-  const workers = [
-    await world.worker("i-1", slow),
-    await world.worker("i-2", slow),
-  ];
-  const answers = ["/stream/a", "/stream/b"].map((path, i) =>
-    ask(world, path, {
-      ...PROMPT,
-      "prompt-prefix": `a${i}:1000,b${i}:200`,
-      "attempt-id": `moved-${path.at(-1)}`,
-    })
-  );
-  await until(() => workers.every(({ runs }) => runs.length > 0));
-  for (const worker of workers) worker.faults.refuse = 1;
-  await world.store.put("op/version/m", { model: "m", version: 2 });
-  return Promise.all(answers);
-}
--- a/src/router/spoilt_answers_test.ts
+++ b/src/router/spoilt_answers_test.ts
@@ -248,6 +248,24 @@
   };
 }
 
+/** Two engines, of which the one that is asked first breaks off; counts what they are asked. */
+async function serveBroken(
+  t: TestContext,
+  world: World,
+  resumed: (id: string) => string,
+): Promise<{ count: number }> {
+  const asked = { count: 0 };
+  const answer = breakFirst(resumed);
+  for (const id of ["i-1", "i-2"]) {
+    await serveBytes(t, world, {
+      id,
+      service: "engines",
+      answer: (socket, attemptId) => answer(socket, attemptId, ++asked.count),
+    });
+  }
+  return asked;
+}
+
 // The client has the head of the stream already: another answer's head can't follow.
 const OTHER_ANSWERS: Record<string, (id: string) => string> = {
   "server's own failure": (id) =>
@@ -262,22 +280,14 @@
   test(`broken stream whose next server answers otherwise ends broken: ${name}`, async (t) => {
     const rejections = watchRejections(t);
     const world = await openWorld(t);
-    let nth = 0;
-    const answer = breakFirst(resumed);
-    for (const id of ["i-1", "i-2"]) {
-      await serveBytes(t, world, {
-        id,
-        service: "engines",
-        answer: (socket, attemptId) => answer(socket, attemptId, ++nth),
-      });
-    }
+    const asked = await serveBroken(t, world, resumed);
     const read = await Promise.race([
       askWhenTaken(world, "/stream/a", PROMPT),
       sleep(3000),
     ]);
     assert.deepEqual(rejections, []);
     assert.ok(read, "The stream did not end");
-    assert.equal(nth, 2);
+    assert.equal(asked.count, 2);
     assert.equal(read.isWhole, false);
     assert.equal(read.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
   });
@@ -286,17 +296,12 @@
 test("events that a resumed stream repeats are not joined to those before", async (t) => {
   const world = await openWorld(t);
   const events = "id: 2\ndata: b\n\nid: 3\ndata: c\n\n";
-  let nth = 0;
-  const answer = breakFirst((id) =>
-    `${SEALED}attempt-id: ${id}\r\ncontent-length: ${events.length}\r\n\r\n${events}`
+  await serveBroken(
+    t,
+    world,
+    (id) =>
+      `${SEALED}attempt-id: ${id}\r\ncontent-length: ${events.length}\r\n\r\n${events}`,
   );
-  for (const id of ["i-1", "i-2"]) {
-    await serveBytes(t, world, {
-      id,
-      service: "engines",
-      answer: (socket, attemptId) => answer(socket, attemptId, ++nth),
-    });
-  }
   const read = await askWhenTaken(world, "/stream/a", PROMPT);
   assert.equal(read.isWhole, false);
   assert.equal(read.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
@@ -305,20 +310,15 @@
 test("resumed stream that is cut between events ends broken", async (t) => {
   const world = await openWorld(t);
   const events = "id: 3\ndata: c\n\n";
-  let nth = 0;
-  const answer = breakFirst((id) =>
-    `${SEALED}attempt-id: ${id}\r\nconnection: close\r\n` +
-    `transfer-encoding: chunked\r\n\r\n${
-      events.length.toString(16)
-    }\r\n${events}\r\n`
+  await serveBroken(
+    t,
+    world,
+    (id) =>
+      `${SEALED}attempt-id: ${id}\r\nconnection: close\r\n` +
+      `transfer-encoding: chunked\r\n\r\n${
+        events.length.toString(16)
+      }\r\n${events}\r\n`,
   );
-  for (const id of ["i-1", "i-2"]) {
-    await serveBytes(t, world, {
-      id,
-      service: "engines",
-      answer: (socket, attemptId) => answer(socket, attemptId, ++nth),
-    });
-  }
   const read = await askWhenTaken(world, "/stream/a", PROMPT);
   assert.equal(read.isWhole, false);
 });
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -35,12 +35,17 @@
 export {
   ask,
   type Asked,
+  attemptOf,
+  type ClientWords,
   CONFIG,
+  configWith,
   type EntryAddress,
+  headersOf,
   HOST,
   KEY,
   PROMPT,
   readiness,
+  type RouteSettings,
   streamOf,
 } from "./platform_client.ts";
 export {
--- a/src/standin/platform_client.ts
+++ b/src/standin/platform_client.ts
@@ -122,6 +122,53 @@
   "prompt-prefix": "aa:1000,bb:200",
 };
 
+/** What a client says of one of several requests; what is left out is as in all others. */
+export interface ClientWords {
+  /** Id of the attempt. */
+  id?: string;
+  /** How long it waits. */
+  timeMs?: number;
+  /** Number of the prompt: only requests with the same one share a part of it. */
+  prompt?: number;
+}
+
+/** @returns Headers that say so. */
+export function headersOf(
+  { id, timeMs, prompt }: ClientWords,
+): Record<string, string> {
+  return {
+    ...(id === undefined ? {} : { "attempt-id": id }),
+    ...(timeMs === undefined ? {} : { "deadline-ms": `${timeMs}` }),
+    ...(prompt === undefined
+      ? {}
+      : { "prompt-prefix": `a${prompt}:1000,b${prompt}:200` }),
+  };
+}
+
+/** @returns Id of the attempt that a request with these headers is; nothing if they say none. */
+export function attemptOf(headers: Record<string, unknown>): unknown {
+  return headers["attempt-id"];
+}
+
+/** Settings of all routes; what is left out is as in {@link CONFIG}. */
+export interface RouteSettings {
+  timeoutMs?: number;
+  maxAttempts?: number;
+}
+
+/** @returns A {@link CONFIG} of this version whose routes have these settings. */
+export function configWith(
+  version: number,
+  { timeoutMs, maxAttempts }: RouteSettings,
+): typeof CONFIG {
+  const routes = CONFIG.routes.map((route) => ({
+    ...route,
+    timeout_ms: timeoutMs ?? route["timeout_ms"],
+    max_attempts: maxAttempts ?? route["max_attempts"],
+  }));
+  return { ...CONFIG, version, routes };
+}
+
 /** @returns The body of a whole stream. */
 export function streamOf(events: number): string {
   return StandinPlatformWorker.streamText("x", events);
