Place the tests of the review by what they test

The head in patience_test.ts had no framing, so that the reader refused it, and the test took that for the beginning of the answer. It is framed now, and what is read is checked.

Moved runs in broken_answer_test.ts and silent_engine_test.ts are placed by streamAtEach, too.

--- a/src/router/broken_answer_test.ts
+++ b/src/router/broken_answer_test.ts
@@ -16,19 +16,25 @@
   askOther,
   askTaken,
   assertAllWhole,
+  assertWhole,
   type Gate,
+  LONG_EVENTS,
   openPatientWorld,
   type PatientWorld,
   type PatientWorldOptions,
   refuseFor,
+  requestsOf,
   runsOf,
   shutGate,
+  streamAtEach,
 } from "./_patient_world.ts";
 import { knows, until } from "./_world.ts";
 
 /** As long as an engine or its place in the store may need to come back. */
 const AWAY_MS = 500;
 const ENTRY_COUNTS = [1, 16];
+/** Longer than the pause between two refusals while a run is open. */
+const SILENT_MS = 2500;
 /** Streams at the engines that end together. */
 const STREAM_COUNT = 8;
 /** Streams at the engine that is left, beforehand. */
@@ -170,13 +176,7 @@
 // A run whose copy was refused was broken off where the other engine refused for a moment, too.
 test("copy of a moved run is refused, and the other engine refuses for a while", async (t) => {
   const world = await openPatientWorld(t);
-  const slow = { model: "m", events: 60, eventMs: 25 };
-  const engines = [
-    await world.worker("i-1", slow),
-    await world.worker("i-2", slow),
-  ];
-  const answers = [1, 2].map((i) => askOther(world, i));
-  await until(() => engines.every(({ runs }) => runs.length > 0));
+  const { engines, answers } = await streamAtEach(world, { headers: ASKED });
   for (const { faults } of engines) faults.refuse = Infinity;
   await world.store.put("op/version/m", { model: "m", version: 2 });
   await until(() => engines.some(({ refused }) => refused > 0));
@@ -187,7 +187,7 @@
       event === "run_moved" && answer === "copied"
     ),
   );
-  assertAllWhole(world, asked, { events: 60 });
+  assertAllWhole(world, asked, { events: LONG_EVENTS });
 });
 
 // What may run once is not run again, however much of its time is left.
@@ -239,6 +239,21 @@
   assert.equal(runsOf(world), 3);
 });
 
+// Refusals while the engine was silent used up the sends, and its end cut the answer.
+test("silent engine breaks off after another one refused", async (t) => {
+  const world = await openPatientWorld(t, { maxAttempts: 3 });
+  const hangs = { ...NO_FAULTS, hang: 1 };
+  const first = await world.worker("i-1", { model: "m", faults: hangs });
+  const answer = ask(world, "/stream/a", ASKED);
+  await until(() => first.runs.length > 0);
+  const refuses = { ...NO_FAULTS, refuse: 3 };
+  const other = await world.worker("i-2", { model: "m", faults: refuses });
+  await until(() => other.refused >= 3);
+  await sleep(SILENT_MS);
+  await first.down();
+  assertWhole(await answer, JSON.stringify(requestsOf(world.lines)));
+});
+
 // Waiting for an engine must not lead to more runs than the route allows.
 test("stream that breaks off everywhere runs as often as its route allows", async (t) => {
   const world = await openPatientWorld(t, { maxAttempts: 2 });
--- a/src/router/open_answer_test.ts
+++ b/src/router/open_answer_test.ts
@@ -7,6 +7,7 @@
 import {
   ask,
   type Asked,
+  headersOf,
   NO_FAULTS,
   type StandinPlatformWorker,
   type StandinPlatformWorkerFaults,
@@ -60,8 +61,7 @@
   pausing.runs.length = 0;
   pausing.faults.stall = options.stall ??
     { afterEvent: 2, pauseMs: PAUSE_MS };
-  const timeMs = options.timeMs;
-  const headers = timeMs ? { ...ASKED, "deadline-ms": `${timeMs}` } : ASKED;
+  const headers = { ...ASKED, ...headersOf({ timeMs: options.timeMs }) };
   const answer = askTaken(world, options.path ?? "/stream/a", { headers });
   await until(() => pausing.runs.length > 0);
   const made: StandinPlatformWorker[] = [];
@@ -124,6 +124,19 @@
   });
 }
 
+// The first refusals used the sends up where it refused for longer, and less time was left.
+test("engine is gone, the only other one refuses for two seconds", async (t) => {
+  const { world, others, answer } = await pausedStream(
+    t,
+    [{ refuse: Infinity }],
+    { stall: { afterEvent: 2, pauseMs: GONE_MS }, timeMs: 10_000 },
+  );
+  const [other] = others;
+  await until(() => other!.refused > 0);
+  refuseFor(other!, 2000);
+  assertAllWhole(world, [await answer]);
+});
+
 // A refusal for other weights left the request without an engine, too.
 test("pause while the other engine refuses for its weights", async (t) => {
   await assertOutlasts(t, [{ refuseWeights: OFTEN }]);
@@ -162,6 +175,44 @@
   assert.ok(runsOf(world) <= 2);
 });
 
+// The silent run was closed for another one's head, behind which no event ever came.
+test("engine speaks again while the other one stops behind its head", async (t) => {
+  for (const afterEvent of [0, 2]) {
+    const { world, answer } = await pausedStream(
+      t,
+      [{ stall: { afterEvent, pauseMs: GONE_MS, isBehindHead: true } }],
+      {
+        stall: { afterEvent, pauseMs: PAUSE_MS },
+        timeMs: 9000,
+        maxAttempts: 2,
+      },
+    );
+    assertAllWhole(world, [await answer]);
+    await world.router.stop();
+  }
+});
+
+// A stream that seemed to wait behind another one at its engine was not asked for elsewhere.
+test("engine stops behind another answer while a free one is there", async (t) => {
+  const world = await openPatientWorld(t);
+  const gate = shutGate();
+  const faults = {
+    ...NO_FAULTS,
+    stall: { afterEvent: 0, pauseMs: 0, opened: gate.opened },
+  };
+  const first = await world.worker("i-1", { model: "m", faults });
+  const before = askOther(world, 1);
+  await until(() => first.runs.length === 1);
+  faults.hang = 1;
+  const headers = { ...ASKED, ...headersOf({ timeMs: 9000 }) };
+  const answer = askTaken(world, "/stream/a", { headers });
+  await until(() => first.runs.length === 2);
+  gate.open();
+  await before;
+  await world.engine("i-2");
+  assertAllWhole(world, [await answer], { requests: 2 });
+});
+
 // Two engines going on with one stream would send events twice and work in vain.
 test("silent engine is ended once the other one has answered", async (t) => {
   for (const afterEvent of [0, 2]) {
--- a/src/router/patience_test.ts
+++ b/src/router/patience_test.ts
@@ -9,7 +9,14 @@
 
 const HEAD: AnswerStep = {
   kind: "head",
-  head: { status: 200, headers: { "server-seal": "s", "attempt-id": "r-1" } },
+  head: {
+    status: 200,
+    headers: {
+      "server-seal": "s",
+      "attempt-id": "r-1",
+      "transfer-encoding": "chunked",
+    },
+  },
 };
 const EVENT: AnswerStep = {
   kind: "data",
@@ -53,15 +60,27 @@
   const steps: AnswerStep[] = [];
   const send = sendOf(clock, steps);
   // Other engines were asked at once where the head came late and the first event behind it.
-  for (const step of [HEAD, EVENT]) {
+  for (const [step, kind] of [[HEAD, "began"], [EVENT, "events"]] as const) {
     clock.advance(5000);
     assert.ok(isSilent(send, clock.nowMs()));
     steps.push(step);
-    assert.ok(reader.read(send));
+    assert.equal(reader.read(send)?.kind, kind);
     assert.ok(!isSilent(send, clock.nowMs()));
   }
 });
 
+// A head has more time than an event: one that came in between made its stream silent at once.
+test("head that comes within its time makes no stream silent", () => {
+  const { clock, reader } = create();
+  const steps: AnswerStep[] = [];
+  const send = sendOf(clock, steps);
+  clock.advance(1300);
+  assert.equal(isSilent(send, clock.nowMs()), false);
+  steps.push(HEAD);
+  assert.equal(reader.read(send)?.kind, "began");
+  assert.equal(isSilent(send, clock.nowMs()), false);
+});
+
 test("stream that may run once is never silent for too long", () => {
   const { clock } = create();
   const send = sendOf(clock, []);
--- a/src/router/resend_budget_test.ts
+++ b/src/router/resend_budget_test.ts
@@ -117,6 +117,33 @@
   assert.equal(budget.left("engines"), whole);
 });
 
+// Given back after its window, a send was there twice.
+test("refund after its window adds nothing", () => {
+  const { clock, budget } = create(1);
+  clock.advance(LIMITS.windowMs);
+  const atMs = clock.nowMs();
+  assert.ok(budget.spend("engines", 2));
+  clock.advance(2 * LIMITS.windowMs);
+  const used = drainForBegun(budget);
+  budget.refund("engines", 2, { atMs });
+  assert.equal(drainForBegun(budget), 0, `${used} used`);
+});
+
+// Given back late in its window, sends counted for the window after it as well.
+test("refund late in its window adds nothing to the next one", () => {
+  const { clock, budget } = create(1);
+  clock.advance(LIMITS.windowMs);
+  const atMs = clock.nowMs();
+  assert.ok(budget.spend("engines", 20));
+  clock.advance(LIMITS.windowMs * 0.9);
+  let used = drainForBegun(budget);
+  budget.refund("engines", 20, { atMs });
+  used += drainForBegun(budget);
+  clock.advance(LIMITS.windowMs * 0.2);
+  used += drainForBegun(budget);
+  assert.ok(used <= 75, `${used} used`);
+});
+
 // Entries that spend all they can at the moments that suit them worst.
 test("no window has more resends than all entries together are allowed", () => {
   const entryCount = 8;
--- a/src/router/run_mover_test.ts
+++ b/src/router/run_mover_test.ts
@@ -3,8 +3,9 @@
 import type { AddressInfo } from "node:net";
 import { test, type TestContext } from "node:test";
 import { registration, silentLog, TestClock, testFleet } from "./_kit.ts";
-import type { Send } from "./attempt.ts";
+import type { PartialAnswer, Send } from "./attempt.ts";
 import type { Fleet } from "./fleet.ts";
+import { RequestKind } from "./model.ts";
 import { RunMover } from "./run_mover.ts";
 import { WantedVersions } from "./wanted_weights.ts";
 
@@ -129,6 +130,27 @@
   }
 });
 
+// A stream that was resumed and had no head yet was moved: its client had an event, its run had none.
+test("run that has not begun is not moved", () => {
+  const { clock, fleet, mover } = create();
+  fleet.put(registration("from"));
+  const server = fleet.get("from");
+  assert.ok(server);
+  server.isChanging = () => true;
+  const send = {
+    choice: { server },
+    request: {
+      route: { kind: RequestKind.stream, resumable: true },
+      facts: { prompt: { outputTokens: 80 } },
+      answerByMs: clock.nowMs() + 9000,
+    },
+    progress: { begun: true, lastEventId: "2" },
+  } as unknown as Send;
+  assert.equal(mover.isDue(send), false);
+  const answer = {} as unknown as PartialAnswer;
+  assert.equal(mover.isDue({ ...send, answer }), true);
+});
+
 test("run is moved to an engine whose weights may still begin answers", async () => {
   assert.ok(await isMoved(0));
   assert.ok(await isMoved(8000));
--- a/src/router/silent_engine_test.ts
+++ b/src/router/silent_engine_test.ts
@@ -10,8 +10,10 @@
 import {
   ASKED,
   assertWhole,
+  LONG_EVENTS,
   openPatientWorld,
   runsOf,
+  streamAtEach,
 } from "./_patient_world.ts";
 import { openWorld, until, useConfig, type World } from "./_world.ts";
 
@@ -83,27 +85,15 @@
 
 test("run whose copy was refused outlasts a pause where it goes on", async (t) => {
   const world = await openPatientWorld(t);
-  const slow = { model: "m", events: 60, eventMs: 25 };
-  const workers = [
-    await world.worker("i-1", slow),
-    await world.worker("i-2", slow),
-  ];
-  const answers = ["/stream/a", "/stream/b"].map((path, i) =>
-    ask(world, path, {
-      ...ASKED,
-      "prompt-prefix": `a${i}:1000,b${i}:200`,
-      "attempt-id": `moved-${path.at(-1)}`,
-    })
-  );
-  await until(() => workers.every(({ runs }) => runs.length > 0));
-  for (const { faults } of workers) {
+  const { engines, answers } = await streamAtEach(world, { headers: ASKED });
+  for (const { faults } of engines) {
     faults.refuse = 1;
     faults.stall = { afterEvent: 50, pauseMs: PAUSE_MS };
   }
   await world.store.put("op/version/m", { model: "m", version: 2 });
   for (const { body, isWhole } of await Promise.all(answers)) {
     assert.ok(isWhole);
-    assert.equal(body, streamOf(60));
+    assert.equal(body, streamOf(LONG_EVENTS));
   }
 });
 
@@ -143,3 +133,14 @@
   assert.equal(asked.status, 200);
   assert.equal(worker.runs.length, 1);
 });
+
+// The failure of the only server that had answered was kept back for one that said nothing.
+test("server's own failure is passed on beside a silent run", async (t) => {
+  const world = await openWorld(t);
+  const hangs = { ...NO_FAULTS, hang: 1 };
+  const first = await world.worker("i-1", { faults: hangs });
+  const answer = ask(world, "/look/a", { "deadline-ms": "4500" });
+  await until(() => first.runs.length > 0);
+  await world.worker("i-2", { faults: { ...NO_FAULTS, fail: 1 } });
+  assert.equal((await answer).status, 500);
+});
