--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -16,7 +16,12 @@
 import { Intake } from "./intake.ts";
 import type { LoopLag } from "./loop_lag.ts";
 import { ResponseSink } from "./response_sink.ts";
-import type { AnswerSink, RoutedRequest, Served } from "./request.ts";
+import type {
+  AnswerSink,
+  LocalAnswer,
+  RoutedRequest,
+  Served,
+} from "./request.ts";
 import type { RequestFacts, Route, ServiceShare } from "./model.ts";
 import type { RoutingTable } from "./routing_table.ts";
 
@@ -33,19 +38,6 @@
 /** Pause between looks at whether all requests are over. */
 const DRAIN_POLL_MS = 50;
 
-/** Why the router answered by itself. */
-export type LocalAnswer =
-  | "not_ready"
-  | "unknown_route"
-  | "unknown_key"
-  | "headers_too_large"
-  | "too_large"
-  | "stopping"
-  | "unsure"
-  | "overloaded"
-  | "expired"
-  | "client_gone";
-
 /** What an {@link Ingress} works with. */
 export interface IngressOptions {
   clock: Clock;
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -121,3 +121,16 @@
   /** Expected time until it is there. */
   readyInMs: number;
 }
+
+/** Why the router answered by itself. */
+export type LocalAnswer =
+  | "not_ready"
+  | "unknown_route"
+  | "unknown_key"
+  | "headers_too_large"
+  | "too_large"
+  | "stopping"
+  | "unsure"
+  | "overloaded"
+  | "expired"
+  | "client_gone";
--- a/src/router/request_log.ts
+++ b/src/router/request_log.ts
@@ -1,8 +1,13 @@
 /** One log line for each request, bounded in number, and the metrics of requests. */
 import type { Clock, Logger, Metrics } from "../base/mod.ts";
 import { digestOf } from "./request_digest.ts";
-import type { GivenUp, Outcome, RoutedRequest, Served } from "./request.ts";
-import type { LocalAnswer } from "./ingress.ts";
+import type {
+  GivenUp,
+  LocalAnswer,
+  Outcome,
+  RoutedRequest,
+  Served,
+} from "./request.ts";
 import type { RequestFacts } from "./model.ts";
 
 /** Lines of answered requests a second; failed and refused ones have as many for themselves. */
