--- a/src/router/next_server.ts
+++ b/src/router/next_server.ts
@@ -73,11 +73,12 @@
     openAt: ReadonlySet<Server>,
   ): Choice | undefined {
     const ran = new Set([...progress.ranAt, ...openAt]);
-    const lots = openAt.size > 0
+    // Servers that it was not sent to come first, then those that refused it, then where it ran.
+    const exclusions = openAt.size > 0
       ? [progress.tried, ran]
       : [progress.tried, ran, openAt];
-    for (const left of lots) {
-      const found = this.#chooseBut(request, left);
+    for (const excluded of exclusions) {
+      const found = this.#chooseBut(request, excluded);
       if (found && this.#isReady(found.server)) return found;
     }
     return undefined;
