Log, count and dump the request rate that a server names in its answers

The head of an answer is now decoded for the rate, each entry keeps the newest statement (a higher rate or none only from the answer to a request sent after the known one was named), logs each change as server_rate with its source, dumps it in /state and counts the sends to such servers by kind (first, resend, resumed, moved). Nothing that is sent changes.

The stand-in names a rate and records the times of arrivals.

--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -1,11 +1,13 @@
 /** Translates headers of client requests, forwarded requests and backend servers' answers. */
 import type { IncomingHttpHeaders } from "node:http";
-import type {
-  AnswerFacts,
-  ForwardFacts,
-  PromptFacts,
-  PromptPart,
-  RequestFacts,
+import {
+  type AnswerFacts,
+  type AnswerRate,
+  AnswerRateKind,
+  type ForwardFacts,
+  type PromptFacts,
+  type PromptPart,
+  type RequestFacts,
 } from "../router/model.ts";
 import { Header, KEY_SCHEME } from "./names.ts";
 
@@ -121,6 +123,7 @@
       firstValue(headers, Header.weightsVersion),
     ),
     leaving: firstValue(headers, Header.leaving) === "1",
+    rate: readRate(firstValue(headers, Header.requestRate)),
     retryAfterMs: secondsToMs(
       parseNonNegative(firstValue(headers, Header.retryAfter)),
     ),
@@ -236,6 +239,14 @@
   });
 }
 
+function readRate(value: string | undefined): AnswerRate {
+  if (value === undefined) return { kind: AnswerRateKind.none };
+  const perSecond = parseNonNegative(value);
+  return perSecond === undefined
+    ? { kind: AnswerRateKind.malformed, value }
+    : { kind: AnswerRateKind.limited, perSecond };
+}
+
 function firstValue(
   headers: IncomingHttpHeaders,
   name: string,
--- a/src/platform/headers_test.ts
+++ b/src/platform/headers_test.ts
@@ -27,3 +27,14 @@
   ];
   for (const value of malformed) assert.equal(retryAfterMs(value), undefined);
 });
+
+test("rate of requests that a server takes is a number from 0 up", () => {
+  const rate = (value?: string) =>
+    readAnswer(200, { [Header.requestRate]: value }).rate;
+  assert.deepEqual(rate(), { kind: "none" });
+  assert.deepEqual(rate("2.1"), { kind: "limited", perSecond: 2.1 });
+  assert.deepEqual(rate("0"), { kind: "limited", perSecond: 0 });
+  for (const value of ["", "many", "-1", "Infinity", "2,1"]) {
+    assert.deepEqual(rate(value), { kind: "malformed", value });
+  }
+});
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -16,6 +16,7 @@
   retryAfter: "retry-after",
   serverId: "instance-id",
   leaving: "server-leaving",
+  requestRate: "server-limit",
   model: "model",
   tokenCounts: "token-usage",
   cacheSalt: "cache-salt",
--- a/src/router/announcements.ts
+++ b/src/router/announcements.ts
@@ -1,7 +1,9 @@
 /**
  * Announcements that a backend server makes in its answers: that it is leaving, which its
- * registration may show later or never, and that it wants no requests of this entry for a while.
+ * registration may show later or never, that it wants no requests of this entry for a while, and how
+ * many requests a second it takes from all entries together.
  */
+import { StatedRate } from "./rate_statement.ts";
 
 /** Expiry of a leaving announcement; a leaving server ends well before. */
 const LEAVING_EXPIRY_MS = 600_000;
@@ -10,6 +12,8 @@
 
 /** Announcements of one server start. */
 export class Announcements {
+  /** The rate of requests that the server takes. */
+  readonly rate = StatedRate.create();
   #leavingAnnouncedAtMs = -Infinity;
   #pausedUntilMs = -Infinity;
 
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -3,10 +3,12 @@
 import { LRUMap } from "../placement/lru_map.ts";
 import type { Announcements } from "./announcements.ts";
 import {
+  AnswerRateKind,
   type BackendServer,
   incarnationKey,
   isSameIncarnation,
 } from "./model.ts";
+import type { RateAnswer, RateStatement } from "./rate_statement.ts";
 import { Server, type ServerOptions } from "./server.ts";
 import type { Outage } from "./store_contact.ts";
 
@@ -142,6 +144,34 @@
     });
   }
 
+  /**
+   * Records what an answer says about the rate of requests that its server takes.
+   *
+   * @param server The server.
+   * @param answer The answer.
+   */
+  recordRate(server: Server, answer: RateAnswer): void {
+    const { clock, log } = this.#options;
+    const { rate } = server.announcements;
+    if (rate.record(answer, clock.nowMs())) this.#logRate(server, "answer");
+    if (answer.rate.kind === AnswerRateKind.malformed) {
+      const { value } = answer.rate;
+      log.warn({ event: "server_rate_malformed", server: server.id, value });
+    }
+  }
+
+  /**
+   * Adopts what another entry was told about the rate of requests that a server takes.
+   *
+   * @param server The server.
+   * @param statement What the server said.
+   */
+  mergeRate(server: Server, statement: RateStatement): void {
+    if (server.announcements.rate.merge(statement)) {
+      this.#logRate(server, "entry");
+    }
+  }
+
   /**
    * Adds or updates a server.
    *
@@ -236,6 +266,17 @@
     for (const { channels } of this.#servers.values()) channels.closeIdle();
   }
 
+  /** @param source Who told: the server's answer, or another entry. */
+  #logRate({ id, announcements }: Server, source: "answer" | "entry"): void {
+    this.#options.log.info({
+      event: "server_rate",
+      server: id,
+      // Null if the server takes any number of requests again.
+      perSecond: announcements.rate.perSecond ?? null,
+      source,
+    });
+  }
+
   #logJoined({ entry }: Server, hasRestarted: boolean | undefined): void {
     const { id: server, service, address, draining, bornAtMs } = entry;
     this.#options.log.info({
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -259,6 +259,21 @@
   copyId: string;
 }
 
+/** What an answer says about the rate of requests that its server takes. */
+export const AnswerRateKind = {
+  /** The server names no rate, so it takes any number of requests. */
+  none: "none",
+  limited: "limited",
+  /** The named rate is not a number from 0 up. */
+  malformed: "malformed",
+} as const;
+
+/** Rate of requests that a server takes from all entries together, as an answer names it. */
+export type AnswerRate =
+  | { kind: typeof AnswerRateKind.none }
+  | { kind: typeof AnswerRateKind.limited; perSecond: number }
+  | { kind: typeof AnswerRateKind.malformed; value: string };
+
 /** Facts that the router reads from the head of a server's answer. */
 export interface AnswerFacts {
   status: number;
@@ -277,6 +292,8 @@
   weightsVersion?: number;
   /** The server is about to shut down. */
   leaving: boolean;
+  /** The rate of requests that the server takes while it names it. */
+  rate: AnswerRate;
   /** Pause that the server asks of this entry, if any. */
   retryAfterMs?: number;
 }
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -92,6 +92,7 @@
       choice.server.health.failed(nowMs);
       return over({ kind: "unknown", reason: "foreign_answer" });
     }
+    this.#recordRate(send, facts);
     if (facts.notRun) return over(this.#endOfRefusal(send, facts));
     this.#recordResponse(send, facts, nowMs);
     send.headAtMs = nowMs;
@@ -211,6 +212,14 @@
     }
   }
 
+  #recordRate({ choice, sentAtMs }: Send, facts: AnswerFacts): void {
+    const { server } = choice;
+    const { rate, notRun: isRefusal, serverId } = facts;
+    // The answer of another server at the same address says nothing about this one.
+    if (serverId !== undefined && serverId !== server.id) return;
+    this.#options.fleet.recordRate(server, { rate, isRefusal, sentAtMs });
+  }
+
   #recordResponse(send: Send, facts: AnswerFacts, nowMs: number): void {
     const { choice, sentAtMs, ticket, request } = send;
     const { server } = choice;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -277,6 +277,7 @@
   #createDispatcher(): Dispatcher {
     return Dispatcher.create({
       ...this.#parts(),
+      metrics: this.#metrics,
       fleet: this.#fleet,
       quarantine: this.#quarantine,
       quotas: this.#quotas,
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -1,5 +1,5 @@
 /** Sends a request to a chosen backend server. */
-import type { Clock } from "../base/mod.ts";
+import type { Clock, Metrics } from "../base/mod.ts";
 import { forwardHeaders } from "../platform/mod.ts";
 import { enginePriority, isClientRetry } from "./admission.ts";
 import { isIdempotent } from "./answer_rules.ts";
@@ -18,9 +18,21 @@
 /** Time from the end of a prompt's prefill until the cache store holds the prompt. */
 const SAVE_MS = 60;
 
+/** Why a request is sent. */
+const SendKind = {
+  first: "first",
+  /** An earlier send brought no answer yet. */
+  resend: "resend",
+  /** Continues a stream of which the client has events. */
+  resumed: "resumed",
+  /** Continues a run with its memory. */
+  moved: "moved",
+} as const;
+
 /** Dependencies of a {@link Sender}. */
 export interface SenderOptions {
   clock: Clock;
+  metrics: Metrics;
   wanted: WantedVersions;
   /** Expected cache contents of a server, by id, or of a cache store, by address. */
   cacheOf(id: string): ExpectedCache | undefined;
@@ -70,6 +82,7 @@
   ): Send {
     const { server } = choice;
     const sentAtMs = this.#options.clock.nowMs();
+    this.#countSend(request, progress, choice);
     progress.tried.add(server);
     progress.servers.push(server.id);
     progress.sends++;
@@ -102,6 +115,27 @@
     };
   }
 
+  /** Counts sends to servers that take a limited rate of requests. */
+  #countSend(
+    { facts }: RoutedRequest,
+    { sends, lastEventId }: Progress,
+    { server, copy }: Choice,
+  ): void {
+    if (server.announcements.rate.perSecond === undefined) return;
+    const isResumed = lastEventId !== facts.lastEventId;
+    const kind = copy
+      ? SendKind.moved
+      : isResumed
+      ? SendKind.resumed
+      : sends > 0
+      ? SendKind.resend
+      : SendKind.first;
+    this.#options.metrics.counter("rate_limited_server_sends_total", {
+      help: "Requests sent to servers that named a rate, by kind of send",
+      labels: { kind },
+    }).add();
+  }
+
   #weightsOf(
     { facts }: RoutedRequest,
     { weightsVersion }: Choice,
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -327,6 +327,7 @@
       draining: this.entry.draining,
       leaving: this.isLeaving(nowMs),
       pausedMs: Math.round(this.announcements.pausedMs(nowMs)),
+      ratePerSecond: this.announcements.rate.perSecond,
       bornAtMs: this.entry.bornAtMs,
       weights: Object.fromEntries(this.entry.weights),
       load: this.load(nowMs),
--- a/src/standin/backend_server.ts
+++ b/src/standin/backend_server.ts
@@ -35,6 +35,8 @@
   pauseRejections = 0;
   /** Number of requests rejected as not executed, without a retry delay. */
   refused = 0;
+  /** Times at which requests arrived, executed or not, by the process's monotonic clock. */
+  readonly arrivedAtMs: number[] = [];
   /** Ids of copies that were freed before a run resumed from them. */
   readonly freedCopyIds: string[] = [];
   readonly faults: StandinBackendServerFaults;
@@ -179,7 +181,9 @@
 
   #serve(request: HostRequest): void {
     const { response, headers } = request;
-    if (this.faults.leaving) response.setHeader("server-leaving", "1");
+    const { leaving, rate } = this.faults;
+    if (leaving) response.setHeader("server-leaving", "1");
+    if (rate !== undefined) response.setHeader("server-limit", rate);
     const expected = headers["expect-instance"];
     if (expected !== undefined && expected !== this.id) {
       response.writeHead(421, { "instance-id": this.id });
@@ -253,6 +257,7 @@
 
   #run(request: HostRequest): void {
     const { response, headers } = request;
+    this.arrivedAtMs.push(performance.now());
     if (consumeFault(this.faults, "refuseWeights")) {
       response.writeHead(421);
       response.end();
--- a/src/standin/backend_server_options.ts
+++ b/src/standin/backend_server_options.ts
@@ -65,6 +65,8 @@
   endOnTarget: string | undefined;
   /** Whether all answers announce that the server is shutting down. */
   leaving: boolean;
+  /** Value of the header by which all answers name the requests a second that the server takes. */
+  rate: string | undefined;
   /** Rejects all requests as not executed, with this retry delay in seconds; undefined: off. */
   pauseS: number | undefined;
 }
@@ -97,6 +99,7 @@
   refuseOrder: 0,
   endOnTarget: undefined,
   leaving: false,
+  rate: undefined,
   pauseS: undefined,
 };
 
@@ -109,6 +112,7 @@
   | "bodyLateMs"
   | "endOnTarget"
   | "leaving"
+  | "rate"
   | "pauseS"
 >;
 
