--- a/src/router/_request_forwarder_kit.ts
+++ b/src/router/_request_forwarder_kit.ts
@@ -8,7 +8,6 @@
 import type { Choice } from "./choose.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { type AnswerFacts, RequestKind } from "./model.ts";
-import type { ServerSelector } from "./server_selector.ts";
 import type { ForwardTask } from "./open_runs.ts";
 import type { Quarantine } from "./quarantine.ts";
 import type { AnswerPart, AnswerReader } from "./read_answer.ts";
@@ -16,6 +15,7 @@
 import { Resends } from "./resends.ts";
 import type { RunMover } from "./run_mover.ts";
 import type { Sender } from "./send.ts";
+import { SendGate } from "./send_gate.ts";
 import type { WakeSignal } from "./wake_signal.ts";
 import { WantedVersions } from "./wanted_weights.ts";
 
@@ -87,10 +87,15 @@
         giveBack: () => void setup.charged--,
       },
       wanted: WantedVersions.create({ clock, boundMs: 10_000 }),
-      servers: {
-        any: () => setup.choice,
-        ready: () => setup.isServerReady ? setup.choice : undefined,
-      } as unknown as ServerSelector,
+      gate: SendGate.create({
+        clock,
+        fleet: { has: () => true },
+        servers: {
+          any: () => setup.choice,
+          ready: () => setup.isServerReady ? setup.choice : undefined,
+        },
+        permits: { acquire: () => Promise.resolve(true), giveBack: () => {} },
+      }),
       isWorthSending: () => true,
       onSilent: () => {},
     },
--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -1,6 +1,12 @@
 /** Selects the backend server for one attempt of a request. */
+import {
+  COPY_MIN_TOKENS,
+  type CopySources,
+  findBestCopy,
+} from "./cache_copy.ts";
 import type { Chain } from "./expected_cache.ts";
 import type { RunCopy } from "./model.ts";
+import type { Caller } from "./permit_bucket.ts";
 import { type PromptStore, selectStore } from "./prompt_store.ts";
 import type { Server } from "./server.ts";
 import { assessWeights, type ReplacedWeights } from "./replaced_weights.ts";
@@ -21,12 +27,6 @@
 const BASE_TTFT_MS = 45;
 /** Delay of the first token per running request, which lengthens every decode step until then. */
 const RUNNING_DELAY_MS = 5;
-/** Copies between zones take this many times as long. */
-const CROSS_ZONE_COPY_FACTOR = 2;
-/** Fixed setup time of a cache copy. */
-const COPY_SETUP_MS = 7;
-/** Shorter copies are not worth their setup time. */
-const COPY_MIN_TOKENS = 48;
 /**
  * Saving a prompt stores its unshared last part too, which no other request reuses. Above this
  * ratio of unshared to shared tokens, a save would evict more useful data than it adds.
@@ -64,6 +64,8 @@
   nowMs: number;
   /** Servers to exclude. A restarted server is a new {@link Server} and is not excluded. */
   tried: ReadonlySet<Server>;
+  /** Who sends the request; undefined: it may not go to servers that take a limited rate. */
+  caller?: Caller;
   /** Undefined for plain calls. */
   prompt?: PromptPlacement;
   /** Age of the load data received from other entries. */
@@ -105,6 +107,8 @@
   saveTo?: string;
   /** Copied memory of a moved run, if the request resumes from one. */
   copy?: RunCopy;
+  /** A permit was obtained for the send, as the server takes a limited rate. */
+  hasPermit?: boolean;
 }
 
 interface Candidate extends Choice {
@@ -123,6 +127,9 @@
   for (const server of placement.servers) {
     if (placement.tried.has(server)) continue;
     if (server.isFull(placement.nowMs)) continue;
+    if (server.permitPauses.leftMs(placement.nowMs, placement.caller) > 0) {
+      continue;
+    }
     const candidate = placement.prompt
       ? evaluatePrompt(placement, placement.prompt, { server, views })
       : evaluateCall(placement, server);
@@ -220,38 +227,17 @@
 }
 
 /** State of a prompt that is the same for all servers with the same weights version. */
-interface PromptView {
+interface PromptView extends CopySources {
   chain: Chain;
   /** Tokens that other requests may share. */
   sharedTokens: number;
   /** Address of the store in which to save the prompt. */
   saveTo?: string;
-  /** Servers from which the prompt may be copied. */
-  sources: CopySource[];
-  stored?: CopySource;
 }
 
 /** Keyed by weights version. */
 type PromptViews = Map<number, PromptView>;
 
-/** A server or store that has a prefix of the prompt cached. */
-interface CopySource {
-  /** Undefined for a store. */
-  server?: Server;
-  address: string;
-  zone: string;
-  /** Expected length of the cached prefix. */
-  tokens: number;
-  copyMsPerToken: number;
-}
-
-interface Copy {
-  address: string;
-  /** Length of the cached prefix on the server after the copy. */
-  tokens: number;
-  copyMs: number;
-}
-
 function getPromptView(
   placement: Placement,
   prompt: PromptPlacement,
@@ -290,46 +276,6 @@
   return view;
 }
 
-/** Finds the server or store with the longest cached prefix for the server's weights version. */
-function findBestCopy(
-  { sources, stored }: PromptView,
-  server: Server,
-  cached: number,
-): Copy | undefined {
-  let best: Copy | undefined;
-  for (const source of sources) {
-    if (source.server === server) continue;
-    const copy = estimateCopy(source, server, cached);
-    if (copy && (!best || isBetterCopy(copy, best))) best = copy;
-  }
-  const copy = stored && estimateCopy(stored, server, cached);
-  if (copy && (!best || copy.tokens >= best.tokens)) return copy;
-  // Otherwise name the store as a fallback, at no cost: the server may have evicted parts that it
-  // is expected to hold.
-  return best ?? (stored && {
-    address: stored.address,
-    tokens: Math.max(stored.tokens, cached),
-    copyMs: 0,
-  });
-}
-
-function estimateCopy(
-  source: CopySource,
-  { entry }: Server,
-  cached: number,
-): Copy | undefined {
-  const { address, zone, tokens, copyMsPerToken } = source;
-  if (tokens < cached + COPY_MIN_TOKENS) return undefined;
-  const factor = zone === entry.zone ? 1 : CROSS_ZONE_COPY_FACTOR;
-  const copyMs = COPY_SETUP_MS + (tokens - cached) * copyMsPerToken * factor;
-  return { address, tokens, copyMs };
-}
-
-function isBetterCopy(copy: Copy, other: Copy): boolean {
-  if (copy.tokens !== other.tokens) return copy.tokens > other.tokens;
-  return copy.copyMs < other.copyMs;
-}
-
 /** Saves only prompts whose shared parts are not all in the store yet. */
 function shouldSave(store: PromptStore, chain: Chain, shared: number): boolean {
   if (shared < COPY_MIN_TOKENS) return false;
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -4,9 +4,7 @@
 import {
   type ForwardEnd,
   type ForwarderParts,
-  QUARANTINED,
   RequestForwarder,
-  TOO_LATE,
 } from "./request_forwarder.ts";
 import { type Progress, startProgress } from "./attempt.ts";
 import type { Choice } from "./choose.ts";
@@ -14,8 +12,10 @@
   ServerSelector,
   type ServerSelectorOptions,
 } from "./server_selector.ts";
+import type { Permits } from "./permits.ts";
 import type { Quotas } from "./quotas.ts";
 import { AnswerReader, type AnswerReaderOptions } from "./read_answer.ts";
+import { RefusalReason } from "./refusal_reason.ts";
 import {
   type AnswerSink,
   type Outcome,
@@ -26,6 +26,8 @@
 import { RESEND_MIN_LEFT_MS, Resends, type ResendsOptions } from "./resends.ts";
 import { RunMover } from "./run_mover.ts";
 import { Sender, type SenderOptions } from "./send.ts";
+import { callerOf, SendGate } from "./send_gate.ts";
+import type { Server } from "./server.ts";
 
 /** Range of the random retry delay that refused clients are given. */
 const RETRY_AFTER_MIN_MS = 200;
@@ -33,10 +35,11 @@
 /** Clients ignore a retry delay above about a third of their remaining time; this stays below. */
 const RETRY_AFTER_SHARE = 0.3;
 
-/** Refusal reason: all servers of the service have asked for a pause. */
-const PAUSED = "paused";
-/** Refusal reason: the workspace has exceeded its quota. */
-const OVER_QUOTA = "over_quota";
+/**
+ * Added to the time of a reserved permit, so that a caller who is told to return then doesn't arrive
+ * a little early.
+ */
+const RESERVATION_MARGIN_MS = 20;
 
 /** Dependencies of a {@link Dispatcher}. */
 export interface DispatcherOptions
@@ -48,6 +51,7 @@
     Pick<ForwarderParts, "log" | "quarantine"> {
   /** Workspace quotas. */
   quotas: Pick<Quotas, "admit" | "runsAgain" | "giveBack">;
+  permits: Pick<Permits, "acquire" | "reserve" | "giveBack">;
 }
 
 /** Sends requests to backend servers and relays the answers. */
@@ -66,6 +70,9 @@
       hasUntriedServer: (request, progress) =>
         this.#hasUntriedServer(request, progress),
     });
+    const { permits, clock, fleet } = options;
+    const servers = this.#servers;
+    const gate = SendGate.create({ clock, fleet, servers, permits });
     this.#mover = RunMover.create({
       ...options,
       reserve: (request, progress) =>
@@ -75,7 +82,7 @@
       ...options,
       sender: Sender.create(options),
       reader: AnswerReader.create(options),
-      servers: this.#servers,
+      gate,
       resends: this.#resends,
       mover: this.#mover,
       isWorthSending: (request, choice) => this.#shouldAdmit(request, choice),
@@ -125,13 +132,13 @@
       const echo = echoHeaders(request.facts.requestId);
       const headers = [...echo, ...retryHeaders(verdict.retryAfterMs)];
       sink.send(429, headers, Buffer.alloc(0));
-      return { kind: "refused", reason: OVER_QUOTA };
+      return { kind: "refused", reason: RefusalReason.overQuota };
     }
     const task = { request, sink, progress };
     const end = await RequestForwarder.create(this.#parts, task).run();
     if (progress.runs === 0) quotas.giveBack(request);
     return end.kind === "given_up"
-      ? this.#giveUp(request, sink, { progress, end })
+      ? await this.#giveUp(request, sink, { progress, end })
       : end;
   }
 
@@ -154,26 +161,64 @@
     });
   }
 
-  #hasUntriedServer({ service }: RoutedRequest, { tried }: Progress): boolean {
-    return this.#options.fleet.accepting(service).some((server) =>
-      !tried.has(server)
+  #hasUntriedServer(request: RoutedRequest, progress: Progress): boolean {
+    const { fleet, clock } = this.#options;
+    const nowMs = clock.nowMs();
+    const caller = callerOf(request, progress);
+    return fleet.accepting(request.service).some((server) =>
+      !progress.tried.has(server) &&
+      server.permitPauses.leftMs(nowMs, caller) === 0
     );
   }
 
-  #giveUp(
+  /**
+   * If all servers of the service take a limited rate, reserves a permit for the caller's return.
+   *
+   * @returns Time until the permit is available; undefined if the rate is not what keeps the request
+   *   from being served.
+   */
+  async #reserveReturn(
+    { service, answerByMs }: RoutedRequest,
+    { runs }: Progress,
+    refusal: ResendRefusal,
+  ): Promise<number | undefined> {
+    if (runs > 0 || refusal !== ResendRefusal.noServer) return undefined;
+    const { fleet, clock, permits } = this.#options;
+    const servers = fleet.accepting(service).filter(({ health }) =>
+      !health.isDown
+    );
+    const isLimited = ({ announcements }: Server) =>
+      announcements.rate.perSecond !== undefined;
+    if (servers.length === 0 || !servers.every(isLimited)) return undefined;
+    const leftMs = answerByMs - clock.nowMs();
+    const waitMs = await permits.reserve(
+      servers,
+      leftMs * RETRY_AFTER_SHARE - RESERVATION_MARGIN_MS,
+    );
+    return waitMs === undefined ? undefined : waitMs + RESERVATION_MARGIN_MS;
+  }
+
+  async #giveUp(
     request: RoutedRequest,
     sink: AnswerSink,
     { progress, end }: {
       progress: Progress;
       end: Extract<ForwardEnd, { kind: "given_up" }>;
     },
-  ): Outcome {
+  ): Promise<Outcome> {
     const { refusal } = end;
     const pausedMs = this.#pausedMs(request);
     const isPaused = refusal === ResendRefusal.noServer &&
       pausedMs !== undefined;
-    const reason = isPaused ? PAUSED : end.reason;
-    if (reason === QUARANTINED) this.#options.quarantine.refused(request);
+    const permitMs = await this.#reserveReturn(request, progress, refusal);
+    const reason = isPaused
+      ? RefusalReason.paused
+      : permitMs !== undefined
+      ? RefusalReason.overRate
+      : end.reason;
+    if (reason === RefusalReason.quarantined) {
+      this.#options.quarantine.refused(request);
+    }
     const leftMs = request.answerByMs - this.#options.clock.nowMs();
     if (progress.sends > 0) {
       progress.givenUp = {
@@ -190,8 +235,8 @@
     const echo = echoHeaders(request.facts.requestId);
     if (progress.runs === 0) {
       const { random } = this.#options;
-      const pauseMs = progress.quarantinedForMs ?? pausedMs ??
-        (reason === TOO_LATE
+      const pauseMs = progress.quarantinedForMs ?? pausedMs ?? permitMs ??
+        (reason === RefusalReason.tooLate
           ? admissionRetryAfterMs(leftMs, random)
           : retryAfterMs(leftMs, random));
       const headers = [...echo, ...retryHeaders(pauseMs)];
--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -66,6 +66,7 @@
   other_weights: "the server had other weights by then",
   over_quota: "its workspace had exceeded its quota",
   overloaded: "the entry was overloaded and read requests late",
+  over_rate: "all servers of the service had reached the rate that they take",
   paused: "all servers of the service had asked for a pause",
   quarantined:
     "three servers or more had ended while running it, so it is in quarantine",
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -24,6 +24,8 @@
   inRegistrationGrace(): boolean;
   /** Called when a server was removed or has restarted. */
   onRemoved(server: Server): void;
+  /** Called when an answer changed the rate that its server takes, to notify other entries. */
+  onRate(server: Server): void;
 }
 
 /** Maximum number of removed servers whose announcements are kept. */
@@ -153,7 +155,7 @@
   recordRate(server: Server, answer: RateAnswer): void {
     const { clock, log } = this.#options;
     const { rate } = server.announcements;
-    if (rate.record(answer, clock.nowMs())) this.#logRate(server, "answer");
+    if (rate.record(answer, clock.nowMs())) this.#onRate(server, "answer");
     if (answer.rate.kind === AnswerRateKind.malformed) {
       const { value } = answer.rate;
       log.warn({ event: "server_rate_malformed", server: server.id, value });
@@ -168,7 +170,7 @@
    */
   mergeRate(server: Server, statement: RateStatement): void {
     if (server.announcements.rate.merge(statement)) {
-      this.#logRate(server, "entry");
+      this.#onRate(server, "entry");
     }
   }
 
@@ -267,12 +269,14 @@
   }
 
   /** @param source Who told: the server's answer, or another entry. */
-  #logRate({ id, announcements }: Server, source: "answer" | "entry"): void {
+  #onRate(server: Server, source: "answer" | "entry"): void {
+    server.permitPauses.clear();
+    if (source === "answer") this.#options.onRate(server);
     this.#options.log.info({
       event: "server_rate",
-      server: id,
+      server: server.id,
       // Null if the server takes any number of requests again.
-      perSecond: announcements.rate.perSecond ?? null,
+      perSecond: server.announcements.rate.perSecond ?? null,
       source,
     });
   }
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -178,7 +178,9 @@
  * @param server A server.
  * @returns Key of the server's incarnation: its id and start time, so that a restart changes the key.
  */
-export function incarnationKey({ id, bornAtMs = 0 }: BackendServer): string {
+export function incarnationKey(
+  { id, bornAtMs = 0 }: Pick<BackendServer, "id" | "bornAtMs">,
+): string {
   return `${id}/${bornAtMs}`;
 }
 
--- a/src/router/open_runs.ts
+++ b/src/router/open_runs.ts
@@ -16,6 +16,7 @@
 import type { Resends } from "./resends.ts";
 import type { RunMover } from "./run_mover.ts";
 import type { Sender } from "./send.ts";
+import type { SendGate } from "./send_gate.ts";
 import type { Server } from "./server.ts";
 import type { WakeSignal } from "./wake_signal.ts";
 
@@ -26,6 +27,7 @@
   reader: AnswerReader;
   resends: Resends;
   mover: RunMover;
+  gate: Pick<SendGate, "giveBack">;
   /** Is notified of requests whose connection broke, and of requests that were answered successfully. */
   quarantine: Quarantine;
   quotas: Pick<Quotas, "runsAgain" | "giveBack">;
@@ -184,13 +186,14 @@
   }
 
   #countNotRun(send: Send, isUnsent: boolean): void {
-    const { mover, resends } = this.#parts;
+    const { mover, resends, gate } = this.#parts;
     const { request, progress } = this.#task;
     const { choice, payment } = send;
     this.#giveBackRun(send);
     if (isUnsent) {
       progress.possibleDeliveries--;
       resends.refundUnsent(request, payment);
+      gate.giveBack(choice);
     }
     if (!choice.copy) return;
     mover.free(choice.copy);
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -40,6 +40,10 @@
   gone?: [string, StartMs][];
   /** Servers that announced leaving: id, start time, ms since then; absent from earlier releases. */
   leaving?: [string, StartMs, number][];
+  /** Rates of requests that servers take: id, start time, requests per second, ms since then. */
+  rates?: [string, StartMs, number | null, number][];
+  /** The sender stops, so it grants no more permits; absent otherwise. */
+  stopping?: boolean;
   /** Servers that ended during a request; absent from earlier releases. */
   ended?: ServerEndRow[];
   /** Suspected requests that completed normally; absent from earlier releases. */
@@ -98,6 +102,10 @@
     value === undefined || listOf(rowOf(isString, isOptionalCount))(value),
   leaving: (value) =>
     value === undefined || listOf(rowOf(isString, isCount, isCount))(value),
+  rates: (value) =>
+    value === undefined ||
+    listOf(rowOf(isString, isCount, isCountOrNone, isCount))(value),
+  stopping: (value) => value === undefined || typeof value === "boolean",
   ended: (value) =>
     value === undefined ||
     listOf(rowOf(isString, isString, isCountOrNone, isCount, isCount))(value),
--- a/src/router/peer_gossip.ts
+++ b/src/router/peer_gossip.ts
@@ -3,8 +3,8 @@
  * wanted weights versions, and the store revision of the entry. Datagrams may be lost: essential state
  * is sent repeatedly, and until it arrives the receiver assumes the safer case.
  */
-import { createSocket, type Socket } from "node:dgram";
 import type { Clock, Logger } from "../base/mod.ts";
+import type { EntryMembers } from "./entry_members.ts";
 import type { ExpectedCache } from "./expected_cache.ts";
 import type { BackendServer } from "./model.ts";
 import type { PlacedPrompt } from "./request.ts";
@@ -13,8 +13,10 @@
 import type { SyncState } from "./mirror.ts";
 import { ownLoads, PeerLoads } from "./peer_loads.ts";
 import { type Datagram, readDatagram, type StartMs } from "./peer_datagram.ts";
+import type { PeerSocket } from "./peer_socket.ts";
 import type { Quarantine } from "./quarantine.ts";
 import type { Quotas } from "./quotas.ts";
+import type { RateAnnouncements } from "./rate_announcements.ts";
 import {
   gossipIntervalFor,
   jittered,
@@ -40,7 +42,7 @@
 export interface PeerGossipOptions {
   name: string;
   ipAddress: string;
-  port: number;
+  socket: Pick<PeerSocket, "send">;
   clock: Clock;
   log: Logger;
   /** Random number from 0 to 1. */
@@ -58,6 +60,10 @@
   wanted: WantedVersions;
   /** Requests during which backend servers ended. */
   quarantine: Pick<Quarantine, "hasNews" | "takeNews" | "hear">;
+  /** The other entries: which are alive, and which of them stop. */
+  members: EntryMembers;
+  /** Rates of requests that backend servers take. */
+  rates: RateAnnouncements;
   /** Workspace rate limits; entries exchange what they have consumed. */
   quotas: Pick<Quotas, "hasUpdate" | "takeUpdate" | "applyPeerUpdate">;
   /** Called with the sync state that a peer reported. */
@@ -67,7 +73,6 @@
 /** Sends this entry's state to the other entries, and applies the state that they send. */
 export class PeerGossip {
   readonly #options: PeerGossipOptions;
-  readonly #socket: Socket;
   readonly #lastSeenAtMs = new Map<string, number>();
   readonly #prompts: Datagram["prompts"] = [];
   readonly #weights: Datagram["weights"] = [];
@@ -86,7 +91,6 @@
 
   private constructor(options: PeerGossipOptions) {
     this.#options = options;
-    this.#socket = createSocket("udp4");
     this.#leaving = LeavingAnnouncements.create(options);
     this.#peerLoads = PeerLoads.create(options.fleet);
   }
@@ -166,21 +170,13 @@
     this.#weights.push([id, model, version, bornAtMs]);
   }
 
-  /** @param signal Stops sending and receiving datagrams. */
+  /** @param signal Stops sending datagrams. */
   async run(signal: AbortSignal): Promise<void> {
-    const { port, ipAddress, clock, log, random } = this.#options;
-    this.#socket.on("message", (bytes, from) => {
-      this.#receive(bytes, from.address);
-    });
-    this.#socket.on("error", (error) => {
-      log.warn({ event: "peer_socket_failed", reason: error.message });
-    });
-    this.#socket.bind(port, ipAddress);
+    const { clock, random } = this.#options;
     while (!signal.aborted) {
       this.#sendIfDue();
       await clock.sleep(jittered(MIN_INTERVAL_MS, random), signal);
     }
-    this.#socket.close();
   }
 
   #sendIfDue(): void {
@@ -199,9 +195,11 @@
       datagram.gone,
       datagram.weights,
       this.#leaving.ids,
+      datagram.stopping,
     ]);
-    const { quarantine, quotas, random } = this.#options;
-    if (!quarantine.hasNews && !this.#isDue(datagram, content, urgent)) return;
+    const { quarantine, quotas, rates, random } = this.#options;
+    const hasNews = quarantine.hasNews || rates.hasNews;
+    if (!hasNews && !this.#isDue(datagram, content, urgent)) return;
     this.#prompts.splice(0, datagram.prompts.length);
     this.#weights.splice(0, datagram.weights.length);
     this.#silent.splice(0, datagram.silent.length);
@@ -210,17 +208,17 @@
     this.#lastUrgent = urgent;
     this.#lastSentAtMs = this.#options.clock.nowMs();
     const leaving = this.#leaving.nextRows();
+    const rateRows = rates.nextRows();
     const message: Datagram = {
       ...datagram,
       leaving,
+      rates: rateRows.length > 0 ? rateRows : undefined,
       ...quarantine.takeNews(),
       ...quotas.takeUpdate(),
     };
     const bytes = Buffer.from(JSON.stringify(message));
     for (const address of rotated([...this.#addresses()], random)) {
-      this.#socket.send(bytes, this.#options.port, address, (error) => {
-        if (error) this.#onSendFailed(error);
-      });
+      this.#options.socket.send(address, bytes);
     }
   }
 
@@ -237,16 +235,8 @@
     return pauseMs <= MIN_INTERVAL_MS || sinceMs >= pauseMs;
   }
 
-  /** A datagram that can't be sent counts as lost; it is logged at debug level only. */
-  #onSendFailed(error: Error): void {
-    this.#options.log.debug({
-      event: "peer_not_told",
-      reason: error.message,
-    });
-  }
-
   #buildDatagram(): Datagram {
-    const { name, fleet, syncState, wanted } = this.#options;
+    const { name, fleet, syncState, wanted, members } = this.#options;
     const { revision, confirmed } = syncState();
     const storeServedMs = this.#options.storeServedMs();
     return {
@@ -260,6 +250,7 @@
       changingNext: this.#changingNext(),
       storeServes: storeServedMs !== undefined,
       storeServedMs,
+      stopping: members.isStopping || undefined,
       weights: [...this.#weights],
       silent: [...this.#silent],
       gone: [...this.#gone],
@@ -280,7 +271,13 @@
     return addresses;
   }
 
-  #receive(bytes: Buffer, ipAddress: string): void {
+  /**
+   * Applies a datagram of another entry.
+   *
+   * @param bytes The datagram.
+   * @param ipAddress The entry.
+   */
+  receive(bytes: Buffer, ipAddress: string): void {
     const datagram = readDatagram(bytes);
     if (!datagram) {
       this.#options.log.warn({ event: "peer_malformed", peer: ipAddress });
@@ -291,12 +288,17 @@
       this.#options.log.info({ event: "peer_met", peer: datagram.name });
     }
     this.#lastSeenAtMs.set(ipAddress, nowMs);
+    const { members, rates } = this.#options;
+    members.heard(ipAddress, nowMs);
+    members.setStopping(ipAddress, datagram.stopping ?? false);
     this.#apply(datagram, nowMs);
     const { startedAtMs, taken } = datagram;
     if (startedAtMs !== undefined && taken) {
       this.#options.quotas.applyPeerUpdate(ipAddress, { startedAtMs, taken });
     }
     const revision = BigInt(datagram.revision);
+    // An entry that has just started knows nothing of the store yet.
+    if (revision === 0n) rates.announceAll();
     this.#options.onPeerSyncState(ipAddress, {
       revision,
       confirmed: datagram.confirmed,
@@ -327,6 +329,7 @@
       if (server) fleet.dropReplaced(server);
     }
     this.#leaving.applyRows(report.leaving ?? []);
+    this.#options.rates.applyRows(report.rates ?? []);
     if (report.storeServedMs !== undefined) {
       const servedAtMs = nowMs - report.storeServedMs;
       this.#peerStoreContactAtMs = Math.max(
--- /dev/null
+++ b/src/router/peer_network.ts
@@ -0,0 +1,89 @@
+/** Everything by which this entry and the others talk to each other in datagrams. */
+import type { Lifecycle, Metrics } from "../base/mod.ts";
+import { EntryMembers } from "./entry_members.ts";
+import { PeerGossip, type PeerGossipOptions } from "./peer_gossip.ts";
+import { PeerSocket } from "./peer_socket.ts";
+import { encodePermitMessage, isPermitDatagram } from "./permit_message.ts";
+import { Permits } from "./permits.ts";
+import { RateAnnouncements } from "./rate_announcements.ts";
+import type { Server } from "./server.ts";
+
+/** Options of a {@link PeerNetwork}. */
+export interface PeerNetworkOptions
+  extends
+    Omit<PeerGossipOptions, "socket" | "members" | "rates" | "knownAddresses"> {
+  /** Port of all entries. */
+  port: number;
+  metrics: Metrics;
+  /** IP addresses of the configured seeds; a seed may have gone. */
+  seedAddresses: string[];
+  /** IP addresses of the registered entries. */
+  registeredAddresses(): string[];
+}
+
+/** Gossip and permits, on one socket. */
+export class PeerNetwork {
+  readonly gossip: PeerGossip;
+  readonly permits: Permits;
+  readonly #socket: PeerSocket;
+  readonly #members: EntryMembers;
+  readonly #rates: RateAnnouncements;
+
+  private constructor(options: PeerNetworkOptions) {
+    const { ipAddress, seedAddresses, registeredAddresses } = options;
+    const { fleet, clock } = options;
+    this.#socket = PeerSocket.create(options);
+    this.#members = EntryMembers.create({
+      ownAddress: ipAddress,
+      registeredAddresses,
+    });
+    this.permits = Permits.create({
+      ...options,
+      members: this.#members,
+      ownAddress: ipAddress,
+      send: (address, message) =>
+        this.#socket.send(address, encodePermitMessage(message)),
+    });
+    this.#rates = RateAnnouncements.create({
+      clock,
+      fleet,
+      mayGrantFor: (server) => this.permits.mayGrantFor(server),
+    });
+    this.gossip = PeerGossip.create({
+      ...options,
+      socket: this.#socket,
+      members: this.#members,
+      rates: this.#rates,
+      knownAddresses: () => [...seedAddresses, ...registeredAddresses()],
+    });
+  }
+
+  /**
+   * @param options Own address, and the sources and receivers of the exchanged state.
+   * @returns A network whose socket is not open yet.
+   */
+  static create(options: PeerNetworkOptions): PeerNetwork {
+    return new PeerNetwork(options);
+  }
+
+  /** @param server A server whose answer has changed the rate that it takes. */
+  announceRate(server: Server): void {
+    this.#rates.announce(server);
+  }
+
+  /** Leaves the granting of permits to the other entries, because this one stops. */
+  stopGranting(): void {
+    this.#members.stop();
+  }
+
+  /** @param lifecycle Owns the socket and the task that sends datagrams. */
+  open(lifecycle: Lifecycle): void {
+    lifecycle.own({ name: "permits", close: () => this.permits.close() });
+    lifecycle.own({ name: "peer_socket", close: () => this.#socket.close() });
+    this.#socket.listen((bytes, address) => {
+      if (isPermitDatagram(bytes)) this.permits.receive(address, bytes);
+      else this.gossip.receive(bytes, address);
+    });
+    lifecycle.task("peers", (signal) => this.gossip.run(signal));
+  }
+}
--- a/src/router/rate_statement.ts
+++ b/src/router/rate_statement.ts
@@ -70,15 +70,17 @@
   }
 
   /**
-   * Adopts a statement that another entry reports, if it is newer.
+   * Adopts a statement that another entry reports, if it is newer. One that repeats the known rate is
+   * ignored: its age grows by the delay of each datagram, so the time would advance without an answer.
    *
    * @param reported The statement.
    * @returns Whether the rate changed.
    */
   merge(reported: RateStatement): boolean {
     const known = this.#statement;
+    if (reported.perSecond === known?.perSecond) return false;
     if (known && reported.atMs <= known.atMs) return false;
     this.#statement = reported;
-    return reported.perSecond !== known?.perSecond;
+    return true;
   }
 }
--- /dev/null
+++ b/src/router/refusal_reason.ts
@@ -0,0 +1,15 @@
+/** Why the router gave up a request, as log lines say it; other reasons are those of its last send. */
+export const RefusalReason = {
+  /** No server of the service is available. */
+  noServer: "no_server",
+  /** The response would miss its deadline. */
+  tooLate: "too_late",
+  /** Several servers terminated while they ran the request. */
+  quarantined: "quarantined",
+  /** All servers of the service have asked for a pause. */
+  paused: "paused",
+  /** All servers of the service have reached the rate of requests that they take. */
+  overRate: "over_rate",
+  /** The workspace has exceeded its quota. */
+  overQuota: "over_quota",
+} as const;
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -56,6 +56,8 @@
   /** The server's weights are being changed, or it has just refused another request. */
   heldBack: "held_back",
   full: "full",
+  /** The server had reached the rate of requests that it takes. */
+  overRate: "over_rate",
   /** The server refused this request. */
   refused: "refused",
   /** The server was available. */
--- a/src/router/request_forwarder.ts
+++ b/src/router/request_forwarder.ts
@@ -13,7 +13,7 @@
 import { AnswerWriter } from "./answer_writer.ts";
 import { closedEnd, CloseReason, type Send, type SendEnd } from "./attempt.ts";
 import type { Choice } from "./choose.ts";
-import type { ServerSelector } from "./server_selector.ts";
+import type { SendGate } from "./send_gate.ts";
 import { type ForwardTask, OpenRuns, type OpenRunsParts } from "./open_runs.ts";
 import {
   isSilent,
@@ -23,8 +23,9 @@
   suspectAtMs,
 } from "./run_timeouts.ts";
 import type { AnswerPart } from "./read_answer.ts";
+import { RefusalReason } from "./refusal_reason.ts";
 import { ResendRefusal, type RoutedRequest } from "./request.ts";
-import { isTemporary } from "./resends.ts";
+import { isTemporary, type OpenState } from "./resends.ts";
 import { WakeSignal } from "./wake_signal.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
@@ -39,13 +40,6 @@
 /** Upper limit of both backoffs. */
 const RETRY_MAX_MS = 1000;
 
-/** Refusal reason: no server is available. */
-const NO_SERVER = "no_server";
-/** Refusal reason: the response would miss its deadline. */
-export const TOO_LATE = "too_late";
-/** Refusal reason: several servers terminated while they ran the request. */
-export const QUARANTINED = "quarantined";
-
 /** Result of serving a request. */
 export type ForwardEnd =
   | { kind: "answered"; status: number }
@@ -57,7 +51,7 @@
 export interface ForwarderParts extends OpenRunsParts {
   log: Logger;
   wanted: WantedVersions;
-  servers: ServerSelector;
+  gate: Pick<SendGate, "choose" | "giveBack">;
   /** Whether the first send of a request can still meet the deadline. */
   isWorthSending(request: RoutedRequest, choice: Choice): boolean;
   /** Called when a server has become silent, to notify the other entries. */
@@ -76,7 +70,7 @@
   /** Number of consecutive refusals, which sets the backoff. */
   #refusedCount = 0;
   /** Reason to report if the request is given up. */
-  #reason = NO_SERVER;
+  #reason: string = RefusalReason.noServer;
 
   private constructor(parts: ForwarderParts, task: ForwardTask) {
     this.#parts = parts;
@@ -125,7 +119,7 @@
       return undefined;
     }
     for (const send of this.#runs.all) this.#checkRun(send);
-    const end = this.#sendIfDue();
+    const end = await this.#sendIfDue();
     if (!end) await this.#wake.wait(this.#wakeAtMs() - this.#nowMs);
     return end;
   }
@@ -225,11 +219,11 @@
   }
 
   /** Sends the request if it has no open run, or if all of them are silent. */
-  #sendIfDue(): ForwardEnd | undefined {
+  async #sendIfDue(): Promise<ForwardEnd | undefined> {
     const nowMs = this.#nowMs;
     if (nowMs < this.#nextSendAtMs) return undefined;
     if (this.#runs.all.some((send) => !isSilent(send, nowMs))) return undefined;
-    const refusal = this.#sendNext();
+    const refusal = await this.#sendNext();
     if (!refusal) return undefined;
     // A client that has received nothing yet is better off with an error that it can retry.
     const mayWait = this.#task.progress.streamStarted && isTemporary(refusal);
@@ -242,19 +236,31 @@
   }
 
   /** Sends the request to one more server, or returns why it can't. */
-  #sendNext(): ResendRefusal | undefined {
-    const { request, progress } = this.#task;
-    const { resends, isWorthSending } = this.#parts;
-    const open = { count: this.#runs.count, isAnyUp: this.#isAnyUp };
-    const refusal = resends.refusalOf(request, progress, open);
+  async #sendNext(): Promise<ResendRefusal | undefined> {
+    const { request, progress, sink } = this.#task;
+    const { resends, gate } = this.#parts;
+    const refusal = resends.refusalOf(request, progress, this.#openState);
     if (refusal) return refusal;
     if (this.#isQuarantined()) return ResendRefusal.quarantined;
-    const choice = this.#choose();
-    if (!choice) return ResendRefusal.noServer;
+    const chosen = gate.choose(request, progress, this.#runs.servers);
+    const choice = chosen instanceof Promise ? await chosen : chosen;
+    if (!choice || sink.gone) {
+      if (choice) gate.giveBack(choice);
+      return ResendRefusal.noServer;
+    }
+    const unsent = this.#sendTo(choice);
+    if (unsent) gate.giveBack(choice);
+    return unsent;
+  }
+
+  #sendTo(choice: Choice): ResendRefusal | undefined {
+    const { request, progress } = this.#task;
+    const { resends, isWorthSending } = this.#parts;
     if (progress.sends === 0 && !isWorthSending(request, choice)) {
-      this.#reason = TOO_LATE;
+      this.#reason = RefusalReason.tooLate;
       return ResendRefusal.noTime;
     }
+    const open = this.#openState;
     const payment = resends.chargeSend(request, progress, open);
     if (payment.kind === "refused") return ResendRefusal.noBudget;
     if (open.count > 0) progress.hedgedSends++;
@@ -262,19 +268,15 @@
     return undefined;
   }
 
+  get #openState(): OpenState {
+    return { count: this.#runs.count, isAnyUp: this.#isAnyUp };
+  }
+
   /** Whether a run is open at a server that is not down. */
   get #isAnyUp(): boolean {
     return this.#runs.all.some(({ choice }) => !choice.server.health.isDown);
   }
 
-  #choose(): Choice | undefined {
-    const { servers } = this.#parts;
-    const { request, progress } = this.#task;
-    return progress.streamStarted || this.#runs.count > 0
-      ? servers.ready(request, progress, this.#runs.servers)
-      : servers.any(request, progress);
-  }
-
   /** Checked before each send, as servers may have terminated during this very attempt. */
   #isQuarantined(): boolean {
     const { request, progress } = this.#task;
@@ -288,7 +290,7 @@
       case "quarantined":
         progress.endedServers = verdict.endCount;
         progress.quarantinedForMs = verdict.leftMs;
-        this.#reason = QUARANTINED;
+        this.#reason = RefusalReason.quarantined;
         return true;
     }
   }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -17,7 +17,7 @@
 import { StoreMirror } from "./mirror.ts";
 import { CacheTransfer } from "./cache_transfer.ts";
 import { LoopLag } from "./loop_lag.ts";
-import { PeerGossip } from "./peer_gossip.ts";
+import { PeerNetwork } from "./peer_network.ts";
 import { Quarantine } from "./quarantine.ts";
 import { Quotas } from "./quotas.ts";
 import { Registration } from "./registration.ts";
@@ -62,7 +62,7 @@
   readonly #quotas: Quotas;
   readonly #lag: LoopLag;
   readonly #fleet: Fleet;
-  readonly #peers: PeerGossip;
+  readonly #network: PeerNetwork;
   readonly #relay: RelayClient;
   readonly #registration: Registration;
   readonly #cacheTransfer: CacheTransfer;
@@ -90,10 +90,8 @@
       heartbeatMs: options.settings.heartbeatMs,
     });
     this.#quarantine = Quarantine.create({
-      clock: this.#clock,
-      log: this.#log,
-      metrics: this.#metrics,
-      entryCount: () => this.#peers.count,
+      ...this.#parts(),
+      entryCount: () => this.#network.gossip.count,
     });
     this.#suspectRecord = SuspectRecord.create({
       ...this.#parts(),
@@ -103,9 +101,9 @@
     });
     this.#quotas = Quotas.create({
       ...this.#parts(),
-      metrics: this.#metrics,
       // Seeds are not counted: a stale one would hold a share of the quotas permanently.
-      entryCount: () => Math.max(this.#peers.count, this.#registration.count),
+      entryCount: () =>
+        Math.max(this.#network.gossip.count, this.#registration.count),
     });
     this.#fleet = this.#createFleet();
     this.#state = EffectiveState.create({
@@ -140,7 +138,7 @@
       isReady: () => this.#mirror.revision > 0n,
       cacheOf: (id, bornAtMs) => this.#state.cacheOf(id, bornAtMs),
     });
-    this.#peers = this.#createPeers();
+    this.#network = this.#createNetwork();
     this.#roll = this.#createRoll();
     this.#dispatcher = this.#createDispatcher();
     this.#requestLog = RequestLog.create(this.#log, this.#metrics, {
@@ -148,7 +146,7 @@
     });
     this.#ingress = this.#createIngress();
     this.#mirror.onChange((change) => this.#state.apply(change));
-    this.#peers.setHeldBackSources(
+    this.#network.gossip.setHeldBackSources(
       () => this.#roll.heldBack(),
       () => this.#roll.changingNext(),
     );
@@ -170,6 +168,7 @@
   async drain(): Promise<void> {
     this.#log.info({ event: "stopping", active: this.#ingress.active });
     this.#roll.stopAcquiringLease();
+    this.#network.stopGranting();
     await this.#ingress.drain(
       this.#settings.graceMs - EXIT_MARGIN_MS,
       () => this.#roll.busy,
@@ -193,13 +192,14 @@
       knowledgeAgeMs: Math.round(this.#mirror.ageMs),
       storeConnected: this.#follower.contact.connected,
       storeCalls: this.#store.calls,
-      entries: this.#peers.count,
+      entries: this.#network.gossip.count,
       holdsRollLease: this.#roll.holdsLease,
       active: this.#ingress.active,
       wanted: this.#wanted.all(),
       lagMs: Math.round(this.#lag.ms),
       suspects: this.#quarantine.state(),
       quotas: this.#quotas.state(),
+      permits: this.#network.permits.state(),
       servers: [...this.#fleet.all()].map((server) => server.state(nowMs)),
     };
   }
@@ -210,9 +210,10 @@
       mirror: this.#mirror,
       clock: this.#clock,
       log: this.#log,
+      metrics: this.#metrics,
       random: this.#random,
       coalesceMs: () =>
-        coalesceDelayMs(this.#peers.count, this.#settings.heartbeatMs),
+        coalesceDelayMs(this.#network.gossip.count, this.#settings.heartbeatMs),
     };
   }
 
@@ -225,26 +226,25 @@
       inRegistrationGrace: () =>
         !this.#isOutageLocal && this.#follower.contact.inRegistrationGrace,
       onRemoved: (server) => this.#quarantine.left(server),
+      onRate: (server) => this.#network.announceRate(server),
     });
   }
 
-  #createPeers(): PeerGossip {
+  #createNetwork(): PeerNetwork {
     const { instance, ipAddress, peerPort, seedAddresses } = this.#settings;
-    return PeerGossip.create({
+    return PeerNetwork.create({
       ...this.#parts(),
       name: instance,
       ipAddress,
       port: peerPort,
+      registeredAddresses: () => this.#registration.ipAddresses(),
       fleet: this.#fleet,
       cacheOf: (id, bornAtMs) => this.#state.cacheOf(id, bornAtMs),
       storeServedMs: () => this.#follower.contact.lastAnswerAgeMs,
       wanted: this.#wanted,
       quarantine: this.#quarantine,
       quotas: this.#quotas,
-      knownAddresses: () => [
-        ...seedAddresses.map((seed) => seed.ipAddress),
-        ...this.#registration.ipAddresses(),
-      ],
+      seedAddresses: seedAddresses.map((seed) => seed.ipAddress),
       syncState: () => this.#mirror.syncState,
       onPeerSyncState: (peer, syncState) => {
         void this.#relay.onPeerSyncState(peer, syncState);
@@ -270,28 +270,28 @@
       engineServices: () => this.#state.engineServices(),
       wanted: this.#wanted,
       onWeightsSeen: (server, model, version) =>
-        this.#peers.announceWeights(server.entry, model, version),
+        this.#network.gossip.announceWeights(server.entry, model, version),
     });
   }
 
   #createDispatcher(): Dispatcher {
     return Dispatcher.create({
       ...this.#parts(),
-      metrics: this.#metrics,
       fleet: this.#fleet,
       quarantine: this.#quarantine,
       quotas: this.#quotas,
+      permits: this.#network.permits,
       zone: this.#settings.zone,
       choice: this.#settings.choice,
       resendLimits: this.#settings.resendLimits,
       wanted: this.#wanted,
       promptStores: () => this.#state.promptStores,
       cacheOf: (id) => this.#state.cacheOf(id),
-      entryCount: () => this.#peers.possibleEntryCount,
-      loadAgeMs: () => this.#peers.gossipIntervalMs,
-      onSilent: (id) => this.#peers.announceSilent(id),
-      onGone: (server) => this.#peers.announceReplaced(server),
-      onPrompt: (placed) => this.#peers.announcePrompt(placed),
+      entryCount: () => this.#network.gossip.possibleEntryCount,
+      loadAgeMs: () => this.#network.gossip.gossipIntervalMs,
+      onSilent: (id) => this.#network.gossip.announceSilent(id),
+      onGone: (server) => this.#network.gossip.announceReplaced(server),
+      onPrompt: (placed) => this.#network.gossip.announcePrompt(placed),
     });
   }
 
@@ -325,7 +325,7 @@
     await this.#ingress.listen(clientAddress.ipAddress, clientAddress.port);
     lifecycle.task("lag", (signal) => this.#lag.run(signal));
     lifecycle.task("follower", (signal) => this.#follower.run(signal));
-    lifecycle.task("peers", (signal) => this.#peers.run(signal));
+    this.#network.open(lifecycle);
     const seeds = otherSeeds(settings);
     lifecycle.task("seeds", (sig) => this.#relay.pollUntilSynced(seeds, sig));
     lifecycle.task("registration", (signal) => this.#registration.run(signal));
@@ -340,7 +340,7 @@
   /** Whether the store served another entry while it didn't respond to this one. */
   get #isOutageLocal(): boolean {
     const { contact } = this.#follower;
-    return contact.isServedElsewhere(this.#peers.peerStoreContactAtMs);
+    return contact.isServedElsewhere(this.#network.gossip.peerStoreContactAtMs);
   }
 
   #serverOptions(service: string): ServerOptions {
--- a/src/router/run_mover.ts
+++ b/src/router/run_mover.ts
@@ -12,6 +12,8 @@
 import type { Fleet } from "./fleet.ts";
 import type { Quarantine } from "./quarantine.ts";
 import type { RunCopy } from "./model.ts";
+import { Caller } from "./permit_bucket.ts";
+import type { Permits } from "./permits.ts";
 import type { RoutedRequest } from "./request.ts";
 import type { Server } from "./server.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
@@ -39,10 +41,19 @@
   random: () => number;
   /** Runs of requests under which servers have terminated are not moved. */
   quarantine: Pick<Quarantine, "verdict">;
+  /** A moved run counts towards the rate that its target takes. */
+  permits: Pick<Permits, "acquire" | "giveBack">;
   /** Reserves the resends that a move may need; false if the request may not be sent that often. */
   reserve(request: RoutedRequest, progress: Progress): boolean;
 }
 
+/** Engine to which a run is moved. */
+interface MoveTarget {
+  server: Server;
+  /** A permit was obtained, as the engine takes a limited rate. */
+  hasPermit: boolean;
+}
+
 /** Moves runs between engines. */
 export class RunMover {
   readonly #options: RunMoverOptions;
@@ -83,10 +94,11 @@
    * @returns The result of the move.
    */
   async move(send: Send): Promise<RunMove> {
-    const { clock, log, reserve } = this.#options;
-    const { request, choice, progress } = send;
-    const target = this.#findTarget(send);
-    if (!target || !reserve(request, progress)) return { kind: "not_moved" };
+    const { clock, log } = this.#options;
+    const { request, choice } = send;
+    const reserved = await this.#reserveTarget(send);
+    if (!reserved) return { kind: "not_moved" };
+    const { server: target } = reserved;
     const startMs = clock.nowMs();
     const answer = await moveRun(choice.server.entry, {
       requestId: request.facts.requestId,
@@ -101,9 +113,11 @@
       answer: reply?.kind ?? (answer.isErr ? answer.error.kind : undefined),
       tookMs: Math.round(clock.nowMs() - startMs),
     });
-    return reply
-      ? this.#applyReply(send, target, reply)
+    const move: RunMove = reply
+      ? this.#applyReply(send, reserved, reply)
       : { kind: "not_moved" };
+    if (move.kind !== "copied") this.#giveBack(reserved);
+    return move;
   }
 
   /**
@@ -117,7 +131,31 @@
     void dropCopy(copy.source, copy.copyId, { callMs: MOVE_TIMEOUT_MS });
   }
 
-  #applyReply({ choice }: Send, target: Server, reply: MoveAnswer): RunMove {
+  /** Finds a target, and reserves the resends and the permit that the move needs. */
+  async #reserveTarget(send: Send): Promise<MoveTarget | undefined> {
+    const { permits, reserve, fleet } = this.#options;
+    const server = this.#findTarget(send);
+    if (!server) return undefined;
+    const hasPermit = server.announcements.rate.perSecond !== undefined;
+    if (hasPermit && !await permits.acquire(server, Caller.returning)) {
+      return undefined;
+    }
+    const { request, progress } = send;
+    const target = { server, hasPermit };
+    if (fleet.has(server) && reserve(request, progress)) return target;
+    this.#giveBack(target);
+    return undefined;
+  }
+
+  #giveBack({ server, hasPermit }: MoveTarget): void {
+    if (hasPermit) this.#options.permits.giveBack(server);
+  }
+
+  #applyReply(
+    { choice }: Send,
+    { server: target, hasPermit }: MoveTarget,
+    reply: MoveAnswer,
+  ): RunMove {
     switch (reply.kind) {
       case "copied":
         if (
@@ -130,7 +168,10 @@
         }
         return {
           kind: "copied",
-          choice: this.#choiceAt(target, choice, reply.copyId),
+          choice: {
+            ...this.#choiceAt(target, choice, reply.copyId),
+            hasPermit,
+          },
         };
       case "stopped":
         target.refused(this.#options.clock.nowMs() + REFUSED_HOLD_MS);
@@ -166,6 +207,7 @@
     for (const server of fleet.accepting(request.service)) {
       if (progress.tried.has(server) || server.health.isDown) continue;
       if (server.isHeldBack(nowMs) || server.isFull(nowMs)) continue;
+      if (server.permitPauses.leftMs(nowMs, Caller.returning) > 0) continue;
       if (server.weights(model) !== choice.weightsVersion) continue;
       const { running, pendingTokens } = server.load(nowMs);
       const score = running + pendingTokens / PENDING_TOKENS_PER_RUN +
--- a/src/router/run_mover_test.ts
+++ b/src/router/run_mover_test.ts
@@ -5,7 +5,7 @@
 import { registration, silentLog, TestClock, testFleet } from "./_kit.ts";
 import type { PartialAnswer, Send } from "./attempt.ts";
 import type { Fleet } from "./fleet.ts";
-import { RequestKind } from "./model.ts";
+import { AnswerRateKind, RequestKind } from "./model.ts";
 import { RunMover } from "./run_mover.ts";
 import { WantedVersions } from "./wanted_weights.ts";
 
@@ -20,9 +20,11 @@
   mover: RunMover;
   /** Number of attempted moves. */
   tried: number;
+  /** Number of permits that were not used. */
+  givenBack: number;
 }
 
-function create(): Setup {
+function create({ isGranted = true } = {}): Setup {
   const clock = new TestClock();
   const fleet = testFleet(clock);
   const wanted = WantedVersions.create({ clock, boundMs: BOUND_MS });
@@ -34,9 +36,13 @@
     zone: "a",
     random: () => 0,
     quarantine: { verdict: () => ({ kind: "clear" }) },
+    permits: {
+      acquire: () => Promise.resolve(isGranted),
+      giveBack: () => void made.givenBack++,
+    },
     reserve: () => ++made.tried > 0,
   });
-  const made: Setup = { clock, fleet, wanted, mover, tried: 0 };
+  const made: Setup = { clock, fleet, wanted, mover, tried: 0, givenBack: 0 };
   return made;
 }
 
@@ -165,3 +171,35 @@
 test("run is not moved if its weights were replaced too long ago", async () => {
   assert.equal(await isMoved(9500), false);
 });
+
+/*
+ * Guards against moving runs past the rate of requests that their target takes from all entries.
+ */
+test("run is moved to a rate-limited engine only with a permit", async (t) => {
+  for (const isGranted of [true, false]) {
+    const made = create({ isGranted });
+    const { fleet, mover } = made;
+    const { address, calls } = await copyingEngine(t, () => {});
+    fleet.put(registration("from", { address }));
+    fleet.put(registration("to"));
+    const rate = { kind: AnswerRateKind.limited, perSecond: 1 } as const;
+    const answer = { rate, isRefusal: false, sentAtMs: 0 };
+    fleet.recordRate(fleet.get("to")!, answer);
+    const move = await mover.move(sendOf(fleet));
+    assert.equal(move.kind, isGranted ? "copied" : "not_moved");
+    assert.equal(calls.length, isGranted ? 1 : 0);
+    assert.equal(made.tried, isGranted ? 1 : 0);
+  }
+});
+
+test("permit of a move that fails is given back", async () => {
+  const made = create();
+  const { fleet, mover } = made;
+  // No server listens at these addresses.
+  for (const id of ["from", "to"]) fleet.put(registration(id));
+  const rate = { kind: AnswerRateKind.limited, perSecond: 1 } as const;
+  const answer = { rate, isRefusal: false, sentAtMs: 0 };
+  fleet.recordRate(fleet.get("to")!, answer);
+  assert.equal((await mover.move(sendOf(fleet))).kind, "not_moved");
+  assert.equal(made.givenBack, 1);
+});
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -6,6 +6,7 @@
 import { Health } from "./health.ts";
 import type { BackendServer } from "./model.ts";
 import { PeerLoadSum, type ServerLoad } from "./peer_load_sum.ts";
+import { PermitPauses } from "./permit_pauses.ts";
 
 /** Initial estimate of the time per generated token; small models are several times faster. */
 const INITIAL_TOKEN_MS = 15;
@@ -63,6 +64,8 @@
   readonly order = AnswerOrder.create();
   /** Announcements that the server made in its answers. */
   readonly announcements: Announcements;
+  /** Pauses after denied permits, if the server takes a limited rate of requests. */
+  readonly permitPauses: PermitPauses;
   #entry: BackendServer;
   readonly #weights = new Map<string, number>();
   readonly #ownLoad: ServerLoad = { pendingTokens: 0, running: 0, bound: 0 };
@@ -81,6 +84,7 @@
     this.id = entry.id;
     this.#entry = entry;
     this.announcements = options.announcements ?? Announcements.create();
+    this.permitPauses = PermitPauses.create(this.announcements.rate);
     this.channels = ChannelPool.create({ address: entry.address, ...options });
     this.cache = ExpectedCache.create(options.cacheTokens);
     this.#connectionLimit = options.connectionLimit;
--- a/src/router/server_rate_test.ts
+++ b/src/router/server_rate_test.ts
@@ -24,6 +24,9 @@
 /** Time between two requests to one entry; far above the rate of the tests. */
 const REQUEST_INTERVAL_MS = 100;
 
+/** Time that a server takes to answer, if it is slower than another one. */
+const SLOW_MS = 100;
+
 function assertWithinRate(
   { arrivedAtMs }: StandinBackendServer,
   perSecond: number,
@@ -57,6 +60,13 @@
   return (await Promise.all(answers)).map(({ status }) => status);
 }
 
+/** Starts a server that is slower than the limited one, so that all requests are for that one. */
+async function openSlowServer(world: World): Promise<StandinBackendServer> {
+  const server = await world.worker("i-2");
+  server.faults.lateMs = SLOW_MS;
+  return server;
+}
+
 async function untilKnownAtAll(world: World, text: string): Promise<void> {
   for (const entry of world.entries) {
     await until(() => stateContains(entry, text));
@@ -68,7 +78,7 @@
   const limited = await world.worker("i-1");
   limited.faults.rate = "2";
   assert.equal((await sendClientRequest(world, "/look/a")).status, 200);
-  await world.worker("i-2");
+  await openSlowServer(world);
   await untilKnownAtAll(world, '"i-2"');
   const statuses = await sendSteadily(world, "/look/a", WINDOW_MS + 500);
   assert.deepEqual(statuses.filter((status) => status !== 200), []);
@@ -80,7 +90,7 @@
   const limited = await world.worker("i-1");
   limited.faults.rate = "1";
   assert.equal((await sendClientRequest(world, "/look/a")).status, 200);
-  const failing = await world.worker("i-2");
+  const failing = await openSlowServer(world);
   failing.faults.fail = Infinity;
   await sendSteadily(world, "/look/a", WINDOW_MS);
   assertWithinRate(limited, 1);
@@ -108,3 +118,98 @@
   for (const answer of await Promise.all(streams)) assertComplete(answer);
   assertWithinRate(limited, 4);
 });
+
+test("requests that only limited servers could take are refused with a time to return", async (t) => {
+  const world = await openWorld(t, { entryCount: 2 });
+  const limited = await world.worker("i-1");
+  await untilKnownAtAll(world, '"i-1"');
+  limited.faults.rate = "2";
+  assert.equal((await sendClientRequest(world, "/look/a")).status, 200);
+  await untilKnownAtAll(world, '"ratePerSecond":2');
+  limited.arrivedAtMs.length = 0;
+  for (let round = 0; round < 4; round++) {
+    for (const entry of world.entries) {
+      const headers = { "deadline-ms": "5000" };
+      let answer = await sendClientRequest(entry, "/look/a", headers);
+      while (answer.status !== 200) {
+        assert.equal(answer.status, 503);
+        const waitS = Number(answer.headers["retry-after"]);
+        assert.ok(waitS > 0, `${waitS} s`);
+        await sleep(waitS * 1000);
+        answer = await sendClientRequest(world, "/look/a");
+      }
+    }
+  }
+  assertWithinRate(limited, 2);
+});
+
+test("rate that a server names anew, and its end, are known at all entries", async (t) => {
+  const world = await openWorld(t, { entryCount: 3 });
+  const limited = await world.worker("i-1");
+  await untilKnownAtAll(world, '"i-1"');
+  for (const rate of ["4", "1.5", "8"]) {
+    limited.faults.rate = rate;
+    await sendUntilKnown(world, `"ratePerSecond":${rate}`);
+  }
+  limited.faults.rate = undefined;
+  await until(async () => {
+    await sendClientRequest(world, "/look/a");
+    return !world.entries.some((entry) =>
+      stateContains(entry, '"ratePerSecond"')
+    );
+  });
+});
+
+test("rate holds while the store is down, and its permits are used", async (t) => {
+  const world = await openWorld(t, { entryCount: 3 });
+  const limited = await world.worker("i-1");
+  limited.faults.rate = "2";
+  await openSlowServer(world);
+  await untilKnownAtAll(world, '"i-2"');
+  await sendUntilKnown(world, '"ratePerSecond":2');
+  await world.store.down();
+  limited.arrivedAtMs.length = 0;
+  const statuses = await sendSteadily(world, "/look/a", WINDOW_MS);
+  assert.deepEqual(statuses.filter((status) => status !== 200), []);
+  assertWithinRate(limited, 2);
+  assert.ok(limited.arrivedAtMs.length > 0);
+});
+
+test("rate holds while entries stop and start again in turn", async (t) => {
+  const world = await openWorld(t, { entryCount: 3 });
+  const limited = await world.worker("i-1");
+  limited.faults.rate = "2";
+  await openSlowServer(world);
+  await untilKnownAtAll(world, '"i-2"');
+  await sendUntilKnown(world, '"ratePerSecond":2');
+  limited.arrivedAtMs.length = 0;
+  let entries = [...world.entries];
+  for (const entry of world.entries.slice(0, 3)) {
+    await entry.router.stop();
+    entries = entries.filter((one) => one !== entry);
+    await sendSteadily({ entries }, "/look/a", 500);
+    const again = await world.restart(entry);
+    await until(() => stateContains(again, '"ratePerSecond":2'));
+    entries.push(again);
+    await sendSteadily({ entries }, "/look/a", 1000);
+  }
+  assertWithinRate(limited, 2);
+});
+
+test("server without a rate gets no datagrams about permits", async (t) => {
+  const world = await openWorld(t, { entryCount: 2 });
+  await world.worker("i-1");
+  await untilKnownAtAll(world, '"i-1"');
+  await sendSteadily(world, "/look/a", 300);
+  for (const entry of world.entries) {
+    assert.ok(stateContains(entry, '"permits":{}'));
+  }
+});
+
+/** Sends requests until all entries know of a server's rate. */
+async function sendUntilKnown(world: World, text: string): Promise<void> {
+  await until(async () => {
+    await sendClientRequest(world, "/look/a");
+    return world.entries.every((entry) => stateContains(entry, text));
+  });
+}
--- a/src/router/server_selector.ts
+++ b/src/router/server_selector.ts
@@ -9,6 +9,7 @@
 } from "./choose.ts";
 import type { Fleet } from "./fleet.ts";
 import type { Workspace } from "./model.ts";
+import { Caller } from "./permit_bucket.ts";
 import type { PromptStore } from "./prompt_store.ts";
 import { type RoutedRequest, SkipReason } from "./request.ts";
 import type { Server } from "./server.ts";
@@ -51,13 +52,18 @@
    *
    * @param request The request.
    * @param progress State of the request over its sends.
+   * @param options Who sends it.
    * @returns The best server, even if it may refuse the request; undefined if there is none.
    */
-  any(request: RoutedRequest, progress: Progress): Choice | undefined {
-    const found = this.#chooseExcept(request, progress.tried);
+  any(
+    request: RoutedRequest,
+    progress: Progress,
+    { caller }: { caller?: Caller },
+  ): Choice | undefined {
+    const found = this.#chooseExcept(request, progress.tried, caller);
     if (found || progress.sends === 0) return found;
     // All servers were tried; one that refused earlier may accept the request now.
-    return this.#chooseExcept(request, progress.ranAt);
+    return this.#chooseExcept(request, progress.ranAt, caller);
   }
 
   /**
@@ -66,13 +72,13 @@
    *
    * @param request The request.
    * @param progress State of the request over its sends.
-   * @param openAt Servers with open runs of the request.
+   * @param options Servers with open runs of the request, and who sends it.
    * @returns An available server; one where the request ran before only if it has no open run.
    */
   ready(
     request: RoutedRequest,
     progress: Progress,
-    openAt: ReadonlySet<Server>,
+    { openAt, caller }: { openAt: ReadonlySet<Server>; caller?: Caller },
   ): Choice | undefined {
     const ran = new Set([...progress.ranAt, ...openAt]);
     // Prefer servers that were not tried, then those that refused, then those where it ran.
@@ -80,7 +86,7 @@
       ? [progress.tried, ran]
       : [progress.tried, ran, openAt];
     for (const excluded of exclusions) {
-      const found = this.#chooseExcept(request, excluded);
+      const found = this.#chooseExcept(request, excluded, caller);
       if (found && this.#isReady(found.server)) return found;
     }
     return undefined;
@@ -111,6 +117,9 @@
     if (server.health.isDown) return SkipReason.down;
     if (server.isHeldBack(nowMs)) return SkipReason.heldBack;
     if (server.isFull(nowMs)) return SkipReason.full;
+    if (server.permitPauses.leftMs(nowMs, Caller.returning) > 0) {
+      return SkipReason.overRate;
+    }
     return tried.has(server) ? SkipReason.refused : SkipReason.free;
   }
 
@@ -122,6 +131,7 @@
   #chooseExcept(
     request: RoutedRequest,
     tried: ReadonlySet<Server>,
+    caller: Caller | undefined,
   ): Choice | undefined {
     const { fleet, clock, zone, random, choice } = this.#options;
     return choose({
@@ -129,6 +139,7 @@
       zone,
       nowMs: clock.nowMs(),
       tried,
+      caller,
       prompt: this.#promptOf(request),
       loadAgeMs: this.#options.loadAgeMs(),
       random,
