Record in the store which servers take a limited rate

If all entries restart at once, none knew a rate until its server had answered again, and an engine under load takes seconds to begin an answer; until then each entry sent freely. The entry that grants a server's permits now writes one record a server (cicadahitch/rates/ID: start, rate, time of the statement): one write when the rate is first named, at most one every 5 s while it changes, one delete when it has ended or the server has gone; up to 32 in one call, none per request. Entries read it with everything else when they start, and adopt it only where they have been told nothing since.

Tests: rate_record_test.ts (eight); 'rate is known after all entries have started again at once' in server_rate_test.ts waited for ever without it. Ruled out: keeping the rate in the registration of an entry, which costs a write for each entry.

--- a/src/router/_kit.ts
+++ b/src/router/_kit.ts
@@ -88,6 +88,7 @@
     outage: () => undefined,
     inRegistrationGrace: () => false,
     onRemoved: () => {},
+    recordedRate: () => undefined,
     onRate: () => {},
     ...options,
   });
--- a/src/router/effective_state.ts
+++ b/src/router/effective_state.ts
@@ -16,6 +16,7 @@
 } from "./model.ts";
 import { PUBLISH_TIMES_KEY } from "./publish_times_record.ts";
 import type { PromptStore } from "./prompt_store.ts";
+import { RATE_RECORD_PREFIX } from "./rate_record.ts";
 import { RoutingTable } from "./routing_table.ts";
 import { SUSPECT_RECORD_KEY } from "../suspects/mod.ts";
 import type { ServerLimits } from "./server.ts";
@@ -37,6 +38,8 @@
   recordedAges(): VersionAge[];
   /** Called when the store's record of suspected requests has changed. */
   onSuspectRecord(): void;
+  /** Called when the store's record of a server's rate has changed. */
+  onRateRecord(key: string): void;
   /** Called when a newer configuration was applied. */
   onConfig(config: RoutingConfig): void;
 }
@@ -89,6 +92,7 @@
       case "other":
         if (key === PUBLISH_TIMES_KEY) this.#restoreAges();
         if (key === SUSPECT_RECORD_KEY) this.#options.onSuspectRecord();
+        if (key.startsWith(RATE_RECORD_PREFIX)) this.#options.onRateRecord(key);
         return;
     }
   }
--- a/src/router/effective_state_test.ts
+++ b/src/router/effective_state_test.ts
@@ -50,6 +50,7 @@
       coalescedMs: () => this.coalescedMs,
       recordedAges: () => this.recordedAges,
       onSuspectRecord: () => {},
+      onRateRecord: () => {},
       onConfig: () => {},
     });
   }
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -24,6 +24,8 @@
   inRegistrationGrace(): boolean;
   /** Called when a server was removed or has restarted. */
   onRemoved(server: Server): void;
+  /** What the store records about the rate of a server that was not known before. */
+  recordedRate(entry: BackendServer): RateStatement | undefined;
   /** Called when an answer changed the rate that its server takes, to notify other entries. */
   onRate(server: Server): void;
 }
@@ -162,6 +164,18 @@
     }
   }
 
+  /**
+   * Adopts what the store records about a server's rate, unless this entry was told something since.
+   *
+   * @param server The server.
+   */
+  restoreRate(server: Server): void {
+    const { rate } = server.announcements;
+    const recorded = this.#options.recordedRate(server.entry);
+    if (rate.statement || !recorded) return;
+    if (rate.merge(recorded)) this.#onRate(server, "store");
+  }
+
   /**
    * Adopts what another entry was told about the rate of requests that a server takes.
    *
@@ -203,6 +217,7 @@
       announcements,
     });
     this.#servers.set(entry.id, server);
+    this.restoreRate(server);
     this.#logJoined(server, known && !isSame);
   }
 
@@ -268,8 +283,8 @@
     for (const { channels } of this.#servers.values()) channels.closeIdle();
   }
 
-  /** @param source Who told: the server's answer, or another entry. */
-  #onRate(server: Server, source: "answer" | "entry"): void {
+  /** @param source Who told: the server's answer, another entry, or the store's record. */
+  #onRate(server: Server, source: "answer" | "entry" | "store"): void {
     server.permitPauses.clear();
     if (source === "answer") this.#options.onRate(server);
     this.#options.log.info({
--- a/src/router/permits.ts
+++ b/src/router/permits.ts
@@ -136,6 +136,15 @@
     else send(address, { kind: "unused", serverId: id, startMs: bornAtMs });
   }
 
+  /**
+   * @param key Incarnation key of a server.
+   * @returns Whether this entry grants its permits.
+   */
+  grantsFor(key: string): boolean {
+    const { members, clock, ownAddress } = this.#options;
+    return members.responsibleFor(key, clock.nowMs()).address === ownAddress;
+  }
+
   /**
    * @param server A server.
    * @returns Whether this entry grants its permits, or would if the one that does ended.
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -20,6 +20,7 @@
 import { PeerNetwork } from "./peer_network.ts";
 import { Quarantine } from "./quarantine.ts";
 import { Quotas } from "./quotas.ts";
+import { RateRecord } from "./rate_record.ts";
 import { Registration } from "./registration.ts";
 import { relayAnswer, RelayClient } from "./relay.ts";
 import { RequestLog } from "./request_log.ts";
@@ -30,8 +31,7 @@
 import { SUSPECT_RECORD_KEY, SuspectRecord } from "../suspects/mod.ts";
 import { WantedVersions } from "./wanted_weights.ts";
 import { PUBLISH_TIMES_KEY, readVersionAges } from "./publish_times_record.ts";
-import { ORDER_RECORD_PREFIX } from "./order_records.ts";
-import { LAST_ROLL_KEY, ROLL_LEASE_KEY } from "./roll_lease.ts";
+import { rollRecords } from "./roll_records.ts";
 import { WeightsRoll } from "./weights_roll.ts";
 
 /** Part of the grace period that is reserved for the exit of the process. */
@@ -62,6 +62,7 @@
   readonly #quotas: Quotas;
   readonly #lag: LoopLag;
   readonly #fleet: Fleet;
+  readonly #rateRecord: RateRecord;
   readonly #network: PeerNetwork;
   readonly #relay: RelayClient;
   readonly #registration: Registration;
@@ -80,15 +81,10 @@
     this.#random = options.random ?? Math.random;
     this.#lag = LoopLag.create({ ...options.settings, log: options.log });
     this.#mirror = StoreMirror.create(this.#clock);
-    this.#wanted = WantedVersions.create({
-      clock: this.#clock,
-      boundMs: options.settings.weightsBoundMs,
-    });
+    const { weightsBoundMs: boundMs, heartbeatMs } = options.settings;
+    this.#wanted = WantedVersions.create({ clock: this.#clock, boundMs });
     this.#store = createStore(options.settings, this.#log);
-    this.#follower = StoreFollower.create({
-      ...this.#parts(),
-      heartbeatMs: options.settings.heartbeatMs,
-    });
+    this.#follower = StoreFollower.create({ ...this.#parts(), heartbeatMs });
     this.#quarantine = Quarantine.create({
       ...this.#parts(),
       entryCount: () => this.#network.gossip.count,
@@ -106,6 +102,12 @@
         Math.max(this.#network.gossip.count, this.#registration.count),
     });
     this.#fleet = this.#createFleet();
+    this.#rateRecord = RateRecord.create({
+      ...this.#parts(),
+      fleet: this.#fleet,
+      isWriterOf: (key) => this.#network.permits.grantsFor(key),
+      isStoreServing: () => this.#follower.contact.connected,
+    });
     this.#state = EffectiveState.create({
       log: this.#log,
       fleet: this.#fleet,
@@ -118,6 +120,7 @@
           this.#clock.wallMs(),
         ),
       onSuspectRecord: () => this.#suspectRecord.loadStored(),
+      onRateRecord: (key) => this.#rateRecord.onWritten(key),
       onConfig: ({ workspaces }) => {
         this.#ingress.applyLimits();
         this.#quotas.setLimits(workspaces);
@@ -129,8 +132,7 @@
     });
     this.#registration = Registration.create({
       ...this.#parts(),
-      instance: options.settings.instance,
-      ipAddress: options.settings.ipAddress,
+      ...options.settings,
     });
     this.#cacheTransfer = CacheTransfer.create({
       ...this.#parts(),
@@ -226,6 +228,7 @@
       inRegistrationGrace: () =>
         !this.#isOutageLocal && this.#follower.contact.inRegistrationGrace,
       onRemoved: (server) => this.#quarantine.left(server),
+      recordedRate: (server) => this.#rateRecord.statementOf(server),
       onRate: (server) => this.#network.announceRate(server),
     });
   }
@@ -261,12 +264,7 @@
       holderId: this.#settings.instance,
       turnMs: this.#settings.orderTurnMs,
       enginesCheckFences: this.#settings.enginesCheckFences,
-      isLeaseHeld: () =>
-        this.#mirror.revision === 0n || !this.#follower.contact.connected ||
-        this.#mirror.entry(ROLL_LEASE_KEY) !== undefined,
-      lastHolder: () => this.#mirror.entry(LAST_ROLL_KEY),
-      orderRecords: () => this.#mirror.entries(ORDER_RECORD_PREFIX),
-      publishTimesRecord: () => this.#mirror.entry(PUBLISH_TIMES_KEY),
+      ...rollRecords(this.#mirror, this.#follower.contact),
       engineServices: () => this.#state.engineServices(),
       wanted: this.#wanted,
       onWeightsSeen: (server, model, version) =>
@@ -281,9 +279,7 @@
       quarantine: this.#quarantine,
       quotas: this.#quotas,
       permits: this.#network.permits,
-      zone: this.#settings.zone,
-      choice: this.#settings.choice,
-      resendLimits: this.#settings.resendLimits,
+      ...this.#settings,
       wanted: this.#wanted,
       promptStores: () => this.#state.promptStores,
       cacheOf: (id) => this.#state.cacheOf(id),
@@ -331,6 +327,7 @@
     lifecycle.task("registration", (signal) => this.#registration.run(signal));
     lifecycle.task("roll", (signal) => this.#roll.run(signal));
     lifecycle.task("suspects", (signal) => this.#suspectRecord.run(signal));
+    lifecycle.task("rates", (signal) => this.#rateRecord.run(signal));
     const { contact } = this.#follower;
     const sweepOptions = { ...this.#parts(), contact, fleet: this.#fleet };
     lifecycle.task("sweep", (signal) => sweepServers(sweepOptions, signal));
--- a/src/router/server_rate_test.ts
+++ b/src/router/server_rate_test.ts
@@ -196,6 +196,24 @@
   assertWithinRate(limited, 2);
 });
 
+test("rate is known after all entries have started again at once", async (t) => {
+  const world = await openWorld(t, { entryCount: 2 });
+  const limited = await world.worker("i-1");
+  await untilKnownAtAll(world, '"i-1"');
+  limited.faults.rate = "2";
+  await sendUntilKnown(world, '"ratePerSecond":2');
+  const key = "cicadahitch/rates/i-1";
+  const isRecorded = () => world.store.store.table.get(key) !== undefined;
+  await until(isRecorded);
+  for (const { router } of world.entries.slice(0, 2)) await router.stop();
+  limited.arrivedAtMs.length = 0;
+  for (const entry of world.entries.slice(0, 2)) {
+    const again = await world.restart(entry);
+    await until(() => stateContains(again, '"ratePerSecond":2'));
+  }
+  assert.equal(limited.arrivedAtMs.length, 0);
+});
+
 test("server without a rate gets no datagrams about permits", async (t) => {
   const world = await openWorld(t, { entryCount: 2 });
   await world.worker("i-1");
