Add a seeded soak of the router as real processes

Rate limits, stops and restarts were tested in one process, where a stop or a suspension can't overlap with anything else. The soak runs the router's program in processes of its own beside stand-ins for the store and the servers. Clients keep their connections until the process is gone.

Checked from what clients and servers saw: requests that may not be repeated run at most once, refused ones never ran, an answer is whole and the request's own, planned stops cut no request that a server ran, and a server's rate holds over all entries that weren't disrupted. Each oracle has a test with a history that breaks its promise.

--- /dev/null
+++ b/src/proof/_soak.ts
@@ -0,0 +1,204 @@
+/** Runs one plan of faults against a fleet of real processes and checks what clients and servers saw. */
+import { setTimeout as sleep } from "node:timers/promises";
+import { seededRandom } from "../base/random.ts";
+import { runClient } from "./_soak_client.ts";
+import { type SoakEntry, SoakFleet } from "./_soak_fleet.ts";
+import {
+  type Disruption,
+  findViolations,
+  type SoakHistory,
+  type Violation,
+} from "./_soak_oracles.ts";
+import { type Fault, FaultKind, type SoakPlan } from "./_soak_plan.ts";
+
+/** Connections to each entry. */
+const CLIENTS_PER_ENTRY = 3;
+/** Requests that a failing server fails. */
+const FAILED_REQUESTS = 3;
+
+/** What a soak showed. */
+export interface SoakResult {
+  violations: Violation[];
+  /** Requests by how they ended. */
+  counts: Record<string, number>;
+  /** Requests that reached each server while it named a rate. */
+  history: SoakHistory;
+  /** Start of the requests, by the clock of the history. */
+  startedAtMs: number;
+}
+
+/**
+ * @param plan Faults and sizes.
+ * @returns Broken promises, and what happened.
+ */
+export async function runSoak(plan: SoakPlan): Promise<SoakResult> {
+  const fleet = await SoakFleet.create(plan);
+  const run = new SoakRun(fleet, plan);
+  try {
+    return await run.run();
+  } finally {
+    await fleet.close();
+  }
+}
+
+class SoakRun {
+  readonly #fleet: SoakFleet;
+  readonly #plan: SoakPlan;
+  readonly #history: SoakHistory = {
+    clients: [],
+    runs: [],
+    arrivals: [],
+    rates: [],
+    disruptions: [],
+  };
+  /** Entries that are stopped, killed or suspended now; a further such fault leaves them alone. */
+  readonly #disrupted = new Set<SoakEntry>();
+  #startedAtMs = 0;
+
+  constructor(fleet: SoakFleet, plan: SoakPlan) {
+    this.#fleet = fleet;
+    this.#plan = plan;
+  }
+
+  async run(): Promise<SoakResult> {
+    const { durationMs, faults } = this.#plan;
+    const ended = new AbortController();
+    this.#startedAtMs = performance.now();
+    const clients = this.#fleet.entries.flatMap((entry) =>
+      this.#startClients(entry, ended.signal)
+    );
+    const injected = faults.map((fault) => this.#injectInTime(fault));
+    await sleep(durationMs);
+    await Promise.all(injected);
+    ended.abort();
+    await Promise.all(clients);
+    this.#collect();
+    return {
+      violations: findViolations(this.#history),
+      counts: this.#counts(),
+      history: this.#history,
+      startedAtMs: this.#startedAtMs,
+    };
+  }
+
+  #startClients(entry: SoakEntry, signal: AbortSignal): Promise<void>[] {
+    return Array.from({ length: CLIENTS_PER_ENTRY }, (_, i) => {
+      const name = `c${entry.index}-${i}`;
+      const number = entry.index * CLIENTS_PER_ENTRY + i;
+      const random = seededRandom(this.#plan.seed * 1000 + number);
+      const records = this.#history.clients;
+      return runClient(entry, { name, random, records }, signal);
+    });
+  }
+
+  async #injectInTime(fault: Fault): Promise<void> {
+    await sleep(fault.atMs);
+    await this.#inject(fault);
+  }
+
+  async #inject(fault: Fault): Promise<void> {
+    const { kind, forMs, index, perSecond } = fault;
+    const { store, entries, servers } = this.#fleet;
+    const entry = entries[index]!;
+    const server = servers[index]!;
+    switch (kind) {
+      case FaultKind.stop:
+        return await this.#end(entry, "SIGTERM");
+      case FaultKind.kill:
+        return await this.#end(entry, "SIGKILL");
+      case FaultKind.freeze:
+        return await this.#freeze(entry, forMs);
+      case FaultKind.storeDown:
+        await store.down();
+        await sleep(forMs);
+        return await store.up();
+      case FaultKind.storeSilent:
+        return await this.#disrupt(entry, false, async () => {
+          entry.link.silent();
+          await sleep(forMs);
+          entry.link.up();
+        });
+      case FaultKind.rate:
+        server.faults.rate = perSecond === undefined
+          ? undefined
+          : String(perSecond);
+        this.#history.rates.push({
+          server: index,
+          fromMs: performance.now(),
+          perSecond,
+        });
+        return;
+      case FaultKind.serverRestart:
+        return await this.#fleet.restartServer(index);
+      case FaultKind.serverFails:
+        server.faults.fail += FAILED_REQUESTS;
+        return;
+      case FaultKind.config:
+        return await this.#fleet.writeConfig();
+    }
+  }
+
+  async #end(entry: SoakEntry, signal: "SIGTERM" | "SIGKILL"): Promise<void> {
+    if (this.#disrupted.has(entry)) return;
+    this.#disrupted.add(entry);
+    await this.#disrupt(entry, signal === "SIGTERM", async () => {
+      entry.child.kill(signal);
+      await entry.child.exited;
+      this.#fleet.restart(entry);
+      await this.#fleet.untilReady(entry);
+    });
+    this.#disrupted.delete(entry);
+  }
+
+  async #freeze(entry: SoakEntry, forMs: number): Promise<void> {
+    if (this.#disrupted.has(entry)) return;
+    this.#disrupted.add(entry);
+    await this.#disrupt(entry, false, async () => {
+      entry.child.kill("SIGSTOP");
+      await sleep(forMs);
+      entry.child.kill("SIGCONT");
+    });
+    this.#disrupted.delete(entry);
+  }
+
+  async #disrupt(
+    { index }: SoakEntry,
+    isPlanned: boolean,
+    body: () => Promise<void>,
+  ): Promise<void> {
+    const disruption: Disruption = {
+      entry: index,
+      fromMs: performance.now(),
+      toMs: Infinity,
+      isPlanned,
+    };
+    this.#history.disruptions.push(disruption);
+    await body();
+    disruption.toMs = performance.now();
+  }
+
+  #collect(): void {
+    for (const [server, { arrivals, runs }] of this.#fleet.servers.entries()) {
+      const atMsById = new Map(
+        arrivals.map(({ requestId, atMs }) => [requestId, atMs]),
+      );
+      for (const { atMs, requestId } of arrivals) {
+        this.#history.arrivals.push({ server, atMs, requestId });
+      }
+      for (const { headers } of runs) {
+        const requestId = String(headers["attempt-id"]);
+        const atMs = atMsById.get(requestId) ?? 0;
+        this.#history.runs.push({ server, atMs, requestId });
+      }
+    }
+  }
+
+  #counts(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const { end } of this.#history.clients) {
+      const name = end.kind === "answered" ? String(end.status) : end.reason;
+      counts[name] = (counts[name] ?? 0) + 1;
+    }
+    return counts;
+  }
+}
--- /dev/null
+++ b/src/proof/_soak_fleet.ts
@@ -0,0 +1,170 @@
+/** The fleet of a soak: entries as processes of their own, stand-ins for the store and the servers. */
+import process from "node:process";
+import { Child } from "../e2e/_child.ts";
+import {
+  CONFIG,
+  fetchReadinessStatus,
+  NO_FAULTS,
+  StandinBackendServer,
+  StandinPlatformStore,
+  TcpRelay,
+} from "../standin/mod.ts";
+import type { SoakSizes } from "./_soak_plan.ts";
+
+/** Ports are taken from below the ephemeral range; all entries use the same ones. */
+const FIRST_PORT = 30_100;
+const PORTS_PER_PROCESS = 8;
+const PORT_BLOCKS = 250;
+const GRACE_S = 4;
+const POLL_MS = 20;
+/** Times of a plain call and of the events of a stream. */
+const CALL_MS = 40;
+const EVENTS = 6;
+const EVENT_MS = 30;
+
+/** One entry; its process changes when it starts again. */
+export interface SoakEntry {
+  index: number;
+  ipAddress: string;
+  clientPort: number;
+  readinessPort: number;
+  link: TcpRelay;
+  child: Child;
+}
+
+/** Entries, servers and store of a soak. */
+export class SoakFleet {
+  readonly entries: SoakEntry[] = [];
+  readonly servers: StandinBackendServer[] = [];
+  readonly store: StandinPlatformStore;
+  readonly #ports: {
+    client: number;
+    readiness: number;
+    control: number;
+    peer: number;
+  };
+  #configVersion = 1;
+  #isClosed = false;
+
+  private constructor(store: StandinPlatformStore) {
+    this.store = store;
+    const first = FIRST_PORT +
+      (process.pid % PORT_BLOCKS) * PORTS_PER_PROCESS;
+    this.#ports = {
+      client: first,
+      readiness: first + 1,
+      control: first + 2,
+      peer: first + 3,
+    };
+  }
+
+  /**
+   * @param sizes Numbers of entries and servers; every other server is a model engine.
+   * @returns A fleet whose entries are ready.
+   */
+  static async create(sizes: SoakSizes): Promise<SoakFleet> {
+    const fleet = new SoakFleet(await StandinPlatformStore.create());
+    await fleet.store.putConfig(CONFIG);
+    for (let i = 0; i < sizes.serverCount; i++) await fleet.#addServer(i);
+    for (let i = 0; i < sizes.entryCount; i++) await fleet.#addEntry(i);
+    for (const entry of fleet.entries) await fleet.untilReady(entry);
+    return fleet;
+  }
+
+  /** @param entry An entry whose process has ended; it is started again. */
+  restart(entry: SoakEntry): void {
+    if (!this.#isClosed) entry.child = this.#start(entry);
+  }
+
+  /** Writes the next version of the configuration. */
+  async writeConfig(): Promise<void> {
+    await this.store.putConfig({ ...CONFIG, version: ++this.#configVersion });
+  }
+
+  /** @param index Server that restarts and registers again. */
+  async restartServer(index: number): Promise<void> {
+    const server = this.servers[index]!;
+    await server.restart();
+    await this.#register(server);
+  }
+
+  /** @param entry Entry to wait for. */
+  async untilReady(entry: SoakEntry): Promise<void> {
+    while (!this.#isClosed && !await isReady(entry)) {
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  /** Ends all processes and stand-ins. */
+  async close(): Promise<void> {
+    this.#isClosed = true;
+    for (const { child } of this.entries) {
+      // A suspended process would not end.
+      child.kill("SIGCONT");
+      await child.close();
+    }
+    for (const { link } of this.entries) await link.close();
+    for (const server of this.servers) await server.close();
+    await this.store.close();
+  }
+
+  async #addServer(index: number): Promise<void> {
+    const isEngine = index % 2 === 1;
+    const server = await StandinBackendServer.create({
+      id: `i-${index}`,
+      ...(isEngine ? { model: "m", events: EVENTS, eventMs: EVENT_MS } : {}),
+      faults: { ...NO_FAULTS, lateMs: CALL_MS },
+    });
+    this.servers.push(server);
+    await this.#register(server);
+  }
+
+  #register(server: StandinBackendServer): Promise<void> {
+    const service = server.model ? "engines" : "plain";
+    return this.store.put(`servers/${server.id}`, server.entry(service));
+  }
+
+  async #addEntry(index: number): Promise<void> {
+    const { client, readiness } = this.#ports;
+    const entry = {
+      index,
+      ipAddress: `127.0.${1 + (index >> 7)}.${1 + (index & 127)}`,
+      clientPort: client,
+      readinessPort: readiness,
+      link: await TcpRelay.create({ targetAddress: this.store.address }),
+    };
+    this.entries.push({ ...entry, child: this.#start(entry) });
+  }
+
+  #start({ index, ipAddress, link }: Omit<SoakEntry, "child">): Child {
+    const { client, readiness, control, peer } = this.#ports;
+    const seeds = [1, 2, 3].map((host) => `127.0.1.${host}:${control}`);
+    return Child.create({
+      program: "router/main",
+      args: [],
+      variables: {
+        CICADAHITCH_INSTANCE: `entry-${index}`,
+        CICADAHITCH_ZONE: "a",
+        CICADAHITCH_IP_ADDRESS: ipAddress,
+        CICADAHITCH_CLIENT_ADDRESS: `${ipAddress}:${client}`,
+        CICADAHITCH_READINESS_ADDRESS: `${ipAddress}:${readiness}`,
+        CICADAHITCH_CONTROL_ADDRESS: `${ipAddress}:${control}`,
+        CICADAHITCH_PEER_PORT: String(peer),
+        CICADAHITCH_SEED_ADDRESSES: seeds.join(","),
+        CICADAHITCH_STORE_ADDRESS: link.address,
+        CICADAHITCH_GRACE_S: String(GRACE_S),
+        CICADAHITCH_ENGINES_CHECK_FENCES: "true",
+        CICADAHITCH_LOG_LEVEL: "warn",
+      },
+    });
+  }
+}
+
+async function isReady(entry: SoakEntry): Promise<boolean> {
+  try {
+    const { readinessPort, ipAddress } = entry;
+    return await fetchReadinessStatus(readinessPort, ipAddress) === 200;
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/src/proof/_soak_oracles.ts
@@ -0,0 +1,209 @@
+/** Checks a soak's history, as clients and servers saw it, against what the router promises. */
+
+/** A request, as its client saw it end. */
+export interface ClientRecord {
+  id: string;
+  /** Index of the entry to which it was sent. */
+  entry: number;
+  isIdempotent: boolean;
+  sentAtMs: number;
+  endedAtMs: number;
+  end: ClientEnd;
+}
+
+/** How a request ended for its client. */
+export type ClientEnd =
+  /** `isOwnAnswer`: the whole answer of a server to this very request. */
+  | { kind: "answered"; status: number; isOwnAnswer: boolean }
+  /** The connection ended without a complete answer. */
+  | { kind: "broken"; reason: string };
+
+/** A request at a server. */
+export interface ServerRecord {
+  requestId: string;
+  server: number;
+  atMs: number;
+}
+
+/** From when on a server named a rate; undefined: none. */
+export interface NamedRate {
+  server: number;
+  fromMs: number;
+  perSecond: number | undefined;
+}
+
+/** A time in which an entry was stopped, killed, suspended or cut off from the store. */
+export interface Disruption {
+  entry: number;
+  fromMs: number;
+  toMs: number;
+  /** A planned stop must not cut a request; all other disruptions may. */
+  isPlanned: boolean;
+}
+
+/** Everything that happened in a soak; times by one monotonic clock. */
+export interface SoakHistory {
+  clients: ClientRecord[];
+  /** Requests that servers ran. */
+  runs: ServerRecord[];
+  /** Requests that reached servers, run or not. */
+  arrivals: ServerRecord[];
+  rates: NamedRate[];
+  disruptions: Disruption[];
+}
+
+/** A broken promise. */
+export interface Violation {
+  promise: string;
+  atMs: number;
+  detail: string;
+}
+
+/** Statuses which promise that the request has not run and never will. */
+const NOT_RUN = new Set([408, 421, 429, 503]);
+const WINDOW_MS = 4000;
+/** Requests allowed in a window: this multiple of the rate, plus a fixed number. */
+const ALLOWED_FACTOR = 1.5;
+const ALLOWED_EXTRA = 5;
+/** A rate binds from this long after it was first named, and a calm entry from this long after. */
+const STABLE_MS = 3000;
+
+/**
+ * @param history A soak's history.
+ * @returns All broken promises.
+ */
+export function findViolations(history: SoakHistory): Violation[] {
+  return [
+    ...findRepeats(history),
+    ...findFalseRefusals(history),
+    ...findWrongAnswers(history),
+    ...findCutRequests(history),
+    ...findRateExcess(history),
+  ];
+}
+
+function findRepeats({ clients, runs }: SoakHistory): Violation[] {
+  const counts = countRuns(runs);
+  return clients
+    .filter(({ id, isIdempotent }) =>
+      !isIdempotent && (counts.get(id) ?? 0) > 1
+    )
+    .map(({ id, sentAtMs }) => ({
+      promise: "at_most_once",
+      atMs: sentAtMs,
+      detail: `${id} ran ${counts.get(id)} times`,
+    }));
+}
+
+function findFalseRefusals({ clients, runs }: SoakHistory): Violation[] {
+  const counts = countRuns(runs);
+  return clients
+    .filter(({ id, isIdempotent, end }) =>
+      !isIdempotent && end.kind === "answered" && NOT_RUN.has(end.status) &&
+      counts.has(id)
+    )
+    .map(({ id, endedAtMs }) => ({
+      promise: "true_refusals",
+      atMs: endedAtMs,
+      detail: `${id} was refused, and ran`,
+    }));
+}
+
+function findWrongAnswers({ clients }: SoakHistory): Violation[] {
+  return clients
+    .filter(({ end }) =>
+      end.kind === "answered" && end.status === 200 && !end.isOwnAnswer
+    )
+    .map(({ id, endedAtMs }) => ({
+      promise: "own_whole_answer",
+      atMs: endedAtMs,
+      detail: `${id} got another answer, or a part of one, as complete`,
+    }));
+}
+
+/** A request that a server ran must be answered, unless its entry had an unplanned disruption. */
+function findCutRequests(
+  { clients, runs, disruptions }: SoakHistory,
+): Violation[] {
+  const counts = countRuns(runs);
+  return clients
+    .filter((client) =>
+      client.end.kind === "broken" && counts.has(client.id) &&
+      !disruptions.some((disruption) =>
+        !disruption.isPlanned && disruption.entry === client.entry &&
+        disruption.fromMs <= client.endedAtMs &&
+        disruption.toMs >= client.sentAtMs - STABLE_MS
+      )
+    )
+    .map(({ id, endedAtMs, end }) => ({
+      promise: "planned_stop_cuts_nothing",
+      atMs: endedAtMs,
+      detail: `${id} ran, and its connection ended: ${
+        end.kind === "broken" ? end.reason : ""
+      }`,
+    }));
+}
+
+function findRateExcess(history: SoakHistory): Violation[] {
+  return bindingRates(history.rates).flatMap((rate) =>
+    findExcessOf(rate, history)
+  );
+}
+
+function findExcessOf(
+  { server, fromMs, toMs, perSecond }: BindingRate,
+  { arrivals, clients, disruptions }: SoakHistory,
+): Violation[] {
+  const entryOf = new Map(clients.map(({ id, entry }) => [id, entry]));
+  const isCalm = (entry: number | undefined, atMs: number) =>
+    !disruptions.some((one) =>
+      one.entry === entry && one.fromMs <= atMs &&
+      one.toMs >= atMs - STABLE_MS
+    );
+  const times = arrivals
+    .filter((one) =>
+      one.server === server && one.atMs >= fromMs && one.atMs < toMs &&
+      isCalm(entryOf.get(one.requestId), one.atMs)
+    )
+    .map(({ atMs }) => atMs);
+  const allowed = ALLOWED_FACTOR * perSecond * WINDOW_MS / 1000 +
+    ALLOWED_EXTRA;
+  for (let from = 0, to = 0; to < times.length; to++) {
+    while (times[to]! - times[from]! >= WINDOW_MS) from++;
+    if (to - from + 1 <= allowed) continue;
+    const detail = `server ${server} got ${
+      to - from + 1
+    } in 4 s at ${perSecond}/s, allowed ${allowed}`;
+    return [{ promise: "server_rate", atMs: times[to]!, detail }];
+  }
+  return [];
+}
+
+/** A span in which one rate binds. */
+interface BindingRate {
+  server: number;
+  fromMs: number;
+  toMs: number;
+  perSecond: number;
+}
+
+/** A changed rate binds some time after the change; until then, the higher one applies. */
+function bindingRates(rates: NamedRate[]): BindingRate[] {
+  return rates.flatMap(({ server, fromMs, perSecond }, i) => {
+    if (perSecond === undefined) return [];
+    const next = rates.slice(i + 1).find((other) => other.server === server);
+    const toMs = next?.fromMs ?? Infinity;
+    const bindsFromMs = fromMs + STABLE_MS;
+    return toMs > bindsFromMs
+      ? [{ server, fromMs: bindsFromMs, toMs, perSecond }]
+      : [];
+  });
+}
+
+function countRuns(runs: ServerRecord[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { requestId } of runs) {
+    counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+  }
+  return counts;
+}
--- /dev/null
+++ b/src/proof/_soak_plan.ts
@@ -0,0 +1,148 @@
+/** Plans of faults for the soak: the same seed gives the same plan. */
+import { seededRandom } from "../base/random.ts";
+
+/** Kinds of faults. */
+export const FaultKind = {
+  /** The entry gets SIGTERM, and starts again when it has exited. */
+  stop: "stop",
+  /** The entry gets SIGKILL, and starts again at once. */
+  kill: "kill",
+  /** The entry is suspended for a while. */
+  freeze: "freeze",
+  /** The store refuses connections for a while. */
+  storeDown: "store_down",
+  /** The entry's connections to the store are silent for a while. */
+  storeSilent: "store_silent",
+  /** A server names a rate of requests, or no more. */
+  rate: "rate",
+  /** A server restarts under its id. */
+  serverRestart: "server_restart",
+  /** A server fails some of the next requests. */
+  serverFails: "server_fails",
+  /** The operator writes a configuration. */
+  config: "config",
+} as const;
+
+/** One of {@link FaultKind}. */
+export type FaultKind = typeof FaultKind[keyof typeof FaultKind];
+
+/** One fault. */
+export interface Fault {
+  kind: FaultKind;
+  /** Time from the start of the requests. */
+  atMs: number;
+  /** How long it lasts, where it lasts. */
+  forMs: number;
+  /** Index of the entry or server, where there is one. */
+  index: number;
+  /** Requests per second that a server names; undefined: any number. */
+  perSecond?: number;
+}
+
+/** Sizes of a soak. */
+export interface SoakSizes {
+  entryCount: number;
+  serverCount: number;
+  durationMs: number;
+}
+
+/** Faults of a plan, by its seed. */
+export interface SoakPlan extends SoakSizes {
+  seed: number;
+  faults: Fault[];
+}
+
+/** Mean time between two faults that are planned one by one. */
+const MEAN_PAUSE_MS = 900;
+/** No fault begins in the last part, in which the fleet has to recover. */
+const QUIET_END_MS = 4000;
+const MIN_FOR_MS = 200;
+const MAX_FOR_MS = 3000;
+/** Time between the entries of a series. */
+const SERIES_PAUSE_MS = 700;
+/** Part of the stops and kills that hit all entries in turn. */
+const SERIES_SHARE = 0.25;
+const RATES = [0.5, 1, 2, 5];
+/** Part of the changes of a rate that end it. */
+const END_RATE_SHARE = 0.3;
+
+/** Kinds, each as often as it is planned relative to the others. */
+const WEIGHTED_KINDS: FaultKind[] = [
+  FaultKind.stop,
+  FaultKind.stop,
+  FaultKind.kill,
+  FaultKind.freeze,
+  FaultKind.storeDown,
+  FaultKind.storeSilent,
+  FaultKind.rate,
+  FaultKind.rate,
+  FaultKind.rate,
+  FaultKind.serverRestart,
+  FaultKind.serverFails,
+  FaultKind.config,
+];
+
+/**
+ * @param seed Seed of the plan.
+ * @param sizes Sizes of the fleet, and duration.
+ * @returns The plan, its faults by time; they may overlap.
+ */
+export function planSoak(seed: number, sizes: SoakSizes): SoakPlan {
+  const random = seededRandom(seed);
+  const faults: Fault[] = [];
+  // One server is limited from the start, so that every run has a rate to keep.
+  faults.push({
+    kind: FaultKind.rate,
+    atMs: 0,
+    forMs: 0,
+    index: 0,
+    perSecond: RATES[Math.floor(random() * RATES.length)]!,
+  });
+  let atMs = 0;
+  while (true) {
+    atMs += -Math.log(1 - random()) * MEAN_PAUSE_MS;
+    if (atMs > sizes.durationMs - QUIET_END_MS) break;
+    faults.push(...planFault(Math.round(atMs), random, sizes));
+  }
+  return { ...sizes, seed, faults: faults.sort((a, b) => a.atMs - b.atMs) };
+}
+
+function planFault(
+  atMs: number,
+  random: () => number,
+  { entryCount, serverCount, durationMs }: SoakSizes,
+): Fault[] {
+  const pick = (count: number) => Math.floor(random() * count);
+  const kind = WEIGHTED_KINDS[pick(WEIGHTED_KINDS.length)]!;
+  const forMs = Math.round(
+    MIN_FOR_MS + random() * (MAX_FOR_MS - MIN_FOR_MS),
+  );
+  switch (kind) {
+    case FaultKind.stop:
+    case FaultKind.kill: {
+      const isSeries = random() < SERIES_SHARE;
+      const first = pick(entryCount);
+      const count = isSeries ? entryCount : 1;
+      return Array.from({ length: count }, (_, i) => ({
+        kind,
+        atMs: atMs + i * SERIES_PAUSE_MS,
+        forMs: 0,
+        index: (first + i) % entryCount,
+      })).filter((fault) => fault.atMs <= durationMs - QUIET_END_MS);
+    }
+    case FaultKind.freeze:
+    case FaultKind.storeSilent:
+      return [{ kind, atMs, forMs, index: pick(entryCount) }];
+    case FaultKind.storeDown:
+    case FaultKind.config:
+      return [{ kind, atMs, forMs, index: 0 }];
+    case FaultKind.rate: {
+      const isEnd = random() < END_RATE_SHARE;
+      const perSecond = isEnd ? undefined : RATES[pick(RATES.length)]!;
+      return [{ kind, atMs, forMs: 0, index: pick(serverCount), perSecond }];
+    }
+    case FaultKind.serverRestart:
+    case FaultKind.serverFails:
+      return [{ kind, atMs, forMs, index: pick(serverCount) }];
+  }
+}
--- /dev/null
+++ b/src/proof/soak_oracles_test.ts
@@ -0,0 +1,88 @@
+/** Each oracle is shown a history that breaks its promise, and one that does not. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type ClientRecord,
+  findViolations,
+  type SoakHistory,
+} from "./_soak_oracles.ts";
+
+const CLIENT: ClientRecord = {
+  id: "r-1",
+  entry: 0,
+  isIdempotent: false,
+  sentAtMs: 10_000,
+  endedAtMs: 10_100,
+  end: { kind: "answered", status: 200, isOwnAnswer: true },
+};
+const RUN = { requestId: "r-1", server: 0, atMs: 10_050 };
+
+function historyOf(parts: Partial<SoakHistory>): SoakHistory {
+  return {
+    clients: [CLIENT],
+    runs: [],
+    arrivals: [],
+    rates: [],
+    disruptions: [],
+    ...parts,
+  };
+}
+
+function promisesBroken(parts: Partial<SoakHistory>): string[] {
+  return findViolations(historyOf(parts)).map(({ promise }) => promise);
+}
+
+test("request that runs twice breaks at-most-once, unless it may be repeated", () => {
+  const runs = [RUN, RUN];
+  assert.deepEqual(promisesBroken({ runs }), ["at_most_once"]);
+  const clients = [{ ...CLIENT, isIdempotent: true }];
+  assert.deepEqual(promisesBroken({ runs, clients }), []);
+  assert.deepEqual(promisesBroken({ runs: [RUN] }), []);
+});
+
+test("refused request that runs breaks the promise of refusals", () => {
+  const end = { kind: "answered", status: 503, isOwnAnswer: false } as const;
+  const clients = [{ ...CLIENT, end }];
+  assert.deepEqual(promisesBroken({ clients, runs: [RUN] }), ["true_refusals"]);
+  assert.deepEqual(promisesBroken({ clients }), []);
+});
+
+test("success that is not the whole answer to the request is found", () => {
+  const end = { kind: "answered", status: 200, isOwnAnswer: false } as const;
+  const clients = [{ ...CLIENT, end }];
+  assert.deepEqual(promisesBroken({ clients }), ["own_whole_answer"]);
+});
+
+test("request that a planned stop cuts is found, one cut by a kill is not", () => {
+  const end = { kind: "broken", reason: "ECONNRESET" } as const;
+  const clients = [{ ...CLIENT, end }];
+  const stop = { entry: 0, fromMs: 9000, toMs: 11_000, isPlanned: true };
+  const cut = ["planned_stop_cuts_nothing"];
+  assert.deepEqual(
+    promisesBroken({ clients, runs: [RUN], disruptions: [stop] }),
+    cut,
+  );
+  const kill = { ...stop, isPlanned: false };
+  assert.deepEqual(
+    promisesBroken({ clients, runs: [RUN], disruptions: [kill] }),
+    [],
+  );
+  assert.deepEqual(promisesBroken({ clients, disruptions: [stop] }), []);
+});
+
+test("server that gets more than its rate allows is found", () => {
+  const arrivals = Array.from({ length: 18 }, (_, i) => ({
+    requestId: "r-1",
+    server: 0,
+    atMs: 10_000 + i * 200,
+  }));
+  const rates = [{ server: 0, fromMs: 5000, perSecond: 2 }];
+  assert.deepEqual(promisesBroken({ arrivals, rates }), ["server_rate"]);
+  const allowed = arrivals.slice(0, 17);
+  assert.deepEqual(promisesBroken({ arrivals: allowed, rates }), []);
+  const isFrozen = { entry: 0, fromMs: 0, toMs: 20_000, isPlanned: false };
+  const disruptions = [isFrozen];
+  assert.deepEqual(promisesBroken({ arrivals, rates, disruptions }), []);
+  const late = [{ server: 0, fromMs: 8000, perSecond: 2 }];
+  assert.deepEqual(promisesBroken({ arrivals, rates: late }), []);
+});
--- a/src/router/server_rate_test.ts
+++ b/src/router/server_rate_test.ts
@@ -28,11 +28,11 @@
 const SLOW_MS = 100;
 
 function assertWithinRate(
-  { arrivedAtMs }: StandinBackendServer,
+  { arrivals }: StandinBackendServer,
   perSecond: number,
 ): void {
   const allowed = ALLOWED_FACTOR * perSecond * WINDOW_MS / 1000 + ALLOWED_EXTRA;
-  const most = mostInWindow(arrivedAtMs);
+  const most = mostInWindow(arrivals.map(({ atMs }) => atMs));
   assert.ok(most <= allowed, `${most} requests in 4 s, allowed ${allowed}`);
 }
 
@@ -126,7 +126,7 @@
   limited.faults.rate = "2";
   assert.equal((await sendClientRequest(world, "/look/a")).status, 200);
   await untilKnownAtAll(world, '"ratePerSecond":2');
-  limited.arrivedAtMs.length = 0;
+  limited.arrivals.length = 0;
   for (let round = 0; round < 4; round++) {
     for (const entry of world.entries) {
       const headers = { "deadline-ms": "5000" };
@@ -168,11 +168,11 @@
   await untilKnownAtAll(world, '"i-2"');
   await sendUntilKnown(world, '"ratePerSecond":2');
   await world.store.down();
-  limited.arrivedAtMs.length = 0;
+  limited.arrivals.length = 0;
   const statuses = await sendSteadily(world, "/look/a", WINDOW_MS);
   assert.deepEqual(statuses.filter((status) => status !== 200), []);
   assertWithinRate(limited, 2);
-  assert.ok(limited.arrivedAtMs.length > 0);
+  assert.ok(limited.arrivals.length > 0);
 });
 
 test("rate holds while entries stop and start again in turn", async (t) => {
@@ -182,7 +182,7 @@
   await openSlowServer(world);
   await untilKnownAtAll(world, '"i-2"');
   await sendUntilKnown(world, '"ratePerSecond":2');
-  limited.arrivedAtMs.length = 0;
+  limited.arrivals.length = 0;
   let entries = [...world.entries];
   for (const entry of world.entries.slice(0, 3)) {
     await entry.router.stop();
@@ -206,12 +206,12 @@
   const isRecorded = () => world.store.store.table.get(key) !== undefined;
   await until(isRecorded);
   for (const { router } of world.entries.slice(0, 2)) await router.stop();
-  limited.arrivedAtMs.length = 0;
+  limited.arrivals.length = 0;
   for (const entry of world.entries.slice(0, 2)) {
     const again = await world.restart(entry);
     await until(() => stateContains(again, '"ratePerSecond":2'));
   }
-  assert.equal(limited.arrivedAtMs.length, 0);
+  assert.equal(limited.arrivals.length, 0);
 });
 
 test("server without a rate gets no datagrams about permits", async (t) => {
--- a/src/standin/backend_server.ts
+++ b/src/standin/backend_server.ts
@@ -24,6 +24,13 @@
   body: string;
 }
 
+/** A request that arrived. */
+export interface Arrival {
+  /** By the process's monotonic clock. */
+  atMs: number;
+  requestId: string;
+}
+
 /** Addresses of the servers that hold copies of moved runs, by source address and copy id. */
 const kvCopies = new Map<string, string>();
 
@@ -35,8 +42,8 @@
   pauseRejections = 0;
   /** Number of requests rejected as not executed, without a retry delay. */
   refused = 0;
-  /** Times at which requests arrived, executed or not, by the process's monotonic clock. */
-  readonly arrivedAtMs: number[] = [];
+  /** Requests that arrived, executed or not. */
+  readonly arrivals: Arrival[] = [];
   /** Ids of copies that were freed before a run resumed from them. */
   readonly freedCopyIds: string[] = [];
   readonly faults: StandinBackendServerFaults;
@@ -257,7 +264,8 @@
 
   #run(request: HostRequest): void {
     const { response, headers } = request;
-    this.arrivedAtMs.push(performance.now());
+    const requestId = String(headers["attempt-id"] ?? "");
+    this.arrivals.push({ atMs: performance.now(), requestId });
     if (consumeFault(this.faults, "refuseWeights")) {
       response.writeHead(421);
       response.end();
