--- a/src/proof/_soak.ts
+++ b/src/proof/_soak.ts
@@ -50,6 +50,7 @@
     arrivals: [],
     rates: [],
     disruptions: [],
+    restarts: [],
   };
   /** Entries that are stopped, killed or suspended now; a further such fault leaves them alone. */
   readonly #disrupted = new Set<SoakEntry>();
@@ -129,6 +130,10 @@
         });
         return;
       case FaultKind.serverRestart:
+        this.#history.restarts.push({
+          server: index,
+          atMs: performance.now(),
+        });
         return await this.#fleet.restartServer(index);
       case FaultKind.serverFails:
         server.faults.fail += FAILED_REQUESTS;
--- a/src/proof/soak_oracles_test.ts
+++ b/src/proof/soak_oracles_test.ts
@@ -24,6 +24,7 @@
     arrivals: [],
     rates: [],
     disruptions: [],
+    restarts: [],
     ...parts,
   };
 }
@@ -70,6 +71,24 @@
   assert.deepEqual(promisesBroken({ clients, disruptions: [stop] }), []);
 });
 
+test("only a request that may not run again may end with its server", () => {
+  const end = { kind: "broken", reason: "answer_cut" } as const;
+  const restarts = [{ server: 0, atMs: 10_060 }];
+  const clients = [{ ...CLIENT, end }];
+  assert.deepEqual(promisesBroken({ clients, runs: [RUN], restarts }), []);
+  const cut = ["planned_stop_cuts_nothing"];
+  const other = [{ server: 1, atMs: 10_060 }];
+  assert.deepEqual(
+    promisesBroken({ clients, runs: [RUN], restarts: other }),
+    cut,
+  );
+  const resumable = [{ ...CLIENT, end, isIdempotent: true }];
+  assert.deepEqual(
+    promisesBroken({ clients: resumable, runs: [RUN], restarts }),
+    cut,
+  );
+});
+
 test("server that gets more than its rate allows is found", () => {
   const arrivals = Array.from({ length: 18 }, (_, i) => ({
     requestId: "r-1",
