--- a/src/proof/_soak_fleet.ts
+++ b/src/proof/_soak_fleet.ts
@@ -45,9 +45,14 @@
   };
   #configVersion = 1;
   #isClosed = false;
+  /** The entries must not outlive this process. */
+  readonly #killAll = () => {
+    for (const { child } of this.entries) child.kill("SIGKILL");
+  };
 
   private constructor(store: StandinPlatformStore) {
     this.store = store;
+    process.on("exit", this.#killAll);
     const first = FIRST_PORT +
       (process.pid % PORT_BLOCKS) * PORTS_PER_PROCESS;
     this.#ports = {
@@ -98,6 +103,7 @@
   /** Ends all processes and stand-ins. */
   async close(): Promise<void> {
     this.#isClosed = true;
+    process.off("exit", this.#killAll);
     for (const { child } of this.entries) {
       // A suspended process would not end.
       child.kill("SIGCONT");
--- a/src/proof/soak_main.ts
+++ b/src/proof/soak_main.ts
@@ -18,6 +18,9 @@
     .option("entries", { type: "number", default: 4 })
     .option("servers", { type: "number", default: 6 })
     .strict().parse();
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.once(signal, () => process.exit(1));
+  }
   let brokenCount = 0;
   for (const seed of parseSeeds(options.seeds)) {
     const plan = planSoak(seed, {
