--- a/src/standin/backend_server.ts
+++ b/src/standin/backend_server.ts
@@ -24,13 +24,6 @@
   body: string;
 }
 
-/** A request that arrived. */
-export interface Arrival {
-  /** By the process's monotonic clock. */
-  atMs: number;
-  requestId: string;
-}
-
 /** Addresses of the servers that hold copies of moved runs, by source address and copy id. */
 const kvCopies = new Map<string, string>();
 
@@ -42,8 +35,8 @@
   pauseRejections = 0;
   /** Number of requests rejected as not executed, without a retry delay. */
   refused = 0;
-  /** Requests that arrived, executed or not. */
-  readonly arrivals: Arrival[] = [];
+  /** Requests that arrived, executed or not; times by the process's monotonic clock. */
+  readonly arrivals: { atMs: number; requestId: string }[] = [];
   /** Ids of copies that were freed before a run resumed from them. */
   readonly freedCopyIds: string[] = [];
   readonly faults: StandinBackendServerFaults;
