--- a/src/base/random.ts
+++ b/src/base/random.ts
@@ -15,3 +15,20 @@
     return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
   };
 }
+
+/** Larger means are taken for this one, as the probability of no event is too small for a number. */
+const MAX_POISSON_MEAN = 500;
+
+/**
+ * Draws from a Poisson distribution.
+ *
+ * @param mean Mean of the distribution; small, as the time grows with it.
+ * @param random Generator of uniform numbers in [0, 1).
+ * @returns A number of events.
+ */
+export function poisson(mean: number, random: () => number): number {
+  const limit = Math.exp(-Math.min(mean, MAX_POISSON_MEAN));
+  let count = 0;
+  for (let product = random(); product > limit; product *= random()) count++;
+  return count;
+}
--- a/src/limits/_bucket_fleet.ts
+++ b/src/limits/_bucket_fleet.ts
@@ -1,6 +1,6 @@
 /** Simulates entries that share one workspace's limit by several strategies, in virtual time. */
 import type { Clock } from "../base/mod.ts";
-import { seededRandom } from "../base/random.ts";
+import { poisson, seededRandom } from "../base/random.ts";
 import { gossipIntervalFor } from "../router/gossip_interval.ts";
 import { type MemberReport, SharedBuckets } from "./shared_buckets.ts";
 import type { RateLimit } from "./shared_bucket.ts";
@@ -182,7 +182,9 @@
     for (const entry of up) {
       const share = demand > 0 ? entry.demand / demand : 0;
       const mean = perSecond * TICK_MS / 1000 * share / MEAN_REQUEST_SIZE;
-      for (let left = this.#poisson(mean); left > 0; left--) this.#send(entry);
+      for (let left = poisson(mean, this.#random); left > 0; left--) {
+        this.#send(entry);
+      }
       if (this.#nowMs >= entry.nextReportAtMs) this.#sendReport(entry);
     }
   }
@@ -287,17 +289,4 @@
       sleep: () => Promise.resolve(),
     };
   }
-
-  #poisson(mean: number): number {
-    const limit = Math.exp(-mean);
-    let count = 0;
-    for (
-      let product = this.#random();
-      product > limit;
-      product *= this.#random()
-    ) {
-      count++;
-    }
-    return count;
-  }
 }
--- a/src/limits/_fleet.ts
+++ b/src/limits/_fleet.ts
@@ -1,5 +1,5 @@
 /** Simulates a fleet of team limiters in virtual time, for measurements and tests. */
-import { seededRandom } from "../base/random.ts";
+import { poisson, seededRandom } from "../base/random.ts";
 import { Result } from "true-myth";
 import type { Clock } from "../base/mod.ts";
 import { VersionDigest } from "../wire/gen/cicadahitch.ts";
@@ -156,7 +156,10 @@
     for (const [index, entry] of this.entries.entries()) {
       if (!entry.isAlive) continue;
       this.#settleFinished(entry);
-      const arrivals = this.#poisson(perSecond(entry) * tickMs / 1000);
+      const arrivals = poisson(
+        perSecond(entry) * tickMs / 1000,
+        this.#random,
+      );
       for (let next = 0; next < arrivals; next++) this.#admit(entry, result);
       result.inFlight += entry.runs.length;
       if ((this.#ticks + index) % TICKS_PER_EXCHANGE !== 0) continue;
@@ -206,19 +209,6 @@
     }
     return sharesResult(shares);
   }
-
-  #poisson(mean: number): number {
-    const limit = Math.exp(-Math.min(mean, 500));
-    let count = 0;
-    for (
-      let product = this.#random();
-      product > limit;
-      product *= this.#random()
-    ) {
-      count++;
-    }
-    return count;
-  }
 }
 
 function sharesResult(shares: ReturnType<ShareLedger["answer"]>) {
--- a/src/router/_permit_fleet.ts
+++ b/src/router/_permit_fleet.ts
@@ -4,7 +4,7 @@
  */
 import { setImmediate as turn } from "node:timers/promises";
 import type { Clock } from "../base/mod.ts";
-import { seededRandom } from "../base/random.ts";
+import { poisson, seededRandom } from "../base/random.ts";
 import {
   type Entry,
   SERVER_ID,
@@ -167,7 +167,7 @@
     const demand = up.reduce((sum, entry) => sum + entry.demand, 0);
     if (demand === 0) return;
     for (
-      let left = this.#poisson(perSecond * TICK_MS / 1000);
+      let left = poisson(perSecond * TICK_MS / 1000, this.#random);
       left > 0;
       left--
     ) {
@@ -315,17 +315,4 @@
       this.#after(ms, resolve);
     });
   }
-
-  #poisson(mean: number): number {
-    const limit = Math.exp(-mean);
-    let count = 0;
-    for (
-      let product = this.#random();
-      product > limit;
-      product *= this.#random()
-    ) {
-      count++;
-    }
-    return count;
-  }
 }
--- a/src/router/server_rate_test.ts
+++ b/src/router/server_rate_test.ts
@@ -162,11 +162,7 @@
 
 test("rate holds while the store is down, and its permits are used", async (t) => {
   const world = await openWorld(t, { entryCount: 3 });
-  const limited = await world.worker("i-1");
-  limited.faults.rate = "2";
-  await openSlowServer(world);
-  await untilKnownAtAll(world, '"i-2"');
-  await sendUntilKnown(world, '"ratePerSecond":2');
+  const limited = await openLimitedServers(world);
   await world.store.down();
   limited.arrivals.length = 0;
   const statuses = await sendSteadily(world, "/look/a", WINDOW_MS);
@@ -177,11 +173,7 @@
 
 test("rate holds while entries stop and start again in turn", async (t) => {
   const world = await openWorld(t, { entryCount: 3 });
-  const limited = await world.worker("i-1");
-  limited.faults.rate = "2";
-  await openSlowServer(world);
-  await untilKnownAtAll(world, '"i-2"');
-  await sendUntilKnown(world, '"ratePerSecond":2');
+  const limited = await openLimitedServers(world);
   limited.arrivals.length = 0;
   let entries = [...world.entries];
   for (const entry of world.entries.slice(0, 3)) {
@@ -224,6 +216,19 @@
   }
 });
 
+/** Starts a server that takes 2 requests a second, known at all entries, and a slow one. */
+async function openLimitedServers(
+  world: World,
+): Promise<StandinBackendServer> {
+  const limited = await world.worker("i-1");
+  limited.faults.rate = "2";
+  await openSlowServer(world);
+  await untilKnownAtAll(world, '"i-2"');
+  await sendUntilKnown(world, '"ratePerSecond":2');
+  limited.arrivals.length = 0;
+  return limited;
+}
+
 /** Sends requests until all entries know of a server's rate. */
 async function sendUntilKnown(world: World, text: string): Promise<void> {
   await until(async () => {
