Grant permits only at the entry that is responsible for the server

Found by reading: an entry granted whatever it was asked for. One that did not hear the granting entry asked the next one, which hears it, and both granted the whole rate. The new test asks for 20 servers and failed before: all were granted.

--- a/src/router/permits.ts
+++ b/src/router/permits.ts
@@ -27,6 +27,8 @@
 const MAX_FIRST_SEQUENCE = 2 ** 31;
 /** How long a server gets no requests of this entry after a reply was missed. */
 const NO_REPLY_PAUSE_MS = 250;
+/** How long an entry should not ask that asked one which does not grant the server's permits. */
+const NOT_RESPONSIBLE_PAUSE_MS = 100;
 
 /** Dependencies of {@link Permits}. */
 export interface PermitsOptions {
@@ -264,6 +266,11 @@
   #reply(address: string, request: PermitRequest): PermitReply {
     const { sequence, serverId, startMs } = request;
     const key = keyOf(request);
+    if (!this.grantsFor(key)) {
+      // The asker does not hear the entry that grants; with two of them, the rate would be exceeded.
+      const pauseMs = NOT_RESPONSIBLE_PAUSE_MS;
+      return { kind: "denied", sequence, waitMs: pauseMs, pauseMs };
+    }
     const reported = {
       perSecond: request.rate.perSecond ?? undefined,
       atMs: this.#options.clock.nowMs() - request.rate.ageMs,
--- a/src/router/permits_test.ts
+++ b/src/router/permits_test.ts
@@ -222,7 +222,8 @@
 });
 
 test("entry grants permits of a server that it does not know yet", () => {
-  const { clock, permits, sent } = createEntry();
+  const { clock, permits, members, sent } = createEntry();
+  members.setStopping(OTHER, true);
   const request: PermitMessage = {
     kind: PermitRequestKind.permit,
     sequence: 7,
@@ -239,8 +240,37 @@
   assert.deepEqual(sent.at(-1), { kind: "granted", sequence: 8 });
 });
 
+test("entry denies permits of servers for which another one is responsible", () => {
+  const { clock, permits, members, sent } = createEntry();
+  members.heard(OTHER, clock.nowMs());
+  clock.advance(500);
+  const kinds = new Set<boolean>();
+  for (let i = 0; i < 20; i++) {
+    const serverId = `i-new-${i}`;
+    const request: PermitMessage = {
+      kind: PermitRequestKind.permit,
+      sequence: 100 + i,
+      serverId,
+      startMs: 0,
+      rate: { perSecond: 2, ageMs: 0 },
+      caller: Caller.new,
+      maxWaitMs: 0,
+    };
+    const isResponsible = permits.grantsFor(`${serverId}/0`);
+    kinds.add(isResponsible);
+    permits.receive(OTHER, encodePermitMessage(request));
+    clock.advance(600);
+    members.heard(OTHER, clock.nowMs());
+    const again = { ...request, sequence: 200 + i };
+    permits.receive(OTHER, encodePermitMessage(again));
+    assert.equal(sent.at(-1)?.kind, isResponsible ? "granted" : "denied");
+  }
+  assert.equal(kinds.size, 2);
+});
+
 test("repeated request gets the same decision, and no second permit", () => {
-  const { clock, server, permits, sent } = createEntry();
+  const { clock, server, permits, members, sent } = createEntry();
+  members.setStopping(OTHER, true);
   clock.advance(500);
   const request: PermitMessage = {
     kind: PermitRequestKind.permit,
