Give the entries of a soak the platform's grace time

Trace: each was cut 3.39 s after the SIGTERM of its entry, which is the grace time of 4 s less the margin for the exit, while its own deadline was 4 s. The deployments give 8 s; with that, a request must end before its entry does. The report names the entries that sent too much and fewer faults.

--- a/src/proof/_soak_fleet.ts
+++ b/src/proof/_soak_fleet.ts
@@ -15,7 +15,8 @@
 const FIRST_PORT = 30_100;
 const PORTS_PER_PROCESS = 8;
 const PORT_BLOCKS = 250;
-const GRACE_S = 4;
+/** Longer than the deadline of the clients' requests, as on the platform. */
+const GRACE_S = 8;
 const POLL_MS = 20;
 /** Times of a plain call and of the events of a stream. */
 const CALL_MS = 40;
--- a/src/proof/_soak_oracles.ts
+++ b/src/proof/_soak_oracles.ts
@@ -181,20 +181,22 @@
       one.entry === entry && one.fromMs <= atMs &&
       one.toMs >= atMs - STABLE_MS
     );
-  const times = arrivals
+  const counted = arrivals
     .filter((one) =>
       one.server === server && one.atMs >= fromMs && one.atMs < toMs &&
       isCalm(entryOf.get(one.requestId), one.atMs)
-    )
-    .map(({ atMs }) => atMs);
+    );
+  const times = counted.map(({ atMs }) => atMs);
   const allowed = ALLOWED_FACTOR * perSecond * WINDOW_MS / 1000 +
     ALLOWED_EXTRA;
   for (let from = 0, to = 0; to < times.length; to++) {
     while (times[to]! - times[from]! >= WINDOW_MS) from++;
     if (to - from + 1 <= allowed) continue;
-    const detail = `server ${server} got ${
-      to - from + 1
-    } in 4 s at ${perSecond}/s, allowed ${allowed}`;
+    const senders = counted.slice(from, to + 1).map(({ requestId }) =>
+      entryOf.get(requestId)
+    );
+    const detail = `server ${server} got ${senders.length} in 4 s at ` +
+      `${perSecond}/s, allowed ${allowed}, from entries ${senders.join(", ")}`;
     return [{ promise: "server_rate", atMs: times[to]!, detail }];
   }
   return [];
--- a/src/proof/soak_main.ts
+++ b/src/proof/soak_main.ts
@@ -8,8 +8,8 @@
 import { runSoak, type SoakResult } from "./_soak.ts";
 import { type Fault, planSoak, type SoakPlan } from "./_soak_plan.ts";
 
-/** Faults printed beside a broken promise: those in this time before it. */
-const CONTEXT_MS = 10_000;
+/** Faults printed beside a broken promise: the last ones before it. */
+const CONTEXT_FAULTS = 6;
 
 async function main(): Promise<void> {
   const options = await yargs(hideBin(process.argv))
@@ -64,10 +64,9 @@
   for (const { promise, atMs, detail } of violations) {
     const sinceMs = atMs - startedAtMs;
     lines.push(`  ${formatSeconds(sinceMs)} ${promise}: ${detail}`);
-    for (const fault of faults) {
-      const isNear = fault.atMs <= sinceMs &&
-        fault.atMs >= sinceMs - CONTEXT_MS;
-      if (isNear) lines.push(`    ${describeFault(fault)}`);
+    const before = faults.filter((fault) => fault.atMs <= sinceMs);
+    for (const fault of before.slice(-CONTEXT_FAULTS)) {
+      lines.push(`    ${describeFault(fault)}`);
     }
   }
   return lines.join("\n");
