--- a/src/proof/_soak_client.ts
+++ b/src/proof/_soak_client.ts
@@ -64,6 +64,7 @@
       entry: target.index,
       isIdempotent: route.isIdempotent,
       sentAtMs,
+      deadlineMs: DEADLINE_MS,
       endedAtMs: performance.now(),
       end,
     });
--- a/src/proof/_soak_oracles.ts
+++ b/src/proof/_soak_oracles.ts
@@ -7,6 +7,8 @@
   entry: number;
   isIdempotent: boolean;
   sentAtMs: number;
+  /** Time after which the client no longer waits. */
+  deadlineMs: number;
   endedAtMs: number;
   end: ClientEnd;
 }
@@ -72,6 +74,8 @@
 /** Requests allowed in a window: this multiple of the rate, plus a fixed number. */
 const ALLOWED_FACTOR = 1.5;
 const ALLOWED_EXTRA = 5;
+/** An entry counts a request's time from when it has read it. */
+const DEADLINE_MARGIN_MS = 50;
 /** A rate binds from this long after it was first named, and a calm entry from this long after. */
 const STABLE_MS = 3000;
 
@@ -129,8 +133,8 @@
 }
 
 /**
- * A request that a server ran must be answered, unless its entry had an unplanned disruption. One that
- * may not run again ends with its server.
+ * A request that a server ran must be answered, unless its deadline has passed or its entry had an
+ * unplanned disruption. One that may not run again ends with its server.
  */
 function findCutRequests(
   { clients, runs, disruptions, restarts }: SoakHistory,
@@ -149,22 +153,26 @@
   return clients
     .filter((client) =>
       client.end.kind === "broken" && counts.has(client.id) &&
-      !isServerGone(client) &&
+      !isServerGone(client) && !isExpired(client) &&
       !disruptions.some((disruption) =>
         !disruption.isPlanned && disruption.entry === client.entry &&
         disruption.fromMs <= client.endedAtMs &&
         disruption.toMs >= client.sentAtMs - STABLE_MS
       )
     )
-    .map(({ id, endedAtMs, end }) => ({
+    .map(({ id, sentAtMs, endedAtMs, end }) => ({
       promise: "planned_stop_cuts_nothing",
       atMs: endedAtMs,
-      detail: `${id} ran, and its connection ended: ${
-        end.kind === "broken" ? end.reason : ""
-      }`,
+      detail: `${id} ran, and its connection ended after ${
+        Math.round(endedAtMs - sentAtMs)
+      } ms: ${end.kind === "broken" ? end.reason : ""}`,
     }));
 }
 
+function isExpired({ sentAtMs, endedAtMs, deadlineMs }: ClientRecord): boolean {
+  return endedAtMs - sentAtMs >= deadlineMs - DEADLINE_MARGIN_MS;
+}
+
 function findRateExcess(history: SoakHistory): Violation[] {
   return bindingRates(history.rates).flatMap((rate) =>
     findExcessOf(rate, history)
--- a/src/proof/soak_oracles_test.ts
+++ b/src/proof/soak_oracles_test.ts
@@ -12,6 +12,7 @@
   entry: 0,
   isIdempotent: false,
   sentAtMs: 10_000,
+  deadlineMs: 4000,
   endedAtMs: 10_100,
   end: { kind: "answered", status: 200, isOwnAnswer: true },
 };
@@ -89,6 +90,15 @@
   );
 });
 
+test("request whose deadline has passed may be cut, an earlier one may not", () => {
+  const end = { kind: "broken", reason: "answer_cut" } as const;
+  const expired = [{ ...CLIENT, end, endedAtMs: 14_000 }];
+  assert.deepEqual(promisesBroken({ clients: expired, runs: [RUN] }), []);
+  const cut = ["planned_stop_cuts_nothing"];
+  const early = [{ ...CLIENT, end, endedAtMs: 13_900 }];
+  assert.deepEqual(promisesBroken({ clients: early, runs: [RUN] }), cut);
+});
+
 test("server that gets more than its rate allows is found", () => {
   const arrivals = Array.from({ length: 18 }, (_, i) => ({
     requestId: "r-1",
