Keep the platform's names out of the soak

'no name of the platform is used outside its folder' failed: the soak's client wrote two header names itself.

--- a/src/proof/_soak.ts
+++ b/src/proof/_soak.ts
@@ -1,6 +1,7 @@
 /** Runs one plan of faults against a fleet of real processes and checks what clients and servers saw. */
 import { setTimeout as sleep } from "node:timers/promises";
 import { seededRandom } from "../base/random.ts";
+import { attemptIdOf } from "../standin/mod.ts";
 import { runClient } from "./_soak_client.ts";
 import { type SoakEntry, SoakFleet } from "./_soak_fleet.ts";
 import {
@@ -191,7 +192,7 @@
         this.#history.arrivals.push({ server, atMs, requestId });
       }
       for (const { headers } of runs) {
-        const requestId = String(headers["attempt-id"]);
+        const requestId = String(attemptIdOf(headers));
         const atMs = atMsById.get(requestId) ?? 0;
         this.#history.runs.push({ server, atMs, requestId });
       }
--- a/src/proof/_soak_client.ts
+++ b/src/proof/_soak_client.ts
@@ -2,11 +2,13 @@
 import { Agent, request as httpRequest } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
+  attemptIdOf,
   completeStreamBody,
   HOST,
   KEY,
   MODEL_REQUEST_HEADERS,
   PLAIN_ANSWER_BODY,
+  toRequestHeaders,
 } from "../standin/mod.ts";
 import type { ClientEnd, ClientRecord } from "./_soak_oracles.ts";
 
@@ -91,10 +93,9 @@
       agent,
       headers: {
         host: HOST,
-        "attempt-id": id,
-        "deadline-ms": String(DEADLINE_MS),
         authorization: `Bearer ${KEY}`,
         ...MODEL_REQUEST_HEADERS,
+        ...toRequestHeaders({ id, timeMs: DEADLINE_MS }),
       },
     }, (response) => {
       let body = "";
@@ -103,7 +104,7 @@
       response.on("close", () => {
         if (!response.complete) return broken("answer_cut");
         const status = response.statusCode ?? 0;
-        const isOwnAnswer = response.headers["attempt-id"] === id &&
+        const isOwnAnswer = attemptIdOf(response.headers) === id &&
           body === route.body;
         resolve({ kind: "answered", status, isOwnAnswer });
       });
