Answer what a stop leaves open, and log what it cuts

What callers saw: a request that no server had answered when its entry's grace time ended lost its connection without any answer, though the entry knew the moment from the SIGTERM on.

Cause: whoever serves a request knew its deadline only. At the end of the grace time the ingress closed all connections, and the process ended before the requests had written their lines.

Change: the end of the grace time bounds a request like its deadline. A request without an answer gets 502, or a true 503 if it did not run; a begun stream is cut with the reason "shutdown"; its server is not blamed. A request whose answer is expected after the grace time is refused at once. What is still open 200 ms later is logged as "aborted".

Backoff and body reading moved into files of their own, unchanged.

--- a/src/router/_request_forwarder_kit.ts
+++ b/src/router/_request_forwarder_kit.ts
@@ -33,6 +33,8 @@
   choice: Choice;
   /** Whether a server is available for resends. */
   isServerReady: boolean;
+  /** End of the grace time of a shutdown. */
+  drainEndMs: number;
   sends: Send[];
   /** Events that the client has received. */
   written: string[];
@@ -98,11 +100,13 @@
       }),
       isWorthSending: () => true,
       onSilent: () => {},
+      drainEndMs: () => setup.drainEndMs,
     },
     task: { request, sink: client.sink, progress: startProgress(undefined) },
     clock,
     choice: { server, expectedMs: 10, queueMs: 0, uncachedTokens: 0 },
     isServerReady: true,
+    drainEndMs: Infinity,
     sends: engine.sends,
     written: client.written,
     charged: 0,
--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -76,6 +76,8 @@
   orderTurnMs?: number;
   /** Answers may not start on weights that were replaced this long ago. */
   weightsBoundMs?: number;
+  /** Grace time of a stop. */
+  graceMs?: number;
   /** Additional seed addresses at which no entry listens. */
   staleSeeds?: string[];
   /** Default: nothing is logged. */
@@ -112,6 +114,7 @@
     entryCount = 1,
     orderTurnMs = 0,
     weightsBoundMs = 10_000,
+    graceMs = 2000,
     staleSeeds = [],
     log = silentLog,
   }: WorldOptions = {},
@@ -157,7 +160,7 @@
           port: ports.peer,
         })),
         storeAddress: { ipAddress: linkHost, port: Number(linkPort) },
-        graceMs: 2000,
+        graceMs,
         orderTurnMs,
         weightsBoundMs,
         heartbeatMs: HEARTBEAT_MS,
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -32,6 +32,8 @@
   weightsRetired: "weights_retired",
   /** The client had disconnected. */
   clientGone: "client_gone",
+  /** The entry was shutting down, and its grace time was over. */
+  shutdown: "shutdown",
 } as const;
 
 /** One of {@link CloseReason}. */
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -48,7 +48,7 @@
     SenderOptions,
     AnswerReaderOptions,
     Omit<ResendsOptions, "hasUntriedServer" | "fleet">,
-    Pick<ForwarderParts, "log" | "quarantine"> {
+    Pick<ForwarderParts, "log" | "quarantine" | "drainEndMs"> {
   /** Workspace quotas. */
   quotas: Pick<Quotas, "admit" | "runsAgain" | "giveBack">;
   permits: Pick<Permits, "acquire" | "reserve" | "giveBack">;
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -15,6 +15,7 @@
 import { retryAfterMs } from "./dispatch.ts";
 import { Intake } from "./intake.ts";
 import type { LoopLag } from "./loop_lag.ts";
+import { readBody } from "./read_body.ts";
 import { ResponseSink } from "./response_sink.ts";
 import type {
   AnswerSink,
@@ -37,6 +38,8 @@
 const DRAIN_LISTEN_MS = 2200;
 /** Interval at which a draining ingress checks whether all requests have ended. */
 const DRAIN_POLL_MS = 50;
+/** Time after the grace time in which the last answers reach their clients. */
+const FLUSH_MS = 200;
 
 /** Dependencies of an {@link Ingress}. */
 export interface IngressOptions {
@@ -63,10 +66,14 @@
   readonly #intake: Intake;
   /** Open connections, with the number of requests in flight on each. */
   readonly #connections = new Map<Socket, number>();
+  /** Requests in flight whose head has been read. */
+  readonly #inFlight = new Map<ServerResponse, RequestFacts>();
   #isDraining = false;
+  #drainEndMs = Infinity;
   /** New requests are refused. */
   #isClosing = false;
-  #active = 0;
+  /** The remaining connections are being closed without an answer. */
+  #isAborting = false;
 
   private constructor(options: IngressOptions) {
     this.#options = options;
@@ -98,7 +105,12 @@
 
   /** Number of requests in flight. */
   get active(): number {
-    return this.#active;
+    return this.#inFlight.size;
+  }
+
+  /** End of the grace time for requests in flight; infinite unless a stop has begun. */
+  get drainEndMs(): number {
+    return this.#drainEndMs;
   }
 
   /** Whether a stop has begun. */
@@ -127,26 +139,40 @@
 
   /**
    * Shuts down gracefully: accepts connections until the load balancer has seen the failed readiness
-   * checks, then finishes the requests in flight, and aborts those that remain at the end.
+   * checks, and finishes the requests in flight. Those that remain at {@link Ingress.drainEndMs}
+   * get their final answer then, or are aborted shortly after.
    *
-   * @param graceMs Total time for the shutdown.
+   * @param graceMs Time for the requests in flight.
    * @param isBusy Whether the process has other work to finish before it closes.
    */
   async drain(graceMs: number, isBusy: () => boolean): Promise<void> {
     const { clock } = this.#options;
     const endMs = clock.nowMs() + graceMs;
+    this.#drainEndMs = endMs;
     this.#isDraining = true;
     await clock.sleep(Math.min(DRAIN_LISTEN_MS, graceMs));
     this.#isClosing = true;
     const closed = new Promise((resolve) => this.#server.close(resolve));
-    while ((this.#active > 0 || isBusy()) && clock.nowMs() < endMs) {
+    while ((this.active > 0 || isBusy()) && clock.nowMs() < endMs) {
       this.#closeIdle();
       await clock.sleep(DRAIN_POLL_MS);
     }
-    this.#server.closeAllConnections();
+    while (this.active > 0 && clock.nowMs() < endMs + FLUSH_MS) {
+      await clock.sleep(DRAIN_POLL_MS);
+    }
+    this.#abort();
     await closed;
   }
 
+  /** Closes all connections, and logs the requests that get no complete answer. */
+  #abort(): void {
+    this.#isAborting = true;
+    for (const facts of this.#inFlight.values()) {
+      this.#options.onLocalAnswer(facts, "aborted");
+    }
+    this.#server.closeAllConnections();
+  }
+
   /** Stops listening and aborts the requests in flight. */
   async close(): Promise<void> {
     if (!this.#server.listening) return;
@@ -173,7 +199,6 @@
   }
 
   #count(socket: Socket, change: 1 | -1): void {
-    this.#active += change;
     const active = this.#connections.get(socket);
     if (active !== undefined) this.#connections.set(socket, active + change);
   }
@@ -188,13 +213,17 @@
     const arrivedAtMs = readAtMs - this.#intake.maxWaitMs / 2;
     const { socket } = request;
     this.#count(socket, 1);
-    response.once("close", () => this.#count(socket, -1));
+    const facts = readRequest(request);
+    this.#inFlight.set(response, facts);
+    response.once("close", () => {
+      this.#count(socket, -1);
+      this.#inFlight.delete(response);
+    });
     response.once("finish", () => {
       // The answer's head may have announced keep-alive before the stop began.
       if (this.#isDraining) socket.destroySoon();
     });
     response.sendDate = false;
-    const facts = readRequest(request);
     const sink = new ResponseSink(response, () => this.#isDraining);
     request.on("error", () => {
       // The client has disconnected; the response's close event notifies the request handler.
@@ -246,6 +275,8 @@
       answerByMs,
     };
     const served = await this.#options.serve(ready, sink);
+    // Logged as aborted already; its client has not left by itself.
+    if (this.#isAborting && served.outcome.kind === "client_gone") return;
     this.#options.onServed(ready, served);
   }
 
@@ -301,12 +332,6 @@
   | { kind: "routed"; route: Route; workspace?: RoutedRequest["workspace"] }
   | { kind: "refused"; why: "unknown_route" | "unknown_key" };
 
-type ReadBody =
-  | { kind: "whole"; bytes: Buffer | undefined }
-  | { kind: "too_large" }
-  /** The client disconnected before the end of the body. */
-  | { kind: "cut" };
-
 /** Size in bytes of the request line and the header fields. */
 function headBytes({ method, url, rawHeaders }: IncomingMessage): number {
   const line = `${method} ${url} HTTP/1.1\r\n`.length;
@@ -314,30 +339,6 @@
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, line + 2);
 }
 
-/** Buffers the whole body, up to the configured limit, so that the request can be sent again. */
-function readBody(
-  request: IncomingMessage,
-  maxBytes: number,
-): Promise<ReadBody> {
-  const hasBody = request.headers["content-length"] !== undefined ||
-    request.headers["transfer-encoding"] !== undefined;
-  if (!hasBody) return Promise.resolve({ kind: "whole", bytes: undefined });
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    request.on("data", (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maxBytes) resolve({ kind: "too_large" });
-      else chunks.push(chunk);
-    });
-    request.once(
-      "end",
-      () => resolve({ kind: "whole", bytes: Buffer.concat(chunks) }),
-    );
-    request.once("close", () => resolve({ kind: "cut" }));
-  });
-}
-
 function pickService(shares: ServiceShare[], random: () => number): string {
   const total = shares.reduce((sum, { weight }) => sum + weight, 0);
   let remaining = random() * total;
--- /dev/null
+++ b/src/router/ingress_test.ts
@@ -0,0 +1,77 @@
+import assert from "node:assert/strict";
+import { type AddressInfo, connect, createServer } from "node:net";
+import { test } from "node:test";
+import { systemClock } from "../base/mod.ts";
+import { silentLog } from "./_kit.ts";
+import { Ingress } from "./ingress.ts";
+import { RequestKind } from "./model.ts";
+import type { LocalAnswer } from "./request.ts";
+import { RoutingTable } from "./routing_table.ts";
+import { until } from "./_world.ts";
+
+const TABLE = RoutingTable.create({
+  version: 1,
+  routes: [{
+    name: "r",
+    host: "a.example",
+    pathPrefix: "/",
+    kind: RequestKind.safe,
+    timeoutMs: 30_000,
+    targetLatencyMs: 100,
+    priority: 0,
+    shares: [{ service: "s", weight: 1 }],
+    maxAttempts: 1,
+    anonymous: true,
+    resumable: false,
+  }],
+  services: [],
+  limits: {
+    headerBytes: 10_000,
+    bodyBytes: 10_000,
+    headerTimeoutMs: 30_000,
+    idleTimeoutMs: 30_000,
+  },
+  workspaces: [],
+});
+
+// Guards against requests that end with the process and without a log line.
+test("request that a stop aborts is logged as aborted, not as left by its client", async () => {
+  const answers: LocalAnswer[] = [];
+  const served: string[] = [];
+  let isServing = false;
+  const ingress = Ingress.create({
+    clock: systemClock,
+    log: silentLog,
+    random: () => 1,
+    lag: { ms: 0 },
+    table: () => TABLE,
+    knowledgeAgeMs: () => 0,
+    serve: async (_request, sink) => {
+      isServing = true;
+      await new Promise<void>((resolve) => sink.onGone(resolve));
+      return { outcome: { kind: "client_gone" }, servers: [], ends: [] };
+    },
+    onServed: (_request, { outcome }) => served.push(outcome.kind),
+    onLocalAnswer: (_facts, answer) => answers.push(answer),
+  });
+  const port = await freePort();
+  await ingress.listen("127.0.0.1", port);
+  const client = connect(port, "127.0.0.1");
+  client.on("error", () => {});
+  client.write("GET /a HTTP/1.1\r\nhost: a.example\r\n\r\n");
+  await until(() => isServing);
+  await ingress.drain(50, () => false);
+  await until(() => client.closed);
+  assert.deepEqual(answers, ["aborted"]);
+  assert.deepEqual(served, []);
+  assert.equal(ingress.active, 0);
+});
+
+function freePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const server = createServer().listen(0, "127.0.0.1", () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+}
--- a/src/router/open_runs.ts
+++ b/src/router/open_runs.ts
@@ -173,9 +173,9 @@
   }
 
   #close(send: Send, reason: CloseReason): void {
-    const isFailure = reason !== CloseReason.notNeeded &&
-      reason !== CloseReason.clientGone;
-    if (isFailure) send.choice.server.health.failed(this.#parts.clock.nowMs());
+    if (isServerFailure(reason)) {
+      send.choice.server.health.failed(this.#parts.clock.nowMs());
+    }
     this.finishRun(send, closedEnd(send, reason));
   }
 
@@ -218,6 +218,21 @@
   }
 }
 
+/** Whether the server of a run is at fault for its being closed. */
+function isServerFailure(reason: CloseReason): boolean {
+  switch (reason) {
+    case CloseReason.deadline:
+    case CloseReason.noEvent:
+    case CloseReason.noHead:
+    case CloseReason.weightsRetired:
+      return true;
+    case CloseReason.notNeeded:
+    case CloseReason.clientGone:
+    case CloseReason.shutdown:
+      return false;
+  }
+}
+
 /** Why a run is closed when another run of the request provides the answer. */
 function closeReasonOf(left: Send, next: Send): CloseReason {
   if (left.sentAtMs > next.sentAtMs) return CloseReason.notNeeded;
--- a/src/router/refusal_reason.ts
+++ b/src/router/refusal_reason.ts
@@ -10,6 +10,8 @@
   paused: "paused",
   /** All servers of the service have reached the rate of requests that they take. */
   overRate: "over_rate",
+  /** The entry is shutting down, and the response would come after its grace time. */
+  shutdown: "shutdown",
   /** The workspace has exceeded its quota. */
   overQuota: "over_quota",
 } as const;
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -135,4 +135,6 @@
   | "unsure"
   | "overloaded"
   | "expired"
-  | "client_gone";
+  | "client_gone"
+  /** The entry closed the connection at the end of a shutdown, without a complete answer. */
+  | "aborted";
--- a/src/router/request_forwarder.ts
+++ b/src/router/request_forwarder.ts
@@ -5,7 +5,7 @@
  * - when another run of the request has responded or continues the stream,
  * - when its engine has stopped it in order to move it,
  * - before it starts on weights that were replaced too long ago to start a response,
- * - when the client has disconnected or the deadline has passed.
+ * - when the client has disconnected, or the deadline or the grace time of a shutdown has passed.
  * A started stream without an open run, if it may be sent again, waits for a server and for the resend
  * budget while its client stays connected.
  */
@@ -13,6 +13,7 @@
 import { AnswerWriter } from "./answer_writer.ts";
 import { closedEnd, CloseReason, type Send, type SendEnd } from "./attempt.ts";
 import type { Choice } from "./choose.ts";
+import { SendBackoff } from "./send_backoff.ts";
 import type { SendGate } from "./send_gate.ts";
 import { type ForwardTask, OpenRuns, type OpenRunsParts } from "./open_runs.ts";
 import {
@@ -33,12 +34,6 @@
 const POLL_MS = 250;
 /** Interval at which a started stream without an open run looks for a server. */
 const POLL_NO_RUN_MS = 100;
-/** First backoff after a refusal for a started stream without an open run; it doubles each time. */
-const RETRY_MIN_MS = 25;
-/** First backoff while another run is open and may still respond. */
-const RETRY_OPEN_MIN_MS = 250;
-/** Upper limit of both backoffs. */
-const RETRY_MAX_MS = 1000;
 
 /** Result of serving a request. */
 export type ForwardEnd =
@@ -56,6 +51,8 @@
   isWorthSending(request: RoutedRequest, choice: Choice): boolean;
   /** Called when a server has become silent, to notify the other entries. */
   onSilent(serverId: string): void;
+  /** End of the grace time for requests in flight; infinite unless the entry is shutting down. */
+  drainEndMs(): number;
 }
 
 /** Serves one request, with retries and additional sends beside silent runs. */
@@ -65,10 +62,7 @@
   readonly #wake = WakeSignal.create();
   readonly #runs: OpenRuns;
   readonly #writer: AnswerWriter;
-  /** Earliest time of the next send. */
-  #nextSendAtMs = -Infinity;
-  /** Number of consecutive refusals, which sets the backoff. */
-  #refusedCount = 0;
+  readonly #backoff = SendBackoff.create();
   /** Reason to report if the request is given up. */
   #reason: string = RefusalReason.noServer;
 
@@ -111,7 +105,7 @@
   async #step(): Promise<ForwardEnd | undefined> {
     const read = this.#runs.read();
     if (read) return await this.#onPart(read.send, read.part);
-    if (this.#nowMs >= this.#task.request.answerByMs) return this.#timeOut();
+    if (this.#nowMs >= this.#endAtMs) return this.#timeOut();
     const [first] = this.#runs.all;
     if (first && this.#isMoveDue(first)) {
       // Parts that arrive during this call are read first in the next step.
@@ -128,6 +122,11 @@
     return this.#parts.clock.nowMs();
   }
 
+  /** When the client must have its final response. */
+  get #endAtMs(): number {
+    return Math.min(this.#task.request.answerByMs, this.#parts.drainEndMs());
+  }
+
   async #onPart(send: Send, part: AnswerPart): Promise<ForwardEnd | undefined> {
     switch (part.kind) {
       case "began":
@@ -179,8 +178,7 @@
   }
 
   #continueWith(send: Send): void {
-    this.#refusedCount = 0;
-    this.#nextSendAtMs = -Infinity;
+    this.#backoff.reset();
     this.#runs.keepOnly(send);
   }
 
@@ -221,7 +219,7 @@
   /** Sends the request if it has no open run, or if all of them are silent. */
   async #sendIfDue(): Promise<ForwardEnd | undefined> {
     const nowMs = this.#nowMs;
-    if (nowMs < this.#nextSendAtMs) return undefined;
+    if (nowMs < this.#backoff.nextAtMs) return undefined;
     if (this.#runs.all.some((send) => !isSilent(send, nowMs))) return undefined;
     const refusal = await this.#sendNext();
     if (!refusal) return undefined;
@@ -230,8 +228,8 @@
     if (this.#runs.count === 0 && !mayWait) {
       return { kind: "given_up", reason: this.#reason, refusal };
     }
-    this.#nextSendAtMs = nowMs +
-      (this.#runs.count > 0 ? POLL_MS : POLL_NO_RUN_MS);
+    const pollMs = this.#runs.count > 0 ? POLL_MS : POLL_NO_RUN_MS;
+    this.#backoff.waitUntil(nowMs + pollMs);
     return undefined;
   }
 
@@ -255,11 +253,16 @@
 
   #sendTo(choice: Choice): ResendRefusal | undefined {
     const { request, progress } = this.#task;
-    const { resends, isWorthSending } = this.#parts;
+    const { resends, isWorthSending, drainEndMs } = this.#parts;
     if (progress.sends === 0 && !isWorthSending(request, choice)) {
       this.#reason = RefusalReason.tooLate;
       return ResendRefusal.noTime;
     }
+    const expectedAtMs = this.#nowMs + choice.expectedMs;
+    if (progress.sends === 0 && expectedAtMs >= drainEndMs()) {
+      this.#reason = RefusalReason.shutdown;
+      return ResendRefusal.noTime;
+    }
     const open = this.#openState;
     const payment = resends.chargeSend(request, progress, open);
     if (payment.kind === "refused") return ResendRefusal.noBudget;
@@ -269,12 +272,9 @@
   }
 
   get #openState(): OpenState {
-    return { count: this.#runs.count, isAnyUp: this.#isAnyUp };
-  }
-
-  /** Whether a run is open at a server that is not down. */
-  get #isAnyUp(): boolean {
-    return this.#runs.all.some(({ choice }) => !choice.server.health.isDown);
+    const { all, count } = this.#runs;
+    const isAnyUp = all.some(({ choice }) => !choice.server.health.isDown);
+    return { count, isAnyUp };
   }
 
   /** Checked before each send, as servers may have terminated during this very attempt. */
@@ -311,7 +311,7 @@
         return;
       case "unknown":
         this.#reason = end.reason;
-        this.#nextSendAtMs = -Infinity;
+        this.#backoff.endDelay();
     }
   }
 
@@ -319,22 +319,24 @@
   #backOff(): void {
     const isOpen = this.#runs.count > 0;
     if (!this.#task.progress.streamStarted && !isOpen) return;
-    const minMs = isOpen ? RETRY_OPEN_MIN_MS : RETRY_MIN_MS;
-    const pauseMs = Math.min(RETRY_MAX_MS, minMs * 2 ** this.#refusedCount);
-    this.#refusedCount++;
-    this.#nextSendAtMs = this.#nowMs + pauseMs;
+    this.#backoff.refused(this.#nowMs, isOpen);
   }
 
   #timeOut(): ForwardEnd {
-    if (this.#runs.count > 0) this.#reason = CloseReason.deadline;
-    const reason = this.#reason;
-    return { kind: "given_up", reason, refusal: ResendRefusal.noTime };
+    if (this.#nowMs < this.#task.request.answerByMs) {
+      this.#reason = RefusalReason.shutdown;
+      this.#runs.closeAll(CloseReason.shutdown);
+    } else if (this.#runs.count > 0) {
+      this.#reason = CloseReason.deadline;
+    }
+    const refusal = ResendRefusal.noTime;
+    return { kind: "given_up", reason: this.#reason, refusal };
   }
 
   #wakeAtMs(): number {
     const { wanted } = this.#parts;
     const nowMs = this.#nowMs;
-    const times = [this.#task.request.answerByMs, this.#nextSendAtMs];
+    const times = [this.#endAtMs, this.#backoff.nextAtMs];
     for (const send of this.#runs.all) {
       times.push(nextCheckAtMs(send, { wanted, nowMs }));
     }
--- a/src/router/request_forwarder_test.ts
+++ b/src/router/request_forwarder_test.ts
@@ -107,3 +107,30 @@
   setup.deliver(1, { kind: "stream_end" });
   assert.deepEqual(await ended, { kind: "answered", status: 200 });
 });
+
+// Guards against sends whose answers can't start before the entry stops.
+test("request whose answer is expected after the grace time is not sent", async (t) => {
+  const setup = createForwarderSetup(t);
+  setup.drainEndMs = setup.clock.nowMs() + setup.choice.expectedMs;
+  const ended = await RequestForwarder.create(setup.parts, setup.task).run();
+  assert.equal(setup.sends.length, 0);
+  assert.ok(ended.kind === "given_up");
+  assert.equal(ended.reason, "shutdown");
+});
+
+// Guards against counting a run that a shutdown closes as a failure of its server.
+test("run that a shutdown closes is no failure of its server", async (t) => {
+  const setup = createForwarderSetup(t);
+  const { ended } = await begin(setup);
+  setup.isServerReady = false;
+  setup.drainEndMs = setup.clock.nowMs() + 500;
+  await setup.advance(750);
+  const end = await ended;
+  assert.ok(end.kind === "given_up");
+  assert.equal(end.reason, "shutdown");
+  assert.deepEqual(setup.task.progress.ends.map((text) => text.split("@")[0]), [
+    "shutdown",
+  ]);
+  const { clock, choice } = setup;
+  assert.equal(choice.server.health.failures(clock.nowMs()), 0);
+});
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -288,6 +288,7 @@
       onSilent: (id) => this.#network.gossip.announceSilent(id),
       onGone: (server) => this.#network.gossip.announceReplaced(server),
       onPrompt: (placed) => this.#network.gossip.announcePrompt(placed),
+      drainEndMs: () => this.#ingress.drainEndMs,
     });
   }
 
