--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -48,6 +48,7 @@
 
 /** Descriptions of the reasons in request log lines. */
 const REASONS: Record<string, string> = {
+  aborted: "a shutdown closed its connection before its answer was complete",
   answer_too_large: "the server's answer was larger than the router relays",
   answer_without_head: "the server sent a body without a head",
   client_gone: "its client disconnected before it was served",
@@ -71,6 +72,7 @@
   quarantined:
     "three servers or more had ended while running it, so it is in quarantine",
   run_stopped: "the run was stopped to move it, and could not be copied",
+  shutdown: "the entry's shutdown left it no more time",
   stopping: "the entry was stopping",
   too_large: "the body exceeded the configured limit",
   too_late: "its answer would have been late, so it was refused at once",
@@ -226,7 +228,9 @@
         describeServers(servers)
       }`;
     case "local":
-      return `Answered by the entry itself${why}.`;
+      return reason === "aborted"
+        ? `Ended without a complete answer${why}.`
+        : `Answered by the entry itself${why}.`;
     default:
       return `Ended as ${String(outcome)}${why}.`;
   }
--- a/src/router/explain_test.ts
+++ b/src/router/explain_test.ts
@@ -103,6 +103,11 @@
     "Answered by the entry itself: the route or key was unknown, and the entry's " +
       "configuration may be outdated.",
   );
+  assert.equal(
+    outcomeOf({ outcome: "local", reason: "aborted" }),
+    "Ended without a complete answer: a shutdown closed its connection before its " +
+      "answer was complete.",
+  );
 });
 
 test("request that is named by no line has no explanation", () => {
