Count no request whose connection has closed as in flight

What callers saw: nothing; a stop of the entry lasted its whole grace time.

Cause: a request was in flight until its response closed. Node closes no response that waits behind another one on a pipelined connection when that connection closes (tried on Node 20: "res close /1", "req close /1", "req close /2"), so such a request counted for good; since its facts were held, too.

Change: requests in flight belong to their connection and go with it.

Whoever serves such a request still learns of the disconnect only by its deadline; not changed here.

--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -64,10 +64,8 @@
   readonly #options: IngressOptions;
   readonly #server: HttpServer;
   readonly #intake: Intake;
-  /** Open connections, with the number of requests in flight on each. */
-  readonly #connections = new Map<Socket, number>();
-  /** Requests in flight whose head has been read. */
-  readonly #inFlight = new Map<ServerResponse, RequestFacts>();
+  /** Open connections, with the requests in flight on each. */
+  readonly #connections = new Map<Socket, Map<ServerResponse, RequestFacts>>();
   #isDraining = false;
   #drainEndMs = Infinity;
   /** New requests are refused. */
@@ -105,7 +103,9 @@
 
   /** Number of requests in flight. */
   get active(): number {
-    return this.#inFlight.size;
+    let count = 0;
+    for (const requests of this.#connections.values()) count += requests.size;
+    return count;
   }
 
   /** End of the grace time for requests in flight; infinite unless a stop has begun. */
@@ -167,8 +167,10 @@
   /** Closes all connections, and logs the requests that get no complete answer. */
   #abort(): void {
     this.#isAborting = true;
-    for (const facts of this.#inFlight.values()) {
-      this.#options.onLocalAnswer(facts, "aborted");
+    for (const requests of this.#connections.values()) {
+      for (const facts of requests.values()) {
+        this.#options.onLocalAnswer(facts, "aborted");
+      }
     }
     this.#server.closeAllConnections();
   }
@@ -187,22 +189,18 @@
    * request yet. Node's closeIdleConnections() leaves the latter open.
    */
   #closeIdle(): void {
-    for (const [socket, active] of this.#connections) {
-      if (active === 0) socket.destroy();
+    for (const [socket, requests] of this.#connections) {
+      if (requests.size === 0) socket.destroy();
     }
   }
 
   #track(socket: Socket): void {
     this.#intake.accepted();
-    this.#connections.set(socket, 0);
+    this.#connections.set(socket, new Map());
+    // Node closes no response that waits behind another one when its connection closes.
     socket.once("close", () => this.#connections.delete(socket));
   }
 
-  #count(socket: Socket, change: 1 | -1): void {
-    const active = this.#connections.get(socket);
-    if (active !== undefined) this.#connections.set(socket, active + change);
-  }
-
   async #handle(
     request: IncomingMessage,
     response: ServerResponse,
@@ -212,13 +210,10 @@
     // The request arrived at some time since its socket or the accept queue was last polled.
     const arrivedAtMs = readAtMs - this.#intake.maxWaitMs / 2;
     const { socket } = request;
-    this.#count(socket, 1);
     const facts = readRequest(request);
-    this.#inFlight.set(response, facts);
-    response.once("close", () => {
-      this.#count(socket, -1);
-      this.#inFlight.delete(response);
-    });
+    const requests = this.#connections.get(socket);
+    requests?.set(response, facts);
+    response.once("close", () => requests?.delete(response));
     response.once("finish", () => {
       // The answer's head may have announced keep-alive before the stop began.
       if (this.#isDraining) socket.destroySoon();
--- a/src/router/ingress_test.ts
+++ b/src/router/ingress_test.ts
@@ -34,20 +34,21 @@
   workspaces: [],
 });
 
-// Guards against requests that end with the process and without a log line.
-test("request that a stop aborts is logged as aborted, not as left by its client", async () => {
+/** An ingress whose requests are served until their client disconnects. */
+async function openIngress() {
   const answers: LocalAnswer[] = [];
   const served: string[] = [];
-  let isServing = false;
+  const targets: string[] = [];
   const ingress = Ingress.create({
     clock: systemClock,
     log: silentLog,
-    random: () => 1,
+    // No request is shed, whatever the load of the computer.
+    random: () => Infinity,
     lag: { ms: 0 },
     table: () => TABLE,
     knowledgeAgeMs: () => 0,
-    serve: async (_request, sink) => {
-      isServing = true;
+    serve: async ({ facts }, sink) => {
+      targets.push(facts.target);
       await new Promise<void>((resolve) => sink.onGone(resolve));
       return { outcome: { kind: "client_gone" }, servers: [], ends: [] };
     },
@@ -58,8 +59,17 @@
   await ingress.listen("127.0.0.1", port);
   const client = connect(port, "127.0.0.1");
   client.on("error", () => {});
-  client.write("GET /a HTTP/1.1\r\nhost: a.example\r\n\r\n");
-  await until(() => isServing);
+  const ask = (target: string) =>
+    client.write(`GET ${target} HTTP/1.1\r\nhost: a.example\r\n\r\n`);
+  return { ingress, client, ask, answers, served, targets };
+}
+
+// Guards against requests that end with the process and without a log line.
+test("request that a stop aborts is logged as aborted, not as left by its client", async () => {
+  const { ingress, client, ask, answers, served, targets } =
+    await openIngress();
+  ask("/a");
+  await until(() => targets.length === 1);
   await ingress.drain(50, () => false);
   await until(() => client.closed);
   assert.deepEqual(answers, ["aborted"]);
@@ -67,6 +77,17 @@
   assert.equal(ingress.active, 0);
 });
 
+// Guards against counting them for good, which makes each stop last its whole grace time.
+test("pipelined requests of a client that disconnects are no longer in flight", async () => {
+  const { ingress, client, ask, targets } = await openIngress();
+  ask("/a");
+  ask("/b");
+  await until(() => targets.length === 2);
+  client.destroy();
+  await until(() => ingress.active === 0);
+  await ingress.close();
+});
+
 function freePort(): Promise<number> {
   return new Promise((resolve) => {
     const server = createServer().listen(0, "127.0.0.1", () => {
