--- a/src/standin/_platform_stream.ts
+++ b/src/standin/_platform_stream.ts
@@ -20,6 +20,8 @@
   cutAfter?: number;
   /** Stall to inject; undefined: none. */
   stall?: StreamStall;
+  /** Text that marks each event as written by this server; undefined: no mark. */
+  writer?: string;
 }
 
 /**
@@ -46,9 +48,10 @@
  */
 export async function writeEvents(
   stream: RunningStream,
-  { events, eventMs, cutAfter, stall }: WriteEventsOptions,
+  { events, eventMs, cutAfter, stall, writer }: WriteEventsOptions,
 ): Promise<void> {
   const { response } = stream;
+  const mark = writer === undefined ? "" : ` ${writer}`;
   for (let i = stream.lastEventId + 1; i <= events; i++) {
     if (stall && i === stall.afterEvent + 1) {
       if (stall.isAfterHeaders) response.flushHeaders();
@@ -60,7 +63,7 @@
       response.write(`id: ${i}\nda`, () => response.destroy());
       return;
     }
-    response.write(`id: ${i}\ndata: x${i}\n\n`);
+    response.write(`id: ${i}\ndata: x${i}${mark}\n\n`);
     stream.lastEventId = i;
     if (eventMs > 0) await sleep(eventMs);
   }
--- a/src/standin/backend_server.ts
+++ b/src/standin/backend_server.ts
@@ -40,6 +40,8 @@
   /** Ids of copies that were freed before a run resumed from them. */
   readonly freedCopyIds: string[] = [];
   readonly faults: StandinBackendServerFaults;
+  /** See {@link StandinBackendServerOptions.softwareVersion}; a restart may bring another one. */
+  softwareVersion: string | undefined;
   /** Streams in progress, by attempt id. */
   readonly #streams = new Map<string, RunningStream>();
   readonly #options: StandinBackendServerOptions;
@@ -51,6 +53,7 @@
     this.#options = options;
     this.faults = options.faults ?? { ...NO_FAULTS };
     this.#orders = new PlatformOrders(options);
+    this.softwareVersion = options.softwareVersion;
   }
 
   /**
@@ -112,7 +115,7 @@
       service,
       address: this.address,
       zone: "a",
-      version: "v1",
+      version: this.softwareVersion ?? "v1",
       slots: 4,
       state: "ready",
       models: this.#models(),
@@ -323,9 +326,9 @@
   }
 
   #stream({ headers, response }: HostRequest): void {
-    const { events } = this.#options;
+    const { events, eventMs } = this.#options;
+    const { cutAfterEvents: cutAfter, stall } = this.faults;
     const first = Number(headers["last-event-id"] ?? 0) + 1;
-    const cutAfter = this.faults.cutAfterEvents;
     this.faults.cutAfterEvents = undefined;
     response.writeHead(200, {
       "content-type": "text/event-stream",
@@ -340,8 +343,8 @@
     response.once("close", () => {
       if (this.#streams.get(id) === stream) this.#streams.delete(id);
     });
-    const { eventMs } = this.#options;
-    const { stall } = this.faults;
-    void writeEvents(stream, { cutAfter, events, eventMs, stall });
+    const version = this.softwareVersion;
+    const writer = version && `${this.id} ${version}`;
+    void writeEvents(stream, { cutAfter, events, eventMs, stall, writer });
   }
 }
--- a/src/standin/backend_server_options.ts
+++ b/src/standin/backend_server_options.ts
@@ -8,6 +8,11 @@
   id: string;
   /** Model that the server serves; undefined for a plain service. */
   model?: string;
+  /**
+   * Initial version of the server's software; if it is set, each event names the server and the
+   * version that wrote it.
+   */
+  softwareVersion?: string;
   /** Initial version of the model's weights. */
   version: number;
   /** Number of events in a complete stream. */
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -52,6 +52,15 @@
   StandinPlatformStore,
   type StandinPlatformStoreOptions,
 } from "./platform_store_server.ts";
+export {
+  type AttemptOptions,
+  type MarkedEvent,
+  readStream,
+  resumeHeaders,
+  type ResumePoint,
+  type StreamAttempt,
+  writersOf,
+} from "./stream_client.ts";
 export { PLAIN_ANSWER_BODY } from "./_platform_answer.ts";
 export {
   type ExecutedRequest,
--- /dev/null
+++ b/src/standin/stream_client.ts
@@ -0,0 +1,109 @@
+/** Test client that reads a marked stream event by event, and may break off and take it up again. */
+import { request as httpRequest } from "node:http";
+import { type EntryAddress, HOST, KEY } from "./platform_client.ts";
+
+/** An event, and the server that wrote it. */
+export interface MarkedEvent {
+  id: number;
+  serverId: string;
+  softwareVersion: string;
+}
+
+/** What one attempt brought. */
+export interface StreamAttempt {
+  /** HTTP status; 0 if no answer began. */
+  status: number;
+  retryAfter?: string;
+  events: MarkedEvent[];
+  isComplete: boolean;
+}
+
+/** One attempt of a client. */
+export interface AttemptOptions {
+  path: string;
+  /** Headers, with the attempt's id. */
+  headers: Record<string, string>;
+  /** Closes the connection after this number of events; undefined: reads to the end. */
+  breakAfterEvents?: number;
+  /** Called for each event. */
+  onEvent?(event: MarkedEvent): void;
+}
+
+/** A client's earlier attempts at a stream that it takes up again. */
+export interface ResumePoint {
+  /** The attempt that brought the first event. */
+  firstId: string;
+  lastEventId: number;
+}
+
+/**
+ * Reads a stream of a server that marks its events.
+ *
+ * @param entry Entry to send the request to.
+ * @param options The request, and when to break off.
+ * @returns What arrived; never rejects.
+ */
+export function readStream(
+  { clientPort, ipAddress }: EntryAddress,
+  { path, headers, breakAfterEvents = Infinity, onEvent }: AttemptOptions,
+): Promise<StreamAttempt> {
+  return new Promise((resolve) => {
+    const attempt: StreamAttempt = { status: 0, events: [], isComplete: false };
+    const request = httpRequest({
+      host: ipAddress,
+      port: clientPort,
+      method: "POST",
+      path,
+      agent: false,
+      headers: { host: HOST, authorization: `Bearer ${KEY}`, ...headers },
+    }, (response) => {
+      attempt.status = response.statusCode ?? 0;
+      attempt.retryAfter = response.headers["retry-after"];
+      let text = "";
+      response.on("data", (chunk) => {
+        text += chunk;
+        const end = text.lastIndexOf("\n\n");
+        if (end < 0) return;
+        const blocks = text.slice(0, end).split("\n\n");
+        text = text.slice(end + 2);
+        for (const event of blocks.map(readEvent)) {
+          if (attempt.events.length >= breakAfterEvents) break;
+          attempt.events.push(event);
+          onEvent?.(event);
+        }
+        if (attempt.events.length >= breakAfterEvents) request.destroy();
+      });
+      response.on("error", () => {});
+      response.on("close", () => {
+        attempt.isComplete = response.complete;
+        resolve(attempt);
+      });
+    });
+    request.on("error", () => resolve(attempt));
+    request.end("payload");
+  });
+}
+
+/**
+ * @param point Where the client takes the stream up.
+ * @returns The headers that say so.
+ */
+export function resumeHeaders(
+  { firstId, lastEventId }: ResumePoint,
+): Record<string, string> {
+  return { "last-event-id": String(lastEventId), resumes: firstId };
+}
+
+/**
+ * @param events Events of one answer, or of several attempts at one stream.
+ * @returns The software versions that wrote them, each once.
+ */
+export function writersOf(events: readonly MarkedEvent[]): string[] {
+  return [...new Set(events.map(({ softwareVersion }) => softwareVersion))];
+}
+
+function readEvent(block: string): MarkedEvent {
+  const [, id = "", serverId = "", softwareVersion = ""] =
+    /id: (\d+)\ndata: x\d+ (\S+) (\S+)/.exec(block) ?? [];
+  return { id: Number(id), serverId, softwareVersion };
+}
