Let stand-ins listen below the ephemeral ports

'stream is resumed although the other engine's port is closed for a while, 16 entries' failed once beside other tests with EADDRINUSE: while the stand-in was down, the system had given its ephemeral port to another connection. Listeners without a port of their own now take one below the ephemeral range, each process from another start.

--- a/src/standin/_http_host.ts
+++ b/src/standin/_http_host.ts
@@ -6,6 +6,17 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import process from "node:process";
+
+/**
+ * Ports below the ephemeral range: while a listener is down, the system may give an ephemeral port to
+ * any connection. Each process starts at another port.
+ */
+const FIRST_PORT = 2000;
+const LAST_PORT = 11_900;
+const PORTS_PER_PROCESS = 200;
+let nextFreePort = FIRST_PORT +
+  (process.pid * PORTS_PER_PROCESS) % (LAST_PORT - FIRST_PORT);
 
 /** A request whose body was read completely. */
 export interface HostRequest {
@@ -64,10 +75,9 @@
     });
     this.#server = server;
     server.on("connection", (socket) => this.#track(socket));
-    await new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(this.#port, this.#host, resolve);
-    });
+    while (!await this.#listen(server, this.#port || nextPort())) {
+      if (this.#port) throw new Error(`Port ${this.#port} is in use`);
+    }
     this.#port = (server.address() as AddressInfo).port;
   }
 
@@ -92,6 +102,19 @@
     }
   }
 
+  /** Listens, unless the port is in use. */
+  #listen(server: Server, port: number): Promise<boolean> {
+    return new Promise((resolve, reject) => {
+      const onError = (error: NodeJS.ErrnoException) =>
+        error.code === "EADDRINUSE" ? resolve(false) : reject(error);
+      server.once("error", onError);
+      server.listen(port, this.#host, () => {
+        server.off("error", onError);
+        resolve(true);
+      });
+    });
+  }
+
   #track(socket: Socket): void {
     socket.setNoDelay(true);
     this.#sockets.add(socket);
@@ -115,6 +138,12 @@
   }
 }
 
+function nextPort(): number {
+  const port = nextFreePort++;
+  if (nextFreePort > LAST_PORT) nextFreePort = FIRST_PORT;
+  return port;
+}
+
 /**
  * Sends a JSON response.
  *
