--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -10,8 +10,7 @@
   RoutedRequest,
 } from "./request.ts";
 import type { LoadTicket, Server } from "./server.ts";
-import type { StreamOrigin } from "./software_versions.ts";
-import type { OriginSource } from "./stream_origins.ts";
+import type { OriginSource, StreamOrigin } from "./software_versions.ts";
 
 /** How a send is charged to the resend budget. */
 export type Payment =
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -29,7 +29,8 @@
 import { Sender, type SenderOptions } from "./send.ts";
 import { callerOf, SendGate } from "./send_gate.ts";
 import type { Server } from "./server.ts";
-import { OriginSource, type StreamOrigins } from "./stream_origins.ts";
+import { OriginSource } from "./software_versions.ts";
+import type { StreamOrigins } from "./stream_origins.ts";
 
 /** Range of the random retry delay that refused clients are given. */
 const RETRY_AFTER_MIN_MS = 200;
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -1,7 +1,7 @@
 /** Types of a request in the router: its input, the sink of its answer, and its outcome. */
 import type { Chain } from "./expected_cache.ts";
 import type { RequestFacts, Route, Workspace } from "./model.ts";
-import type { OriginSource } from "./stream_origins.ts";
+import type { OriginSource } from "./software_versions.ts";
 
 /** A request that has been read, routed and authenticated. */
 export interface RoutedRequest {
--- a/src/router/software_versions.ts
+++ b/src/router/software_versions.ts
@@ -18,6 +18,20 @@
   incarnation?: string;
 }
 
+/** Who knew the origin of a stream that a client takes up. */
+export const OriginSource = {
+  /** This entry serves the stream, or was told of it. */
+  own: "own",
+  /** Another entry was asked. */
+  entry: "entry",
+  /** The service has had one software version as long as any of its streams may live. */
+  oneVersion: "one_version",
+  unknown: "unknown",
+} as const;
+
+/** One of {@link OriginSource}. */
+export type OriginSource = typeof OriginSource[keyof typeof OriginSource];
+
 /** A software version, and the time since a server of it was last registered. */
 export interface SeenVersion {
   service: string;
--- a/src/router/stream_origins.ts
+++ b/src/router/stream_origins.ts
@@ -13,7 +13,11 @@
 } from "./origin_message.ts";
 import { type OriginRow, OriginTable } from "./origin_table.ts";
 import type { RoutedRequest } from "./request.ts";
-import type { SoftwareVersions, StreamOrigin } from "./software_versions.ts";
+import {
+  OriginSource,
+  type SoftwareVersions,
+  type StreamOrigin,
+} from "./software_versions.ts";
 
 /** Entries that are told of each stream. */
 const HOLDERS = 3;
@@ -32,20 +36,6 @@
 /** Longer ids are not kept; a stream with one is not taken up while versions are mixed. */
 const MAX_ID_LENGTH = 128;
 
-/** Who knew the origin of a stream that a client takes up. */
-export const OriginSource = {
-  /** This entry serves the stream, or was told of it. */
-  own: "own",
-  /** Another entry was asked. */
-  entry: "entry",
-  /** The service has had one software version as long as any of its streams may live. */
-  oneVersion: "one_version",
-  unknown: "unknown",
-} as const;
-
-/** One of {@link OriginSource}. */
-export type OriginSource = typeof OriginSource[keyof typeof OriginSource];
-
 /** Result of {@link StreamOrigins.find}. */
 export interface FoundOrigin {
   source: OriginSource;
