Give the soak several software versions, and oracles of streams

Clients of the soak used one entry and read answers as a whole, and all servers had one version, so that it could not show a joined stream. Engines are now released one after the other under new ids, or restart under their id with another version; their events name their writer; clients break streams off, and take broken ones up at any entry. More than two streams of several versions, an event that is missing or comes twice, and take-ups that go on less than half as often as new streams begin break a promise. A stream that is cut is excused while no server of its version serves, as only that version may continue it. The other faults of a seed are as before.

Entries tell each other only streams that can be taken up. 'calls succeed after an agent is killed' failed once (fetch failed): the stand-in had got a port that fetch refuses; stand-ins now listen above those.

--- a/src/proof/_soak.ts
+++ b/src/proof/_soak.ts
@@ -1,15 +1,17 @@
 /** Runs one plan of faults against a fleet of real processes and checks what clients and servers saw. */
 import { setTimeout as sleep } from "node:timers/promises";
 import { seededRandom } from "../base/random.ts";
-import { attemptIdOf } from "../standin/mod.ts";
+import { attemptIdOf, writersOf } from "../standin/mod.ts";
 import { runClient } from "./_soak_client.ts";
 import { type SoakEntry, SoakFleet } from "./_soak_fleet.ts";
 import {
+  type ClientEnd,
   type Disruption,
-  findViolations,
   type SoakHistory,
+  STORE,
   type Violation,
-} from "./_soak_oracles.ts";
+} from "./_soak_history.ts";
+import { findViolations } from "./_soak_oracles.ts";
 import { type Fault, FaultKind, type SoakPlan } from "./_soak_plan.ts";
 
 /** Connections to each entry. */
@@ -17,11 +19,22 @@
 /** Requests that a failing server fails. */
 const FAILED_REQUESTS = 3;
 
+/** Numbers of streams. */
+export interface StreamCounts {
+  /** Streams that hold events of several software versions. */
+  joined: number;
+  /** Attempts to take up a stream. */
+  takenUp: number;
+  /** Those of them that went on. */
+  wentOn: number;
+}
+
 /** What a soak showed. */
 export interface SoakResult {
   violations: Violation[];
   /** Requests by how they ended. */
   counts: Record<string, number>;
+  streams: StreamCounts;
   /** Requests that reached each server while it named a rate. */
   history: SoakHistory;
   /** Start of the requests, by the clock of the history. */
@@ -47,6 +60,8 @@
   readonly #plan: SoakPlan;
   readonly #history: SoakHistory = {
     clients: [],
+    streams: [],
+    versions: [],
     runs: [],
     arrivals: [],
     rates: [],
@@ -66,6 +81,9 @@
     const { durationMs, faults } = this.#plan;
     const ended = new AbortController();
     this.#startedAtMs = performance.now();
+    for (const [index, { softwareVersion }] of this.#fleet.servers.entries()) {
+      this.#serve(index, softwareVersion);
+    }
     const clients = this.#fleet.entries.flatMap((entry) =>
       this.#startClients(entry, ended.signal)
     );
@@ -78,6 +96,7 @@
     return {
       violations: findViolations(this.#history),
       counts: this.#counts(),
+      streams: this.#streamCounts(),
       history: this.#history,
       startedAtMs: this.#startedAtMs,
     };
@@ -88,8 +107,10 @@
       const name = `c${entry.index}-${i}`;
       const number = entry.index * CLIENTS_PER_ENTRY + i;
       const random = seededRandom(this.#plan.seed * 1000 + number);
-      const records = this.#history.clients;
-      return runClient(entry, { name, random, records }, signal);
+      const { clients: records, streams } = this.#history;
+      const { entries } = this.#fleet;
+      const options = { name, random, entries, records, streams };
+      return runClient(entry, options, signal);
     });
   }
 
@@ -99,7 +120,7 @@
   }
 
   async #inject(fault: Fault): Promise<void> {
-    const { kind, forMs, index, perSecond } = fault;
+    const { kind, forMs, index, perSecond, softwareVersion } = fault;
     const { store, entries, servers } = this.#fleet;
     const entry = entries[index]!;
     const server = servers[index]!;
@@ -111,9 +132,11 @@
       case FaultKind.freeze:
         return await this.#freeze(entry, forMs);
       case FaultKind.storeDown:
-        await store.down();
-        await sleep(forMs);
-        return await store.up();
+        return await this.#disrupt({ index: STORE }, false, async () => {
+          await store.down();
+          await sleep(forMs);
+          await store.up();
+        });
       case FaultKind.storeSilent:
         return await this.#disrupt(entry, false, async () => {
           entry.link.silent();
@@ -135,7 +158,13 @@
           server: index,
           atMs: performance.now(),
         });
-        return await this.#fleet.restartServer(index);
+        this.#endServing(index);
+        await this.#fleet.restartServer(index);
+        return this.#serve(index, server.softwareVersion);
+      case FaultKind.versionRestart:
+        return await this.#restartWith(index, `v${softwareVersion}`);
+      case FaultKind.release:
+        return await this.#release(index, `v${softwareVersion}`);
       case FaultKind.serverFails:
         server.faults.fail += FAILED_REQUESTS;
         return;
@@ -144,6 +173,46 @@
     }
   }
 
+  async #restartWith(index: number, softwareVersion: string): Promise<void> {
+    this.#endServing(index);
+    this.#history.restarts.push({ server: index, atMs: performance.now() });
+    await this.#fleet.restartWith(index, softwareVersion);
+    this.#serve(index, softwareVersion);
+  }
+
+  async #release(index: number, softwareVersion: string): Promise<void> {
+    // The new engine names no rate.
+    const fromMs = performance.now();
+    this.#history.rates.push({ server: index, fromMs, perSecond: undefined });
+    this.#endServing(index);
+    await this.#fleet.release(index, softwareVersion, {
+      onStart: () => this.#serve(index, softwareVersion),
+      onEnd: () => {
+        const atMs = performance.now();
+        this.#history.restarts.push({ server: index, atMs });
+      },
+    });
+  }
+
+  /** Records that a server takes requests. */
+  #serve(server: number, softwareVersion: string | undefined): void {
+    if (softwareVersion === undefined) return;
+    const fromMs = performance.now();
+    this.#history.versions.push({
+      server,
+      softwareVersion,
+      fromMs,
+      toMs: Infinity,
+    });
+  }
+
+  #endServing(index: number): void {
+    const serving = this.#history.versions.findLast(({ server }) =>
+      server === index
+    );
+    if (serving) serving.toMs = Math.min(serving.toMs, performance.now());
+  }
+
   async #end(entry: SoakEntry, signal: "SIGTERM" | "SIGKILL"): Promise<void> {
     if (this.#disrupted.has(entry)) return;
     this.#disrupted.add(entry);
@@ -168,7 +237,7 @@
   }
 
   async #disrupt(
-    { index }: SoakEntry,
+    { index }: Pick<SoakEntry, "index">,
     isPlanned: boolean,
     body: () => Promise<void>,
   ): Promise<void> {
@@ -184,7 +253,12 @@
   }
 
   #collect(): void {
-    for (const [server, { arrivals, runs }] of this.#fleet.servers.entries()) {
+    const { servers, replaced } = this.#fleet;
+    const all = [
+      ...servers.map((server, index) => ({ index, server })),
+      ...replaced,
+    ];
+    for (const { index: server, server: { arrivals, runs } } of all) {
       const atMsById = new Map(
         arrivals.map(({ requestId, atMs }) => [requestId, atMs]),
       );
@@ -199,12 +273,36 @@
     }
   }
 
+  #streamCounts(): StreamCounts {
+    const { streams } = this.#history;
+    const takenUp = streams.flatMap(({ attempts }) =>
+      attempts.filter(({ isTakenUp }) => isTakenUp)
+    );
+    return {
+      joined: streams.filter(({ events }) => writersOf(events).length > 1)
+        .length,
+      takenUp: takenUp.length,
+      wentOn: takenUp.filter(({ hasBegun }) => hasBegun).length,
+    };
+  }
+
   #counts(): Record<string, number> {
     const counts: Record<string, number> = {};
     for (const { end } of this.#history.clients) {
-      const name = end.kind === "answered" ? String(end.status) : end.reason;
+      const name = nameOf(end);
       counts[name] = (counts[name] ?? 0) + 1;
     }
     return counts;
   }
 }
+
+function nameOf(end: ClientEnd): string {
+  switch (end.kind) {
+    case "answered":
+      return String(end.status);
+    case "broken":
+      return end.reason;
+    case "left":
+      return "client_left";
+  }
+}
--- a/src/proof/_soak_client.ts
+++ b/src/proof/_soak_client.ts
@@ -1,4 +1,7 @@
-/** A client of a soak: it uses one open connection to one entry until that entry's process is gone. */
+/**
+ * A client of a soak. It uses one open connection to one entry until that entry's process is gone. A
+ * stream that breaks off, or that it breaks off itself, it takes up at other entries.
+ */
 import { Agent, request as httpRequest } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
@@ -6,11 +9,17 @@
   completeStreamBody,
   HOST,
   KEY,
+  type MarkedEvent,
+  MarkedEventReader,
   MODEL_REQUEST_HEADERS,
   PLAIN_ANSWER_BODY,
+  readStream,
+  resumeHeaders,
+  type StreamAttempt,
   toRequestHeaders,
+  withoutMarks,
 } from "../standin/mod.ts";
-import type { ClientEnd, ClientRecord } from "./_soak_oracles.ts";
+import type { ClientEnd, ClientRecord, StreamRecord } from "./_soak_history.ts";
 
 /** Pause between two requests on a connection. */
 const PAUSE_MS = 60;
@@ -19,14 +28,23 @@
 const DEADLINE_MS = 4000;
 /** After this, a request counts as never answered. */
 const GIVE_UP_MS = DEADLINE_MS + 2000;
-const EVENTS = 6;
+/** Number of events of a whole stream. */
+export const EVENTS = 6;
+/** Part of the streams that the client breaks off. */
+const LEAVE_SHARE = 0.2;
+/** Events after which it does so. */
+const LEAVE_AFTER_EVENTS = 2;
+/** Further attempts at a stream. */
+const MAX_RETURNS = 3;
 
 const ROUTES = [
-  { path: "/book/", isIdempotent: false, body: PLAIN_ANSWER_BODY },
-  { path: "/look/", isIdempotent: true, body: PLAIN_ANSWER_BODY },
-  { path: "/stream/", isIdempotent: true, body: completeStreamBody(EVENTS) },
-  { path: "/once/", isIdempotent: false, body: completeStreamBody(EVENTS) },
-];
+  { path: "/book/", isIdempotent: false, isResumable: false, isStream: false },
+  { path: "/look/", isIdempotent: true, isResumable: false, isStream: false },
+  { path: "/stream/", isIdempotent: true, isResumable: true, isStream: true },
+  { path: "/once/", isIdempotent: false, isResumable: false, isStream: true },
+] as const;
+
+type Route = typeof ROUTES[number];
 
 /** Address of an entry, and its number. */
 export interface ClientTarget {
@@ -39,8 +57,12 @@
 export interface SoakClientOptions {
   name: string;
   random: () => number;
+  /** All entries; a stream is taken up at any of them. */
+  entries: readonly ClientTarget[];
   /** Receives each request that has ended. */
   records: ClientRecord[];
+  /** Receives each stream that has ended. */
+  streams: StreamRecord[];
 }
 
 /**
@@ -52,35 +74,133 @@
  */
 export async function runClient(
   target: ClientTarget,
-  { name, random, records }: SoakClientOptions,
+  options: SoakClientOptions,
   signal: AbortSignal,
 ): Promise<void> {
+  const { name, random } = options;
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
   for (let i = 0; !signal.aborted; i++) {
     const route = ROUTES[Math.floor(random() * ROUTES.length)]!;
     const id = `${name}-${i}`;
+    const isLeft = route.isResumable && random() < LEAVE_SHARE;
     const sentAtMs = performance.now();
-    const end = await ask(target, { agent, id, route });
-    records.push({
-      id,
+    const events: MarkedEvent[] = [];
+    const end = await ask(target, { agent, id, route, isLeft, events });
+    record(options, { target, id, route, sentAtMs, end, events });
+    if (route.isStream) {
+      await followStream(options, { target, id, route, sentAtMs, end, events });
+    }
+    await sleep(end.kind === "broken" ? RECONNECT_MS : PAUSE_MS * random());
+  }
+  agent.destroy();
+}
+
+/** An attempt that has ended. */
+interface EndedAttempt {
+  target: ClientTarget;
+  id: string;
+  route: Route;
+  sentAtMs: number;
+  end: ClientEnd;
+  events: readonly MarkedEvent[];
+}
+
+function record(
+  { records }: SoakClientOptions,
+  { target, id, route, sentAtMs, end, events }: EndedAttempt,
+): void {
+  records.push({
+    id,
+    entry: target.index,
+    isIdempotent: route.isIdempotent,
+    sentAtMs,
+    deadlineMs: DEADLINE_MS,
+    endedAtMs: performance.now(),
+    softwareVersion: events.at(-1)?.softwareVersion,
+    end,
+  });
+}
+
+/** Takes a resumable stream up until it is whole, refused, or too many attempts were made. */
+async function followStream(
+  options: SoakClientOptions,
+  first: EndedAttempt,
+): Promise<void> {
+  const { entries, random, streams } = options;
+  const { id, route, events } = first;
+  const stream: StreamRecord = {
+    id,
+    isWhole: first.end.kind === "answered" && first.end.status === 200,
+    events: [...events],
+    attempts: [{
+      entry: first.target.index,
+      atMs: first.sentAtMs,
+      endedAtMs: performance.now(),
+      isTakenUp: false,
+      hasBegun: events.length > 0,
+    }],
+  };
+  streams.push(stream);
+  let lastEnd = first.end;
+  for (let i = 0; i < MAX_RETURNS && route.isResumable; i++) {
+    if (lastEnd.kind === "answered" || stream.events.length === 0) return;
+    const target = entries[Math.floor(random() * entries.length)]!;
+    const again = `${id}-${i}`;
+    const sentAtMs = performance.now();
+    const lastEventId = stream.events.at(-1)!.id;
+    const isLeft = random() < LEAVE_SHARE;
+    const attempt = await readStream(target, {
+      path: route.path + again,
+      headers: {
+        ...MODEL_REQUEST_HEADERS,
+        ...toRequestHeaders({ id: again, timeMs: DEADLINE_MS }),
+        ...resumeHeaders({ firstId: id, lastEventId }),
+      },
+      breakAfterEvents: isLeft ? LEAVE_AFTER_EVENTS : undefined,
+    });
+    lastEnd = endOf(attempt, { isLeft, lastEventId });
+    stream.events.push(...attempt.events);
+    stream.isWhole = lastEnd.kind === "answered" && lastEnd.status === 200;
+    stream.attempts.push({
       entry: target.index,
-      isIdempotent: route.isIdempotent,
-      sentAtMs,
-      deadlineMs: DEADLINE_MS,
+      atMs: sentAtMs,
       endedAtMs: performance.now(),
-      end,
+      isTakenUp: true,
+      hasBegun: attempt.status === 200,
+    });
+    const { events } = attempt;
+    record(options, {
+      target,
+      id: again,
+      route,
+      sentAtMs,
+      end: lastEnd,
+      events,
     });
-    await sleep(end.kind === "broken" ? RECONNECT_MS : PAUSE_MS * random());
   }
-  agent.destroy();
+}
+
+function endOf(
+  { status, isComplete, events }: StreamAttempt,
+  { isLeft, lastEventId }: { isLeft: boolean; lastEventId: number },
+): ClientEnd {
+  if (isComplete) {
+    const isOwnAnswer = (events.at(-1)?.id ?? lastEventId) === EVENTS;
+    return { kind: "answered", status, isOwnAnswer };
+  }
+  if (isLeft && events.length === LEAVE_AFTER_EVENTS) return { kind: "left" };
+  return { kind: "broken", reason: status === 0 ? "no_answer" : "answer_cut" };
 }
 
 function ask(
   { ipAddress, clientPort }: ClientTarget,
-  { agent, id, route }: {
+  { agent, id, route, isLeft, events }: {
     agent: Agent;
     id: string;
-    route: typeof ROUTES[number];
+    route: Route;
+    isLeft: boolean;
+    /** Receives the events of a stream. */
+    events: MarkedEvent[];
   },
 ): Promise<ClientEnd> {
   return new Promise((resolve) => {
@@ -98,14 +218,25 @@
         ...toRequestHeaders({ id, timeMs: DEADLINE_MS }),
       },
     }, (response) => {
+      const reader = MarkedEventReader.create();
       let body = "";
-      response.on("data", (chunk) => body += chunk);
+      response.on("data", (chunk) => {
+        body += chunk;
+        if (!route.isStream) return;
+        events.push(...reader.push(String(chunk)));
+        if (!isLeft || events.length < LEAVE_AFTER_EVENTS) return;
+        events.length = LEAVE_AFTER_EVENTS;
+        resolve({ kind: "left" });
+        request.destroy();
+      });
       response.on("error", () => broken("answer_cut"));
       response.on("close", () => {
         if (!response.complete) return broken("answer_cut");
         const status = response.statusCode ?? 0;
-        const isOwnAnswer = attemptIdOf(response.headers) === id &&
-          body === route.body;
+        const isWhole = route.isStream
+          ? withoutMarks(body) === completeStreamBody(EVENTS)
+          : body === PLAIN_ANSWER_BODY;
+        const isOwnAnswer = attemptIdOf(response.headers) === id && isWhole;
         resolve({ kind: "answered", status, isOwnAnswer });
       });
     });
--- a/src/proof/_soak_fleet.ts
+++ b/src/proof/_soak_fleet.ts
@@ -9,7 +9,7 @@
   StandinPlatformStore,
   TcpRelay,
 } from "../standin/mod.ts";
-import type { SoakSizes } from "./_soak_plan.ts";
+import { isEngine, type SoakSizes } from "./_soak_plan.ts";
 
 /** Ports are taken from below the ephemeral range; all entries use the same ones. */
 const FIRST_PORT = 30_100;
@@ -22,6 +22,8 @@
 const CALL_MS = 40;
 const EVENTS = 6;
 const EVENT_MS = 30;
+/** Time from an engine's announcement that it leaves to its end. */
+const DRAIN_MS = 2500;
 
 /** One entry; its process changes when it starts again. */
 export interface SoakEntry {
@@ -37,6 +39,8 @@
 export class SoakFleet {
   readonly entries: SoakEntry[] = [];
   readonly servers: StandinBackendServer[] = [];
+  /** Engines that a release has replaced, with the index of their successors. */
+  readonly replaced: { index: number; server: StandinBackendServer }[] = [];
   readonly store: StandinPlatformStore;
   readonly #ports: {
     client: number;
@@ -94,6 +98,45 @@
     await this.#register(server);
   }
 
+  /**
+   * Restarts an engine under its id.
+   *
+   * @param index The engine.
+   * @param softwareVersion Its software version from now on.
+   */
+  async restartWith(index: number, softwareVersion: string): Promise<void> {
+    const server = this.servers[index]!;
+    await server.down();
+    server.softwareVersion = softwareVersion;
+    await this.restartServer(index);
+  }
+
+  /**
+   * Replaces an engine by one with another id, which leaves and then ends.
+   *
+   * @param index The engine.
+   * @param softwareVersion Software version of its successor.
+   * @param options Called when the new engine takes requests, and when the old one ends.
+   */
+  async release(
+    index: number,
+    softwareVersion: string,
+    { onStart, onEnd }: { onStart: () => void; onEnd: () => void },
+  ): Promise<void> {
+    const server = this.servers[index]!;
+    const id = `i-${index}-${this.replaced.length}`;
+    this.servers[index] = await this.#startServer(index, id, softwareVersion);
+    this.replaced.push({ index, server });
+    await this.#register(this.servers[index]);
+    onStart();
+    await this.#register(server, { state: "draining" });
+    await new Promise((resolve) => setTimeout(resolve, DRAIN_MS));
+    if (this.#isClosed) return;
+    await this.store.delete(`servers/${server.id}`);
+    onEnd();
+    await server.close();
+  }
+
   /** @param entry Entry to wait for. */
   async untilReady(entry: SoakEntry): Promise<void> {
     while (!this.#isClosed && !await isReady(entry)) {
@@ -112,23 +155,39 @@
     }
     for (const { link } of this.entries) await link.close();
     for (const server of this.servers) await server.close();
+    for (const { server } of this.replaced) await server.close();
     await this.store.close();
   }
 
   async #addServer(index: number): Promise<void> {
-    const isEngine = index % 2 === 1;
-    const server = await StandinBackendServer.create({
-      id: `i-${index}`,
-      ...(isEngine ? { model: "m", events: EVENTS, eventMs: EVENT_MS } : {}),
-      faults: { ...NO_FAULTS, lateMs: CALL_MS },
-    });
+    const server = await this.#startServer(index, `i-${index}`, "v1");
     this.servers.push(server);
     await this.#register(server);
   }
 
-  #register(server: StandinBackendServer): Promise<void> {
+  #startServer(
+    index: number,
+    id: string,
+    softwareVersion: string,
+  ): Promise<StandinBackendServer> {
+    const engine = { model: "m", events: EVENTS, eventMs: EVENT_MS };
+    return StandinBackendServer.create({
+      id,
+      ...(isEngine(index) ? { ...engine, softwareVersion } : {}),
+      faults: { ...NO_FAULTS, lateMs: CALL_MS },
+    });
+  }
+
+  async #register(
+    server: StandinBackendServer,
+    fields: object = {},
+  ): Promise<void> {
     const service = server.model ? "engines" : "plain";
-    return this.store.put(`servers/${server.id}`, server.entry(service));
+    const registration = server.entry(service, fields);
+    // A restart during a release must not bring back a server that leaves.
+    const isLeaving = this.replaced.some((one) => one.server === server);
+    if (isLeaving && !("state" in fields)) return;
+    await this.store.put(`servers/${server.id}`, registration);
   }
 
   async #addEntry(index: number): Promise<void> {
--- /dev/null
+++ b/src/proof/_soak_history.ts
@@ -0,0 +1,111 @@
+/** What happened in a soak, as clients and servers saw it. */
+import type { MarkedEvent } from "../standin/mod.ts";
+
+/** Entry of a disruption of the store, which concerns all entries. */
+export const STORE = -1;
+
+/** An entry is calm this long after a disruption, and a rate binds this long after it was named. */
+export const STABLE_MS = 3000;
+
+/** A request, as its client saw it end. */
+export interface ClientRecord {
+  id: string;
+  /** Index of the entry to which it was sent. */
+  entry: number;
+  isIdempotent: boolean;
+  sentAtMs: number;
+  /** Time after which the client no longer waits. */
+  deadlineMs: number;
+  endedAtMs: number;
+  /** Software version that wrote the last event; absent if there was none. */
+  softwareVersion?: string;
+  end: ClientEnd;
+}
+
+/** An attempt at a stream. */
+export interface StreamAttemptRecord {
+  entry: number;
+  atMs: number;
+  endedAtMs: number;
+  /** The attempt takes up the stream of an earlier one. */
+  isTakenUp: boolean;
+  /** The client got events, or the head of a stream that was taken up. */
+  hasBegun: boolean;
+}
+
+/** A stream, over all attempts of its client. */
+export interface StreamRecord {
+  /** Id of the first attempt. */
+  id: string;
+  /** The client believes that the stream is complete. */
+  isWhole: boolean;
+  events: MarkedEvent[];
+  attempts: StreamAttemptRecord[];
+}
+
+/** A time in which a server served with one software version; it takes no new requests in the end. */
+export interface ServingVersion {
+  server: number;
+  softwareVersion: string;
+  fromMs: number;
+  toMs: number;
+}
+
+/** How a request ended for its client. */
+export type ClientEnd =
+  /** `isOwnAnswer`: the whole answer of a server to this very request. */
+  | { kind: "answered"; status: number; isOwnAnswer: boolean }
+  /** The connection ended without a complete answer. */
+  | { kind: "broken"; reason: string }
+  /** The client itself closed the connection. */
+  | { kind: "left" };
+
+/** A request at a server. */
+export interface ServerRecord {
+  requestId: string;
+  server: number;
+  atMs: number;
+}
+
+/** From when on a server named a rate; undefined: none. */
+export interface NamedRate {
+  server: number;
+  fromMs: number;
+  perSecond: number | undefined;
+}
+
+/** A time in which an entry was stopped, killed, suspended or cut off from the store. */
+export interface Disruption {
+  entry: number;
+  fromMs: number;
+  toMs: number;
+  /** A planned stop must not cut a request; all other disruptions may. */
+  isPlanned: boolean;
+}
+
+/** A server that restarts cuts the requests that it runs. */
+export interface ServerRestart {
+  server: number;
+  atMs: number;
+}
+
+/** Everything that happened in a soak; times by one monotonic clock. */
+export interface SoakHistory {
+  clients: ClientRecord[];
+  streams: StreamRecord[];
+  versions: ServingVersion[];
+  /** Requests that servers ran. */
+  runs: ServerRecord[];
+  /** Requests that reached servers, run or not. */
+  arrivals: ServerRecord[];
+  rates: NamedRate[];
+  disruptions: Disruption[];
+  restarts: ServerRestart[];
+}
+
+/** A broken promise. */
+export interface Violation {
+  promise: string;
+  atMs: number;
+  detail: string;
+}
--- a/src/proof/_soak_oracles.ts
+++ b/src/proof/_soak_oracles.ts
@@ -1,72 +1,14 @@
 /** Checks a soak's history, as clients and servers saw it, against what the router promises. */
 
-/** A request, as its client saw it end. */
-export interface ClientRecord {
-  id: string;
-  /** Index of the entry to which it was sent. */
-  entry: number;
-  isIdempotent: boolean;
-  sentAtMs: number;
-  /** Time after which the client no longer waits. */
-  deadlineMs: number;
-  endedAtMs: number;
-  end: ClientEnd;
-}
-
-/** How a request ended for its client. */
-export type ClientEnd =
-  /** `isOwnAnswer`: the whole answer of a server to this very request. */
-  | { kind: "answered"; status: number; isOwnAnswer: boolean }
-  /** The connection ended without a complete answer. */
-  | { kind: "broken"; reason: string };
-
-/** A request at a server. */
-export interface ServerRecord {
-  requestId: string;
-  server: number;
-  atMs: number;
-}
-
-/** From when on a server named a rate; undefined: none. */
-export interface NamedRate {
-  server: number;
-  fromMs: number;
-  perSecond: number | undefined;
-}
-
-/** A time in which an entry was stopped, killed, suspended or cut off from the store. */
-export interface Disruption {
-  entry: number;
-  fromMs: number;
-  toMs: number;
-  /** A planned stop must not cut a request; all other disruptions may. */
-  isPlanned: boolean;
-}
-
-/** A server that restarts cuts the requests that it runs. */
-export interface ServerRestart {
-  server: number;
-  atMs: number;
-}
-
-/** Everything that happened in a soak; times by one monotonic clock. */
-export interface SoakHistory {
-  clients: ClientRecord[];
-  /** Requests that servers ran. */
-  runs: ServerRecord[];
-  /** Requests that reached servers, run or not. */
-  arrivals: ServerRecord[];
-  rates: NamedRate[];
-  disruptions: Disruption[];
-  restarts: ServerRestart[];
-}
-
-/** A broken promise. */
-export interface Violation {
-  promise: string;
-  atMs: number;
-  detail: string;
-}
+import {
+  type ClientRecord,
+  type NamedRate,
+  type ServerRecord,
+  type SoakHistory,
+  STABLE_MS,
+  type Violation,
+} from "./_soak_history.ts";
+import { findStreamViolations } from "./_soak_stream_oracles.ts";
 
 /** Statuses which promise that the request has not run and never will. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
@@ -76,8 +18,6 @@
 const ALLOWED_EXTRA = 5;
 /** An entry counts a request's time from when it has read it. */
 const DEADLINE_MARGIN_MS = 50;
-/** A rate binds from this long after it was first named, and a calm entry from this long after. */
-const STABLE_MS = 3000;
 
 /**
  * @param history A soak's history.
@@ -90,6 +30,7 @@
     ...findWrongAnswers(history),
     ...findCutRequests(history),
     ...findRateExcess(history),
+    ...findStreamViolations(history),
   ];
 }
 
@@ -137,9 +78,18 @@
  * unplanned disruption. One that may not run again ends with its server.
  */
 function findCutRequests(
-  { clients, runs, disruptions, restarts }: SoakHistory,
+  { clients, runs, disruptions, restarts, versions }: SoakHistory,
 ): Violation[] {
   const counts = countRuns(runs);
+  // Only the software version that began a stream may continue it.
+  const isVersionGone = (
+    { softwareVersion, sentAtMs, endedAtMs }: ClientRecord,
+  ) =>
+    softwareVersion !== undefined &&
+    !versions.some((one) =>
+      one.softwareVersion === softwareVersion && one.fromMs <= sentAtMs &&
+      one.toMs >= endedAtMs
+    );
   const isServerGone = (
     { id, isIdempotent, sentAtMs, endedAtMs }: ClientRecord,
   ) =>
@@ -153,7 +103,7 @@
   return clients
     .filter((client) =>
       client.end.kind === "broken" && counts.has(client.id) &&
-      !isServerGone(client) && !isExpired(client) &&
+      !isServerGone(client) && !isVersionGone(client) && !isExpired(client) &&
       !disruptions.some((disruption) =>
         !disruption.isPlanned && disruption.entry === client.entry &&
         disruption.fromMs <= client.endedAtMs &&
--- a/src/proof/_soak_plan.ts
+++ b/src/proof/_soak_plan.ts
@@ -21,6 +21,10 @@
   serverFails: "server_fails",
   /** The operator writes a configuration. */
   config: "config",
+  /** An engine is replaced by one of the next software version, and leaves. */
+  release: "release",
+  /** An engine restarts under its id with another software version. */
+  versionRestart: "version_restart",
 } as const;
 
 /** One of {@link FaultKind}. */
@@ -37,6 +41,8 @@
   index: number;
   /** Requests per second that a server names; undefined: any number. */
   perSecond?: number;
+  /** Number of the software version that an engine has from then on. */
+  softwareVersion?: number;
 }
 
 /** Sizes of a soak. */
@@ -62,6 +68,16 @@
 const SERIES_PAUSE_MS = 700;
 /** Part of the stops and kills that hit all entries in turn. */
 const SERIES_SHARE = 0.25;
+/** Mean time between two changes of software versions. */
+const MEAN_VERSION_PAUSE_MS = 2500;
+/** Part of the changes that are releases; the others are restarts with another version. */
+const RELEASE_SHARE = 0.5;
+/** Part of the releases that replace all engines; the others replace half of them. */
+const WHOLE_RELEASE_SHARE = 0.3;
+/** Time between the engines of a release. */
+const RELEASE_PAUSE_MS = 400;
+/** Added to the seed of a plan for its software versions. */
+const VERSIONS_SEED = 1_000_003;
 const RATES = [0.5, 1, 2, 5];
 /** Part of the changes of a rate that end it. */
 const END_RATE_SHARE = 0.3;
@@ -104,9 +120,53 @@
     if (atMs > sizes.durationMs - QUIET_END_MS) break;
     faults.push(...planFault(Math.round(atMs), random, sizes));
   }
+  faults.push(...planVersions(seed, sizes));
   return { ...sizes, seed, faults: faults.sort((a, b) => a.atMs - b.atMs) };
 }
 
+/**
+ * @param index Index of a server.
+ * @returns Whether it is a model engine; the others answer plain calls.
+ */
+export function isEngine(index: number): boolean {
+  return index % 2 === 1;
+}
+
+/** Plans releases with random numbers of their own, so that the other faults of a seed don't change. */
+function planVersions(seed: number, sizes: SoakSizes): Fault[] {
+  const random = seededRandom(seed + VERSIONS_SEED);
+  const engines = Array.from({ length: sizes.serverCount }, (_, i) => i)
+    .filter(isEngine);
+  const endMs = sizes.durationMs - QUIET_END_MS;
+  const faults: Fault[] = [];
+  let newest = 1;
+  let atMs = 0;
+  while (engines.length > 0) {
+    atMs += -Math.log(1 - random()) * MEAN_VERSION_PAUSE_MS;
+    if (atMs > endMs) break;
+    const first = Math.floor(random() * engines.length);
+    const isRelease = random() < RELEASE_SHARE;
+    const isWhole = random() < WHOLE_RELEASE_SHARE;
+    if (isRelease) newest++;
+    const count = !isRelease
+      ? 1
+      : isWhole
+      ? engines.length
+      : Math.ceil(engines.length / 2);
+    const version = isRelease ? newest : 1 + Math.floor(random() * newest);
+    for (let i = 0; i < count; i++) {
+      faults.push({
+        kind: isRelease ? FaultKind.release : FaultKind.versionRestart,
+        atMs: Math.round(atMs + i * RELEASE_PAUSE_MS),
+        forMs: 0,
+        index: engines[(first + i) % engines.length]!,
+        softwareVersion: version,
+      });
+    }
+  }
+  return faults.filter((fault) => fault.atMs <= endMs);
+}
+
 function planFault(
   atMs: number,
   random: () => number,
@@ -143,6 +203,8 @@
     }
     case FaultKind.serverRestart:
     case FaultKind.serverFails:
+    case FaultKind.release:
+    case FaultKind.versionRestart:
       return [{ kind, atMs, forMs, index: pick(serverCount) }];
   }
 }
--- a/src/proof/soak_main.ts
+++ b/src/proof/soak_main.ts
@@ -56,10 +56,12 @@
 
 function describeResult(
   { seed, faults }: SoakPlan,
-  { violations, counts, startedAtMs }: SoakResult,
+  { violations, counts, streams, startedAtMs }: SoakResult,
 ): string {
   const lines = [
-    `seed ${seed}: ${violations.length} broken, ${JSON.stringify(counts)}`,
+    `seed ${seed}: ${violations.length} broken, ${
+      JSON.stringify(counts)
+    }, ${streams.joined} streams of several versions, ${streams.wentOn} of ${streams.takenUp} take-ups went on`,
   ];
   for (const { promise, atMs, detail } of violations) {
     const sinceMs = atMs - startedAtMs;
--- a/src/proof/soak_oracles_test.ts
+++ b/src/proof/soak_oracles_test.ts
@@ -1,11 +1,12 @@
 /** Each oracle is shown a history that breaks its promise, and one that does not. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import {
-  type ClientRecord,
-  findViolations,
-  type SoakHistory,
-} from "./_soak_oracles.ts";
+import type {
+  ClientRecord,
+  SoakHistory,
+  StreamRecord,
+} from "./_soak_history.ts";
+import { findViolations } from "./_soak_oracles.ts";
 
 const CLIENT: ClientRecord = {
   id: "r-1",
@@ -21,6 +22,8 @@
 function historyOf(parts: Partial<SoakHistory>): SoakHistory {
   return {
     clients: [CLIENT],
+    streams: [],
+    versions: [],
     runs: [],
     arrivals: [],
     rates: [],
@@ -115,3 +118,103 @@
   const late = [{ server: 0, fromMs: 8000, perSecond: 2 }];
   assert.deepEqual(promisesBroken({ arrivals, rates: late }), []);
 });
+
+/** A stream of six events, whose last ones another server wrote, taken up once. */
+function streamOf(
+  id: string,
+  { first = "v1", last = "v1", hasBegun = true }: {
+    first?: string;
+    last?: string;
+    hasBegun?: boolean;
+  },
+): StreamRecord {
+  const event = (id: number, softwareVersion: string) => ({
+    id,
+    serverId: `i-${softwareVersion}`,
+    softwareVersion,
+  });
+  const ids = hasBegun ? [1, 2, 3, 4, 5, 6] : [1, 2, 3];
+  const attempt = { entry: 0, atMs: 10_000, endedAtMs: 10_100 };
+  return {
+    id,
+    isWhole: hasBegun,
+    events: ids.map((id) => event(id, id <= 3 ? first : last)),
+    attempts: [
+      { ...attempt, isTakenUp: false, hasBegun: true },
+      { ...attempt, isTakenUp: true, hasBegun },
+    ],
+  };
+}
+
+test("more than two streams of several software versions are found", () => {
+  const joined = ["a", "b", "c"].map((id) => streamOf(id, { last: "v2" }));
+  const broken = ["one_software_version"];
+  assert.deepEqual(
+    promisesBroken({ streams: joined }),
+    [...broken, ...broken, ...broken],
+  );
+  assert.deepEqual(promisesBroken({ streams: joined.slice(1) }), []);
+  const ordinary = ["a", "b", "c"].map((id) => streamOf(id, {}));
+  assert.deepEqual(promisesBroken({ streams: ordinary }), []);
+});
+
+test("event that is missing or comes twice in a stream is found", () => {
+  const missing = streamOf("a", {});
+  missing.events.splice(3, 1);
+  const twice = streamOf("a", {});
+  twice.events.splice(3, 0, twice.events[2]!);
+  for (const stream of [missing, twice]) {
+    assert.deepEqual(promisesBroken({ streams: [stream] }), [
+      "each_event_once",
+    ]);
+  }
+});
+
+test("take-ups that are refused too often are found while two servers could go on", () => {
+  const streams = Array.from(
+    { length: 12 },
+    (_, i) => streamOf(`s-${i}`, { hasBegun: i < 5 }),
+  );
+  const serving = [1, 3].map((server) => ({
+    server,
+    softwareVersion: "v1",
+    fromMs: 0,
+    toMs: Infinity,
+  }));
+  const broken = ["streams_go_on"];
+  assert.deepEqual(promisesBroken({ streams, versions: serving }), broken);
+  const half = [...streams.slice(0, 11), streamOf("s", {})];
+  assert.deepEqual(promisesBroken({ streams: half, versions: serving }), []);
+  const one = serving.slice(1);
+  assert.deepEqual(promisesBroken({ streams, versions: one }), []);
+  const kill = { entry: 0, fromMs: 9000, toMs: 9500, isPlanned: false };
+  assert.deepEqual(
+    promisesBroken({ streams, versions: serving, disruptions: [kill] }),
+    [],
+  );
+});
+
+test("stream that is cut is excused only if its software version has left", () => {
+  const end = { kind: "broken", reason: "answer_cut" } as const;
+  const clients = [{
+    ...CLIENT,
+    end,
+    isIdempotent: true,
+    softwareVersion: "v1",
+  }];
+  const serving = {
+    server: 1,
+    softwareVersion: "v1",
+    fromMs: 0,
+    toMs: Infinity,
+  };
+  assert.deepEqual(
+    promisesBroken({ clients, runs: [RUN], versions: [serving] }),
+    ["planned_stop_cuts_nothing"],
+  );
+  const left = { ...serving, toMs: 10_050 };
+  assert.deepEqual(
+    promisesBroken({ clients, runs: [RUN], versions: [left] }),
+    [],
+  );
+});
--- a/src/router/_origin_fleet.ts
+++ b/src/router/_origin_fleet.ts
@@ -171,7 +171,7 @@
       lastEventId: firstId === undefined ? undefined : "3",
       resumedId: firstId,
     },
-    route: { kind: RequestKind.stream, timeoutMs: 15_000 },
+    route: { kind: RequestKind.stream, timeoutMs: 15_000, resumable: true },
     service: "engines",
   } as unknown as RoutedRequest;
 }
--- a/src/router/stream_origins.ts
+++ b/src/router/stream_origins.ts
@@ -101,9 +101,9 @@
    * @param origin Which software began the stream, in this attempt or an earlier one.
    */
   began(request: RoutedRequest, origin: StreamOrigin): void {
-    const id = streamIdOf(request);
-    if (!isUsableId(id)) return;
     const { facts, route } = request;
+    const id = streamIdOf(request);
+    if (!route.resumable || !isUsableId(id)) return;
     const leftMs = Math.max(facts.deadlineMs ?? 0, route.timeoutMs) + RETURN_MS;
     const row = { id, origin, leftMs };
     this.#table.set(row, { isOwn: true });
--- a/src/standin/_http_host.ts
+++ b/src/standin/_http_host.ts
@@ -10,11 +10,11 @@
 
 /**
  * Ports below the ephemeral range: while a listener is down, the system may give an ephemeral port to
- * any connection. Each process starts at another port.
+ * any connection. `fetch` refuses some ports below these. Each process starts at another port.
  */
-const FIRST_PORT = 2000;
-const LAST_PORT = 11_900;
-const PORTS_PER_PROCESS = 200;
+const FIRST_PORT = 10_100;
+const LAST_PORT = 11_999;
+const PORTS_PER_PROCESS = 100;
 let nextFreePort = FIRST_PORT +
   (process.pid * PORTS_PER_PROCESS) % (LAST_PORT - FIRST_PORT);
 
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -55,10 +55,12 @@
 export {
   type AttemptOptions,
   type MarkedEvent,
+  MarkedEventReader,
   readStream,
   resumeHeaders,
   type ResumePoint,
   type StreamAttempt,
+  withoutMarks,
   writersOf,
 } from "./stream_client.ts";
 export { PLAIN_ANSWER_BODY } from "./_platform_answer.ts";
--- a/src/standin/stream_client.ts
+++ b/src/standin/stream_client.ts
@@ -59,14 +59,9 @@
     }, (response) => {
       attempt.status = response.statusCode ?? 0;
       attempt.retryAfter = response.headers["retry-after"];
-      let text = "";
+      const reader = MarkedEventReader.create();
       response.on("data", (chunk) => {
-        text += chunk;
-        const end = text.lastIndexOf("\n\n");
-        if (end < 0) return;
-        const blocks = text.slice(0, end).split("\n\n");
-        text = text.slice(end + 2);
-        for (const event of blocks.map(readEvent)) {
+        for (const event of reader.push(String(chunk))) {
           if (attempt.events.length >= breakAfterEvents) break;
           attempt.events.push(event);
           onEvent?.(event);
@@ -102,6 +97,39 @@
   return [...new Set(events.map(({ softwareVersion }) => softwareVersion))];
 }
 
+/** Splits the text of a stream into its events. */
+export class MarkedEventReader {
+  #text = "";
+
+  private constructor() {}
+
+  /** @returns A reader at the beginning of a stream. */
+  static create(): MarkedEventReader {
+    return new MarkedEventReader();
+  }
+
+  /**
+   * @param text The next part of the stream.
+   * @returns The events that it completes.
+   */
+  push(text: string): MarkedEvent[] {
+    this.#text += text;
+    const end = this.#text.lastIndexOf("\n\n");
+    if (end < 0) return [];
+    const blocks = this.#text.slice(0, end).split("\n\n");
+    this.#text = this.#text.slice(end + 2);
+    return blocks.map(readEvent);
+  }
+}
+
+/**
+ * @param text Text of a stream.
+ * @returns The text without the marks of the servers that wrote it.
+ */
+export function withoutMarks(text: string): string {
+  return text.replace(/^(data: x\d+) .*$/gm, "$1");
+}
+
 function readEvent(block: string): MarkedEvent {
   const [, id = "", serverId = "", softwareVersion = ""] =
     /id: (\d+)\ndata: x\d+ (\S+) (\S+)/.exec(block) ?? [];
