Wait longer for the origin of a stream, and for the pause of its version

An entry that is behind reads replies late: its timer may fire while they lie unread, and the stream would be refused although its origin is known. Replies are now waited for up to 300 ms, and read once more after that; without the last read, the new test in stream_origins_test.ts fails. A stream whose version has asked for a pause is told that pause, not that of all servers.

--- a/src/router/_origin_fleet.ts
+++ b/src/router/_origin_fleet.ts
@@ -43,6 +43,8 @@
   readonly clock = new TestClock();
   /** Addresses that neither send nor receive. */
   readonly gone = new Set<string>();
+  /** Address of an entry that is blocked: it reads datagrams only after all timers that are due. */
+  blocked: string | undefined;
   readonly #options: OriginFleetOptions;
 
   private constructor(options: OriginFleetOptions) {
@@ -157,7 +159,9 @@
     if (this.gone.has(from) || this.gone.has(to)) return;
     if (random() < lossShare) return;
     const entry = this.entries.find(({ address }) => address === to);
-    entry?.origins.receive(from, bytes);
+    const receive = () => entry?.origins.receive(from, bytes);
+    if (to === this.blocked) setImmediate(receive);
+    else receive();
   }
 }
 
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -180,10 +180,6 @@
     return source !== OriginSource.unknown;
   }
 
-  #pausedMs({ service }: RoutedRequest): number | undefined {
-    return this.#options.fleet.pausedMs(service);
-  }
-
   #shouldAdmit(
     { route, answerByMs }: RoutedRequest,
     choice: Choice,
@@ -246,7 +242,8 @@
     },
   ): Promise<Outcome> {
     const { refusal } = end;
-    const pausedMs = this.#pausedMs(request);
+    const { fleet } = this.#options;
+    const pausedMs = fleet.pausedMs(request.service, progress.origin);
     const isPaused = refusal === ResendRefusal.noServer &&
       pausedMs !== undefined;
     const permitMs = await this.#reserveReturn(request, progress, refusal);
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -10,7 +10,7 @@
 } from "./model.ts";
 import type { RateAnswer, RateStatement } from "./rate_statement.ts";
 import { Server, type ServerOptions } from "./server.ts";
-import { SoftwareVersions } from "./software_versions.ts";
+import { SoftwareVersions, type StreamOrigin } from "./software_versions.ts";
 import type { Outage } from "./store_contact.ts";
 
 /** Dependencies of a {@link Fleet}. */
@@ -124,17 +124,18 @@
   }
 
   /**
-   * Returns the pause of a service, if all its servers have asked for one.
+   * Returns the pause of a service, if all its servers that may serve a request have asked for one.
    *
    * @param service Service name.
+   * @param origin Origin of the request's stream, if its client has a part of it.
    * @returns Time until the first server accepts requests again; undefined if one does now, or if
    *   there is no server.
    */
-  pausedMs(service: string): number | undefined {
+  pausedMs(service: string, origin?: StreamOrigin): number | undefined {
     const nowMs = this.#options.clock.nowMs();
-    const pauses = this.open(service).map(({ announcements }) =>
-      announcements.pausedMs(nowMs)
-    );
+    const pauses = this.open(service)
+      .filter(({ entry }) => this.versions.canContinue(origin, entry))
+      .map(({ announcements }) => announcements.pausedMs(nowMs));
     const shortestMs = Math.min(...pauses);
     return pauses.length > 0 && shortestMs > 0 ? shortestMs : undefined;
   }
--- a/src/router/fleet_test.ts
+++ b/src/router/fleet_test.ts
@@ -9,6 +9,7 @@
 } from "./_kit.ts";
 import type { Fleet } from "./fleet.ts";
 import type { Server } from "./server.ts";
+import { originAt } from "./software_versions.ts";
 
 interface FleetSetup {
   fleet: Fleet;
@@ -332,3 +333,14 @@
   fleet.put(registration("i-1", { softwareVersion: "v2" }));
   assert.ok(!fleet.has(server));
 });
+
+test("stream waits for the pause of the servers that may continue it, not of all", () => {
+  const clock = new TestClock();
+  const fleet = testFleet(clock);
+  const old = registration("i-1", { softwareVersion: "v1" });
+  fleet.put(old);
+  fleet.put(registration("i-2", { softwareVersion: "v2" }));
+  fleet.get("i-1")!.announcements.pause(clock.nowMs(), 700);
+  assert.equal(fleet.pausedMs("engines"), undefined);
+  assert.equal(fleet.pausedMs("engines", originAt(old)), 700);
+});
--- a/src/router/stream_origins.ts
+++ b/src/router/stream_origins.ts
@@ -4,6 +4,7 @@
  * versions, an entry tells a few others of each stream before its first event is delivered. They are
  * chosen by rendezvous hashing of the attempt's id, so that whoever is asked later asks the same ones.
  */
+import { setImmediate } from "node:timers/promises";
 import type { Clock, Logger, Metrics } from "../base/mod.ts";
 import type { EntryMembers } from "./entry_members.ts";
 import {
@@ -23,8 +24,11 @@
 const HOLDERS = 3;
 /** Entries that are asked: the holders, and those that are if the others' view differs by two. */
 const ASKED = 5;
-/** Longest wait for replies; a round trip takes some ms, up to 40 ms between busy entries. */
-const REPLY_TIMEOUT_MS = 150;
+/**
+ * Longest wait for replies; a round trip takes some ms, but entries that are behind need longer. A
+ * client whose stream is refused waits for all of it again.
+ */
+const REPLY_TIMEOUT_MS = 300;
 /** Interval at which a question is repeated to the entries that have not replied. */
 const REPEAT_INTERVAL_MS = 30;
 /** Time for which a client may take up a stream after the deadline of the attempt that began it. */
@@ -260,6 +264,8 @@
       }
       await clock.sleep(REPEAT_INTERVAL_MS, signal);
     }
+    // Replies may have arrived unread while the event loop was blocked.
+    if (!signal.aborted) await setImmediate();
     this.#questions.delete(sequence);
     return question.replies;
   }
--- a/src/router/stream_origins_test.ts
+++ b/src/router/stream_origins_test.ts
@@ -135,3 +135,12 @@
     assert.ok(known >= STREAMS / 2, `${known} of ${STREAMS}`);
   });
 }
+
+test("replies that arrived while the entry was blocked are read before a stream is refused", async () => {
+  const fleet = mixedFleet(40);
+  const [first, second] = fleet.entries;
+  fleet.begin(first!, "a", "v2");
+  fleet.gone.add(first!.address);
+  fleet.blocked = second!.address;
+  assert.equal(await fleet.takeUp(second!, "a"), "entry v2");
+});
