--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -160,12 +160,15 @@
   const [fromMs, untilMs] = contextSpan(lines);
   const own = new Set(lines);
   const digests = new Set(lines.flatMap(({ fields }) => digestsOf(fields)));
+  const streams = new Set(lines.map(streamOf));
   return sortByTime(log.filter((line) => {
-    // Other attempts of the same request at any time, and its quarantine events.
+    // Other attempts at the same request or stream at any time, and its quarantine events.
     const isSameRequest = digestsOf(line.fields).some((digest) =>
       digests.has(digest)
     );
-    if (isSameRequest) return !own.has(line);
+    const isSameStream = line.event === "request" &&
+      streams.has(streamOf(line));
+    if (isSameRequest || isSameStream) return !own.has(line);
     if (own.has(line) || line.time < fromMs || line.time > untilMs) {
       return false;
     }
@@ -194,6 +197,11 @@
   return typeof digest === "string" ? [digest] : [];
 }
 
+/** Id of the attempt that began the stream of a request, which may be the request itself. */
+function streamOf({ fields }: LogLine): unknown {
+  return fields["resumedId"] ?? fields["id"];
+}
+
 function sortByTime(lines: LogLine[]): LogLine[] {
   return lines.toSorted((a, b) => a.time - b.time);
 }
--- a/src/router/explain_test.ts
+++ b/src/router/explain_test.ts
@@ -142,3 +142,21 @@
       "it. It was sent to i-1. It was not sent again: the resend budget was used up.",
   );
 });
+
+test("attempts at one stream are shown together, on all entries", () => {
+  const began = line(1000, "request", { id: "a", outcome: "client_gone" });
+  const refused = line(90_000, "request", {
+    id: "b",
+    resumedId: "a",
+    lastEventId: "3",
+    originSource: "unknown",
+    servers: [],
+    outcome: "refused",
+    reason: "version_unknown",
+  });
+  const other = line(90_000, "request", { id: "c", resumedId: "x" });
+  const log = [began, refused, other];
+  assert.deepEqual(explain("b", log).context, [began]);
+  assert.deepEqual(explain("a", log).context, [refused]);
+  assert.match(explain("b", log).outcome ?? "", /several software versions/);
+});
