Tell an entry that starts the streams that it would have been told

Entries that are killed one after the other, faster than streams end, would lose what they were told of each other's streams: the new test, six entries killed in turn, fails without this. An entry that knows nothing of the store yet is told once, by each entry that knows streams of which it is a holder.

--- a/src/router/_origin_fleet.ts
+++ b/src/router/_origin_fleet.ts
@@ -100,6 +100,24 @@
     return `${source} ${origin?.softwareVersion}`;
   }
 
+  /**
+   * Replaces an entry by a new process, which the others hear.
+   *
+   * @param index Index of the entry.
+   */
+  restart(index: number): void {
+    const before = this.entries[index]!;
+    const entry = this.#createEntry(before.address);
+    for (const softwareVersion of before.versions.current("engines")) {
+      entry.versions.joined(registration("i", { softwareVersion }));
+    }
+    this.entries[index] = entry;
+    this.gossip();
+    for (const { origins, address } of this.entries) {
+      if (address !== entry.address) origins.tellStarted(entry.address);
+    }
+  }
+
   /** Entries that are not gone hear each other. */
   gossip(): void {
     const nowMs = this.clock.nowMs();
--- a/src/router/peer_network.ts
+++ b/src/router/peer_network.ts
@@ -78,6 +78,11 @@
       members: this.#members,
       rates: this.#rates,
       knownAddresses: () => [...seedAddresses, ...registeredAddresses()],
+      onPeerSyncState: (peer, syncState) => {
+        // An entry that has just started knows nothing of the store yet.
+        if (syncState.revision === 0n) this.origins.tellStarted(peer);
+        options.onPeerSyncState(peer, syncState);
+      },
     });
   }
 
--- a/src/router/stream_origins.ts
+++ b/src/router/stream_origins.ts
@@ -6,6 +6,7 @@
  */
 import { setImmediate } from "node:timers/promises";
 import type { Clock, Logger, Metrics } from "../base/mod.ts";
+import { LRUMap } from "../placement/lru_map.ts";
 import type { EntryMembers } from "./entry_members.ts";
 import {
   decodeOriginMessage,
@@ -37,6 +38,10 @@
 const MAX_ROWS_PER_DATAGRAM = 16;
 /** Questions start at a random number, so that no reply to an earlier process counts. */
 const MAX_FIRST_SEQUENCE = 2 ** 31;
+/** An entry that has just started says so several times, and is told once. */
+const TELL_STARTED_INTERVAL_MS = 2000;
+/** Number of started entries that are remembered. */
+const MAX_STARTED = 1000;
 /** Longer ids are not kept; a stream with one is not taken up while versions are mixed. */
 const MAX_ID_LENGTH = 128;
 
@@ -76,6 +81,8 @@
   readonly #options: StreamOriginsOptions;
   readonly #table: OriginTable;
   readonly #questions = new Map<number, Question>();
+  /** When each entry that had just started was told the streams. */
+  readonly #startedAtMs = LRUMap.create<string, number>(MAX_STARTED);
   #lastSequence: number;
 
   private constructor(options: StreamOriginsOptions) {
@@ -134,12 +141,21 @@
 
   /** Tells other entries all streams that this one knows, because it stops. */
   handOver(): void {
-    const { versions } = this.#options;
-    this.#tell(
-      this.#table.rows().filter(({ origin }) =>
-        versions.isMixed(origin.service)
-      ),
-    );
+    this.#tell(this.#mixedRows());
+  }
+
+  /**
+   * Tells an entry that has just started the streams that it would have been told, so that entries which
+   * restart one after the other keep them.
+   *
+   * @param address The entry.
+   */
+  tellStarted(address: string): void {
+    const nowMs = this.#options.clock.nowMs();
+    const toldAtMs = this.#startedAtMs.get(address) ?? -Infinity;
+    if (nowMs - toldAtMs < TELL_STARTED_INTERVAL_MS) return;
+    this.#startedAtMs.set(address, nowMs);
+    this.#tell(this.#mixedRows(), address);
   }
 
   /**
@@ -220,13 +236,20 @@
       : { source, origin: { service, softwareVersion } };
   }
 
-  /** Tells the holders of each stream. */
-  #tell(rows: OriginRow[]): void {
+  #mixedRows(): OriginRow[] {
+    const mixed = new Set(this.#options.versions.mixedServices());
+    if (mixed.size === 0) return [];
+    return this.#table.rows().filter(({ origin }) => mixed.has(origin.service));
+  }
+
+  /** Tells the holders of each stream, or one of them. */
+  #tell(rows: OriginRow[], only?: string): void {
     const { members, clock, send } = this.#options;
     const nowMs = clock.nowMs();
     const rowsByHolder = new Map<string, OriginRow[]>();
     for (const row of rows) {
       for (const address of members.othersFor(row.id, nowMs, HOLDERS)) {
+        if (only !== undefined && address !== only) continue;
         const held = rowsByHolder.get(address);
         if (held) held.push(row);
         else rowsByHolder.set(address, [row]);
--- a/src/router/stream_origins_test.ts
+++ b/src/router/stream_origins_test.ts
@@ -144,3 +144,15 @@
   fleet.blocked = second!.address;
   assert.equal(await fleet.takeUp(second!, "a"), "entry v2");
 });
+
+test("streams are known although all entries are killed in turn", async () => {
+  const fleet = mixedFleet(6);
+  for (let i = 0; i < 20; i++) fleet.begin(fleet.entries[0]!, `s-${i}`, "v2");
+  for (const index of fleet.entries.keys()) {
+    fleet.restart(index);
+    fleet.pass(1200);
+  }
+  for (let i = 0; i < 20; i++) {
+    assert.match(await fleet.takeUp(fleet.entries[i % 6]!, `s-${i}`), / v2$/);
+  }
+});
