--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -233,6 +233,14 @@
     return waitMs === undefined ? undefined : waitMs + RESERVATION_MARGIN_MS;
   }
 
+  /** When to return where nothing is known about it. */
+  #randomPauseMs(reason: string, leftMs: number): number {
+    const { random } = this.#options;
+    return reason === RefusalReason.tooLate
+      ? admissionRetryAfterMs(leftMs, random)
+      : retryAfterMs(leftMs, random);
+  }
+
   async #giveUp(
     request: RoutedRequest,
     sink: AnswerSink,
@@ -272,12 +280,10 @@
     }
     const echo = echoHeaders(request.facts.requestId);
     if (progress.runs === 0) {
-      const { random } = this.#options;
-      const pauseMs = progress.quarantinedForMs ??
-        (canBeginAnew(refusal) ? 0 : undefined) ?? pausedMs ?? permitMs ??
-        (reason === RefusalReason.tooLate
-          ? admissionRetryAfterMs(leftMs, random)
-          : retryAfterMs(leftMs, random));
+      const knownMs = canBeginAnew(refusal)
+        ? 0
+        : progress.quarantinedForMs ?? pausedMs ?? permitMs;
+      const pauseMs = knownMs ?? this.#randomPauseMs(reason, leftMs);
       const headers = [...echo, ...retryHeaders(pauseMs)];
       sink.send(503, headers, Buffer.alloc(0));
       return { kind: "refused", reason };
