--- a/src/router/peer_gossip_test.ts
+++ b/src/router/peer_gossip_test.ts
@@ -4,7 +4,12 @@
 import { test, type TestContext } from "node:test";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import fc from "fast-check";
-import { type ClientResponse, sendClientRequest } from "../standin/mod.ts";
+import {
+  type ClientResponse,
+  MODEL_REQUEST_HEADERS,
+  resumeHeaders,
+  sendClientRequest,
+} from "../standin/mod.ts";
 import { openWorld, stateContains, until, type World } from "./_world.ts";
 import { silentLog, TestClock } from "./_kit.ts";
 import { gossipIntervalFor } from "./gossip_interval.ts";
@@ -358,3 +363,23 @@
   // A reported load counts for 1.5 s, so it must outlive one lost datagram.
   assert.ok(gossipIntervalFor(1000) * 2 < 1500);
 });
+
+test("entry learns from a peer that a service has a second software version", async (t) => {
+  const world = await openWorld(t);
+  const peer = await FakePeer.create(t, world);
+  await world.worker("i-1", { model: "m", softwareVersion: "v1" });
+  const headers = {
+    ...MODEL_REQUEST_HEADERS,
+    ...resumeHeaders({ firstId: "unheard-of", lastEventId: 2 }),
+  };
+  const takeUp = () => sendClientRequest(world, "/stream/a", headers);
+  assert.equal((await takeUp()).status, 200);
+  await peer.sendFields({ software: [["engines", 7, 0]] });
+  assert.equal((await takeUp()).status, 200);
+  await until(async () => {
+    // Repeated, as datagrams may be lost.
+    await peer.sendFields({ software: [["engines", "v1.1", 0]] });
+    return (await takeUp()).status === 503;
+  });
+  assert.equal(world.workers[0]!.refused, 0);
+});
