Share the frames of datagrams and the writing of records

Messages about permits and about origins had the same framing twice, records of rates and of software versions the same loop. No behaviour changes.

--- a/src/router/_software_versions_kit.ts
+++ b/src/router/_software_versions_kit.ts
@@ -1,7 +1,9 @@
 /** Streams of engines whose software has several versions, for tests. */
 import assert from "node:assert/strict";
 import type { TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import {
+  type AttemptOptions,
   MODEL_REQUEST_HEADERS,
   readStream,
   resumeHeaders,
@@ -16,6 +18,8 @@
 import { LONG_TIMEOUT_MS } from "./_long_timeout_kit.ts";
 import { stateContains, type TestEntry, until } from "./_world.ts";
 
+/** Pause between attempts that an overloaded entry refuses. */
+const RETRY_PAUSE_MS = 100;
 /** Number of events of each stream. */
 export const EVENTS = 12;
 const EVENT_MS = 40;
@@ -83,7 +87,7 @@
  * @param entry Entry to ask.
  * @param id Id of the attempt.
  * @param options Where to take up an earlier stream, and when to break off.
- * @returns The stream, whose attempts on a busy computer are repeated while it was refused unrun.
+ * @returns The stream.
  */
 export function openStream(
   entry: TestEntry,
@@ -95,7 +99,7 @@
 ): OpenStream {
   let eventCount = 0;
   let hasEnded = false;
-  const ended = readStream(entry, {
+  const ended = readUntilAccepted(entry, {
     path: `/stream/${id}`,
     headers: {
       ...MODEL_REQUEST_HEADERS,
@@ -174,3 +178,20 @@
     events: (await ended).events,
   })));
 }
+
+/**
+ * Repeats an attempt while the entry refuses it as it is overloaded. A stream that can't go on is
+ * refused without a pause.
+ */
+async function readUntilAccepted(
+  entry: TestEntry,
+  options: AttemptOptions,
+): Promise<StreamAttempt> {
+  while (true) {
+    const attempt = await readStream(entry, options);
+    if (attempt.status !== 503 || Number(attempt.retryAfter) === 0) {
+      return attempt;
+    }
+    await sleep(RETRY_PAUSE_MS);
+  }
+}
--- a/src/router/origin_message.ts
+++ b/src/router/origin_message.ts
@@ -1,4 +1,5 @@
 /** Datagrams by which entries tell each other which software began the streams that they serve. */
+import { isAmount, isFlag, isText, MessageFrame } from "./message_frame.ts";
 import type { OriginRow } from "./origin_table.ts";
 
 /** Any datagram about the origins of streams. */
@@ -22,19 +23,17 @@
   isConfirmed: boolean;
 }
 
-/** Field that tells these datagrams from others on the same port. */
-const MESSAGE_FIELD = "origin";
-const MESSAGE_PREFIX = Buffer.from(`{"${MESSAGE_FIELD}":`);
+const FRAME = MessageFrame.create("origin");
 
 /** Attempt, service, software version (null: not stated), server process or null, time left in ms. */
 type WireRow = [string, string, string | null, string | null, number];
 
 /**
  * @param message A message.
- * @returns Its datagram, whose values have no names, as one is sent for each stream.
+ * @returns Its datagram.
  */
 export function encodeOriginMessage(message: OriginMessage): Buffer {
-  return Buffer.from(JSON.stringify({ [MESSAGE_FIELD]: toWire(message) }));
+  return FRAME.encode(toWire(message));
 }
 
 /**
@@ -42,7 +41,7 @@
  * @returns Whether it is about origins of streams; it may still be malformed.
  */
 export function isOriginDatagram(bytes: Buffer): boolean {
-  return bytes.subarray(0, MESSAGE_PREFIX.length).equals(MESSAGE_PREFIX);
+  return FRAME.matches(bytes);
 }
 
 /**
@@ -50,14 +49,8 @@
  * @returns Its message, or undefined if it is malformed.
  */
 export function decodeOriginMessage(bytes: Buffer): OriginMessage | undefined {
-  let parsed: unknown;
-  try {
-    parsed = JSON.parse(bytes.toString());
-  } catch {
-    return undefined;
-  }
-  const wire = (parsed as Record<string, unknown> | null)?.[MESSAGE_FIELD];
-  return Array.isArray(wire) ? fromWire(wire) : undefined;
+  const row = FRAME.decode(bytes);
+  return row && fromWire(row);
 }
 
 function toWire(message: OriginMessage): unknown[] {
@@ -124,15 +117,3 @@
   };
   return { id, origin, leftMs };
 }
-
-function isText(value: unknown): value is string {
-  return typeof value === "string";
-}
-
-function isFlag(value: unknown): value is boolean {
-  return typeof value === "boolean";
-}
-
-function isAmount(value: unknown): value is number {
-  return typeof value === "number" && Number.isFinite(value) && value >= 0;
-}
--- a/src/router/permit_message.ts
+++ b/src/router/permit_message.ts
@@ -1,4 +1,5 @@
 /** Datagrams by which entries ask each other for permits to send requests to rate-limited servers. */
+import { isAmount, isText, MessageFrame } from "./message_frame.ts";
 import type { StartMs } from "./peer_datagram.ts";
 import { Caller } from "./permit_bucket.ts";
 
@@ -49,16 +50,14 @@
 /** Any datagram about permits. */
 export type PermitMessage = PermitRequest | PermitReturn | PermitReply;
 
-/** Field that tells these datagrams from the gossip on the same port. */
-const MESSAGE_FIELD = "permit";
-const MESSAGE_PREFIX = Buffer.from(`{"${MESSAGE_FIELD}":`);
+const FRAME = MessageFrame.create("permit");
 
 /**
  * @param message A message.
- * @returns Its datagram, whose values have no names, as one is sent for each request.
+ * @returns Its datagram.
  */
 export function encodePermitMessage(message: PermitMessage): Buffer {
-  return Buffer.from(JSON.stringify({ [MESSAGE_FIELD]: toRow(message) }));
+  return FRAME.encode(toRow(message));
 }
 
 /**
@@ -66,7 +65,7 @@
  * @returns Whether it is about permits; it may still be malformed.
  */
 export function isPermitDatagram(bytes: Buffer): boolean {
-  return bytes.subarray(0, MESSAGE_PREFIX.length).equals(MESSAGE_PREFIX);
+  return FRAME.matches(bytes);
 }
 
 /**
@@ -74,14 +73,8 @@
  * @returns Its message, or undefined if it is malformed.
  */
 export function decodePermitMessage(bytes: Buffer): PermitMessage | undefined {
-  let parsed: unknown;
-  try {
-    parsed = JSON.parse(bytes.toString());
-  } catch {
-    return undefined;
-  }
-  const row = (parsed as Record<string, unknown> | null)?.[MESSAGE_FIELD];
-  return Array.isArray(row) ? fromRow(row) : undefined;
+  const row = FRAME.decode(bytes);
+  return row && fromRow(row);
 }
 
 function toRow(message: PermitMessage): unknown[] {
@@ -163,14 +156,6 @@
   return { kind, sequence, serverId, startMs, rate, caller, maxWaitMs };
 }
 
-function isText(value: unknown): value is string {
-  return typeof value === "string";
-}
-
 function isCaller(value: unknown): value is Caller {
   return Object.values<unknown>(Caller).includes(value);
 }
-
-function isAmount(value: unknown): value is number {
-  return typeof value === "number" && Number.isFinite(value) && value >= 0;
-}
--- a/src/router/rate_record.ts
+++ b/src/router/rate_record.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Logger } from "../base/mod.ts";
 import { readJson } from "../lease/mod.ts";
-import type { KeyValueEntry, KeyValueStore, Write } from "../store/store.ts";
+import type { KeyValueEntry, KeyValueStore } from "../store/store.ts";
 import type { Fleet } from "./fleet.ts";
 import type { StoreMirror } from "./mirror.ts";
 import {
@@ -14,21 +14,13 @@
   isSameIncarnation,
 } from "./model.ts";
 import type { RateStatement } from "./rate_statement.ts";
+import { type RecordWrite, RecordWriter } from "./record_writer.ts";
 import type { Server } from "./server.ts";
 
 /** Key prefix of the records; the server's id follows. */
 export const RATE_RECORD_PREFIX = "cicadahitch/rates/";
-/** Interval at which the records are compared with the known rates. */
-const CHECK_INTERVAL_MS = 500;
-/** Least time between two writes of one record; a rate may be named anew in every answer. */
-const REWRITE_INTERVAL_MS = 5000;
 /** A record is deleted when no known server has had that rate for this long. */
 const DELETE_AFTER_MS = 5000;
-/** Writes in one call. */
-const MAX_WRITES = 32;
-
-/** A write of one record. */
-type RecordWrite = Extract<Write, { kind: "put" | "delete" }>;
 
 /** Stored form of a {@link RateStatement}. */
 interface RateRow {
@@ -56,13 +48,17 @@
 /** Keeps the records up to date. */
 export class RateRecord {
   readonly #options: RateRecordOptions;
-  /** When this entry last wrote or deleted each record. */
-  readonly #writtenAtMs = new Map<string, number>();
+  readonly #writer: RecordWriter;
   /** Since when each record has been obsolete. */
   readonly #obsoleteSinceMs = new Map<string, number>();
 
   private constructor(options: RateRecordOptions) {
     this.#options = options;
+    this.#writer = RecordWriter.create({
+      ...options,
+      event: "server_rates_recorded",
+      dueWrites: (nowMs) => this.#dueWrites(nowMs),
+    });
   }
 
   /**
@@ -93,36 +89,20 @@
     if (server) fleet.restoreRate(server);
   }
 
-  /**
-   * Updates the records periodically.
-   *
-   * @param signal Stops the updates.
-   */
-  async run(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await this.#options.clock.sleep(CHECK_INTERVAL_MS, signal);
-      if (!signal.aborted) await this.update();
-    }
+  /** @param signal Stops the updates. */
+  run(signal: AbortSignal): Promise<void> {
+    return this.#writer.run(signal);
   }
 
   /** Writes the records of this entry that are missing or differ, and deletes the obsolete ones. */
-  async update(): Promise<void> {
-    const { store, clock, mirror, isStoreServing, log } = this.#options;
-    if (!isStoreServing()) return;
-    const nowMs = clock.nowMs();
-    const entries = mirror.entries(RATE_RECORD_PREFIX);
+  update(): Promise<void> {
+    return this.#writer.update();
+  }
+
+  #dueWrites(nowMs: number): RecordWrite[] {
+    const entries = this.#options.mirror.entries(RATE_RECORD_PREFIX);
     const stored = new Map(entries.map((entry) => [entry.key, entry]));
-    const writes = [...this.#puts(stored), ...this.#deletes(stored, nowMs)]
-      .filter(({ key }) => this.#mayWrite(key, nowMs))
-      .slice(0, MAX_WRITES);
-    if (writes.length === 0) return;
-    for (const { key } of writes) this.#writtenAtMs.set(key, nowMs);
-    const committed = await store.commit([], writes);
-    log.info({
-      event: "server_rates_recorded",
-      keys: writes.map(({ kind, key }) => `${kind} ${key}`),
-      isWritten: committed.isOk,
-    });
+    return [...this.#puts(stored), ...this.#deletes(stored, nowMs)];
   }
 
   #puts(stored: ReadonlyMap<string, KeyValueEntry>): RecordWrite[] {
@@ -173,11 +153,6 @@
     }
     return writes;
   }
-
-  #mayWrite(key: string, nowMs: number): boolean {
-    const writtenAtMs = this.#writtenAtMs.get(key) ?? -Infinity;
-    return nowMs - writtenAtMs >= REWRITE_INTERVAL_MS;
-  }
 }
 
 function isLimited({ announcements }: Server): boolean {
--- /dev/null
+++ b/src/router/record_writer.ts
@@ -0,0 +1,81 @@
+/** Keeps records of the entries in the platform's store up to date. */
+import type { Clock, Logger } from "../base/mod.ts";
+import type { KeyValueStore, Write } from "../store/store.ts";
+
+/** Interval at which the records are compared with what is known. */
+const CHECK_INTERVAL_MS = 500;
+/** Least time between two writes of one record by this entry. */
+const REWRITE_INTERVAL_MS = 5000;
+/** Writes in one call. */
+const MAX_WRITES = 32;
+
+/** A write of one record. */
+export type RecordWrite = Extract<Write, { kind: "put" | "delete" }>;
+
+/** Dependencies of a {@link RecordWriter}. */
+export interface RecordWriterOptions {
+  store: Pick<KeyValueStore, "commit">;
+  clock: Clock;
+  log: Logger;
+  /** Whether the store is answering. */
+  isStoreServing(): boolean;
+  /** Event of the log line about a call. */
+  event: string;
+  /** Returns the records that are missing, differ or are obsolete, as far as this entry writes them. */
+  dueWrites(nowMs: number): RecordWrite[];
+}
+
+/** Writes records of one kind. */
+export class RecordWriter {
+  readonly #options: RecordWriterOptions;
+  /** When this entry last wrote or deleted each record. */
+  readonly #writtenAtMs = new Map<string, number>();
+
+  private constructor(options: RecordWriterOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * @param options The store, and what is due.
+   * @returns A writer that writes once {@link run} is called.
+   */
+  static create(options: RecordWriterOptions): RecordWriter {
+    return new RecordWriter(options);
+  }
+
+  /**
+   * Updates the records periodically.
+   *
+   * @param signal Stops the updates.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#options.clock.sleep(CHECK_INTERVAL_MS, signal);
+      if (!signal.aborted) await this.update();
+    }
+  }
+
+  /** Writes the records that are due. */
+  async update(): Promise<void> {
+    const { store, clock, log, isStoreServing, event, dueWrites } =
+      this.#options;
+    if (!isStoreServing()) return;
+    const nowMs = clock.nowMs();
+    const writes = dueWrites(nowMs)
+      .filter(({ key }) => this.#mayWrite(key, nowMs))
+      .slice(0, MAX_WRITES);
+    if (writes.length === 0) return;
+    for (const { key } of writes) this.#writtenAtMs.set(key, nowMs);
+    const committed = await store.commit([], writes);
+    log.info({
+      event,
+      keys: writes.map(({ kind, key }) => `${kind} ${key}`),
+      isWritten: committed.isOk,
+    });
+  }
+
+  #mayWrite(key: string, nowMs: number): boolean {
+    const writtenAtMs = this.#writtenAtMs.get(key) ?? -Infinity;
+    return nowMs - writtenAtMs >= REWRITE_INTERVAL_MS;
+  }
+}
--- a/src/router/software_record.ts
+++ b/src/router/software_record.ts
@@ -5,21 +5,13 @@
  */
 import type { Clock, Logger } from "../base/mod.ts";
 import { readJson } from "../lease/mod.ts";
-import type { KeyValueStore, Write } from "../store/store.ts";
+import type { KeyValueStore } from "../store/store.ts";
 import type { StoreMirror } from "./mirror.ts";
+import { type RecordWrite, RecordWriter } from "./record_writer.ts";
 import type { SoftwareVersions } from "./software_versions.ts";
 
 /** Key prefix of the records; the service's name follows. */
 export const SOFTWARE_RECORD_PREFIX = "cicadahitch/software/";
-/** Interval at which the records are compared with the known versions. */
-const CHECK_INTERVAL_MS = 500;
-/** Least time between two writes of one record by this entry. */
-const REWRITE_INTERVAL_MS = 5000;
-/** Writes in one call. */
-const MAX_WRITES = 32;
-
-/** A write of one record. */
-type RecordWrite = Extract<Write, { kind: "put" | "delete" }>;
 
 /** Dependencies of {@link SoftwareRecord}. */
 export interface SoftwareRecordOptions {
@@ -38,11 +30,15 @@
 /** Keeps the records up to date. */
 export class SoftwareRecord {
   readonly #options: SoftwareRecordOptions;
-  /** When this entry last wrote or deleted each record. */
-  readonly #writtenAtMs = new Map<string, number>();
+  readonly #writer: RecordWriter;
 
   private constructor(options: SoftwareRecordOptions) {
     this.#options = options;
+    this.#writer = RecordWriter.create({
+      ...options,
+      event: "software_versions_recorded",
+      dueWrites: () => [...this.#puts(), ...this.#deletes()],
+    });
   }
 
   /**
@@ -63,44 +59,25 @@
     }
   }
 
-  /**
-   * Updates the records periodically.
-   *
-   * @param signal Stops the updates.
-   */
-  async run(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await this.#options.clock.sleep(CHECK_INTERVAL_MS, signal);
-      if (!signal.aborted) await this.update();
-    }
+  /** @param signal Stops the updates. */
+  run(signal: AbortSignal): Promise<void> {
+    return this.#writer.run(signal);
   }
 
   /** Writes the records of this entry that lack a version, and deletes the obsolete ones. */
-  async update(): Promise<void> {
-    const { store, clock, log, isStoreServing } = this.#options;
-    if (!isStoreServing()) return;
-    const nowMs = clock.nowMs();
-    const writes = [...this.#puts(), ...this.#deletes()]
-      .filter(({ key }) => this.#mayWrite(key, nowMs))
-      .slice(0, MAX_WRITES);
-    if (writes.length === 0) return;
-    for (const { key } of writes) this.#writtenAtMs.set(key, nowMs);
-    const committed = await store.commit([], writes);
-    log.info({
-      event: "software_versions_recorded",
-      keys: writes.map(({ kind, key }) => `${kind} ${key}`),
-      isWritten: committed.isOk,
-    });
+  update(): Promise<void> {
+    return this.#writer.update();
   }
 
   #puts(): RecordWrite[] {
-    const { mirror, versions } = this.#options;
+    const { mirror, versions, isWriterOf } = this.#options;
     const writes: RecordWrite[] = [];
     for (const service of versions.mixedServices()) {
       const key = SOFTWARE_RECORD_PREFIX + service;
       const recorded = new Set(readVersions(mirror.entry(key)?.value));
       const current = versions.current(service).map((one) => one ?? null);
-      if (current.every((version) => recorded.has(version))) continue;
+      const isRecorded = current.every((version) => recorded.has(version));
+      if (isRecorded || !isWriterOf(key)) continue;
       const value = new TextEncoder().encode(
         JSON.stringify({ versions: current }),
       );
@@ -110,19 +87,14 @@
   }
 
   #deletes(): RecordWrite[] {
-    const { mirror, versions } = this.#options;
+    const { mirror, versions, isWriterOf } = this.#options;
     return mirror.entries(SOFTWARE_RECORD_PREFIX)
       .filter(({ key }) =>
-        !versions.isMixed(key.slice(SOFTWARE_RECORD_PREFIX.length))
+        !versions.isMixed(key.slice(SOFTWARE_RECORD_PREFIX.length)) &&
+        isWriterOf(key)
       )
       .map(({ key }) => ({ kind: "delete", key }));
   }
-
-  #mayWrite(key: string, nowMs: number): boolean {
-    const writtenAtMs = this.#writtenAtMs.get(key) ?? -Infinity;
-    return nowMs - writtenAtMs >= REWRITE_INTERVAL_MS &&
-      this.#options.isWriterOf(key);
-  }
 }
 
 /** Versions in a record, null for servers that state none; empty if the record is malformed. */
