--- a/src/standin/stream_client.ts
+++ b/src/standin/stream_client.ts
@@ -60,17 +60,20 @@
       attempt.status = response.statusCode ?? 0;
       attempt.retryAfter = response.headers["retry-after"];
       const reader = MarkedEventReader.create();
+      let hasLeft = false;
       response.on("data", (chunk) => {
         for (const event of reader.push(String(chunk))) {
           if (attempt.events.length >= breakAfterEvents) break;
           attempt.events.push(event);
           onEvent?.(event);
         }
-        if (attempt.events.length >= breakAfterEvents) request.destroy();
+        if (attempt.events.length < breakAfterEvents) return;
+        hasLeft = true;
+        request.destroy();
       });
       response.on("error", () => {});
       response.on("close", () => {
-        attempt.isComplete = response.complete;
+        attempt.isComplete = response.complete && !hasLeft;
         resolve(attempt);
       });
     });
