--- a/src/proof/_soak.ts
+++ b/src/proof/_soak.ts
@@ -1,7 +1,7 @@
 /** Runs one plan of faults against a fleet of real processes and checks what clients and servers saw. */
 import { setTimeout as sleep } from "node:timers/promises";
 import { seededRandom } from "../base/random.ts";
-import { attemptIdOf, writersOf } from "../standin/mod.ts";
+import { attemptIdOf } from "../standin/mod.ts";
 import { runClient } from "./_soak_client.ts";
 import { type SoakEntry, SoakFleet } from "./_soak_fleet.ts";
 import {
@@ -12,6 +12,7 @@
   type Violation,
 } from "./_soak_history.ts";
 import { findViolations } from "./_soak_oracles.ts";
+import { joinedStreams } from "./_soak_stream_oracles.ts";
 import { type Fault, FaultKind, type SoakPlan } from "./_soak_plan.ts";
 
 /** Connections to each entry. */
@@ -22,7 +23,7 @@
 /** Numbers of streams. */
 export interface StreamCounts {
   /** Streams that hold events of several software versions. */
-  joined: number;
+  joined: Violation[];
   /** Attempts to take up a stream. */
   takenUp: number;
   /** Those of them that went on. */
@@ -279,8 +280,7 @@
       attempts.filter(({ isTakenUp }) => isTakenUp)
     );
     return {
-      joined: streams.filter(({ events }) => writersOf(events).length > 1)
-        .length,
+      joined: joinedStreams(this.#history),
       takenUp: takenUp.length,
       wentOn: takenUp.filter(({ hasBegun }) => hasBegun).length,
     };
--- a/src/proof/_soak_stream_oracles.ts
+++ b/src/proof/_soak_stream_oracles.ts
@@ -27,19 +27,28 @@
   ];
 }
 
+/**
+ * @param history A soak's history.
+ * @returns The streams that hold events of several software versions, whether that is allowed or not.
+ */
+export function joinedStreams({ streams }: SoakHistory): Violation[] {
+  return streams
+    .filter(({ events }) => writersOf(events).length > 1)
+    .map(({ id, events, attempts }) => ({
+      promise: "one_software_version",
+      atMs: attempts.at(-1)!.atMs,
+      detail: `${id} holds events of ${
+        events.map(({ id, serverId, softwareVersion }) =>
+          `${id} ${serverId} ${softwareVersion}`
+        ).join(", ")
+      }, attempts at entries ${attempts.map(({ entry }) => entry).join(", ")}`,
+    }));
+}
+
 /** Some streams may be joined: an entry can't know at once that a server has restarted. */
-function findJoinedStreams({ streams }: SoakHistory): Violation[] {
-  const joined = streams.filter(({ events }) => writersOf(events).length > 1);
-  if (joined.length <= ALLOWED_JOINED) return [];
-  return joined.map(({ id, events, attempts }) => ({
-    promise: "one_software_version",
-    atMs: attempts.at(-1)!.atMs,
-    detail: `${id}, one of ${joined.length}, holds events of ${
-      events.map(({ id, serverId, softwareVersion }) =>
-        `${id} ${serverId} ${softwareVersion}`
-      ).join(", ")
-    }, attempts at entries ${attempts.map(({ entry }) => entry).join(", ")}`,
-  }));
+function findJoinedStreams(history: SoakHistory): Violation[] {
+  const joined = joinedStreams(history);
+  return joined.length > ALLOWED_JOINED ? joined : [];
 }
 
 function findBrokenSequences({ streams }: SoakHistory): Violation[] {
--- a/src/proof/soak_main.ts
+++ b/src/proof/soak_main.ts
@@ -61,9 +61,10 @@
   const lines = [
     `seed ${seed}: ${violations.length} broken, ${
       JSON.stringify(counts)
-    }, ${streams.joined} streams of several versions, ${streams.wentOn} of ${streams.takenUp} take-ups went on`,
+    }, ${streams.joined.length} streams of several versions, ${streams.wentOn} of ${streams.takenUp} take-ups went on`,
   ];
-  for (const { promise, atMs, detail } of violations) {
+  const allowed = violations.length > 0 ? [] : streams.joined;
+  for (const { promise, atMs, detail } of [...violations, ...allowed]) {
     const sinceMs = atMs - startedAtMs;
     lines.push(`  ${formatSeconds(sinceMs)} ${promise}: ${detail}`);
     const before = faults.filter((fault) => fault.atMs <= sinceMs);
