Continue no stream at a server that may have restarted under its id

The likely way, shown by the new test, which fails without the change: a server restarts under its id with another version, and an entry whose stream broke there connects to it again, 300 ms later, before its new registration is read; the more entries, the later that is. While versions are mixed, a server that states its start time and whose connections broke or were refused now continues no stream until it registers. Servers that state none start under new ids and are not held back.

--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -196,6 +196,7 @@
     case "not_moved":
     case undefined:
       choice.server.health.failed(nowMs);
+      choice.server.health.connectionBroke();
       return { kind: "unknown", reason, isBroken: true };
   }
 }
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -210,6 +210,7 @@
     if (isSame && known.entry.address === entry.address) {
       this.#logDraining(known, entry);
       known.update(entry);
+      known.health.registered();
       return;
     }
     // Nothing learned about the earlier start applies to the new one. Requests in flight at the
--- a/src/router/health.ts
+++ b/src/router/health.ts
@@ -18,6 +18,7 @@
 export class Health {
   #isDown = false;
   #hasEnded = false;
+  #mayHaveEnded = false;
   #probeAtMs = -Infinity;
   #backoffMs = MIN_BACKOFF_MS;
   #failures = 0;
@@ -48,6 +49,11 @@
     return this.#hasEnded;
   }
 
+  /** Whether a connection to the server broke or was refused since it last registered. */
+  get mayHaveEnded(): boolean {
+    return this.#mayHaveEnded;
+  }
+
   /**
    * Checks whether it is time to probe a server that is down.
    *
@@ -101,6 +107,7 @@
    */
   refusedConnection(nowMs: number): void {
     this.#hasEnded = true;
+    this.#mayHaveEnded = true;
     this.unreachable(nowMs);
   }
 
@@ -115,6 +122,16 @@
     this.#probeAtMs = nowMs;
   }
 
+  /** Records that a connection broke while the server ran a request on it. */
+  connectionBroke(): void {
+    this.#mayHaveEnded = true;
+  }
+
+  /** Records that the server has registered. */
+  registered(): void {
+    this.#mayHaveEnded = false;
+  }
+
   /** Records a successful connection. */
   reached(): void {
     this.#isDown = false;
--- a/src/router/server_selector.ts
+++ b/src/router/server_selector.ts
@@ -102,7 +102,11 @@
     const accepting = this.#options.fleet.accepting(service);
     if (!origin) return accepting;
     const { versions } = this.#options.fleet;
-    return accepting.filter(({ entry }) => versions.canContinue(origin, entry));
+    const isMixed = versions.isMixed(service);
+    return accepting.filter((server) =>
+      versions.canContinue(origin, server.entry) &&
+      !(isMixed && mayBeRestarted(server))
+    );
   }
 
   /**
@@ -202,3 +206,11 @@
 function cacheSalt(version: number, workspace: Workspace | undefined): string {
   return workspace?.isolated ? `w${version}.${workspace.name}` : `w${version}`;
 }
+
+/**
+ * Whether another process, maybe of another software version, may answer under the server's id. Servers
+ * that state no start time get another id when they start again.
+ */
+function mayBeRestarted({ entry, health }: Server): boolean {
+  return entry.bornAtMs !== undefined && health.mayHaveEnded;
+}
--- a/src/router/software_versions_test.ts
+++ b/src/router/software_versions_test.ts
@@ -1,6 +1,7 @@
 /** Streams within one answer, while engines of several software versions serve side by side. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { writersOf } from "../standin/mod.ts";
 import {
   EVENTS,
@@ -10,6 +11,9 @@
 } from "./_software_versions_kit.ts";
 import { until } from "./_world.ts";
 
+/** Longer than the first backoff of connections to a server that broke them. */
+const REGISTRATION_DELAY_MS = 1000;
+
 test("stream whose engine ends goes on at an engine of its software version", async (t) => {
   const { startEngines, entries: [entry] } = await openVersionsSetup(t);
   const [ending] = await startEngines("v1", ["i-1"]);
@@ -89,3 +93,24 @@
   assert.deepEqual(writersOf(events), ["v1.1"]);
   assert.ok(isComplete);
 });
+
+test("stream does not go on at its server that restarted with another software version", async (t) => {
+  const setup = await openVersionsSetup(t);
+  const { startEngines, store, lines, entries: [entry] } = setup;
+  const [changed] = await startEngines("v1", ["i-1"]);
+  const streams = await openStreams(entry!);
+  await startEngines("v1.1", ["i-2"]);
+  changed!.softwareVersion = "v1.1";
+  await changed!.restart();
+  // The registration of the new process comes later than its first connections.
+  await sleep(REGISTRATION_DELAY_MS);
+  await store.put("servers/i-1", changed!.entry("engines"));
+  for (const { ended } of streams) {
+    const { events, isComplete } = await ended;
+    assert.deepEqual(writersOf(events), ["v1"]);
+    assert.ok(!isComplete);
+  }
+  for (const { outcome, reason } of lines) {
+    if (outcome === "broken_off") assert.equal(reason, "version_gone");
+  }
+});
