Name parts and cache source in the lines of unanswered requests

Ruled out: parts in the lines of answered requests, which are fifty times as many. Change: `parts` and `copyFrom` in the lines of requests that were not answered.

--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -88,6 +88,8 @@
   quarantinedForMs?: number;
   /** Weights of the server that was chosen last. */
   weights?: ChosenWeights;
+  /** Server or store from which the last server was to copy the cached prompt. */
+  copyFrom?: string;
 }
 
 /** Result of a call to move a run to another server. */
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -122,7 +122,7 @@
     const outcome = await this.#serveWithinQuota(request, sink, { progress });
     this.#resends.refund(request, progress);
     const { servers, ends, givenUp, ttftMs, expectedMs } = progress;
-    const { weights, endedServers, origin, originSource } = progress;
+    const { weights, copyFrom, endedServers, origin, originSource } = progress;
     return {
       outcome,
       servers,
@@ -131,6 +131,7 @@
       ttftMs,
       expectedMs,
       weights,
+      copyFrom,
       endedServers,
       softwareVersion: origin?.softwareVersion,
       originSource,
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -111,6 +111,8 @@
   endedServers?: number;
   /** Weights of the server that was chosen last; absent for plain calls. */
   weights?: ChosenWeights;
+  /** `ip:port` from which the last server was to copy the cached prompt, if any. */
+  copyFrom?: string;
   /** Version of the software that began the stream, if known. */
   softwareVersion?: string;
   /** Who knew the origin of the stream, if the client takes it up. */
--- a/src/router/request_log.ts
+++ b/src/router/request_log.ts
@@ -62,13 +62,14 @@
         labels: { route: route.name },
       }).record(result.ttftMs);
     }
-    const quota = outcome.kind === "answered" ? this.#answered : this.#failed;
+    const isAnswered = outcome.kind === "answered";
+    const quota = isAnswered ? this.#answered : this.#failed;
     if (!this.#takeLine(quota)) return;
     this.#log.info({
       event: "request",
       id: request.facts.requestId,
       // Attempts of the same request have different ids and the same digest.
-      digest: outcome.kind === "answered" ? undefined : digestOf(request),
+      digest: isAnswered ? undefined : digestOf(request),
       route: route.name,
       service,
       workspace: request.workspace?.name,
@@ -86,6 +87,8 @@
       timeMs: round(request.answerByMs - request.arrivedAtMs),
       endedServers: result.endedServers,
       promptTokens: request.facts.prompt?.promptTokens,
+      parts: isAnswered ? undefined : partIds(request.facts),
+      copyFrom: isAnswered ? undefined : result.copyFrom,
       weightsVersion: result.weights?.version,
       // Absent if the weights are the newest known version.
       replacedForMs: round(result.weights?.replacedForMs || undefined),
@@ -167,6 +170,10 @@
   };
 }
 
+function partIds({ prompt }: RequestFacts): string[] | undefined {
+  return prompt?.parts.map(({ id }) => id);
+}
+
 function round(ms: number | undefined): number | undefined {
   return ms === undefined ? undefined : Math.round(ms);
 }
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -89,6 +89,7 @@
     progress.possibleDeliveries++;
     progress.expectedMs = choice.expectedMs;
     progress.weights = this.#weightsOf(request, choice);
+    progress.copyFrom = choice.copyFrom;
     const isBound = !isIdempotent(request.route);
     const ticket = server.startRequest(choice.uncachedTokens, isBound);
     const priority = this.#priorityOf(request, progress);
