--- a/src/standin/backend_server.ts
+++ b/src/standin/backend_server.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import { type HostRequest, HttpHost } from "./_http_host.ts";
 import { answerCall } from "./_platform_answer.ts";
+import { isCrashing, sendStreamHead } from "./_platform_crash.ts";
 import { type AcceptedOrder, PlatformOrders } from "./_platform_orders.ts";
 import {
   endAtDeadline,
@@ -292,9 +293,7 @@
       headers,
       body: request.body.toString(),
     });
-    if (request.url.pathname === this.faults.endOnTarget) {
-      return this.#crashDuring(request);
-    }
+    if (isCrashing(request, this.faults)) return this.#crashDuring(request);
     if (consumeFault(this.faults, "hang")) return;
     if (consumeFault(this.faults, "loseAnswer")) return void response.destroy();
     if (this.#options.model !== undefined) return this.#stream(request);
@@ -314,15 +313,15 @@
     response.end();
   }
 
-  /** Simulates a process crash right after the response headers, which also ends all other runs. */
-  #crashDuring({ headers, response }: HostRequest): void {
-    response.writeHead(200, {
-      "content-type": "text/event-stream",
-      "server-seal": `seal-${this.id}`,
-      "attempt-id": String(headers["attempt-id"]),
+  /** Simulates a process crash as the answer begins, which also ends all other runs. */
+  #crashDuring(request: HostRequest): void {
+    if (!this.faults.isEndBeforeHead) {
+      sendStreamHead(request, `seal-${this.id}`);
+    }
+    setImmediate(() => {
+      void this.down();
+      this.#options.onCrash?.();
     });
-    response.flushHeaders();
-    setImmediate(() => void this.down());
   }
 
   #stream({ headers, response }: HostRequest): void {
--- a/src/standin/backend_server_options.ts
+++ b/src/standin/backend_server_options.ts
@@ -25,6 +25,8 @@
   loadMs: number;
   /** Faults to share with other servers; a fault that occurs once then occurs at only one of them. */
   faults?: StandinBackendServerFaults;
+  /** Called when a request has crashed the server. */
+  onCrash?: () => void;
 }
 
 /** A pause in a stream. */
@@ -68,6 +70,10 @@
   refuseOrder: number;
   /** Path whose requests crash the server; undefined: none. */
   endOnTarget: string | undefined;
+  /** Id of a part, not the last, of the prompts whose requests crash the server; undefined: none. */
+  endOnPart: string | undefined;
+  /** Whether a request that crashes the server does so before the headers of its answer. */
+  isEndBeforeHead: boolean;
   /** Whether all answers announce that the server is shutting down. */
   leaving: boolean;
   /** Value of the header by which all answers name the requests a second that the server takes. */
@@ -103,6 +109,8 @@
   refuseWeights: 0,
   refuseOrder: 0,
   endOnTarget: undefined,
+  endOnPart: undefined,
+  isEndBeforeHead: false,
   leaving: false,
   rate: undefined,
   pauseS: undefined,
@@ -116,6 +124,8 @@
   | "lateMs"
   | "bodyLateMs"
   | "endOnTarget"
+  | "endOnPart"
+  | "isEndBeforeHead"
   | "leaving"
   | "rate"
   | "pauseS"
