Quarantine parts of prompts that crash servers

Cause: what is known of a crash was kept under the digest of the whole request. Requests that share a part and nothing else have a digest each, so no digest was ever at three crashes.

Change: each part of a prompt but the last is suspected by itself. A crash counts for the parts of the runs that had no event 100 ms before it; a successful answer, or a second of events, clears a part, and one that was answered within 2 s before a crash isn't suspected. Five crashes at two moments or more quarantine a part: its requests are refused at once, and its runs without an event cancelled. Of parts that were in the same crashes, only requests with all of them are refused; one request every 0.5 s with some of them decides. After ten minutes one entry tries one request; each crash doubles the time. Told by datagrams, kept in the store from three crashes on.

Ruled out: a threshold of three, as for whole requests (a rare part whose requests met four lost servers would be refused; the platform allows five); taking the part with most crashes and counting the others' crashes as explained by it (a sound part that was at one more crash by chance would shield the bad one, and be refused); sending each crash's parts to a few entries by hash (fewer bytes, but the count is lost with these entries).

--- a/src/entry/run_suspects.ts
+++ b/src/entry/run_suspects.ts
@@ -165,6 +165,8 @@
     const { store, clock, log } = this.#options;
     if (!store) return;
     const record: SuspectRecord = SuspectRecord.create({
+      key: SUSPECT_RECORD_KEY,
+      minEnds: MIN_SHARED_ENDS,
       store,
       clock,
       log,
--- a/src/router/_crashing_part_kit.ts
+++ b/src/router/_crashing_part_kit.ts
@@ -2,11 +2,11 @@
 import type { TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
-  attemptIdOf,
   MODEL_REQUEST_HEADERS,
   NO_FAULTS,
   sendClientRequest,
   type StandinBackendServerFaults,
+  toRequestHeaders,
 } from "../standin/mod.ts";
 import {
   openWorld,
@@ -167,9 +167,8 @@
   for (let number = 0; performance.now() < endMs; number++) {
     const entry = entries[number % entries.length]!;
     sent.push(sendOne(entry, path, {
-      ...MODEL_REQUEST_HEADERS,
-      "attempt-id": idOf(number),
-      "prompt-prefix": promptOf(number).join(","),
+      id: idOf(number),
+      parts: promptOf(number),
     }));
     await sleep(PAUSE_MS);
   }
@@ -179,10 +178,13 @@
 async function sendOne(
   entry: TestEntry,
   path: string,
-  headers: Record<string, string>,
+  { id, parts }: { id: string; parts: string[] },
 ): Promise<SentRequest> {
-  const id = String(attemptIdOf(headers));
   const atMs = performance.now();
+  const headers = {
+    ...MODEL_REQUEST_HEADERS,
+    ...toRequestHeaders({ id, parts }),
+  };
   try {
     // Requests are told apart by their path, as no two of them are the same.
     const { status, isComplete } = await sendClientRequest(
--- a/src/router/_request_forwarder_kit.ts
+++ b/src/router/_request_forwarder_kit.ts
@@ -85,6 +85,11 @@
         verdict: () => ({ kind: "clear" }),
         answered: () => {},
         recordBrokenSend: () => {},
+        parts: {
+          verdict: () => ({ kind: "clear" }),
+          sending: () => {},
+          answered: () => {},
+        },
       } as unknown as Quarantine,
       quotas: {
         runsAgain: () => void setup.charged++,
--- a/src/router/_suspect_simulation.ts
+++ b/src/router/_suspect_simulation.ts
@@ -1,10 +1,12 @@
-/** Simulates, in virtual time, entries that gossip suspected requests over lossy links. */
+/** Simulates, in virtual time, entries that gossip suspected requests and parts over lossy links. */
 import { Result } from "true-myth";
 import { Metrics } from "../base/mod.ts";
 import type { KeyValueEntry, KeyValueStore } from "../store/mod.ts";
-import { SUSPECT_RECORD_KEY, SuspectRecord } from "../suspects/mod.ts";
 import { registration, silentLog, TestClock } from "./_kit.ts";
+import type { PromptPart } from "./model.ts";
 import { Quarantine } from "./quarantine.ts";
+import type { RoutedRequest } from "./request.ts";
+import { SuspectRecords } from "./suspect_records.ts";
 
 /** Interval of datagrams, and step of the simulation. */
 export const TICK_MS = 50;
@@ -18,10 +20,10 @@
 /** A simulated entry. */
 export interface SuspectEntry {
   quarantine: Quarantine;
-  record: SuspectRecord;
+  records: SuspectRecords;
   startedAtMs: number;
-  /** The entry's copy of the store's record. */
-  known: KeyValueEntry | undefined;
+  /** The entry's copy of the store's records. */
+  known: Map<string, KeyValueEntry>;
 }
 
 /** Settings of a {@link SuspectSimulation}. */
@@ -38,11 +40,13 @@
   readonly entries: SuspectEntry[] = [];
   isStoreDown = false;
   readonly #options: SuspectSimulationOptions;
-  #stored: KeyValueEntry | undefined;
-  #storedAtMs = -Infinity;
+  readonly #stored = new Map<string, KeyValueEntry>();
+  readonly #storedAtMs = new Map<string, number>();
   #polledAtMs = -Infinity;
   #ends = 0;
   writes = 0;
+  /** Datagrams with rows about parts that each entry sent to each other, and the size of these rows. */
+  readonly partNews = { datagrams: 0, bytes: 0 };
 
   private constructor(options: SuspectSimulationOptions) {
     this.#options = options;
@@ -70,6 +74,7 @@
     const lost = digests.map((digest, i) => ({
       requestId: digest,
       digest,
+      parts: [],
       answeringMs: 20 + 100 * i,
       atMs,
       runMs: CRASH_AFTER_MS,
@@ -77,49 +82,64 @@
     entry.quarantine.ended(server, lost);
   }
 
+  /**
+   * Crashes a server.
+   *
+   * @param lost The parts of the prompts that each entry had in flight on it.
+   */
+  crash(lost: ReadonlyMap<SuspectEntry, readonly string[]>): void {
+    const atMs = this.clock.nowMs();
+    const server = registration(`i-${this.#ends++}`);
+    for (const [{ quarantine }, parts] of lost) {
+      const request = { requestId: "r", digest: "d", atMs, runMs: 0 };
+      quarantine.parts.crashed(server, [{ ...request, parts }]);
+    }
+  }
+
   /** Advances the time by one tick. */
   async step(): Promise<void> {
     this.clock.advance(TICK_MS);
     for (const entry of this.entries) this.#broadcast(entry);
     if (this.isStoreDown) return;
     const nowMs = this.clock.nowMs();
-    for (const entry of this.entries) this.#syncRecord(entry);
+    for (const entry of this.entries) this.#syncRecords(entry);
     if (nowMs - this.#polledAtMs < RECORD_POLL_MS) return;
     this.#polledAtMs = nowMs;
-    for (const { record } of this.entries) await record.update();
+    for (const { records } of this.entries) await records.update();
   }
 
   #startEntry(): SuspectEntry {
     const { clock } = this;
     const { random, entryCount } = this.#options;
+    const known = new Map<string, KeyValueEntry>();
     const quarantine = Quarantine.create({
       clock,
       log: silentLog,
       metrics: Metrics.create(),
       entryCount: () => entryCount,
+      isResponsibleFor: () => true,
     });
-    const record = SuspectRecord.create({
+    const records = SuspectRecords.create({
       store: { commit: (expect, writes) => this.#commit(expect, writes) },
       clock,
       log: silentLog,
       random,
-      source: quarantine,
-      record: () => entry.known,
+      quarantine,
+      mirror: { entry: (key) => known.get(key) },
       isStoreServing: () => !this.isStoreDown,
     });
     const startedAtMs = clock.nowMs();
-    const entry: SuspectEntry = {
-      quarantine,
-      record,
-      startedAtMs,
-      known: undefined,
-    };
-    return entry;
+    return { quarantine, records, startedAtMs, known };
   }
 
   #broadcast(entry: SuspectEntry): void {
     if (!entry.quarantine.hasNews) return;
     const news = entry.quarantine.takeNews();
+    const { crashes, answeredParts } = news;
+    if (crashes || answeredParts) {
+      this.partNews.datagrams++;
+      this.partNews.bytes += JSON.stringify({ crashes, answeredParts }).length;
+    }
     for (const other of this.entries) {
       if (other === entry || this.#options.random() < this.#options.loss) {
         continue;
@@ -128,33 +148,46 @@
     }
   }
 
-  #syncRecord(entry: SuspectEntry): void {
-    if (entry.known === this.#stored) return;
-    const isNew = entry.known !== undefined &&
-      this.clock.nowMs() - this.#storedAtMs < WATCH_DELAY_MS;
-    if (isNew) return;
-    entry.known = this.#stored;
-    entry.record.loadStored();
+  #syncRecords({ known, records }: SuspectEntry): void {
+    for (const [key, stored] of this.#stored) {
+      const isNew = known.has(key) &&
+        this.clock.nowMs() - this.#storedAtMs.get(key)! < WATCH_DELAY_MS;
+      if (known.get(key) === stored || isNew) continue;
+      known.set(key, stored);
+      records.onWritten(key);
+    }
   }
 
   #commit: KeyValueStore["commit"] = (expect, writes) => {
     this.writes++;
-    const modRevision = this.#stored?.modRevision ?? 0n;
+    const key = expect[0]!.key;
+    const current = this.#stored.get(key);
+    const modRevision = current?.modRevision ?? 0n;
     const revision = modRevision + 1n;
     const [write] = writes;
     if (expect[0]?.modRevision !== modRevision || write?.kind !== "put") {
-      const current = this.#stored ? [this.#stored] : [];
+      const others = current ? [current] : [];
       return Promise.resolve(
-        Result.ok({ kind: "conflict", current, revision: modRevision }),
+        Result.ok({ kind: "conflict", current: others, revision: modRevision }),
       );
     }
-    this.#stored = {
-      key: SUSPECT_RECORD_KEY,
+    this.#stored.set(key, {
+      key,
       value: write.value,
       modRevision: revision,
       createRevision: 1n,
-    };
-    this.#storedAtMs = this.clock.nowMs();
+    });
+    this.#storedAtMs.set(key, this.clock.nowMs());
     return Promise.resolve(Result.ok({ kind: "committed", revision }));
   };
 }
+
+/**
+ * @param ids Ids of parts.
+ * @returns A request whose prompt shares these parts, and whose last part is its own.
+ */
+export function requestWith(...ids: string[]): RoutedRequest {
+  const toPart = (id: string): PromptPart => ({ id, tokens: 100 });
+  const parts = [...ids, "own"].map(toPart);
+  return { facts: { prompt: { parts } } } as unknown as RoutedRequest;
+}
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -31,6 +31,8 @@
   notNeeded: "not_needed",
   /** Its weights were replaced too long ago to start an answer. */
   weightsRetired: "weights_retired",
+  /** It had not started to answer, and a part of its prompt probably crashes servers. */
+  partQuarantined: "part_quarantined",
   /** The client had disconnected. */
   clientGone: "client_gone",
   /** The entry was shutting down, and its grace time was over. */
@@ -82,10 +84,15 @@
   originSource?: OriginSource;
   ttftMs?: number;
   expectedMs?: number;
-  /** Servers that ended while running the request, in this client attempt and earlier ones. */
+  /**
+   * Servers that ended while running the request, in this client attempt and earlier ones, or while
+   * running requests with {@link Progress.quarantinedPart}.
+   */
   endedServers?: number;
   /** Remaining quarantine of the request, in which it is not run. */
   quarantinedForMs?: number;
+  /** Part of the prompt for which the request is in quarantine. */
+  quarantinedPart?: string;
   /** Weights of the server that was chosen last. */
   weights?: ChosenWeights;
   /** Server or store from which the last server was to copy the cached prompt. */
@@ -138,6 +145,8 @@
   headAtMs?: number;
   /** When the first event of the answer was received. */
   firstEventAtMs?: number;
+  /** The server has sent events for so long that the answer counts as a successful one. */
+  hasRunOn?: boolean;
   /** Result of the attempt to move the run, if there was one. */
   move?: RunMove;
 }
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -123,6 +123,7 @@
     this.#resends.refund(request, progress);
     const { servers, ends, givenUp, ttftMs, expectedMs } = progress;
     const { weights, copyFrom, endedServers, origin, originSource } = progress;
+    const { quarantinedPart } = progress;
     return {
       outcome,
       servers,
@@ -133,6 +134,7 @@
       weights,
       copyFrom,
       endedServers,
+      quarantinedPart,
       softwareVersion: origin?.softwareVersion,
       originSource,
     };
@@ -263,8 +265,8 @@
       : permitMs !== undefined
       ? RefusalReason.overRate
       : end.reason;
-    if (reason === RefusalReason.quarantined) {
-      this.#options.quarantine.refused(request);
+    if (refusal === ResendRefusal.quarantined) {
+      this.#options.quarantine.refused(request, reason);
     }
     const leftMs = request.answerByMs - this.#options.clock.nowMs();
     if (progress.sends > 0) {
--- a/src/router/effective_state.ts
+++ b/src/router/effective_state.ts
@@ -17,7 +17,6 @@
 import { PUBLISH_TIMES_KEY } from "./publish_times_record.ts";
 import type { PromptStore } from "./prompt_store.ts";
 import { RoutingTable } from "./routing_table.ts";
-import { SUSPECT_RECORD_KEY } from "../suspects/mod.ts";
 import type { ServerLimits } from "./server.ts";
 import type { VersionAge, WantedVersions } from "./wanted_weights.ts";
 
@@ -35,10 +34,8 @@
   coalescedMs(): number;
   /** Recorded ages of wanted weights, for versions published while this entry was away. */
   recordedAges(): VersionAge[];
-  /** Called when the store's record of suspected requests has changed. */
-  onSuspectRecord(): void;
-  /** Called with each other key that was written; it may be that of a {@link ServerRecords} record. */
-  onServerRecord(key: string): void;
+  /** Called with each other key that was written; it may be that of a record of the entries. */
+  onRecord(key: string): void;
   /** Called when a newer configuration was applied. */
   onConfig(config: RoutingConfig): void;
 }
@@ -90,8 +87,7 @@
         return this.#applyWanted(fact.value.wanted);
       case "other":
         if (key === PUBLISH_TIMES_KEY) this.#restoreAges();
-        if (key === SUSPECT_RECORD_KEY) this.#options.onSuspectRecord();
-        return this.#options.onServerRecord(key);
+        return this.#options.onRecord(key);
     }
   }
 
--- a/src/router/effective_state_test.ts
+++ b/src/router/effective_state_test.ts
@@ -49,8 +49,7 @@
       maxAgeMs: () => this.maxAgeMs,
       coalescedMs: () => this.coalescedMs,
       recordedAges: () => this.recordedAges,
-      onSuspectRecord: () => {},
-      onServerRecord: () => {},
+      onRecord: () => {},
       onConfig: () => {},
     });
   }
--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -71,6 +71,8 @@
   paused: "all servers of the service had asked for a pause",
   quarantined:
     "three servers or more had ended while running it, so it is in quarantine",
+  part_quarantined:
+    "five servers or more had ended while running requests with a part of its prompt, so the part is in quarantine",
   run_stopped: "the run was stopped to move it, and could not be copied",
   shutdown: "the entry's shutdown left it no more time",
   stopping: "the entry was stopping",
--- a/src/router/open_runs.ts
+++ b/src/router/open_runs.ts
@@ -1,5 +1,6 @@
 /** Tracks the open runs of one request, which may still answer it, and accounts for their ends. */
 import type { Clock } from "../base/mod.ts";
+import { CLEARED_AFTER_MS } from "../suspects/mod.ts";
 import {
   closedEnd,
   CloseReason,
@@ -98,6 +99,7 @@
     if (isRepeat) this.#parts.quotas.runsAgain(request);
     const wake = this.#wake;
     const task = { sink, progress, choice, payment, isRepeat, wake };
+    this.#parts.quarantine.parts.sending(request);
     this.#sends = [...this.#sends, this.#parts.sender.send(request, task)];
   }
 
@@ -122,13 +124,28 @@
     }
   }
 
+  /**
+   * @param send An open run.
+   * @returns Whether it will probably crash its server when the server begins to answer.
+   */
+  isCrashLikely({ firstEventAtMs, request }: Send): boolean {
+    return firstEventAtMs === undefined &&
+      this.#parts.quarantine.parts.verdict(request).kind === "part_quarantined";
+  }
+
+  /** @param send A run whose events were delivered; after a while, its server can't crash on them. */
+  delivered(send: Send): void {
+    if (send.hasRunOn || !hasRunOn(send, this.#parts.clock.nowMs())) return;
+    send.hasRunOn = true;
+    this.#parts.quarantine.parts.answered(send.request);
+  }
+
   /** @param send A run whose answer is complete. */
   answered(send: Send): void {
     this.#remove(send);
     this.#countRun(send);
-    const { request } = this.#task;
     if (send.answer!.facts.status < 500) {
-      this.#parts.quarantine.answered(request);
+      this.#parts.quarantine.answered(send);
     }
   }
 
@@ -218,6 +235,12 @@
   }
 }
 
+/** Whether a server has sent events for so long that its answer counts as a successful one. */
+function hasRunOn({ firstEventAtMs }: Send, nowMs: number): boolean {
+  return firstEventAtMs !== undefined &&
+    nowMs - firstEventAtMs >= CLEARED_AFTER_MS;
+}
+
 /** Whether the server of a run is at fault for its being closed. */
 function isServerFailure(reason: CloseReason): boolean {
   switch (reason) {
@@ -229,6 +252,7 @@
     case CloseReason.notNeeded:
     case CloseReason.clientGone:
     case CloseReason.shutdown:
+    case CloseReason.partQuarantined:
       return false;
   }
 }
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -19,6 +19,12 @@
 /** A suspected request that completed normally, and the time since then in ms. */
 export type ClearedRow = [string, number];
 
+/** A crash of a server: server process, ms since then, and the parts of prompts that may be the cause. */
+export type CrashRow = [string, number, string[]];
+
+/** A suspected part of prompts that appeared in a successful answer, and the ms since then. */
+export type AnsweredPartRow = [string, number];
+
 /** Decoded content of one datagram. */
 export interface Datagram {
   name: string;
@@ -51,6 +57,10 @@
   ended?: ServerEndRow[];
   /** Suspected requests that completed normally; absent from earlier releases. */
   cleared?: ClearedRow[];
+  /** Crashes of servers; absent if there are none to tell, or from earlier releases. */
+  crashes?: CrashRow[];
+  /** Suspected parts that were answered; absent likewise. */
+  answeredParts?: AnsweredPartRow[];
   /** Sender's start time in ms since 1970, by its own clock; absent from earlier releases. */
   startedAtMs?: number;
   /** Workspace, units of its limit that the sender has consumed since its start, and units left. */
@@ -118,6 +128,11 @@
     listOf(rowOf(isString, isString, isCountOrNone, isCount, isCount))(value),
   cleared: (value) =>
     value === undefined || listOf(rowOf(isString, isCount))(value),
+  crashes: (value) =>
+    value === undefined ||
+    listOf(rowOf(isString, isCount, listOf(isString)))(value),
+  answeredParts: (value) =>
+    value === undefined || listOf(rowOf(isString, isCount))(value),
   startedAtMs: isOptionalCount,
   taken: (value) =>
     value === undefined || listOf(rowOf(isString, isNumber, isNumber))(value),
--- a/src/router/peer_gossip.ts
+++ b/src/router/peer_gossip.ts
@@ -308,7 +308,7 @@
   }
 
   #apply(report: Datagram, nowMs: number): void {
-    const { fleet, wanted, log } = this.#options;
+    const { fleet, wanted, quarantine, log } = this.#options;
     this.#peerLoads.applyReport(report, nowMs);
     for (const [id, salt, readyInMs, parts, start] of report.prompts) {
       const chain = {
@@ -340,8 +340,8 @@
     for (const [id, model, version, start] of report.weights) {
       fleet.get(id, start || undefined)?.recordWeights(model, version);
     }
-    const { ended = [], cleared = [] } = report;
-    this.#options.quarantine.hear({ ended, cleared });
+    const { ended = [], cleared = [], crashes, answeredParts } = report;
+    quarantine.hear({ ended, cleared, crashes, answeredParts });
     for (const [model, version, ageMs] of report.named) {
       if (!wanted.mergePeerAge({ model, version, ageMs })) continue;
       log.info({ event: "weights_wanted", model, version, peer: report.name });
--- a/src/router/quarantine.ts
+++ b/src/router/quarantine.ts
@@ -3,12 +3,22 @@
  * on servers that ended, so that three ends quarantine a request whichever entries received it. The
  * gossip is bounded, and successful answers, which clear a suspect, are shared as well.
  */
-import type { Clock, Logger, Metrics } from "../base/mod.ts";
+import type { Metrics } from "../base/mod.ts";
 import type { Send } from "./attempt.ts";
+import { GossipQueue, GossipRepeater } from "./gossip_queue.ts";
 import { type BackendServer, incarnationKey } from "./model.ts";
 import type { ClearedRow, ServerEndRow } from "./peer_datagram.ts";
+import {
+  canHaveCrashed,
+  isSuccess,
+  type PartGossip,
+  PartQuarantine,
+  type PartQuarantineOptions,
+  sharedParts,
+} from "./part_quarantine.ts";
 import type { RoutedRequest } from "./request.ts";
 import { digestOf } from "./request_digest.ts";
+import type { SendVerdict } from "./send_verdict.ts";
 import type { Server } from "./server.ts";
 import { type LostRequest, ServerEndDetector } from "./server_end_detector.ts";
 import {
@@ -20,29 +30,13 @@
   type Verdict,
 } from "../suspects/mod.ts";
 
-/** Number of times each item is sent, because datagrams may be lost. */
-const SENDS_PER_ITEM = 3;
-/** Maximum number of queued items; the oldest are dropped. */
-const MAX_QUEUED = 256;
-/** Maximum number of items per datagram. */
-const MAX_PER_DATAGRAM = 16;
-/**
- * Pause between repeats of serious suspects, per entry, so that their combined rate stays constant.
- */
-const REPEAT_MS_PER_ENTRY = 250;
-const MIN_REPEAT_MS = 1000;
-
 /** Dependencies of a {@link Quarantine}. */
-export interface QuarantineOptions {
-  clock: Clock;
-  log: Logger;
+export interface QuarantineOptions extends PartQuarantineOptions {
   metrics: Metrics;
-  /** Number of live entries, including this one. */
-  entryCount(): number;
 }
 
-/** Gossip between entries about suspected requests. */
-export interface QuarantineGossip {
+/** Gossip between entries about suspected requests and parts of prompts. */
+export interface QuarantineGossip extends PartGossip {
   ended: ServerEndRow[];
   cleared: ClearedRow[];
 }
@@ -51,25 +45,22 @@
   | { kind: "ended"; digest: string; end: ServerEnd }
   | { kind: "cleared"; digest: string; atMs: number };
 
-interface QueuedItem {
-  item: GossipItem;
-  sendsLeft: number;
-}
-
 /** Tracks suspected requests and those that may not be sent for now. */
 export class Quarantine implements SuspectSource {
   readonly table: SuspectTable;
+  /** Parts of prompts, which are suspected whatever request contains them. */
+  readonly parts: PartQuarantine;
   readonly #options: QuarantineOptions;
   readonly #serverEnds: ServerEndDetector;
-  readonly #sendQueue: QueuedItem[] = [];
-  #repeatedAtMs = -Infinity;
-  /** Index of the first row of the next repeat. */
-  #repeatFrom = 0;
+  readonly #sendQueue = GossipQueue.create<GossipItem>();
+  readonly #repeater: GossipRepeater;
   #hasOwnNews = false;
 
   private constructor(options: QuarantineOptions) {
     this.#options = options;
     this.table = SuspectTable.create(options.clock);
+    this.parts = PartQuarantine.create(options);
+    this.#repeater = GossipRepeater.create(options);
     this.#serverEnds = ServerEndDetector.create({
       clock: options.clock,
       onEnd: (server, lost) => this.ended(server.entry, lost),
@@ -90,23 +81,29 @@
    * Checks a request before it is sent.
    *
    * @param request The request.
-   * @returns Whether it is clear, suspected or in quarantine.
+   * @returns Whether it is clear, suspected or in quarantine, by itself or by a part of its prompt.
    */
-  verdict(request: RoutedRequest): Verdict {
+  verdict(request: RoutedRequest): SendVerdict {
     // Avoids computing the digest if there are no suspects.
-    if (this.table.size === 0) return { kind: "clear" };
-    return this.table.verdict(digestOf(request));
+    const whole: Verdict = this.table.size === 0
+      ? { kind: "clear" }
+      : this.table.verdict(digestOf(request));
+    if (whole.kind === "quarantined") return whole;
+    const byParts = this.parts.verdict(request);
+    return byParts.kind === "clear" ? whole : byParts;
   }
 
   /**
    * Counts a request that was refused because it is in quarantine.
    *
    * @param request The request.
+   * @param reason Whether the request itself or a part of its prompt is in quarantine.
    */
-  refused({ route, service }: RoutedRequest): void {
+  refused({ route, service }: RoutedRequest, reason: string): void {
     this.#options.metrics.counter("quarantined_requests_total", {
-      help: "Attempts refused because servers had ended under the request",
-      labels: { route: route.name, service },
+      help:
+        "Attempts refused because servers had ended under the request, or under a part of its prompt",
+      labels: { route: route.name, service, reason },
     }).add();
   }
 
@@ -124,6 +121,7 @@
     this.#serverEnds.lost(choice.server, {
       requestId: request.facts.requestId,
       digest: digestOf(request),
+      parts: canHaveCrashed(send, nowMs) ? sharedParts(request) : [],
       answeringMs: headAtMs === undefined ? undefined : nowMs - headAtMs,
       atMs: nowMs,
       runMs: nowMs - sentAtMs,
@@ -131,18 +129,21 @@
   }
 
   /**
-   * Clears a suspected request that a server has answered successfully.
+   * Clears a suspected request that a server has answered, and the parts of its prompt if the answer
+   * is a success.
    *
-   * @param request The request.
+   * @param send The send that was answered.
    */
-  answered(request: RoutedRequest): void {
+  answered(send: Send): void {
+    const { request } = send;
+    if (isSuccess(send)) this.parts.answered(request);
     if (this.table.size === 0) return;
     const digest = digestOf(request);
     const { clock, log } = this.#options;
     const nowMs = clock.nowMs();
     if (this.table.verdict(digest).kind === "clear") return;
     this.table.clear(digest, nowMs);
-    this.#enqueue({ kind: "cleared", digest, atMs: nowMs });
+    this.#sendQueue.add({ kind: "cleared", digest, atMs: nowMs });
     this.#hasOwnNews = true;
     log.info({
       event: "suspect_cleared",
@@ -172,9 +173,8 @@
 
   /** Whether there is gossip to send. */
   get hasNews(): boolean {
-    if (this.#sendQueue.length > 0) return true;
-    const sinceMs = this.#options.clock.nowMs() - this.#repeatedAtMs;
-    return sinceMs >= this.#repeatPauseMs &&
+    if (this.#sendQueue.hasItems || this.parts.hasNews) return true;
+    return this.#repeater.isDue &&
       this.table.suspects(MIN_SHARED_ENDS).length > 0;
   }
 
@@ -184,15 +184,22 @@
    * @returns The items.
    */
   takeNews(): QuarantineGossip {
-    const outgoing: QuarantineGossip = { ended: [], cleared: [] };
+    const ended: ServerEndRow[] = [];
+    const cleared: ClearedRow[] = [];
     const nowMs = this.#options.clock.nowMs();
-    for (const queued of this.#sendQueue.splice(0, MAX_PER_DATAGRAM)) {
-      addToBatch(outgoing, queued.item, nowMs);
-      queued.sendsLeft--;
-      if (queued.sendsLeft > 0) this.#sendQueue.push(queued);
+    for (const item of this.#sendQueue.take()) {
+      switch (item.kind) {
+        case "ended":
+          ended.push(toRow(item.digest, item.end, nowMs));
+          break;
+        case "cleared":
+          cleared.push([item.digest, Math.round(nowMs - item.atMs)]);
+      }
+    }
+    if (ended.length === 0) {
+      ended.push(...this.#repeater.take(this.#repeatedRows(nowMs)));
     }
-    if (outgoing.ended.length === 0) this.#repeatSuspects(outgoing, nowMs);
-    return outgoing;
+    return { ended, cleared, ...this.parts.takeNews() };
   }
 
   /**
@@ -200,8 +207,9 @@
    *
    * @param news The received items.
    */
-  hear({ ended, cleared }: QuarantineGossip): void {
+  hear({ ended, cleared, ...parts }: QuarantineGossip): void {
     const nowMs = this.#options.clock.nowMs();
+    this.parts.hear(parts);
     for (const [digest, ageMs] of cleared) {
       this.table.clear(digest, nowMs - ageMs);
     }
@@ -225,16 +233,19 @@
   }
 
   /**
-   * Returns the suspects with several server ends, for state dumps.
+   * Returns the suspected requests and parts with several server ends, for state dumps.
    *
    * @returns A JSON-serializable list.
    */
-  state(): unknown {
-    return this.table.suspects(MIN_SHARED_ENDS).map(({ digest, ends }) => ({
-      digest,
-      servers: ends.map(({ server }) => server),
-      verdict: this.table.verdict(digest).kind,
-    }));
+  state(): unknown[] {
+    const requests = this.table.suspects(MIN_SHARED_ENDS).map(
+      ({ digest, ends }) => ({
+        digest,
+        servers: ends.map(({ server }) => server),
+        verdict: this.table.verdict(digest).kind,
+      }),
+    );
+    return [...requests, ...this.parts.state()];
   }
 
   /**
@@ -256,12 +267,13 @@
       service,
       requests: lost.map(({ requestId }) => requestId),
     });
+    this.parts.crashed(server, lost);
     const incarnation = incarnationKey(server);
     for (const { digest, answeringMs, atMs, runMs } of lost) {
       const end = { server: incarnation, answeringMs, atMs, runMs };
       const before = this.table.verdict(digest);
       if (!this.table.recordEnd(digest, end)) continue;
-      this.#enqueue({ kind: "ended", digest, end });
+      this.#sendQueue.add({ kind: "ended", digest, end });
       this.#hasOwnNews = true;
       this.#logVerdict(digest, before);
     }
@@ -279,44 +291,10 @@
     });
   }
 
-  #enqueue(news: GossipItem): void {
-    this.#sendQueue.push({ item: news, sendsLeft: SENDS_PER_ITEM });
-    if (this.#sendQueue.length > MAX_QUEUED) this.#sendQueue.shift();
-  }
-
-  get #repeatPauseMs(): number {
-    const pauseMs = this.#options.entryCount() * REPEAT_MS_PER_ENTRY;
-    return Math.max(MIN_REPEAT_MS, pauseMs);
-  }
-
-  /**
-   * Repeats serious suspects, so that entries that started since learn of them even while the store
-   * is unavailable.
-   */
-  #repeatSuspects(outgoing: QuarantineGossip, nowMs: number): void {
-    if (nowMs - this.#repeatedAtMs < this.#repeatPauseMs) return;
-    const rows = this.table.suspects(MIN_SHARED_ENDS).flatMap(
+  #repeatedRows(nowMs: number): ServerEndRow[] {
+    return this.table.suspects(MIN_SHARED_ENDS).flatMap(
       ({ digest, ends }) => ends.map((end) => toRow(digest, end, nowMs)),
     );
-    if (rows.length === 0) return;
-    this.#repeatedAtMs = nowMs;
-    const from = this.#repeatFrom < rows.length ? this.#repeatFrom : 0;
-    outgoing.ended.push(...rows.slice(from, from + MAX_PER_DATAGRAM));
-    this.#repeatFrom = from + MAX_PER_DATAGRAM;
-  }
-}
-
-function addToBatch(
-  batch: QuarantineGossip,
-  item: GossipItem,
-  nowMs: number,
-): void {
-  switch (item.kind) {
-    case "ended":
-      batch.ended.push(toRow(item.digest, item.end, nowMs));
-      return;
-    case "cleared":
-      batch.cleared.push([item.digest, Math.round(nowMs - item.atMs)]);
   }
 }
 
--- a/src/router/quarantine_test.ts
+++ b/src/router/quarantine_test.ts
@@ -12,7 +12,13 @@
 
 function create(clock = new TestClock(), log = silentLog) {
   const metrics = Metrics.create();
-  return Quarantine.create({ clock, log, metrics, entryCount: () => 4 });
+  return Quarantine.create({
+    clock,
+    log,
+    metrics,
+    entryCount: () => 4,
+    isResponsibleFor: () => true,
+  });
 }
 
 function learnEnds(quarantine: Quarantine, clock: TestClock, count: number) {
--- a/src/router/refusal_reason.ts
+++ b/src/router/refusal_reason.ts
@@ -10,6 +10,8 @@
   tooLate: "too_late",
   /** Several servers terminated while they ran the request. */
   quarantined: "quarantined",
+  /** Several servers terminated while they ran requests that share a part of its prompt. */
+  partQuarantined: "part_quarantined",
   /** All servers of the service have asked for a pause. */
   paused: "paused",
   /** All servers of the service have reached the rate of requests that they take. */
@@ -19,3 +21,6 @@
   /** The workspace has exceeded its quota. */
   overQuota: "over_quota",
 } as const;
+
+/** One of {@link RefusalReason}. */
+export type RefusalReason = typeof RefusalReason[keyof typeof RefusalReason];
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -107,8 +107,13 @@
   ttftMs?: number;
   /** Expected time to the first byte when the last server was chosen. */
   expectedMs?: number;
-  /** Servers that ended while running the request, before its last send; absent if none is known. */
+  /**
+   * Servers that ended while running the request, or requests with {@link quarantinedPart}, before its
+   * last send; absent if none is known.
+   */
   endedServers?: number;
+  /** Part of the prompt for which the request was refused, or not sent again. */
+  quarantinedPart?: string;
   /** Weights of the server that was chosen last; absent for plain calls. */
   weights?: ChosenWeights;
   /** `ip:port` from which the last server was to copy the cached prompt, if any. */
--- a/src/router/request_forwarder.ts
+++ b/src/router/request_forwarder.ts
@@ -10,6 +10,7 @@
  * budget while its client stays connected.
  */
 import type { Logger } from "../base/mod.ts";
+import { applyVerdict } from "./send_verdict.ts";
 import { AnswerWriter, type AnswerWriterParts } from "./answer_writer.ts";
 import { closedEnd, CloseReason, type Send, type SendEnd } from "./attempt.ts";
 import type { Choice } from "./choose.ts";
@@ -136,6 +137,7 @@
         this.#continueWith(send);
         await this.#writer.writeEvents(send, part);
         send.idleSinceMs = this.#nowMs;
+        this.#runs.delivered(send);
         return undefined;
       case "stream_end":
         this.#continueWith(send);
@@ -194,6 +196,10 @@
       if (nowMs < movedCloseDeadlineMs(send)) return;
       return this.#endRun(send, { kind: "moved", choice: move.choice });
     }
+    if (this.#runs.isCrashLikely(send)) {
+      // Closing the connection cancels the request before the engine answers it.
+      return this.#endRun(send, closedEnd(send, CloseReason.partQuarantined));
+    }
     if (send.answer) return;
     if (nowMs >= startDeadlineMs(send, { wanted: this.#parts.wanted, nowMs })) {
       // Closing the connection cancels the request before the engine starts it.
@@ -242,9 +248,10 @@
     if (this.#isQuarantined()) return ResendRefusal.quarantined;
     const chosen = gate.choose(request, progress, this.#runs.servers);
     const choice = chosen instanceof Promise ? await chosen : chosen;
-    if (!choice || sink.gone) {
+    const isQuarantined = chosen instanceof Promise && this.#isQuarantined();
+    if (!choice || sink.gone || isQuarantined) {
       if (choice) gate.giveBack(choice);
-      return ResendRefusal.noServer;
+      return isQuarantined ? ResendRefusal.quarantined : ResendRefusal.noServer;
     }
     const unsent = this.#sendTo(choice);
     if (unsent) gate.giveBack(choice);
@@ -281,18 +288,9 @@
   #isQuarantined(): boolean {
     const { request, progress } = this.#task;
     const verdict = this.#parts.quarantine.verdict(request);
-    switch (verdict.kind) {
-      case "clear":
-        return false;
-      case "suspected":
-        progress.endedServers = verdict.endCount;
-        return false;
-      case "quarantined":
-        progress.endedServers = verdict.endCount;
-        progress.quarantinedForMs = verdict.leftMs;
-        this.#reason = RefusalReason.quarantined;
-        return true;
-    }
+    const reason = applyVerdict(verdict, progress);
+    this.#reason = reason ?? this.#reason;
+    return reason !== undefined;
   }
 
   /** Handles a send that ended without a complete response. */
--- a/src/router/request_log.ts
+++ b/src/router/request_log.ts
@@ -86,6 +86,7 @@
       tookMs: round(this.#clock.nowMs() - request.arrivedAtMs),
       timeMs: round(request.answerByMs - request.arrivedAtMs),
       endedServers: result.endedServers,
+      quarantinedPart: result.quarantinedPart,
       promptTokens: request.facts.prompt?.promptTokens,
       parts: isAnswered ? undefined : partIds(request.facts),
       copyFrom: isAnswered ? undefined : result.copyFrom,
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -28,7 +28,6 @@
 import { otherSeeds, type RouterSettings } from "./settings.ts";
 import { sweepServers } from "./sweep.ts";
 import { createStore } from "./store_client.ts";
-import { SUSPECT_RECORD_KEY, SuspectRecord } from "../suspects/mod.ts";
 import { WantedVersions } from "./wanted_weights.ts";
 import { PUBLISH_TIMES_KEY, readVersionAges } from "./publish_times_record.ts";
 import { rollRecords } from "./roll_records.ts";
@@ -58,7 +57,6 @@
   readonly #store: PlatformStore;
   readonly #follower: StoreFollower;
   readonly #quarantine: Quarantine;
-  readonly #suspectRecord: SuspectRecord;
   readonly #quotas: Quotas;
   readonly #lag: LoopLag;
   readonly #fleet: Fleet;
@@ -88,12 +86,7 @@
     this.#quarantine = Quarantine.create({
       ...this.#parts(),
       entryCount: () => this.#network.gossip.count,
-    });
-    this.#suspectRecord = SuspectRecord.create({
-      ...this.#parts(),
-      source: this.#quarantine,
-      record: () => this.#mirror.entry(SUSPECT_RECORD_KEY),
-      isStoreServing: () => this.#follower.contact.connected,
+      isResponsibleFor: (part) => this.#network.permits.grantsFor(part),
     });
     this.#quotas = Quotas.create({
       ...this.#parts(),
@@ -105,8 +98,8 @@
     this.#records = ServerRecords.create({
       ...this.#parts(),
       fleet: this.#fleet,
+      quarantine: this.#quarantine,
       isWriterOf: (key) => this.#network.permits.grantsFor(key),
-      isStoreServing: () => this.#follower.contact.connected,
     });
     this.#state = EffectiveState.create({
       log: this.#log,
@@ -119,8 +112,7 @@
           this.#mirror.entry(PUBLISH_TIMES_KEY),
           this.#clock.wallMs(),
         ),
-      onSuspectRecord: () => this.#suspectRecord.loadStored(),
-      onServerRecord: (key) => this.#records.onWritten(key),
+      onRecord: (key) => this.#records.onWritten(key),
       onConfig: ({ workspaces }) => {
         this.#ingress.applyLimits();
         this.#quotas.setLimits(workspaces);
@@ -214,6 +206,7 @@
       log: this.#log,
       metrics: this.#metrics,
       random: this.#random,
+      isStoreServing: () => this.#follower.contact.connected,
       coalesceMs: () =>
         coalesceDelayMs(this.#network.gossip.count, this.#settings.heartbeatMs),
     };
@@ -329,7 +322,6 @@
     lifecycle.task("seeds", (sig) => this.#relay.pollUntilSynced(seeds, sig));
     lifecycle.task("registration", (signal) => this.#registration.run(signal));
     lifecycle.task("roll", (signal) => this.#roll.run(signal));
-    lifecycle.task("suspects", (signal) => this.#suspectRecord.run(signal));
     lifecycle.task("records", (signal) => this.#records.run(signal));
     const { contact } = this.#follower;
     const sweepOptions = { ...this.#parts(), contact, fleet: this.#fleet };
--- a/src/router/server_end_detector.ts
+++ b/src/router/server_end_detector.ts
@@ -18,13 +18,15 @@
  * it was inconclusive.
  */
 const INCONCLUSIVE_MS = 5000;
-/** Maximum number of lost requests recorded per server. */
-const MAX_LOST_REQUESTS = 64;
+/** Maximum number of lost requests recorded per server; more than servers usually run at a time. */
+const MAX_LOST_REQUESTS = 256;
 
 /** A request whose connection was lost before its answer was complete. */
 export interface LostRequest {
   requestId: string;
   digest: string;
+  /** Ids of the parts of its prompt that may have crashed the server. */
+  parts: readonly string[];
   /** Time since the server started to answer; undefined if it had not started. */
   answeringMs?: number;
   /** When the connection was lost. */
--- a/src/router/server_records.ts
+++ b/src/router/server_records.ts
@@ -1,10 +1,12 @@
-/** What the platform's store records about servers, beside their registrations. */
+/** What the platform's store records about servers, beside their registrations, and what ends them. */
 import type { Clock, Logger } from "../base/mod.ts";
 import type { KeyValueStore } from "../store/store.ts";
 import type { Fleet } from "./fleet.ts";
 import type { StoreMirror } from "./mirror.ts";
 import { RATE_RECORD_PREFIX, RateRecord } from "./rate_record.ts";
+import type { Quarantine } from "./quarantine.ts";
 import { SOFTWARE_RECORD_PREFIX, SoftwareRecord } from "./software_record.ts";
+import { SuspectRecords } from "./suspect_records.ts";
 
 /** Dependencies of {@link ServerRecords}. */
 export interface ServerRecordsOptions {
@@ -12,6 +14,9 @@
   clock: Clock;
   log: Logger;
   fleet: Fleet;
+  quarantine: Quarantine;
+  /** Returns a number from 0 to 1. */
+  random: () => number;
   /** The local copy of the store. */
   mirror: StoreMirror;
   /** Whether this entry is the one responsible for a record, by its key or its server's key. */
@@ -20,19 +25,21 @@
   isStoreServing(): boolean;
 }
 
-/** The records of servers' rates and of services' software versions. */
+/** The records of servers' rates, of services' software versions, and of suspects. */
 export class ServerRecords {
   readonly rates: RateRecord;
   readonly #software: SoftwareRecord;
+  readonly #suspects: SuspectRecords;
 
   private constructor(options: ServerRecordsOptions) {
     const { versions } = options.fleet;
     this.rates = RateRecord.create(options);
     this.#software = SoftwareRecord.create({ ...options, versions });
+    this.#suspects = SuspectRecords.create(options);
   }
 
   /**
-   * @param options Store, servers, and which records this entry writes.
+   * @param options Store, servers, suspects, and which records this entry writes.
    * @returns Records that are updated once {@link run} is called.
    */
   static create(options: ServerRecordsOptions): ServerRecords {
@@ -41,6 +48,7 @@
 
   /** @param key Key that was written; ignored if it is no such record's. */
   onWritten(key: string): void {
+    this.#suspects.onWritten(key);
     if (key.startsWith(RATE_RECORD_PREFIX)) this.rates.onWritten(key);
     if (key.startsWith(SOFTWARE_RECORD_PREFIX)) this.#software.onWritten(key);
   }
@@ -51,6 +59,10 @@
    * @param signal Stops the updates.
    */
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.rates.run(signal), this.#software.run(signal)]);
+    await Promise.all([
+      this.rates.run(signal),
+      this.#software.run(signal),
+      this.#suspects.run(signal),
+    ]);
   }
 }
--- a/src/standin/platform_client.ts
+++ b/src/standin/platform_client.ts
@@ -130,11 +130,13 @@
   timeMs?: number;
   /** Number of the prompt; only requests with the same number share a prompt prefix. */
   prompt?: number;
+  /** Parts of the prompt, each as `id:tokens`. */
+  parts?: readonly string[];
 }
 
 /** @returns Request headers for these properties. */
 export function toRequestHeaders(
-  { id, timeMs, prompt }: RequestOverrides,
+  { id, timeMs, prompt, parts }: RequestOverrides,
 ): Record<string, string> {
   return {
     ...(id === undefined ? {} : { "attempt-id": id }),
@@ -142,6 +144,7 @@
     ...(prompt === undefined
       ? {}
       : { "prompt-prefix": `a${prompt}:1000,b${prompt}:200` }),
+    ...(parts === undefined ? {} : { "prompt-prefix": parts.join(",") }),
   };
 }
 
--- a/src/suspects/suspect_record.ts
+++ b/src/suspects/suspect_record.ts
@@ -6,15 +6,12 @@
 import type { Clock, Logger } from "../base/mod.ts";
 import { readJson } from "../lease/mod.ts";
 import type { KeyValueEntry, KeyValueStore } from "../store/store.ts";
-import {
-  MIN_SHARED_ENDS,
-  type ServerEnd,
-  type Suspect,
-  type SuspectTable,
-} from "./suspect_table.ts";
-
-/** Key of the record in the store. */
+import type { ServerEnd, Suspect, SuspectList } from "./suspect.ts";
+
+/** Key of the record of suspected requests in the store. */
 export const SUSPECT_RECORD_KEY = "cicadahitch/suspects";
+/** Key of the record of suspected parts of prompts in the store. */
+export const PART_RECORD_KEY = "cicadahitch/suspect-parts";
 /** Interval at which the record is checked and, if outdated, written. */
 const CHECK_INTERVAL_MS = 500;
 /**
@@ -43,9 +40,9 @@
   ends: EndRow[];
 }
 
-/** A process's suspected requests, as a {@link SuspectRecord} reads and updates them. */
+/** A process's suspects, as a {@link SuspectRecord} reads and updates them. */
 export interface SuspectSource {
-  readonly table: SuspectTable;
+  readonly table: SuspectList;
   /** Whether this process itself observed changes that the record may not contain yet. */
   readonly hasUnrecordedChanges: boolean;
   /** Adds a server end that another process observed. */
@@ -56,6 +53,10 @@
 
 /** Dependencies of a {@link SuspectRecord}. */
 export interface SuspectRecordOptions {
+  /** Key of the record in the store. */
+  key: string;
+  /** Number of server ends from which a suspect is persisted. */
+  minEnds: number;
   store: Pick<KeyValueStore, "commit">;
   clock: Clock;
   log: Logger;
@@ -128,9 +129,9 @@
    * @returns False if the write failed.
    */
   async update(): Promise<boolean> {
-    const { source, record, isStoreServing, clock } = this.#options;
+    const { source, record, isStoreServing, clock, minEnds } = this.#options;
     const known = [...readRows(record()?.value), ...this.#written];
-    const serious = source.table.suspects(MIN_SHARED_ENDS).slice(0, MAX_ROWS);
+    const serious = source.table.suspects(minEnds).slice(0, MAX_ROWS);
     if (!this.#isDue(known, serious)) return true;
     if (!isStoreServing()) return true;
     this.#outdatedSinceMs = undefined;
@@ -140,7 +141,7 @@
   #isDue(known: SuspectRow[], serious: Suspect[]): boolean {
     const { clock, source, random } = this.#options;
     const isOutdated = isMissingAny(known, serious) ||
-      known.some(({ digest }) => this.#isCleared(digest));
+      known.some(({ digest }) => source.table.isCleared(digest));
     if (!isOutdated) {
       this.#outdatedSinceMs = undefined;
       return false;
@@ -152,14 +153,8 @@
       OTHER_WRITER_WAIT_MS * (1 + random());
   }
 
-  #isCleared(digest: string): boolean {
-    const { table } = this.#options.source;
-    return table.clearedAtMs(digest) !== undefined &&
-      table.verdict(digest).kind === "clear";
-  }
-
   async #write(serious: Suspect[], wallOffsetMs: number): Promise<boolean> {
-    const { store, record, log, source } = this.#options;
+    const { store, record, log, source, key } = this.#options;
     const modRevision = record()?.modRevision ?? 0n;
     const rows = serious.map(({ digest, ends }): SuspectRow => ({
       digest,
@@ -167,15 +162,15 @@
     }));
     const value = new TextEncoder().encode(JSON.stringify({ rows }));
     const committed = await store.commit(
-      [{ key: SUSPECT_RECORD_KEY, modRevision }],
-      [{ kind: "put", key: SUSPECT_RECORD_KEY, value }],
+      [{ key, modRevision }],
+      [{ kind: "put", key, value }],
     );
     const isWritten = committed.isOk && committed.value.kind === "committed";
     if (isWritten) {
       this.#written = rows;
       source.markRecorded();
     }
-    log.info({ event: "suspects_recorded", rows: rows.length, isWritten });
+    log.info({ event: "suspects_recorded", key, rows: rows.length, isWritten });
     return isWritten;
   }
 }
--- a/src/suspects/suspect_table.ts
+++ b/src/suspects/suspect_table.ts
@@ -7,6 +7,7 @@
  */
 import type { Clock } from "../base/mod.ts";
 import { LRUMap } from "../placement/lru_map.ts";
+import type { ServerEnd, Suspect, SuspectList } from "./suspect.ts";
 
 /** Number of server ends at which a request is quarantined. */
 export const ENDS_TO_QUARANTINE = 3;
@@ -27,24 +28,6 @@
 /** Maximum number of suspects; those with the fewest, then the oldest, ends are evicted. */
 const MAX_SUSPECTS = 1024;
 
-/** The end (termination) of a server that was handling a request. */
-export interface ServerEnd {
-  /** Id and incarnation of the server. */
-  server: string;
-  /** Time for which the server had been answering; omitted if it had not begun to answer. */
-  answeringMs?: number;
-  /** When the server ended, by this process's monotonic clock. */
-  atMs: number;
-  /** Time since the request was sent to the server. */
-  runMs: number;
-}
-
-/** A suspected request and its server ends. */
-export interface Suspect {
-  digest: string;
-  ends: readonly ServerEnd[];
-}
-
 /** Assessment of a request. */
 export type Verdict =
   | { kind: "clear" }
@@ -63,7 +46,7 @@
 }
 
 /** Table of suspected requests. */
-export class SuspectTable {
+export class SuspectTable implements SuspectList {
   readonly #clock: Clock;
   readonly #suspects = new Map<string, Row>();
   /** When requests were last answered successfully; earlier ends don't count. */
@@ -150,6 +133,11 @@
       : { kind: "suspected", endCount };
   }
 
+  isCleared(digest: string): boolean {
+    return this.clearedAtMs(digest) !== undefined &&
+      this.verdict(digest).kind === "clear";
+  }
+
   /**
    * @param minEnds Minimum number of server ends.
    * @returns Requests with at least that many ends, those with the most ends first.
