Tell other entries of a server that crashed during a request

Cause: an entry that finds a server refusing connections tells the others, but one that finds by its probe that a server has crashed kept that to itself. Change: it tells them in the next datagram, as for a refused connection. Ruled out: not counting refused connections as sends, which leaves each entry to find each dead server by itself.

--- a/src/router/_suspect_simulation.ts
+++ b/src/router/_suspect_simulation.ts
@@ -118,6 +118,7 @@
       metrics: Metrics.create(),
       entryCount: () => entryCount,
       isResponsibleFor: () => true,
+      onServerEnded: () => {},
     });
     const records = SuspectRecords.create({
       store: { commit: (expect, writes) => this.#commit(expect, writes) },
--- a/src/router/dead_server_gossip_test.ts
+++ b/src/router/dead_server_gossip_test.ts
@@ -1,6 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { sendClientRequest, StandinBackendServer } from "../standin/mod.ts";
+import {
+  MODEL_REQUEST_HEADERS,
+  NO_FAULTS,
+  sendClientRequest,
+  StandinBackendServer,
+} from "../standin/mod.ts";
 import { openWorld, stateContains, until } from "./_world.ts";
 
 /*
@@ -36,3 +41,17 @@
   assert.equal((await sendClientRequest(near!, "/look/a")).status, 503);
   await until(() => stateContains(far!, '"isDown":true'));
 });
+
+test("server that crashed during a request is avoided by all entries", async (t) => {
+  const world = await openWorld(t, { entryCount: 2 });
+  const [near, far] = world.entries;
+  const faults = { ...NO_FAULTS, endOnTarget: "/once/a" };
+  const server = await world.worker("i-1", { model: "m", faults });
+  await until(() =>
+    world.entries.every((entry) => stateContains(entry, '"i-1"'))
+  );
+  await until(() => stateContains(near!, '"entries":2'));
+  await sendClientRequest(near!, "/once/a", MODEL_REQUEST_HEADERS);
+  assert.equal(server.runs.length, 1);
+  await until(() => stateContains(far!, '"isDown":true'));
+});
