Crash servers by a part of prompts in the soak

Change: in six of ten plans a part crashes each engine that begins to answer it, from 2 to 3.5 s on; the engine is back after 2 s. Two oracles, each with a test that breaks it: no more than three requests with the part reach servers later than 3 s after the fifth crash, and streams without it begin at least half as often as before.

--- a/src/proof/_soak.ts
+++ b/src/proof/_soak.ts
@@ -3,6 +3,7 @@
 import { seededRandom } from "../base/random.ts";
 import { attemptIdOf } from "../standin/mod.ts";
 import { runClient } from "./_soak_client.ts";
+import { CRASHING_PART, sendCrashingRequests } from "./_soak_crash_client.ts";
 import { type SoakEntry, SoakFleet } from "./_soak_fleet.ts";
 import {
   type ClientEnd,
@@ -47,17 +48,16 @@
  * @returns Broken promises, and what happened.
  */
 export async function runSoak(plan: SoakPlan): Promise<SoakResult> {
-  const fleet = await SoakFleet.create(plan);
-  const run = new SoakRun(fleet, plan);
+  const run = new SoakRun(plan);
   try {
     return await run.run();
   } finally {
-    await fleet.close();
+    await run.close();
   }
 }
 
 class SoakRun {
-  readonly #fleet: SoakFleet;
+  #fleet!: SoakFleet;
   readonly #plan: SoakPlan;
   readonly #history: SoakHistory = {
     clients: [],
@@ -68,18 +68,24 @@
     rates: [],
     disruptions: [],
     restarts: [],
+    crashingRequests: [],
+    crashes: [],
   };
   /** Entries that are stopped, killed or suspended now; a further such fault leaves them alone. */
   readonly #disrupted = new Set<SoakEntry>();
   #startedAtMs = 0;
 
-  constructor(fleet: SoakFleet, plan: SoakPlan) {
-    this.#fleet = fleet;
+  constructor(plan: SoakPlan) {
     this.#plan = plan;
   }
 
   async run(): Promise<SoakResult> {
     const { durationMs, faults } = this.#plan;
+    this.#fleet = await SoakFleet.create(this.#plan, {
+      onCrash: (index) => this.#crashed(index),
+      onReturn: (index) =>
+        this.#serve(index, this.#fleet.servers[index]!.softwareVersion),
+    });
     const ended = new AbortController();
     this.#startedAtMs = performance.now();
     for (const [index, { softwareVersion }] of this.#fleet.servers.entries()) {
@@ -103,6 +109,18 @@
     };
   }
 
+  /** Ends all processes and stand-ins. */
+  async close(): Promise<void> {
+    await this.#fleet?.close();
+  }
+
+  #crashed(server: number): void {
+    const atMs = performance.now();
+    this.#endServing(server);
+    this.#history.restarts.push({ server, atMs });
+    this.#history.crashes.push({ server, atMs });
+  }
+
   #startClients(entry: SoakEntry, signal: AbortSignal): Promise<void>[] {
     return Array.from({ length: CLIENTS_PER_ENTRY }, (_, i) => {
       const name = `c${entry.index}-${i}`;
@@ -171,6 +189,12 @@
         return;
       case FaultKind.config:
         return await this.#fleet.writeConfig();
+      case FaultKind.crashingPart: {
+        this.#fleet.crashOn(CRASHING_PART);
+        const random = seededRandom(this.#plan.seed);
+        const { crashingRequests: records } = this.#history;
+        return await sendCrashingRequests({ entries, random, records, forMs });
+      }
     }
   }
 
--- a/src/proof/_soak_fleet.ts
+++ b/src/proof/_soak_fleet.ts
@@ -24,6 +24,8 @@
 const EVENT_MS = 30;
 /** Time from an engine's announcement that it leaves to its end. */
 const DRAIN_MS = 2500;
+/** Time after which a crashed server is back. */
+const RETURN_MS = 2000;
 
 /** One entry; its process changes when it starts again. */
 export interface SoakEntry {
@@ -35,6 +37,12 @@
   child: Child;
 }
 
+/** Is told of servers that crash and come back. */
+export interface CrashWatcher {
+  onCrash(index: number): void;
+  onReturn(index: number): void;
+}
+
 /** Entries, servers and store of a soak. */
 export class SoakFleet {
   readonly entries: SoakEntry[] = [];
@@ -48,6 +56,13 @@
     control: number;
     peer: number;
   };
+  /** Servers that have crashed and are not back. */
+  readonly #crashed = new Set<StandinBackendServer>();
+  readonly #watcher: CrashWatcher;
+  /** Restarts in progress; those of one server happen one after the other. */
+  readonly #restarts = new Map<StandinBackendServer, Promise<void>>();
+  /** Part of prompts that crashes engines; undefined: none. */
+  #crashingPart: string | undefined;
   #configVersion = 1;
   #isClosed = false;
   /** The entries must not outlive this process. */
@@ -55,8 +70,12 @@
     for (const { child } of this.entries) child.kill("SIGKILL");
   };
 
-  private constructor(store: StandinPlatformStore) {
+  private constructor(
+    store: StandinPlatformStore,
+    watcher: CrashWatcher,
+  ) {
     this.store = store;
+    this.#watcher = watcher;
     process.on("exit", this.#killAll);
     const first = FIRST_PORT +
       (process.pid % PORT_BLOCKS) * PORTS_PER_PROCESS;
@@ -70,10 +89,14 @@
 
   /**
    * @param sizes Numbers of entries and servers; every other server is a model engine.
+   * @param watcher Is told of crashes.
    * @returns A fleet whose entries are ready.
    */
-  static async create(sizes: SoakSizes): Promise<SoakFleet> {
-    const fleet = new SoakFleet(await StandinPlatformStore.create());
+  static async create(
+    sizes: SoakSizes,
+    watcher: CrashWatcher,
+  ): Promise<SoakFleet> {
+    const fleet = new SoakFleet(await StandinPlatformStore.create(), watcher);
     await fleet.store.putConfig(CONFIG);
     for (let i = 0; i < sizes.serverCount; i++) await fleet.#addServer(i);
     for (let i = 0; i < sizes.entryCount; i++) await fleet.#addEntry(i);
@@ -93,9 +116,7 @@
 
   /** @param index Server that restarts and registers again. */
   async restartServer(index: number): Promise<void> {
-    const server = this.servers[index]!;
-    await server.restart();
-    await this.#register(server);
+    await this.#restart(this.servers[index]!);
   }
 
   /**
@@ -105,10 +126,13 @@
    * @param softwareVersion Its software version from now on.
    */
   async restartWith(index: number, softwareVersion: string): Promise<void> {
-    const server = this.servers[index]!;
-    await server.down();
-    server.softwareVersion = softwareVersion;
-    await this.restartServer(index);
+    await this.#restart(this.servers[index]!, softwareVersion);
+  }
+
+  /** @param part Part of prompts that crashes the engines from now on. */
+  crashOn(part: string): void {
+    this.#crashingPart = part;
+    for (const { faults } of this.servers) faults.endOnPart = part;
   }
 
   /**
@@ -134,6 +158,8 @@
     if (this.#isClosed) return;
     await this.store.delete(`servers/${server.id}`);
     onEnd();
+    this.#crashed.delete(server);
+    await this.#restarts.get(server);
     await server.close();
   }
 
@@ -147,6 +173,7 @@
   /** Ends all processes and stand-ins. */
   async close(): Promise<void> {
     this.#isClosed = true;
+    await Promise.all(this.#restarts.values());
     process.off("exit", this.#killAll);
     for (const { child } of this.entries) {
       // A suspended process would not end.
@@ -171,11 +198,44 @@
     softwareVersion: string,
   ): Promise<StandinBackendServer> {
     const engine = { model: "m", events: EVENTS, eventMs: EVENT_MS };
-    return StandinBackendServer.create({
+    const endOnPart = this.#crashingPart;
+    const server = StandinBackendServer.create({
       id,
       ...(isEngine(index) ? { ...engine, softwareVersion } : {}),
-      faults: { ...NO_FAULTS, lateMs: CALL_MS },
+      faults: { ...NO_FAULTS, lateMs: CALL_MS, endOnPart },
+      onCrash: () => void server.then((one) => this.#returnLater(index, one)),
+    });
+    return server;
+  }
+
+  async #returnLater(
+    index: number,
+    server: StandinBackendServer,
+  ): Promise<void> {
+    this.#crashed.add(server);
+    this.#watcher.onCrash(index);
+    await new Promise((resolve) => setTimeout(resolve, RETURN_MS));
+    if (!this.#crashed.has(server)) return;
+    await this.#restart(server);
+    if (this.servers[index] === server) this.#watcher.onReturn(index);
+  }
+
+  /** A restart that was asked for brings a crashed server back, too. */
+  async #restart(
+    server: StandinBackendServer,
+    softwareVersion?: string,
+  ): Promise<void> {
+    const before = this.#restarts.get(server) ?? Promise.resolve();
+    const restart = before.then(async () => {
+      if (this.#isClosed) return;
+      this.#crashed.delete(server);
+      await server.down();
+      server.softwareVersion = softwareVersion ?? server.softwareVersion;
+      await server.restart();
+      await this.#register(server);
     });
+    this.#restarts.set(server, restart);
+    await restart;
   }
 
   async #register(
--- a/src/proof/_soak_history.ts
+++ b/src/proof/_soak_history.ts
@@ -89,6 +89,20 @@
   atMs: number;
 }
 
+/** A request with the part of a prompt that crashes servers. */
+export interface CrashingRequest {
+  id: string;
+  /** Index of the entry to which it was sent. */
+  entry: number;
+  sentAtMs: number;
+}
+
+/** A crash of a server. */
+export interface ServerCrash {
+  server: number;
+  atMs: number;
+}
+
 /** Everything that happened in a soak; times by one monotonic clock. */
 export interface SoakHistory {
   clients: ClientRecord[];
@@ -101,6 +115,10 @@
   rates: NamedRate[];
   disruptions: Disruption[];
   restarts: ServerRestart[];
+  /** Requests that crash the servers which answer them. */
+  crashingRequests: CrashingRequest[];
+  /** Crashes of servers by such requests. */
+  crashes: ServerCrash[];
 }
 
 /** A broken promise. */
--- a/src/proof/_soak_oracles.ts
+++ b/src/proof/_soak_oracles.ts
@@ -8,6 +8,7 @@
   STABLE_MS,
   type Violation,
 } from "./_soak_history.ts";
+import { findCrashViolations } from "./_soak_crash_oracles.ts";
 import { findStreamViolations } from "./_soak_stream_oracles.ts";
 
 /** Statuses which promise that the request has not run and never will. */
@@ -31,6 +32,7 @@
     ...findCutRequests(history),
     ...findRateExcess(history),
     ...findStreamViolations(history),
+    ...findCrashViolations(history),
   ];
 }
 
--- a/src/proof/_soak_plan.ts
+++ b/src/proof/_soak_plan.ts
@@ -25,6 +25,8 @@
   release: "release",
   /** An engine restarts under its id with another software version. */
   versionRestart: "version_restart",
+  /** A part of prompts crashes the engines that answer them, and clients send such requests. */
+  crashingPart: "crashing_part",
 } as const;
 
 /** One of {@link FaultKind}. */
@@ -78,6 +80,13 @@
 const RELEASE_PAUSE_MS = 400;
 /** Added to the seed of a plan for its software versions. */
 const VERSIONS_SEED = 1_000_003;
+/** Added to the seed of a plan for its crashing part. */
+const CRASHING_PART_SEED = 2_000_003;
+/** Part of the plans that have a crashing part. */
+const CRASHING_PART_SHARE = 0.6;
+/** Earliest start of a crashing part, and time within which it starts. */
+const CRASHING_PART_FROM_MS = 2000;
+const CRASHING_PART_SPAN_MS = 1500;
 const RATES = [0.5, 1, 2, 5];
 /** Part of the changes of a rate that end it. */
 const END_RATE_SHARE = 0.3;
@@ -120,7 +129,7 @@
     if (atMs > sizes.durationMs - QUIET_END_MS) break;
     faults.push(...planFault(Math.round(atMs), random, sizes));
   }
-  faults.push(...planVersions(seed, sizes));
+  faults.push(...planVersions(seed, sizes), ...planCrashingPart(seed, sizes));
   return { ...sizes, seed, faults: faults.sort((a, b) => a.atMs - b.atMs) };
 }
 
@@ -167,6 +176,19 @@
   return faults.filter((fault) => fault.atMs <= endMs);
 }
 
+/** A part that crashes engines until the end, so that requests after its quarantine are seen. */
+function planCrashingPart(seed: number, { durationMs }: SoakSizes): Fault[] {
+  const random = seededRandom(seed + CRASHING_PART_SEED);
+  if (random() >= CRASHING_PART_SHARE) return [];
+  const atMs = CRASHING_PART_FROM_MS + random() * CRASHING_PART_SPAN_MS;
+  return [{
+    kind: FaultKind.crashingPart,
+    atMs: Math.round(atMs),
+    forMs: Math.round(durationMs - atMs),
+    index: 0,
+  }];
+}
+
 function planFault(
   atMs: number,
   random: () => number,
@@ -205,6 +227,7 @@
     case FaultKind.serverFails:
     case FaultKind.release:
     case FaultKind.versionRestart:
+    case FaultKind.crashingPart:
       return [{ kind, atMs, forMs, index: pick(serverCount) }];
   }
 }
--- a/src/proof/soak_oracles_test.ts
+++ b/src/proof/soak_oracles_test.ts
@@ -29,6 +29,8 @@
     rates: [],
     disruptions: [],
     restarts: [],
+    crashingRequests: [],
+    crashes: [],
     ...parts,
   };
 }
@@ -218,3 +220,77 @@
     [],
   );
 });
+
+const CRASHES = [0, 1, 2, 3, 4].map((i) => ({
+  server: i,
+  atMs: 20_000 + 100 * i,
+}));
+/** Longer after the fifth crash than a part may stay unknown. */
+const KNOWN_MS = 24_000;
+
+test("requests with a crashing part that reach servers late are counted from the fifth crash on", () => {
+  const crashingRequests = [0, 1, 2, 3].map((i) => ({
+    id: `bad-${i}`,
+    entry: 0,
+    sentAtMs: KNOWN_MS,
+  }));
+  const arrivals = crashingRequests.map(({ id }) => ({
+    requestId: id,
+    server: 5,
+    atMs: KNOWN_MS,
+  }));
+  const history = { clients: [], crashingRequests, arrivals };
+  const broken = ["crashing_part_is_stopped"];
+  assert.deepEqual(promisesBroken({ ...history, crashes: CRASHES }), broken);
+  const crashes = CRASHES.slice(1);
+  assert.deepEqual(promisesBroken({ ...history, crashes }), []);
+  assert.deepEqual(
+    promisesBroken({
+      ...history,
+      crashes: CRASHES,
+      arrivals: arrivals.slice(1),
+    }),
+    [],
+  );
+});
+
+test("streams that begin less than half as often while a part crashes servers are found", () => {
+  const at = (sentAtMs: number, status: number): ClientRecord[] =>
+    Array.from({ length: 20 }, (_, i) => ({
+      ...CLIENT,
+      id: `s-${sentAtMs}-${i}`,
+      sentAtMs,
+      endedAtMs: sentAtMs + 100,
+      end: { kind: "answered", status, isOwnAnswer: true },
+    }));
+  const historyWith = (status: number) => {
+    const clients = [...at(10_000, 200), ...at(27_000, status)];
+    return {
+      clients,
+      streams: clients.map(({ id }): StreamRecord => ({
+        id,
+        isWhole: true,
+        events: [],
+        attempts: [],
+      })),
+      versions: [0, 1].map((server) => ({
+        server,
+        softwareVersion: "v1",
+        fromMs: 0,
+        toMs: 20_000,
+      })),
+      crashes: CRASHES,
+      crashingRequests: [19_000, 30_000].map((sentAtMs) => ({
+        id: `bad-${sentAtMs}`,
+        entry: 0,
+        sentAtMs,
+      })),
+    };
+  };
+  const found = (status: number) =>
+    promisesBroken(historyWith(status)).filter((promise) =>
+      promise === "sound_requests_go_on"
+    );
+  assert.deepEqual(found(503), ["sound_requests_go_on"]);
+  assert.deepEqual(found(200), []);
+});
