--- a/src/proof/soak_oracles_test.ts
+++ b/src/proof/soak_oracles_test.ts
@@ -269,7 +269,7 @@
       clients,
       streams: clients.map(({ id }): StreamRecord => ({
         id,
-        isWhole: true,
+        isWhole: false,
         events: [],
         attempts: [],
       })),
