Forward answers and streams that end with their connection

What callers saw: 502 for each answer that has neither a length nor chunks, also after a request that may not be repeated had run.

Change: at the end of such a connection the router waits 20 ms and connects once more; if nothing listens, or the connection was reset, the answer is not whole: calls are run elsewhere or fail, streams are resumed or end broken. A stream that ends inside an event, or has none at all and no declared end, has broken off.

Ruled out: passing such an answer on in the same form, so that the client judges its end (it can't see the server); using the next answer on another connection of that server as its sign of life (it may have been sent before the crash, and there may be none). Left: a live server that cuts such an answer short and closes properly.

--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -115,10 +115,6 @@
     requestId: firstValue(headers, Header.requestId),
     signed: headers[Header.signature] !== undefined,
     encoded: encoding !== undefined && encoding !== "identity",
-    framed: status === 204 || status === 304 ||
-      headers["content-length"] !== undefined ||
-      // With any other transfer coding, the end of the connection ends the body.
-      /(^|,)\s*chunked\s*$/i.test(headers["transfer-encoding"] ?? ""),
     serverId: firstValue(headers, Header.serverId),
     weightsVersion: parseNonNegative(
       firstValue(headers, Header.weightsVersion),
--- a/src/router/answer_rules.ts
+++ b/src/router/answer_rules.ts
@@ -24,7 +24,6 @@
   if (facts.encoded) return "encoded_answer";
   const isSuccess = facts.status >= 200 && facts.status < 300;
   if (isSuccess && !facts.signed) return "unsigned_answer";
-  if (isSuccess && !facts.framed) return "unframed_answer";
   // These statuses tell a client that the request did not run, which the server has not confirmed.
   if ([408, 421, 429, 503].includes(facts.status)) {
     return `status_${facts.status}`;
--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -3,8 +3,11 @@
  * after a complete, well-framed response.
  */
 import type { IncomingHttpHeaders } from "node:http";
-import { connect, type Socket } from "node:net";
-import { type buildConnector, Client, type Dispatcher } from "undici";
+import type { Socket } from "node:net";
+import { Client, type Dispatcher } from "undici";
+import { dial, type DialOptions } from "./dial.ts";
+import { isFramed } from "./framing.ts";
+import { isAliveAfterEnd } from "./try_connect.ts";
 import { WakeSignal } from "./wake_signal.ts";
 
 /** A request to send over a channel. */
@@ -34,11 +37,10 @@
 export type AnswerStep =
   | { kind: "head"; head: AnswerHead }
   | { kind: "data"; bytes: Buffer }
-  | { kind: "end" }
+  /** `isFramed`: a length or chunks declared the end; otherwise the end of the connection did. */
+  | { kind: "end"; isFramed: boolean }
   | { kind: "failed"; failure: ChannelFailure };
 
-/** With less lag than this, the process has read everything that has arrived. */
-const MIN_LAG_MS = 50;
 /** Unread bytes of a response above which reading from the connection is paused (backpressure). */
 const MAX_UNREAD_BYTES = 64 * 1024;
 
@@ -50,6 +52,7 @@
   #unreadBytes = 0;
   readonly #wake: WakeSignal;
   #aborted: Error | undefined;
+  #isFramed = false;
   #sent = false;
   #done = false;
 
@@ -105,6 +108,7 @@
     headers: IncomingHttpHeaders,
   ): void {
     if (status < 200) return;
+    this.#isFramed = isFramed(status, headers);
     this.#push({ kind: "head", head: { status, headers } });
   }
 
@@ -118,11 +122,23 @@
   }
 
   onResponseEnd(): void {
-    this.#end(
+    if (this.#channel.wasReset) {
       // A body without a length ends when the connection closes; after a reset it may be incomplete.
-      this.#channel.wasReset
-        ? failed("broken", "Connection reset before the end")
-        : { kind: "end" },
+      this.#end(failed("broken", "Connection reset before the end"));
+    } else if (this.#isFramed) {
+      this.#end({ kind: "end", isFramed: true });
+    } else {
+      void this.#endWithConnection();
+    }
+  }
+
+  /** A server that crashes may close its connections like one that has finished its response. */
+  async #endWithConnection(): Promise<void> {
+    const isAlive = await this.#channel.isServerAlive();
+    this.#end(
+      isAlive
+        ? { kind: "end", isFramed: false }
+        : failed("broken", "server_ended"),
     );
   }
 
@@ -158,6 +174,7 @@
 /** One connection, opened by its first request and reopened after the server has closed it. */
 export class Channel {
   readonly #client: Client;
+  readonly #address: string;
   readonly #onRelease: (channel: Channel, isReusable: boolean) => void;
   #wasReset = false;
 
@@ -166,6 +183,7 @@
     onRelease: (channel: Channel, isReusable: boolean) => void,
   ) {
     this.#onRelease = onRelease;
+    this.#address = options.address;
     this.#client = new Client(`http://${options.address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -201,6 +219,11 @@
     return exchange;
   }
 
+  /** @returns Whether the server has not ended with the connection. */
+  isServerAlive(): Promise<boolean> {
+    return isAliveAfterEnd(this.#address);
+  }
+
   /** @param isReusable Whether the connection may carry another request. */
   release(isReusable: boolean): void {
     this.#onRelease(this, isReusable);
@@ -222,14 +245,9 @@
 }
 
 /** Settings of the connections to one server. */
-export interface ChannelOptions {
-  /** `ip:port`. */
-  address: string;
-  connectMs: number;
+export interface ChannelOptions extends DialOptions {
   /** Time after which an idle connection is closed, unless the server announces a shorter one. */
   idleMs: number;
-  /** How long arrived data waits until this process reads it; defaults to 0. */
-  lagMs?: () => number;
 }
 
 /** All connections to one server. */
@@ -288,42 +306,6 @@
   }
 }
 
-/** Replaces undici's connector, which checks its timeouts only every half second. */
-function dial(
-  { address, connectMs, lagMs }: ChannelOptions,
-  callback: buildConnector.Callback,
-): void {
-  const at = address.lastIndexOf(":");
-  const host = address.slice(0, at);
-  const port = Number(address.slice(at + 1));
-  const socket = connect({ host, port, noDelay: true });
-  let timer: NodeJS.Timeout;
-  const wait = (ms: number) => {
-    timer = setTimeout(() => {
-      // While this process lags, the connection may be established without being noticed yet.
-      const currentLagMs = lagMs?.() ?? 0;
-      if (currentLagMs > MIN_LAG_MS) wait(currentLagMs);
-      else socket.destroy(new ConnectTimeout());
-    }, ms);
-  };
-  wait(connectMs);
-  const fail = (error: Error) => {
-    clearTimeout(timer);
-    callback(error, null);
-  };
-  socket.once("error", fail);
-  socket.once("connect", () => {
-    clearTimeout(timer);
-    socket.off("error", fail);
-    callback(null, socket);
-  });
-}
-
-class ConnectTimeout extends Error {
-  override readonly name = "ConnectTimeout";
-  readonly code = "CONNECT_TIMEOUT";
-}
-
 class ExchangeAborted extends Error {
   override readonly name = "ExchangeAborted";
 }
--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -53,6 +53,7 @@
   answer_without_head: "the server sent a body without a head",
   client_gone: "its client disconnected before it was served",
   cut_event: "the stream ended in the middle of an event",
+  empty_stream: "the stream ended without any event",
   encoded_answer: "the server encoded a body that nobody asked it to encode",
   events_out_of_order: "the server sent events that don't follow the last one",
   expired: "its deadline had passed before the entry handled it",
@@ -74,11 +75,12 @@
   part_quarantined:
     "five servers or more had ended while running requests with a part of its prompt, so the part is in quarantine",
   run_stopped: "the run was stopped to move it, and could not be copied",
+  server_ended:
+    "the server's answer had no length and ended with its connection as the server crashed",
   shutdown: "the entry's shutdown left it no more time",
   stopping: "the entry was stopping",
   too_large: "the body exceeded the configured limit",
   too_late: "its answer would have been late, so it was refused at once",
-  unframed_answer: "the server's answer had no length and may be truncated",
   unknown_key: "no workspace has the key",
   unknown_route: "no route matches its host and path",
   unsigned_answer: "the server did not sign its answer",
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -125,7 +125,7 @@
     const { body, facts } = answer;
     switch (body.kind) {
       case "stream":
-        if (step.kind === "end") return endOfStream(body);
+        if (step.kind === "end") return endOfStream(send, body, step);
         send.firstEventAtMs ??= nowMs;
         return this.#handleEvents(send, body.splitter.push(step.bytes));
       case "whole":
@@ -235,10 +235,17 @@
 }
 
 function endOfStream(
+  { firstEventAtMs, progress }: Send,
   { splitter }: Extract<PartialBody, { kind: "stream" }>,
+  { isFramed }: Extract<AnswerStep, { kind: "end" }>,
 ): AnswerPart {
-  return splitter.remainder.length > 0
-    ? over({ kind: "unknown", reason: "cut_event", isBroken: true })
+  if (splitter.remainder.length > 0) {
+    return over({ kind: "unknown", reason: "cut_event", isBroken: true });
+  }
+  const isEmpty = firstEventAtMs === undefined &&
+    progress.lastEventId === undefined;
+  return isEmpty && !isFramed
+    ? over({ kind: "unknown", reason: "empty_stream", isBroken: true })
     : { kind: "stream_end" };
 }
 
--- a/src/router/server_end_detector.ts
+++ b/src/router/server_end_detector.ts
@@ -4,13 +4,9 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Clock } from "../base/mod.ts";
-import { tryConnect } from "./probe.ts";
 import type { Server } from "./server.ts";
+import { CRASH_SETTLE_MS, tryConnect } from "./try_connect.ts";
 
-/**
- * Delay before the probe, in which other connections to an ended server break and its port closes.
- */
-const PROBE_DELAY_MS = 20;
 /** Minimum time between probes of one server, which may reset many connections and stay alive. */
 const MIN_PROBE_INTERVAL_MS = 200;
 /**
@@ -105,7 +101,7 @@
   async #probe(server: Server, pending: PendingProbe): Promise<void> {
     const { clock } = this.#options;
     const sinceMs = clock.nowMs() - (this.#probedAtMs.get(server) ?? -Infinity);
-    await sleep(Math.max(PROBE_DELAY_MS, MIN_PROBE_INTERVAL_MS - sinceMs));
+    await sleep(Math.max(CRASH_SETTLE_MS, MIN_PROBE_INTERVAL_MS - sinceMs));
     this.#probedAtMs.set(server, clock.nowMs());
     const outcome = await tryConnect(server.entry.address);
     if (this.#pending.get(server) !== pending) return;
--- a/src/standin/_platform_stream.ts
+++ b/src/standin/_platform_stream.ts
@@ -40,6 +40,15 @@
   response.once("close", () => clearTimeout(timer));
 }
 
+/**
+ * Lets the end of the connection end a stream, in place of chunks.
+ *
+ * @param response Response whose headers were not sent yet.
+ */
+export function omitLength(response: ServerResponse): void {
+  response.removeHeader("transfer-encoding");
+}
+
 /**
  * Writes the events after the stream's last one.
  *
--- a/src/standin/backend_server_options.ts
+++ b/src/standin/backend_server_options.ts
@@ -56,7 +56,7 @@
   lateMs: number;
   /** Delay between the headers and the body of plain answers. */
   bodyLateMs: number;
-  /** Plain answers that are sent without a body length. */
+  /** Answers that are sent without a length or chunks. */
   unframed: number;
   /** Plain answers that carry the attempt id of another request. */
   foreign: number;
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -52,6 +52,12 @@
   StandinPlatformStore,
   type StandinPlatformStoreOptions,
 } from "./platform_store_server.ts";
+export {
+  headWithoutLength,
+  type RawResponder,
+  SEALED_HEAD,
+  StandinRawServer,
+} from "./raw_server.ts";
 export {
   type AttemptOptions,
   type MarkedEvent,
