Close new connections unread at an entry that is behind while others have room

What callers saw: with most new connections handed to one entry, it read each request and then refused it or served it late, while the others had room.

Cause: an entry decided about load only after it had read a request, and while connections wait to be accepted it serves one request in 32 turns of its loop. Change: an entry that has been behind for 0.5 s (accept backlog, lag of its loop or requests that wait in its queue: 50 ms and more), while at least half of the others tell in their datagrams that they are not, closes a share of its new connections before it reads from them, all from 150 ms on. While it does so it serves one request in four turns. Readiness stays; kept connections are served. Datagrams have the lag only if it is 25 ms or more.

Ruled out: pausing accept (clients wait a second for a connection); closing whenever the process is behind (if all are, a refusal with Retry-After tells more, and a try is lost); closing at once (pauses of the process would close connections).

--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -9,9 +9,10 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { Clock, Logger } from "../base/mod.ts";
+import type { Clock, Logger, Metrics } from "../base/mod.ts";
 import { readRequest, retryHeaders } from "../platform/mod.ts";
 import { shouldShed } from "./admission.ts";
+import { ConnectionGate } from "./connection_gate.ts";
 import { retryAfterMs } from "./dispatch.ts";
 import { Intake } from "./intake.ts";
 import type { LoopLag } from "./loop_lag.ts";
@@ -23,7 +24,9 @@
   RoutedRequest,
   ServeResult,
 } from "./request.ts";
-import type { RequestFacts, Route, ServiceShare } from "./model.ts";
+import type { RequestFacts, Route } from "./model.ts";
+import { headBytes } from "./head_bytes.ts";
+import { pickService } from "./pick_service.ts";
 import type { RoutingTable } from "./routing_table.ts";
 
 /** Maximum header size that the HTTP parser accepts; the configured limit is checked later. */
@@ -45,9 +48,12 @@
 export interface IngressOptions {
   clock: Clock;
   log: Logger;
+  metrics: Metrics;
   random: () => number;
   /** Event-loop lag of the process. */
   lag: Pick<LoopLag, "ms">;
+  /** Whether other entries have room for more requests. */
+  peersHaveRoom(): boolean;
   /** The configuration in force; undefined until the first one is loaded. */
   table(): RoutingTable | undefined;
   /** Time since the configuration was last confirmed to be the newest. */
@@ -63,6 +69,7 @@
 export class Ingress {
   readonly #options: IngressOptions;
   readonly #server: HttpServer;
+  readonly #gate: ConnectionGate;
   readonly #intake: Intake;
   /** Open connections, with the requests in flight on each. */
   readonly #connections = new Map<Socket, Map<ServerResponse, RequestFacts>>();
@@ -75,9 +82,11 @@
 
   private constructor(options: IngressOptions) {
     this.#options = options;
+    this.#gate = ConnectionGate.create(options);
     this.#intake = Intake.create({
       clock: options.clock,
       lagMs: () => options.lag.ms,
+      isClosing: () => this.#gate.isClosing,
     });
     this.#server = createServer(
       { maxHeaderSize: PARSED_HEADER_BYTES, noDelay: true, keepAlive: true },
@@ -90,7 +99,8 @@
       },
     );
     this.#server.requestTimeout = 0;
-    this.#server.on("connection", (socket) => this.#track(socket));
+    // Before Node's own listener, which reads from the connection.
+    this.#server.prependListener("connection", (socket) => this.#open(socket));
   }
 
   /**
@@ -108,6 +118,11 @@
     return count;
   }
 
+  /** Time that requests wait, or may wait, before they are served. */
+  get behindMs(): number {
+    return this.#intake.behindMs;
+  }
+
   /** End of the grace time for requests in flight; infinite unless a stop has begun. */
   get drainEndMs(): number {
     return this.#drainEndMs;
@@ -194,8 +209,12 @@
     }
   }
 
-  #track(socket: Socket): void {
+  #open(socket: Socket): void {
     this.#intake.accepted();
+    if (!this.#gate.admit(this.behindMs)) {
+      socket.resetAndDestroy();
+      return;
+    }
     this.#connections.set(socket, new Map());
     // Node closes no response that waits behind another one when its connection closes.
     socket.once("close", () => this.#connections.delete(socket));
@@ -326,20 +345,3 @@
 type Routed =
   | { kind: "routed"; route: Route; workspace?: RoutedRequest["workspace"] }
   | { kind: "refused"; why: "unknown_route" | "unknown_key" };
-
-/** Size in bytes of the request line and the header fields. */
-function headBytes({ method, url, rawHeaders }: IncomingMessage): number {
-  const line = `${method} ${url} HTTP/1.1\r\n`.length;
-  // Names and values alternate; each is followed by two more characters, ": " or CRLF.
-  return rawHeaders.reduce((sum, text) => sum + text.length + 2, line + 2);
-}
-
-function pickService(shares: ServiceShare[], random: () => number): string {
-  const total = shares.reduce((sum, { weight }) => sum + weight, 0);
-  let remaining = random() * total;
-  for (const { service, weight } of shares) {
-    remaining -= weight;
-    if (remaining < 0) return service;
-  }
-  return shares.at(-1)!.service;
-}
--- a/src/router/ingress_test.ts
+++ b/src/router/ingress_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
-import { type AddressInfo, connect, createServer } from "node:net";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { test } from "node:test";
-import { systemClock } from "../base/mod.ts";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Metrics, systemClock } from "../base/mod.ts";
 import { silentLog } from "./_kit.ts";
 import { Ingress } from "./ingress.ts";
 import { RequestKind } from "./model.ts";
@@ -35,16 +36,20 @@
 });
 
 /** An ingress whose requests are served until their client disconnects. */
-async function openIngress() {
+async function openIngress(
+  { lagMs = 0, peersHaveRoom = true, random = Infinity } = {},
+) {
   const answers: LocalAnswer[] = [];
   const served: string[] = [];
   const targets: string[] = [];
   const ingress = Ingress.create({
     clock: systemClock,
     log: silentLog,
-    // No request is shed, whatever the load of the computer.
-    random: () => Infinity,
-    lag: { ms: 0 },
+    // By default nothing is shed, whatever the load of the computer.
+    random: () => random,
+    lag: { ms: lagMs },
+    peersHaveRoom: () => peersHaveRoom,
+    metrics: Metrics.create(),
     table: () => TABLE,
     knowledgeAgeMs: () => 0,
     serve: async ({ facts }, sink) => {
@@ -61,7 +66,7 @@
   client.on("error", () => {});
   const ask = (target: string) =>
     client.write(`GET ${target} HTTP/1.1\r\nhost: a.example\r\n\r\n`);
-  return { ingress, client, ask, answers, served, targets };
+  return { ingress, client, ask, answers, served, targets, port };
 }
 
 // Guards against requests that end with the process and without a log line.
@@ -96,3 +101,51 @@
     });
   });
 }
+
+// Guards against reading requests that this entry can only refuse, while others could serve them.
+test("entry that stays behind closes new connections unread while others have room", async () => {
+  const { ingress, answers, targets, port } = await openIngress({
+    lagMs: 1000,
+    random: 0,
+  });
+  await connectUntilClosed(port);
+  const readCount = answers.length;
+  await askOnce(port);
+  assert.equal(answers.length, readCount);
+  assert.deepEqual(targets, []);
+  await ingress.close();
+});
+
+test("entry that stays behind reads and refuses requests if no other one has room", async () => {
+  const { ingress, answers, port } = await openIngress({
+    lagMs: 1000,
+    random: 0,
+    peersHaveRoom: false,
+  });
+  for (let i = 0; i < 50; i++) {
+    const client = await askOnce(port);
+    assert.ok(client.bytesRead > 0);
+    await sleep(20);
+  }
+  assert.equal(answers.filter((answer) => answer === "overloaded").length, 50);
+  await ingress.close();
+});
+
+/** Sends a request on a connection of its own and waits until it is answered or closed. */
+async function askOnce(port: number): Promise<Socket> {
+  const client = connect(port, "127.0.0.1");
+  client.on("error", () => {});
+  client.on("data", () => client.end());
+  client.write("GET /a HTTP/1.1\r\nhost: a.example\r\n\r\n");
+  await until(() => client.closed);
+  return client;
+}
+
+/** Asks again and again until a connection is closed unread. */
+async function connectUntilClosed(port: number): Promise<Socket> {
+  while (true) {
+    const client = await askOnce(port);
+    if (client.bytesRead === 0) return client;
+    await sleep(20);
+  }
+}
--- a/src/router/intake.ts
+++ b/src/router/intake.ts
@@ -12,12 +12,16 @@
 const LATE_READ_TURNS = 10;
 /** While every turn accepts a connection, one request is served after this many turns. */
 const MAX_ACCEPT_TURNS = 32;
+/** The same while new connections are closed, so that those which were accepted are served. */
+const MAX_CLOSING_TURNS = 4;
 
 /** Dependencies of an {@link Intake}. */
 export interface IntakeOptions {
   clock: Pick<Clock, "nowMs">;
   /** Time that data waits in the process's open sockets before it is read. */
   lagMs(): number;
+  /** Whether new connections are closed unread, so that accepting them takes little time. */
+  isClosing?(): boolean;
   /** Calls its argument after the event loop has polled the sockets again; default: setImmediate. */
   nextTurn?: (run: () => void) => void;
 }
@@ -25,6 +29,7 @@
 interface WaitingRequest {
   /** First turn in which the request may be served. */
   earliestTurn: number;
+  enteredAtMs: number;
   admit(): void;
 }
 
@@ -63,6 +68,15 @@
     return Math.max(lagMs(), acceptMs);
   }
 
+  /** Longest time that a connection or a request has waited or may have waited until now. */
+  get behindMs(): number {
+    const [first] = this.#waiting;
+    const queuedMs = first
+      ? this.#options.clock.nowMs() - first.enteredAtMs
+      : 0;
+    return Math.max(this.maxWaitMs, queuedMs);
+  }
+
   /** Reports that a connection was accepted; further ones may wait. */
   accepted(): void {
     this.#hasAccepted = true;
@@ -73,8 +87,9 @@
   waitForTurn(): Promise<void> {
     const isBehind = this.maxWaitMs >= LATE_READ_LAG_MS;
     const fromTurn = this.#turn + (isBehind ? LATE_READ_TURNS : 0);
+    const enteredAtMs = this.#options.clock.nowMs();
     return new Promise((admit) => {
-      this.#waiting.push({ earliestTurn: fromTurn, admit });
+      this.#waiting.push({ earliestTurn: fromTurn, enteredAtMs, admit });
       this.#scheduleTurn();
     });
   }
@@ -94,7 +109,10 @@
     this.#hasAccepted = false;
     if (hasAccepted) this.#acceptTurns++;
     else this.#resetAcceptBacklog();
-    const mayServe = !hasAccepted || this.#acceptTurns % MAX_ACCEPT_TURNS === 0;
+    const maxTurns = this.#options.isClosing?.()
+      ? MAX_CLOSING_TURNS
+      : MAX_ACCEPT_TURNS;
+    const mayServe = !hasAccepted || this.#acceptTurns % maxTurns === 0;
     if (mayServe) this.#admitFirst();
     this.#isTurnScheduled = false;
     if (hasAccepted || this.#waiting.length > 0) this.#scheduleTurn();
--- a/src/router/intake_test.ts
+++ b/src/router/intake_test.ts
@@ -12,12 +12,13 @@
 import { Intake } from "./intake.ts";
 
 /** Creates an intake whose event-loop turns are driven by the test. */
-function create({ lagMs = 0 } = {}) {
+function create({ lagMs = 0, isClosing = false } = {}) {
   const clock = new TestClock();
   const due: (() => void)[] = [];
   const intake = Intake.create({
     clock,
     lagMs: () => lagMs,
+    isClosing: () => isClosing,
     nextTurn: (run) => due.push(run),
   });
   const served: string[] = [];
@@ -105,3 +106,21 @@
   assert.ok(runsWhenLeft < CLIENTS);
   assert.equal(server.runs.length, runsWhenLeft);
 });
+
+test("requests are served more often while new connections are closed unread", async () => {
+  for (const [isClosing, count] of [[false, 1], [true, 8]] as const) {
+    const { served, enter, turn } = create({ isClosing });
+    for (let i = 0; i < 40; i++) enter(`r${i}`);
+    for (let i = 0; i < 32; i++) await turn({ accepts: true });
+    assert.equal(served.length, count);
+  }
+});
+
+test("requests that wait to be served show how far the process is behind", async () => {
+  const { intake, enter, turn } = create();
+  assert.equal(intake.behindMs, 0);
+  enter("a");
+  enter("b");
+  for (let i = 0; i < 5; i++) await turn({ accepts: true });
+  assert.equal(intake.behindMs, 100);
+});
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -51,6 +51,8 @@
   rates?: [string, StartMs, number | null, number][];
   /** Software versions of services with several; absent if there is none. */
   software?: VersionRow[];
+  /** Time that requests wait before the sender reads them; absent if short, or from earlier releases. */
+  lagMs?: number;
   /** The sender stops, so it grants no more permits; absent otherwise. */
   stopping?: boolean;
   /** Servers that ended during a request; absent from earlier releases. */
@@ -122,6 +124,7 @@
   software: (value) =>
     value === undefined ||
     listOf(rowOf(isString, isStringOrNone, isCount))(value),
+  lagMs: isOptionalCount,
   stopping: (value) => value === undefined || typeof value === "boolean",
   ended: (value) =>
     value === undefined ||
--- a/src/router/peer_gossip.ts
+++ b/src/router/peer_gossip.ts
@@ -11,9 +11,11 @@
 import type { Fleet } from "./fleet.ts";
 import { LeavingAnnouncements } from "./leaving_announcements.ts";
 import type { SyncState } from "./mirror.ts";
+import type { PeerLags } from "./peer_lags.ts";
 import { ownLoads, PeerLoads } from "./peer_loads.ts";
 import { type Datagram, readDatagram, type StartMs } from "./peer_datagram.ts";
 import type { PeerSocket } from "./peer_socket.ts";
+import { PromptAnnouncements } from "./prompt_announcements.ts";
 import type { Quarantine } from "./quarantine.ts";
 import type { Quotas } from "./quotas.ts";
 import type { RateAnnouncements } from "./rate_announcements.ts";
@@ -31,10 +33,6 @@
 const IDLE_INTERVAL_MS = 400;
 /** A peer from which no datagram arrives for this long counts as gone. */
 const PEER_TIMEOUT_MS = 3000;
-/** Prompts per datagram, to stay below the usual packet size; further prompts go in the next one. */
-const MAX_PROMPTS_PER_DATAGRAM = 12;
-/** Capacity of the queue of prompts to announce; the oldest are dropped when it overflows. */
-const MAX_QUEUED_PROMPTS = 100;
 /** How long a server stays held back after the last datagram of a peer that asks for it. */
 const HELD_BACK_TTL_MS = 1000;
 
@@ -62,6 +60,8 @@
   quarantine: Pick<Quarantine, "hasNews" | "takeNews" | "hear">;
   /** The other entries: which are alive, and which of them stop. */
   members: EntryMembers;
+  /** How far this entry and the others are behind. */
+  lags: Pick<PeerLags, "ownToldMs" | "record">;
   /** Rates of requests that backend servers take. */
   rates: RateAnnouncements;
   /** Workspace rate limits; entries exchange what they have consumed. */
@@ -74,7 +74,7 @@
 export class PeerGossip {
   readonly #options: PeerGossipOptions;
   readonly #lastSeenAtMs = new Map<string, number>();
-  readonly #prompts: Datagram["prompts"] = [];
+  readonly #prompts = PromptAnnouncements.create();
   readonly #weights: Datagram["weights"] = [];
   readonly #silent: string[] = [];
   readonly #gone: [string, StartMs][] = [];
@@ -141,14 +141,8 @@
   }
 
   /** @param placed A prompt that was sent to a server, or written to a prompt store. */
-  announcePrompt({ id, bornAtMs = 0, chain, readyInMs }: PlacedPrompt): void {
-    const parts = chain.parts.map(({ id, tokens }): [string, number] => [
-      id,
-      tokens,
-    ]);
-    const roundedReadyInMs = Math.round(readyInMs);
-    this.#prompts.push([id, chain.salt, roundedReadyInMs, parts, bornAtMs]);
-    if (this.#prompts.length > MAX_QUEUED_PROMPTS) this.#prompts.shift();
+  announcePrompt(placed: PlacedPrompt): void {
+    this.#prompts.add(placed);
   }
 
   /** @param serverId A server that stopped answering, or refuses connections. */
@@ -185,6 +179,7 @@
     const content = JSON.stringify({
       ...datagram,
       ageMs: 0,
+      lagMs: undefined,
       confirmed: undefined,
       storeServedMs: undefined,
       named: [],
@@ -202,7 +197,7 @@
     const { quarantine, quotas, rates, random } = this.#options;
     const hasNews = quarantine.hasNews || rates.hasNews;
     if (!hasNews && !this.#isDue(datagram, content, urgent)) return;
-    this.#prompts.splice(0, datagram.prompts.length);
+    this.#prompts.markSent(datagram.prompts.length);
     this.#weights.splice(0, datagram.weights.length);
     this.#silent.splice(0, datagram.silent.length);
     this.#gone.splice(0, datagram.gone?.length);
@@ -237,7 +232,7 @@
   }
 
   #buildDatagram(): Datagram {
-    const { name, fleet, syncState, wanted, members } = this.#options;
+    const { name, fleet, syncState, wanted, members, lags } = this.#options;
     const { revision, confirmed } = syncState();
     const storeServedMs = this.#options.storeServedMs();
     return {
@@ -246,11 +241,12 @@
       ageMs: Math.round(confirmed?.ageMs ?? Number.MAX_SAFE_INTEGER),
       confirmed,
       loads: ownLoads(fleet),
-      prompts: this.#prompts.slice(0, MAX_PROMPTS_PER_DATAGRAM),
+      prompts: this.#prompts.next,
       heldBack: this.#heldBack(),
       changingNext: this.#changingNext(),
       storeServes: storeServedMs !== undefined,
       storeServedMs,
+      lagMs: lags.ownToldMs,
       stopping: members.isStopping || undefined,
       software: fleet.versions.rows(),
       weights: [...this.#weights],
@@ -290,9 +286,10 @@
       this.#options.log.info({ event: "peer_met", peer: datagram.name });
     }
     this.#lastSeenAtMs.set(ipAddress, nowMs);
-    const { members, rates } = this.#options;
+    const { members, rates, lags } = this.#options;
     members.heard(ipAddress, nowMs);
     members.setStopping(ipAddress, datagram.stopping ?? false);
+    lags.record(ipAddress, datagram.lagMs, datagram.stopping);
     this.#apply(datagram, nowMs);
     const { startedAtMs, taken } = datagram;
     if (startedAtMs !== undefined && taken) {
--- a/src/router/peer_network.ts
+++ b/src/router/peer_network.ts
@@ -4,6 +4,7 @@
 import type { StoreMirror } from "./mirror.ts";
 import { encodeOriginMessage, isOriginDatagram } from "./origin_message.ts";
 import { PeerGossip, type PeerGossipOptions } from "./peer_gossip.ts";
+import { PeerLags } from "./peer_lags.ts";
 import { PeerSocket } from "./peer_socket.ts";
 import { encodePermitMessage, isPermitDatagram } from "./permit_message.ts";
 import { Permits } from "./permits.ts";
@@ -18,9 +19,11 @@
 const CONFIRMED_INTERVALS = 2;
 
 /** Options of a {@link PeerNetwork}. */
-export interface PeerNetworkOptions
-  extends
-    Omit<PeerGossipOptions, "socket" | "members" | "rates" | "knownAddresses"> {
+export interface PeerNetworkOptions extends
+  Omit<
+    PeerGossipOptions,
+    "socket" | "members" | "lags" | "rates" | "knownAddresses"
+  > {
   /** Port of all entries. */
   port: number;
   metrics: Metrics;
@@ -28,6 +31,8 @@
   mirror: Pick<StoreMirror, "ageMs">;
   /** Interval at which servers write their registration. */
   heartbeatMs: number;
+  /** Time that requests wait before this process reads them. */
+  lagMs(): number;
   /** IP addresses of the configured seeds; a seed may have gone. */
   seedAddresses: string[];
   /** IP addresses of the registered entries. */
@@ -39,6 +44,7 @@
   readonly gossip: PeerGossip;
   readonly permits: Permits;
   readonly origins: StreamOrigins;
+  readonly lags: PeerLags;
   readonly #socket: PeerSocket;
   readonly #members: EntryMembers;
   readonly #rates: RateAnnouncements;
@@ -47,6 +53,7 @@
     const { ipAddress, seedAddresses, registeredAddresses } = options;
     const { fleet, clock } = options;
     this.#socket = PeerSocket.create(options);
+    this.lags = PeerLags.create(options);
     this.#members = EntryMembers.create({
       ownAddress: ipAddress,
       registeredAddresses,
@@ -76,6 +83,7 @@
       ...options,
       socket: this.#socket,
       members: this.#members,
+      lags: this.lags,
       rates: this.#rates,
       knownAddresses: () => [...seedAddresses, ...registeredAddresses()],
       onPeerSyncState: (peer, syncState) => {
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -241,6 +241,7 @@
       storeServedMs: () => this.#follower.contact.lastAnswerAgeMs,
       wanted: this.#wanted,
       quarantine: this.#quarantine,
+      lagMs: () => this.#ingress.behindMs,
       quotas: this.#quotas,
       seedAddresses: seedAddresses.map((seed) => seed.ipAddress),
       syncState: () => this.#mirror.syncState,
@@ -295,6 +296,7 @@
       table: () => this.#state.table,
       knowledgeAgeMs: () => this.#mirror.ageMs,
       serve: (request, sink) => this.#dispatcher.serve(request, sink),
+      peersHaveRoom: () => this.#network.lags.haveRoom,
       onServed: (request, end) => this.#requestLog.logServed(request, end),
       onLocalAnswer: (facts, answer) =>
         this.#requestLog.logLocal(facts, answer, this.#state.table?.version),
