Let a stream wait until it is known whether its engine has ended

What callers saw: a resumable stream broken off when two engines crashed within some 20 ms, though a third was free.

Cause: runs at engines that have ended don't count towards the route's attempts, but that an engine has ended is known only by the probe 20 ms after its connection broke. A second crash before that used up the attempts. Change: for 0.3 s after a connection broke without a verdict the stream waits (end_undecided), as it waits for a server; requests that have no answer yet fail as before. Ruled out: counting a broken connection as an end at once (a live server that resets would get the request again).

--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -207,7 +207,7 @@
     case "not_moved":
     case undefined:
       choice.server.health.failed(nowMs);
-      choice.server.health.connectionBroke();
+      choice.server.health.connectionBroke(nowMs);
       return { kind: "unknown", reason, isBroken: true };
   }
 }
--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -98,6 +98,8 @@
 const RESEND_REFUSALS: Record<string, string> = {
   [ResendRefusal.notRepeatable]: "it may not run twice",
   [ResendRefusal.attemptsUsed]: "its route allows no further attempt",
+  [ResendRefusal.endUndecided]:
+    "its route allows no further attempt, unless a server has just ended",
   [ResendRefusal.sendsUsed]: "it had been sent the maximum number of times",
   [ResendRefusal.noTime]: "no time was left",
   [ResendRefusal.noBudget]: "the resend budget was used up",
--- a/src/router/health.ts
+++ b/src/router/health.ts
@@ -6,6 +6,8 @@
 const MAX_BACKOFF_MS = 2400;
 /** Half-life of the failure count. */
 const FAILURE_HALF_LIFE_MS = 3000;
+/** Time after a connection broke in which a probe finds out whether the server has ended. */
+const UNDECIDED_MS = 300;
 /** Weight of the newest sample in the moving average of the slowness. */
 const SAMPLE_WEIGHT = 0.15;
 /** Half-life of the slowness estimate while the server sends no answers. */
@@ -19,6 +21,7 @@
   #isDown = false;
   #hasEnded = false;
   #mayHaveEnded = false;
+  #brokeAtMs = -Infinity;
   #probeAtMs = -Infinity;
   #backoffMs = MIN_BACKOFF_MS;
   #failures = 0;
@@ -122,9 +125,22 @@
     this.#probeAtMs = nowMs;
   }
 
-  /** Records that a connection broke while the server ran a request on it. */
-  connectionBroke(): void {
+  /**
+   * Records that a connection broke while the server ran a request on it.
+   *
+   * @param nowMs Current time.
+   */
+  connectionBroke(nowMs: number): void {
     this.#mayHaveEnded = true;
+    this.#brokeAtMs = nowMs;
+  }
+
+  /**
+   * @param nowMs Current time.
+   * @returns Whether a connection broke a moment ago, and the server is not known to have ended.
+   */
+  isEndUndecided(nowMs: number): boolean {
+    return !this.#hasEnded && nowMs - this.#brokeAtMs < UNDECIDED_MS;
   }
 
   /** Records that the server has registered. */
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -39,6 +39,8 @@
 export const ResendRefusal = {
   notRepeatable: "not_repeatable",
   attemptsUsed: "attempts_used",
+  /** Its attempts are used up, unless a server whose connection has just broken has ended. */
+  endUndecided: "end_undecided",
   sendsUsed: "sends_used",
   noTime: "no_time",
   noBudget: "no_budget",
--- a/src/router/resends.ts
+++ b/src/router/resends.ts
@@ -165,15 +165,23 @@
       return ResendRefusal.notRepeatable;
     }
     // Runs at servers that have ended don't count towards the route's maximum of attempts.
-    const { fleet } = this.#options;
+    const { fleet, clock } = this.#options;
+    const nowMs = clock.nowMs();
     const endedCount =
       [...ranAt].filter((server) =>
         server.health.hasEnded || !fleet.has(server)
       ).length;
-    if (runCount - endedCount >= route.maxAttempts) {
-      return ResendRefusal.attemptsUsed;
+    const undecidedCount =
+      [...ranAt].filter((server) =>
+        fleet.has(server) && server.health.isEndUndecided(nowMs)
+      ).length;
+    const countedRuns = runCount - endedCount;
+    if (countedRuns >= route.maxAttempts) {
+      return countedRuns - undecidedCount < route.maxAttempts
+        ? ResendRefusal.endUndecided
+        : ResendRefusal.attemptsUsed;
     }
-    const leftMs = answerByMs - this.#options.clock.nowMs();
+    const leftMs = answerByMs - nowMs;
     if (leftMs < RESEND_MIN_LEFT_MS) return ResendRefusal.noTime;
     const isCut = streamStarted && !open.isAnyUp;
     const isUsed = sends - hedgedSends >= MAX_SENDS;
@@ -212,6 +220,7 @@
   switch (refusal) {
     case ResendRefusal.noBudget:
     case ResendRefusal.noServer:
+    case ResendRefusal.endUndecided:
       return true;
     case ResendRefusal.notRepeatable:
     case ResendRefusal.attemptsUsed:
