Show in explain when a part was quarantined

Cause: the line of a request that is refused for a part names the part, and explain looked for lines with the same digest only, so the quarantine itself wasn't shown. Change: lines about the part are context, too. The new test failed before.

--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -199,8 +199,13 @@
     .filter((id): id is string => typeof id === "string");
 }
 
-function digestsOf({ digest }: Record<string, unknown>): string[] {
-  return typeof digest === "string" ? [digest] : [];
+/** Digest of a request, and the part of its prompt that is in quarantine. */
+function digestsOf(
+  { digest, part, quarantinedPart }: Record<string, unknown>,
+): string[] {
+  return [digest, part, quarantinedPart].filter((value) =>
+    typeof value === "string"
+  );
 }
 
 /** Id of the attempt that began the stream of a request, which may be the request itself. */
--- a/src/router/explain_test.ts
+++ b/src/router/explain_test.ts
@@ -53,6 +53,24 @@
   assert.equal(text.at(-1), "Answered 200 by i-2 after 700 ms.");
 });
 
+test("refusal for a part in quarantine shows when the part was quarantined", () => {
+  const log = [
+    line(1000, "part_quarantined", { part: "5c1e07a2", crashedServers: 5 }),
+    line(1000, "part_quarantined", { part: "91bd3f06", crashedServers: 5 }),
+    line(90_000, "request", {
+      id: "r1",
+      digest: "1b0cd48f5d9ab8a5d19ba7b1",
+      servers: [],
+      outcome: "refused",
+      reason: "part_quarantined",
+      quarantinedPart: "5c1e07a2",
+    }),
+  ];
+  const { context, outcome } = explain("r1", log);
+  assert.deepEqual(context.map(({ fields }) => fields["part"]), ["5c1e07a2"]);
+  assert.match(outcome!, /^Refused as not run: five servers or more had ended/);
+});
+
 test("refusal of a quarantined request shows its other attempts, on all entries", () => {
   const digest = "1b0cd48f5d9ab8a5d19ba7b1";
   const failed = { outcome: "failed", status: 502, reason: "UND_ERR_SOCKET" };
