Test streams in chunks that end inside an event

One whose last chunk ends inside an event is resumed: passes. The answer doesn't look complete; its events are lost.

--- a/src/router/unframed_answer_test.ts
+++ b/src/router/unframed_answer_test.ts
@@ -7,6 +7,7 @@
   MODEL_REQUEST_HEADERS,
   PLAIN_ANSWER_BODY,
   type RawResponder,
+  SEALED_HEAD,
 } from "../standin/mod.ts";
 import { askUntilAccepted, serveBytes } from "./_raw_server.ts";
 import { openWorld } from "./_world.ts";
@@ -82,6 +83,22 @@
   assert.ok(!asked.isComplete);
 });
 
+for (const path of [RESUMABLE_PATH, ONCE_PATH]) {
+  const end = path === RESUMABLE_PATH ? "is resumed" : "ends broken";
+  test(`stream in chunks whose last one ends inside an event ${end}`, async (t) => {
+    const asked = await askStream(t, path, (socket, id) => {
+      const bytes = `${EVENTS}id: 3\nda`;
+      const size = bytes.length.toString(16);
+      socket.write(
+        `${SEALED_HEAD}attempt-id: ${id}\r\ntransfer-encoding: chunked\r\n\r\n` +
+          `${size}\r\n${bytes}\r\n0\r\n\r\n`,
+      );
+    });
+    assert.equal(asked.body, path === RESUMABLE_PATH ? WHOLE : EVENTS);
+    assert.equal(asked.isComplete, path === RESUMABLE_PATH);
+  });
+}
+
 test("stream without a length that a crash ends between events is resumed", async (t) => {
   const asked = await askStream(t, RESUMABLE_PATH, (socket, id, _nth, stop) => {
     stop();
