Let a stand-in return at another port if its own was taken

Change: it then listens at another one and registers that. Ruled out: wider blocks of ports for each process, which 4 processes with 168 stand-ins each would still overlap. The check stays as it was. Besides, the forwarder's list of reasons to close a run names the one that came with the quarantine of parts.

--- a/src/proof/_soak_fleet.ts
+++ b/src/proof/_soak_fleet.ts
@@ -5,6 +5,7 @@
   CONFIG,
   fetchReadinessStatus,
   NO_FAULTS,
+  restartServer,
   StandinBackendServer,
   StandinPlatformStore,
   TcpRelay,
@@ -231,7 +232,7 @@
       this.#crashed.delete(server);
       await server.down();
       server.softwareVersion = softwareVersion ?? server.softwareVersion;
-      await server.restart();
+      await restartServer(server);
       await this.#register(server);
     });
     this.#restarts.set(server, restart);
--- a/src/router/_crashing_part_kit.ts
+++ b/src/router/_crashing_part_kit.ts
@@ -4,6 +4,7 @@
 import {
   MODEL_REQUEST_HEADERS,
   NO_FAULTS,
+  restartServer,
   sendClientRequest,
   type StandinBackendServerFaults,
   toRequestHeaders,
@@ -119,7 +120,7 @@
     const timers: NodeJS.Timeout[] = [];
     t.after(() => timers.forEach(clearTimeout));
     const comeBack = async () => {
-      await engine.restart();
+      await restartServer(engine);
       await world.store.put(`servers/${engine.id}`, engine.entry("engines"));
     };
   }
--- a/src/router/request_forwarder.ts
+++ b/src/router/request_forwarder.ts
@@ -5,6 +5,7 @@
  * - when another run of the request has responded or continues the stream,
  * - when its engine has stopped it in order to move it,
  * - before it starts on weights that were replaced too long ago to start a response,
+ * - before its first event, when a part of its prompt turns out to crash servers,
  * - when the client has disconnected, or the deadline or the grace time of a shutdown has passed.
  * A started stream without an open run, if it may be sent again, waits for a server and for the resend
  * budget while its client stays connected.
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -52,6 +52,7 @@
   StandinPlatformStore,
   type StandinPlatformStoreOptions,
 } from "./platform_store_server.ts";
+export { restartServer } from "./restart_server.ts";
 export {
   headWithoutLength,
   type RawResponder,
