--- /dev/null
+++ b/src/router/cut_answer_test.ts
@@ -0,0 +1,104 @@
+/**
+ * Answers without a declared end, which their server cuts by closing the connection in order. Guards
+ * against forwarding a cut answer with a length or chunks that declare it complete: a server's address
+ * may accept connections although the process that wrote the answer has ended, and a server that lives
+ * may cut its own answer.
+ */
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import {
+  AddressAfterEnd,
+  type ClientResponse,
+  completeStreamBody,
+  DeclaredEnd,
+  headWithoutLength,
+  MODEL_REQUEST_HEADERS,
+  PLAIN_ANSWER_BODY,
+} from "../standin/mod.ts";
+import { askUntilAccepted, serveBytes } from "./_raw_server.ts";
+import { openWorld } from "./_world.ts";
+
+/** Routes by what they allow: their path, whole answer, and the part that is sent before the cut. */
+const ROUTES = {
+  "safe call": { path: "/look/a", whole: PLAIN_ANSWER_BODY, part: "do" },
+  "unsafe call": { path: "/book/a", whole: PLAIN_ANSWER_BODY, part: "do" },
+  "resumable stream": {
+    path: "/stream/a",
+    whole: completeStreamBody(4),
+    part: completeStreamBody(2),
+  },
+  "stream that can't be resumed": {
+    path: "/once/a",
+    whole: completeStreamBody(4),
+    part: completeStreamBody(2),
+  },
+} as const;
+type RouteName = keyof typeof ROUTES;
+
+const REFUSAL =
+  "HTTP/1.1 503 Full\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+
+interface Asked extends ClientResponse {
+  /** Requests that reached the server that cuts its answer, and runs at the other server. */
+  runs: [number, number];
+}
+
+/** Asks a server that cuts its first answer; another server takes what that one leaves. */
+async function askCut(
+  t: TestContext,
+  routeName: RouteName,
+  afterEnd?: AddressAfterEnd,
+): Promise<Asked> {
+  const { path, part } = ROUTES[routeName];
+  const world = await openWorld(t);
+  const isStream = path === "/stream/a" || path === "/once/a";
+  const raw = await serveBytes(t, world, {
+    id: "i-raw",
+    service: isStream ? "engines" : "plain",
+    answer: (socket, id, nth) => {
+      if (nth > 1) return socket.write(REFUSAL);
+      socket.write(headWithoutLength(id) + part);
+      if (afterEnd) raw.end(afterEnd);
+      else socket.end();
+    },
+  });
+  const other = isStream ? await world.engine("i-2") : await world.worker(
+    "i-2",
+  );
+  // The first run goes to the server that cuts its answer.
+  other.faults.refuse = 1;
+  const headers = isStream ? MODEL_REQUEST_HEADERS : {};
+  const asked = await askUntilAccepted(world, path, headers);
+  return { ...asked, runs: [raw.requests.length, other.runs.length] };
+}
+
+function assertNotDeclaredWhole(
+  routeName: RouteName,
+  { status, body, isComplete, declaredEnd }: ClientResponse,
+): void {
+  const isWhole = body === ROUTES[routeName].whole;
+  const isDeclared = isComplete && declaredEnd !== DeclaredEnd.connection;
+  assert.ok(isWhole || status !== 200 || !isDeclared, `${status} ${body}`);
+}
+
+function assertRunOnce(routeName: RouteName, [first, other]: Asked["runs"]) {
+  const isRepeatable = routeName === "safe call" ||
+    routeName === "resumable stream";
+  assert.ok(first + other <= (isRepeatable ? 2 : 1), `${first} + ${other}`);
+}
+
+for (const name of Object.keys(ROUTES) as RouteName[]) {
+  for (const afterEnd of Object.values(AddressAfterEnd)) {
+    test(`cut answer isn't declared whole: ${name}, its server ends and the address ${afterEnd}`, async (t) => {
+      const asked = await askCut(t, name, afterEnd);
+      assertNotDeclaredWhole(name, asked);
+      assertRunOnce(name, asked.runs);
+    });
+  }
+
+  test(`cut answer isn't declared whole: ${name}, its server lives on`, async (t) => {
+    const asked = await askCut(t, name);
+    assertNotDeclaredWhole(name, asked);
+    assertRunOnce(name, asked.runs);
+  });
+}
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -38,6 +38,7 @@
   completeStreamBody,
   CONFIG,
   configWith,
+  DeclaredEnd,
   type EntryAddress,
   fetchReadinessStatus,
   HOST,
@@ -54,6 +55,7 @@
 } from "./platform_store_server.ts";
 export { restartServer } from "./restart_server.ts";
 export {
+  AddressAfterEnd,
   headWithoutLength,
   type RawResponder,
   SEALED_HEAD,
--- a/src/standin/platform_client.ts
+++ b/src/standin/platform_client.ts
@@ -1,5 +1,5 @@
 /** Test client of an entry, with a sample configuration and the load balancer's readiness check. */
-import { request as httpRequest } from "node:http";
+import { type IncomingHttpHeaders, request as httpRequest } from "node:http";
 import { StandinBackendServer } from "./backend_server.ts";
 
 /** Host name of all routes. */
@@ -55,13 +55,25 @@
   };
 }
 
+/** How an answer declares the end of its body. */
+export const DeclaredEnd = {
+  length: "length",
+  chunks: "chunks",
+  /** Not at all: the body ends with its connection. */
+  connection: "connection",
+} as const;
+
+/** One of {@link DeclaredEnd}. */
+export type DeclaredEnd = typeof DeclaredEnd[keyof typeof DeclaredEnd];
+
 /** An answer as received by a client. */
 export interface ClientResponse {
   status: number;
   headers: Record<string, unknown>;
   body: string;
-  /** Whether the whole body was received. */
+  /** Whether the whole body was received; without a declared end: whether no reset cut it. */
   isComplete: boolean;
+  declaredEnd: DeclaredEnd;
 }
 
 /** Address at which an entry accepts clients. */
@@ -105,6 +117,7 @@
           headers: response.headers,
           body,
           isComplete,
+          declaredEnd: declaredEndOf(response.headers),
         });
       response.on("data", (chunk) => body += chunk);
       response.on("end", () => resolveWith(response.complete));
@@ -115,6 +128,13 @@
   });
 }
 
+function declaredEndOf(headers: IncomingHttpHeaders): DeclaredEnd {
+  if (headers["content-length"] !== undefined) return DeclaredEnd.length;
+  return headers["transfer-encoding"] === "chunked"
+    ? DeclaredEnd.chunks
+    : DeclaredEnd.connection;
+}
+
 /** Headers of a request for a model. */
 export const MODEL_REQUEST_HEADERS = {
   model: "m",
--- a/src/standin/raw_server.ts
+++ b/src/standin/raw_server.ts
@@ -14,6 +14,28 @@
   nth: number,
 ) => void;
 
+/** What the address of a server does after its process has ended. */
+export const AddressAfterEnd = {
+  refuses: "refuses connections",
+  /** As a kernel or supervisor does that releases the port a little later. */
+  closesBriefly:
+    "accepts and closes connections for a while, then refuses them",
+  closes: "accepts and closes connections",
+  silent: "accepts connections and never answers",
+  /** A new process of the server, under another id, which rejects requests to the old one. */
+  newProcess: "is that of a new process",
+} as const;
+
+/** One of {@link AddressAfterEnd}. */
+export type AddressAfterEnd =
+  typeof AddressAfterEnd[keyof typeof AddressAfterEnd];
+
+/** How long the address still accepts connections with {@link AddressAfterEnd.closesBriefly}. */
+const BRIEFLY_MS = 40;
+/** Answer of a new process to a request for the old one. */
+const REJECTION =
+  "HTTP/1.1 421 Other\r\nnot-executed: 1\r\ninstance-id: i-new\r\ncontent-length: 0\r\n\r\n";
+
 /** Status line of a success, and the server's signature. */
 export const SEALED_HEAD = "HTTP/1.1 200 OK\r\nserver-seal: s\r\n";
 
@@ -33,6 +55,7 @@
   connections = 0;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  #afterEnd: AddressAfterEnd | undefined;
 
   private constructor(answer: RawResponder) {
     this.#server = createServer((socket) => this.#serve(socket, answer));
@@ -77,6 +100,27 @@
     this.#server.close();
   }
 
+  /**
+   * Ends the process: all its connections are closed in order, after what was written to them.
+   *
+   * @param afterEnd What its address does from then on.
+   */
+  end(afterEnd: AddressAfterEnd): void {
+    this.#afterEnd = afterEnd;
+    for (const socket of this.#sockets) socket.end();
+    switch (afterEnd) {
+      case AddressAfterEnd.refuses:
+        return this.stopListening();
+      case AddressAfterEnd.closesBriefly:
+        setTimeout(() => this.stopListening(), BRIEFLY_MS);
+        return;
+      case AddressAfterEnd.closes:
+      case AddressAfterEnd.silent:
+      case AddressAfterEnd.newProcess:
+        return;
+    }
+  }
+
   /** Stops the server. */
   close(): void {
     for (const socket of this.#sockets) socket.destroy();
@@ -87,6 +131,8 @@
     this.connections++;
     this.#sockets.add(socket);
     socket.on("error", () => {});
+    socket.on("close", () => this.#sockets.delete(socket));
+    if (this.#afterEnd) return this.#serveAfterEnd(socket, this.#afterEnd);
     socket.on("data", (bytes) => {
       const head = bytes.toString("latin1");
       if (!head.startsWith("POST ")) return;
@@ -95,4 +141,19 @@
       answer(socket, attemptId, this.requests.length);
     });
   }
+
+  #serveAfterEnd(socket: Socket, afterEnd: AddressAfterEnd): void {
+    switch (afterEnd) {
+      case AddressAfterEnd.refuses:
+      case AddressAfterEnd.closesBriefly:
+      case AddressAfterEnd.closes:
+        socket.end();
+        return;
+      case AddressAfterEnd.silent:
+        socket.resume();
+        return;
+      case AddressAfterEnd.newProcess:
+        socket.on("data", () => socket.write(REJECTION));
+    }
+  }
 }
