Show in a request's line when only the end of the connection ended its answer

The head of an answer now says whether its end is declared, which was a field of its end before; undeclaredEnd in the line is its absence. No change of behaviour.

--- a/src/router/_request_forwarder_kit.ts
+++ b/src/router/_request_forwarder_kit.ts
@@ -143,7 +143,7 @@
 /** @returns The response of a stream that has started. */
 export function begunAnswer(): PartialAnswer {
   return {
-    head: { status: 200, headers: {} },
+    head: { status: 200, headers: {}, isFramed: true },
     facts: { status: 200 } as AnswerFacts,
     body: { kind: "stream", splitter: EventSplitter.create() },
   };
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -97,6 +97,8 @@
   weights?: ChosenWeights;
   /** Server or store from which the last server was to copy the cached prompt. */
   copyFrom?: string;
+  /** The end of the server's connection was the only sign of the answer's end. */
+  hasUndeclaredEnd?: boolean;
 }
 
 /** Result of a call to move a run to another server. */
--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -31,14 +31,15 @@
   status: number;
   /** Header names are in lower case. */
   headers: IncomingHttpHeaders;
+  /** A length or chunks declare the end of the body; otherwise the end of the connection does. */
+  isFramed: boolean;
 }
 
 /** One step of reading a response. */
 export type AnswerStep =
   | { kind: "head"; head: AnswerHead }
   | { kind: "data"; bytes: Buffer }
-  /** `isFramed`: a length or chunks declared the end; otherwise the end of the connection did. */
-  | { kind: "end"; isFramed: boolean }
+  | { kind: "end" }
   | { kind: "failed"; failure: ChannelFailure };
 
 /** Unread bytes of a response above which reading from the connection is paused (backpressure). */
@@ -109,7 +110,8 @@
   ): void {
     if (status < 200) return;
     this.#isFramed = isFramed(status, headers);
-    this.#push({ kind: "head", head: { status, headers } });
+    const head = { status, headers, isFramed: this.#isFramed };
+    this.#push({ kind: "head", head });
   }
 
   onResponseData(
@@ -126,7 +128,7 @@
       // A body without a length ends when the connection closes; after a reset it may be incomplete.
       this.#end(failed("broken", "Connection reset before the end"));
     } else if (this.#isFramed) {
-      this.#end({ kind: "end", isFramed: true });
+      this.#end({ kind: "end" });
     } else {
       void this.#endWithConnection();
     }
@@ -137,7 +139,7 @@
     const isAlive = await this.#channel.isServerAlive();
     this.#end(
       isAlive
-        ? { kind: "end", isFramed: false }
+        ? { kind: "end" }
         : failed("broken", "server_ended"),
     );
   }
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -123,7 +123,7 @@
     this.#resends.refund(request, progress);
     const { servers, ends, givenUp, ttftMs, expectedMs } = progress;
     const { weights, copyFrom, endedServers, origin, originSource } = progress;
-    const { quarantinedPart } = progress;
+    const { quarantinedPart, hasUndeclaredEnd } = progress;
     return {
       outcome,
       servers,
@@ -135,6 +135,7 @@
       copyFrom,
       endedServers,
       quarantinedPart,
+      hasUndeclaredEnd,
       softwareVersion: origin?.softwareVersion,
       originSource,
     };
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -2,8 +2,13 @@
 import type { Clock } from "../base/mod.ts";
 import { readAnswer } from "../platform/mod.ts";
 import { areIdsAscending, rejectionReason } from "./answer_rules.ts";
-import { brokenEnd, type PartialBody, type Send } from "./attempt.ts";
-import type { SendEnd } from "./attempt.ts";
+import {
+  brokenEnd,
+  type PartialAnswer,
+  type PartialBody,
+  type Send,
+  type SendEnd,
+} from "./attempt.ts";
 import type { AnswerHead, AnswerStep, ChannelFailure } from "./channel.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { Fleet } from "./fleet.ts";
@@ -125,7 +130,7 @@
     const { body, facts } = answer;
     switch (body.kind) {
       case "stream":
-        if (step.kind === "end") return endOfStream(send, body, step);
+        if (step.kind === "end") return endOfStream(send, answer);
         send.firstEventAtMs ??= nowMs;
         return this.#handleEvents(send, body.splitter.push(step.bytes));
       case "whole":
@@ -236,10 +241,9 @@
 
 function endOfStream(
   { firstEventAtMs, progress }: Send,
-  { splitter }: Extract<PartialBody, { kind: "stream" }>,
-  { isFramed }: Extract<AnswerStep, { kind: "end" }>,
+  { head: { isFramed }, body }: PartialAnswer,
 ): AnswerPart {
-  if (splitter.remainder.length > 0) {
+  if (body.kind === "stream" && body.splitter.remainder.length > 0) {
     return over({ kind: "unknown", reason: "cut_event", isBroken: true });
   }
   const isEmpty = firstEventAtMs === undefined &&
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -120,6 +120,8 @@
   weights?: ChosenWeights;
   /** `ip:port` from which the last server was to copy the cached prompt, if any. */
   copyFrom?: string;
+  /** The end of the server's connection was the only sign of the answer's end. */
+  hasUndeclaredEnd?: boolean;
   /** Version of the software that began the stream, if known. */
   softwareVersion?: string;
   /** Who knew the origin of the stream, if the client takes it up. */
--- a/src/router/request_forwarder.ts
+++ b/src/router/request_forwarder.ts
@@ -177,6 +177,8 @@
 
   #finish(send: Send): ForwardEnd {
     this.#runs.answered(send);
+    const { isFramed } = send.answer!.head;
+    this.#task.progress.hasUndeclaredEnd = !isFramed || undefined;
     return { kind: "answered", status: send.answer!.facts.status };
   }
 
--- a/src/router/request_log.ts
+++ b/src/router/request_log.ts
@@ -90,6 +90,7 @@
       promptTokens: request.facts.prompt?.promptTokens,
       parts: isAnswered ? undefined : partIds(request.facts),
       copyFrom: isAnswered ? undefined : result.copyFrom,
+      undeclaredEnd: result.hasUndeclaredEnd,
       weightsVersion: result.weights?.version,
       // Absent if the weights are the newest known version.
       replacedForMs: round(result.weights?.replacedForMs || undefined),
--- a/src/router/run_timeouts_test.ts
+++ b/src/router/run_timeouts_test.ts
@@ -16,6 +16,7 @@
       "attempt-id": "r-1",
       "transfer-encoding": "chunked",
     },
+    isFramed: true,
   },
 };
 const EVENT: AnswerStep = {
