Add failing tests: a reset that arrives together with data passes for the end of an answer

Node (libuv) reads once when a socket has both data and a hang-up and then reports an orderly end, without reading the error behind the data: an strace of one exchange shows epoll EPOLLIN|EPOLLERR|EPOLLHUP, one read, no second one. An answer that has no declared end and is reset right after its data therefore looks whole.

--- a/src/router/unframed_answer_test.ts
+++ b/src/router/unframed_answer_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import type { Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import {
   type ClientResponse,
@@ -170,3 +171,45 @@
   assert.equal(asked.status, 500);
   assert.equal(asked.body, "no");
 });
+
+/** Writes a part of an answer and resets the connection, so that both arrive together. */
+function resetWithData(socket: Socket, text: string): void {
+  socket.write(text, () => socket.resetAndDestroy());
+}
+
+/*
+ * Guards against taking a reset for the end of an answer: if it arrives together with data, Node reports
+ * an orderly end.
+ */
+for (const path of [RESUMABLE_PATH, ONCE_PATH]) {
+  const end = path === RESUMABLE_PATH ? "is resumed" : "ends broken";
+  test(`stream without a length whose reset arrives with its last event ${end}`, async (t) => {
+    const asked = await askStream(t, path, (socket, id) => {
+      resetWithData(socket, headWithoutLength(id) + EVENTS);
+    });
+    assert.equal(asked.isComplete, path === RESUMABLE_PATH);
+    if (path === RESUMABLE_PATH) assert.equal(asked.body, WHOLE);
+  });
+}
+
+for (const path of ["/look/a", "/book/a"]) {
+  const end = path === "/look/a" ? "is sent to another server" : "fails";
+  test(`call whose answer without a length is reset with its data ${end}`, async (t) => {
+    const world = await openWorld(t);
+    const raw = await serveBytes(t, world, {
+      id: "i-raw",
+      service: "plain",
+      answer: (socket, id) => {
+        resetWithData(socket, `${headWithoutLength(id)}do`);
+      },
+    });
+    const other = await world.worker("i-2");
+    other.faults.refuse = 1;
+    const asked = await askUntilAccepted(world, path);
+    const isRepeatable = path === "/look/a";
+    assert.equal(asked.status, isRepeatable ? 200 : 502);
+    assert.equal(asked.body, isRepeatable ? PLAIN_ANSWER_BODY : "");
+    const runs = [raw.requests.length, other.runs.length];
+    assert.deepEqual(runs, isRepeatable ? [1, 1] : [1, 0]);
+  });
+}
