Detect resets that arrive together with the last data of an answer

Cause: a server that broke off an answer without a declared end reset its connection. If a reset arrives together with data, Node reads once and reports an orderly end; the error behind it is never read. The entry took that end for the answer's, and as the server lives, its address accepted the connection that was meant to tell a crash.

Change: after the end of a connection the entry writes no bytes to it; the write fails if the connection was reset and sends nothing otherwise.

--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -7,6 +7,7 @@
 import { Client, type Dispatcher } from "undici";
 import { dial, type DialOptions } from "./dial.ts";
 import { isFramed } from "./framing.ts";
+import { onReset } from "./socket_reset.ts";
 import { isAliveAfterEnd } from "./try_connect.ts";
 import { WakeSignal } from "./wake_signal.ts";
 
@@ -125,8 +126,7 @@
 
   onResponseEnd(): void {
     if (this.#channel.wasReset) {
-      // A body without a length ends when the connection closes; after a reset it may be incomplete.
-      this.#end(failed("broken", "Connection reset before the end"));
+      this.#end(WAS_RESET);
     } else if (this.#isFramed) {
       this.#end({ kind: "end" });
     } else {
@@ -137,11 +137,10 @@
   /** A server that crashes may close its connections like one that has finished its response. */
   async #endWithConnection(): Promise<void> {
     const isAlive = await this.#channel.isServerAlive();
-    this.#end(
-      isAlive
-        ? { kind: "end" }
-        : failed("broken", "server_ended"),
-    );
+    // A reset that arrived with the last data is known only after the end.
+    if (this.#channel.wasReset) this.#end(WAS_RESET);
+    else if (!isAlive) this.#end(failed("broken", "server_ended"));
+    else this.#end({ kind: "end" });
   }
 
   onResponseError(
@@ -240,7 +239,7 @@
   /** Detects resets, which undici reports as the end of a body without a length. */
   #detectReset(socket: Socket): void {
     this.#wasReset = false;
-    socket.prependListener("error", () => {
+    onReset(socket, () => {
       this.#wasReset = true;
     });
   }
@@ -308,6 +307,9 @@
   }
 }
 
+/** A body without a length ends when the connection closes; after a reset it may be incomplete. */
+const WAS_RESET = failed("broken", "Connection reset before the end");
+
 class ExchangeAborted extends Error {
   override readonly name = "ExchangeAborted";
 }
--- /dev/null
+++ b/src/router/socket_reset.ts
@@ -0,0 +1,32 @@
+/** Detects that a peer has reset a connection. */
+import type { Socket } from "node:net";
+
+/** Errors of reads and writes on a connection that the peer has reset. */
+const RESET_CODES: ReadonlySet<string | undefined> = new Set([
+  "ECONNRESET",
+  "EPIPE",
+]);
+
+/**
+ * @param error Error of a socket.
+ * @returns Whether the peer has reset the connection.
+ */
+export function isReset(error: NodeJS.ErrnoException | null | undefined) {
+  return RESET_CODES.has(error?.code);
+}
+
+/**
+ * Calls the listener if the peer resets a connection, also if the reset arrives together with the last
+ * data: Node then reports an orderly end. The result of a write is known one turn after that end.
+ *
+ * @param socket An open connection; listeners added later see an end after this function's.
+ * @param listener Called at most twice.
+ */
+export function onReset(socket: Socket, listener: () => void): void {
+  const check = (error?: Error | null) => {
+    if (isReset(error)) listener();
+  };
+  socket.prependListener("error", check);
+  // A write without bytes sends nothing, and fails on a connection that was reset.
+  socket.prependListener("end", () => socket.write("", check));
+}
