Declare the end of an answer only if its server did

Cause: an answer without a length or chunks was passed on with one, once a connection to its server's address had been accepted. Which process accepts it, and whether the answer was whole, that can't show.

Change: the answer keeps its form, neither a length nor chunks, and ends with its connection: closed in order as its server's was, reset if the server is known to have ended or the connection was reset. A stream that the client got with chunks isn't ended by a connection that closes; it is resumed, or breaks off. Connections that were open before and stay open show that the server lives on, without a new one; if two or more all end with it, it has ended.

Ruled out: 502 or a repeat for every such answer (whole ones would be lost, unsafe requests have run); asking the server's health (a slot and a probe for each answer, and a live server may cut its own); framing after a check of any kind (none shows that the answer was whole).

--- a/src/router/answer_writer.ts
+++ b/src/router/answer_writer.ts
@@ -1,8 +1,8 @@
 /** Writes the response of a request's runs to its client. */
 import { answerHeaders } from "../platform/mod.ts";
-import type { Progress, Send } from "./attempt.ts";
+import type { PartialAnswer, Progress, Send } from "./attempt.ts";
 import type { AnswerPart } from "./read_answer.ts";
-import type { AnswerSink, RoutedRequest } from "./request.ts";
+import type { AnswerSink, RoutedRequest, SinkHead } from "./request.ts";
 import { originAt } from "./software_versions.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 
@@ -24,6 +24,8 @@
   readonly #task: AnswerWriterTask;
   /** Error response of a server, used if no run delivers a better one. */
   #failure: { send: Send; body: Buffer } | undefined;
+  /** The stream that was started declares its end. */
+  #isFramed = true;
 
   private constructor(
     { origins }: AnswerWriterParts,
@@ -60,10 +62,21 @@
     await sink.write(bytes);
   }
 
+  /**
+   * @param send Send whose stream has ended.
+   * @returns Whether the client's stream may end with it: a stream that declares its end may not end
+   *   where the server's connection merely closed.
+   */
+  mayEndWith({ answer }: Send): boolean {
+    const isStarted = this.#task.progress.streamStarted;
+    return answer!.head.isFramed || !isStarted || !this.#isFramed;
+  }
+
   /** @param send Send whose stream is complete. */
   endStream(send: Send): void {
     this.#writeHead(send);
     this.#task.sink.end();
+    this.#recordEnd(send);
     this.#origins.completed(this.#task.request);
   }
 
@@ -71,9 +84,9 @@
    * @param send Send whose response is written.
    * @param body Its complete body.
    */
-  writeWhole({ answer }: Send, body: Buffer): void {
-    const { head } = answer!;
-    this.#task.sink.send(head.status, answerHeaders(head.headers), body);
+  writeWhole(send: Send, body: Buffer): void {
+    this.#recordEnd(send);
+    this.#task.sink.send(toSinkHead(send.answer!), body);
   }
 
   /**
@@ -96,6 +109,10 @@
     return send.answer!.head.status;
   }
 
+  #recordEnd({ answer }: Send): void {
+    this.#task.progress.hasUndeclaredEnd = !answer!.head.isFramed || undefined;
+  }
+
   #recordOrigin({ choice }: Send): void {
     const { request, progress } = this.#task;
     progress.origin ??= originAt(choice.server.entry);
@@ -106,7 +123,13 @@
     const { sink, progress } = this.#task;
     if (progress.streamStarted) return;
     progress.streamStarted = true;
-    const { head } = answer!;
-    sink.begin(head.status, answerHeaders(head.headers));
+    this.#isFramed = answer!.head.isFramed;
+    sink.begin(toSinkHead(answer!));
   }
 }
+
+/** The client's answer declares its end only if the server's does. */
+function toSinkHead({ head }: PartialAnswer): SinkHead {
+  const { status, headers, isFramed } = head;
+  return { status, headers: answerHeaders(headers), isFramed };
+}
--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -7,8 +7,8 @@
 import { Client, type Dispatcher } from "undici";
 import { dial, type DialOptions } from "./dial.ts";
 import { isFramed } from "./framing.ts";
+import { ServerConnections } from "./server_connections.ts";
 import { onReset } from "./socket_reset.ts";
-import { isAliveAfterEnd } from "./try_connect.ts";
 import { WakeSignal } from "./wake_signal.ts";
 
 /** A request to send over a channel. */
@@ -136,10 +136,10 @@
 
   /** A server that crashes may close its connections like one that has finished its response. */
   async #endWithConnection(): Promise<void> {
-    const isAlive = await this.#channel.isServerAlive();
+    const state = await this.#channel.connections.stateAfterEnd();
     // A reset that arrived with the last data is known only after the end.
     if (this.#channel.wasReset) this.#end(WAS_RESET);
-    else if (!isAlive) this.#end(failed("broken", "server_ended"));
+    else if (state === "ended") this.#end(failed("broken", "server_ended"));
     else this.#end({ kind: "end" });
   }
 
@@ -174,17 +174,19 @@
 
 /** One connection, opened by its first request and reopened after the server has closed it. */
 export class Channel {
+  /** All connections to the server. */
+  readonly connections: ServerConnections;
   readonly #client: Client;
-  readonly #address: string;
   readonly #onRelease: (channel: Channel, isReusable: boolean) => void;
   #wasReset = false;
 
   constructor(
     options: ChannelOptions,
+    connections: ServerConnections,
     onRelease: (channel: Channel, isReusable: boolean) => void,
   ) {
+    this.connections = connections;
     this.#onRelease = onRelease;
-    this.#address = options.address;
     this.#client = new Client(`http://${options.address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -193,7 +195,10 @@
       connect: (_target, callback) =>
         dial(options, (...result) => {
           const socket = result[1];
-          if (socket) this.#detectReset(socket);
+          if (socket) {
+            connections.add(socket);
+            this.#detectReset(socket);
+          }
           callback(...result);
         }),
     });
@@ -220,11 +225,6 @@
     return exchange;
   }
 
-  /** @returns Whether the server has not ended with the connection. */
-  isServerAlive(): Promise<boolean> {
-    return isAliveAfterEnd(this.#address);
-  }
-
   /** @param isReusable Whether the connection may carry another request. */
   release(isReusable: boolean): void {
     this.#onRelease(this, isReusable);
@@ -256,10 +256,12 @@
   readonly #options: ChannelOptions;
   readonly #idle: Channel[] = [];
   readonly #busy = new Set<Channel>();
+  readonly #connections: ServerConnections;
   #opened = 0;
 
   private constructor(options: ChannelOptions) {
     this.#options = options;
+    this.#connections = ServerConnections.create(options.address);
   }
 
   /**
@@ -299,11 +301,12 @@
 
   #open(): Channel {
     this.#opened++;
-    return new Channel(this.#options, (channel, isReusable) => {
+    const onRelease = (channel: Channel, isReusable: boolean) => {
       this.#busy.delete(channel);
       if (isReusable) this.#idle.push(channel);
       else channel.close();
-    });
+    };
+    return new Channel(this.#options, this.#connections, onRelease);
   }
 }
 
--- a/src/router/cut_answer_test.ts
+++ b/src/router/cut_answer_test.ts
@@ -10,13 +10,16 @@
   AddressAfterEnd,
   type ClientResponse,
   completeStreamBody,
+  configWith,
   DeclaredEnd,
   headWithoutLength,
   MODEL_REQUEST_HEADERS,
+  NO_FAULTS,
   PLAIN_ANSWER_BODY,
 } from "../standin/mod.ts";
 import { askUntilAccepted, serveBytes } from "./_raw_server.ts";
-import { openWorld } from "./_world.ts";
+import { createClosedGate } from "./_long_timeout_kit.ts";
+import { openWorld, until, useConfig } from "./_world.ts";
 
 /** Routes by what they allow: their path, whole answer, and the part that is sent before the cut. */
 const ROUTES = {
@@ -102,3 +105,49 @@
     assertRunOnce(name, asked.runs);
   });
 }
+
+/** A stream that one server declares and cuts, and a server without a declared end goes on with. */
+async function askResumed(
+  t: TestContext,
+  { rest, maxAttempts }: { rest: string; maxAttempts: number },
+): Promise<ClientResponse> {
+  const world = await openWorld(t);
+  await useConfig(world, configWith(2, { maxAttempts }));
+  const gate = createClosedGate();
+  const stall = { afterEvent: 2, pauseMs: 0, opened: gate.opened };
+  const faults = { ...NO_FAULTS, cutAfterEvents: 2, stall };
+  const first = await world.worker("i-1", { model: "m", faults });
+  const answer = askUntilAccepted(world, "/stream/a", MODEL_REQUEST_HEADERS);
+  await until(() => first.runs.length > 0);
+  faults.refuse = Infinity;
+  const third = await world.engine("i-3");
+  third.faults.refuse = Infinity;
+  const raw = await serveBytes(t, world, {
+    id: "i-raw",
+    service: "engines",
+    answer: (socket, id, nth) => {
+      if (nth > 1) return socket.write(REFUSAL);
+      third.faults.refuse = 0;
+      socket.end(headWithoutLength(id) + rest);
+    },
+  });
+  gate.open();
+  const asked = await answer;
+  assert.equal(asked.declaredEnd, DeclaredEnd.chunks);
+  assert.ok(raw.requests.length > 0);
+  return asked;
+}
+
+test("stream with a declared end isn't ended by a connection that closes", async (t) => {
+  const [part, whole] = [completeStreamBody(2), completeStreamBody(3)];
+  const rest = whole.slice(part.length);
+  assert.ok(!(await askResumed(t, { rest, maxAttempts: 2 })).isComplete);
+});
+
+test("stream with a declared end that a connection without one ends is confirmed elsewhere", async (t) => {
+  const [part, whole] = [completeStreamBody(2), completeStreamBody(4)];
+  const rest = whole.slice(part.length);
+  const asked = await askResumed(t, { rest, maxAttempts: 3 });
+  assert.equal(asked.body, whole);
+  assert.ok(asked.isComplete);
+});
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -151,7 +151,7 @@
     if (verdict.kind === "refused") {
       const echo = echoHeaders(request.facts.requestId);
       const headers = [...echo, ...retryHeaders(verdict.retryAfterMs)];
-      sink.send(429, headers, Buffer.alloc(0));
+      sink.send({ status: 429, headers }, Buffer.alloc(0));
       return { kind: "refused", reason: RefusalReason.overQuota };
     }
     const isKnown = await this.#findOrigin(request, progress);
@@ -289,11 +289,11 @@
         : progress.quarantinedForMs ?? pausedMs ?? permitMs;
       const pauseMs = knownMs ?? this.#randomPauseMs(reason, leftMs);
       const headers = [...echo, ...retryHeaders(pauseMs)];
-      sink.send(503, headers, Buffer.alloc(0));
+      sink.send({ status: 503, headers }, Buffer.alloc(0));
       return { kind: "refused", reason };
     }
     const status = leftMs <= RESEND_MIN_LEFT_MS ? 504 : 502;
-    sink.send(status, echo, Buffer.alloc(0));
+    sink.send({ status, headers: echo }, Buffer.alloc(0));
     return { kind: "failed", reason, status };
   }
 }
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -328,7 +328,8 @@
   ): void {
     const leftMs = Math.min(facts.deadlineMs ?? Infinity, REFUSAL_LEFT_MS);
     const pauseMs = retryAfterMs(leftMs, this.#options.random);
-    sink.send(503, retryHeaders(pauseMs), Buffer.alloc(0));
+    const headers = retryHeaders(pauseMs);
+    sink.send({ status: 503, headers }, Buffer.alloc(0));
     this.#options.onLocalAnswer(facts, why);
   }
 
@@ -337,7 +338,7 @@
     sink: AnswerSink,
     { status, why }: { status: number; why: LocalAnswer },
   ): void {
-    sink.send(status, [], Buffer.alloc(0));
+    sink.send({ status, headers: [] }, Buffer.alloc(0));
     this.#options.onLocalAnswer(facts, why);
   }
 }
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -24,15 +24,24 @@
   /** @param listener Called once when the client disconnects. */
   onGone(listener: () => void): void;
   /** Starts an answer of unknown length. */
-  begin(status: number, headers: string[]): void;
+  begin(head: SinkHead): void;
   /** Sends a part of the body; resolves when the client can take more. */
   write(bytes: Buffer): Promise<void>;
   /** Completes an answer that was started with {@link AnswerSink.begin}. */
   end(): void;
   /** Aborts an answer that was started, so that the client can't take it for a complete one. */
   abortAnswer(): void;
-  /** Sends a complete answer. */
-  send(status: number, headers: string[], body: Buffer): void;
+  /** Sends an answer whose body has been received. */
+  send(head: SinkHead, body: Buffer): void;
+}
+
+/** Head of an answer to a client. */
+export interface SinkHead {
+  status: number;
+  /** Alternating names and values. */
+  headers: string[];
+  /** Default: true. If false, the answer ends with its connection, as its server's answer did. */
+  isFramed?: boolean;
 }
 
 /** Why a request is not sent again. */
--- a/src/router/request_forwarder.ts
+++ b/src/router/request_forwarder.ts
@@ -141,10 +141,9 @@
         this.#runs.delivered(send);
         return undefined;
       case "stream_end":
-        this.#continueWith(send);
-        this.#recordOutputTime(send);
-        this.#writer.endStream(send);
-        return this.#finish(send);
+        if (this.#writer.mayEndWith(send)) return this.#endStream(send);
+        this.#endRun(send, { kind: "unknown", reason: "undeclared_end" });
+        return undefined;
       case "whole":
         return this.#handleWhole(send, part.body);
       case "over":
@@ -153,10 +152,13 @@
     }
   }
 
-  #recordOutputTime({ choice, headAtMs }: Send): void {
-    const tookMs = this.#nowMs - headAtMs!;
+  #endStream(send: Send): ForwardEnd {
+    const tookMs = this.#nowMs - send.headAtMs!;
     const { prompt } = this.#task.request.facts;
-    choice.server.recordOutput(tookMs, prompt?.outputTokens ?? 0);
+    send.choice.server.recordOutput(tookMs, prompt?.outputTokens ?? 0);
+    this.#continueWith(send);
+    this.#writer.endStream(send);
+    return this.#finish(send);
   }
 
   #handleWhole(send: Send, body: Buffer): ForwardEnd | undefined {
@@ -177,8 +179,6 @@
 
   #finish(send: Send): ForwardEnd {
     this.#runs.answered(send);
-    const { isFramed } = send.answer!.head;
-    this.#task.progress.hasUndeclaredEnd = !isFramed || undefined;
     return { kind: "answered", status: send.answer!.facts.status };
   }
 
--- a/src/router/response_sink.ts
+++ b/src/router/response_sink.ts
@@ -1,12 +1,14 @@
 /** Writes a response to a client's connection. */
 import type { ServerResponse } from "node:http";
-import type { AnswerSink } from "./request.ts";
+import type { AnswerSink, SinkHead } from "./request.ts";
 
 /** Response to a client over HTTP. */
 export class ResponseSink implements AnswerSink {
   readonly #response: ServerResponse;
   readonly #isDraining: () => boolean;
   #gone = false;
+  /** The answer that was started declares its end. */
+  #isFramed = true;
 
   /**
    * @param response Node's response object, to which everything is written.
@@ -34,8 +36,8 @@
     });
   }
 
-  begin(status: number, headers: string[]): void {
-    this.#writeHead(status, headers);
+  begin(head: SinkHead): void {
+    this.#writeHead(head, head.headers);
   }
 
   async write(bytes: Buffer): Promise<void> {
@@ -57,20 +59,28 @@
   }
 
   abortAnswer(): void {
+    // Without a declared end, an orderly close would end the answer; only a reset aborts it.
+    if (!this.#isFramed) this.#response.socket?.resetAndDestroy();
     this.#response.destroy();
   }
 
-  send(status: number, headers: string[], body: Buffer): void {
+  send(head: SinkHead, body: Buffer): void {
     if (this.#gone) return;
+    const { status, headers, isFramed = true } = head;
     // Responses with these statuses have no body and must not declare a length.
     const isBodiless = status === 204 || status === 304;
-    const length = isBodiless ? [] : ["content-length", String(body.length)];
-    this.#writeHead(status, [...headers, ...length]);
+    const length = isBodiless || !isFramed
+      ? []
+      : ["content-length", String(body.length)];
+    this.#writeHead(head, [...headers, ...length]);
     this.#response.end(body);
   }
 
-  #writeHead(status: number, headers: string[]): void {
-    if (this.#isDraining()) this.#response.shouldKeepAlive = false;
-    this.#response.writeHead(status, headers);
+  #writeHead({ status, isFramed = true }: SinkHead, headers: string[]): void {
+    const response = this.#response;
+    this.#isFramed = isFramed;
+    if (!isFramed) response.useChunkedEncodingByDefault = false;
+    if (!isFramed || this.#isDraining()) response.shouldKeepAlive = false;
+    response.writeHead(status, headers);
   }
 }
--- /dev/null
+++ b/src/router/server_connections_test.ts
@@ -0,0 +1,69 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { ServerConnections } from "./server_connections.ts";
+
+interface Setup {
+  connections: ServerConnections;
+  /** The server's ends of the connections, in the order in which they were opened. */
+  ends: Socket[];
+  stopListening(): void;
+}
+
+/** Opens connections to a server that accepts all, and closes the first one in order. */
+async function open(t: TestContext, count: number): Promise<Setup> {
+  const ends: Socket[] = [];
+  const server = createServer((socket) => ends.push(socket.resume()));
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const connections = ServerConnections.create(`127.0.0.1:${port}`);
+  const sockets: Socket[] = [];
+  t.after(() => {
+    for (const socket of [...sockets, ...ends]) socket.destroy();
+    server.close();
+  });
+  for (let i = 0; i < count; i++) {
+    const socket = connect({ port, host: "127.0.0.1" }).resume();
+    sockets.push(socket);
+    await once(socket, "connect");
+    connections.add(socket);
+  }
+  while (ends.length < count) await once(server, "connection");
+  const ended = once(sockets[0]!, "end");
+  ends[0]!.end();
+  await ended;
+  return { connections, ends, stopListening: () => server.close() };
+}
+
+test("server whose other connection stays open lives on", async (t) => {
+  const { connections, stopListening } = await open(t, 2);
+  stopListening();
+  assert.equal(await connections.stateAfterEnd(), "alive");
+});
+
+// Guards against taking an address that accepts connections for a process that lives on.
+test("server whose connections have all ended has ended, though its address accepts", async (t) => {
+  const { connections, ends } = await open(t, 3);
+  for (const end of ends) end.end();
+  assert.equal(await connections.stateAfterEnd(), "ended");
+});
+
+// Guards against taking the idle timeout of one connection for the end of its server.
+test("server that closed one other connection may live on", async (t) => {
+  const { connections, ends } = await open(t, 2);
+  ends[1]!.end();
+  assert.equal(await connections.stateAfterEnd(), "unclear");
+});
+
+test("server without other connections is unclear if its address accepts", async (t) => {
+  const { connections } = await open(t, 1);
+  assert.equal(await connections.stateAfterEnd(), "unclear");
+});
+
+test("server whose address refuses connections has ended", async (t) => {
+  const { connections, stopListening } = await open(t, 1);
+  stopListening();
+  assert.equal(await connections.stateAfterEnd(), "ended");
+});
--- a/src/router/try_connect.ts
+++ b/src/router/try_connect.ts
@@ -1,6 +1,5 @@
 /** Finds out whether a process listens at an address. */
 import { connect } from "node:net";
-import { setTimeout as sleep } from "node:timers/promises";
 
 /** Connect timeout; servers are a few milliseconds away. */
 const CONNECT_TIMEOUT_MS = 300;
@@ -44,14 +43,3 @@
     );
   });
 }
-
-/**
- * Determines whether a server lives on after one of its connections has ended.
- *
- * @param address `ip:port`.
- * @returns Whether it still accepts connections.
- */
-export async function isAliveAfterEnd(address: string): Promise<boolean> {
-  await sleep(CRASH_SETTLE_MS);
-  return await tryConnect(address) === "reached";
-}
--- a/src/standin/platform_client.ts
+++ b/src/standin/platform_client.ts
@@ -122,6 +122,9 @@
       response.on("data", (chunk) => body += chunk);
       response.on("end", () => resolveWith(response.complete));
       response.on("error", () => resolveWith(false));
+      // A reset during an answer without a declared end is reported as the request's error.
+      request.off("error", reject);
+      request.on("error", () => resolveWith(false));
     });
     request.on("error", reject);
     request.end("payload");
