--- a/src/store/memory_store.ts
+++ b/src/store/memory_store.ts
@@ -43,6 +43,8 @@
   writes: number;
   /** Watches opened. */
   watches: number;
+  /** Those from revisions that the store does not have. */
+  goneWatches: number;
   /** Bytes of keys and values, read and written. */
   bytes: number;
 }
@@ -80,6 +82,7 @@
     reads: 0,
     writes: 0,
     watches: 0,
+    goneWatches: 0,
     bytes: 0,
   };
   /** The stored data; tests read and change it directly, bypassing the injected faults. */
@@ -185,6 +188,7 @@
     this.counters.watches++;
     if (!await this.#isReachable()) return yield err(unavailable());
     if (!this.#hasHistoryFrom(fromRevision)) {
+      this.counters.goneWatches++;
       const oldestRevision = this.table.compactedRevision + 1n;
       return yield err({ kind: "compacted", oldestRevision });
     }
