Deliver what was written before an answer is aborted

What callers saw: of a stream that was broken off, the events that were written just before did not arrive, and neither did the head (socket hang up).

Cause: Node holds back the writes of one turn; destroying the connection in the same turn drops them. Change: an answer with a declared end is aborted once what was written has been handed over, after 1 s at the latest, and at once if the client does not take it. The missing length or last chunk still shows the abort.

--- a/src/router/response_sink.ts
+++ b/src/router/response_sink.ts
@@ -2,6 +2,9 @@
 import type { ServerResponse } from "node:http";
 import type { AnswerSink, SinkHead } from "./request.ts";
 
+/** Time for a client to take what was written before its answer is aborted. */
+const FLUSH_TIMEOUT_MS = 1000;
+
 /** Response to a client over HTTP. */
 export class ResponseSink implements AnswerSink {
   readonly #response: ServerResponse;
@@ -59,9 +62,16 @@
   }
 
   abortAnswer(): void {
+    const response = this.#response;
     // Without a declared end, an orderly close would end the answer; only a reset aborts it.
-    if (!this.#isFramed) this.#response.socket?.resetAndDestroy();
-    this.#response.destroy();
+    if (!this.#isFramed) response.socket?.resetAndDestroy();
+    if (!this.#isFramed || response.writableNeedDrain) {
+      response.destroy();
+      return;
+    }
+    // What was written before is delivered; the missing length or last chunk shows the abort.
+    response.socket?.destroySoon();
+    setTimeout(() => response.destroy(), FLUSH_TIMEOUT_MS).unref();
   }
 
   send(head: SinkHead, body: Buffer): void {
