Don't take answers that end at the same time for the end of their server

Cause: since two or more other connections that ended in the 20 ms after an answer's counted as the end of the server; answers of this form end their connections themselves. Ruled out: leaving out connections that carry an answer: what is left are idle ones, which a server may time out together. Change: only an address that refuses connections shows the end. The answer's form no longer depends on it.

--- a/src/router/server_connections.ts
+++ b/src/router/server_connections.ts
@@ -11,12 +11,6 @@
   /** An address that accepts connections does not show which process listens there. */
   | "unclear";
 
-/**
- * Number of other connections that must all end as well to show that the process has: a server may
- * close a single idle connection at any time.
- */
-const MIN_ENDED_CONNECTIONS = 2;
-
 /** Connections to one server. */
 export class ServerConnections {
   readonly #address: string;
@@ -47,8 +41,8 @@
   }
 
   /**
-   * Call it when a connection has ended. The other connections of a process that has ended break at
-   * the same time; connections that were opened before and stay open show that it lives on.
+   * Call it when a connection has ended. A connection that was open before and stays open shows that
+   * the process lives on. That others end as well shows nothing: their own answers may end them.
    *
    * @returns State of the server.
    */
@@ -56,9 +50,6 @@
     const others = [...this.#open].filter((socket) => !this.#hasEnded(socket));
     await sleep(CRASH_SETTLE_MS);
     if (others.some((socket) => !this.#hasEnded(socket))) return "alive";
-    const ended = others.filter((socket) => this.#endedByServer.has(socket));
-    const areAllEnded = ended.length === others.length;
-    if (areAllEnded && ended.length >= MIN_ENDED_CONNECTIONS) return "ended";
     const isRefused = await tryConnect(this.#address) === "refused";
     return isRefused ? "ended" : "unclear";
   }
