Keep reading an answer whose connection closes after it

The entry's process ended on an uncaught assertion of undici, with all its requests.

Cause: reading pauses while more than 64 KiB of an answer wait for a slow client. If the connection of an answer without a declared end, or with connection: close, then ends or is reset, undici completes the message and asserts that it isn't paused. Change: only answers whose connection goes on pause it. A slow client of such an answer may leave up to the whole answer in memory.

Left: a server of HTTP/1.0 that declares a length and resets while reading is paused.

--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -6,7 +6,7 @@
 import type { Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
 import { dial, type DialOptions } from "./dial.ts";
-import { isFramed } from "./framing.ts";
+import { isFramed, isLastAnswer } from "./framing.ts";
 import { ServerConnections } from "./server_connections.ts";
 import { onReset } from "./socket_reset.ts";
 import { WakeSignal } from "./wake_signal.ts";
@@ -52,6 +52,7 @@
   readonly #steps: AnswerStep[] = [];
   #controller: Dispatcher.DispatchController | undefined;
   #unreadBytes = 0;
+  #mayPause = false;
   readonly #wake: WakeSignal;
   #aborted: Error | undefined;
   #isFramed = false;
@@ -111,6 +112,8 @@
   ): void {
     if (status < 200) return;
     this.#isFramed = isFramed(status, headers);
+    // undici throws if such a connection ends while reading from it is paused.
+    this.#mayPause = this.#isFramed && !isLastAnswer(headers);
     const head = { status, headers, isFramed: this.#isFramed };
     this.#push({ kind: "head", head });
   }
@@ -120,7 +123,9 @@
     chunk: Buffer,
   ): void {
     this.#unreadBytes += chunk.length;
-    if (this.#unreadBytes > MAX_UNREAD_BYTES) controller.pause();
+    if (this.#mayPause && this.#unreadBytes > MAX_UNREAD_BYTES) {
+      controller.pause();
+    }
     this.#push({ kind: "data", bytes: chunk });
   }
 
--- a/src/router/framing.ts
+++ b/src/router/framing.ts
@@ -15,3 +15,11 @@
     // With any other transfer coding, the end of the connection ends the body.
     /(^|,)\s*chunked\s*$/i.test(headers["transfer-encoding"] ?? "");
 }
+
+/**
+ * @param headers Headers of a response, names in lower case.
+ * @returns Whether the connection is closed after it.
+ */
+export function isLastAnswer(headers: IncomingHttpHeaders): boolean {
+  return /(^|,)\s*close\s*(,|$)/i.test(headers.connection ?? "");
+}
--- a/src/router/framing_test.ts
+++ b/src/router/framing_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { isFramed } from "./framing.ts";
+import { isFramed, isLastAnswer } from "./framing.ts";
 
 test("response without content length or chunked encoding is not framed", () => {
   assert.equal(isFramed(200, {}), false);
@@ -10,3 +10,10 @@
   assert.equal(isFramed(200, { "transfer-encoding": "gzip, chunked" }), true);
   assert.equal(isFramed(204, {}), true);
 });
+
+test("response that announces the close of its connection is the last one", () => {
+  assert.ok(isLastAnswer({ connection: "Close" }));
+  assert.ok(isLastAnswer({ connection: "x-a, close" }));
+  assert.ok(!isLastAnswer({ connection: "keep-alive" }));
+  assert.ok(!isLastAnswer({}));
+});
