Reset what ends with its connection when an entry aborts it

A client of HTTP/1.0 gets streams without chunks; one that broke off was closed in order, as if it were whole. A stop closed unread answers without a declared end in the same way.

Cause: whether an abort needs a reset was decided by the server's answer, and at a stop by nobody. Change: the sink knows each response without a declared end, and both ways of aborting reset it.

'stream that breaks off is reset for a client of HTTP/1.0' failed and passes.

--- /dev/null
+++ b/src/router/cut_by_entry_test.ts
@@ -0,0 +1,126 @@
+/** Answers without a declared end to their client, which the entry itself cuts. */
+import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import process from "node:process";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  completeStreamBody,
+  CONFIG,
+  fetchReadinessStatus,
+  headWithoutLength,
+  HOST,
+  KEY,
+  NO_FAULTS,
+  StandinPlatformStore,
+  StandinRawServer,
+} from "../standin/mod.ts";
+import { serveBytes } from "./_raw_server.ts";
+import { onReset } from "./socket_reset.ts";
+import { openWorld, until } from "./_world.ts";
+
+function ask(
+  { ipAddress, clientPort }: { ipAddress: string; clientPort: number },
+  { path, version = "1.1" }: { path: string; version?: string },
+) {
+  const socket = connect({ host: ipAddress, port: clientPort });
+  socket.write(
+    `POST ${path} HTTP/${version}\r\nhost: ${HOST}\r\nattempt-id: a1\r\n` +
+      `deadline-ms: 4000\r\nauthorization: Bearer ${KEY}\r\nmodel: m\r\n` +
+      "content-length: 1\r\n\r\nx",
+  );
+  return socket;
+}
+
+/** Reads what is left; the answer's end is orderly unless the connection is reset. */
+async function readEnd(socket: Socket) {
+  let text = "";
+  let isReset = false;
+  socket.on("error", () => {});
+  onReset(socket, () => {
+    isReset = true;
+  });
+  socket.on("data", (bytes) => text += bytes.toString("latin1"));
+  await once(socket, "close").catch(() => {});
+  await sleep(10);
+  return { text, isReset };
+}
+
+test("entry that stops resets an answer that a slow client has not read", async (t) => {
+  const world = await openWorld(t);
+  const body = "x".repeat(14 * 1024 * 1024);
+  await serveBytes(t, world, {
+    id: "i-raw",
+    service: "plain",
+    answer: (socket, id) => socket.end(headWithoutLength(id) + body),
+  });
+  const socket = ask(world, { path: "/look/a" });
+  socket.pause();
+  await sleep(600);
+  await world.router.stop();
+  const { text, isReset } = await readEnd(socket.resume());
+  const isWhole = text.endsWith("\r\n\r\n" + body);
+  assert.ok(isWhole || isReset, `${text.length} bytes, closed in order`);
+});
+
+test("stream that breaks off is reset for a client of HTTP/1.0", async (t) => {
+  const world = await openWorld(t);
+  const faults = { ...NO_FAULTS, cutAfterEvents: 2 };
+  await world.worker("i-1", { model: "m", faults });
+  const socket = ask(world, { path: "/once/a", version: "1.0" });
+  const { text, isReset } = await readEnd(socket);
+  assert.ok(text.includes(completeStreamBody(2)), text);
+  assert.doesNotMatch(text, /transfer-encoding|content-length/i);
+  assert.ok(isReset, "closed in order");
+});
+
+test("entry that is killed leaves no answer that looks complete", async (t) => {
+  const store = await StandinPlatformStore.create();
+  t.after(() => store.close());
+  await store.putConfig(CONFIG);
+  const raw = await StandinRawServer.create((socket, id) => {
+    socket.write(headWithoutLength(id) + completeStreamBody(2));
+  });
+  t.after(() => raw.close());
+  await store.put("servers/i-raw", raw.entry("engines"));
+  const ip = "127.9.7.9";
+  const child = spawn(process.execPath, [
+    "--import",
+    "tsx",
+    "src/router/main.ts",
+  ], {
+    env: {
+      CICADAHITCH_INSTANCE: "e-1",
+      CICADAHITCH_ZONE: "a",
+      CICADAHITCH_IP_ADDRESS: ip,
+      CICADAHITCH_CLIENT_ADDRESS: `${ip}:23811`,
+      CICADAHITCH_READINESS_ADDRESS: `${ip}:23812`,
+      CICADAHITCH_CONTROL_ADDRESS: `${ip}:23813`,
+      CICADAHITCH_PEER_PORT: "23814",
+      CICADAHITCH_STORE_ADDRESS: store.address,
+      CICADAHITCH_GRACE_S: "1",
+      CICADAHITCH_SEED_ADDRESSES: "",
+      CICADAHITCH_ENGINES_CHECK_FENCES: "",
+    },
+  });
+  t.after(() => child.kill("SIGKILL"));
+  await until(async () =>
+    await fetchReadinessStatus(23812, ip).catch(() => 0) === 200
+  );
+  const socket = ask({ ipAddress: ip, clientPort: 23811 }, {
+    path: "/once/a",
+  });
+  const ended = readEnd(socket);
+  await once(socket, "data");
+  await sleep(200);
+  child.kill("SIGKILL");
+  const { text, isReset } = await ended;
+  const isChunked = /transfer-encoding: chunked/i.test(text);
+  assert.match(text, /^HTTP\/1.1 200/);
+  assert.ok(
+    isReset || isChunked,
+    "an answer without a declared end was closed in order",
+  );
+});
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -17,7 +17,7 @@
 import { Intake } from "./intake.ts";
 import type { LoopLag } from "./loop_lag.ts";
 import { readBody } from "./read_body.ts";
-import { ResponseSink } from "./response_sink.ts";
+import { abortResponse, ResponseSink } from "./response_sink.ts";
 import type {
   AnswerSink,
   LocalAnswer,
@@ -183,8 +183,9 @@
   #abort(): void {
     this.#isAborting = true;
     for (const requests of this.#connections.values()) {
-      for (const facts of requests.values()) {
+      for (const [response, facts] of requests) {
         this.#options.onLocalAnswer(facts, "aborted");
+        abortResponse(response);
       }
     }
     this.#server.closeAllConnections();
@@ -194,7 +195,7 @@
   async close(): Promise<void> {
     if (!this.#server.listening) return;
     const closed = new Promise((resolve) => this.#server.close(resolve));
-    this.#server.closeAllConnections();
+    this.#abort();
     await closed;
   }
 
--- a/src/router/response_sink.ts
+++ b/src/router/response_sink.ts
@@ -5,13 +5,25 @@
 /** Time for a client to take what was written before its answer is aborted. */
 const FLUSH_TIMEOUT_MS = 1000;
 
+/** Responses without a declared end, which end with their connection. */
+const withoutDeclaredEnd = new WeakSet<ServerResponse>();
+
+/**
+ * Closes a connection whose response has not been delivered whole. Without a declared end, an orderly
+ * close would end the response; only a reset aborts it.
+ *
+ * @param response The response.
+ */
+export function abortResponse(response: ServerResponse): void {
+  if (withoutDeclaredEnd.has(response)) response.socket?.resetAndDestroy();
+  response.destroy();
+}
+
 /** Response to a client over HTTP. */
 export class ResponseSink implements AnswerSink {
   readonly #response: ServerResponse;
   readonly #isDraining: () => boolean;
   #gone = false;
-  /** The answer that was started declares its end. */
-  #isFramed = true;
 
   /**
    * @param response Node's response object, to which everything is written.
@@ -41,6 +53,9 @@
 
   begin(head: SinkHead): void {
     this.#writeHead(head, head.headers);
+    // Clients of HTTP/1.0 get no chunks.
+    const response = this.#response;
+    if (!response.chunkedEncoding) withoutDeclaredEnd.add(response);
   }
 
   async write(bytes: Buffer): Promise<void> {
@@ -63,11 +78,8 @@
 
   abortAnswer(): void {
     const response = this.#response;
-    // Without a declared end, an orderly close would end the answer; only a reset aborts it.
-    if (!this.#isFramed) response.socket?.resetAndDestroy();
-    if (!this.#isFramed || response.writableNeedDrain) {
-      response.destroy();
-      return;
+    if (withoutDeclaredEnd.has(response) || response.writableNeedDrain) {
+      return abortResponse(response);
     }
     // What was written before is delivered; the missing length or last chunk shows the abort.
     response.socket?.destroySoon();
@@ -88,8 +100,10 @@
 
   #writeHead({ status, isFramed = true }: SinkHead, headers: string[]): void {
     const response = this.#response;
-    this.#isFramed = isFramed;
-    if (!isFramed) response.useChunkedEncodingByDefault = false;
+    if (!isFramed) {
+      withoutDeclaredEnd.add(response);
+      response.useChunkedEncodingByDefault = false;
+    }
     if (!isFramed || this.#isDraining()) response.shouldKeepAlive = false;
     response.writeHead(status, headers);
   }
