--- a/src/admin/_fuzz_harness.ts
+++ b/src/admin/_fuzz_harness.ts
@@ -184,8 +184,9 @@
       }
       const held = branches.all().filter(({ json }) => json.length > 0);
       if (held.length !== live.length || sync.isolated) return false;
-      for (const { key, modRevision } of live) {
-        if (branches.revisionOf(teamOfKey(key)) !== modRevision) return false;
+      for (const { key, modPosition } of live) {
+        const held = branches.revisionOf(teamOfKey(key));
+        if (held !== modPosition.revision) return false;
       }
     }
     return true;
@@ -224,7 +225,7 @@
       JSON.stringify({ address, state: sync.state() })
     );
     const live = TEAMS.map((team) =>
-      `${team}@${this.store.table.get(teamKey(team))?.modRevision}`
+      `${team}@${this.store.table.get(teamKey(team))?.modPosition}`
     );
     return `${live.join(" ")} ${nodes.join(" ")}`;
   }
@@ -235,11 +236,12 @@
   store: MemoryStore,
 ): CommittedWrite {
   if (event.kind === "put") {
-    const { key, modRevision, value } = event.entry;
+    const { key, modPosition, value } = event.entry;
     const writeId = decodeWriteId(value);
-    return { team: teamOfKey(key), revision: modRevision, writeId };
+    const { revision } = modPosition;
+    return { team: teamOfKey(key), revision, writeId };
   }
-  const { key, revision } = event;
+  const { key, position: { revision } } = event;
   const team = teamOfKey(key);
   const head = store.table.get(`/cicadahitch/history/${team}/head`);
   return { team, revision, writeId: head ? decodeWriteId(head.value) : "" };
--- a/src/admin/server_test.ts
+++ b/src/admin/server_test.ts
@@ -162,7 +162,7 @@
     );
     assert.equal(second.number, 2);
     assert.equal(
-      store.table.get(teamKey("a"))?.modRevision,
+      store.table.get(teamKey("a"))?.modPosition.revision,
       BigInt(second.version),
     );
   }));
--- a/src/admin/team_store.ts
+++ b/src/admin/team_store.ts
@@ -20,6 +20,7 @@
 } from "../config/mod.ts";
 import type {
   CommitOutcome,
+  Expectation,
   KeyValueEntry,
   KeyValueStore,
   StoreFailure,
@@ -34,6 +35,8 @@
   revision: bigint;
   /** Store revision of the history's head, which every write changes; 0: never written. */
   headRevision: bigint;
+  /** Conditions of a commit that replaces this state. */
+  conditions: Expectation[];
   /** Sequence number of the last write to the team; 0: never written. */
   number: number;
   /** Metadata of the last write, deletions included. */
@@ -130,9 +133,9 @@
     );
     if (listing.isErr) return storeUnavailable();
     const versions: HistoryVersion[] = [];
-    for (const { key, value, modRevision } of listing.value.entries) {
+    for (const { key, value, modPosition } of listing.value.entries) {
       const stored = isHeadKey(key) ? undefined : decodeOrUndefined(value);
-      if (stored) versions.push({ revision: modRevision, stored });
+      if (stored) versions.push({ revision: modPosition.revision, stored });
     }
     return Result.ok(versions.reverse());
   }
@@ -150,23 +153,25 @@
     const prepared = prepareCommit(change, this.#clock.wallMs());
     if (prepared.isErr) return Result.err(prepared.error);
     const commit = prepared.value;
-    const attempt = await this.#commit(commit);
-    if (attempt.isErr) {
-      if (attempt.error.kind !== "effect_unknown") return storeUnavailable();
+    const { before: { conditions }, writes } = commit;
+    const sent = await this.#store.commit(conditions, writes);
+    if (sent.isErr) {
+      if (sent.error.kind !== "effect_unknown") return storeUnavailable();
       return await this.#resolve(commit);
     }
-    if (attempt.value.kind === "committed") {
-      return Result.ok(toAcceptedWrite(commit, attempt.value.revision));
+    if (sent.value.kind === "committed") {
+      return Result.ok(toAcceptedWrite(commit, sent.value.position.revision));
     }
     if (change.mayBeRetry) return await this.#resolve(commit);
-    const state = createConflictSnapshot(commit, attempt.value.current);
+    const state = createConflictSnapshot(commit, sent.value.current);
     return Result.err({ kind: "conflict", current: toCurrentVersion(state) });
   }
 
   async #resolve(commit: Commit): Promise<Result<AcceptedWrite, AdminFailure>> {
+    const { before: { conditions }, writes } = commit;
     const untilMs = this.#clock.nowMs() + this.#resolveTimeoutMs;
     while (this.#clock.nowMs() < untilMs) {
-      const retry = await this.#commit(commit);
+      const retry = await this.#store.commit(conditions, writes);
       const result = retry.isOk && await this.#classify(commit, retry.value);
       if (result) return result;
       await this.#clock.sleep(this.#resolveTimeoutMs / MAX_RESOLVE_ATTEMPTS);
@@ -174,14 +179,6 @@
     return unresolved(commit);
   }
 
-  #commit(commit: Commit): Promise<Result<CommitOutcome, StoreFailure>> {
-    const { before } = commit;
-    return this.#store.commit([
-      { key: teamKey(before.team), modRevision: before.revision },
-      { key: headKey(before.team), modRevision: before.headRevision },
-    ], commit.writes);
-  }
-
   /**
    * Decides whether the commit took effect. After a conflict, the current value was written either
    * by an earlier attempt of this commit or by another writer.
@@ -191,11 +188,13 @@
     outcome: CommitOutcome,
   ): Promise<Result<AcceptedWrite, AdminFailure> | undefined> {
     if (outcome.kind === "committed") {
-      return Result.ok(toAcceptedWrite(commit, outcome.revision));
+      return Result.ok(toAcceptedWrite(commit, outcome.position.revision));
     }
     const current = createConflictSnapshot(commit, outcome.current);
     if (current.lastWrite?.writeId === commit.metadata.writeId) {
-      return Result.ok(toAcceptedWrite(commit, current.headRevision));
+      return Result.ok(
+        toAcceptedWrite(commit, current.headRevision),
+      );
     }
     const conflict: Result<AcceptedWrite, AdminFailure> = Result.err({
       kind: "conflict",
@@ -214,11 +213,11 @@
     const key = historyKey(commit.before.team, commit.metadata.number);
     const found = await this.#withTimeout(this.#store.get(key));
     if (found.isErr || !found.value) return undefined;
-    const { value, modRevision } = found.value;
+    const { value, modPosition: { revision } } = found.value;
     if (decodeOrUndefined(value)?.writeId !== commit.metadata.writeId) {
       return { kind: "other" };
     }
-    return { kind: "own", accepted: toAcceptedWrite(commit, modRevision) };
+    return { kind: "own", accepted: toAcceptedWrite(commit, revision) };
   }
 
   async #withTimeout<T>(
@@ -308,8 +307,12 @@
   const lastWrite = headMetadata ?? stored;
   return {
     team,
-    revision: branch?.modRevision ?? 0n,
-    headRevision: head?.modRevision ?? 0n,
+    revision: branch?.modPosition.revision ?? 0n,
+    headRevision: head?.modPosition.revision ?? 0n,
+    conditions: [
+      { key: teamKey(team), modPosition: branch?.modPosition },
+      { key: headKey(team), modPosition: head?.modPosition },
+    ],
     number: Math.max(headMetadata?.number ?? 0, stored?.number ?? 0),
     lastWrite,
     stored,
--- a/src/agent/agent_dependencies.ts
+++ b/src/agent/agent_dependencies.ts
@@ -1,4 +1,5 @@
 /** External dependencies of an agent, which tests replace with fakes. */
+import { fencingNumberOf, START_POSITION } from "../store/position.ts";
 import { Result } from "true-myth";
 import type { Owned } from "../base/mod.ts";
 import type { FloorReader } from "../lease/mod.ts";
@@ -89,7 +90,7 @@
 }
 
 /**
- * Reads the fencing number of a lease's current holder, which is the store revision at which the
+ * Reads the fencing number of a lease's current holder, which names the store position at which the
  * holder created the key; 0 if nobody holds the lease.
  */
 async function readHolderNumber(
@@ -97,6 +98,9 @@
   leaseKey: string,
 ): Promise<Result<bigint, { message: string }>> {
   const found = await store.get(leaseKey);
-  if (found.isOk) return Result.ok(found.value?.createRevision ?? 0n);
+  if (found.isOk) {
+    const position = found.value?.createPosition ?? START_POSITION;
+    return Result.ok(fencingNumberOf(position));
+  }
   return Result.err({ message: found.error.kind });
 }
--- a/src/config/_spread_bench.ts
+++ b/src/config/_spread_bench.ts
@@ -169,7 +169,8 @@
 
 function put(store: MemoryStore, team: string, value: Uint8Array): bigint {
   const key = teamKey(team);
-  return store.table.commit([], [{ kind: "put", key, value }]).revision;
+  return store.table.commit([], [{ kind: "put", key, value }]).position
+    .revision;
 }
 
 function encodeTestBranch(): Uint8Array {
--- a/src/config/branch_set.ts
+++ b/src/config/branch_set.ts
@@ -182,17 +182,19 @@
   applyListing(listing: Listing): UnappliedBranch[] {
     const unapplied: UnappliedBranch[] = [];
     const listed = new Set<string>();
-    for (const { key, value, modRevision } of listing.entries) {
+    for (const { key, value, modPosition } of listing.entries) {
       const team = teamOfKey(key);
       listed.add(team);
       const json = Buffer.from(value);
-      const applied = this.apply({ team, revision: modRevision, json });
+      const { revision } = modPosition;
+      const applied = this.apply({ team, revision, json });
       if (applied.isErr && applied.error.kind !== "older") {
-        unapplied.push({ team, revision: modRevision, failure: applied.error });
+        unapplied.push({ team, revision, failure: applied.error });
       }
     }
-    this.deleteUnlisted(listed, listing.revision);
-    this.markCompleteTo(listing.revision);
+    const { revision } = listing.position;
+    this.deleteUnlisted(listed, revision);
+    this.markCompleteTo(revision);
     return unapplied;
   }
 
--- a/src/config/branch_set_test.ts
+++ b/src/config/branch_set_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { BranchSet } from "./branch_set.ts";
 import { encodeBranch, teamKey } from "./stored_branch.ts";
+import { positionAt } from "../store/position.ts";
 
 const BRANCH = { format: 1, classes: {}, workspaces: {} };
 const STORED_JSON = Buffer.from(encodeBranch(BRANCH));
@@ -14,12 +15,12 @@
   json,
 });
 const listingOf = (revision: bigint, ...teams: [string, bigint][]) => ({
-  revision,
+  position: positionAt(0, revision),
   entries: teams.map(([team, modRevision]) => ({
     key: teamKey(team),
     value: STORED_JSON,
-    modRevision,
-    createRevision: modRevision,
+    modPosition: positionAt(0, modRevision),
+    createPosition: positionAt(0, modRevision),
   })),
 });
 
--- a/src/config/local_fleet.ts
+++ b/src/config/local_fleet.ts
@@ -1,4 +1,5 @@
 /** Simulated nodes in one process that exchange configuration; for tests and benchmarks. */
+import type { StorePosition } from "../store/position.ts";
 import { Result } from "true-myth";
 import {
   type Clock,
@@ -251,14 +252,14 @@
 
   async *watch(
     prefix: string,
-    fromRevision: bigint,
+    from: StorePosition,
     signal: AbortSignal,
   ): AsyncGenerator<Result<WatchStep, StoreFailure>> {
     const gate = this.#gate.signal;
     if (gate.aborted) return yield Result.err(STORE_UNAVAILABLE);
     const anySignal = AbortSignal.any([signal, gate]);
     for await (
-      const step of this.#store.watch(prefix, fromRevision, anySignal)
+      const step of this.#store.watch(prefix, from, anySignal)
     ) {
       if (gate.aborted) break;
       yield step;
--- a/src/config/store_follower.ts
+++ b/src/config/store_follower.ts
@@ -1,10 +1,14 @@
 /** Keeps a branch set up to date from the key-value service, by a listing followed by a watch. */
+import { positionAt } from "../store/position.ts";
 import type { Clock, Logger } from "../base/mod.ts";
 import type { KeyValueStore, StoreFailure, WatchStep } from "../store/store.ts";
 import type { BranchSet } from "./branch_set.ts";
 import type { Freshness } from "./freshness.ts";
 import { teamOfKey, TEAMS_PREFIX } from "./stored_branch.ts";
 
+/** Team branches hold bare revisions: their store names no era. */
+const NO_ERA = 0;
+
 /** Settings of {@link StoreFollower}. */
 export interface StoreFollowerOptions {
   store: KeyValueStore;
@@ -104,7 +108,7 @@
   async #watch(signal: AbortSignal): Promise<StoreFailure> {
     const { store, branches, clock } = this.#options;
     this.counters.watches++;
-    const from = branches.completeTo + 1n;
+    const from = positionAt(NO_ERA, branches.completeTo + 1n);
     for await (const step of store.watch(TEAMS_PREFIX, from, signal)) {
       if (step.isErr) return step.error;
       this.#handleWatchStep(step.value);
@@ -117,20 +121,21 @@
     const { branches } = this.#options;
     switch (step.kind) {
       case "put": {
-        const { key, value, modRevision } = step.entry;
-        this.#applyVersion(teamOfKey(key), modRevision, value);
+        const { key, value, modPosition } = step.entry;
+        const { revision } = modPosition;
+        this.#applyVersion(teamOfKey(key), revision, value);
         // More events of the same revision may follow, so only the previous one is complete.
-        return branches.markCompleteTo(modRevision - 1n);
+        return branches.markCompleteTo(revision - 1n);
       }
       case "delete":
         this.#applyVersion(
           teamOfKey(step.key),
-          step.revision,
+          step.position.revision,
           new Uint8Array(),
         );
-        return branches.markCompleteTo(step.revision - 1n);
+        return branches.markCompleteTo(step.position.revision - 1n);
       case "progress":
-        return branches.markCompleteTo(step.revision);
+        return branches.markCompleteTo(step.position.revision);
     }
   }
 
--- a/src/config/sync_test.ts
+++ b/src/config/sync_test.ts
@@ -5,6 +5,7 @@
 import { BranchSet } from "./branch_set.ts";
 import { type FleetNode, GatedStore, LocalFleet } from "./local_fleet.ts";
 import { encodeBranch, teamKey } from "./stored_branch.ts";
+import type { CommitOutcome } from "../store/store.ts";
 
 const BRANCH = { format: 1, classes: {}, workspaces: {} };
 const STORED_VALUE = encodeBranch(BRANCH);
@@ -29,8 +30,8 @@
   return revisionOf(store.table.commit([], [write]));
 }
 
-function revisionOf(outcome: { revision: bigint }): bigint {
-  return outcome.revision;
+function revisionOf({ position }: CommitOutcome): bigint {
+  return position.revision;
 }
 
 async function waitUntil(isMet: () => boolean): Promise<void> {
--- a/src/journal/_commit_part.ts
+++ b/src/journal/_commit_part.ts
@@ -1,4 +1,5 @@
 /** Builds one shard's part of a commit, and applies or reverts it when the result is known. */
+import type { StorePosition } from "../store/position.ts";
 import type { Expectation, Write } from "../store/store.ts";
 import { type ClaimEntry, isNotRun, keyToDigest } from "./_claim_entry.ts";
 import type { JournalOptions } from "./_options.ts";
@@ -28,9 +29,9 @@
   maxClaims: number;
 }
 
-/** Revision and times of a commit that took effect. */
+/** Position and times of a commit that took effect. */
 export interface CommitResult {
-  revision: bigint;
+  position: StorePosition;
   /** Monotonic time at which the commit was sent; it took effect no earlier. */
   sentMs: number;
   nowMs: number;
@@ -74,7 +75,7 @@
     isTrimDue(shard, state, context);
   if (mustWrite) return buildWritingPart(shard, state, context);
   return isConfirmDue(state, context)
-    ? createPart(shard, state.modRevision)
+    ? createPart(shard, state.modPosition)
     : undefined;
 }
 
@@ -82,7 +83,7 @@
  * Updates the shard after the commit took effect, and grants the claims of the part.
  *
  * @param part The shard's part of the commit.
- * @param result Revision and times of the commit.
+ * @param result Position and times of the commit.
  */
 export function applyPart(
   part: CommitPart,
@@ -94,7 +95,7 @@
   state.confirmedMs = result.sentMs;
   if (!head) return;
   state.head = head;
-  state.modRevision = result.revision;
+  state.modPosition = result.position;
   state.maxMemoryGrantMs = head.maxMemoryGrantMs;
   shard.trimSegments(head.oldestSegment);
   if (segment > 0) shard.addSegment({ number: segment, claims });
@@ -127,7 +128,7 @@
   state: OwnerState,
   context: PartContext,
 ): CommitPart {
-  const part = createPart(shard, state.modRevision);
+  const part = createPart(shard, state.modPosition);
   part.claims = shard.queue.splice(0, context.maxClaims);
   part.ends = dequeueEnds(shard, part.claims);
   const head = nextHead(shard, state, context);
@@ -154,10 +155,10 @@
   return part;
 }
 
-function createPart(shard: Shard, modRevision: bigint): CommitPart {
+function createPart(shard: Shard, modPosition: StorePosition): CommitPart {
   return {
     shard,
-    expect: { key: headKey(shard.id), modRevision },
+    expect: { key: headKey(shard.id), modPosition },
     head: undefined,
     segment: 0,
     writes: [],
--- a/src/journal/_committer.ts
+++ b/src/journal/_committer.ts
@@ -1,4 +1,5 @@
 /** Writes the pending records of all shards that an agent owns, in one store commit at a time. */
+import { isSamePosition, type StorePosition } from "../store/position.ts";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import type {
   CommitOutcome,
@@ -205,18 +206,20 @@
   ): void {
     const nowMs = this.#options.clock.nowMs();
     if (outcome.kind === "committed") {
-      const { revision } = outcome;
-      for (const part of parts) this.#apply(part, { revision, sentMs, nowMs });
+      const { position } = outcome;
+      for (const part of parts) this.#apply(part, { position, sentMs, nowMs });
       return;
     }
     const current = new Map(outcome.current.map((entry) => [entry.key, entry]));
     const own = parts.find((part) => isWrittenBy(part, current));
-    const revision = own && current.get(own.expect.key)!.modRevision;
+    const position = own && current.get(own.expect.key)!.modPosition;
     for (const part of parts) {
       const found = current.get(part.expect.key);
-      if (revision !== undefined) {
-        this.#apply(part, { revision, sentMs, nowMs });
-      } else if (found?.modRevision !== part.expect.modRevision) {
+      if (position !== undefined) {
+        this.#apply(part, { position, sentMs, nowMs });
+      } else if (
+        !isSamePosition(found?.modPosition, part.expect.modPosition)
+      ) {
         this.#endOwnership(part.shard, found);
       } else {
         requeuePart(part);
@@ -227,7 +230,7 @@
 
   #apply(
     part: CommitPart,
-    result: { revision: bigint; sentMs: number; nowMs: number },
+    result: { position: StorePosition; sentMs: number; nowMs: number },
   ): void {
     applyPart(part, result);
     if (!part.head?.released) return;
--- a/src/journal/_shard.ts
+++ b/src/journal/_shard.ts
@@ -1,4 +1,5 @@
 /** An agent's in-memory state of one shard: its claims and the records to be written. */
+import type { StorePosition } from "../store/position.ts";
 import type { ClaimEnd, ClaimRefusal } from "./claims_journal.ts";
 import { type ClaimEntry, isNotRun } from "./_claim_entry.ts";
 import type { ShardId } from "./_paths.ts";
@@ -14,7 +15,7 @@
 export interface OwnerState {
   /** The last committed head. */
   head: Head;
-  modRevision: bigint;
+  modPosition: StorePosition;
   /** Number of the last commit that was built; it may not have taken effect. */
   commitNumber: number;
   /** Monotonic time at which the answer to the takeover arrived. */
--- a/src/journal/_shard_acquirer.ts
+++ b/src/journal/_shard_acquirer.ts
@@ -1,4 +1,5 @@
 /** Acquires the ownership of shards. */
+import type { StorePosition } from "../store/position.ts";
 import { err, ok, type Result } from "true-myth/result";
 import type { Unit } from "true-myth/unit";
 import type { Expectation, KeyValueEntry, Write } from "../store/store.ts";
@@ -19,7 +20,7 @@
 /** The stored state of a shard, as its previous owner left it. */
 interface StoredShard extends Replay {
   head: Head | undefined;
-  modRevision: bigint;
+  modPosition: StorePosition | undefined;
 }
 
 /** Result of a takeover; `beaten`: another agent changed the head first. */
@@ -153,8 +154,8 @@
     if (replay.isErr) {
       return err(this.#unreadable(shard, replay.error.message));
     }
-    const modRevision = headEntry?.modRevision ?? 0n;
-    return ok({ ...replay.value, head: head?.value, modRevision });
+    const modPosition = headEntry?.modPosition;
+    return ok({ ...replay.value, head: head?.value, modPosition });
   }
 
   async #takeOver(
@@ -164,15 +165,15 @@
     const { clock } = this.#options;
     const head = this.#createSuccessorHead(shard, found.head);
     const sentMs = clock.nowMs();
-    const modRevision = await this.#commitHead(shard, found, head);
-    if (typeof modRevision !== "bigint") return modRevision;
+    const modPosition = await this.#commitHead(shard, found, head);
+    if (typeof modPosition === "string") return modPosition;
     const nowMs = clock.nowMs();
     const { segments, claims } = found;
     // The journal clock starts only after the commit: the predecessor can't confirm its ownership
     // any more.
     const ownerState = {
       head,
-      modRevision,
+      modPosition,
       commitNumber: head.commitNumber,
       startedMs: nowMs,
       startedJournalMs: head.journalMs,
@@ -187,14 +188,14 @@
     return "taken";
   }
 
-  /** Commits the new head; returns its revision, or the reason of the failure. */
+  /** Commits the new head; returns its position, or the reason of the failure. */
   async #commitHead(
     shard: Shard,
     found: StoredShard,
     head: Head,
-  ): Promise<bigint | "beaten" | "store_down"> {
+  ): Promise<StorePosition | "beaten" | "store_down"> {
     const key = headKey(shard.id);
-    const expect: Expectation[] = [{ key, modRevision: found.modRevision }];
+    const expect: Expectation[] = [{ key, modPosition: found.modPosition }];
     const writes: Write[] = [{ kind: "put", key, value: encodeHead(head) }];
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       const result = await this.#options.store.commit(expect, writes);
@@ -205,10 +206,10 @@
         continue;
       }
       this.#health.recordSuccess();
-      if (result.value.kind === "committed") return result.value.revision;
+      if (result.value.kind === "committed") return result.value.position;
       const current = result.value.current.find((entry) => entry.key === key);
       const isOwn = current && isWrittenBy(current, head);
-      return isOwn ? current.modRevision : "beaten";
+      return isOwn ? current.modPosition : "beaten";
     }
     return "store_down";
   }
--- a/src/lease/fenced_lease.ts
+++ b/src/lease/fenced_lease.ts
@@ -16,6 +16,7 @@
   readJson,
   readLastHolder,
 } from "./last_holder.ts";
+import { fencingNumberOf, type StorePosition } from "../store/position.ts";
 import type {
   Expectation,
   KeyValueEntry,
@@ -84,11 +85,13 @@
 
 /** Outcome of the write that claims the lease's key. */
 type ClaimResult =
-  | { kind: "taken"; fencingNumber: bigint }
+  | { kind: "taken"; position: StorePosition }
   | { kind: "refused"; failure: AcquireFailure };
 
 /** A lease acquired by this process. */
 export class FencedLease {
+  /** Position at which this process created the lease's key. */
+  readonly position: StorePosition;
   readonly fencingNumber: bigint;
   readonly #store: KeyValueStore;
   readonly #options: FencedLeaseOptions;
@@ -102,7 +105,7 @@
     store: KeyValueStore,
     options: FencedLeaseOptions,
     held: {
-      fencingNumber: bigint;
+      position: StorePosition;
       granted: StoreLease;
       sentAt: ClockReading;
       calls: number;
@@ -110,7 +113,8 @@
   ) {
     this.#store = store;
     this.#options = options;
-    this.fencingNumber = held.fencingNumber;
+    this.position = held.position;
+    this.fencingNumber = fencingNumberOf(held.position);
     this.#leaseId = held.granted.leaseId;
     this.#validFrom = held.sentAt;
     this.#validityMs = usableMs(held.granted.ttlMs);
@@ -141,8 +145,8 @@
       await store.revokeLease(granted.value.leaseId);
       return Result.err(claim.failure);
     }
-    const { fencingNumber } = claim;
-    const held = { fencingNumber, granted: granted.value, sentAt, calls: 3 };
+    const { position } = claim;
+    const held = { position, granted: granted.value, sentAt, calls: 3 };
     return Result.ok(new FencedLease(store, options, held));
   }
 
@@ -259,11 +263,11 @@
   const { key, holderId, lastHolder, clock } = options;
   const text = JSON.stringify({ holderId, claimId: randomUUID() });
   const value = new TextEncoder().encode(text);
-  const expect: Expectation[] = [{ key, modRevision: 0n }];
+  const expect: Expectation[] = [{ key, modPosition: undefined }];
   const writes: Write[] = [{ kind: "put", key, value, leaseId }];
   if (lastHolder) {
-    const modRevision = lastHolder.known?.modRevision ?? 0n;
-    expect.push({ key: lastHolder.key, modRevision });
+    const modPosition = lastHolder.known?.modPosition;
+    expect.push({ key: lastHolder.key, modPosition });
     const last = encodeNextHolder(lastHolder.known, { holderId, clock });
     writes.push({ kind: "put", key: lastHolder.key, value: last });
   }
@@ -279,7 +283,7 @@
     });
   }
   if (outcome.value.kind === "committed") {
-    return { kind: "taken", fencingNumber: outcome.value.revision };
+    return { kind: "taken", position: outcome.value.position };
   }
   const current = outcome.value.current.find((entry) => entry.key === key);
   if (current) return { kind: "refused", failure: heldByOther(current) };
@@ -308,7 +312,7 @@
   if (found.isErr) return refusedByStore(found.error);
   if (!found.value) return refusedByStore(claim.commitFailure);
   if (new TextDecoder().decode(found.value.value) === claim.writtenText) {
-    return { kind: "taken", fencingNumber: found.value.createRevision };
+    return { kind: "taken", position: found.value.createPosition };
   }
   return { kind: "refused", failure: heldByOther(found.value) };
 }
@@ -317,7 +321,7 @@
   return {
     kind: "held",
     holderId: readHolderId(entry.value),
-    fencingNumber: entry.createRevision,
+    fencingNumber: fencingNumberOf(entry.createPosition),
   };
 }
 
--- a/src/lease/fenced_lease_test.ts
+++ b/src/lease/fenced_lease_test.ts
@@ -81,7 +81,10 @@
   const { store, held } = setUp();
   store.faults.loseNextAnswer = true;
   const lease = await held("e1");
-  assert.equal(lease.fencingNumber, store.table.get(KEY)!.createRevision);
+  assert.equal(
+    lease.fencingNumber,
+    store.table.get(KEY)!.createPosition.revision,
+  );
 });
 
 test("a lost commit request leaves the lease free", async () => {
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -1,6 +1,7 @@
 /** {@link KeyValueStore} client of the platform's store: HTTP with JSON bodies and long polling. */
 import { Result } from "true-myth";
 import { findCommitRefusal } from "../store/commit_limits.ts";
+import { laterOf, positionAt, type StorePosition } from "../store/position.ts";
 import type {
   CommitOutcome,
   Expectation,
@@ -21,11 +22,12 @@
 import { StorePath } from "./names.ts";
 import {
   commitBody,
+  integerOf,
+  positionOf,
   readConflict,
   readEntry,
   readPage,
   readWatch,
-  revisionOf,
   type UnreadableItem,
   type WatchAnswer,
 } from "./store_bodies.ts";
@@ -54,8 +56,8 @@
 /** One long poll of a watch. */
 interface Poll {
   prefix: string;
-  /** Only events after this revision are returned. */
-  after: bigint;
+  /** Only events after this position are returned. */
+  after: StorePosition;
   /** How long the store may wait for an event before it answers. */
   waitMs: number;
   callMs: number;
@@ -93,26 +95,26 @@
     const answer = await this.#read(path);
     if (answer.isErr) return Result.err(answer.error);
     if (answer.value.status === 404) return Result.ok(undefined);
-    return tryParse(() => readEntry(answer.value.body));
+    return tryParse(() => readEntry(answer.value.body, 0));
   }
 
   async list(prefix: string): Promise<Result<Listing, StoreFailure>> {
     const entries: KeyValueEntry[] = [];
     let after = "";
-    // The pages are no snapshot: a watch from the first page's revision delivers later changes.
-    let revision: bigint | undefined;
+    // The pages are no snapshot: a watch from the first page's position delivers later changes.
+    let position: StorePosition | undefined;
     while (true) {
       const answer = await this.#read(rangePath(prefix, after));
       if (answer.isErr) return Result.err(answer.error);
-      const page = tryParse(() => readPage(answer.value.body));
+      const page = tryParse(() => readPage(answer.value.body, 0));
       if (page.isErr) return Result.err(page.error);
       this.#reportUnreadable(page.value.unreadable);
-      revision ??= page.value.revision;
+      position ??= page.value.position;
       entries.push(...page.value.entries);
       if (page.value.nextAfter === undefined) break;
       after = page.value.nextAfter;
     }
-    return Result.ok({ entries, revision });
+    return Result.ok({ entries, position });
   }
 
   async commit(
@@ -138,21 +140,21 @@
     if (status === 200) {
       return tryParse(() => ({
         kind: "committed",
-        revision: revisionOf(body, "revision"),
+        position: positionOf(body, "revision", 0),
       }));
     }
-    if (status === 412) return tryParse(() => readConflict(body));
+    if (status === 412) return tryParse(() => readConflict(body, 0));
     return Result.err(refusalFailure(status));
   }
 
   async *watch(
     prefix: string,
-    fromRevision: bigint,
+    from: StorePosition,
     signal: AbortSignal,
   ): AsyncIterable<Result<WatchStep, StoreFailure>> {
     const { callMs, watchWaitMs, watchSlackMs } = this.#options;
     const longPollMs = watchWaitMs + watchSlackMs;
-    let after = fromRevision - 1n;
+    let after = positionAt(from.era, from.revision - 1n);
     // The first poll returns at once, so a caller that lost its connection soon sees it restored.
     let timing = { waitMs: FIRST_POLL_WAIT_MS, callMs };
     while (!signal.aborted) {
@@ -163,11 +165,11 @@
         yield Result.err(answer.error);
         return;
       }
-      const { steps, unreadable, revision } = answer.value;
+      const { steps, unreadable, position } = answer.value;
       this.#reportUnreadable(unreadable);
       for (const step of steps) yield Result.ok(step);
-      if (revision > after) after = revision;
-      yield Result.ok({ kind: "progress", revision: after });
+      after = laterOf(after, position);
+      yield Result.ok({ kind: "progress", position: after });
     }
   }
 
@@ -182,7 +184,7 @@
     const { status, body } = answer.value;
     if (status !== 200) return Result.err(refusalFailure(status));
     return tryParse(() => ({
-      leaseId: revisionOf(body, "lease"),
+      leaseId: integerOf(body, "lease"),
       ttlMs: Number(body["ttl_ms"]),
     }));
   }
@@ -225,7 +227,7 @@
   ): Promise<Result<WatchAnswer, StoreFailure>> {
     const query = new URLSearchParams({
       prefix,
-      after: String(after),
+      after: String(after.revision),
       wait_ms: String(waitMs),
     });
     const answer = await this.#send({
@@ -237,10 +239,13 @@
     if (answer.isErr) return Result.err(readFailure(answer.error));
     const { status, body } = answer.value;
     if (status === 410) {
-      return Result.err({ kind: "compacted", oldestRevision: after + 1n });
+      return Result.err({
+        kind: "compacted",
+        oldestRevision: after.revision + 1n,
+      });
     }
     if (status !== 200) return Result.err(refusalFailure(status));
-    return tryParse(() => readWatch(body));
+    return tryParse(() => readWatch(body, 0));
   }
 
   async #read(path: string): Promise<Result<CallAnswer, StoreFailure>> {
--- a/src/platform/store_bodies.ts
+++ b/src/platform/store_bodies.ts
@@ -2,6 +2,7 @@
  * Encodes and decodes JSON bodies of the platform store's calls and answers. Decoding throws a
  * TypeError if a field of the answer itself is missing or invalid.
  */
+import { laterOf, positionAt, type StorePosition } from "../store/position.ts";
 import type {
   CommitOutcome,
   Expectation,
@@ -30,9 +31,9 @@
     });
   }
   return {
-    expected: expect.map(({ key, modRevision }) => ({
+    expected: expect.map(({ key, modPosition }) => ({
       key,
-      revision: Number(modRevision),
+      revision: Number(modPosition?.revision ?? 0n),
     })),
     writes: puts,
     deletes,
@@ -50,36 +51,43 @@
 export interface Page {
   entries: KeyValueEntry[];
   unreadable: UnreadableItem[];
-  revision: bigint;
+  position: StorePosition;
   /** Key after which the next page starts; undefined on the last page. */
   nextAfter?: string;
 }
 
+/** Era of an answer, and where its unreadable items are collected. */
+interface ReadContext {
+  era: number;
+  unreadable: UnreadableItem[];
+}
+
 /** Answer to one poll of a watch. */
 export interface WatchAnswer {
   steps: WatchStep[];
   unreadable: UnreadableItem[];
-  revision: bigint;
+  position: StorePosition;
 }
 
 /**
  * Decodes a page. Items that can't be decoded are reported and don't affect the others.
  *
  * @param body The body of the answer.
+ * @param era Era of the answer.
  * @returns The page's entries and unreadable items.
  */
-export function readPage(body: JsonObject): Page {
+export function readPage(body: JsonObject, era: number): Page {
   const entries: KeyValueEntry[] = [];
   const unreadable: UnreadableItem[] = [];
   const rows = listField(body, "items");
   for (const row of rows) {
-    const entry = readListedEntry(row, unreadable);
+    const entry = readListedEntry(row, { era, unreadable });
     if (entry) entries.push(entry);
   }
   return {
     entries,
     unreadable,
-    revision: revisionOf(body, "current_rev"),
+    position: positionOf(body, "current_rev", era),
     nextAfter: body["more_pages"] === true ? lastKeyOf(rows) : undefined,
   };
 }
@@ -89,31 +97,33 @@
  * others.
  *
  * @param body The body of the answer.
+ * @param era Era of the answer.
  * @returns The events and unreadable items.
  */
-export function readWatch(body: JsonObject): WatchAnswer {
+export function readWatch(body: JsonObject, era: number): WatchAnswer {
   const steps: WatchStep[] = [];
   const unreadable: UnreadableItem[] = [];
   for (const event of listField(body, "events")) {
-    const step = readWatchStep(event, unreadable);
+    const step = readWatchStep(event, { era, unreadable });
     if (step) steps.push(step);
   }
-  return { steps, unreadable, revision: revisionOf(body, "current_rev") };
+  const position = positionOf(body, "current_rev", era);
+  return { steps, unreadable, position };
 }
 
 /** @returns The conflict that the body of a refused commit describes. */
-export function readConflict(body: JsonObject): CommitOutcome {
+export function readConflict(body: JsonObject, era: number): CommitOutcome {
   const current = listField(body, "items")
     // Expected keys that don't exist are listed without a value.
     .filter((item) => isObject(item) && typeof item["value"] === "string")
-    .map((item) => readEntry(item as JsonObject));
-  const revision = body["current_rev"] === undefined
+    .map((item) => readEntry(item as JsonObject, era));
+  const position = body["current_rev"] === undefined
     ? current.reduce(
-      (max, { modRevision }) => modRevision > max ? modRevision : max,
-      0n,
+      (latest, { modPosition }) => laterOf(latest, modPosition),
+      positionAt(era, 0n),
     )
-    : revisionOf(body, "current_rev");
-  return { kind: "conflict", current, revision };
+    : positionOf(body, "current_rev", era);
+  return { kind: "conflict", current, position };
 }
 
 /**
@@ -121,19 +131,29 @@
  * empty one: the key exists all the same.
  *
  * @param item The item as sent.
+ * @param era Era of the answer that holds it.
  * @returns The entry.
  */
-export function readEntry(item: JsonObject): KeyValueEntry {
+export function readEntry(item: JsonObject, era: number): KeyValueEntry {
   return {
     key: keyOf(item),
     value: readValue(item["value"]) ?? new Uint8Array(),
-    modRevision: revisionOf(item, "revision"),
-    createRevision: revisionOf(item, "created"),
+    modPosition: positionOf(item, "revision", era),
+    createPosition: positionOf(item, "created", era),
   };
 }
 
-/** @returns The value of a field with a revision or another integer. */
-export function revisionOf(body: JsonObject, name: string): bigint {
+/** @returns The position that a field with a revision names. */
+export function positionOf(
+  body: JsonObject,
+  name: string,
+  era: number,
+): StorePosition {
+  return positionAt(era, integerOf(body, name));
+}
+
+/** @returns The value of a field with an integer. */
+export function integerOf(body: JsonObject, name: string): bigint {
   const value = body[name];
   if (typeof value === "number" && Number.isSafeInteger(value)) {
     return BigInt(value);
@@ -143,28 +163,28 @@
 
 function readWatchStep(
   event: unknown,
-  unreadable: UnreadableItem[],
+  { era, unreadable }: ReadContext,
 ): WatchStep | undefined {
   if (!isObject(event) || event["deleted"] !== true) {
-    const entry = readListedEntry(event, unreadable);
+    const entry = readListedEntry(event, { era, unreadable });
     return entry && { kind: "put", entry };
   }
   return tryRead(event, unreadable, () => ({
     kind: "delete",
     key: keyOf(event),
-    revision: revisionOf(event, "revision"),
+    position: positionOf(event, "revision", era),
   }));
 }
 
 function readListedEntry(
   item: unknown,
-  unreadable: UnreadableItem[],
+  { era, unreadable }: ReadContext,
 ): KeyValueEntry | undefined {
   if (!isObject(item)) {
     unreadable.push({ reason: "Not an object" });
     return undefined;
   }
-  const entry = tryRead(item, unreadable, () => readEntry(item));
+  const entry = tryRead(item, unreadable, () => readEntry(item, era));
   if (entry && readValue(item["value"]) === undefined) {
     unreadable.push({ key: entry.key, reason: "Value is not a base64 string" });
   }
--- a/src/platform/store_bodies_test.ts
+++ b/src/platform/store_bodies_test.ts
@@ -14,7 +14,7 @@
 };
 
 function keysOf(items: unknown[]): string[] {
-  const page = readPage({ items, current_rev: 9, more_pages: false });
+  const page = readPage({ items, current_rev: 9, more_pages: false }, 0);
   return page.entries.map(({ key }) => key);
 }
 
@@ -30,7 +30,7 @@
   ) {
     const other = { ...VALID_ITEM, key: "servers/i-2", value };
     const items = [other, VALID_ITEM];
-    const page = readPage({ items, current_rev: 9, more_pages: false });
+    const page = readPage({ items, current_rev: 9, more_pages: false }, 0);
     const [unreadable, valid] = page.entries;
     assert.equal(unreadable?.key, "servers/i-2", `${value}`);
     assert.equal(unreadable.value.length, 0, `${value}`);
--- a/src/platform/store_test.ts
+++ b/src/platform/store_test.ts
@@ -3,6 +3,10 @@
 import { test, type TestContext } from "node:test";
 import { StandinPlatformStore, TcpRelay } from "../standin/mod.ts";
 import { PlatformStore } from "./store.ts";
+import { positionAt } from "../store/position.ts";
+
+/** Position of the first change. */
+const FROM = positionAt(0, 1n);
 
 const CALL_MS = 100;
 const ANSWER_MS = 50;
@@ -34,7 +38,7 @@
     await relay.close();
     await server.close();
   });
-  return { store, server, relay, steps: store.watch("", 1n, stop.signal) };
+  return { store, server, relay, steps: store.watch("", FROM, stop.signal) };
 }
 
 test("first poll of a watch is answered at once, later ones wait for events", async (t) => {
--- a/src/proof/_oracle.ts
+++ b/src/proof/_oracle.ts
@@ -174,7 +174,7 @@
       },
     );
     const { limits } = stored.branch as TeamBranch;
-    const revision = event.entry.modRevision;
+    const { revision } = event.entry.modPosition;
     this.#committedChanges.push({ value: limits.tokensPerSecond, revision });
   }
 
--- a/src/router/_suspect_simulation.ts
+++ b/src/router/_suspect_simulation.ts
@@ -7,6 +7,11 @@
 import { Quarantine } from "./quarantine.ts";
 import type { RoutedRequest } from "./request.ts";
 import { SuspectRecords } from "./suspect_records.ts";
+import {
+  isSamePosition,
+  nextPosition,
+  START_POSITION,
+} from "../store/position.ts";
 
 /** Interval of datagrams, and step of the simulation. */
 export const TICK_MS = 50;
@@ -163,23 +168,30 @@
     this.writes++;
     const key = expect[0]!.key;
     const current = this.#stored.get(key);
-    const modRevision = current?.modRevision ?? 0n;
-    const revision = modRevision + 1n;
+    const modPosition = current?.modPosition;
+    const position = nextPosition(modPosition ?? START_POSITION);
     const [write] = writes;
-    if (expect[0]?.modRevision !== modRevision || write?.kind !== "put") {
+    if (
+      !isSamePosition(expect[0]?.modPosition, modPosition) ||
+      write?.kind !== "put"
+    ) {
       const others = current ? [current] : [];
       return Promise.resolve(
-        Result.ok({ kind: "conflict", current: others, revision: modRevision }),
+        Result.ok({
+          kind: "conflict",
+          current: others,
+          position: modPosition ?? START_POSITION,
+        }),
       );
     }
     this.#stored.set(key, {
       key,
       value: write.value,
-      modRevision: revision,
-      createRevision: 1n,
+      modPosition: position,
+      createPosition: nextPosition(START_POSITION),
     });
     this.#storedAtMs.set(key, this.clock.nowMs());
-    return Promise.resolve(Result.ok({ kind: "committed", revision }));
+    return Promise.resolve(Result.ok({ kind: "committed", position }));
   };
 }
 
--- a/src/router/confirmed_age_test.ts
+++ b/src/router/confirmed_age_test.ts
@@ -9,6 +9,7 @@
 import { silentLog, TestClock } from "./_kit.ts";
 import { StoreMirror } from "./mirror.ts";
 import { RelayClient } from "./relay.ts";
+import { positionAt } from "../store/position.ts";
 
 const SEED = 20_261_203;
 /** Longest transit time of a datagram, as between processes that are short of CPU time. */
@@ -42,7 +43,7 @@
 
 /** Lets the store answer an entry that has all changes. */
 function answer({ mirror }: Entry): void {
-  mirror.applyStep({ kind: "progress", revision: 1n });
+  mirror.applyStep({ kind: "progress", position: positionAt(0, 1n) });
 }
 
 /**
--- a/src/router/control.ts
+++ b/src/router/control.ts
@@ -1,4 +1,5 @@
 /** HTTP servers of the control address (for other routers and operators) and of the readiness check. */
+import { positionAt, type StorePosition } from "../store/position.ts";
 import { createServer, type Server as HttpServer } from "node:http";
 import { CACHE_TRANSFER_PATH } from "./cache_transfer.ts";
 import { RELAY_PATH } from "./relay.ts";
@@ -7,7 +8,7 @@
 /** Content that the control address serves. */
 export interface ControlOptions {
   /** Changes of the store's content after a revision, for another entry, as JSON. */
-  relay(after: bigint): string;
+  relay(after: StorePosition): string;
   /** Prompts that the servers' caches are expected to hold, as JSON. */
   expectedCaches(): string;
   /** Metrics in Prometheus text format. */
@@ -88,7 +89,10 @@
     case RELAY_PATH: {
       const after = new URLSearchParams(query).get("after") ?? "0";
       if (!/^\d+$/.test(after)) return undefined;
-      return { type: "application/json", text: options.relay(BigInt(after)) };
+      return {
+        type: "application/json",
+        text: options.relay(positionAt(0, BigInt(after))),
+      };
     }
     case CACHE_TRANSFER_PATH:
       return { type: "application/json", text: options.expectedCaches() };
--- a/src/router/effective_state_test.ts
+++ b/src/router/effective_state_test.ts
@@ -7,6 +7,7 @@
 import { EffectiveState } from "./effective_state.ts";
 import { PUBLISH_TIMES_KEY } from "./publish_times_record.ts";
 import { type VersionAge, WantedVersions } from "./wanted_weights.ts";
+import { positionAt } from "../store/position.ts";
 
 const SEED = 20_261_203;
 
@@ -59,18 +60,19 @@
   }
 
   putBytes(key: string, value: Uint8Array): void {
-    const revision = ++this.#revision;
+    const position = positionAt(0, ++this.#revision);
     const entry = {
       key,
       value,
-      modRevision: revision,
-      createRevision: revision,
+      modPosition: position,
+      createPosition: position,
     };
     this.state.apply({ kind: "put", entry });
   }
 
   delete(key: string): void {
-    this.state.apply({ kind: "delete", key, revision: ++this.#revision });
+    const position = positionAt(0, ++this.#revision);
+    this.state.apply({ kind: "delete", key, position });
   }
 
   /** Ids of the servers that accept plain calls. */
--- a/src/router/follower.ts
+++ b/src/router/follower.ts
@@ -3,6 +3,7 @@
 import type { KeyValueStore, StoreFailure } from "../store/store.ts";
 import type { StoreMirror } from "./mirror.ts";
 import { StoreContact } from "./store_contact.ts";
+import { nextPosition } from "../store/position.ts";
 
 /** Shortest backoff after a failed call. */
 const MIN_RETRY_MS = 100;
@@ -101,7 +102,7 @@
     let answers = 0;
     let hasChanged = false;
     for await (
-      const step of store.watch("", mirror.revision + 1n, signal)
+      const step of store.watch("", nextPosition(mirror.position), signal)
     ) {
       if (step.isErr) return step.error;
       this.#onAnswer();
--- a/src/router/follower_test.ts
+++ b/src/router/follower_test.ts
@@ -10,6 +10,7 @@
 import { recordedLog, TestClock } from "./_kit.ts";
 import { coalesceDelayMs, StoreFollower } from "./follower.ts";
 import { StoreMirror } from "./mirror.ts";
+import { positionAt } from "../store/position.ts";
 
 const HEARTBEAT_MS = 1200;
 const CALL_MS = 900;
@@ -52,24 +53,27 @@
 };
 
 function listed(keys: string[], revision: bigint): Outcome {
-  return { kind: "listed", listing: { entries: keys.map(entry), revision } };
+  const position = positionAt(0, revision);
+  return { kind: "listed", listing: { entries: keys.map(entry), position } };
 }
 
 function entry(key: string): KeyValueEntry {
   const value = new Uint8Array();
-  return { key, value, modRevision: 1n, createRevision: 1n };
+  const position = positionAt(0, 1n);
+  return { key, value, modPosition: position, createPosition: position };
 }
 
 /** Creates a watch answer in which keys are deleted. */
 function watched(revision: bigint, ...gone: string[]): Watched {
+  const position = positionAt(0, revision);
   const steps = gone.map((key): WatchStep => ({
     kind: "delete",
     key,
-    revision,
+    position,
   }));
   return {
     kind: "watched",
-    steps: [...steps, { kind: "progress", revision }],
+    steps: [...steps, { kind: "progress", position }],
     waitMs: WAIT_MS,
   };
 }
--- a/src/router/mirror.ts
+++ b/src/router/mirror.ts
@@ -5,6 +5,13 @@
 import { randomUUID } from "node:crypto";
 import type { Clock } from "../base/mod.ts";
 import { LRUMap } from "../placement/lru_map.ts";
+import {
+  isAfter,
+  isBefore,
+  laterOf,
+  START_POSITION,
+  type StorePosition,
+} from "../store/position.ts";
 import type { KeyValueEntry, Listing, WatchStep } from "../store/store.ts";
 
 /** Recent changes kept for peers that lag a little; a peer further behind gets all entries. */
@@ -15,15 +22,15 @@
 /** A change of one key in the store. */
 export type MirrorChange =
   | { kind: "put"; entry: KeyValueEntry }
-  | { kind: "delete"; key: string; revision: bigint };
+  | { kind: "delete"; key: string; position: StorePosition };
 
 /** Listener that is called for each change, in order. */
 export type ChangeListener = (change: MirrorChange) => void;
 
-/** The changes, or all entries, that bring a peer's replica up to a revision. */
+/** The changes, or all entries, that bring a peer's replica up to a position. */
 export type Catchup =
-  | { kind: "steps"; revision: bigint; changes: MirrorChange[] }
-  | { kind: "all"; revision: bigint; entries: KeyValueEntry[] };
+  | { kind: "steps"; position: StorePosition; changes: MirrorChange[] }
+  | { kind: "all"; position: StorePosition; entries: KeyValueEntry[] };
 
 /** A store answer that confirms replicas as current: the process that received it, and its age. */
 export interface Confirmation {
@@ -34,22 +41,22 @@
   ageMs: number;
 }
 
-/** Store revision up to which a process has all changes, and the store answer that confirms it. */
+/** Position up to which a process has all changes, and the store answer that confirms it. */
 export interface SyncState {
-  revision: bigint;
+  position: StorePosition;
   /** Absent if no such answer is known, or the replica is empty. */
   confirmed?: Confirmation;
 }
 
-/** Replica of the store's keys and values at one revision. */
+/** Replica of the store's keys and values at one position. */
 export class StoreMirror {
   readonly #clock: Clock;
   readonly #entries = new Map<string, KeyValueEntry>();
   readonly #changes: MirrorChange[] = [];
   readonly #listeners: ChangeListener[] = [];
-  /** Changes after this revision are kept; older ones are not. */
-  #changesFrom = 0n;
-  #revision = 0n;
+  /** Changes after this position are kept; older ones are not. */
+  #changesFrom = START_POSITION;
+  #position = START_POSITION;
   readonly #origin = randomUUID();
   #ownAnswerCount = 0;
   /**
@@ -72,9 +79,9 @@
     return new StoreMirror(clock);
   }
 
-  /** Store revision up to which all changes are applied; 0 for an empty replica. */
-  get revision(): bigint {
-    return this.#revision;
+  /** Position up to which all changes are applied; the start position for an empty replica. */
+  get position(): StorePosition {
+    return this.#position;
   }
 
   /** Time since a store answer, direct or reported by a peer, last confirmed the replica. */
@@ -82,12 +89,12 @@
     return this.#clock.nowMs() - (this.#confirmed?.atMs ?? -Infinity);
   }
 
-  /** Revision and confirmation of the replica, as sent to peers. */
+  /** Position and confirmation of the replica, as sent to peers. */
   get syncState(): SyncState {
-    const revision = this.#revision;
-    if (!this.#confirmed) return { revision };
+    const position = this.#position;
+    if (!this.#confirmed) return { position };
     const { origin, count } = this.#confirmed;
-    return { revision, confirmed: { origin, count, ageMs: this.ageMs } };
+    return { position, confirmed: { origin, count, ageMs: this.ageMs } };
   }
 
   /** @param listener Called for each later change. */
@@ -120,7 +127,7 @@
    */
   replace(listing: Listing): void {
     this.#replace(listing);
-    this.#confirmByStore(listing.revision);
+    this.#confirmByStore(listing.position);
   }
 
   /**
@@ -131,64 +138,64 @@
    */
   replaceFromPeer(listing: Listing, confirmed?: Confirmation): void {
     this.#replace(listing);
-    this.confirm({ revision: listing.revision, confirmed });
+    this.confirm({ position: listing.position, confirmed });
   }
 
   #replace(listing: Listing): void {
-    if (listing.revision < this.#revision) return;
+    if (isBefore(listing.position, this.#position)) return;
     const listed = new Set(listing.entries.map(({ key }) => key));
-    for (const [key, { modRevision }] of this.#entries) {
-      if (listed.has(key) || modRevision > listing.revision) continue;
-      this.#apply({ kind: "delete", key, revision: listing.revision });
+    for (const [key, { modPosition }] of this.#entries) {
+      if (listed.has(key) || isAfter(modPosition, listing.position)) continue;
+      this.#apply({ kind: "delete", key, position: listing.position });
     }
     for (const entry of listing.entries) this.#apply({ kind: "put", entry });
-    this.#revision = listing.revision;
+    this.#position = listing.position;
     // The single changes between the last step and the listing are unknown.
     this.#changes.length = 0;
-    this.#changesFrom = listing.revision;
+    this.#changesFrom = listing.position;
   }
 
   /**
    * Applies one step of a watch.
    *
-   * @param step The step; steps must come in the order of their revisions.
+   * @param step The step; steps must come in the order of their positions.
    */
   applyStep(step: WatchStep): void {
     switch (step.kind) {
       case "progress":
-        this.#advance(step.revision);
-        this.#confirmByStore(step.revision);
+        this.#advance(step.position);
+        this.#confirmByStore(step.position);
         return;
       case "put":
         this.#applyChange(
           { kind: "put", entry: step.entry },
-          step.entry.modRevision,
+          step.entry.modPosition,
         );
         return;
       case "delete":
-        this.#applyChange(step, step.revision);
+        this.#applyChange(step, step.position);
         return;
     }
   }
 
   /**
-   * Advances the revision after all changes from a peer up to its revision were applied.
+   * Advances the position after all changes from a peer up to its position were applied.
    *
    * @param syncState The peer's sync state.
    */
   advanceTo(syncState: SyncState): void {
-    this.#advance(syncState.revision);
+    this.#advance(syncState.position);
     this.confirm(syncState);
   }
 
   /**
-   * Applies a peer's confirmation, unless it is for a later revision than the replica's, or not newer
+   * Applies a peer's confirmation, unless it is for a later position than the replica's, or not newer
    * than those already applied.
    *
    * @param syncState The peer's sync state.
    */
-  confirm({ revision, confirmed }: SyncState): void {
-    if (!confirmed || revision > this.#revision) return;
+  confirm({ position, confirmed }: SyncState): void {
+    if (!confirmed || isAfter(position, this.#position)) return;
     const { origin, count, ageMs } = confirmed;
     if (count <= (this.#answerCounts.get(origin) ?? 0)) return;
     this.#answerCounts.set(origin, count);
@@ -198,53 +205,57 @@
   }
 
   /**
-   * @param after The peer's revision.
+   * @param after The peer's position.
    * @returns The changes that the peer lacks, or all entries if it is too far behind.
    */
-  changesSince(after: bigint): Catchup {
-    const revision = this.#revision;
-    if (after < this.#changesFrom) {
-      return { kind: "all", revision, entries: [...this.#entries.values()] };
+  changesSince(after: StorePosition): Catchup {
+    const position = this.#position;
+    if (isBefore(after, this.#changesFrom)) {
+      return { kind: "all", position, entries: [...this.#entries.values()] };
     }
-    const changes = this.#changes.filter((step) => revisionOf(step) > after);
-    return { kind: "steps", revision, changes };
+    const changes = this.#changes.filter((step) =>
+      isAfter(positionOf(step), after)
+    );
+    return { kind: "steps", position, changes };
   }
 
   /** Confirms the replica by an answer that this process just received from the store. */
-  #confirmByStore(revision: bigint): void {
+  #confirmByStore(position: StorePosition): void {
     const [origin, count, ageMs] = [this.#origin, ++this.#ownAnswerCount, 0];
-    this.confirm({ revision, confirmed: { origin, count, ageMs } });
+    this.confirm({ position, confirmed: { origin, count, ageMs } });
   }
 
-  #applyChange(change: MirrorChange, revision: bigint): void {
-    // One commit may change several keys at the same revision: an equal revision is checked per key.
-    if (revision < this.#revision) return;
+  #applyChange(change: MirrorChange, position: StorePosition): void {
+    // One commit may change several keys at the same position: an equal position is checked per key.
+    if (isBefore(position, this.#position)) return;
     this.#apply(change);
     this.#changes.push(change);
     if (this.#changes.length > MAX_KEPT_CHANGES) {
-      this.#changesFrom = revisionOf(this.#changes.shift()!);
+      this.#changesFrom = positionOf(this.#changes.shift()!);
     }
-    this.#advance(revision);
+    this.#advance(position);
   }
 
-  #advance(revision: bigint): void {
-    if (revision > this.#revision) this.#revision = revision;
+  #advance(position: StorePosition): void {
+    this.#position = laterOf(this.#position, position);
   }
 
   #apply(change: MirrorChange): void {
     if (change.kind === "put") {
       const current = this.#entries.get(change.entry.key);
-      if (current && current.modRevision >= change.entry.modRevision) return;
+      if (current && !isAfter(change.entry.modPosition, current.modPosition)) {
+        return;
+      }
       this.#entries.set(change.entry.key, change.entry);
     } else {
       const current = this.#entries.get(change.key);
-      if (!current || current.modRevision > change.revision) return;
+      if (!current || isAfter(current.modPosition, change.position)) return;
       this.#entries.delete(change.key);
     }
     for (const listener of this.#listeners) listener(change);
   }
 }
 
-function revisionOf(change: MirrorChange): bigint {
-  return change.kind === "put" ? change.entry.modRevision : change.revision;
+function positionOf(change: MirrorChange): StorePosition {
+  return change.kind === "put" ? change.entry.modPosition : change.position;
 }
--- a/src/router/mirror_test.ts
+++ b/src/router/mirror_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import type { KeyValueEntry, WatchStep } from "../store/store.ts";
+import { formatPosition, positionAt } from "../store/position.ts";
 import { TestClock } from "./_kit.ts";
 import { type MirrorChange, StoreMirror } from "./mirror.ts";
 
@@ -10,7 +11,8 @@
 
 function entry(key: string, revision: bigint): KeyValueEntry {
   const value = Buffer.from(`${key}@${revision}`);
-  return { key, value, modRevision: revision, createRevision: revision };
+  const position = positionAt(0, revision);
+  return { key, value, modPosition: position, createPosition: position };
 }
 
 function put(key: string, revision: bigint): WatchStep {
@@ -27,13 +29,13 @@
 
 function describe(change: MirrorChange): string {
   return change.kind === "put"
-    ? `+${change.entry.key}@${change.entry.modRevision}`
+    ? `+${change.entry.key}@${formatPosition(change.entry.modPosition)}`
     : `-${change.key}`;
 }
 
 function keys(mirror: StoreMirror): string[] {
-  return mirror.entries("").map(({ key, modRevision }) =>
-    `${key}@${modRevision}`
+  return mirror.entries("").map(({ key, modPosition }) =>
+    `${key}@${formatPosition(modPosition)}`
   ).sort();
 }
 
@@ -43,7 +45,7 @@
   mirror.applyStep(put("a/2", 4n));
   mirror.replace({
     entries: [entry("a/2", 4n), entry("b/1", 6n)],
-    revision: 6n,
+    position: positionAt(0, 6n),
   });
   assert.deepEqual(keys(mirror), ["a/2@4", "b/1@6"]);
   assert.deepEqual(seen, ["+a/1@3", "+a/2@4", "-a/1", "+b/1@6"]);
@@ -52,25 +54,25 @@
 test("older listing, step or deletion is ignored", () => {
   const { mirror } = create();
   mirror.applyStep(put("a/1", 5n));
-  mirror.replace({ entries: [], revision: 4n });
+  mirror.replace({ entries: [], position: positionAt(0, 4n) });
   mirror.applyStep(put("a/1", 3n));
-  mirror.applyStep({ kind: "delete", key: "a/1", revision: 4n });
+  mirror.applyStep({ kind: "delete", key: "a/1", position: positionAt(0, 4n) });
   assert.deepEqual(keys(mirror), ["a/1@5"]);
-  assert.equal(mirror.revision, 5n);
+  assert.deepEqual(mirror.position, positionAt(0, 5n));
 });
 
 test("age counts from the latest store answer, direct or reported by a peer", () => {
   const { mirror, clock } = create();
   assert.equal(mirror.ageMs, Infinity);
-  mirror.applyStep({ kind: "progress", revision: 7n });
+  mirror.applyStep({ kind: "progress", position: positionAt(0, 7n) });
   clock.advance(500);
   assert.equal(mirror.ageMs, 500);
   const confirmed = { origin: "peer", count: 1, ageMs: 100 };
-  mirror.confirm({ revision: 7n, confirmed });
+  mirror.confirm({ position: positionAt(0, 7n), confirmed });
   assert.equal(mirror.ageMs, 100);
   // A confirmation for a later revision than the replica's does not apply.
   mirror.confirm({
-    revision: 8n,
+    position: positionAt(0, 8n),
     confirmed: { ...confirmed, count: 2, ageMs: 0 },
   });
   assert.equal(mirror.ageMs, 100);
@@ -78,13 +80,13 @@
 
 test("peer gets the changes it lacks, or all entries", () => {
   const { mirror } = create();
-  mirror.replace({ entries: [entry("a/1", 2n)], revision: 2n });
+  mirror.replace({ entries: [entry("a/1", 2n)], position: positionAt(0, 2n) });
   mirror.applyStep(put("a/2", 3n));
   mirror.applyStep(put("b/1", 4n));
-  const steps = mirror.changesSince(3n);
+  const steps = mirror.changesSince(positionAt(0, 3n));
   assert.equal(steps.kind, "steps");
   assert.equal(steps.kind === "steps" && steps.changes.length, 1);
-  const all = mirror.changesSince(1n);
+  const all = mirror.changesSince(positionAt(0, 1n));
   assert.equal(all.kind === "all" && all.entries.length, 3);
 });
 
@@ -101,7 +103,9 @@
       steps.forEach(({ key, isDelete, isHeard }, i) => {
         const revision = BigInt(i + 1);
         mirror.applyStep(
-          isDelete ? { kind: "delete", key, revision } : put(key, revision),
+          isDelete
+            ? { kind: "delete", key, position: positionAt(0, revision) }
+            : put(key, revision),
         );
         if (isHeard) catchUp(peer, mirror);
       });
@@ -114,11 +118,11 @@
 
 /** Updates the peer's replica in the same way as the relay between entries. */
 function catchUp(peer: StoreMirror, mirror: StoreMirror): void {
-  const catchup = mirror.changesSince(peer.revision);
+  const catchup = mirror.changesSince(peer.position);
   if (catchup.kind === "all") {
-    peer.replace({ entries: catchup.entries, revision: catchup.revision });
+    peer.replace({ entries: catchup.entries, position: catchup.position });
     return;
   }
   for (const change of catchup.changes) peer.applyStep(change);
-  peer.advanceTo({ ...mirror.syncState, revision: catchup.revision });
+  peer.advanceTo({ ...mirror.syncState, position: catchup.position });
 }
--- a/src/router/order_records.ts
+++ b/src/router/order_records.ts
@@ -105,7 +105,7 @@
     for (const id of serverIds) this.#recordedAtMs.set(id, startMs);
     const value = this.#encodeRecord(startMs);
     const committed = await store.commit(
-      [{ key: ROLL_LEASE_KEY, modRevision: lease.fencingNumber }],
+      [{ key: ROLL_LEASE_KEY, modPosition: lease.position }],
       [{ kind: "put", key: keyOf(holderId), value, leaseId }],
     );
     const isWritten = committed.isOk && committed.value.kind === "committed";
--- a/src/router/peer_gossip.ts
+++ b/src/router/peer_gossip.ts
@@ -3,6 +3,7 @@
  * wanted weights versions, and the store revision of the entry. Datagrams may be lost: essential state
  * is sent repeatedly, and until it arrives the receiver assumes the safer case.
  */
+import { isStart, positionAt } from "../store/position.ts";
 import type { Clock, Logger } from "../base/mod.ts";
 import type { EntryMembers } from "./entry_members.ts";
 import type { ExpectedCache } from "./expected_cache.ts";
@@ -233,11 +234,11 @@
 
   #buildDatagram(): Datagram {
     const { name, fleet, syncState, wanted, members, lags } = this.#options;
-    const { revision, confirmed } = syncState();
+    const { position, confirmed } = syncState();
     const storeServedMs = this.#options.storeServedMs();
     return {
       name,
-      revision: String(revision),
+      revision: String(position.revision),
       ageMs: Math.round(confirmed?.ageMs ?? Number.MAX_SAFE_INTEGER),
       confirmed,
       loads: ownLoads(fleet),
@@ -295,11 +296,11 @@
     if (startedAtMs !== undefined && taken) {
       this.#options.quotas.applyPeerUpdate(ipAddress, { startedAtMs, taken });
     }
-    const revision = BigInt(datagram.revision);
+    const position = positionAt(0, BigInt(datagram.revision));
     // An entry that has just started knows nothing of the store yet.
-    if (revision === 0n) rates.announceAll();
+    if (isStart(position)) rates.announceAll();
     this.#options.onPeerSyncState(ipAddress, {
-      revision,
+      position,
       confirmed: datagram.confirmed,
     });
   }
--- a/src/router/peer_gossip_test.ts
+++ b/src/router/peer_gossip_test.ts
@@ -15,6 +15,7 @@
 import { gossipIntervalFor } from "./gossip_interval.ts";
 import { StoreMirror } from "./mirror.ts";
 import { ENTRIES_PREFIX, Registration } from "./registration.ts";
+import { positionAt } from "../store/position.ts";
 
 const SEED = 20_261_203;
 /** Duration of the store outage. */
@@ -332,12 +333,12 @@
   const mirror = StoreMirror.create(new TestClock());
   const values = ["10.0.0.1", "host.example", "", "10.0.0.1:80", "::1", "\xff"];
   values.forEach((value, i) => {
-    const revision = BigInt(i + 1);
+    const position = positionAt(0, BigInt(i + 1));
     const entry = {
       key: `${ENTRIES_PREFIX}${i}`,
       value: Buffer.from(value, "latin1"),
-      modRevision: revision,
-      createRevision: revision,
+      modPosition: position,
+      createPosition: position,
     };
     mirror.applyStep({ kind: "put", entry });
   });
--- a/src/router/peer_network.ts
+++ b/src/router/peer_network.ts
@@ -1,4 +1,5 @@
 /** Everything by which this entry and the others talk to each other in datagrams. */
+import { isStart } from "../store/position.ts";
 import type { Lifecycle, Metrics } from "../base/mod.ts";
 import { EntryMembers } from "./entry_members.ts";
 import type { StoreMirror } from "./mirror.ts";
@@ -88,7 +89,7 @@
       knownAddresses: () => [...seedAddresses, ...registeredAddresses()],
       onPeerSyncState: (peer, syncState) => {
         // An entry that has just started knows nothing of the store yet.
-        if (syncState.revision === 0n) this.origins.tellStarted(peer);
+        if (isStart(syncState.position)) this.origins.tellStarted(peer);
         options.onPeerSyncState(peer, syncState);
       },
     });
--- a/src/router/publish_times_record.ts
+++ b/src/router/publish_times_record.ts
@@ -71,7 +71,7 @@
     this.#isWriting = true;
     const value = new TextEncoder().encode(JSON.stringify({ rows }));
     const committed = await store.commit(
-      [{ key: ROLL_LEASE_KEY, modRevision: lease.fencingNumber }],
+      [{ key: ROLL_LEASE_KEY, modPosition: lease.position }],
       [{ kind: "put", key: PUBLISH_TIMES_KEY, value }],
     );
     this.#isWriting = false;
--- a/src/router/publish_times_record_test.ts
+++ b/src/router/publish_times_record_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { openRollWorld } from "./_roll_kit.ts";
 import { PUBLISH_TIMES_KEY, readVersionAges } from "./publish_times_record.ts";
+import { positionAt } from "../store/position.ts";
 
 /** Maximum clock skew between instances. */
 const CLOCK_ERROR_MS = 2500;
@@ -16,9 +17,9 @@
   await clock.advance(400);
   const record = store.table.get(PUBLISH_TIMES_KEY);
   await clock.advance(3000);
-  assert.equal(
-    store.table.get(PUBLISH_TIMES_KEY)?.modRevision,
-    record?.modRevision,
+  assert.deepEqual(
+    store.table.get(PUBLISH_TIMES_KEY)?.modPosition,
+    record?.modPosition,
   );
   const [age, ...others] = readVersionAges(record, clock.wallMs());
   assert.deepEqual(others, []);
@@ -50,8 +51,8 @@
     readVersionAges({
       key: PUBLISH_TIMES_KEY,
       value: new TextEncoder().encode(text),
-      modRevision: 1n,
-      createRevision: 1n,
+      modPosition: positionAt(0, 1n),
+      createPosition: positionAt(0, 1n),
     }, wallMs);
   assert.deepEqual(readVersionAges(undefined, 0), []);
   for (const text of ["", "[]", '{"rows":7}', '{"rows":[null,{"model":1}]}']) {
--- a/src/router/relay.ts
+++ b/src/router/relay.ts
@@ -5,6 +5,15 @@
 import type { Clock, Logger } from "../base/mod.ts";
 import { isConfirmation } from "./peer_datagram.ts";
 import { HttpCaller } from "../platform/mod.ts";
+import {
+  comparePositions,
+  formatPosition,
+  isAfter,
+  isSamePosition,
+  isStart,
+  positionAt,
+  type StorePosition,
+} from "../store/position.ts";
 import type { KeyValueEntry } from "../store/store.ts";
 import type {
   Catchup,
@@ -61,7 +70,7 @@
  * @param after The peer's revision.
  * @returns Body of the answer to the peer.
  */
-export function relayAnswer(mirror: StoreMirror, after: bigint): string {
+export function relayAnswer(mirror: StoreMirror, after: StorePosition): string {
   const catchup = mirror.changesSince(after);
   return JSON.stringify(encodeCatchup(catchup, mirror.syncState.confirmed));
 }
@@ -96,9 +105,9 @@
     syncState: SyncState,
   ): Promise<void> {
     const { mirror, clock, coalesceMs } = this.#options;
-    if (syncState.revision <= mirror.revision) {
+    if (!isAfter(syncState.position, mirror.position)) {
       mirror.confirm(syncState);
-      if (syncState.revision === mirror.revision) {
+      if (isSamePosition(syncState.position, mirror.position)) {
         this.#behindSinceMs = undefined;
       }
       return;
@@ -121,7 +130,7 @@
   ): Promise<void> {
     const { mirror, clock } = this.#options;
     await clock.sleep(POLL_INTERVAL_MS, signal);
-    for (let i = 0; !signal.aborted && mirror.revision === 0n; i++) {
+    for (let i = 0; !signal.aborted && isStart(mirror.position); i++) {
       const ipAddress = ipAddresses[i % ipAddresses.length];
       if (ipAddress === undefined) return;
       await this.ask(ipAddress);
@@ -146,18 +155,18 @@
     try {
       const answer = await caller.send({
         method: "GET",
-        path: `${RELAY_PATH}?after=${mirror.revision}`,
+        path: `${RELAY_PATH}?after=${mirror.position.revision}`,
         idleTimeoutMs: REQUEST_TIMEOUT_MS,
       });
       if (answer.isErr || answer.value.status !== 200) return false;
-      const before = mirror.revision;
+      const before = mirror.position;
       applyCatchup(mirror, decodeCatchup(answer.value.body));
       this.#behindSinceMs = undefined;
       log.info({
         event: "caught_up_by_peer",
         peer: ipAddress,
-        from: String(before),
-        to: String(mirror.revision),
+        from: formatPosition(before),
+        to: formatPosition(mirror.position),
       });
       return true;
     } catch (error) {
@@ -182,10 +191,13 @@
   const deletes: WireDelete[] = [];
   for (const change of changes) {
     if (change.kind === "put") entries.push(encodeEntry(change.entry));
-    else deletes.push({ key: change.key, revision: String(change.revision) });
+    else {deletes.push({
+        key: change.key,
+        revision: String(change.position.revision),
+      });}
   }
   return {
-    revision: String(catchup.revision),
+    revision: String(catchup.position.revision),
     ageMs: Math.round(confirmed?.ageMs ?? Number.MAX_SAFE_INTEGER),
     confirmed,
     isAll: catchup.kind === "all",
@@ -202,16 +214,16 @@
 }
 
 function applyCatchup(mirror: StoreMirror, decoded: DecodedCatchup): void {
-  const { revision, entries } = decoded;
+  const { position, entries } = decoded;
   if (decoded.isAll) {
-    mirror.replaceFromPeer({ entries, revision }, decoded.confirmed);
+    mirror.replaceFromPeer({ entries, position }, decoded.confirmed);
     return;
   }
   const changes: MirrorChange[] = [
     ...entries.map((entry): MirrorChange => ({ kind: "put", entry })),
     ...decoded.deletes,
   ];
-  changes.sort((a, b) => Number(revisionOf(a) - revisionOf(b)));
+  changes.sort((a, b) => comparePositions(positionOf(a), positionOf(b)));
   for (const change of changes) mirror.applyStep(change);
   mirror.advanceTo(decoded);
 }
@@ -220,8 +232,8 @@
   return {
     key: entry.key,
     value: Buffer.from(entry.value).toString("base64"),
-    modRevision: String(entry.modRevision),
-    createRevision: String(entry.createRevision),
+    modRevision: String(entry.modPosition.revision),
+    createRevision: String(entry.createPosition.revision),
   };
 }
 
@@ -240,14 +252,14 @@
     throw new TypeError("Catch-up without lists of entries and deletes");
   }
   return {
-    revision: decodeRevision(body["revision"]),
+    position: decodePosition(body["revision"]),
     confirmed,
     isAll,
     entries: entries.map(decodeEntry),
     deletes: deletes.map((row) => ({
       kind: "delete",
       key: decodeString(row.key),
-      revision: decodeRevision(row.revision),
+      position: decodePosition(row.revision),
     })),
   };
 }
@@ -256,8 +268,8 @@
   return {
     key: decodeString(entry.key),
     value: Buffer.from(decodeString(entry.value), "base64"),
-    modRevision: decodeRevision(entry.modRevision),
-    createRevision: decodeRevision(entry.createRevision),
+    modPosition: decodePosition(entry.modRevision),
+    createPosition: decodePosition(entry.createRevision),
   };
 }
 
@@ -266,10 +278,10 @@
   throw new TypeError("Catch-up field is not a string");
 }
 
-function decodeRevision(value: unknown): bigint {
-  return BigInt(decodeString(value));
+function decodePosition(value: unknown): StorePosition {
+  return positionAt(0, BigInt(decodeString(value)));
 }
 
-function revisionOf(change: MirrorChange): bigint {
-  return change.kind === "put" ? change.entry.modRevision : change.revision;
+function positionOf(change: MirrorChange): StorePosition {
+  return change.kind === "put" ? change.entry.modPosition : change.position;
 }
--- a/src/router/roll_records.ts
+++ b/src/router/roll_records.ts
@@ -1,4 +1,5 @@
 /** What a weights roll reads from the local copy of the store. */
+import { isStart } from "../store/position.ts";
 import type { StoreMirror } from "./mirror.ts";
 import { ORDER_RECORD_PREFIX } from "./order_records.ts";
 import { PUBLISH_TIMES_KEY } from "./publish_times_record.ts";
@@ -23,7 +24,7 @@
 ): RollRecords {
   return {
     isLeaseHeld: () =>
-      mirror.revision === 0n || !contact.connected ||
+      isStart(mirror.position) || !contact.connected ||
       mirror.entry(ROLL_LEASE_KEY) !== undefined,
     lastHolder: () => mirror.entry(LAST_ROLL_KEY),
     orderRecords: () => mirror.entries(ORDER_RECORD_PREFIX),
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -1,4 +1,5 @@
 /** Creates and connects all components of a router process. */
+import { formatPosition, isStart } from "../store/position.ts";
 import {
   type Clock,
   Lifecycle,
@@ -130,7 +131,7 @@
     this.#cacheTransfer = CacheTransfer.create({
       ...this.#parts(),
       controlPort: options.settings.controlAddress.port,
-      isReady: () => this.#mirror.revision > 0n,
+      isReady: () => !isStart(this.#mirror.position),
       cacheOf: (id, bornAtMs) => this.#state.cacheOf(id, bornAtMs),
     });
     this.#network = this.#createNetwork();
@@ -183,7 +184,7 @@
     return {
       instance: this.#settings.instance,
       configVersion: this.#state.table?.version,
-      storeRevision: String(this.#mirror.revision),
+      storeRevision: formatPosition(this.#mirror.position),
       knowledgeAgeMs: Math.round(this.#mirror.ageMs),
       storeConnected: this.#follower.contact.connected,
       storeCalls: this.#store.calls,
--- a/src/standin/_kv_codec.ts
+++ b/src/standin/_kv_codec.ts
@@ -10,6 +10,7 @@
   type ResponseHeader,
   type ResponseOp,
 } from "../wire/gen/etcd.ts";
+import { positionAt } from "../store/position.ts";
 import type {
   Expectation,
   KeyRange,
@@ -40,8 +41,8 @@
 export function toKeyValue(entry: KeyValueEntry): KeyValue {
   return {
     key: Buffer.from(entry.key),
-    createRevision: entry.createRevision,
-    modRevision: entry.modRevision,
+    createRevision: entry.createPosition.revision,
+    modRevision: entry.modPosition.revision,
     version: 1n,
     value: Buffer.from(entry.value),
     lease: 0n,
@@ -60,7 +61,7 @@
   const kv: KeyValue = {
     key: Buffer.from(event.key),
     createRevision: 0n,
-    modRevision: event.revision,
+    modRevision: event.position.revision,
     version: 0n,
     value: EMPTY,
     lease: 0n,
@@ -92,8 +93,9 @@
   if (!supported || compare.targetUnion?.$case !== "modRevision") {
     throw new UnsupportedError("Only equal mod revisions are supported");
   }
-  const modRevision = compare.targetUnion.value;
-  return { key: compare.key.toString(), modRevision };
+  const revision = compare.targetUnion.value;
+  const modPosition = revision === 0n ? undefined : positionAt(0, revision);
+  return { key: compare.key.toString(), modPosition };
 }
 
 /**
--- a/src/standin/kv_server.ts
+++ b/src/standin/kv_server.ts
@@ -173,7 +173,7 @@
     if (this.#isSilent) return;
     if (listing.isErr) return replyFailure(reply, listing.error);
     const kvs = listing.value.entries.map(toKeyValue);
-    const header = toHeader(listing.value.revision);
+    const header = toHeader(listing.value.position.revision);
     reply(null, { header, kvs, more: false, count: BigInt(kvs.length) });
   };
 
@@ -196,12 +196,12 @@
     if (this.#isSilent) return;
     if (result.isErr) return replyFailure(reply, result.error);
     const outcome = result.value;
-    const header = toHeader(outcome.revision);
+    const header = toHeader(outcome.position.revision);
     if (outcome.kind === "committed") {
       return reply(null, { header, succeeded: true, responses: [] });
     }
     const responses = request.failure.map((op) =>
-      toFailureResponse(op, outcome.current, outcome.revision)
+      toFailureResponse(op, outcome.current, outcome.position.revision)
     );
     reply(null, { header, succeeded: false, responses });
   };
--- a/src/standin/platform_store_server.ts
+++ b/src/standin/platform_store_server.ts
@@ -6,6 +6,7 @@
   type TableEvent,
   type Write,
 } from "../store/mod.ts";
+import { positionAt } from "../store/position.ts";
 import { type HostRequest, HttpHost } from "./_http_host.ts";
 
 /** Settings of a {@link StandinPlatformStore}. */
@@ -177,9 +178,11 @@
     const timer = setTimeout(() => stop.abort(), waitMs);
     response.once("close", () => stop.abort());
     const events: TableEvent[] = [];
+    const { era } = this.store.table.position;
+    const from = positionAt(era, after + 1n);
     try {
       for await (
-        const step of this.store.watch(prefix, after + 1n, stop.signal)
+        const step of this.store.watch(prefix, from, stop.signal)
       ) {
         if (step.isErr) return toFailureAnswer(step.error);
         if (step.value.kind === "progress") {
@@ -205,7 +208,9 @@
   async #commit(sent: TransactionBody): Promise<Answer | undefined> {
     const expect = (sent.expected ?? []).map(({ key, revision }) => ({
       key,
-      modRevision: BigInt(revision),
+      modPosition: revision === 0
+        ? undefined
+        : positionAt(this.store.table.position.era, BigInt(revision)),
     }));
     const puts = (sent.writes ?? []).map(({ key, value, lease }): Write => ({
       kind: "put",
@@ -221,7 +226,7 @@
     if (outcome.isErr) return toFailureAnswer(outcome.error);
     const { value } = outcome;
     return value.kind === "committed"
-      ? { status: 200, body: { revision: Number(value.revision) } }
+      ? { status: 200, body: { revision: Number(value.position.revision) } }
       : {
         status: 412,
         body: { items: value.current.map((entry) => this.#toItem(entry)) },
@@ -253,8 +258,8 @@
     return {
       key: entry.key,
       value: Buffer.from(entry.value).toString("base64"),
-      revision: Number(entry.modRevision),
-      created: Number(entry.createRevision),
+      revision: Number(entry.modPosition.revision),
+      created: Number(entry.createPosition.revision),
       lease: 0,
       ...this.fieldOverrides.get(entry.key),
     };
@@ -262,7 +267,7 @@
 
   #toWatchEvent(event: TableEvent): Record<string, unknown> {
     if (event.kind === "put") return this.#toItem(event.entry);
-    const revision = Number(event.revision);
+    const revision = Number(event.position.revision);
     return { key: event.key, revision, deleted: true };
   }
 
@@ -289,6 +294,8 @@
 function lastRevision(events: TableEvent[], after: bigint): number {
   const last = events.at(-1);
   if (!last) return Number(after);
-  const revision = last.kind === "put" ? last.entry.modRevision : last.revision;
+  const { revision } = last.kind === "put"
+    ? last.entry.modPosition
+    : last.position;
   return Number(revision);
 }
--- a/src/store/_etcd_codec.ts
+++ b/src/store/_etcd_codec.ts
@@ -11,6 +11,7 @@
   type TxnRequest,
   type TxnResponse,
 } from "../wire/gen/etcd.ts";
+import { positionAt, type StorePosition } from "./position.ts";
 import type {
   CommitOutcome,
   Expectation,
@@ -38,6 +39,11 @@
   status.UNIMPLEMENTED,
 ]);
 
+/** etcd names no era. */
+export function etcdPosition(revision: bigint): StorePosition {
+  return positionAt(0, revision);
+}
+
 /**
  * @param kv An entry as an etcd message.
  * @returns The entry as a type of the store interface.
@@ -46,8 +52,8 @@
   return {
     key: kv.key.toString(),
     value: kv.value,
-    modRevision: kv.modRevision,
-    createRevision: kv.createRevision,
+    modPosition: etcdPosition(kv.modRevision),
+    createPosition: etcdPosition(kv.createRevision),
   };
 }
 
@@ -60,7 +66,8 @@
   if (event.type === Event_EventType.PUT) {
     return { kind: "put", entry: toEntry(kv) };
   }
-  return { kind: "delete", key: kv.key.toString(), revision: kv.modRevision };
+  const position = etcdPosition(kv.modRevision);
+  return { kind: "delete", key: kv.key.toString(), position };
 }
 
 /**
@@ -85,12 +92,12 @@
  * @returns The outcome of the commit.
  */
 export function toCommitOutcome(response: TxnResponse): CommitOutcome {
-  const revision = response.header?.revision ?? 0n;
-  if (response.succeeded) return { kind: "committed", revision };
+  const position = etcdPosition(response.header?.revision ?? 0n);
+  if (response.succeeded) return { kind: "committed", position };
   const current = response.responses.flatMap(({ response: op }) =>
     op?.$case === "responseRange" ? op.value.kvs.map(toEntry) : []
   );
-  return { kind: "conflict", current, revision };
+  return { kind: "conflict", current, position };
 }
 
 /**
@@ -121,12 +128,12 @@
   return `Store answered ${status[error.code]}: ${error.details}`;
 }
 
-function toCompare({ key, modRevision }: Expectation): Compare {
+function toCompare({ key, modPosition }: Expectation): Compare {
   return {
     result: Compare_CompareResult.EQUAL,
     target: Compare_CompareTarget.MOD,
     key: Buffer.from(key),
-    targetUnion: { $case: "modRevision", value: modRevision },
+    targetUnion: { $case: "modRevision", value: modPosition?.revision ?? 0n },
   };
 }
 
--- a/src/store/_etcd_watch.ts
+++ b/src/store/_etcd_watch.ts
@@ -2,7 +2,7 @@
 import type { ClientDuplexStream } from "@grpc/grpc-js";
 import { err, ok, type Result } from "true-myth/result";
 import type { WatchRequest, WatchResponse } from "../wire/gen/etcd.ts";
-import { toWatchStep } from "./_etcd_codec.ts";
+import { etcdPosition, toWatchStep } from "./_etcd_codec.ts";
 import type { StoreFailure, WatchStep } from "./store.ts";
 
 /** Range, start revision and timeouts of a watch. */
@@ -91,7 +91,8 @@
 function toSteps(response: WatchResponse): WatchStep[] {
   if (response.events.length > 0) return response.events.map(toWatchStep);
   if (response.created) return [];
-  return [{ kind: "progress", revision: response.header?.revision ?? 0n }];
+  const position = etcdPosition(response.header?.revision ?? 0n);
+  return [{ kind: "progress", position }];
 }
 
 function toCancelFailure(response: WatchResponse): StoreFailure {
--- a/src/store/etcd_store.ts
+++ b/src/store/etcd_store.ts
@@ -15,6 +15,7 @@
 } from "../wire/gen/etcd.ts";
 import { EtcdChannel } from "./_etcd_channel.ts";
 import {
+  etcdPosition,
   toCommitOutcome,
   toEntry,
   toReadFailure,
@@ -22,6 +23,7 @@
   toWriteFailure,
 } from "./_etcd_codec.ts";
 import { followRange } from "./_etcd_watch.ts";
+import type { StorePosition } from "./position.ts";
 import type {
   CommitOutcome,
   Expectation,
@@ -105,7 +107,7 @@
     const answer = await this.#range(key, rangeEnd);
     return answer.map(({ header, kvs }) => ({
       entries: kvs.map(toEntry),
-      revision: header?.revision ?? 0n,
+      position: etcdPosition(header?.revision ?? 0n),
     }));
   }
 
@@ -124,7 +126,7 @@
 
   async *watch(
     prefix: string,
-    fromRevision: bigint,
+    from: StorePosition,
     signal: AbortSignal,
   ): AsyncGenerator<Result<WatchStep, StoreFailure>> {
     const channel = this.#channel;
@@ -135,7 +137,7 @@
     }
     yield* followRange(channel.watch.watch(), {
       ...prefixBytes(prefix),
-      fromRevision,
+      fromRevision: from.revision,
       progressMs: this.#options.progressMs,
       idleTimeoutMs: this.#options.idleTimeoutMs,
       signal: AbortSignal.any([signal, this.#closed.signal]),
--- a/src/store/etcd_store_test.ts
+++ b/src/store/etcd_store_test.ts
@@ -8,7 +8,10 @@
 import { StandinKv, TcpRelay } from "../standin/mod.ts";
 import { LeaseService } from "../wire/gen/etcd.ts";
 import { EtcdStore, type Write } from "./mod.ts";
+import { nextPosition, positionAt } from "./position.ts";
 
+/** Position of the first change. */
+const FROM = positionAt(0, 1n);
 const SHORT_TIMEOUTS = { callMs: 300, progressMs: 50, idleTimeoutMs: 300 };
 
 async function openRelayed() {
@@ -44,20 +47,20 @@
   const { relay, store, server, close } = await openRelayed();
   const { signal } = new AbortController();
   const seen: string[] = [];
-  let nextRevision = 1n;
+  let next = FROM;
   let failures = 0;
   server.store.table.commit([], [put("k1")]);
   while (seen.length < 3) {
-    for await (const step of store.watch("k", nextRevision, signal)) {
+    for await (const step of store.watch("k", next, signal)) {
       if (step.isErr) {
         failures++;
         continue;
       }
       if (step.value.kind === "progress") continue;
       assert.equal(step.value.kind, "put");
-      const { key, modRevision } = step.value.entry;
+      const { key, modPosition } = step.value.entry;
       seen.push(key);
-      nextRevision = modRevision + 1n;
+      next = nextPosition(modPosition);
       if (seen.length === 3) break;
       if (key !== "k1") continue;
       relay.freezeOpen();
@@ -74,9 +77,12 @@
   const { store, server, close } = await openRelayed();
   server.store.table.commit([], [put("other")]);
   const { signal } = new AbortController();
-  for await (const step of store.watch("k", 1n, signal)) {
+  for await (const step of store.watch("k", FROM, signal)) {
     assert.ok(step.isOk);
-    assert.deepEqual(step.value, { kind: "progress", revision: 2n });
+    assert.deepEqual(step.value, {
+      kind: "progress",
+      position: positionAt(0, 2n),
+    });
     break;
   }
   await close();
@@ -85,7 +91,7 @@
 test("watch ends without a failure when it is aborted", async () => {
   const { store, close } = await openRelayed();
   const stop = new AbortController();
-  for await (const step of store.watch("k", 1n, stop.signal)) {
+  for await (const step of store.watch("k", FROM, stop.signal)) {
     assert.ok(step.isOk);
     stop.abort();
   }
@@ -102,14 +108,14 @@
   await server.setFaults({ down: false });
   let after = await store.get("k1");
   while (after.isErr) after = await store.get("k1");
-  assert.equal(after.value?.modRevision, 2n);
+  assert.equal(after.value?.modPosition.revision, 2n);
   await close();
 });
 
 test("watch with an aborted signal ends at once", async () => {
   const { store, close } = await openRelayed();
   const steps: unknown[] = [];
-  for await (const step of store.watch("k", 1n, AbortSignal.abort())) {
+  for await (const step of store.watch("k", FROM, AbortSignal.abort())) {
     steps.push(step);
   }
   assert.deepEqual(steps, []);
--- a/src/store/memory_store.ts
+++ b/src/store/memory_store.ts
@@ -8,6 +8,7 @@
   RevisionTable,
   type TableEvent,
 } from "./revision_table.ts";
+import type { StorePosition } from "./position.ts";
 import type {
   CommitOutcome,
   Expectation,
@@ -112,14 +113,14 @@
 
   /**
    * @param range Keys to list.
-   * @returns The entries, and the revision at which they were read.
+   * @returns The entries, and the position at which they were read.
    */
   async listRange(range: KeyRange): Promise<Result<Listing, StoreFailure>> {
     this.counters.reads++;
     if (!await this.#isReachable()) return err(unavailable());
     const entries = this.table.list(range);
     this.#countEntries(entries);
-    return ok({ entries, revision: this.table.revision });
+    return ok({ entries, position: this.table.position });
   }
 
   async commit(
@@ -143,20 +144,20 @@
 
   async *watch(
     prefix: string,
-    fromRevision: bigint,
+    from: StorePosition,
     signal: AbortSignal,
   ): AsyncGenerator<Result<WatchStep, StoreFailure>> {
     this.counters.watches++;
     if (!await this.#isReachable()) return yield err(unavailable());
     const compacted = this.table.compactedRevision;
-    if (fromRevision !== 0n && fromRevision <= compacted) {
+    if (from.revision !== 0n && from.revision <= compacted) {
       return yield err({ kind: "compacted", oldestRevision: compacted + 1n });
     }
     const pending: TableEvent[] = [];
     let notify = () => {};
     const unsubscribe = this.table.subscribe(
       prefixRange(prefix),
-      fromRevision,
+      from.revision,
       (events) => {
         pending.push(...events);
         notify();
@@ -239,7 +240,7 @@
   #takeSteps(pending: TableEvent[]): WatchStep[] {
     const events = pending.splice(0);
     if (events.length > 0) return events;
-    return [{ kind: "progress", revision: this.table.revision }];
+    return [{ kind: "progress", position: this.table.position }];
   }
 
   #consumeLostRequest(): boolean {
--- a/src/store/mod.ts
+++ b/src/store/mod.ts
@@ -18,6 +18,21 @@
   type TableEvent,
   type TableListener,
 } from "./revision_table.ts";
+export {
+  comparePositions,
+  fencingNumberOf,
+  formatPosition,
+  isAfter,
+  isBefore,
+  isSamePosition,
+  isStart,
+  laterOf,
+  nextPosition,
+  parsePosition,
+  positionAt,
+  START_POSITION,
+  type StorePosition,
+} from "./position.ts";
 export type {
   CommitOutcome,
   Expectation,
--- a/src/store/revision_table.ts
+++ b/src/store/revision_table.ts
@@ -1,4 +1,5 @@
 /** In-memory state of a multi-version key-value store: entries, revisions, history, subscribers. */
+import { isSamePosition, positionAt, type StorePosition } from "./position.ts";
 import type {
   CommitOutcome,
   Expectation,
@@ -9,7 +10,7 @@
 /** One change of a key. */
 export type TableEvent =
   | { kind: "put"; entry: KeyValueEntry }
-  | { kind: "delete"; key: string; revision: bigint };
+  | { kind: "delete"; key: string; position: StorePosition };
 
 /** Keys from `from` (inclusive) to `to` (exclusive); without `to`, there is no upper bound. */
 export interface KeyRange {
@@ -51,6 +52,7 @@
   readonly #entries = new Map<string, StoredEntry>();
   readonly #subscribers = new Set<Subscriber>();
   #history: TableEvent[] = [];
+  readonly #era = 0;
   #revision = FIRST_REVISION;
   #compactedRevision = 0n;
 
@@ -66,6 +68,11 @@
     return this.#revision;
   }
 
+  /** Position of the last change. */
+  get position(): StorePosition {
+    return positionAt(this.#era, this.#revision);
+  }
+
   /** History up to this revision (inclusive) was deleted. */
   get compactedRevision(): bigint {
     return this.#compactedRevision;
@@ -104,14 +111,14 @@
       return {
         kind: "conflict",
         current: this.#currentEntries(expect),
-        revision: this.#revision,
+        position: this.position,
       };
     }
     const revision = this.#revision + 1n;
     const events: TableEvent[] = [];
     for (const write of writes) this.#apply(write, revision, events);
     this.#publish(revision, events);
-    return { kind: "committed", revision: this.#revision };
+    return { kind: "committed", position: this.position };
   }
 
   /**
@@ -162,8 +169,8 @@
   }
 
   #isSatisfied(expect: Expectation[]): boolean {
-    return expect.every(({ key, modRevision }) =>
-      (this.#entries.get(key)?.modRevision ?? 0n) === modRevision
+    return expect.every(({ key, modPosition }) =>
+      isSamePosition(this.#entries.get(key)?.modPosition, modPosition)
     );
   }
 
@@ -191,11 +198,12 @@
     revision: bigint,
     events: TableEvent[],
   ): void {
+    const position = positionAt(this.#era, revision);
     const stored: StoredEntry = {
       key: write.key,
       value: write.value,
-      modRevision: revision,
-      createRevision: this.#entries.get(write.key)?.createRevision ?? revision,
+      modPosition: position,
+      createPosition: this.#entries.get(write.key)?.createPosition ?? position,
       leaseId: write.leaseId ?? 0n,
     };
     this.#entries.set(write.key, stored);
@@ -204,7 +212,8 @@
 
   #delete(key: string, revision: bigint, events: TableEvent[]): void {
     if (!this.#entries.delete(key)) return;
-    events.push({ kind: "delete", key, revision });
+    const position = positionAt(this.#era, revision);
+    events.push({ kind: "delete", key, position });
   }
 
   #publish(revision: bigint, events: TableEvent[]): void {
@@ -223,12 +232,15 @@
 }
 
 function toPublicEntry(stored: StoredEntry): KeyValueEntry {
-  const { key, value, modRevision, createRevision } = stored;
-  return { key, value, modRevision, createRevision };
+  const { key, value, modPosition, createPosition } = stored;
+  return { key, value, modPosition, createPosition };
 }
 
 function revisionOf(event: TableEvent): bigint {
-  return event.kind === "put" ? event.entry.modRevision : event.revision;
+  const { revision } = event.kind === "put"
+    ? event.entry.modPosition
+    : event.position;
+  return revision;
 }
 
 function keyOf(event: TableEvent): string {
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -3,15 +3,16 @@
  * `platform/store.ts` over the platform's HTTP API, and `memory_store.ts` in memory, for tests.
  */
 import type { Result } from "true-myth/result";
+import type { StorePosition } from "./position.ts";
 
-/** A key, its value, and the revisions that compare-and-swap conditions refer to. */
+/** A key, its value, and the positions that compare-and-swap conditions refer to. */
 export interface KeyValueEntry {
   key: string;
   value: Uint8Array;
-  /** Store revision of the last write to this key. */
-  modRevision: bigint;
-  /** Store revision at which the key was created. */
-  createRevision: bigint;
+  /** Position of the last write to this key. */
+  modPosition: StorePosition;
+  /** Position at which the key was created. */
+  createPosition: StorePosition;
 }
 
 /** Why a call to the store failed. */
@@ -23,10 +24,10 @@
   /** A watch requested revisions that the store has compacted. */
   | { kind: "compacted"; oldestRevision: bigint };
 
-/** Condition of a commit: the key's current `modRevision`; 0: the key must not exist. */
+/** Condition of a commit: the key's current `modPosition`; undefined: the key must not exist. */
 export interface Expectation {
   key: string;
-  modRevision: bigint;
+  modPosition: StorePosition | undefined;
 }
 
 /** One write of a commit. */
@@ -38,23 +39,23 @@
 
 /** The store's answer to a commit. */
 export type CommitOutcome =
-  | { kind: "committed"; revision: bigint }
+  | { kind: "committed"; position: StorePosition }
   /** A condition failed; `current` holds the entries of the expected keys that exist. */
-  | { kind: "conflict"; current: KeyValueEntry[]; revision: bigint };
+  | { kind: "conflict"; current: KeyValueEntry[]; position: StorePosition };
 
 /** The entries of a list call. */
 export interface Listing {
   entries: KeyValueEntry[];
-  /** Store revision of the list; a watch from the next revision misses no change. */
-  revision: bigint;
+  /** Position of the list; a watch from the next position misses no change. */
+  position: StorePosition;
 }
 
 /** One item of a watch: an event or a progress notification. */
 export type WatchStep =
   | { kind: "put"; entry: KeyValueEntry }
-  | { kind: "delete"; key: string; revision: bigint }
-  /** The store guarantees that all events up to `revision` have been delivered. */
-  | { kind: "progress"; revision: bigint };
+  | { kind: "delete"; key: string; position: StorePosition }
+  /** The store guarantees that all events up to `position` have been delivered. */
+  | { kind: "progress"; position: StorePosition };
 
 /** A lease, which expires after `ttlMs` unless it is renewed. */
 export interface StoreLease {
@@ -74,12 +75,12 @@
     writes: Write[],
   ): Promise<Result<CommitOutcome, StoreFailure>>;
   /**
-   * Watches a prefix from `fromRevision` (inclusive). Ends with a failure when the connection is
-   * lost or idle for too long; the caller then starts a new watch after the last received revision.
+   * Watches a prefix from a position (inclusive). Ends with a failure when the connection is lost
+   * or idle for too long; the caller then starts a new watch after the last received position.
    */
   watch(
     prefix: string,
-    fromRevision: bigint,
+    from: StorePosition,
     signal: AbortSignal,
   ): AsyncIterable<Result<WatchStep, StoreFailure>>;
   grantLease(ttlMs: number): Promise<Result<StoreLease, StoreFailure>>;
--- a/src/store/store_contract_test.ts
+++ b/src/store/store_contract_test.ts
@@ -10,6 +10,12 @@
   type StoreFailure,
   type Write,
 } from "./mod.ts";
+import {
+  nextPosition,
+  positionAt,
+  START_POSITION,
+  type StorePosition,
+} from "./position.ts";
 
 const SEED = 20_261_202;
 const CALL_MS = 10_000;
@@ -66,19 +72,19 @@
 
 async function takeSteps(
   store: KeyValueStore,
-  fromRevision: bigint,
+  from: StorePosition,
   count: number,
 ): Promise<string[]> {
   const stop = new AbortController();
   const seen: string[] = [];
-  for await (const step of store.watch("k", fromRevision, stop.signal)) {
+  for await (const step of store.watch("k", from, stop.signal)) {
     assert.ok(step.isOk);
     const { value } = step;
     if (value.kind === "put") {
-      seen.push(`put ${value.entry.key}@${value.entry.modRevision}`);
+      seen.push(`put ${value.entry.key}@${value.entry.modPosition.revision}`);
     }
     if (value.kind === "delete") {
-      seen.push(`delete ${value.key}@${value.revision}`);
+      seen.push(`delete ${value.key}@${value.position.revision}`);
     }
     if (seen.length === count) break;
   }
@@ -111,10 +117,10 @@
   outcome: Awaited<ReturnType<KeyValueStore["commit"]>>,
 ): unknown[] {
   if (outcome.isErr) return [outcome.error.kind];
-  const { kind, revision } = outcome.value;
+  const { kind, position } = outcome.value;
   const current = kind === "conflict" ? outcome.value.current : [];
-  const rows = current.map(({ key, modRevision }) => [key, modRevision]);
-  return [kind, rows, revision];
+  const rows = current.map(({ key, modPosition }) => [key, modPosition]);
+  return [kind, rows, position];
 }
 
 function targetOf(write: Write): string {
@@ -127,8 +133,9 @@
     try {
       for (const { key, isExact, writes } of steps) {
         const current = await memory.get(key);
-        const last = current.isOk ? current.value?.modRevision ?? 0n : 0n;
-        const expect = [{ key, modRevision: isExact ? last : last + 1n }];
+        const last = current.isOk ? current.value?.modPosition : undefined;
+        const other = nextPosition(last ?? START_POSITION);
+        const expect = [{ key, modPosition: isExact ? last : other }];
         const outcomes = await Promise.all(
           [etcd, platform, memory].map((store) => store.commit(expect, writes)),
         );
@@ -152,11 +159,11 @@
   for (const store of [etcd, platform, memory]) {
     await store.commit([], [put("k", "first")]);
     const refused = await store.commit(
-      [{ key: "k", modRevision: 0n }],
+      [{ key: "k", modPosition: undefined }],
       [put("k", "second")],
     );
     assert.ok(refused.isOk && refused.value.kind === "conflict");
-    assert.equal(refused.value.current[0]?.modRevision, 2n);
+    assert.equal(refused.value.current[0]?.modPosition.revision, 2n);
     assert.equal(
       Buffer.from(refused.value.current[0].value).toString(),
       "first",
@@ -185,7 +192,10 @@
       assert.ok(outcome.isErr);
       assert.equal(outcome.error.kind, "effect_unknown");
     }
-    assert.deepEqual(await takeSteps(store, 1n, 2), ["put k1@2", "put k3@3"]);
+    assert.deepEqual(await takeSteps(store, positionAt(0, 1n), 2), [
+      "put k1@2",
+      "put k3@3",
+    ]);
   }
   await close();
 });
@@ -197,8 +207,11 @@
     await store.commit([], [put("k2", "a")]);
     await store.commit([], [{ kind: "delete_range", from: "k", to: "l" }]);
     const all = ["put k1@2", "put k2@3", "delete k1@4", "delete k2@4"];
-    assert.deepEqual(await takeSteps(store, 1n, 4), all);
-    assert.deepEqual(await takeSteps(store, 3n, 3), all.slice(1));
+    assert.deepEqual(await takeSteps(store, positionAt(0, 1n), 4), all);
+    assert.deepEqual(
+      await takeSteps(store, positionAt(0, 3n), 3),
+      all.slice(1),
+    );
   }
   await close();
 });
@@ -223,7 +236,7 @@
     table.compact(2n);
     const { signal } = new AbortController();
     const failures: StoreFailure[] = [];
-    for await (const step of store.watch("k", 2n, signal)) {
+    for await (const step of store.watch("k", positionAt(0, 2n), signal)) {
       if (step.isErr) failures.push(step.error);
     }
     assert.deepEqual(failures, [{ kind: "compacted", oldestRevision }]);
@@ -245,7 +258,7 @@
     assert.ok(granted.isOk);
     const { leaseId } = granted.value;
     await store.commit([], [put("k1", "a", leaseId)]);
-    assert.deepEqual(await takeSteps(store, 1n, 2), [
+    assert.deepEqual(await takeSteps(store, positionAt(0, 1n), 2), [
       "put k1@2",
       "delete k1@3",
     ]);
--- a/src/suspects/suspect_record.ts
+++ b/src/suspects/suspect_record.ts
@@ -155,14 +155,14 @@
 
   async #write(serious: Suspect[], wallOffsetMs: number): Promise<boolean> {
     const { store, record, log, source, key } = this.#options;
-    const modRevision = record()?.modRevision ?? 0n;
+    const modPosition = record()?.modPosition;
     const rows = serious.map(({ digest, ends }): SuspectRow => ({
       digest,
       ends: ends.slice(0, MAX_ROW_ENDS).map((end) => toRow(end, wallOffsetMs)),
     }));
     const value = new TextEncoder().encode(JSON.stringify({ rows }));
     const committed = await store.commit(
-      [{ key, modRevision }],
+      [{ key, modPosition }],
       [{ kind: "put", key, value }],
     );
     const isWritten = committed.isOk && committed.value.kind === "committed";
