Read the era of each answer of the platform's store

The store names its era in all answers, refusals included, and nothing read it: an answer of a restored store was taken for one of the store before. The client now decodes the header in one place and keeps the newest era.

- Entries, listings, commits and watches get positions of their answer's era; leases carry the era of the answer that granted or renewed them.
- Pages of two eras are no listing.
A poll that is answered in a newer era than it asked from, with any status, ends with `era_changed`; so does, without a call, one from an era that is known to be over.
- A commit that expects positions of an earlier era is refused without a call, since the revisions may name other writes now.
One that a newer era accepts fails with `era_changed` and `mayHaveEffect`.
A conflict of a newer era is returned as such: it had no effect and names what is there now.
- Answers that one of a newer era has overtaken are not used.

Not covered: a commit in flight across the restore may still take effect on a revision given out again; only the store could refuse it. Its caller learns that its conditions do not count.

--- a/src/platform/http_call.ts
+++ b/src/platform/http_call.ts
@@ -1,4 +1,5 @@
 /** HTTP calls with JSON bodies and timeouts over pooled connections. */
+import type { IncomingHttpHeaders } from "node:http";
 import { Result } from "true-myth";
 import { Pool } from "undici";
 
@@ -14,6 +15,7 @@
 /** An answer with a JSON body; `body` is `{}` if the answer's body was empty. */
 export interface CallAnswer {
   status: number;
+  headers: IncomingHttpHeaders;
   body: Record<string, unknown>;
 }
 
@@ -73,7 +75,7 @@
     );
     call.signal?.addEventListener("abort", onAbort, { once: true });
     try {
-      const { statusCode, body } = await this.#pool.request({
+      const { statusCode, headers, body } = await this.#pool.request({
         method: call.method,
         path: call.path,
         headers: { ...call.headers, ...contentType(call.body) },
@@ -85,7 +87,12 @@
         idleTimer.refresh();
         chunks.push(chunk);
       }
-      return parseAnswer(statusCode, Buffer.concat(chunks).toString());
+      const text = Buffer.concat(chunks).toString();
+      return parseBody(statusCode, text).map((parsed) => ({
+        status: statusCode,
+        headers,
+        body: parsed,
+      }));
     } catch (error) {
       return Result.err(toCallFailure(error));
     } finally {
@@ -105,20 +112,20 @@
   return body === undefined ? {} : { "content-type": "application/json" };
 }
 
-function parseAnswer(
+function parseBody(
   status: number,
   text: string,
-): Result<CallAnswer, CallFailure> {
-  if (text === "") return Result.ok({ status, body: {} });
+): Result<CallAnswer["body"], CallFailure> {
+  if (text === "") return Result.ok({});
   try {
     const body: unknown = JSON.parse(text);
     if (typeof body === "object" && body !== null && !Array.isArray(body)) {
-      return Result.ok({ status, body: body as Record<string, unknown> });
+      return Result.ok(body as Record<string, unknown>);
     }
   } catch {
     // Handled below: only an answer with status 200 must have a JSON body.
   }
-  if (status !== 200) return Result.ok({ status, body: {} });
+  if (status !== 200) return Result.ok({});
   return Result.err({
     kind: "malformed",
     message: "Answer is not a JSON object",
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -31,6 +31,7 @@
   backupTarget: "kv-backup",
   copySource: "kv-from",
   authorization: "authorization",
+  storeEra: "store-era",
 } as const;
 
 /** Paths of calls to the store. */
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -1,4 +1,7 @@
-/** {@link KeyValueStore} client of the platform's store: HTTP with JSON bodies and long polling. */
+/**
+ * {@link KeyValueStore} client of the platform's store: HTTP with JSON bodies and long polling. Each
+ * answer names its era; one of an earlier era than the newest known is not used.
+ */
 import { Result } from "true-myth";
 import { findCommitRefusal } from "../store/commit_limits.ts";
 import { laterOf, positionAt, type StorePosition } from "../store/position.ts";
@@ -13,13 +16,16 @@
   WatchStep,
   Write,
 } from "../store/store.ts";
-import {
-  type Call,
-  type CallAnswer,
-  type CallFailure,
-  HttpCaller,
-} from "./http_call.ts";
+import type { Call, CallFailure } from "./http_call.ts";
 import { StorePath } from "./names.ts";
+import { type StoreAnswer, StoreCaller } from "./store_caller.ts";
+import {
+  overtakenFailure,
+  readFailure,
+  refusalFailure,
+  tryParse,
+  writeFailure,
+} from "./store_failures.ts";
 import {
   commitBody,
   integerOf,
@@ -66,13 +72,12 @@
 
 /** Client of the platform's store. */
 export class PlatformStore implements KeyValueStore {
-  readonly #caller: HttpCaller;
+  readonly #caller: StoreCaller;
   readonly #options: PlatformStoreOptions;
-  #calls = 0;
 
   private constructor(options: PlatformStoreOptions) {
     this.#options = options;
-    this.#caller = HttpCaller.create(options.address, options.connectMs);
+    this.#caller = StoreCaller.create(options.address, options.connectMs);
   }
 
   /**
@@ -85,7 +90,7 @@
 
   /** Number of calls sent so far, including the polls of watches. */
   get calls(): number {
-    return this.#calls;
+    return this.#caller.calls;
   }
 
   async get(
@@ -94,19 +99,23 @@
     const path = `${StorePath.key}?key=${encodeURIComponent(key)}`;
     const answer = await this.#read(path);
     if (answer.isErr) return Result.err(answer.error);
-    if (answer.value.status === 404) return Result.ok(undefined);
-    return tryParse(() => readEntry(answer.value.body, 0));
+    const { status, body, era } = answer.value;
+    if (status === 404) return Result.ok(undefined);
+    return tryParse(() => readEntry(body, era));
   }
 
   async list(prefix: string): Promise<Result<Listing, StoreFailure>> {
     const entries: KeyValueEntry[] = [];
     let after = "";
-    // The pages are no snapshot: a watch from the first page's position delivers later changes.
+    // The pages are no snapshot: a watch from the first page's position delivers later changes. Pages
+    // of two eras are no listing at all.
     let position: StorePosition | undefined;
     while (true) {
       const answer = await this.#read(rangePath(prefix, after));
       if (answer.isErr) return Result.err(answer.error);
-      const page = tryParse(() => readPage(answer.value.body, 0));
+      const { body, era } = answer.value;
+      if (position && position.era !== era) return this.#eraChanged();
+      const page = tryParse(() => readPage(body, era));
       if (page.isErr) return Result.err(page.error);
       this.#reportUnreadable(page.value.unreadable);
       position ??= page.value.position;
@@ -121,6 +130,9 @@
     expect: Expectation[],
     writes: Write[],
   ): Promise<Result<CommitOutcome, StoreFailure>> {
+    for (const { modPosition } of expect) {
+      if (modPosition) this.#caller.learnEra(modPosition.era);
+    }
     const refusal = findCommitRefusal(expect, writes);
     if (refusal) return Result.err({ kind: "unavailable", message: refusal });
     const expanded = await this.#expandRanges(writes);
@@ -129,6 +141,7 @@
       const message = `More than ${MAX_COMMIT_ENTRIES} entries in one commit`;
       return Result.err({ kind: "unavailable", message });
     }
+    if (this.#isOutdated(expect)) return this.#eraChanged();
     const answer = await this.#send({
       method: "POST",
       path: StorePath.commit,
@@ -136,15 +149,20 @@
       idleTimeoutMs: this.#options.callMs,
     });
     if (answer.isErr) return Result.err(writeFailure(answer.error));
-    const { status, body } = answer.value;
+    const { status, body, era } = answer.value;
     if (status === 200) {
+      // The restored store may have compared the conditions with other writes of the same revisions.
+      if (this.#isOvertaken(era) || this.#isOutdated(expect)) {
+        return this.#eraChanged({ mayHaveEffect: true });
+      }
       return tryParse(() => ({
         kind: "committed",
-        position: positionOf(body, "revision", 0),
+        position: positionOf(body, "revision", era),
       }));
     }
-    if (status === 412) return tryParse(() => readConflict(body, 0));
-    return Result.err(refusalFailure(status));
+    if (status !== 412) return Result.err(refusalFailure(status));
+    if (this.#isOvertaken(era)) return this.#eraChanged();
+    return tryParse(() => readConflict(body, era));
   }
 
   async *watch(
@@ -154,6 +172,7 @@
   ): AsyncIterable<Result<WatchStep, StoreFailure>> {
     const { callMs, watchWaitMs, watchSlackMs } = this.#options;
     const longPollMs = watchWaitMs + watchSlackMs;
+    this.#caller.learnEra(from.era);
     let after = positionAt(from.era, from.revision - 1n);
     // The first poll returns at once, so a caller that lost its connection soon sees it restored.
     let timing = { waitMs: FIRST_POLL_WAIT_MS, callMs };
@@ -181,11 +200,15 @@
       idleTimeoutMs: this.#options.callMs,
     });
     if (answer.isErr) return Result.err(writeFailure(answer.error));
-    const { status, body } = answer.value;
+    const { status, body, era } = answer.value;
     if (status !== 200) return Result.err(refusalFailure(status));
+    if (this.#isOvertaken(era)) {
+      return this.#eraChanged({ mayHaveEffect: true });
+    }
     return tryParse(() => ({
       leaseId: integerOf(body, "lease"),
       ttlMs: Number(body["ttl_ms"]),
+      era,
     }));
   }
 
@@ -198,10 +221,13 @@
       idleTimeoutMs: this.#options.callMs,
     });
     if (answer.isErr) return Result.err(writeFailure(answer.error));
-    const { status, body } = answer.value;
-    if (status === 404) return Result.ok({ leaseId, ttlMs: 0 });
-    if (status !== 200) return Result.err(refusalFailure(status));
-    return tryParse(() => ({ leaseId, ttlMs: Number(body["ttl_ms"]) }));
+    const { status, body, era } = answer.value;
+    if (status !== 200 && status !== 404) {
+      return Result.err(refusalFailure(status));
+    }
+    if (this.#isOvertaken(era)) return this.#eraChanged();
+    if (status === 404) return Result.ok({ leaseId, ttlMs: 0, era });
+    return tryParse(() => ({ leaseId, ttlMs: Number(body["ttl_ms"]), era }));
   }
 
   async revokeLease(leaseId: bigint): Promise<Result<void, StoreFailure>> {
@@ -225,6 +251,7 @@
   async #poll(
     { prefix, after, waitMs, callMs, signal }: Poll,
   ): Promise<Result<WatchAnswer, StoreFailure>> {
+    if (this.#isOvertaken(after.era)) return this.#eraChanged();
     const query = new URLSearchParams({
       prefix,
       after: String(after.revision),
@@ -237,18 +264,22 @@
       signal,
     });
     if (answer.isErr) return Result.err(readFailure(answer.error));
-    const { status, body } = answer.value;
+    const { status, body, era } = answer.value;
+    if (this.#isOvertaken(after.era)) return this.#eraChanged();
+    if (status !== 200 && status !== 410) {
+      return Result.err(refusalFailure(status));
+    }
+    if (this.#isOvertaken(era)) return Result.err(overtakenFailure(era));
     if (status === 410) {
       return Result.err({
         kind: "compacted",
         oldestRevision: after.revision + 1n,
       });
     }
-    if (status !== 200) return Result.err(refusalFailure(status));
-    return tryParse(() => readWatch(body, 0));
+    return tryParse(() => readWatch(body, era));
   }
 
-  async #read(path: string): Promise<Result<CallAnswer, StoreFailure>> {
+  async #read(path: string): Promise<Result<StoreAnswer, StoreFailure>> {
     const { callMs } = this.#options;
     const answer = await this.#send({
       method: "GET",
@@ -256,21 +287,41 @@
       idleTimeoutMs: callMs,
     });
     if (answer.isErr) return Result.err(readFailure(answer.error));
-    const { status } = answer.value;
-    return status === 200 || status === 404
-      ? Result.ok(answer.value)
-      : Result.err(refusalFailure(status));
+    const { status, era } = answer.value;
+    if (status !== 200 && status !== 404) {
+      return Result.err(refusalFailure(status));
+    }
+    if (this.#isOvertaken(era)) return Result.err(overtakenFailure(era));
+    return Result.ok(answer.value);
   }
 
   #reportUnreadable(unreadable: UnreadableItem[]): void {
     for (const item of unreadable) this.#options.onUnreadable?.(item);
   }
 
-  #send(call: Call): Promise<Result<CallAnswer, CallFailure>> {
-    this.#calls++;
+  #send(call: Call): Promise<Result<StoreAnswer, CallFailure>> {
     return this.#caller.send(call);
   }
 
+  /** Whether the store has answered in a newer era than this one. */
+  #isOvertaken(era: number): boolean {
+    return era < this.#caller.newestEra;
+  }
+
+  /** Whether a condition names a write of an earlier era; its revision may be another write's now. */
+  #isOutdated(expect: Expectation[]): boolean {
+    return expect.some(({ modPosition }) =>
+      modPosition !== undefined && this.#isOvertaken(modPosition.era)
+    );
+  }
+
+  #eraChanged<T>(
+    { mayHaveEffect } = { mayHaveEffect: false },
+  ): Result<T, StoreFailure> {
+    const era = this.#caller.newestEra;
+    return Result.err({ kind: "era_changed", era, mayHaveEffect });
+  }
+
   /** Replaces range deletions by single ones, since the platform can only delete single keys. */
   async #expandRanges(
     writes: Write[],
@@ -297,29 +348,3 @@
   if (after !== "") query.set("after", after);
   return `${StorePath.range}?${query}`;
 }
-
-/** Parses an answer. A malformed one counts as missing, so a write's effect is unknown. */
-function tryParse<T>(parse: () => T): Result<T, StoreFailure> {
-  try {
-    return Result.ok(parse());
-  } catch (error) {
-    const message = error instanceof Error ? error.message : String(error);
-    return Result.err({ kind: "effect_unknown", message });
-  }
-}
-
-/** The store guarantees that a refused call had no effect. */
-function refusalFailure(status: number): StoreFailure {
-  return { kind: "unavailable", message: `Refused with status ${status}` };
-}
-
-function readFailure(failure: CallFailure): StoreFailure {
-  return { kind: "unavailable", message: failure.message };
-}
-
-function writeFailure(failure: CallFailure): StoreFailure {
-  const kind = failure.kind === "unreachable"
-    ? "unavailable"
-    : "effect_unknown";
-  return { kind, message: failure.message };
-}
--- a/src/store/etcd_store.ts
+++ b/src/store/etcd_store.ts
@@ -301,7 +301,8 @@
 
 function toLease(response: { ID: bigint; TTL: bigint }): StoreLease {
   const ttlMs = Math.max(0, Number(response.TTL) * MS_PER_SECOND);
-  return { leaseId: response.ID, ttlMs };
+  const { era } = etcdPosition(0n);
+  return { leaseId: response.ID, ttlMs, era };
 }
 
 function prefixBytes(prefix: string): { key: Buffer; rangeEnd: Buffer } {
--- a/src/store/memory_store.ts
+++ b/src/store/memory_store.ts
@@ -180,19 +180,21 @@
   async grantLease(ttlMs: number): Promise<Result<StoreLease, StoreFailure>> {
     this.counters.writes++;
     if (!await this.#isReachable()) return err(unavailable());
+    const { era } = this.table.position;
     const leaseId = this.#nextLeaseId++;
     this.#leases.set(leaseId, { ttlMs, expiresMs: this.#nowMs() + ttlMs });
     this.#scheduleExpiry(leaseId, ttlMs);
-    return ok({ leaseId, ttlMs });
+    return ok({ leaseId, ttlMs, era });
   }
 
   async renewLease(leaseId: bigint): Promise<Result<StoreLease, StoreFailure>> {
     this.counters.writes++;
     if (!await this.#isReachable()) return err(unavailable());
+    const { era } = this.table.position;
     const lease = this.#leases.get(leaseId);
-    if (!lease) return ok({ leaseId, ttlMs: 0 });
+    if (!lease) return ok({ leaseId, ttlMs: 0, era });
     lease.expiresMs = this.#nowMs() + lease.ttlMs;
-    return ok({ leaseId, ttlMs: lease.ttlMs });
+    return ok({ leaseId, ttlMs: lease.ttlMs, era });
   }
 
   async revokeLease(leaseId: bigint): Promise<Result<void, StoreFailure>> {
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -21,6 +21,11 @@
   | { kind: "unavailable"; message: string }
   /** A write may have taken effect, or may still do so. */
   | { kind: "effect_unknown"; message: string }
+  /**
+   * The store was restored from an older copy since the positions of the call were read. A commit
+   * may have taken effect although its conditions no longer name the same writes.
+   */
+  | { kind: "era_changed"; era: number; mayHaveEffect: boolean }
   /** A watch requested revisions that the store has compacted. */
   | { kind: "compacted"; oldestRevision: bigint };
 
@@ -60,6 +65,8 @@
 /** A lease, which expires after `ttlMs` unless it is renewed. */
 export interface StoreLease {
   leaseId: bigint;
+  /** Era of the answer; a restored store may give out the ids of lost leases again. */
+  era: number;
   ttlMs: number;
 }
 
