Follow a store that was restored from an older copy

What callers saw: requests reached a server more than 2 s after its leaving was acknowledged. After the store had come back from an older copy, its revisions were below the replica's. What was written in between under revisions that the replica had "seen" was lost to it for good.

Cause: the order of updates was that of revisions, which are given out again. The replica, its confirmations, the relay between entries and the datagrams now compare positions:

- A listing of a newer era replaces the content, whatever its revision.
Values that didn't change are no news; others are marked as those of a copy.
- Steps, confirmations and relayed content of another era change nothing.
A peer of an earlier era gets all entries.
- On the wire, `era` stands beside `revision`; entries of the last release neither send nor read it.
- The follower lists a restored store once, after a random delay of at most its coalescing delay, and also when a peer reports the newer era.
History that is gone again before a watch went on is listed with the usual backoff of 100 to 500 ms.
- A restore counts as an outage in which registrations may have lapsed, for all entries alike: servers that the copy lacks get the time to register again.
- `store_era_changed` gives both positions and the number of keys kept, changed, dropped and added; `store_history_gone` the replica's position and the revision asked for; the state dump names the era.

Ruled out: refusals of the store (half of the calls were answered, none was refused for its number). That entries confirm each other across the restore could happen as well and is excluded by the same comparison.

--- a/src/router/control.ts
+++ b/src/router/control.ts
@@ -1,5 +1,5 @@
 /** HTTP servers of the control address (for other routers and operators) and of the readiness check. */
-import { positionAt, type StorePosition } from "../store/position.ts";
+import { parsePosition, type StorePosition } from "../store/position.ts";
 import { createServer, type Server as HttpServer } from "node:http";
 import { CACHE_TRANSFER_PATH } from "./cache_transfer.ts";
 import { RELAY_PATH } from "./relay.ts";
@@ -7,7 +7,7 @@
 
 /** Content that the control address serves. */
 export interface ControlOptions {
-  /** Changes of the store's content after a revision, for another entry, as JSON. */
+  /** Changes of the store's content after a position, for another entry, as JSON. */
   relay(after: StorePosition): string;
   /** Prompts that the servers' caches are expected to hold, as JSON. */
   expectedCaches(): string;
@@ -87,12 +87,9 @@
   const [path, query] = target.split("?", 2);
   switch (path) {
     case RELAY_PATH: {
-      const after = new URLSearchParams(query).get("after") ?? "0";
-      if (!/^\d+$/.test(after)) return undefined;
-      return {
-        type: "application/json",
-        text: options.relay(positionAt(0, BigInt(after))),
-      };
+      const after = readPosition(new URLSearchParams(query));
+      if (!after) return undefined;
+      return { type: "application/json", text: options.relay(after) };
     }
     case CACHE_TRANSFER_PATH:
       return { type: "application/json", text: options.expectedCaches() };
@@ -108,6 +105,12 @@
   }
 }
 
+/** Entries of earlier releases name no era. */
+function readPosition(query: URLSearchParams): StorePosition | undefined {
+  const revision = query.get("after") ?? "0";
+  return parsePosition(`${query.get("era") ?? 0}.${revision}`);
+}
+
 function listen(
   server: HttpServer,
   address: SocketAddress,
--- a/src/router/control_test.ts
+++ b/src/router/control_test.ts
@@ -10,7 +10,7 @@
  */
 test("request target that is not a valid URL gets 404", async (t) => {
   const server = await serveControl({ ipAddress: "127.0.0.1", port: 0 }, {
-    relay: (after) => `{"after":"${after}"}`,
+    relay: (after) => `{"after":"${after.revision}"}`,
     expectedCaches: () => "{}",
     metrics: () => "",
     state: () => ({}),
--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -39,6 +39,8 @@
   "listening",
   "log_lines_left_out",
   "stopping",
+  "store_era_changed",
+  "store_history_gone",
   "store_lost",
   "store_regained",
 ]);
--- a/src/router/follower.ts
+++ b/src/router/follower.ts
@@ -1,9 +1,9 @@
 /** Keeps a {@link StoreMirror} up to date by one watch over all keys. */
 import type { Clock, Logger } from "../base/mod.ts";
 import type { KeyValueStore, StoreFailure } from "../store/store.ts";
-import type { StoreMirror } from "./mirror.ts";
+import type { EraChange, StoreMirror } from "./mirror.ts";
 import { StoreContact } from "./store_contact.ts";
-import { nextPosition } from "../store/position.ts";
+import { formatPosition, nextPosition } from "../store/position.ts";
 
 /** Shortest backoff after a failed call. */
 const MIN_RETRY_MS = 100;
@@ -47,14 +47,21 @@
   readonly contact: StoreContact;
   readonly #options: FollowerOptions;
   #retryMs = MIN_RETRY_MS;
+  /** Whether the store was listed again since a watch last went on. */
+  #hasRelisted = false;
   #coalescedMs = 0;
   #needsList = true;
+  /** Newest era that this entry listed, or a peer reported. */
+  #heardEra = 0;
+  /** Ends the current watch. */
+  #watching = new AbortController();
   /** When the last call was sent; a watch sends its next call once one is answered. */
   #calledAtMs = -Infinity;
 
   private constructor(options: FollowerOptions) {
     this.#options = options;
     this.contact = StoreContact.create(options);
+    options.mirror.onEraChange((change) => this.#onEraChange(change));
   }
 
   /**
@@ -70,6 +77,19 @@
     return this.#coalescedMs;
   }
 
+  /**
+   * Lists the store soon if it was restored since it was last listed. The connection of this entry's
+   * watch may be dead, and still seem open.
+   *
+   * @param era Era that a peer has reported.
+   */
+  onPeerEra(era: number): void {
+    if (era <= this.#heardEra) return;
+    this.#heardEra = era;
+    this.#needsList = true;
+    this.#watching.abort();
+  }
+
   /**
    * Lists the store once, then watches it, and retries with backoff after failures.
    *
@@ -91,6 +111,7 @@
     const listing = await store.list("");
     if (listing.isErr) return listing.error;
     this.#onAnswer();
+    this.#heardEra = Math.max(this.#heardEra, listing.value.position.era);
     mirror.replace(listing.value);
     this.contact.markCaughtUp();
     this.#needsList = false;
@@ -101,9 +122,10 @@
     const { store, mirror, clock, coalesceMs } = this.#options;
     let answers = 0;
     let hasChanged = false;
-    for await (
-      const step of store.watch("", nextPosition(mirror.position), signal)
-    ) {
+    this.#watching = new AbortController();
+    const signals = AbortSignal.any([signal, this.#watching.signal]);
+    const from = nextPosition(mirror.position);
+    for await (const step of store.watch("", from, signals)) {
       if (step.isErr) return step.error;
       this.#onAnswer();
       mirror.applyStep(step.value);
@@ -113,7 +135,7 @@
       }
       this.contact.markCaughtUp();
       // The first answer of a watch does not show that the store recovered: the next call may fail.
-      if (++answers > 1) this.#retryMs = MIN_RETRY_MS;
+      if (++answers > 1) this.#onWatchGoesOn();
       this.#coalescedMs = hasChanged ? coalesceMs() : 0;
       if (hasChanged) await clock.sleep(this.#coalescedMs, signal);
       hasChanged = false;
@@ -125,12 +147,10 @@
     failure: StoreFailure | undefined,
     signal: AbortSignal,
   ): Promise<void> {
-    if (failure?.kind === "compacted") {
-      this.#needsList = true;
-      this.#options.log.info({ event: "store_history_gone" });
-      return;
-    }
     if (failure) this.#onFailure(failure);
+    if (failure && needsListing(failure) && !this.#hasRelisted) {
+      return await this.#relistSoon(failure, signal);
+    }
     const { clock, random } = this.#options;
     const tookMs = clock.nowMs() - this.#calledAtMs;
     const pauseMs = Math.max(MIN_RETRY_MS, this.#retryMs - tookMs);
@@ -141,9 +161,54 @@
     this.#retryMs = Math.min(MAX_RETRY_MS, this.#retryMs * 2);
   }
 
+  /** The first time, the store is listed without a backoff. */
+  async #relistSoon(failure: StoreFailure, signal: AbortSignal): Promise<void> {
+    this.#hasRelisted = true;
+    if (failure.kind !== "era_changed") return;
+    // All entries learn of a restore at the same time, and a listing takes many calls.
+    const { clock, random, coalesceMs } = this.#options;
+    await clock.sleep(random() * coalesceMs(), signal);
+  }
+
+  #onWatchGoesOn(): void {
+    this.#retryMs = MIN_RETRY_MS;
+    this.#hasRelisted = false;
+  }
+
   #onFailure(failure: StoreFailure): void {
-    if (!this.contact.failed()) return;
-    this.#options.log.warn({ event: "store_lost", failure: failure.kind });
+    switch (failure.kind) {
+      case "compacted":
+        this.#needsList = true;
+        return this.#logHistoryGone(failure.oldestRevision);
+      case "era_changed":
+        this.#needsList = true;
+        return;
+      case "unavailable":
+      case "effect_unknown":
+        if (!this.contact.failed()) return;
+        this.#options.log.warn({ event: "store_lost", failure: failure.kind });
+    }
+  }
+
+  #logHistoryGone(askedRevision: bigint): void {
+    const { log, mirror } = this.#options;
+    log.info({
+      event: "store_history_gone",
+      position: formatPosition(mirror.position),
+      askedRevision: String(askedRevision),
+    });
+  }
+
+  #onEraChange({ from, to, ...counts }: EraChange): void {
+    this.contact.restored();
+    this.#options.log.info({
+      event: "store_era_changed",
+      fromEra: from.era,
+      toEra: to.era,
+      fromRevision: String(from.revision),
+      toRevision: String(to.revision),
+      ...counts,
+    });
   }
 
   #onAnswer(): void {
@@ -157,6 +222,11 @@
   }
 }
 
+/** Whether a watch can't go on from the replica's position. */
+function needsListing({ kind }: StoreFailure): boolean {
+  return kind === "compacted" || kind === "era_changed";
+}
+
 /**
  * @param entryCount Number of live entries.
  * @param heartbeatMs Interval at which servers write their registration.
--- a/src/router/follower_test.ts
+++ b/src/router/follower_test.ts
@@ -7,10 +7,10 @@
   StoreFailure,
   WatchStep,
 } from "../store/mod.ts";
-import { recordedLog, TestClock } from "./_kit.ts";
+import { type LogLine, recordedLog, TestClock } from "./_kit.ts";
 import { coalesceDelayMs, StoreFollower } from "./follower.ts";
 import { StoreMirror } from "./mirror.ts";
-import { positionAt } from "../store/position.ts";
+import { formatPosition, positionAt } from "../store/position.ts";
 
 const HEARTBEAT_MS = 1200;
 const CALL_MS = 900;
@@ -52,20 +52,38 @@
   afterMs: 0,
 };
 
-function listed(keys: string[], revision: bigint): Outcome {
-  const position = positionAt(0, revision);
-  return { kind: "listed", listing: { entries: keys.map(entry), position } };
+/** A poll that the restored store answers in this era. */
+function restored(era: number): Failed {
+  return {
+    kind: "failed",
+    failure: { kind: "era_changed", era, mayHaveEffect: false },
+    afterMs: 0,
+  };
+}
+
+function listed(keys: string[], revision: bigint, era = 0): Outcome {
+  const position = positionAt(era, revision);
+  const entries = keys.map((key) => entry(key, era));
+  return { kind: "listed", listing: { entries, position } };
 }
 
-function entry(key: string): KeyValueEntry {
+function entry(key: string, era: number): KeyValueEntry {
   const value = new Uint8Array();
-  const position = positionAt(0, 1n);
+  const position = positionAt(era, 1n);
   return { key, value, modPosition: position, createPosition: position };
 }
 
 /** Creates a watch answer in which keys are deleted. */
 function watched(revision: bigint, ...gone: string[]): Watched {
-  const position = positionAt(0, revision);
+  return watchedInEra(0, revision, ...gone);
+}
+
+function watchedInEra(
+  era: number,
+  revision: bigint,
+  ...gone: string[]
+): Watched {
+  const position = positionAt(era, revision);
   const steps = gone.map((key): WatchStep => ({
     kind: "delete",
     key,
@@ -87,6 +105,7 @@
   /** Longest time that each deletion was delayed by coalescing. */
   coalescedMs: number[];
   events: unknown[];
+  lines: LogLine[];
   pausesMs: number[];
 }
 
@@ -102,6 +121,7 @@
     agesMs: [],
     coalescedMs: [],
     events: [],
+    lines,
     pausesMs: [],
   };
   const skippingClock = Object.assign(clock, {
@@ -348,3 +368,109 @@
   ]);
   assert.deepEqual(coalescedMs, [0, COALESCE_MS, 0]);
 });
+
+// Entries listed the restored store 29 times a second, without ever believing it.
+test("store that was restored is listed once and then watched in its era", async () => {
+  const { lines, deletions, pausesMs } = await runFollower([
+    listed(KEYS, 9n, 1),
+    watchedInEra(1, 9n),
+    restored(2),
+    listed(["a", "b"], 4n, 2),
+    watchedInEra(2, 4n),
+    watchedInEra(2, 5n, "b"),
+  ]);
+  assert.deepEqual(deletions.map(([key]) => key), ["c", "b"]);
+  const changed = lines.filter(({ event }) => event === "store_era_changed");
+  assert.equal(changed.length, 1);
+  const { fromEra, toEra, fromRevision, toRevision, kept, dropped } =
+    changed[0]!;
+  assert.deepEqual([fromEra, fromRevision, toEra, toRevision], [
+    1,
+    "9",
+    2,
+    "4",
+  ]);
+  assert.deepEqual([kept, dropped], [2, 1]);
+  // The random delay spreads the listings of all entries.
+  assert.equal(pausesMs[0], COALESCE_MS);
+});
+
+// A server that registered shortly before the restore would be dropped while it is alive.
+test("keys that a restored store lacks may have lapsed, however short it was away", async () => {
+  const { deletions, agesMs } = await runFollower([
+    listed(KEYS, 9n, 1),
+    watchedInEra(1, 9n),
+    watchedInEra(1, 9n),
+    restored(2),
+    listed(["a", "b"], 4n, 2),
+    { ...watchedInEra(2, 4n), waitMs: HEARTBEAT_MS },
+    watchedInEra(2, 5n, "b"),
+  ]);
+  assert.deepEqual(deletions, [["c", true], ["b", false]]);
+  assert.ok(agesMs[0]! > 0);
+  assert.equal(agesMs[1], 0);
+});
+
+// Each refused poll was followed by a listing at once: 57 calls a second and entry.
+test("history that is gone again and again is listed with a backoff", async () => {
+  for (const gone of [COMPACTED, restored(1)]) {
+    const { pausesMs } = await runFollower([
+      listed(KEYS, 9n),
+      ...repeat([gone, listed(KEYS, 4n)], 9),
+    ]);
+    const pauses = pausesMs.filter((ms) => ms !== COALESCE_MS)
+      .map((ms) => Math.round(ms / MAX_JITTER_FACTOR));
+    assert.deepEqual(pauses.slice(0, 5), [100, 200, 400, 500, 500]);
+  }
+});
+
+test("gone history is logged with the replica's position and the one asked for", async () => {
+  const { lines } = await runFollower([
+    listed(KEYS, 9n, 3),
+    { ...COMPACTED, failure: { kind: "compacted", oldestRevision: 10n } },
+  ]);
+  const [gone] = lines;
+  assert.equal(gone?.["event"], "store_history_gone");
+  assert.equal(gone?.["position"], "3.9");
+  assert.equal(gone?.["askedRevision"], "10");
+});
+
+// A dead connection hides the restore from an entry for as long as a poll may wait.
+test("entry that hears of a newer era from a peer lists the store soon", async () => {
+  const clock = new TestClock();
+  const stop = new AbortController();
+  const listings = [positionAt(1, 9n), positionAt(2, 4n)];
+  const asked: string[] = [];
+  let waiting = () => {};
+  const isWaiting = new Promise<void>((resolve) => waiting = resolve);
+  const follower = StoreFollower.create({
+    store: {
+      list: () => {
+        asked.push("list");
+        const position = listings.shift()!;
+        return Promise.resolve(Result.ok({ entries: [], position }));
+      },
+      watch: async function* (_prefix, from, signal) {
+        asked.push(`watch ${formatPosition(from)}`);
+        if (from.era === 2) return stop.abort();
+        waiting();
+        await new Promise((resolve) =>
+          signal.addEventListener("abort", resolve)
+        );
+        yield* [];
+      },
+    },
+    mirror: StoreMirror.create(clock),
+    clock: Object.assign(clock, { sleep: () => Promise.resolve() }),
+    log: recordedLog().log,
+    random: () => 1,
+    heartbeatMs: HEARTBEAT_MS,
+    coalesceMs: () => COALESCE_MS,
+  });
+  const run = follower.run(stop.signal);
+  await isWaiting;
+  follower.onPeerEra(1);
+  follower.onPeerEra(2);
+  await run;
+  assert.deepEqual(asked, ["list", "watch 1.10", "list", "watch 2.5"]);
+});
--- a/src/router/mirror.ts
+++ b/src/router/mirror.ts
@@ -1,6 +1,8 @@
 /**
  * Local replica of the platform's store, updated by a watch and by changes that other entries relay.
- * It never goes back: updates older than its own state are ignored.
+ * It never goes back: updates older than its own state are ignored. A store that was restored from an
+ * older copy is newer, as its era is; a full listing then replaces the content. All entries have
+ * positions of the replica's era.
  */
 import { randomUUID } from "node:crypto";
 import type { Clock } from "../base/mod.ts";
@@ -8,6 +10,7 @@
 import {
   isAfter,
   isBefore,
+  isStart,
   laterOf,
   START_POSITION,
   type StorePosition,
@@ -21,12 +24,38 @@
 
 /** A change of one key in the store. */
 export type MirrorChange =
-  | { kind: "put"; entry: KeyValueEntry }
+  | {
+    kind: "put";
+    entry: KeyValueEntry;
+    /** The first listing of a restored store has it: the value may be older than the last one. */
+    isFromCopy?: boolean;
+  }
   | { kind: "delete"; key: string; position: StorePosition };
 
 /** Listener that is called for each change, in order. */
 export type ChangeListener = (change: MirrorChange) => void;
 
+/** Who gave a full listing: the store itself, or another entry. */
+export type ListingSource = "store" | "entry";
+
+/** A restore of the store, as the replica shows it. */
+export interface EraChange {
+  /** Position of the replica before. */
+  from: StorePosition;
+  /** Position of the listing that replaces its content. */
+  to: StorePosition;
+  /** Who gave the listing. */
+  source: ListingSource;
+  /** Keys with the same value in both. */
+  kept: number;
+  /** Keys with another value. */
+  changed: number;
+  /** Keys that the restored store lacks. */
+  dropped: number;
+  /** Keys that the replica didn't have. */
+  added: number;
+}
+
 /** The changes, or all entries, that bring a peer's replica up to a position. */
 export type Catchup =
   | { kind: "steps"; position: StorePosition; changes: MirrorChange[] }
@@ -54,6 +83,7 @@
   readonly #entries = new Map<string, KeyValueEntry>();
   readonly #changes: MirrorChange[] = [];
   readonly #listeners: ChangeListener[] = [];
+  readonly #eraListeners: ((change: EraChange) => void)[] = [];
   /** Changes after this position are kept; older ones are not. */
   #changesFrom = START_POSITION;
   #position = START_POSITION;
@@ -102,6 +132,11 @@
     this.#listeners.push(listener);
   }
 
+  /** @param listener Called at each change of the era, before the changes of its listing. */
+  onEraChange(listener: (change: EraChange) => void): void {
+    this.#eraListeners.push(listener);
+  }
+
   /**
    * @param key The full key.
    * @returns The key's entry, if there is one.
@@ -126,7 +161,7 @@
    * @param listing The listing.
    */
   replace(listing: Listing): void {
-    this.#replace(listing);
+    this.#replace(listing, "store");
     this.#confirmByStore(listing.position);
   }
 
@@ -137,26 +172,59 @@
    * @param confirmed The store answer that confirms it.
    */
   replaceFromPeer(listing: Listing, confirmed?: Confirmation): void {
-    this.#replace(listing);
+    this.#replace(listing, "entry");
     this.confirm({ position: listing.position, confirmed });
   }
 
-  #replace(listing: Listing): void {
+  #replace(listing: Listing, source: ListingSource): void {
     if (isBefore(listing.position, this.#position)) return;
     const listed = new Set(listing.entries.map(({ key }) => key));
+    const isFromCopy = this.#announceEra(listing, source);
     for (const [key, { modPosition }] of this.#entries) {
       if (listed.has(key) || isAfter(modPosition, listing.position)) continue;
       this.#apply({ kind: "delete", key, position: listing.position });
     }
-    for (const entry of listing.entries) this.#apply({ kind: "put", entry });
+    for (const entry of listing.entries) this.#applyListed(entry, isFromCopy);
     this.#position = listing.position;
     // The single changes between the last step and the listing are unknown.
     this.#changes.length = 0;
     this.#changesFrom = listing.position;
   }
 
+  /** Tells the listeners of a new era; returns whether there is one. */
+  #announceEra(
+    { entries, position: to }: Listing,
+    source: ListingSource,
+  ): boolean {
+    const from = this.#position;
+    if (isStart(from) || to.era === from.era) return false;
+    let [kept, changed] = [0, 0];
+    for (const { key, value } of entries) {
+      const current = this.#entries.get(key);
+      if (!current) continue;
+      if (isSameValue(current.value, value)) kept++;
+      else changed++;
+    }
+    const dropped = this.#entries.size - kept - changed;
+    const added = entries.length - kept - changed;
+    const change = { from, to, source, kept, changed, dropped, added };
+    for (const listener of this.#eraListeners) listener(change);
+    return true;
+  }
+
+  /** Listeners don't hear of a copy's values that they know: nobody has written them since. */
+  #applyListed(entry: KeyValueEntry, isFromCopy: boolean): void {
+    if (!isFromCopy) return this.#apply({ kind: "put", entry });
+    const current = this.#entries.get(entry.key);
+    if (current && isSameValue(current.value, entry.value)) {
+      this.#entries.set(entry.key, entry);
+      return;
+    }
+    this.#apply({ kind: "put", entry, isFromCopy });
+  }
+
   /**
-   * Applies one step of a watch.
+   * Applies one step of a watch. Steps of another era are ignored: what lies between is unknown.
    *
    * @param step The step; steps must come in the order of their positions.
    */
@@ -189,13 +257,14 @@
   }
 
   /**
-   * Applies a peer's confirmation, unless it is for a later position than the replica's, or not newer
-   * than those already applied.
+   * Applies a peer's confirmation, unless it is for a later position than the replica's or of another
+   * era, or not newer than those already applied.
    *
    * @param syncState The peer's sync state.
    */
   confirm({ position, confirmed }: SyncState): void {
     if (!confirmed || isAfter(position, this.#position)) return;
+    if (!this.#isOfEra(position)) return;
     const { origin, count, ageMs } = confirmed;
     if (count <= (this.#answerCounts.get(origin) ?? 0)) return;
     this.#answerCounts.set(origin, count);
@@ -206,7 +275,8 @@
 
   /**
    * @param after The peer's position.
-   * @returns The changes that the peer lacks, or all entries if it is too far behind.
+   * @returns The changes that the peer lacks, or all entries if it is too far behind, or in an
+   *   earlier era.
    */
   changesSince(after: StorePosition): Catchup {
     const position = this.#position;
@@ -227,7 +297,7 @@
 
   #applyChange(change: MirrorChange, position: StorePosition): void {
     // One commit may change several keys at the same position: an equal position is checked per key.
-    if (isBefore(position, this.#position)) return;
+    if (isBefore(position, this.#position) || !this.#isOfEra(position)) return;
     this.#apply(change);
     this.#changes.push(change);
     if (this.#changes.length > MAX_KEPT_CHANGES) {
@@ -237,9 +307,14 @@
   }
 
   #advance(position: StorePosition): void {
+    if (!this.#isOfEra(position)) return;
     this.#position = laterOf(this.#position, position);
   }
 
+  #isOfEra({ era }: StorePosition): boolean {
+    return era === this.#position.era;
+  }
+
   #apply(change: MirrorChange): void {
     if (change.kind === "put") {
       const current = this.#entries.get(change.entry.key);
@@ -256,6 +331,10 @@
   }
 }
 
+function isSameValue(a: Uint8Array, b: Uint8Array): boolean {
+  return Buffer.compare(a, b) === 0;
+}
+
 function positionOf(change: MirrorChange): StorePosition {
   return change.kind === "put" ? change.entry.modPosition : change.position;
 }
--- a/src/router/mirror_test.ts
+++ b/src/router/mirror_test.ts
@@ -4,7 +4,7 @@
 import type { KeyValueEntry, WatchStep } from "../store/store.ts";
 import { formatPosition, positionAt } from "../store/position.ts";
 import { TestClock } from "./_kit.ts";
-import { type MirrorChange, StoreMirror } from "./mirror.ts";
+import { type EraChange, type MirrorChange, StoreMirror } from "./mirror.ts";
 
 const SEED = 20_261_202;
 const KEYS = ["a/1", "a/2", "b/1"];
@@ -90,6 +90,164 @@
   assert.equal(all.kind === "all" && all.entries.length, 3);
 });
 
+/** An entry of a restored store. */
+function restoredEntry(key: string, revision: bigint, value: string) {
+  const position = positionAt(2, revision);
+  return {
+    key,
+    value: Buffer.from(value),
+    modPosition: position,
+    createPosition: position,
+  };
+}
+
+/** Creates a replica of era 1 with the given keys, whose last change is at revision 9. */
+function createInEra1(keys: Record<string, string>) {
+  const fixture = create();
+  const position = positionAt(1, 9n);
+  const entries = Object.entries(keys).map(([key, value]) => ({
+    ...restoredEntry(key, 9n, value),
+    modPosition: position,
+    createPosition: position,
+  }));
+  fixture.mirror.replace({ entries, position });
+  fixture.seen.length = 0;
+  return fixture;
+}
+
+// An entry was deaf to a restored store until its revisions had passed the replica's.
+test("listing of a newer era replaces the content, whatever its revision", () => {
+  const { mirror, seen } = createInEra1({ "a/1": "new", "a/2": "same", c: "" });
+  const eras: EraChange[] = [];
+  mirror.onEraChange((change) => eras.push(change));
+  mirror.replace({
+    entries: [
+      restoredEntry("a/1", 3n, "old"),
+      restoredEntry("a/2", 4n, "same"),
+      restoredEntry("b/1", 2n, ""),
+    ],
+    position: positionAt(2, 4n),
+  });
+  assert.deepEqual(keys(mirror), ["a/1@2.3", "a/2@2.4", "b/1@2.2"]);
+  assert.deepEqual(mirror.position, positionAt(2, 4n));
+  // A value that nobody has written since is no news.
+  assert.deepEqual(seen, ["-c", "+a/1@2.3", "+b/1@2.2"]);
+  assert.deepEqual(eras, [{
+    from: positionAt(1, 9n),
+    to: positionAt(2, 4n),
+    source: "store",
+    kept: 1,
+    changed: 1,
+    dropped: 1,
+    added: 1,
+  }]);
+  // A change below the revision that was reached before the restore.
+  mirror.applyStep({ kind: "put", entry: restoredEntry("a/1", 5n, "again") });
+  assert.equal(mirror.entry("a/1")?.value.toString(), "again");
+});
+
+// Servers would be judged by values that were already outdated when the store was lost.
+test("values of a restored copy are marked, later ones are not", () => {
+  const { mirror } = createInEra1({ "a/1": "new" });
+  const marks: (boolean | undefined)[] = [];
+  mirror.onChange((change) =>
+    marks.push(change.kind === "put" ? change.isFromCopy : undefined)
+  );
+  mirror.replace({
+    entries: [restoredEntry("a/1", 3n, "old")],
+    position: positionAt(2, 4n),
+  });
+  mirror.applyStep({ kind: "put", entry: restoredEntry("a/1", 5n, "new") });
+  mirror.replace({
+    entries: [restoredEntry("a/1", 6n, "newer")],
+    position: positionAt(2, 6n),
+  });
+  assert.deepEqual(marks, [true, undefined, undefined]);
+});
+
+// A peer that hasn't seen the restore, or a slow answer, would undo it.
+test("updates of an earlier era don't change a restored replica", () => {
+  const { mirror } = createInEra1({ "a/1": "lost" });
+  mirror.replace({
+    entries: [restoredEntry("b/1", 2n, "")],
+    position: positionAt(2, 4n),
+  });
+  const before = { entries: keys(mirror), position: mirror.position };
+  mirror.replaceFromPeer({ entries: [], position: positionAt(1, 99n) });
+  mirror.applyStep({
+    kind: "delete",
+    key: "b/1",
+    position: positionAt(1, 99n),
+  });
+  mirror.applyStep({ kind: "progress", position: positionAt(1, 99n) });
+  mirror.advanceTo({ position: positionAt(1, 99n) });
+  assert.deepEqual(
+    { entries: keys(mirror), position: mirror.position },
+    before,
+  );
+});
+
+// The changes between the eras are unknown, so single steps can't bring a replica to the newer one.
+test("steps of a newer era don't change a replica of an earlier one", () => {
+  const { mirror } = createInEra1({ "a/1": "" });
+  mirror.applyStep({ kind: "put", entry: restoredEntry("b/1", 20n, "") });
+  mirror.applyStep({ kind: "progress", position: positionAt(2, 20n) });
+  mirror.advanceTo({ position: positionAt(2, 20n) });
+  assert.deepEqual(keys(mirror), ["a/1@1.9"]);
+  assert.deepEqual(mirror.position, positionAt(1, 9n));
+});
+
+// A peer that is deaf to the restored store would confirm what an entry without the store holds.
+test("confirmation of another era doesn't make a replica young", () => {
+  const { mirror, clock } = createInEra1({});
+  mirror.replace({ entries: [], position: positionAt(2, 4n) });
+  clock.advance(500);
+  const confirmed = { origin: "peer", count: 1, ageMs: 0 };
+  mirror.confirm({ position: positionAt(1, 9n), confirmed });
+  assert.equal(mirror.ageMs, 500);
+  mirror.confirm({ position: positionAt(2, 4n), confirmed });
+  assert.equal(mirror.ageMs, 0);
+});
+
+// A peer of an earlier era with a higher revision would get no change at all.
+test("peer of an earlier era gets all entries, whatever its revision", () => {
+  const { mirror } = createInEra1({});
+  mirror.replace({
+    entries: [restoredEntry("b/1", 2n, "")],
+    position: positionAt(2, 4n),
+  });
+  for (const era of [0, 1]) {
+    const catchup = mirror.changesSince(positionAt(era, 99n));
+    assert.equal(catchup.kind === "all" && catchup.entries.length, 1);
+    assert.deepEqual(catchup.position, positionAt(2, 4n));
+  }
+});
+
+// Two restores in a row: the second one may come before the first was listed.
+test("eras may be skipped", () => {
+  const { mirror, seen } = createInEra1({ "a/1": "" });
+  mirror.replace({ entries: [], position: positionAt(3, 1n) });
+  mirror.replace({
+    entries: [restoredEntry("a/1", 9n, "")],
+    position: positionAt(2, 9n),
+  });
+  assert.deepEqual(seen, ["-a/1"]);
+  assert.deepEqual(mirror.position, positionAt(3, 1n));
+});
+
+// The first listing of an entry that has just started is no restore.
+test("first listing doesn't change the era, whatever it is", () => {
+  const { mirror, seen } = create();
+  const eras: EraChange[] = [];
+  mirror.onEraChange((change) => eras.push(change));
+  mirror.replace({
+    entries: [restoredEntry("a/1", 3n, "")],
+    position: positionAt(2, 4n),
+  });
+  assert.deepEqual(eras, []);
+  assert.deepEqual(seen, ["+a/1@2.3"]);
+});
+
 test("replica that catches up from another one is equal to it, whatever updates are lost", () => {
   const step = fc.record({
     key: fc.constantFrom(...KEYS),
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -29,6 +29,8 @@
 export interface Datagram {
   name: string;
   revision: string;
+  /** Era of the revision; absent if the store names none, or from earlier releases. */
+  era?: number;
   /** Age of the sender's copy of the store; read only by releases without `confirmed`. */
   ageMs: number;
   /** The store answer that confirms the copy at this revision; absent if none is known. */
@@ -99,6 +101,7 @@
   name: isString,
   revision: (value) =>
     isString(value) && REVISION_PATTERN.test(value as string),
+  era: (value) => value === undefined || isEra(value),
   ageMs: isCount,
   confirmed: (value) => value === undefined || isConfirmation(value),
   loads: listOf(rowOf(isString, isCount, isCount, isCount)),
@@ -161,6 +164,14 @@
   return isDatagram(value) ? value : undefined;
 }
 
+/**
+ * @param value A value that a peer sent.
+ * @returns Whether it is the number of an era.
+ */
+export function isEra(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
 /**
  * @param value A value that a peer sent.
  * @returns Whether it is a valid {@link Confirmation}.
--- a/src/router/peer_gossip.ts
+++ b/src/router/peer_gossip.ts
@@ -239,6 +239,7 @@
     return {
       name,
       revision: String(position.revision),
+      era: position.era || undefined,
       ageMs: Math.round(confirmed?.ageMs ?? Number.MAX_SAFE_INTEGER),
       confirmed,
       loads: ownLoads(fleet),
@@ -296,7 +297,8 @@
     if (startedAtMs !== undefined && taken) {
       this.#options.quotas.applyPeerUpdate(ipAddress, { startedAtMs, taken });
     }
-    const position = positionAt(0, BigInt(datagram.revision));
+    const { era = 0, revision } = datagram;
+    const position = positionAt(era, BigInt(revision));
     // An entry that has just started knows nothing of the store yet.
     if (isStart(position)) rates.announceAll();
     this.#options.onPeerSyncState(ipAddress, {
--- a/src/router/peer_gossip_test.ts
+++ b/src/router/peer_gossip_test.ts
@@ -154,6 +154,7 @@
   const later = [
     "gone",
     "changingNext",
+    "era",
     "leaving",
     "ended",
     "cleared",
@@ -218,6 +219,27 @@
   assert.ok(!stateContains(world, '"storeRevision":"99999"'));
 });
 
+// A peer may be the only one that has seen the restore, also with a lower revision than this entry's.
+test("entry without the store follows a peer to a newer era", async (t) => {
+  const world = await openWorld(t);
+  await world.worker("i-1");
+  const peer = await FakePeer.create(t, world);
+  world.link.silent();
+  const catchup = {
+    revision: "3",
+    era: 7,
+    ageMs: 0,
+    isAll: true,
+    entries: [],
+    deletes: [],
+  };
+  peer.answers.set("/relay", JSON.stringify(catchup));
+  await until(async () => {
+    await peer.sendFields({ revision: "3", era: 7 });
+    return stateContains(world, '"storeEra":7,"storeRevision":"3"');
+  });
+});
+
 /** Opens a world whose entry lost the store and learns from a peer that a registration is deleted. */
 async function openWithRelayedDeletion(
   t: TestContext,
--- a/src/router/relay.ts
+++ b/src/router/relay.ts
@@ -3,7 +3,7 @@
  * up by its own watch; only one that stays behind requests the changes from another entry.
  */
 import type { Clock, Logger } from "../base/mod.ts";
-import { isConfirmation } from "./peer_datagram.ts";
+import { isConfirmation, isEra } from "./peer_datagram.ts";
 import { HttpCaller } from "../platform/mod.ts";
 import {
   comparePositions,
@@ -46,6 +46,8 @@
 
 interface WireCatchup {
   revision: string;
+  /** Era of all revisions; absent if the store names none, or from earlier releases. */
+  era?: number;
   /** Age of the sender's replica; read only by releases without `confirmed`. */
   ageMs: number;
   confirmed?: Confirmation;
@@ -67,7 +69,7 @@
 
 /**
  * @param mirror This entry's replica of the store.
- * @param after The peer's revision.
+ * @param after The peer's position.
  * @returns Body of the answer to the peer.
  */
 export function relayAnswer(mirror: StoreMirror, after: StorePosition): string {
@@ -155,7 +157,7 @@
     try {
       const answer = await caller.send({
         method: "GET",
-        path: `${RELAY_PATH}?after=${mirror.position.revision}`,
+        path: relayPath(mirror.position),
         idleTimeoutMs: REQUEST_TIMEOUT_MS,
       });
       if (answer.isErr || answer.value.status !== 200) return false;
@@ -180,6 +182,10 @@
   }
 }
 
+function relayPath({ era, revision }: StorePosition): string {
+  return `${RELAY_PATH}?after=${revision}&era=${era}`;
+}
+
 function encodeCatchup(
   catchup: Catchup,
   confirmed: Confirmation | undefined,
@@ -198,6 +204,7 @@
   }
   return {
     revision: String(catchup.position.revision),
+    era: catchup.position.era || undefined,
     ageMs: Math.round(confirmed?.ageMs ?? Number.MAX_SAFE_INTEGER),
     confirmed,
     isAll: catchup.kind === "all",
@@ -251,25 +258,26 @@
   if (!Array.isArray(entries) || !Array.isArray(deletes)) {
     throw new TypeError("Catch-up without lists of entries and deletes");
   }
+  const era = decodeEra(body["era"]);
   return {
-    position: decodePosition(body["revision"]),
+    position: decodePosition(body["revision"], era),
     confirmed,
     isAll,
-    entries: entries.map(decodeEntry),
+    entries: entries.map((entry) => decodeEntry(entry, era)),
     deletes: deletes.map((row) => ({
       kind: "delete",
       key: decodeString(row.key),
-      position: decodePosition(row.revision),
+      position: decodePosition(row.revision, era),
     })),
   };
 }
 
-function decodeEntry(entry: WireEntry): KeyValueEntry {
+function decodeEntry(entry: WireEntry, era: number): KeyValueEntry {
   return {
     key: decodeString(entry.key),
     value: Buffer.from(decodeString(entry.value), "base64"),
-    modPosition: decodePosition(entry.modRevision),
-    createPosition: decodePosition(entry.createRevision),
+    modPosition: decodePosition(entry.modRevision, era),
+    createPosition: decodePosition(entry.createRevision, era),
   };
 }
 
@@ -278,8 +286,14 @@
   throw new TypeError("Catch-up field is not a string");
 }
 
-function decodePosition(value: unknown): StorePosition {
-  return positionAt(0, BigInt(decodeString(value)));
+function decodeEra(value: unknown): number {
+  if (value === undefined) return 0;
+  if (isEra(value)) return value;
+  throw new TypeError("Catch-up with an invalid era");
+}
+
+function decodePosition(value: unknown, era: number): StorePosition {
+  return positionAt(era, BigInt(decodeString(value)));
 }
 
 function positionOf(change: MirrorChange): StorePosition {
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -1,5 +1,5 @@
 /** Creates and connects all components of a router process. */
-import { formatPosition, isStart } from "../store/position.ts";
+import { isStart } from "../store/position.ts";
 import {
   type Clock,
   Lifecycle,
@@ -184,7 +184,8 @@
     return {
       instance: this.#settings.instance,
       configVersion: this.#state.table?.version,
-      storeRevision: formatPosition(this.#mirror.position),
+      storeEra: this.#mirror.position.era,
+      storeRevision: String(this.#mirror.position.revision),
       knowledgeAgeMs: Math.round(this.#mirror.ageMs),
       storeConnected: this.#follower.contact.connected,
       storeCalls: this.#store.calls,
@@ -247,6 +248,7 @@
       seedAddresses: seedAddresses.map((seed) => seed.ipAddress),
       syncState: () => this.#mirror.syncState,
       onPeerSyncState: (peer, syncState) => {
+        this.#follower.onPeerEra(syncState.position.era);
         void this.#relay.onPeerSyncState(peer, syncState);
         void this.#cacheTransfer.fetchFrom(peer);
       },
--- a/src/router/store_contact.ts
+++ b/src/router/store_contact.ts
@@ -1,7 +1,8 @@
 /**
  * Tracks the store's outages as this process sees them, to tell registrations that lapsed in an outage
  * from those of servers that left: live servers register again after an outage, the others don't.
- * Grace periods start when the store is back, not when a deletion is received.
+ * Grace periods start when the store is back, not when a deletion is received. A restore from an older
+ * copy counts as an outage, however short, since the copy may lack registrations.
  */
 import type { Clock } from "../base/mod.ts";
 
@@ -61,6 +62,10 @@
   #lastOutage: PastOutage | undefined;
   /** Time without contact before the changes that are received now; 0 once caught up. */
   #gapMs = 0;
+  /** Time without an answer before the last one. */
+  #silentMs = 0;
+  /** When this process last found the store restored. */
+  #restoredAtMs = -Infinity;
   readonly #startedAtMs: number;
   #tickedAtMs: number | undefined;
   /** The last stall of this process. */
@@ -87,7 +92,8 @@
 
   /** Whether servers whose registrations lapsed in an outage may still register again. */
   get inRegistrationGrace(): boolean {
-    return !this.connected || this.#sinceRegainedMs < REREGISTRATION_GRACE_MS;
+    return !this.connected || this.#isRestored ||
+      this.#sinceRegainedMs < REREGISTRATION_GRACE_MS;
   }
 
   /**
@@ -96,6 +102,9 @@
    * another cause.
    */
   get outage(): Outage | undefined {
+    if (this.#nowMs - this.#restoredAtMs < this.#heartbeatMs) {
+      return { isOver: true, lengthMs: finiteOrUndefined(this.#silentMs) };
+    }
     if (!this.connected) {
       const lengthMs = finiteOrUndefined(this.#nowMs - this.#answeredAtMs);
       return { isOver: false, lengthMs };
@@ -117,11 +126,12 @@
 
   /**
    * Whether the store answered another entry while it didn't answer this process, so that deletions
-   * have another cause than an outage.
+   * have another cause than an outage. A restore concerns all entries alike.
    *
    * @param servedAtMs When the store last answered another entry.
    */
   isServedElsewhere(servedAtMs: number): boolean {
+    if (this.#isRestored) return false;
     const isRecent =
       this.#nowMs - servedAtMs < SILENT_INTERVALS * this.#heartbeatMs;
     return isRecent && servedAtMs > this.#outageFromMs;
@@ -166,6 +176,7 @@
       const fromMs = this.#lostAtMs ?? this.#answeredAtMs;
       this.#lastOutage = { fromMs, silentMs, regainedAtMs: nowMs };
     }
+    this.#silentMs = silentMs;
     const lostAtMs = this.#lostAtMs;
     if (!this.connected) this.#gapMs = silentMs;
     this.#lostAtMs = undefined;
@@ -173,6 +184,15 @@
     return lostAtMs === undefined ? undefined : nowMs - lostAtMs;
   }
 
+  /**
+   * Records that the store came back from an older copy, before its content is applied. What the
+   * copy lacks was lost or has lapsed, and what was written since may be as old as the last answer.
+   */
+  restored(): void {
+    this.#restoredAtMs = this.#nowMs;
+    this.#gapMs = Math.max(this.#gapMs, this.#silentMs);
+  }
+
   /** Records that all changes made while contact was lost have been received. */
   markCaughtUp(): void {
     this.#gapMs = 0;
@@ -204,6 +224,11 @@
     return sinceMs < STALL_BACKLOG_MS ? lengthMs + sinceMs : 0;
   }
 
+  /** Whether servers that the copy lacks may still register again. */
+  get #isRestored(): boolean {
+    return this.#nowMs - this.#restoredAtMs < REREGISTRATION_GRACE_MS;
+  }
+
   get #sinceRegainedMs(): number {
     return this.#nowMs - this.#regainedAtMs;
   }
--- a/src/router/store_contact_test.ts
+++ b/src/router/store_contact_test.ts
@@ -226,3 +226,48 @@
   fixture.contact.answered();
   assert.equal(fixture.contact.maxAgeMs, 1500);
 });
+
+// Other entries reach the restored store, so the registrations that it lacks counted as deleted.
+test("restore gives registrations time to return, also if the store serves other entries", () => {
+  const fixture = create();
+  const { contact, clock } = fixture;
+  contact.restored();
+  clock.advance(100);
+  assert.ok(contact.outage?.isOver);
+  assert.ok(contact.inRegistrationGrace);
+  assert.equal(contact.isServedElsewhere(clock.nowMs()), false);
+  clock.advance(HEARTBEAT_MS);
+  contact.answered();
+  assert.equal(contact.outage, undefined);
+  assert.ok(contact.inRegistrationGrace);
+  clock.advance(HEARTBEAT_MS);
+  contact.answered();
+  assert.equal(contact.inRegistrationGrace, false);
+});
+
+// An entry that can't reach the store learns of the restore from another one.
+test("restore that a peer reports during an outage gives the same time", () => {
+  const fixture = create();
+  const { contact, clock } = fixture;
+  clock.advance(CALL_MS);
+  contact.failed();
+  clock.advance(HEARTBEAT_MS);
+  contact.restored();
+  clock.advance(100);
+  assert.equal(contact.isServedElsewhere(clock.nowMs()), false);
+  assert.ok(contact.inRegistrationGrace);
+  clock.advance(2 * HEARTBEAT_MS);
+  assert.equal(contact.isServedElsewhere(clock.nowMs()), true);
+});
+
+// Weights that were named before the restore was found would count as named just now.
+test("what a restored store holds may be as old as its last answer before", () => {
+  const { contact, clock } = create();
+  contact.markCaughtUp();
+  clock.advance(1500);
+  contact.answered();
+  contact.restored();
+  assert.equal(contact.maxAgeMs, 1500);
+  contact.markCaughtUp();
+  assert.equal(contact.maxAgeMs, 0);
+});
