--- a/src/store/mod.ts
+++ b/src/store/mod.ts
@@ -5,13 +5,12 @@
   MAX_COMMIT_OPS,
 } from "./commit_limits.ts";
 export { EtcdStore, type EtcdStoreOptions } from "./etcd_store.ts";
-export {
-  MemoryStore,
-  type MemoryStoreOptions,
-  type StoreCounters,
-  type StoreFaults,
-  type StoreSnapshot,
-} from "./memory_store.ts";
+export { MemoryStore, type StoreSnapshot } from "./memory_store.ts";
+export type {
+  MemoryStoreOptions,
+  StoreCounters,
+  StoreFaults,
+} from "./memory_store_options.ts";
 export {
   type KeyRange,
   prefixRange,
@@ -20,6 +19,21 @@
   type TableListener,
   type TableSnapshot,
 } from "./revision_table.ts";
+export {
+  comparePositions,
+  fencingNumberOf,
+  formatPosition,
+  isAfter,
+  isBefore,
+  isSamePosition,
+  isStart,
+  laterOf,
+  nextPosition,
+  parsePosition,
+  positionAt,
+  START_POSITION,
+  type StorePosition,
+} from "./position.ts";
 export type {
   CommitOutcome,
   Expectation,
