Bind a lease to the era in which it was acquired

What the operator saw: after the store had come back from an older copy, leases from before were renewed with success and their holders went on, while the key that shows the holder was gone from the copy and another process could acquire it. Ids of leases are given out again as well, so a release could end the lease of the next holder.

A FencedLease now counts as lost as soon as its process knows a newer era, by an answer to its own calls (a renewal that succeeds included) or by `knownEra`; it is not renewed any more. Its release deletes the key only if it holds this very claim, under the key's current position, and revokes nothing. A lease that was granted in one era is not acquired by a commit of another.

Ruled out: order of fencing numbers, which rise over eras since positions have them.

--- a/src/lease/fenced_lease.ts
+++ b/src/lease/fenced_lease.ts
@@ -1,29 +1,32 @@
 /**
  * A lease in the key-value service with a fencing number.
  *
- * The fencing number is the store revision at which the lease's key was created. The store's
- * revision rises with every commit to any key and survives deletions and outages, so a later holder
- * always has a higher number. The holder counts its lease time from just before it sent its last
- * successful renewal, so its lease never expires later than the store's.
+ * The fencing number stands for the store position at which the lease's key was created. The store's
+ * revision rises with every commit to any key and survives deletions and outages, and a store that
+ * was restored from an older copy names a new era, so a later holder always has a higher number. The
+ * holder counts its lease time from just before it sent its last successful renewal, so its lease
+ * never expires later than the store's. A lease belongs to one era.
  */
-import { randomUUID } from "node:crypto";
 import { Result } from "true-myth";
 import type { Clock } from "../base/mod.ts";
 import {
-  encodeNextHolder,
+  type AcquireFailure,
+  type Claim,
+  claimKey,
+  createClaim,
+  deleteClaim,
+  heldByOther,
+} from "./_claim.ts";
+import {
   type LastHolder,
   type LastHolderOptions,
-  readJson,
   readLastHolder,
 } from "./last_holder.ts";
 import { fencingNumberOf, type StorePosition } from "../store/position.ts";
 import type {
-  Expectation,
-  KeyValueEntry,
   KeyValueStore,
   StoreFailure,
   StoreLease,
-  Write,
 } from "../store/store.ts";
 
 /** Fraction of the TTL that the holder leaves unused, to allow for clocks with different rates. */
@@ -46,19 +49,12 @@
   clock: Clock;
   /** Returns a number from 0 to 1; tests pass a seeded generator. */
   random?: () => number;
+  /** Newest era of the store that this process knows; omitted for a store that names none. */
+  knownEra?(): number;
   /** Record of the last holder; omitted where the previous holder doesn't matter. */
   lastHolder?: LastHolderOptions;
 }
 
-/** Why a lease was not acquired. */
-export type AcquireFailure =
-  | { kind: "held"; holderId: string; fencingNumber: bigint }
-  /**
-   * The caller's copy of the last holder's record is outdated: another process has held the lease.
-   */
-  | { kind: "outdated" }
-  | { kind: "store"; failure: StoreFailure };
-
 /** State of a lease as seen by its holder. */
 export interface LeaseState {
   key: string;
@@ -83,11 +79,6 @@
   wallMs: number;
 }
 
-/** Outcome of the write that claims the lease's key. */
-type ClaimResult =
-  | { kind: "taken"; position: StorePosition }
-  | { kind: "refused"; failure: AcquireFailure };
-
 /** A lease acquired by this process. */
 export class FencedLease {
   /** Position at which this process created the lease's key. */
@@ -96,16 +87,20 @@
   readonly #store: KeyValueStore;
   readonly #options: FencedLeaseOptions;
   readonly #leaseId: bigint;
+  readonly #claim: Claim;
   readonly #calls: LeaseCalls;
   #validFrom: ClockReading;
   #validityMs: number;
   #lost = false;
+  /** Newest era that an answer to this lease's calls named. */
+  #answeredEra: number;
 
   private constructor(
     store: KeyValueStore,
     options: FencedLeaseOptions,
     held: {
       position: StorePosition;
+      claim: Claim;
       granted: StoreLease;
       sentAt: ClockReading;
       calls: number;
@@ -115,7 +110,9 @@
     this.#options = options;
     this.position = held.position;
     this.fencingNumber = fencingNumberOf(held.position);
+    this.#answeredEra = held.position.era;
     this.#leaseId = held.granted.leaseId;
+    this.#claim = held.claim;
     this.#validFrom = held.sentAt;
     this.#validityMs = usableMs(held.granted.ttlMs);
     this.#calls = { acquire: held.calls, renew: 0, release: 0 };
@@ -139,14 +136,29 @@
     const sentAt = readClocks(options.clock);
     const granted = await store.grantLease(options.ttlMs);
     if (granted.isErr) return storeFailure(granted.error);
-    const claim = await claimKey(store, options, granted.value.leaseId);
-    if (claim.kind === "refused") {
+    const { leaseId, era } = granted.value;
+    const claim = createClaim(options.key, options.holderId);
+    const claimed = await claimKey(store, claim, { ...options, leaseId });
+    if (claimed.kind === "refused") {
+      const { failure } = claimed;
       // Revoking the store lease prevents a commit still in flight from taking effect.
-      await store.revokeLease(granted.value.leaseId);
-      return Result.err(claim.failure);
+      if (isEraChange(failure) || knownEraOf(options) > era) {
+        await deleteClaim(store, claim);
+      } else await store.revokeLease(leaseId);
+      return Result.err(failure);
     }
-    const { position } = claim;
-    const held = { position, granted: granted.value, sentAt, calls: 3 };
+    const { position } = claimed;
+    if (position.era !== era) {
+      // The key may be attached to the lease of another process.
+      await deleteClaim(store, claim);
+      const newEra = Math.max(position.era, era);
+      return storeFailure({
+        kind: "era_changed",
+        era: newEra,
+        mayHaveEffect: false,
+      });
+    }
+    const held = { position, claim, granted: granted.value, sentAt, calls: 3 };
     return Result.ok(new FencedLease(store, options, held));
   }
 
@@ -156,9 +168,27 @@
     return known && readLastHolder(known.value);
   }
 
-  /** True once the lease was released, or the store has reported it as expired. */
+  /**
+   * True once the lease was released, the store has reported it as expired, or the store was restored
+   * since: its key may be gone although a renewal succeeds.
+   */
   get lost(): boolean {
-    return this.#lost;
+    return this.#lost || this.isOfEarlierEra;
+  }
+
+  /** Whether the store is known to have been restored since the lease was acquired. */
+  get isOfEarlierEra(): boolean {
+    return this.newestEra > this.position.era;
+  }
+
+  /** Newest era of the store that this process is known to have heard of. */
+  get newestEra(): number {
+    return Math.max(knownEraOf(this.#options), this.#answeredEra);
+  }
+
+  /** Whether the lease was held up to now, apart from a restore of the store. */
+  get isHeldInItsEra(): boolean {
+    return !this.#lost && this.#validForMs() > 0;
   }
 
   /**
@@ -168,7 +198,7 @@
    * @returns Whether the lease is certain to be held for that long.
    */
   isHeldFor(ms: number): boolean {
-    return !this.#lost && this.#validForMs() >= ms;
+    return !this.lost && this.#validForMs() >= ms;
   }
 
   /**
@@ -180,7 +210,13 @@
     const sentAt = readClocks(this.#options.clock);
     this.#calls.renew++;
     const renewed = await this.#store.renewLease(this.#leaseId);
-    if (renewed.isErr) return Result.err(renewed.error);
+    if (renewed.isErr) {
+      const { error } = renewed;
+      if (error.kind === "era_changed") this.#learnEra(error.era);
+      return this.lost ? Result.ok(false) : Result.err(error);
+    }
+    this.#learnEra(renewed.value.era);
+    if (this.isOfEarlierEra) return Result.ok(false);
     if (renewed.value.ttlMs <= 0) this.#lost = true;
     if (this.#lost) return Result.ok(false);
     this.#validFrom = sentAt;
@@ -197,9 +233,9 @@
     const intervalMs = this.#options.ttlMs / RENEWALS_PER_TTL;
     let waitMs = this.#jitter(intervalMs);
     let retryMs = RETRY_MIN_MS;
-    while (!signal.aborted && !this.#lost) {
+    while (!signal.aborted && !this.lost) {
       await this.#options.clock.sleep(waitMs, signal);
-      if (signal.aborted) return;
+      if (signal.aborted || this.lost) return;
       const renewed = await this.renew();
       if (renewed.isOk) {
         retryMs = RETRY_MIN_MS;
@@ -220,7 +256,8 @@
   release(): Promise<Result<void, StoreFailure>> {
     this.#lost = true;
     this.#calls.release++;
-    return this.#store.revokeLease(this.#leaseId);
+    if (!this.isOfEarlierEra) return this.#store.revokeLease(this.#leaseId);
+    return deleteClaim(this.#store, this.#claim);
   }
 
   /** @returns The state, for state dumps. */
@@ -231,7 +268,7 @@
       holderId,
       fencingNumber: this.fencingNumber,
       validForMs: Math.max(0, this.#validForMs()),
-      lost: this.#lost,
+      lost: this.lost,
       calls: { ...this.#calls },
     };
   }
@@ -249,89 +286,22 @@
     return this.#validityMs - elapsedMs;
   }
 
+  #learnEra(era: number): void {
+    this.#answeredEra = Math.max(this.#answeredEra, era);
+  }
+
   #jitter(ms: number): number {
     const random = this.#options.random ?? Math.random;
     return ms * (1 - MAX_JITTER * random());
   }
 }
 
-async function claimKey(
-  store: KeyValueStore,
-  options: FencedLeaseOptions,
-  leaseId: bigint,
-): Promise<ClaimResult> {
-  const { key, holderId, lastHolder, clock } = options;
-  const text = JSON.stringify({ holderId, claimId: randomUUID() });
-  const value = new TextEncoder().encode(text);
-  const expect: Expectation[] = [{ key, modPosition: undefined }];
-  const writes: Write[] = [{ kind: "put", key, value, leaseId }];
-  if (lastHolder) {
-    const modPosition = lastHolder.known?.modPosition;
-    expect.push({ key: lastHolder.key, modPosition });
-    const last = encodeNextHolder(lastHolder.known, { holderId, clock });
-    writes.push({ kind: "put", key: lastHolder.key, value: last });
-  }
-  const outcome = await store.commit(expect, writes);
-  if (outcome.isErr) {
-    if (outcome.error.kind !== "effect_unknown") {
-      return refusedByStore(outcome.error);
-    }
-    return readBack(store, {
-      key,
-      writtenText: text,
-      commitFailure: outcome.error,
-    });
-  }
-  if (outcome.value.kind === "committed") {
-    return { kind: "taken", position: outcome.value.position };
-  }
-  const current = outcome.value.current.find((entry) => entry.key === key);
-  if (current) return { kind: "refused", failure: heldByOther(current) };
-  if (lastHolder) return { kind: "refused", failure: { kind: "outdated" } };
-  return refusedByStore({
-    kind: "unavailable",
-    message: "Commit conflict without a conflicting key",
-  });
-}
-
-/** A commit of the lease's key that may or may not have taken effect. */
-interface UnconfirmedClaim {
-  key: string;
-  writtenText: string;
-  commitFailure: StoreFailure;
-}
-
-/**
- * Determines the outcome of a commit whose answer was lost, by the claim id in the stored value.
- */
-async function readBack(
-  store: KeyValueStore,
-  claim: UnconfirmedClaim,
-): Promise<ClaimResult> {
-  const found = await store.get(claim.key);
-  if (found.isErr) return refusedByStore(found.error);
-  if (!found.value) return refusedByStore(claim.commitFailure);
-  if (new TextDecoder().decode(found.value.value) === claim.writtenText) {
-    return { kind: "taken", position: found.value.createPosition };
-  }
-  return { kind: "refused", failure: heldByOther(found.value) };
-}
-
-function heldByOther(entry: KeyValueEntry): AcquireFailure {
-  return {
-    kind: "held",
-    holderId: readHolderId(entry.value),
-    fencingNumber: fencingNumberOf(entry.createPosition),
-  };
-}
-
-function readHolderId(value: Uint8Array): string {
-  const holderId = readJson(value)["holderId"];
-  return typeof holderId === "string" ? holderId : "";
+function knownEraOf(options: FencedLeaseOptions): number {
+  return options.knownEra?.() ?? 0;
 }
 
-function refusedByStore(failure: StoreFailure): ClaimResult {
-  return { kind: "refused", failure: { kind: "store", failure } };
+function isEraChange(failure: AcquireFailure): boolean {
+  return failure.kind === "store" && failure.failure.kind === "era_changed";
 }
 
 function storeFailure(
--- a/src/lease/fenced_lease_test.ts
+++ b/src/lease/fenced_lease_test.ts
@@ -239,3 +239,110 @@
     await once(child, "exit");
   }
 }
+
+// Revisions go back with the store; engines refused the orders of each new holder for a while.
+test("fencing numbers rise over a restore of the store", async () => {
+  const { store, held } = setUp();
+  const copy = store.snapshot();
+  for (let i = 0; i < 20; i++) {
+    await store.commit([], [{
+      kind: "put",
+      key: "k",
+      value: new Uint8Array(),
+    }]);
+  }
+  const before = await held("e1");
+  store.restore(copy);
+  const after = await held("e2");
+  assert.ok(after.position.revision < before.position.revision);
+  assert.ok(after.fencingNumber > before.fencingNumber);
+  assert.ok(Number.isSafeInteger(Number(after.fencingNumber)));
+});
+
+// The store lease was in the copy and was renewed with success, while its key was gone.
+test("lease whose renewal names a newer era is lost", async () => {
+  const { clock, store, held } = setUp();
+  const granted = store.grantLease;
+  let copy = store.snapshot();
+  store.grantLease = async (ttlMs) => {
+    const answer = await granted.call(store, ttlMs);
+    copy = store.snapshot();
+    return answer;
+  };
+  const lease = await held("e1");
+  store.restore(copy);
+  assert.equal(store.table.get(KEY), undefined);
+  const renewed = await lease.renew();
+  assert.ok(renewed.isOk);
+  assert.equal(renewed.value, false);
+  assert.ok(lease.lost);
+  assert.equal(lease.isHeldFor(0), false);
+  const next = await held("e2");
+  assert.ok(next.isHeldFor(1000));
+  await clock.advance(1);
+  assert.ok(next.fencingNumber > lease.fencingNumber);
+});
+
+// The holder went on to give orders until its next renewal.
+test("lease is lost as soon as the process knows a newer era", async () => {
+  const { clock, store } = setUp();
+  let era = 0;
+  const acquired = await FencedLease.acquire(store, {
+    key: KEY,
+    holderId: "e1",
+    ttlMs: TTL_MS,
+    clock,
+    knownEra: () => era,
+  });
+  assert.ok(acquired.isOk);
+  const lease = acquired.value;
+  assert.ok(lease.isHeldFor(1000));
+  era = 1;
+  assert.equal(lease.isHeldFor(0), false);
+  assert.ok(lease.isOfEarlierEra && lease.isHeldInItsEra);
+  const { writes } = store.counters;
+  await lease.keepRenewed(new AbortController().signal);
+  assert.equal(store.counters.writes, writes);
+});
+
+// A copy that has the key would keep all others from the lease until it expires there.
+test("release of a lease of an earlier era frees its key in the copy", async () => {
+  const { store, acquire, held } = setUp();
+  const lease = await held("e1");
+  store.restore(store.snapshot());
+  assert.ok((await acquire("e2")).isErr);
+  await lease.renew();
+  assert.ok((await lease.release()).isOk);
+  assert.ok((await held("e2")).isHeldFor(1000));
+});
+
+// Ids of leases are given out again, so the id may name the lease of the next holder.
+test("release of a lease of an earlier era spares a later holder's", async () => {
+  const { store, held } = setUp();
+  const copy = store.snapshot();
+  const lease = await held("e1");
+  store.restore(copy);
+  const next = await held("e2");
+  await lease.renew();
+  await lease.release();
+  const value = store.table.get(KEY)?.value;
+  assert.ok(value && new TextDecoder().decode(value).includes("e2"));
+  assert.equal((await next.renew()).unwrapOr(false), true);
+});
+
+// The key would be attached to a lease that is gone, or that another process has got since.
+test("lease is not acquired across a restore of the store", async () => {
+  const { store, acquire, held } = setUp();
+  const { commit } = store;
+  const copy = store.snapshot();
+  store.commit = async (expect, writes) => {
+    store.commit = commit;
+    store.restore(copy);
+    await store.grantLease(TTL_MS);
+    return commit.call(store, expect, writes);
+  };
+  const failed = await acquire("e1");
+  assert.ok(failed.isErr);
+  assert.equal(store.table.get(KEY), undefined);
+  assert.ok((await held("e1")).isHeldFor(1000));
+});
--- a/src/lease/mod.ts
+++ b/src/lease/mod.ts
@@ -1,6 +1,6 @@
 /** Leases with fencing numbers. */
+export type { AcquireFailure } from "./_claim.ts";
 export {
-  type AcquireFailure,
   FencedLease,
   type FencedLeaseOptions,
   type LeaseCalls,
