Wait for a turn before orders whose records a restore may have lost

What the operator saw: the store came back from an older copy, without the records of which engines had been ordered, and the next holder of the roll's lease ordered the same engines at once. Orders of two holders to one engine must be a turn apart.

The roll's lease now notices the era. A lease of an earlier one is given up and acquired anew. A holder that did not hold the lease itself until it learned of the era waits a turn and a margin since then; one that did goes on at once. Fencing at the engines and their sequences are unchanged. A process that starts where no era is settled yet waits a turn since it learned of the first one.

Ruled out: keeping the records of the old replica in force; a process that starts after the restore has none.

--- a/src/lease/mod.ts
+++ b/src/lease/mod.ts
@@ -7,6 +7,7 @@
   type LeaseState,
 } from "./fenced_lease.ts";
 export {
+  encodeNextHolder,
   type LastHolder,
   type LastHolderOptions,
   readJson,
--- a/src/router/_roll_kit.ts
+++ b/src/router/_roll_kit.ts
@@ -143,6 +143,7 @@
       random: () => 0.5,
       enginesCheckFences,
       isLeaseHeld: () => store.table.get(ROLL_LEASE_KEY) !== undefined,
+      knownEra: () => store.era,
       lastHolder: () => store.table.get(LAST_ROLL_KEY),
       orderRecords: () => store.table.list(prefixRange(ORDER_RECORD_PREFIX)),
       publishTimesRecord: () => store.table.get(PUBLISH_TIMES_KEY),
--- a/src/router/roll_lease.ts
+++ b/src/router/roll_lease.ts
@@ -1,6 +1,6 @@
 /** The lease of the weights roll, which decides which entry may order engines, and from when on. */
 import type { Clock, Logger } from "../base/mod.ts";
-import { FencedLease, readLastHolder } from "../lease/mod.ts";
+import { encodeNextHolder, FencedLease, readLastHolder } from "../lease/mod.ts";
 import type { KeyValueEntry, KeyValueStore } from "../store/store.ts";
 
 /** Store key of the lease. */
@@ -35,6 +35,8 @@
   enginesCheckFences: boolean;
   /** Whether the lease is held according to the local replica of the store. */
   isLeaseHeld(): boolean;
+  /** Newest era of the store that this entry knows. */
+  knownEra(): number;
   /** The value of {@link LAST_ROLL_KEY} in the local replica of the store. */
   lastHolder(): KeyValueEntry | undefined;
 }
@@ -46,6 +48,13 @@
   #lease: FencedLease | undefined;
   #ordersFromMs = 0;
   #isAcquiringStopped = false;
+  /** Newest era of the store that was noticed, and when. */
+  #era = 0;
+  #eraNoticedAtMs = -Infinity;
+  /** Whether this entry held the lease until it noticed the era, so that no other gave orders. */
+  #wasHolder = false;
+  /** Earliest time of the next attempt to record the settled era. */
+  #settleFromMs = -Infinity;
 
   private constructor(options: RollLeaseOptions) {
     this.#options = options;
@@ -94,8 +103,10 @@
    * @param signal Aborts the attempt, and later the renewals.
    */
   async tryAcquire(signal: AbortSignal): Promise<void> {
-    const { clock, random, store, holderId, isLeaseHeld, lastHolder } =
-      this.#options;
+    const { clock, random, store, holderId, isLeaseHeld } = this.#options;
+    const { lastHolder, knownEra } = this.#options;
+    await this.#releaseEarlierEra();
+    this.#noticeEra(knownEra());
     if (this.#isAcquiringStopped || isLeaseHeld()) return;
     await clock.sleep(this.#acquireDelayMs(), signal);
     if (signal.aborted || this.#isAcquiringStopped || isLeaseHeld()) return;
@@ -105,7 +116,12 @@
       ttlMs: LEASE_TTL_MS,
       clock,
       random,
-      lastHolder: { key: LAST_ROLL_KEY, known: lastHolder() },
+      knownEra,
+      lastHolder: {
+        key: LAST_ROLL_KEY,
+        known: lastHolder(),
+        settledEra: this.#settledEra(),
+      },
     });
     if (acquired.isErr) {
       await clock.sleep(LEASE_TTL_MS / 3, signal);
@@ -122,6 +138,64 @@
     await lease?.release();
   }
 
+  /**
+   * Records that no order records of the era are missing any more, so that later holders don't wait
+   * for them; call it regularly while the lease is held.
+   */
+  async settleEra(): Promise<void> {
+    const { store, clock, lastHolder } = this.#options;
+    const [lease, known] = [this.held, lastHolder()];
+    if (!lease || !known || clock.nowMs() < this.#settleFromMs) return;
+    const last = readLastHolder(known.value);
+    const settledEra = this.#settledEra();
+    if (last?.holderId !== this.#options.holderId) return;
+    if (last.settledEra >= settledEra) return;
+    // The replica shows the record some time after it was written; after a failure it never does.
+    this.#settleFromMs = clock.nowMs() + LEASE_TTL_MS;
+    const value = encodeNextHolder(
+      { key: LAST_ROLL_KEY, known, settledEra },
+      this.#options,
+    );
+    await store.commit([
+      { key: ROLL_LEASE_KEY, modPosition: lease.position },
+      { key: LAST_ROLL_KEY, modPosition: known.modPosition },
+    ], [{ kind: "put", key: LAST_ROLL_KEY, value }]);
+  }
+
+  /** Gives up a lease that was acquired before the store was restored. */
+  async #releaseEarlierEra(): Promise<void> {
+    const lease = this.#lease;
+    if (!lease?.isOfEarlierEra) return;
+    const wasHolder = lease.isHeldInItsEra;
+    this.#noticeEra(lease.newestEra, { wasHolder });
+    this.#options.log.info({
+      event: "roll_lease_of_earlier_era",
+      leaseEra: lease.position.era,
+      era: lease.newestEra,
+      wasHolder,
+    });
+    await this.giveUp();
+  }
+
+  #noticeEra(era: number, { wasHolder } = { wasHolder: false }): void {
+    if (era <= this.#era) return;
+    this.#era = era;
+    this.#eraNoticedAtMs = this.#options.clock.nowMs();
+    this.#wasHolder = wasHolder;
+  }
+
+  /**
+   * Newest era of which no order record that still counts is missing: a restore may have lost records
+   * of orders that were given just before it.
+   */
+  #settledEra(): number {
+    const { clock, turnMs, lastHolder } = this.#options;
+    const last = lastHolder();
+    const recorded = (last && readLastHolder(last.value)?.settledEra) ?? 0;
+    const untilMs = this.#eraNoticedAtMs + turnMs + TURN_MARGIN_MS;
+    return clock.nowMs() >= untilMs ? this.#era : recorded;
+  }
+
   #mayOrder(): boolean {
     return this.#options.clock.nowMs() >= this.#ordersFromMs;
   }
@@ -138,7 +212,8 @@
   #activate(lease: FencedLease): void {
     const { clock, log } = this.#options;
     this.#lease = lease;
-    const waitMs = this.#orderDelayMs;
+    this.#noticeEra(lease.position.era);
+    const waitMs = Math.max(this.#orderDelayMs, this.#eraDelayMs(lease));
     this.#ordersFromMs = clock.nowMs() + waitMs;
     log.info({
       event: "roll_lease_taken",
@@ -159,6 +234,15 @@
     return enginesCheckFences ? 0 : turnMs + TURN_MARGIN_MS;
   }
 
+  /** Time until orders whose records were lost in a restore of the store are old enough. */
+  #eraDelayMs({ previous, position }: FencedLease): number {
+    const { clock, turnMs } = this.#options;
+    if (this.#wasHolder || position.era === 0) return 0;
+    if (previous && previous.settledEra >= position.era) return 0;
+    const untilMs = this.#eraNoticedAtMs + turnMs + TURN_MARGIN_MS;
+    return Math.max(0, untilMs - clock.nowMs());
+  }
+
   async #renewUntilLost(
     lease: FencedLease,
     signal: AbortSignal,
@@ -166,6 +250,8 @@
     await lease.keepRenewed(signal);
     if (signal.aborted) return;
     this.#options.log.warn({ event: "roll_lease_lost" });
+    // The next attempt to acquire the lease releases it first.
+    if (lease.isOfEarlierEra) return;
     if (this.#lease === lease) this.#lease = undefined;
   }
 }
--- a/src/router/roll_records.ts
+++ b/src/router/roll_records.ts
@@ -10,7 +10,11 @@
 /** Options of a weights roll that are read from the store. */
 export type RollRecords = Pick<
   WeightsRollOptions,
-  "isLeaseHeld" | "lastHolder" | "orderRecords" | "publishTimesRecord"
+  | "isLeaseHeld"
+  | "knownEra"
+  | "lastHolder"
+  | "orderRecords"
+  | "publishTimesRecord"
 >;
 
 /**
@@ -26,6 +30,7 @@
     isLeaseHeld: () =>
       isStart(mirror.position) || !contact.connected ||
       mirror.entry(ROLL_LEASE_KEY) !== undefined,
+    knownEra: () => mirror.position.era,
     lastHolder: () => mirror.entry(LAST_ROLL_KEY),
     orderRecords: () => mirror.entries(ORDER_RECORD_PREFIX),
     publishTimesRecord: () => mirror.entry(PUBLISH_TIMES_KEY),
--- a/src/router/weights_roll.ts
+++ b/src/router/weights_roll.ts
@@ -142,6 +142,7 @@
       const { held } = this.#lease;
       if (held) {
         void this.#publishTimes.update(held);
+        void this.#lease.settleEra();
         this.#startChanges(signal);
       } else {
         this.#upcoming.clear();
