Write order records under a lease of the roll's era

The lease of the order records was renewed by its id. After the store has come back from an older copy the id may name another lease, as ids are given out again, or one that is in the copy; the record then ends with another holder's lease, and engines were ordered that another holder had ordered within the turn.

The record's lease now belongs to the era of the roll's lease: one of another era is not renewed, and an answer of another era makes the write fail, so the order is not sent. The record in the new era names all engines that the holder ordered within the turn.

--- a/src/router/order_records.ts
+++ b/src/router/order_records.ts
@@ -7,7 +7,11 @@
  */
 import type { Clock } from "../base/mod.ts";
 import { type FencedLease, readJson } from "../lease/mod.ts";
-import type { KeyValueEntry, KeyValueStore } from "../store/store.ts";
+import type {
+  KeyValueEntry,
+  KeyValueStore,
+  StoreLease,
+} from "../store/store.ts";
 import { ROLL_LEASE_KEY } from "./roll_lease.ts";
 
 /** Key prefix of the records; the holder's id follows. */
@@ -46,7 +50,7 @@
   readonly #options: OrderRecordsOptions;
   /** Time at which this holder last recorded each engine, by id. */
   readonly #recordedAtMs = new Map<string, number>();
-  #leaseId: bigint | undefined;
+  #recordLease: StoreLease | undefined;
   /** Batch that accepts more engines until its write starts. */
   #batch: Batch | undefined;
   #lastWrite: Promise<unknown> = Promise.resolve();
@@ -100,7 +104,7 @@
   async #write(serverIds: string[], lease: FencedLease): Promise<boolean> {
     const { store, clock, holderId } = this.#options;
     const startMs = clock.nowMs();
-    const leaseId = await this.#ensureLease();
+    const leaseId = await this.#ensureLease(lease.position.era);
     if (leaseId === undefined) return false;
     for (const id of serverIds) this.#recordedAtMs.set(id, startMs);
     const value = this.#encodeRecord(startMs);
@@ -112,19 +116,25 @@
     return isWritten && clock.nowMs() - startMs <= MAX_SEND_DELAY_MS;
   }
 
-  /** Renews or grants the store lease of the record; undefined if the store fails. */
-  async #ensureLease(): Promise<bigint | undefined> {
+  /**
+   * Renews or grants the store lease of the record; undefined if the store fails. An id of an earlier
+   * era may name another lease.
+   */
+  async #ensureLease(era: number): Promise<bigint | undefined> {
     const { store } = this.#options;
-    if (this.#leaseId !== undefined) {
-      const renewed = await store.renewLease(this.#leaseId);
+    const known = this.#recordLease;
+    if (known?.era === era) {
+      const renewed = await store.renewLease(known.leaseId);
       if (renewed.isErr) return undefined;
-      if (renewed.value.ttlMs > 0) return this.#leaseId;
+      const { ttlMs, era: renewedEra } = renewed.value;
+      if (renewedEra !== era) return undefined;
+      if (ttlMs > 0) return known.leaseId;
     }
     const granted = await store.grantLease(this.#ttlMs);
-    if (granted.isErr) return undefined;
-    this.#leaseId = granted.value.leaseId;
+    if (granted.isErr || granted.value.era !== era) return undefined;
+    this.#recordLease = granted.value;
     this.#restoreOwnRecord();
-    return this.#leaseId;
+    return granted.value.leaseId;
   }
 
   /** Keeps the engines that a previous process on this instance recorded in the next write. */
--- a/src/router/order_records_test.ts
+++ b/src/router/order_records_test.ts
@@ -112,3 +112,31 @@
     assert.deepEqual(records("a").orderedByOthers(), new Set());
   }
 });
+
+// The id of the record's lease was given out again, to another holder's record, which ended with it.
+test("record is written under a lease of the same era as the roll's", async () => {
+  const { clock, store, records, acquire } = setUp();
+  const copy = store.snapshot();
+  const own = records("a");
+  assert.ok(await own.record("e1", await acquire("a")));
+  store.restore(copy);
+  const lease = await acquire("a");
+  const other = await store.grantLease(LEASE_MS);
+  assert.ok(other.isOk);
+  assert.ok(await own.record("e2", lease));
+  await clock.advance(LEASE_MS + 1);
+  assert.deepEqual(records("b").orderedByOthers(), new Set(["e1", "e2"]));
+});
+
+// A store that came back between the roll's lease and the record has neither.
+test("record fails under a roll's lease of an earlier era", async () => {
+  const { store, records, acquire } = setUp();
+  const copy = store.snapshot();
+  const lease = await acquire("a");
+  const own = records("a");
+  assert.ok(await own.record("e1", lease));
+  store.restore(copy);
+  assert.equal(await own.record("e2", lease), false);
+  assert.equal(await records("a").record("e2", lease), false);
+  assert.deepEqual(records("b").orderedByOthers(), new Set());
+});
