Keep what is known of servers that an older copy calls ready

The first listing of a restored store is applied like any other: its values replace newer ones that were lost. A server that had said that it leaves was open for requests again until it had written its state once more, and one that had ended came back until the store noticed its silence.

Values of the copy are marked, and the fleet treats such registrations as what they are, older statements:

- A draining server stays so unless the registration is one of a new start.
- The registration of a removed server is held until it is written again, or until the store has kept it for four heartbeat intervals: that of a dead server is removed after three.
- It is no sign that a server has not ended.

A server that only the copy has is used at once. The configuration and wanted weights never went back to a lower version; a test shows it for a copy, too.

6 tests of the fleet and 2 of the effective state.

--- a/src/router/_kit.ts
+++ b/src/router/_kit.ts
@@ -84,6 +84,7 @@
   return Fleet.create({
     clock,
     log: silentLog,
+    heartbeatMs: 1000,
     serverOptions: () => SERVER_OPTIONS,
     outage: () => undefined,
     inRegistrationGrace: () => false,
--- a/src/router/effective_state.ts
+++ b/src/router/effective_state.ts
@@ -82,7 +82,9 @@
       case "config":
         return this.#applyConfig(fact.value.config);
       case "server":
-        return this.#options.fleet.put(fact.value.server);
+        return this.#options.fleet.put(fact.value.server, {
+          isFromCopy: change.isFromCopy,
+        });
       case "weights":
         return this.#applyWanted(fact.value.wanted);
       case "other":
--- a/src/router/effective_state_test.ts
+++ b/src/router/effective_state_test.ts
@@ -59,7 +59,12 @@
     this.putBytes(key, Buffer.from(JSON.stringify(value)));
   }
 
-  putBytes(key: string, value: Uint8Array): void {
+  /** Applies a value of the copy that the store was restored from. */
+  restore(key: string, value: unknown): void {
+    this.putBytes(key, Buffer.from(JSON.stringify(value)), true);
+  }
+
+  putBytes(key: string, value: Uint8Array, isFromCopy?: boolean): void {
     const position = positionAt(0, ++this.#revision);
     const entry = {
       key,
@@ -67,7 +72,7 @@
       modPosition: position,
       createPosition: position,
     };
-    this.state.apply({ kind: "put", entry });
+    this.state.apply({ kind: "put", entry, isFromCopy });
   }
 
   delete(key: string): void {
@@ -194,3 +199,28 @@
     { model: "m", version: 2, ageMs: 600 },
   ]);
 });
+
+// What was in force before the restore stays so until the operator has written it again.
+test("restored copy takes back neither the configuration nor wanted weights", () => {
+  const harness = new Harness();
+  harness.put("op/config", { ...CONFIG, version: 9 });
+  harness.put("op/version/m", { model: "m", version: 4 });
+  harness.restore("op/config", { ...CONFIG, version: 8 });
+  harness.restore("op/version/m", { model: "m", version: 3 });
+  assert.equal(harness.state.table?.version, 9);
+  assert.equal(harness.wanted.newest("m"), 4);
+  harness.delete("op/config");
+  harness.delete("op/version/m");
+  assert.equal(harness.state.table?.version, 9);
+  assert.equal(harness.wanted.newest("m"), 4);
+});
+
+// Requests reached a server after it had said that it leaves, as the copy still called it ready.
+test("restored copy doesn't call back a leaving server", () => {
+  const harness = new Harness();
+  harness.put("servers/a", { ...REGISTRATION, state: "draining" });
+  harness.restore("servers/a", REGISTRATION);
+  assert.deepEqual(harness.open(), []);
+  harness.put("servers/a", REGISTRATION);
+  assert.deepEqual(harness.open(), ["a"]);
+});
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -1,14 +1,12 @@
 /** Registry of the known backend servers, by id and by service. */
 import type { Clock, Logger } from "../base/mod.ts";
-import { LRUMap } from "../placement/lru_map.ts";
-import type { Announcements } from "./announcements.ts";
 import {
   AnswerRateKind,
   type BackendServer,
-  incarnationKey,
   isSameIncarnation,
 } from "./model.ts";
 import type { RateAnswer, RateStatement } from "./rate_statement.ts";
+import { RemovedServers } from "./removed_servers.ts";
 import { Server, type ServerOptions } from "./server.ts";
 import { SoftwareVersions, type StreamOrigin } from "./software_versions.ts";
 import type { Outage } from "./store_contact.ts";
@@ -17,6 +15,8 @@
 export interface FleetOptions {
   clock: Clock;
   log: Logger;
+  /** Interval at which servers write their registration. */
+  heartbeatMs: number;
   /** Returns the server settings of a service. */
   serverOptions(service: string): ServerOptions;
   /** The store outage that may have caused a registration deleted now to lapse, if there is one. */
@@ -33,9 +33,6 @@
   onRate(server: Server): void;
 }
 
-/** Maximum number of removed servers whose announcements are kept. */
-const MAX_KEPT_ANNOUNCEMENTS = 1000;
-
 /** Registry of all backend servers. */
 export class Fleet {
   /** Software versions of the servers, by service. */
@@ -44,15 +41,12 @@
   readonly #servers = new Map<string, Server>();
   /** Servers whose registration may have lapsed in an outage and may be written again. */
   readonly #lapsed = new Set<string>();
-
-  /** Announcements of removed servers, by id and start, in case a lapsed registration returns. */
-  readonly #keptAnnouncements = LRUMap.create<string, Announcements>(
-    MAX_KEPT_ANNOUNCEMENTS,
-  );
+  readonly #removed: RemovedServers;
 
   private constructor(options: FleetOptions) {
     this.#options = options;
     this.versions = SoftwareVersions.create(options);
+    this.#removed = RemovedServers.create(options);
   }
 
   /**
@@ -199,18 +193,28 @@
    * Adds or updates a server.
    *
    * @param entry Its new or changed registration.
+   * @param source `isFromCopy`: the store was restored from an older copy that has it. It then calls
+   *   back no server that was leaving, and none that was removed until the store has kept it.
    */
-  put(entry: BackendServer): void {
+  put(
+    entry: BackendServer,
+    { isFromCopy = false }: { isFromCopy?: boolean } = {},
+  ): void {
     const known = this.#servers.get(entry.id);
     // A registration of an earlier start may arrive late.
     if (known && isOlderStart(entry, known.entry)) return;
+    if (!known && isFromCopy && this.#removed.hold(entry)) {
+      return this.#options.log.info({ event: "server_held", server: entry.id });
+    }
+    this.#removed.release(entry.id);
     this.#lapsed.delete(entry.id);
     const isSame = known && isSameIncarnation(entry.bornAtMs, known.entry) &&
       entry.softwareVersion === known.entry.softwareVersion;
     if (isSame && known.entry.address === entry.address) {
+      const wasDraining = isFromCopy && known.entry.draining;
       this.#logDraining(known, entry);
-      known.update(entry);
-      known.health.registered();
+      known.update({ ...entry, draining: entry.draining || wasDraining });
+      if (!isFromCopy) known.health.registered();
       return;
     }
     // Nothing learned about the earlier start applies to the new one. Requests in flight at the
@@ -220,11 +224,8 @@
     const options = this.#options.serverOptions(entry.service);
     const announcements = isSame
       ? known.announcements
-      : this.#keptAnnouncements.get(incarnationKey(entry));
-    const server = Server.create(entry, {
-      ...options,
-      announcements,
-    });
+      : this.#removed.announcementsOf(entry);
+    const server = Server.create(entry, { ...options, announcements });
     this.#servers.set(entry.id, server);
     this.versions.joined(entry);
     this.restoreRate(server);
@@ -238,6 +239,7 @@
    * @param id Server id.
    */
   remove(id: string): void {
+    this.#removed.release(id);
     if (!this.#servers.has(id)) return;
     const outage = this.#options.outage();
     if (!outage) return this.drop(id, "registration_gone");
@@ -256,10 +258,7 @@
     if (!server) return;
     this.#servers.delete(id);
     this.#lapsed.delete(id);
-    this.#keptAnnouncements.set(
-      incarnationKey(server.entry),
-      server.announcements,
-    );
+    this.#removed.add(server);
     server.channels.closeIdle();
     this.#onRemoved(server);
     this.#options.log.info({ event: "server_left", server: id, reason });
@@ -275,8 +274,12 @@
     if (this.has(server)) this.drop(server.id, "address_has_another_server");
   }
 
-  /** Removes servers whose registration lapsed in an outage and was not written again in time. */
-  dropLapsed(): void {
+  /**
+   * Removes servers whose registration lapsed in an outage and was not written again in time, and adds
+   * those whose registration a restored store has kept.
+   */
+  settle(): void {
+    for (const entry of this.#removed.confirmed) this.put(entry);
     if (this.#options.inRegistrationGrace()) return;
     for (const id of this.#lapsed) this.drop(id, "registration_lapsed");
   }
--- a/src/router/fleet_test.ts
+++ b/src/router/fleet_test.ts
@@ -58,13 +58,13 @@
   outage.inRegistrationGrace = true;
   fleet.remove("a");
   clock.advance(60_000);
-  fleet.dropLapsed();
+  fleet.settle();
   assert.deepEqual(ids(fleet), ["a"]);
   outage.mayLapse = false;
-  fleet.dropLapsed();
+  fleet.settle();
   assert.deepEqual(ids(fleet), ["a"]);
   outage.inRegistrationGrace = false;
-  fleet.dropLapsed();
+  fleet.settle();
   assert.deepEqual(ids(fleet), []);
 });
 
@@ -85,7 +85,7 @@
   fleet.put(registration("a"));
   outage.mayLapse = true;
   fleet.remove("a");
-  fleet.dropLapsed();
+  fleet.settle();
   assert.deepEqual(ids(fleet), []);
 });
 
@@ -109,7 +109,7 @@
   fleet.remove("a");
   fleet.put(registration("a"));
   outage.inRegistrationGrace = false;
-  fleet.dropLapsed();
+  fleet.settle();
   assert.deepEqual(ids(fleet), ["a"]);
 });
 
@@ -235,7 +235,7 @@
   fleet.put(registration("a", { bornAtMs: 6 }));
   outage.mayLapse = false;
   outage.inRegistrationGrace = false;
-  fleet.dropLapsed();
+  fleet.settle();
   assert.deepEqual(ids(fleet), ["a"]);
 });
 
@@ -248,7 +248,7 @@
   fleet.put(registration("a", { bornAtMs: 5 }));
   outage.mayLapse = false;
   outage.inRegistrationGrace = false;
-  fleet.dropLapsed();
+  fleet.settle();
   assert.deepEqual(ids(fleet), []);
 });
 
@@ -344,3 +344,81 @@
   assert.equal(fleet.pausedMs("engines"), undefined);
   assert.equal(fleet.pausedMs("engines", originAt(old)), 700);
 });
+
+const FROM_COPY = { isFromCopy: true };
+/** Time in which the store removes the registration of a dead server. */
+const SILENCE_MS = 4000;
+
+// The copy was made before the server said that it leaves, so it is still called ready there.
+test("restored copy doesn't call back a leaving server, unless it is a new start", () => {
+  const { fleet, clock } = create();
+  fleet.put(registration("a", { bornAtMs: 5, draining: true }));
+  fleet.put(registration("b", { bornAtMs: 5 }));
+  fleet.markLeaving(fleet.get("b")!, clock.nowMs());
+  for (const id of ["a", "b"]) {
+    fleet.put(registration(id, { bornAtMs: 5 }), FROM_COPY);
+  }
+  assert.deepEqual(ids(fleet), []);
+  for (const id of ["a", "b"]) {
+    fleet.put(registration(id, { bornAtMs: 6 }), FROM_COPY);
+  }
+  assert.deepEqual(ids(fleet).sort(), ["a", "b"]);
+});
+
+// A server that writes its state after the restore is believed, as it is without one.
+test("registration written since the restore counts", () => {
+  const { fleet } = create();
+  fleet.put(registration("a", { draining: true }));
+  fleet.put(registration("a"), FROM_COPY);
+  fleet.put(registration("a"));
+  assert.deepEqual(ids(fleet), ["a"]);
+});
+
+// A dead server's old registration shows no sign of life.
+test("restored copy is no sign that a server has not ended", () => {
+  const { fleet, clock } = create();
+  fleet.put(registration("a"));
+  const { health } = fleet.get("a")!;
+  health.refusedConnection(clock.nowMs());
+  fleet.put(registration("a", { slots: 3 }), FROM_COPY);
+  assert.ok(health.mayHaveEnded);
+  fleet.put(registration("a", { slots: 3 }));
+  assert.ok(!health.mayHaveEnded);
+});
+
+// A server that had ended would get requests until the store notices its silence.
+test("restored copy doesn't bring back a removed server before it shows a sign of life", () => {
+  const { fleet, clock } = create();
+  for (const id of ["dead", "registers", "stays"]) {
+    fleet.put(registration(id));
+    fleet.remove(id);
+    fleet.put(registration(id), FROM_COPY);
+  }
+  fleet.settle();
+  assert.deepEqual(ids(fleet), []);
+  fleet.put(registration("registers"));
+  assert.deepEqual(ids(fleet), ["registers"]);
+  fleet.remove("dead");
+  clock.advance(SILENCE_MS);
+  fleet.settle();
+  assert.deepEqual(ids(fleet).sort(), ["registers", "stays"]);
+});
+
+// Its entry would otherwise be known from the copy alone, which is older than its leaving.
+test("removed server that was leaving is still leaving if the restored store keeps it", () => {
+  const { fleet, clock } = create();
+  fleet.put(registration("a", { draining: true }));
+  fleet.remove("a");
+  fleet.put(registration("a"), FROM_COPY);
+  clock.advance(SILENCE_MS);
+  fleet.settle();
+  assert.ok(fleet.get("a"));
+  assert.deepEqual(ids(fleet), []);
+});
+
+// An entry that has not seen a server before has nothing but the copy.
+test("server that only the restored copy has is used at once", () => {
+  const { fleet } = create();
+  fleet.put(registration("a"), FROM_COPY);
+  assert.deepEqual(ids(fleet), ["a"]);
+});
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -218,6 +218,7 @@
   #createFleet(): Fleet {
     return Fleet.create({
       ...this.#parts(),
+      heartbeatMs: this.#settings.heartbeatMs,
       serverOptions: (service) => this.#serverOptions(service),
       outage: () =>
         this.#isOutageLocal ? undefined : this.#follower.contact.outage,
--- a/src/router/sweep.ts
+++ b/src/router/sweep.ts
@@ -27,7 +27,7 @@
   while (!signal.aborted) {
     await clock.sleep(SWEEP_INTERVAL_MS, signal);
     contact.tick();
-    fleet.dropLapsed();
+    fleet.settle();
     for (const server of fleet.all()) {
       if (server.health.isProbeDue(clock.nowMs())) void probe(server, clock);
     }
