Write records again that a restored store has lost

What the entries themselves wrote since the copy is gone, too. Records of rates and software versions are compared with the replica, so they were written again. Three were not:

- The entry's registration was renewed by its lease's id, which a restored store may have given out again.
- Publish times and suspects remember their last write, as the replica lags behind it, and so took a lost record for a written one.
The first now belong to the era of the lease; the others are forgotten when the era changes, and one entry writes them after the usual wait.

--- a/src/router/publish_times_record.ts
+++ b/src/router/publish_times_record.ts
@@ -39,8 +39,11 @@
 /** Updates the record while this entry holds the lease of the weights roll. */
 export class PublishTimesRecord {
   readonly #options: PublishTimesRecordOptions;
-  /** Versions in the last successful write; the local replica of the store may lag behind it. */
-  #writtenKeys = "";
+  /**
+   * Versions in the last successful write, and the era of the store then; the local replica may lag
+   * behind it, and a store that was restored since may lack it.
+   */
+  #written = { keys: "", era: 0 };
   #isWriting = false;
   #retryAtMs = -Infinity;
 
@@ -67,7 +70,9 @@
     const known = readRows(publishTimesRecord()?.value);
     const rows = this.#merge(known);
     const keys = joinKeys(rows);
-    if (keys === joinKeys(known) || keys === this.#writtenKeys) return;
+    if (keys === joinKeys(known)) return;
+    const { era } = lease.position;
+    if (keys === this.#written.keys && era === this.#written.era) return;
     this.#isWriting = true;
     const value = new TextEncoder().encode(JSON.stringify({ rows }));
     const committed = await store.commit(
@@ -76,7 +81,7 @@
     );
     this.#isWriting = false;
     const isWritten = committed.isOk && committed.value.kind === "committed";
-    if (isWritten) this.#writtenKeys = keys;
+    if (isWritten) this.#written = { keys, era };
     else this.#retryAtMs = clock.nowMs() + RETRY_MS;
   }
 
--- a/src/router/publish_times_record_test.ts
+++ b/src/router/publish_times_record_test.ts
@@ -1,8 +1,17 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { Result } from "true-myth";
+import type { FencedLease } from "../lease/mod.ts";
+import type { KeyValueStore } from "../store/store.ts";
 import { openRollWorld } from "./_roll_kit.ts";
-import { PUBLISH_TIMES_KEY, readVersionAges } from "./publish_times_record.ts";
+import { TestClock } from "./_kit.ts";
+import {
+  PUBLISH_TIMES_KEY,
+  PublishTimesRecord,
+  readVersionAges,
+} from "./publish_times_record.ts";
 import { positionAt } from "../store/position.ts";
+import { WantedVersions } from "./wanted_weights.ts";
 
 /** Maximum clock skew between instances. */
 const CLOCK_ERROR_MS = 2500;
@@ -62,3 +71,26 @@
   assert.equal(read(JSON.stringify({ rows: [row] }), 50_000).length, 0);
   assert.equal(read(JSON.stringify({ rows: [row] }), 100_000).length, 1);
 });
+
+// A record that a restore has taken back was never written again, so ages were lost at a restart.
+test("record is written again in the era of a restored store", async () => {
+  const clock = new TestClock();
+  const wanted = WantedVersions.create({ clock, boundMs: 10_000 });
+  wanted.name({ model: "m", version: 2 }, { maxAgeMs: 0 });
+  let writes = 0;
+  const commit: KeyValueStore["commit"] = () => {
+    writes++;
+    const position = positionAt(0, 1n);
+    return Promise.resolve(Result.ok({ kind: "committed", position }));
+  };
+  const record = PublishTimesRecord.create({
+    store: { commit } as KeyValueStore,
+    clock,
+    wanted,
+    publishTimesRecord: () => undefined,
+  });
+  const leaseOf = (era: number) =>
+    ({ position: positionAt(era, 5n) }) as FencedLease;
+  for (const era of [1, 1, 2, 2]) await record.update(leaseOf(era));
+  assert.equal(writes, 2);
+});
--- a/src/router/registration.ts
+++ b/src/router/registration.ts
@@ -1,7 +1,7 @@
 /** Registers this entry in the store, and discovers the other entries there. */
 import { isIPv4 } from "node:net";
 import type { Clock, Logger } from "../base/mod.ts";
-import type { KeyValueStore } from "../store/store.ts";
+import type { KeyValueStore, StoreLease } from "../store/store.ts";
 import type { StoreMirror } from "./mirror.ts";
 
 /** Key prefix of entry registrations; the value is the entry's IP address. */
@@ -57,37 +57,43 @@
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.#options;
     while (!signal.aborted) {
-      const leaseId = await this.#register();
-      if (leaseId === undefined) {
+      const lease = await this.#register();
+      if (!lease) {
         await clock.sleep(RETRY_DELAY_MS, signal);
         continue;
       }
-      await this.#renewUntilLost(leaseId, signal);
+      await this.#renewUntilLost(lease, signal);
     }
   }
 
-  async #register(): Promise<bigint | undefined> {
+  async #register(): Promise<StoreLease | undefined> {
     const { store, instance, ipAddress, log } = this.#options;
     const granted = await store.grantLease(LEASE_TTL_MS);
     if (granted.isErr) return undefined;
-    const { leaseId } = granted.value;
+    const { leaseId, era } = granted.value;
     const value = new TextEncoder().encode(ipAddress);
     const key = ENTRIES_PREFIX + instance;
     const written = await store.commit([], [
       { kind: "put", key, value, leaseId },
     ]);
-    if (written.isErr) return undefined;
+    if (written.isErr || written.value.position.era !== era) return undefined;
     log.info({ event: "registered", ipAddress });
-    return leaseId;
+    return granted.value;
   }
 
-  async #renewUntilLost(leaseId: bigint, signal: AbortSignal): Promise<void> {
+  /** A restored store may lack the key, and may have given out the lease's id again. */
+  async #renewUntilLost(
+    { leaseId, era }: StoreLease,
+    signal: AbortSignal,
+  ): Promise<void> {
     const { clock, store } = this.#options;
     while (!signal.aborted) {
       await clock.sleep(RENEW_INTERVAL_MS, signal);
       if (signal.aborted) return;
       const renewed = await store.renewLease(leaseId);
-      if (renewed.isOk && renewed.value.ttlMs <= 0) return;
+      if (renewed.isErr) continue;
+      const { ttlMs, era: currentEra } = renewed.value;
+      if (ttlMs <= 0 || currentEra !== era) return;
     }
   }
 }
--- a/src/router/server_records.ts
+++ b/src/router/server_records.ts
@@ -36,6 +36,7 @@
     this.rates = RateRecord.create(options);
     this.#software = SoftwareRecord.create({ ...options, versions });
     this.#suspects = SuspectRecords.create(options);
+    options.mirror.onEraChange(() => this.#suspects.onRestored());
   }
 
   /**
--- a/src/router/suspect_records.ts
+++ b/src/router/suspect_records.ts
@@ -62,6 +62,12 @@
     if (key === PART_RECORD_KEY) this.#parts.loadStored();
   }
 
+  /** Records that the store was restored from an older copy, which may lack the last writes. */
+  onRestored(): void {
+    this.#requests.forgetWrite();
+    this.#parts.forgetWrite();
+  }
+
   /** Writes each record that is outdated, if no other entry is expected to. */
   async update(): Promise<void> {
     await this.#requests.update();
--- a/src/suspects/suspect_record.ts
+++ b/src/suspects/suspect_record.ts
@@ -107,6 +107,11 @@
     }
   }
 
+  /** Records that the store may have lost the last write, as it was restored from an older copy. */
+  forgetWrite(): void {
+    this.#written = [];
+  }
+
   /**
    * Updates the record periodically.
    *
