--- a/src/router/mirror.ts
+++ b/src/router/mirror.ts
@@ -1,10 +1,20 @@
 /**
  * Local replica of the platform's store, updated by a watch and by changes that other entries relay.
- * It never goes back: updates older than its own state are ignored.
+ * It never goes back: updates older than its own state are ignored. A store that was restored from an
+ * older copy is newer, as its era is; a full listing then replaces the content. All entries have
+ * positions of the replica's era.
  */
 import { randomUUID } from "node:crypto";
 import type { Clock } from "../base/mod.ts";
 import { LRUMap } from "../placement/lru_map.ts";
+import {
+  isAfter,
+  isBefore,
+  isStart,
+  laterOf,
+  START_POSITION,
+  type StorePosition,
+} from "../store/position.ts";
 import type { KeyValueEntry, Listing, WatchStep } from "../store/store.ts";
 
 /** Recent changes kept for peers that lag a little; a peer further behind gets all entries. */
@@ -14,16 +24,42 @@
 
 /** A change of one key in the store. */
 export type MirrorChange =
-  | { kind: "put"; entry: KeyValueEntry }
-  | { kind: "delete"; key: string; revision: bigint };
+  | {
+    kind: "put";
+    entry: KeyValueEntry;
+    /** The first listing of a restored store has it: the value may be older than the last one. */
+    isFromCopy?: boolean;
+  }
+  | { kind: "delete"; key: string; position: StorePosition };
 
 /** Listener that is called for each change, in order. */
 export type ChangeListener = (change: MirrorChange) => void;
 
-/** The changes, or all entries, that bring a peer's replica up to a revision. */
+/** Who gave a full listing: the store itself, or another entry. */
+export type ListingSource = "store" | "entry";
+
+/** A restore of the store, as the replica shows it. */
+export interface EraChange {
+  /** Position of the replica before. */
+  from: StorePosition;
+  /** Position of the listing that replaces its content. */
+  to: StorePosition;
+  /** Who gave the listing. */
+  source: ListingSource;
+  /** Keys with the same value in both. */
+  kept: number;
+  /** Keys with another value. */
+  changed: number;
+  /** Keys that the restored store lacks. */
+  dropped: number;
+  /** Keys that the replica didn't have. */
+  added: number;
+}
+
+/** The changes, or all entries, that bring a peer's replica up to a position. */
 export type Catchup =
-  | { kind: "steps"; revision: bigint; changes: MirrorChange[] }
-  | { kind: "all"; revision: bigint; entries: KeyValueEntry[] };
+  | { kind: "steps"; position: StorePosition; changes: MirrorChange[] }
+  | { kind: "all"; position: StorePosition; entries: KeyValueEntry[] };
 
 /** A store answer that confirms replicas as current: the process that received it, and its age. */
 export interface Confirmation {
@@ -34,22 +70,23 @@
   ageMs: number;
 }
 
-/** Store revision up to which a process has all changes, and the store answer that confirms it. */
+/** Position up to which a process has all changes, and the store answer that confirms it. */
 export interface SyncState {
-  revision: bigint;
+  position: StorePosition;
   /** Absent if no such answer is known, or the replica is empty. */
   confirmed?: Confirmation;
 }
 
-/** Replica of the store's keys and values at one revision. */
+/** Replica of the store's keys and values at one position. */
 export class StoreMirror {
   readonly #clock: Clock;
   readonly #entries = new Map<string, KeyValueEntry>();
   readonly #changes: MirrorChange[] = [];
   readonly #listeners: ChangeListener[] = [];
-  /** Changes after this revision are kept; older ones are not. */
-  #changesFrom = 0n;
-  #revision = 0n;
+  readonly #eraListeners: ((change: EraChange) => void)[] = [];
+  /** Changes after this position are kept; older ones are not. */
+  #changesFrom = START_POSITION;
+  #position = START_POSITION;
   readonly #origin = randomUUID();
   #ownAnswerCount = 0;
   /**
@@ -72,9 +109,9 @@
     return new StoreMirror(clock);
   }
 
-  /** Store revision up to which all changes are applied; 0 for an empty replica. */
-  get revision(): bigint {
-    return this.#revision;
+  /** Position up to which all changes are applied; the start position for an empty replica. */
+  get position(): StorePosition {
+    return this.#position;
   }
 
   /** Time since a store answer, direct or reported by a peer, last confirmed the replica. */
@@ -82,12 +119,12 @@
     return this.#clock.nowMs() - (this.#confirmed?.atMs ?? -Infinity);
   }
 
-  /** Revision and confirmation of the replica, as sent to peers. */
+  /** Position and confirmation of the replica, as sent to peers. */
   get syncState(): SyncState {
-    const revision = this.#revision;
-    if (!this.#confirmed) return { revision };
+    const position = this.#position;
+    if (!this.#confirmed) return { position };
     const { origin, count } = this.#confirmed;
-    return { revision, confirmed: { origin, count, ageMs: this.ageMs } };
+    return { position, confirmed: { origin, count, ageMs: this.ageMs } };
   }
 
   /** @param listener Called for each later change. */
@@ -95,6 +132,11 @@
     this.#listeners.push(listener);
   }
 
+  /** @param listener Called at each change of the era, before the changes of its listing. */
+  onEraChange(listener: (change: EraChange) => void): void {
+    this.#eraListeners.push(listener);
+  }
+
   /**
    * @param key The full key.
    * @returns The key's entry, if there is one.
@@ -119,8 +161,8 @@
    * @param listing The listing.
    */
   replace(listing: Listing): void {
-    this.#replace(listing);
-    this.#confirmByStore(listing.revision);
+    this.#replace(listing, "store");
+    this.#confirmByStore(listing.position);
   }
 
   /**
@@ -130,65 +172,99 @@
    * @param confirmed The store answer that confirms it.
    */
   replaceFromPeer(listing: Listing, confirmed?: Confirmation): void {
-    this.#replace(listing);
-    this.confirm({ revision: listing.revision, confirmed });
+    this.#replace(listing, "entry");
+    this.confirm({ position: listing.position, confirmed });
   }
 
-  #replace(listing: Listing): void {
-    if (listing.revision < this.#revision) return;
+  #replace(listing: Listing, source: ListingSource): void {
+    if (isBefore(listing.position, this.#position)) return;
     const listed = new Set(listing.entries.map(({ key }) => key));
-    for (const [key, { modRevision }] of this.#entries) {
-      if (listed.has(key) || modRevision > listing.revision) continue;
-      this.#apply({ kind: "delete", key, revision: listing.revision });
+    const isFromCopy = this.#announceEra(listing, source);
+    for (const [key, { modPosition }] of this.#entries) {
+      if (listed.has(key) || isAfter(modPosition, listing.position)) continue;
+      this.#apply({ kind: "delete", key, position: listing.position });
     }
-    for (const entry of listing.entries) this.#apply({ kind: "put", entry });
-    this.#revision = listing.revision;
+    for (const entry of listing.entries) this.#applyListed(entry, isFromCopy);
+    this.#position = listing.position;
     // The single changes between the last step and the listing are unknown.
     this.#changes.length = 0;
-    this.#changesFrom = listing.revision;
+    this.#changesFrom = listing.position;
+  }
+
+  /** Tells the listeners of a new era; returns whether there is one. */
+  #announceEra(
+    { entries, position: to }: Listing,
+    source: ListingSource,
+  ): boolean {
+    const from = this.#position;
+    if (isStart(from) || to.era === from.era) return false;
+    let [kept, changed] = [0, 0];
+    for (const { key, value } of entries) {
+      const current = this.#entries.get(key);
+      if (!current) continue;
+      if (isSameValue(current.value, value)) kept++;
+      else changed++;
+    }
+    const dropped = this.#entries.size - kept - changed;
+    const added = entries.length - kept - changed;
+    const change = { from, to, source, kept, changed, dropped, added };
+    for (const listener of this.#eraListeners) listener(change);
+    return true;
+  }
+
+  /** Listeners don't hear of a copy's values that they know: nobody has written them since. */
+  #applyListed(entry: KeyValueEntry, isFromCopy: boolean): void {
+    if (!isFromCopy) return this.#apply({ kind: "put", entry });
+    const current = this.#entries.get(entry.key);
+    if (current && isSameValue(current.value, entry.value)) {
+      this.#entries.set(entry.key, entry);
+      return;
+    }
+    this.#apply({ kind: "put", entry, isFromCopy });
   }
 
   /**
-   * Applies one step of a watch.
+   * Applies one step of a watch. Steps of another era are ignored: what lies between is unknown.
    *
-   * @param step The step; steps must come in the order of their revisions.
+   * @param step The step; steps must come in the order of their positions.
    */
   applyStep(step: WatchStep): void {
     switch (step.kind) {
       case "progress":
-        this.#advance(step.revision);
-        this.#confirmByStore(step.revision);
+        this.#advance(step.position);
+        this.#confirmByStore(step.position);
         return;
       case "put":
         this.#applyChange(
           { kind: "put", entry: step.entry },
-          step.entry.modRevision,
+          step.entry.modPosition,
         );
         return;
       case "delete":
-        this.#applyChange(step, step.revision);
+        this.#applyChange(step, step.position);
         return;
     }
   }
 
   /**
-   * Advances the revision after all changes from a peer up to its revision were applied.
+   * Advances the position after all changes from a peer up to its position were applied.
    *
    * @param syncState The peer's sync state.
    */
   advanceTo(syncState: SyncState): void {
-    this.#advance(syncState.revision);
+    this.#advance(syncState.position);
     this.confirm(syncState);
   }
 
   /**
-   * Applies a peer's confirmation, unless it is for a later revision than the replica's, or not newer
-   * than those already applied.
+   * Applies a peer's confirmation, unless it is for a later position than the replica's or of another
+   * era, or not newer than those already applied.
    *
    * @param syncState The peer's sync state.
    */
-  confirm({ revision, confirmed }: SyncState): void {
-    if (!confirmed || revision > this.#revision) return;
+  confirm({ position, confirmed }: SyncState): void {
+    if (!confirmed || isAfter(position, this.#position)) return;
+    if (!this.#isOfEra(position)) return;
     const { origin, count, ageMs } = confirmed;
     if (count <= (this.#answerCounts.get(origin) ?? 0)) return;
     this.#answerCounts.set(origin, count);
@@ -198,53 +274,67 @@
   }
 
   /**
-   * @param after The peer's revision.
-   * @returns The changes that the peer lacks, or all entries if it is too far behind.
+   * @param after The peer's position.
+   * @returns The changes that the peer lacks, or all entries if it is too far behind, or in an
+   *   earlier era.
    */
-  changesSince(after: bigint): Catchup {
-    const revision = this.#revision;
-    if (after < this.#changesFrom) {
-      return { kind: "all", revision, entries: [...this.#entries.values()] };
+  changesSince(after: StorePosition): Catchup {
+    const position = this.#position;
+    if (isBefore(after, this.#changesFrom)) {
+      return { kind: "all", position, entries: [...this.#entries.values()] };
     }
-    const changes = this.#changes.filter((step) => revisionOf(step) > after);
-    return { kind: "steps", revision, changes };
+    const changes = this.#changes.filter((step) =>
+      isAfter(positionOf(step), after)
+    );
+    return { kind: "steps", position, changes };
   }
 
   /** Confirms the replica by an answer that this process just received from the store. */
-  #confirmByStore(revision: bigint): void {
+  #confirmByStore(position: StorePosition): void {
     const [origin, count, ageMs] = [this.#origin, ++this.#ownAnswerCount, 0];
-    this.confirm({ revision, confirmed: { origin, count, ageMs } });
+    this.confirm({ position, confirmed: { origin, count, ageMs } });
   }
 
-  #applyChange(change: MirrorChange, revision: bigint): void {
-    // One commit may change several keys at the same revision: an equal revision is checked per key.
-    if (revision < this.#revision) return;
+  #applyChange(change: MirrorChange, position: StorePosition): void {
+    // One commit may change several keys at the same position: an equal position is checked per key.
+    if (isBefore(position, this.#position) || !this.#isOfEra(position)) return;
     this.#apply(change);
     this.#changes.push(change);
     if (this.#changes.length > MAX_KEPT_CHANGES) {
-      this.#changesFrom = revisionOf(this.#changes.shift()!);
+      this.#changesFrom = positionOf(this.#changes.shift()!);
     }
-    this.#advance(revision);
+    this.#advance(position);
   }
 
-  #advance(revision: bigint): void {
-    if (revision > this.#revision) this.#revision = revision;
+  #advance(position: StorePosition): void {
+    if (!this.#isOfEra(position)) return;
+    this.#position = laterOf(this.#position, position);
+  }
+
+  #isOfEra({ era }: StorePosition): boolean {
+    return era === this.#position.era;
   }
 
   #apply(change: MirrorChange): void {
     if (change.kind === "put") {
       const current = this.#entries.get(change.entry.key);
-      if (current && current.modRevision >= change.entry.modRevision) return;
+      if (current && !isAfter(change.entry.modPosition, current.modPosition)) {
+        return;
+      }
       this.#entries.set(change.entry.key, change.entry);
     } else {
       const current = this.#entries.get(change.key);
-      if (!current || current.modRevision > change.revision) return;
+      if (!current || isAfter(current.modPosition, change.position)) return;
       this.#entries.delete(change.key);
     }
     for (const listener of this.#listeners) listener(change);
   }
 }
 
-function revisionOf(change: MirrorChange): bigint {
-  return change.kind === "put" ? change.entry.modRevision : change.revision;
+function isSameValue(a: Uint8Array, b: Uint8Array): boolean {
+  return Buffer.compare(a, b) === 0;
+}
+
+function positionOf(change: MirrorChange): StorePosition {
+  return change.kind === "put" ? change.entry.modPosition : change.position;
 }
--- a/src/router/relay.ts
+++ b/src/router/relay.ts
@@ -3,8 +3,18 @@
  * up by its own watch; only one that stays behind requests the changes from another entry.
  */
 import type { Clock, Logger } from "../base/mod.ts";
-import { isConfirmation } from "./peer_datagram.ts";
+import { isConfirmation, isEra } from "./peer_datagram.ts";
 import { HttpCaller } from "../platform/mod.ts";
+import {
+  comparePositions,
+  formatPosition,
+  isAfter,
+  isStart,
+  laterOf,
+  positionAt,
+  START_POSITION,
+  type StorePosition,
+} from "../store/position.ts";
 import type { KeyValueEntry } from "../store/store.ts";
 import type {
   Catchup,
@@ -37,6 +47,8 @@
 
 interface WireCatchup {
   revision: string;
+  /** Era of all revisions; absent if the store names none, or from earlier releases. */
+  era?: number;
   /** Age of the sender's replica; read only by releases without `confirmed`. */
   ageMs: number;
   confirmed?: Confirmation;
@@ -58,10 +70,10 @@
 
 /**
  * @param mirror This entry's replica of the store.
- * @param after The peer's revision.
+ * @param after The peer's position.
  * @returns Body of the answer to the peer.
  */
-export function relayAnswer(mirror: StoreMirror, after: bigint): string {
+export function relayAnswer(mirror: StoreMirror, after: StorePosition): string {
   const catchup = mirror.changesSince(after);
   return JSON.stringify(encodeCatchup(catchup, mirror.syncState.confirmed));
 }
@@ -69,7 +81,9 @@
 /** Brings the local replica up to date from peers. */
 export class RelayClient {
   readonly #options: RelayOptions;
+  /** Since when this entry has been behind the newest position that a peer reported. */
   #behindSinceMs: number | undefined;
+  #newestReported = START_POSITION;
   #isAsking = false;
 
   private constructor(options: RelayOptions) {
@@ -96,13 +110,13 @@
     syncState: SyncState,
   ): Promise<void> {
     const { mirror, clock, coalesceMs } = this.#options;
-    if (syncState.revision <= mirror.revision) {
-      mirror.confirm(syncState);
-      if (syncState.revision === mirror.revision) {
-        this.#behindSinceMs = undefined;
-      }
-      return;
+    const { position } = syncState;
+    // Another peer that is as far behind doesn't show that this entry has caught up.
+    if (!isAfter(this.#newestReported, mirror.position)) {
+      this.#behindSinceMs = undefined;
     }
+    this.#newestReported = laterOf(this.#newestReported, position);
+    if (!isAfter(position, mirror.position)) return mirror.confirm(syncState);
     this.#behindSinceMs ??= clock.nowMs();
     const behindMs = clock.nowMs() - this.#behindSinceMs;
     if (behindMs < LAG_TOLERANCE_MS + coalesceMs()) return;
@@ -121,7 +135,7 @@
   ): Promise<void> {
     const { mirror, clock } = this.#options;
     await clock.sleep(POLL_INTERVAL_MS, signal);
-    for (let i = 0; !signal.aborted && mirror.revision === 0n; i++) {
+    for (let i = 0; !signal.aborted && isStart(mirror.position); i++) {
       const ipAddress = ipAddresses[i % ipAddresses.length];
       if (ipAddress === undefined) return;
       await this.ask(ipAddress);
@@ -146,18 +160,18 @@
     try {
       const answer = await caller.send({
         method: "GET",
-        path: `${RELAY_PATH}?after=${mirror.revision}`,
+        path: relayPath(mirror.position),
         idleTimeoutMs: REQUEST_TIMEOUT_MS,
       });
       if (answer.isErr || answer.value.status !== 200) return false;
-      const before = mirror.revision;
+      const before = mirror.position;
       applyCatchup(mirror, decodeCatchup(answer.value.body));
       this.#behindSinceMs = undefined;
       log.info({
         event: "caught_up_by_peer",
         peer: ipAddress,
-        from: String(before),
-        to: String(mirror.revision),
+        from: formatPosition(before),
+        to: formatPosition(mirror.position),
       });
       return true;
     } catch (error) {
@@ -171,6 +185,10 @@
   }
 }
 
+function relayPath({ era, revision }: StorePosition): string {
+  return `${RELAY_PATH}?after=${revision}&era=${era}`;
+}
+
 function encodeCatchup(
   catchup: Catchup,
   confirmed: Confirmation | undefined,
@@ -182,10 +200,14 @@
   const deletes: WireDelete[] = [];
   for (const change of changes) {
     if (change.kind === "put") entries.push(encodeEntry(change.entry));
-    else deletes.push({ key: change.key, revision: String(change.revision) });
+    else {deletes.push({
+        key: change.key,
+        revision: String(change.position.revision),
+      });}
   }
   return {
-    revision: String(catchup.revision),
+    revision: String(catchup.position.revision),
+    era: catchup.position.era || undefined,
     ageMs: Math.round(confirmed?.ageMs ?? Number.MAX_SAFE_INTEGER),
     confirmed,
     isAll: catchup.kind === "all",
@@ -202,16 +224,16 @@
 }
 
 function applyCatchup(mirror: StoreMirror, decoded: DecodedCatchup): void {
-  const { revision, entries } = decoded;
+  const { position, entries } = decoded;
   if (decoded.isAll) {
-    mirror.replaceFromPeer({ entries, revision }, decoded.confirmed);
+    mirror.replaceFromPeer({ entries, position }, decoded.confirmed);
     return;
   }
   const changes: MirrorChange[] = [
     ...entries.map((entry): MirrorChange => ({ kind: "put", entry })),
     ...decoded.deletes,
   ];
-  changes.sort((a, b) => Number(revisionOf(a) - revisionOf(b)));
+  changes.sort((a, b) => comparePositions(positionOf(a), positionOf(b)));
   for (const change of changes) mirror.applyStep(change);
   mirror.advanceTo(decoded);
 }
@@ -220,8 +242,8 @@
   return {
     key: entry.key,
     value: Buffer.from(entry.value).toString("base64"),
-    modRevision: String(entry.modRevision),
-    createRevision: String(entry.createRevision),
+    modRevision: String(entry.modPosition.revision),
+    createRevision: String(entry.createPosition.revision),
   };
 }
 
@@ -239,25 +261,26 @@
   if (!Array.isArray(entries) || !Array.isArray(deletes)) {
     throw new TypeError("Catch-up without lists of entries and deletes");
   }
+  const era = decodeEra(body["era"]);
   return {
-    revision: decodeRevision(body["revision"]),
+    position: decodePosition(body["revision"], era),
     confirmed,
     isAll,
-    entries: entries.map(decodeEntry),
+    entries: entries.map((entry) => decodeEntry(entry, era)),
     deletes: deletes.map((row) => ({
       kind: "delete",
       key: decodeString(row.key),
-      revision: decodeRevision(row.revision),
+      position: decodePosition(row.revision, era),
     })),
   };
 }
 
-function decodeEntry(entry: WireEntry): KeyValueEntry {
+function decodeEntry(entry: WireEntry, era: number): KeyValueEntry {
   return {
     key: decodeString(entry.key),
     value: Buffer.from(decodeString(entry.value), "base64"),
-    modRevision: decodeRevision(entry.modRevision),
-    createRevision: decodeRevision(entry.createRevision),
+    modPosition: decodePosition(entry.modRevision, era),
+    createPosition: decodePosition(entry.createRevision, era),
   };
 }
 
@@ -266,10 +289,16 @@
   throw new TypeError("Catch-up field is not a string");
 }
 
-function decodeRevision(value: unknown): bigint {
-  return BigInt(decodeString(value));
+function decodeEra(value: unknown): number {
+  if (value === undefined) return 0;
+  if (isEra(value)) return value;
+  throw new TypeError("Catch-up with an invalid era");
+}
+
+function decodePosition(value: unknown, era: number): StorePosition {
+  return positionAt(era, BigInt(decodeString(value)));
 }
 
-function revisionOf(change: MirrorChange): bigint {
-  return change.kind === "put" ? change.entry.modRevision : change.revision;
+function positionOf(change: MirrorChange): StorePosition {
+  return change.kind === "put" ? change.entry.modPosition : change.position;
 }
--- a/src/router/roll_records.ts
+++ b/src/router/roll_records.ts
@@ -1,4 +1,5 @@
 /** What a weights roll reads from the local copy of the store. */
+import { isStart } from "../store/position.ts";
 import type { StoreMirror } from "./mirror.ts";
 import { ORDER_RECORD_PREFIX } from "./order_records.ts";
 import { PUBLISH_TIMES_KEY } from "./publish_times_record.ts";
@@ -9,7 +10,11 @@
 /** Options of a weights roll that are read from the store. */
 export type RollRecords = Pick<
   WeightsRollOptions,
-  "isLeaseHeld" | "lastHolder" | "orderRecords" | "publishTimesRecord"
+  | "isLeaseHeld"
+  | "knownEra"
+  | "lastHolder"
+  | "orderRecords"
+  | "publishTimesRecord"
 >;
 
 /**
@@ -23,8 +28,9 @@
 ): RollRecords {
   return {
     isLeaseHeld: () =>
-      mirror.revision === 0n || !contact.connected ||
+      isStart(mirror.position) || !contact.connected ||
       mirror.entry(ROLL_LEASE_KEY) !== undefined,
+    knownEra: () => mirror.position.era,
     lastHolder: () => mirror.entry(LAST_ROLL_KEY),
     orderRecords: () => mirror.entries(ORDER_RECORD_PREFIX),
     publishTimesRecord: () => mirror.entry(PUBLISH_TIMES_KEY),
