List the store again if a peer reports its next era during a listing

An entry that was listing the store when a peer reported a newer era took the older listing for the one asked for and watched on in the old era, until its watch timed out if its connection was dead. Lists that a peer caused were not spread, either: all entries sent them within 0.1 s.

--- a/src/router/follower.ts
+++ b/src/router/follower.ts
@@ -100,7 +100,8 @@
     while (!signal.aborted) {
       this.#calledAtMs = clock.nowMs();
       const failure = this.#needsList ? await this.#list() : undefined;
-      const ended = failure ?? await this.#watch(signal);
+      const ended = failure ??
+        (this.#needsList ? undefined : await this.#watch(signal));
       if (signal.aborted) return;
       await this.#backOff(ended, signal);
     }
@@ -111,10 +112,12 @@
     const listing = await store.list("");
     if (listing.isErr) return listing.error;
     this.#onAnswer();
-    this.#heardEra = Math.max(this.#heardEra, listing.value.position.era);
+    const { era } = listing.value.position;
     mirror.replace(listing.value);
     this.contact.markCaughtUp();
-    this.#needsList = false;
+    // A peer may have reported a newer era while the listing was on its way.
+    this.#needsList = era < this.#heardEra;
+    this.#heardEra = Math.max(this.#heardEra, era);
     return undefined;
   }
 
@@ -148,7 +151,8 @@
     signal: AbortSignal,
   ): Promise<void> {
     if (failure) this.#onFailure(failure);
-    if (failure && needsListing(failure) && !this.#hasRelisted) {
+    const isListDue = failure ? needsListing(failure) : this.#needsList;
+    if (isListDue && !this.#hasRelisted) {
       return await this.#relistSoon(failure, signal);
     }
     const { clock, random } = this.#options;
@@ -162,9 +166,12 @@
   }
 
   /** The first time, the store is listed without a backoff. */
-  async #relistSoon(failure: StoreFailure, signal: AbortSignal): Promise<void> {
+  async #relistSoon(
+    failure: StoreFailure | undefined,
+    signal: AbortSignal,
+  ): Promise<void> {
     this.#hasRelisted = true;
-    if (failure.kind !== "era_changed") return;
+    if (failure?.kind === "compacted") return;
     // All entries learn of a restore at the same time, and a listing takes many calls.
     const { clock, random, coalesceMs } = this.#options;
     await clock.sleep(random() * coalesceMs(), signal);
