Let a stand-in wait for its port if another process has it for a moment

Two tests of the restored store failed once with 'Port 11217 is in use' and 'Port 11243 is in use' at a load average of 20, beside four other checkouts that run tests from the same range of ports.

--- a/src/standin/_http_host.ts
+++ b/src/standin/_http_host.ts
@@ -7,6 +7,7 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
 
 /**
  * Ports below the ephemeral range: while a listener is down, the system may give an ephemeral port to
@@ -27,6 +28,10 @@
   response: ServerResponse;
 }
 
+/** Tries to listen again on the same port, and the time between them. */
+const MAX_TRIES = 100;
+const TRY_INTERVAL_MS = 20;
+
 /** Handles a request and writes its response. */
 export type HostHandler = (request: HostRequest) => void | Promise<void>;
 
@@ -75,8 +80,12 @@
     });
     this.#server = server;
     server.on("connection", (socket) => this.#track(socket));
+    let tries = 0;
     while (!await this.#listen(server, this.#port || nextPort())) {
-      if (this.#port) throw new Error(`Port ${this.#port} is in use`);
+      if (!this.#port) continue;
+      // Another process may have been given the port in the meantime, for a short time.
+      if (++tries > MAX_TRIES) throw new Error(`Port ${this.#port} is in use`);
+      await sleep(TRY_INTERVAL_MS);
     }
     this.#port = (server.address() as AddressInfo).port;
   }
