Catch up from a peer although another one is as far behind

An entry that stays behind a peer for 150 ms plus its coalescing delay asks it for the changes. Each report of a peer at the entry's own position started this time again, so two entries that the store doesn't serve kept each other from asking a third one.

The time is now counted until the replica has reached the newest position that was reported.

--- a/src/router/relay.ts
+++ b/src/router/relay.ts
@@ -9,9 +9,10 @@
   comparePositions,
   formatPosition,
   isAfter,
-  isSamePosition,
   isStart,
+  laterOf,
   positionAt,
+  START_POSITION,
   type StorePosition,
 } from "../store/position.ts";
 import type { KeyValueEntry } from "../store/store.ts";
@@ -80,7 +81,9 @@
 /** Brings the local replica up to date from peers. */
 export class RelayClient {
   readonly #options: RelayOptions;
+  /** Since when this entry has been behind the newest position that a peer reported. */
   #behindSinceMs: number | undefined;
+  #newestReported = START_POSITION;
   #isAsking = false;
 
   private constructor(options: RelayOptions) {
@@ -107,13 +110,13 @@
     syncState: SyncState,
   ): Promise<void> {
     const { mirror, clock, coalesceMs } = this.#options;
-    if (!isAfter(syncState.position, mirror.position)) {
-      mirror.confirm(syncState);
-      if (isSamePosition(syncState.position, mirror.position)) {
-        this.#behindSinceMs = undefined;
-      }
-      return;
+    const { position } = syncState;
+    // Another peer that is as far behind doesn't show that this entry has caught up.
+    if (!isAfter(this.#newestReported, mirror.position)) {
+      this.#behindSinceMs = undefined;
     }
+    this.#newestReported = laterOf(this.#newestReported, position);
+    if (!isAfter(position, mirror.position)) return mirror.confirm(syncState);
     this.#behindSinceMs ??= clock.nowMs();
     const behindMs = clock.nowMs() - this.#behindSinceMs;
     if (behindMs < LAG_TOLERANCE_MS + coalesceMs()) return;
--- a/src/router/relay_test.ts
+++ b/src/router/relay_test.ts
@@ -102,6 +102,20 @@
   assert.deepEqual(contentOf(entry), before);
 });
 
+// Two entries that the store doesn't serve would keep each other from asking a third one.
+test("peer that is equally far behind doesn't keep an entry from catching up", async (t) => {
+  const ahead = createEntry(positionAt(2, 4n), "a");
+  const behind = createEntry(positionAt(1, 9n), "lost");
+  const entry = createEntry(positionAt(1, 9n), "lost");
+  const client = clientOf(entry, await serve(t, ahead));
+  for (const peer of [ahead, behind, ahead, behind, ahead]) {
+    const { position } = peer.mirror;
+    await client.onPeerSyncState(LOOPBACK, { position });
+    entry.clock.advance(LAG_MS);
+  }
+  assert.deepEqual(contentOf(entry), contentOf(ahead));
+});
+
 // Single changes are taken over with their positions, or a later one would count as older.
 test("changes that a peer relays keep the era", async (t) => {
   const peer = createEntry(positionAt(2, 4n), "a", "b");
