--- a/src/platform/store_test.ts
+++ b/src/platform/store_test.ts
@@ -5,9 +5,6 @@
 import { PlatformStore } from "./store.ts";
 import { positionAt } from "../store/position.ts";
 
-/** Position of the first change. */
-const FROM = positionAt(0, 1n);
-
 const CALL_MS = 100;
 const ANSWER_MS = 50;
 /** Longer than any test runs. */
@@ -38,7 +35,9 @@
     await relay.close();
     await server.close();
   });
-  return { store, server, relay, steps: store.watch("", FROM, stop.signal) };
+  const { era } = server.store.table.position;
+  const steps = store.watch("", positionAt(era, 1n), stop.signal);
+  return { store, server, relay, steps };
 }
 
 test("first poll of a watch is answered at once, later ones wait for events", async (t) => {
