--- a/src/standin/_http_host.ts
+++ b/src/standin/_http_host.ts
@@ -37,6 +37,22 @@
   handle: HostHandler;
 }
 
+/** What a listener does with new connections. */
+export type HostAcceptance =
+  /** It answers their requests. */
+  | "serve"
+  /** It closes them. */
+  | "close"
+  /** It never answers their requests. */
+  | "silent";
+
+/** How a process ends its connections, and what its address does from then on. */
+export interface ConnectionsEnd {
+  /** Whether the connections are reset, rather than closed in order. */
+  isReset: boolean;
+  acceptance: HostAcceptance;
+}
+
 /** An HTTP listener with injectable connection faults. */
 export class HttpHost {
   readonly #handle: HostHandler;
@@ -44,6 +60,7 @@
   readonly #sockets = new Set<Socket>();
   #port: number;
   #server: Server | undefined;
+  #acceptance: HostAcceptance = "serve";
 
   private constructor(options: HttpHostOptions) {
     const colon = options.listenAddress.lastIndexOf(":");
@@ -74,6 +91,7 @@
       void this.#serve(request, response);
     });
     this.#server = server;
+    this.#acceptance = "serve";
     server.on("connection", (socket) => this.#track(socket));
     while (!await this.#listen(server, this.#port || nextPort())) {
       if (this.#port) throw new Error(`Port ${this.#port} is in use`);
@@ -102,6 +120,17 @@
     }
   }
 
+  /**
+   * Ends all open connections as a process does that exits, and keeps listening.
+   *
+   * @param end How they end, and what happens to new ones.
+   */
+  endConnections({ isReset, acceptance }: ConnectionsEnd): void {
+    this.#acceptance = acceptance;
+    if (isReset) return this.cut();
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
   /** Listens, unless the port is in use. */
   #listen(server: Server, port: number): Promise<boolean> {
     return new Promise((resolve, reject) => {
@@ -116,9 +145,10 @@
   }
 
   #track(socket: Socket): void {
+    socket.on("error", () => {});
+    if (this.#acceptance === "close") return void socket.destroy();
     socket.setNoDelay(true);
     this.#sockets.add(socket);
-    socket.on("error", () => {});
     socket.on("close", () => this.#sockets.delete(socket));
   }
 
@@ -127,6 +157,7 @@
     response: ServerResponse,
   ): Promise<void> {
     response.on("error", () => {});
+    if (this.#acceptance === "silent") return;
     try {
       const body = await readBody(request);
       const url = new URL(request.url ?? "/", `http://${this.address}`);
--- a/src/standin/_platform_stream.ts
+++ b/src/standin/_platform_stream.ts
@@ -1,6 +1,7 @@
 /** Event streams of the stand-in for a backend server of the platform. */
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { untilArrived } from "./_unframed_answers.ts";
 import type { StreamStall } from "./backend_server_options.ts";
 
 /** A stream in progress. */
@@ -18,6 +19,8 @@
   eventMs: number;
   /** Number of complete events before the connection is cut mid-event; undefined: never. */
   cutAfter?: number;
+  /** Ends the answer after this number of complete events; undefined: never. */
+  end?: { afterEvents: number; run(): void };
   /** Stall to inject; undefined: none. */
   stall?: StreamStall;
   /** Text that marks each event as written by this server; undefined: no mark. */
@@ -57,7 +60,7 @@
  */
 export async function writeEvents(
   stream: RunningStream,
-  { events, eventMs, cutAfter, stall, writer }: WriteEventsOptions,
+  { events, eventMs, cutAfter, end, stall, writer }: WriteEventsOptions,
 ): Promise<void> {
   const { response } = stream;
   const mark = writer === undefined ? "" : ` ${writer}`;
@@ -72,6 +75,10 @@
       response.write(`id: ${i}\nda`, () => response.destroy());
       return;
     }
+    if (end && i > end.afterEvents) {
+      await untilArrived();
+      return end.run();
+    }
     response.write(`id: ${i}\ndata: x${i}${mark}\n\n`);
     stream.lastEventId = i;
     if (eventMs > 0) await sleep(eventMs);
--- a/src/standin/backend_server.ts
+++ b/src/standin/backend_server.ts
@@ -1,7 +1,8 @@
 /** Stand-in for a backend server of the platform: plain calls, streams, reports and orders. */
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
-import { type HostRequest, HttpHost } from "./_http_host.ts";
-import { answerCall } from "./_platform_answer.ts";
+import { endAnswer, endHost } from "./_answer_cut.ts";
+import { answerJson, type HostRequest, HttpHost } from "./_http_host.ts";
+import { answerCall, answerEmpty } from "./_platform_answer.ts";
 import { isCrashing, sendStreamHead } from "./_platform_crash.ts";
 import { type AcceptedOrder, PlatformOrders } from "./_platform_orders.ts";
 import {
@@ -10,8 +11,17 @@
   type RunningStream,
   writeEvents,
 } from "./_platform_stream.ts";
+import {
+  addCopy,
+  deleteCopiesOf,
+  deleteCopy,
+  isCopyAt,
+} from "./_run_copies.ts";
+import { registrationOf, reportOf } from "./_server_status.ts";
+import { UnframedAnswers } from "./_unframed_answers.ts";
 import {
   consumeFault,
+  CutEnding,
   DEFAULT_OPTIONS,
   NO_FAULTS,
   type StandinBackendServerFaults,
@@ -26,8 +36,8 @@
   body: string;
 }
 
-/** Addresses of the servers that hold copies of moved runs, by source address and copy id. */
-const kvCopies = new Map<string, string>();
+/** Events of a stream that are sent before its answer is cut. */
+const EVENTS_BEFORE_CUT = 2;
 
 /** A simulated backend server with fault injection. */
 export class StandinBackendServer {
@@ -39,9 +49,13 @@
   refused = 0;
   /** Requests that arrived, executed or not; times by the process's monotonic clock. */
   readonly arrivals: { atMs: number; requestId: string }[] = [];
+  /** Answers that only the end of their connection ends. */
+  readonly unframedAnswers = UnframedAnswers.create();
   /** Ids of copies that were freed before a run resumed from them. */
   readonly freedCopyIds: string[] = [];
   readonly faults: StandinBackendServerFaults;
+  /** Instance id; a restart may bring another one. */
+  id: string;
   /** See {@link StandinBackendServerOptions.softwareVersion}; a restart may bring another one. */
   softwareVersion: string | undefined;
   /** Streams in progress, by attempt id. */
@@ -53,6 +67,7 @@
 
   private constructor(options: StandinBackendServerOptions) {
     this.#options = options;
+    this.id = options.id;
     this.faults = options.faults ?? { ...NO_FAULTS };
     this.#orders = new PlatformOrders(options);
     this.softwareVersion = options.softwareVersion;
@@ -78,10 +93,6 @@
     return this.#host.address;
   }
 
-  get id(): string {
-    return this.#options.id;
-  }
-
   /** Number of streams in progress. */
   get streams(): number {
     return this.#streams.size;
@@ -102,6 +113,16 @@
     return this.#startedAtMs;
   }
 
+  /** Number of orders accepted since the last start. */
+  get sequence(): number {
+    return this.#orders.sequence;
+  }
+
+  /** Whether weights are being loaded. */
+  get busy(): boolean {
+    return this.#orders.busy;
+  }
+
   /** Accepted orders, including those from before a restart. */
   get orders(): AcceptedOrder[] {
     return this.#orders.accepted;
@@ -113,19 +134,7 @@
    * @returns The server's entry in the platform's store.
    */
   entry(service: string, fields: object = {}): object {
-    return {
-      service,
-      address: this.address,
-      zone: "a",
-      version: this.softwareVersion ?? "v1",
-      slots: 4,
-      state: "ready",
-      models: this.#models(),
-      cold_left_ms: 0,
-      sequence: this.#orders.sequence,
-      born: this.#startedAtMs,
-      ...fields,
-    };
+    return { ...registrationOf(this, service), ...fields };
   }
 
   /** @returns The body of a complete stream whose events contain `text` and their id. */
@@ -138,6 +147,7 @@
 
   /** Cuts connections and refuses new ones until {@link up}. */
   down(): Promise<void> {
+    this.unframedAnswers.recordEnd();
     return this.#host.down();
   }
 
@@ -153,13 +163,9 @@
    * @param listenAddress New listen address; defaults to the current one.
    */
   async restart(listenAddress?: string): Promise<void> {
-    await this.#host.down();
+    await this.down();
     this.#streams.clear();
-    for (const [copy, holder] of kvCopies) {
-      const isHere = holder === this.address ||
-        copy.startsWith(`${this.address}/`);
-      if (isHere) kvCopies.delete(copy);
-    }
+    deleteCopiesOf(this.address);
     this.#orders.restart();
     this.#startedAtMs = Math.max(Date.now(), this.#startedAtMs + 1);
     await this.#listen(listenAddress ?? this.address);
@@ -168,7 +174,7 @@
   /** Stops the server permanently. */
   close(): Promise<void> {
     this.#orders.restart();
-    return this.#host.down();
+    return this.down();
   }
 
   async #listen(listenAddress: string): Promise<void> {
@@ -178,12 +184,6 @@
     });
   }
 
-  #models(): object[] {
-    const { model } = this.#options;
-    if (model === undefined) return [];
-    return [{ name: model, version: this.version, adapters: [] }];
-  }
-
   #serve(request: HostRequest): void {
     const { response, headers } = request;
     const { leaving, rate } = this.faults;
@@ -191,14 +191,12 @@
     if (rate !== undefined) response.setHeader("server-limit", rate);
     const expected = headers["expect-instance"];
     if (expected !== undefined && expected !== this.id) {
-      response.writeHead(421, { "instance-id": this.id });
-      response.end();
-      return;
+      return answerEmpty(response, 421, { "instance-id": this.id });
     }
     const id = request.url.pathname.split("/").at(-1) ?? "";
     switch (`${request.method} ${request.url.pathname}`) {
       case "GET /v1/report":
-        return this.#report(response);
+        return answerJson(response, 200, reportOf(this));
       case "POST /v1/order":
         return this.#order(request);
       case "POST /v1/kv-move":
@@ -210,54 +208,32 @@
     }
   }
 
-  #report(response: ServerResponse): void {
-    response.writeHead(200, { "content-type": "application/json" });
-    response.end(JSON.stringify({
-      stage: "colocated",
-      models: this.#models(),
-      busy: this.#orders.busy,
-      sequence: this.#orders.sequence,
-      born: this.#startedAtMs,
-      queued: 0,
-      running: 0,
-      kv_used: 0,
-      kv_total: 1000,
-      handles: 0,
-    }));
-  }
-
   #order({ body, response }: HostRequest): void {
     const order = JSON.parse(body.toString());
     const isRefused = consumeFault(this.faults, "refuseOrder");
-    response.writeHead(isRefused ? 409 : this.#orders.submit(order));
-    response.end();
+    answerEmpty(response, isRefused ? 409 : this.#orders.submit(order));
   }
 
   /** Stops a run and copies its key-value cache to the target server. */
   #move({ body, response }: HostRequest): void {
     const { id, target } = JSON.parse(body.toString());
     const stream = this.#streams.get(id);
-    if (!stream) {
-      response.writeHead(404);
-      response.end();
-      return;
-    }
+    if (!stream) return answerEmpty(response, 404);
     this.#streams.delete(id);
     stream.response.destroy();
-    const handle = `copy-${id}`;
+    const copyId = `copy-${id}`;
     const isFull = consumeFault(this.faults, "moveFull");
-    if (!isFull) kvCopies.set(`${this.address}/${handle}`, target);
-    response.writeHead(isFull ? 503 : 200, {
-      "content-type": "application/json",
+    if (!isFull) addCopy({ source: this.address, copyId }, target);
+    answerJson(response, isFull ? 503 : 200, {
+      handle: copyId,
+      created: stream.lastEventId,
     });
-    response.end(JSON.stringify({ handle, created: stream.lastEventId }));
   }
 
   #freeCopy(id: string, response: ServerResponse): void {
-    const isKnown = kvCopies.delete(`${this.address}/${id}`);
+    const isKnown = deleteCopy({ source: this.address, copyId: id });
     if (isKnown) this.freedCopyIds.push(id);
-    response.writeHead(isKnown ? 200 : 404);
-    response.end();
+    answerEmpty(response, isKnown ? 200 : 404);
   }
 
   #run(request: HostRequest): void {
@@ -265,28 +241,29 @@
     const requestId = String(headers["attempt-id"] ?? "");
     this.arrivals.push({ atMs: performance.now(), requestId });
     if (consumeFault(this.faults, "refuseWeights")) {
-      response.writeHead(421);
-      response.end();
-      return;
+      return answerEmpty(response, 421);
     }
     const { pauseS } = this.faults;
-    if (pauseS !== undefined) return this.#askToPause(response, pauseS);
+    if (pauseS !== undefined) {
+      this.pauseRejections++;
+      return answerEmpty(response, 503, {
+        "not-executed": "1",
+        "retry-after": String(pauseS),
+      });
+    }
     const expectedVersion = headers["expect-version"];
     if (
       expectedVersion !== undefined && Number(expectedVersion) !== this.version
     ) {
-      response.writeHead(421, { "weight-versions": String(this.version) });
-      response.end();
-      return;
+      const loaded = { "weight-versions": String(this.version) };
+      return answerEmpty(response, 421, loaded);
     }
     const copy = headers["kv-from"];
     const isCopyHere = copy === undefined ||
-      kvCopies.get(String(copy)) === this.address;
+      isCopyAt(String(copy), this.address);
     if (consumeFault(this.faults, "refuse") || !isCopyHere) {
       this.refused++;
-      response.writeHead(503, { "not-executed": "1" });
-      response.end();
-      return;
+      return answerEmpty(response, 503, { "not-executed": "1" });
     }
     this.runs.push({
       method: request.method,
@@ -297,23 +274,19 @@
     if (isCrashing(request, this.faults)) return this.#crashDuring(request);
     if (consumeFault(this.faults, "hang")) return;
     if (consumeFault(this.faults, "loseAnswer")) return void response.destroy();
-    if (this.#options.model !== undefined) return this.#stream(request);
-    const { lateMs } = this.faults;
+    const onPart = this.#takeCut(request);
+    if (this.#options.model !== undefined) {
+      return this.#stream(request, onPart);
+    }
+    const { faults, unframedAnswers: unframed } = this;
+    const { lateMs } = faults;
+    const seal = `seal-${this.id}`;
     const answer = () =>
-      answerCall(request, { faults: this.faults, seal: `seal-${this.id}` });
+      answerCall(request, { faults, seal, unframed, onPart });
     if (lateMs === 0) return answer();
     setTimeout(answer, lateMs);
   }
 
-  #askToPause(response: ServerResponse, pauseS: number): void {
-    this.pauseRejections++;
-    response.writeHead(503, {
-      "not-executed": "1",
-      "retry-after": String(pauseS),
-    });
-    response.end();
-  }
-
   /** Simulates a process crash as the answer begins, which also ends all other runs. */
   #crashDuring(request: HostRequest): void {
     if (!this.faults.isEndBeforeHead) {
@@ -325,26 +298,49 @@
     });
   }
 
-  #stream({ headers, response }: HostRequest): void {
+  /** @returns Cuts the answer to the request; undefined: it is not to be cut. */
+  #takeCut({ headers, response }: HostRequest): (() => void) | undefined {
+    const { cut } = this.faults;
+    if (!cut) return undefined;
+    this.faults.cut = undefined;
+    return () => {
+      if (response.destroyed) return;
+      this.unframedAnswers.recordCut(String(headers["attempt-id"]));
+      if (cut.ending === CutEnding.lives) return endAnswer(response, cut);
+      this.unframedAnswers.recordEnd();
+      endHost(this.#host, cut);
+      this.#options.onCutEnd?.(cut.ending);
+    };
+  }
+
+  #stream(
+    { headers, response }: HostRequest,
+    onPart: (() => void) | undefined,
+  ): void {
     const { events, eventMs } = this.#options;
     const { cutAfterEvents: cutAfter, stall } = this.faults;
     const first = Number(headers["last-event-id"] ?? 0) + 1;
     this.faults.cutAfterEvents = undefined;
+    const id = String(headers["attempt-id"]);
     if (consumeFault(this.faults, "unframed")) omitLength(response);
+    if (this.faults.isUnframed || onPart) {
+      this.unframedAnswers.begin(id, response);
+    }
     response.writeHead(200, {
       "content-type": "text/event-stream",
       "server-seal": `seal-${this.id}`,
-      "attempt-id": String(headers["attempt-id"]),
+      "attempt-id": id,
       "weight-versions": String(this.version),
     });
     const stream = { response, lastEventId: first - 1 };
     endAtDeadline(headers, response);
-    const id = String(headers["attempt-id"]);
     this.#streams.set(id, stream);
     response.once("close", () => {
       if (this.#streams.get(id) === stream) this.#streams.delete(id);
     });
     const writer = this.softwareVersion && `${this.id} ${this.softwareVersion}`;
-    void writeEvents(stream, { cutAfter, events, eventMs, stall, writer });
+    const afterEvents = Math.min(events - 1, first - 1 + EVENTS_BEFORE_CUT);
+    const end = onPart && { afterEvents, run: onPart };
+    void writeEvents(stream, { cutAfter, end, events, eventMs, stall, writer });
   }
 }
--- a/src/standin/backend_server_options.ts
+++ b/src/standin/backend_server_options.ts
@@ -1,5 +1,27 @@
 /** Settings and injectable faults of the stand-in for a backend server of the platform. */
 
+/** What a server does once it has cut an answer. */
+export const CutEnding = {
+  /** It lives on. */
+  lives: "lives",
+  /** It ends; its address accepts connections for a while longer and closes them. */
+  lingers: "lingers",
+  /** It ends; its address accepts connections and never answers. */
+  silent: "silent",
+  /** It ends, and a new one with another id serves at its address at once. */
+  replaced: "replaced",
+} as const;
+
+/** One of {@link CutEnding}. */
+export type CutEnding = typeof CutEnding[keyof typeof CutEnding];
+
+/** A cut of an answer that has neither a length nor chunks. */
+export interface AnswerCut {
+  /** Whether connections are reset, rather than closed in order. */
+  isReset: boolean;
+  ending: CutEnding;
+}
+
 /** Settings of a stand-in backend server. */
 export interface StandinBackendServerOptions {
   /** `ip:port`; port 0 selects a free port. */
@@ -27,6 +49,8 @@
   faults?: StandinBackendServerFaults;
   /** Called when a request has crashed the server. */
   onCrash?: () => void;
+  /** Called when a cut has ended the server; a server that is replaced restarts under a new id. */
+  onCutEnd?: (ending: CutEnding) => void;
 }
 
 /** A pause in a stream. */
@@ -58,6 +82,10 @@
   bodyLateMs: number;
   /** Answers that are sent without a length or chunks. */
   unframed: number;
+  /** Whether all answers are sent without a length or chunks. */
+  isUnframed: boolean;
+  /** Cuts the next answer after a part; it has no length or chunks. */
+  cut: AnswerCut | undefined;
   /** Plain answers that carry the attempt id of another request. */
   foreign: number;
   /** Requests that are executed and never answered. */
@@ -103,6 +131,8 @@
   lateMs: 0,
   bodyLateMs: 0,
   unframed: 0,
+  isUnframed: false,
+  cut: undefined,
   foreign: 0,
   hang: 0,
   moveFull: 0,
@@ -123,6 +153,8 @@
   | "stall"
   | "lateMs"
   | "bodyLateMs"
+  | "isUnframed"
+  | "cut"
   | "endOnTarget"
   | "endOnPart"
   | "isEndBeforeHead"
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -10,6 +10,7 @@
   renderPrompt,
   toAnswerInput,
 } from "./answer.ts";
+export { type DeclaredEnd, declaredEndOf } from "./answer_end.ts";
 export {
   DEFAULT_ENGINE_OPTIONS,
   type EngineExecution,
@@ -76,6 +77,8 @@
   StandinBackendServer,
 } from "./backend_server.ts";
 export {
+  type AnswerCut,
+  CutEnding,
   NO_FAULTS,
   type StandinBackendServerFaults,
   type StandinBackendServerOptions,
--- a/src/standin/platform_client.ts
+++ b/src/standin/platform_client.ts
@@ -1,5 +1,6 @@
 /** Test client of an entry, with a sample configuration and the load balancer's readiness check. */
 import { request as httpRequest } from "node:http";
+import { type DeclaredEnd, declaredEndOf } from "./answer_end.ts";
 import { StandinBackendServer } from "./backend_server.ts";
 
 /** Host name of all routes. */
@@ -62,6 +63,8 @@
   body: string;
   /** Whether the whole body was received. */
   isComplete: boolean;
+  /** What declared the end of the body; undefined if it was cut or reset before. */
+  declaredEnd: DeclaredEnd | undefined;
 }
 
 /** Address at which an entry accepts clients. */
@@ -99,16 +102,26 @@
       },
     }, (response) => {
       let body = "";
-      const resolveWith = (isComplete: boolean) =>
+      let isCut = false;
+      const resolveNow = () => {
+        const declaredEnd = isCut ? undefined : declaredEndOf(response);
         resolve({
           status: response.statusCode ?? 0,
           headers: response.headers,
           body,
-          isComplete,
+          isComplete: declaredEnd !== undefined,
+          declaredEnd,
         });
+      };
+      const onCut = () => {
+        isCut = true;
+        resolveNow();
+      };
       response.on("data", (chunk) => body += chunk);
-      response.on("end", () => resolveWith(response.complete));
-      response.on("error", () => resolveWith(false));
+      response.on("end", resolveNow);
+      response.on("error", onCut);
+      // Only the request tells that a body without a length was reset.
+      request.off("error", reject).on("error", onCut);
     });
     request.on("error", reject);
     request.end("payload");
--- a/src/standin/stream_client.ts
+++ b/src/standin/stream_client.ts
@@ -1,5 +1,6 @@
 /** Test client that reads a marked stream event by event, and may break off and take it up again. */
 import { request as httpRequest } from "node:http";
+import { type DeclaredEnd, declaredEndOf } from "./answer_end.ts";
 import { type EntryAddress, HOST, KEY } from "./platform_client.ts";
 
 /** An event, and the server that wrote it. */
@@ -16,6 +17,8 @@
   retryAfter?: string;
   events: MarkedEvent[];
   isComplete: boolean;
+  /** What declared the end of the stream; undefined if it is not complete. */
+  declaredEnd?: DeclaredEnd;
 }
 
 /** One attempt of a client. */
@@ -60,7 +63,7 @@
       attempt.status = response.statusCode ?? 0;
       attempt.retryAfter = response.headers["retry-after"];
       const reader = MarkedEventReader.create();
-      let hasLeft = false;
+      let isCut = false;
       response.on("data", (chunk) => {
         for (const event of reader.push(String(chunk))) {
           if (attempt.events.length >= breakAfterEvents) break;
@@ -68,16 +71,21 @@
           onEvent?.(event);
         }
         if (attempt.events.length < breakAfterEvents) return;
-        hasLeft = true;
+        isCut = true;
         request.destroy();
       });
+      // Only the request tells that a body without a length was reset.
+      request.on("error", () => isCut = true);
       response.on("error", () => {});
       response.on("close", () => {
-        attempt.isComplete = response.complete && !hasLeft;
+        if (!isCut) attempt.declaredEnd = declaredEndOf(response);
+        attempt.isComplete = attempt.declaredEnd !== undefined;
         resolve(attempt);
       });
     });
-    request.on("error", () => resolve(attempt));
+    request.on("error", () => {
+      if (attempt.status === 0) resolve(attempt);
+    });
     request.end("payload");
   });
 }
