Let the stand-in store come back from an older copy

The platform's store may come back from a copy some seconds old: what was written since is gone, leases too, revisions are given out again, and `Store-Era` rises by one in all answers. The stand-in lost nothing it had acknowledged, so no test could show what the entries do then.

A commit that is on its way while the store goes back has no effect on either era. A watch from a revision that the store doesn't have gets 410 at once.

--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -50,6 +50,7 @@
   toRequestHeaders,
 } from "./platform_client.ts";
 export {
+  type RestoreOptions,
   StandinPlatformStore,
   type StandinPlatformStoreOptions,
 } from "./platform_store_server.ts";
--- a/src/standin/platform_store_server.ts
+++ b/src/standin/platform_store_server.ts
@@ -3,6 +3,7 @@
   type KeyValueEntry,
   MemoryStore,
   type StoreFailure,
+  type StoreSnapshot,
   type TableEvent,
   type Write,
 } from "../store/mod.ts";
@@ -18,6 +19,15 @@
   listenAddress: "127.0.0.1:0",
 };
 
+/** Settings of {@link StandinPlatformStore.restore}. */
+export interface RestoreOptions {
+  /** Time without a listener; 0: connections are cut, and new ones are served at once. */
+  awayMs: number;
+}
+
+/** Rises by one each time the store comes back from a copy; part of all answers. */
+const ERA_HEADER = "store-era";
+
 /** Status and JSON body of an answer. */
 interface Answer {
   status: number;
@@ -100,6 +110,28 @@
     return this.#host.up();
   }
 
+  /** @returns A copy of the store, for {@link restore}. */
+  copy(): StoreSnapshot {
+    return this.store.snapshot();
+  }
+
+  /**
+   * Goes away, and comes back from a copy. What was written since the copy was made is lost, also
+   * leases, and revisions are given out again.
+   *
+   * @param copy State to come back with.
+   * @param options Time until it is back.
+   */
+  async restore(
+    copy: StoreSnapshot,
+    { awayMs }: RestoreOptions = { awayMs: 0 },
+  ): Promise<void> {
+    await this.#host.down();
+    await new Promise((resolve) => setTimeout(resolve, awayMs));
+    this.store.restore(copy);
+    await this.#host.up();
+  }
+
   /** Stops the store permanently. */
   async close(): Promise<void> {
     this.store.close();
@@ -107,6 +139,7 @@
   }
 
   async #serve(request: HostRequest): Promise<void> {
+    request.response.setHeader(ERA_HEADER, this.store.era);
     const answer = await this.#answer(request);
     const { response } = request;
     if (!answer) {
--- a/src/store/memory_store.ts
+++ b/src/store/memory_store.ts
@@ -1,12 +1,14 @@
 /** In-memory key-value store with fault injection, for tests and the stand-in service. */
 import { err, ok, type Result } from "true-myth/result";
 import { type Clock, systemClock } from "../base/mod.ts";
+import { type LeaseSnapshot, LeaseTable } from "./_lease_table.ts";
 import { findCommitRefusal } from "./commit_limits.ts";
 import {
   type KeyRange,
   prefixRange,
   RevisionTable,
   type TableEvent,
+  type TableSnapshot,
 } from "./revision_table.ts";
 import type {
   CommitOutcome,
@@ -52,9 +54,10 @@
   progressMs: number;
 }
 
-interface LeaseState {
-  ttlMs: number;
-  expiresMs: number;
+/** The state of a {@link MemoryStore} at one time. */
+export interface StoreSnapshot {
+  readonly table: TableSnapshot;
+  readonly leases: LeaseSnapshot;
 }
 
 const DEFAULT_OPTIONS: MemoryStoreOptions = {
@@ -62,6 +65,8 @@
   progressMs: 1000,
 };
 
+const FIRST_ERA = 1;
+
 /** {@link KeyValueStore} in memory. */
 export class MemoryStore implements KeyValueStore {
   readonly faults: StoreFaults = {
@@ -80,12 +85,19 @@
   /** The stored data; tests read and change it directly, bypassing the injected faults. */
   readonly table = RevisionTable.create();
   readonly #options: MemoryStoreOptions;
-  readonly #leases = new Map<bigint, LeaseState>();
+  readonly #leases: LeaseTable;
   readonly #closed = new AbortController();
-  #nextLeaseId = 1n;
+  #era = FIRST_ERA;
+  /** Aborted when the store goes back to a snapshot. */
+  #eraEnd = new AbortController();
 
   private constructor(options: MemoryStoreOptions) {
     this.#options = options;
+    this.#leases = LeaseTable.create({
+      clock: options.clock,
+      signal: this.#closed.signal,
+      onEnd: (leaseId) => this.table.deleteLeaseKeys(leaseId),
+    });
   }
 
   /**
@@ -96,6 +108,30 @@
     return new MemoryStore({ ...DEFAULT_OPTIONS, ...options });
   }
 
+  /** Rises by one with each {@link restore}. */
+  get era(): number {
+    return this.#era;
+  }
+
+  /** @returns A copy of the data and the leases. */
+  snapshot(): StoreSnapshot {
+    return { table: this.table.snapshot(), leases: this.#leases.snapshot() };
+  }
+
+  /**
+   * Goes back to an earlier state; what was written since is lost. Open calls fail, without effect on
+   * the restored state, and watches end.
+   *
+   * @param snapshot The state to go back to.
+   */
+  restore(snapshot: StoreSnapshot): void {
+    this.table.restore(snapshot.table);
+    this.#leases.restore(snapshot.leases);
+    this.#era++;
+    this.#eraEnd.abort();
+    this.#eraEnd = new AbortController();
+  }
+
   async get(
     key: string,
   ): Promise<Result<KeyValueEntry | undefined, StoreFailure>> {
@@ -148,10 +184,11 @@
   ): AsyncGenerator<Result<WatchStep, StoreFailure>> {
     this.counters.watches++;
     if (!await this.#isReachable()) return yield err(unavailable());
-    const compacted = this.table.compactedRevision;
-    if (fromRevision !== 0n && fromRevision <= compacted) {
-      return yield err({ kind: "compacted", oldestRevision: compacted + 1n });
+    if (!this.#hasHistoryFrom(fromRevision)) {
+      const oldestRevision = this.table.compactedRevision + 1n;
+      return yield err({ kind: "compacted", oldestRevision });
     }
+    const eraEnd = this.#eraEnd.signal;
     const pending: TableEvent[] = [];
     let notify = () => {};
     const unsubscribe = this.table.subscribe(
@@ -164,12 +201,15 @@
     );
     try {
       while (!signal.aborted) {
-        if (this.#isUnavailable()) return yield err(unavailable());
+        if (this.#isUnavailable() || eraEnd.aborted) {
+          return yield err(unavailable());
+        }
         const steps = this.#takeSteps(pending);
         for (const step of steps) yield ok(step);
         if (pending.length > 0) continue;
         const notified = new Promise<void>((resolve) => notify = resolve);
-        await this.#waitForEvents(notified, signal);
+        const ends = AbortSignal.any([signal, eraEnd]);
+        await this.#waitForEvents(notified, ends);
       }
     } finally {
       unsubscribe();
@@ -179,25 +219,20 @@
   async grantLease(ttlMs: number): Promise<Result<StoreLease, StoreFailure>> {
     this.counters.writes++;
     if (!await this.#isReachable()) return err(unavailable());
-    const leaseId = this.#nextLeaseId++;
-    this.#leases.set(leaseId, { ttlMs, expiresMs: this.#nowMs() + ttlMs });
-    this.#scheduleExpiry(leaseId, ttlMs);
+    const leaseId = this.#leases.grant(ttlMs);
     return ok({ leaseId, ttlMs });
   }
 
   async renewLease(leaseId: bigint): Promise<Result<StoreLease, StoreFailure>> {
     this.counters.writes++;
     if (!await this.#isReachable()) return err(unavailable());
-    const lease = this.#leases.get(leaseId);
-    if (!lease) return ok({ leaseId, ttlMs: 0 });
-    lease.expiresMs = this.#nowMs() + lease.ttlMs;
-    return ok({ leaseId, ttlMs: lease.ttlMs });
+    return ok({ leaseId, ttlMs: this.#leases.renew(leaseId) });
   }
 
   async revokeLease(leaseId: bigint): Promise<Result<void, StoreFailure>> {
     this.counters.writes++;
     if (!await this.#isReachable()) return err(unavailable());
-    this.#endLease(leaseId);
+    this.#leases.end(leaseId);
     return ok<void, StoreFailure>(undefined);
   }
 
@@ -207,10 +242,17 @@
 
   /** Applies the injected delay, then tells whether the call reaches the store. */
   async #isReachable(): Promise<boolean> {
+    const era = this.#era;
     const { slowMs } = this.faults;
     if (slowMs > 0) await this.#sleep(slowMs);
-    this.#expireLeases();
-    return !this.#isUnavailable();
+    this.#leases.expire();
+    return !this.#isUnavailable() && era === this.#era;
+  }
+
+  #hasHistoryFrom(revision: bigint): boolean {
+    const { compactedRevision, revision: current } = this.table;
+    if (revision === 0n) return true;
+    return revision > compactedRevision && revision <= current + 1n;
   }
 
   #isUnavailable(): boolean {
@@ -258,7 +300,10 @@
     const lateMs = this.faults.lateNextEffectMs;
     if (lateMs === 0) return false;
     this.faults.lateNextEffectMs = 0;
-    void this.#sleep(lateMs).then(() => this.table.commit(expect, writes));
+    const era = this.#era;
+    void this.#sleep(lateMs).then(() => {
+      if (era === this.#era) this.table.commit(expect, writes);
+    });
     return true;
   }
 
@@ -267,29 +312,6 @@
       write.leaseId !== 0n && !this.#leases.has(write.leaseId);
   }
 
-  #scheduleExpiry(leaseId: bigint, waitMs: number): void {
-    void this.#sleep(waitMs).then(() => {
-      this.#expireLeases();
-      const lease = this.#leases.get(leaseId);
-      if (!lease || this.#closed.signal.aborted) return;
-      this.#scheduleExpiry(
-        leaseId,
-        Math.max(1, lease.expiresMs - this.#nowMs()),
-      );
-    });
-  }
-
-  #expireLeases(): void {
-    const nowMs = this.#nowMs();
-    for (const [leaseId, lease] of this.#leases) {
-      if (lease.expiresMs <= nowMs) this.#endLease(leaseId);
-    }
-  }
-
-  #endLease(leaseId: bigint): void {
-    if (this.#leases.delete(leaseId)) this.table.deleteLeaseKeys(leaseId);
-  }
-
   #sleep(ms: number): Promise<void> {
     return this.#options.clock.sleep(ms, this.#closed.signal);
   }
--- a/src/store/mod.ts
+++ b/src/store/mod.ts
@@ -10,6 +10,7 @@
   type MemoryStoreOptions,
   type StoreCounters,
   type StoreFaults,
+  type StoreSnapshot,
 } from "./memory_store.ts";
 export {
   type KeyRange,
@@ -17,6 +18,7 @@
   RevisionTable,
   type TableEvent,
   type TableListener,
+  type TableSnapshot,
 } from "./revision_table.ts";
 export type {
   CommitOutcome,
--- a/src/store/revision_table.ts
+++ b/src/store/revision_table.ts
@@ -29,6 +29,14 @@
   leaseId: bigint;
 }
 
+/** The state of a table at one revision. */
+export interface TableSnapshot {
+  readonly entries: ReadonlyMap<string, StoredEntry>;
+  readonly history: readonly TableEvent[];
+  readonly revision: bigint;
+  readonly compactedRevision: bigint;
+}
+
 /** Revision of an empty store, as in etcd. */
 const FIRST_REVISION = 1n;
 
@@ -48,7 +56,7 @@
  * before {@link RevisionTable.commit} returns.
  */
 export class RevisionTable {
-  readonly #entries = new Map<string, StoredEntry>();
+  #entries = new Map<string, StoredEntry>();
   readonly #subscribers = new Set<Subscriber>();
   #history: TableEvent[] = [];
   #revision = FIRST_REVISION;
@@ -141,6 +149,29 @@
     );
   }
 
+  /** @returns A copy of the table's state. */
+  snapshot(): TableSnapshot {
+    return {
+      entries: new Map(this.#entries),
+      history: [...this.#history],
+      revision: this.#revision,
+      compactedRevision: this.#compactedRevision,
+    };
+  }
+
+  /**
+   * Goes back to an earlier state. Later revisions will be given out again, to other changes.
+   * Subscribers are not notified; those of before must end their subscriptions.
+   *
+   * @param snapshot The state to go back to.
+   */
+  restore(snapshot: TableSnapshot): void {
+    this.#entries = new Map(snapshot.entries);
+    this.#history = [...snapshot.history];
+    this.#revision = snapshot.revision;
+    this.#compactedRevision = snapshot.compactedRevision;
+  }
+
   /**
    * Delivers the retained events from `fromRevision` on at once, and later events as they occur.
    *
