--- a/src/proof/_soak.ts
+++ b/src/proof/_soak.ts
@@ -1,48 +1,19 @@
 /** Runs one plan of faults against a fleet of real processes and checks what clients and servers saw. */
 import { setTimeout as sleep } from "node:timers/promises";
 import { seededRandom } from "../base/random.ts";
-import { attemptIdOf } from "../standin/mod.ts";
+import { CutEnding } from "../standin/mod.ts";
 import { runClient } from "./_soak_client.ts";
 import { CRASHING_PART, sendCrashingRequests } from "./_soak_crash_client.ts";
-import { type SoakEntry, SoakFleet } from "./_soak_fleet.ts";
-import {
-  type ClientEnd,
-  type Disruption,
-  type SoakHistory,
-  STORE,
-  type Violation,
-} from "./_soak_history.ts";
-import { findViolations } from "./_soak_oracles.ts";
-import { joinedStreams } from "./_soak_stream_oracles.ts";
+import { type CutEnd, type SoakEntry, SoakFleet } from "./_soak_fleet.ts";
+import { type Disruption, type SoakHistory, STORE } from "./_soak_history.ts";
 import { type Fault, FaultKind, type SoakPlan } from "./_soak_plan.ts";
+import { addServerRecords, resultOf, type SoakResult } from "./_soak_result.ts";
 
 /** Connections to each entry. */
 const CLIENTS_PER_ENTRY = 3;
 /** Requests that a failing server fails. */
 const FAILED_REQUESTS = 3;
 
-/** Numbers of streams. */
-export interface StreamCounts {
-  /** Streams that hold events of several software versions. */
-  joined: Violation[];
-  /** Attempts to take up a stream. */
-  takenUp: number;
-  /** Those of them that went on. */
-  wentOn: number;
-}
-
-/** What a soak showed. */
-export interface SoakResult {
-  violations: Violation[];
-  /** Requests by how they ended. */
-  counts: Record<string, number>;
-  streams: StreamCounts;
-  /** Requests that reached each server while it named a rate. */
-  history: SoakHistory;
-  /** Start of the requests, by the clock of the history. */
-  startedAtMs: number;
-}
-
 /**
  * @param plan Faults and sizes.
  * @returns Broken promises, and what happened.
@@ -68,6 +39,9 @@
     rates: [],
     disruptions: [],
     restarts: [],
+    outages: [],
+    cutAnswers: [],
+    wholeAnswers: [],
     crashingRequests: [],
     crashes: [],
   };
@@ -83,6 +57,7 @@
     const { durationMs, faults } = this.#plan;
     this.#fleet = await SoakFleet.create(this.#plan, {
       onCrash: (index) => this.#crashed(index),
+      onCutEnd: (index, end) => this.#ended(index, end),
       onReturn: (index) =>
         this.#serve(index, this.#fleet.servers[index]!.softwareVersion),
     });
@@ -99,14 +74,8 @@
     await Promise.all(injected);
     ended.abort();
     await Promise.all(clients);
-    this.#collect();
-    return {
-      violations: findViolations(this.#history),
-      counts: this.#counts(),
-      streams: this.#streamCounts(),
-      history: this.#history,
-      startedAtMs: this.#startedAtMs,
-    };
+    addServerRecords(this.#history, this.#fleet);
+    return resultOf(this.#history, this.#startedAtMs);
   }
 
   /** Ends all processes and stand-ins. */
@@ -121,6 +90,17 @@
     this.#history.crashes.push({ server, atMs });
   }
 
+  #ended(server: number, { ending, isLeaving }: CutEnd): void {
+    const atMs = performance.now();
+    this.#history.restarts.push({ server, atMs });
+    if (isLeaving) return;
+    this.#endServing(server);
+    this.#history.outages.push({ server, fromMs: atMs, toMs: Infinity });
+    if (ending !== CutEnding.replaced) return;
+    // The new server names no rate.
+    this.#history.rates.push({ server, fromMs: atMs, perSecond: undefined });
+  }
+
   #startClients(entry: SoakEntry, signal: AbortSignal): Promise<void>[] {
     return Array.from({ length: CLIENTS_PER_ENTRY }, (_, i) => {
       const name = `c${entry.index}-${i}`;
@@ -189,6 +169,14 @@
         return;
       case FaultKind.config:
         return await this.#fleet.writeConfig();
+      case FaultKind.unframed:
+        server.faults.isUnframed = true;
+        await sleep(forMs);
+        server.faults.isUnframed = false;
+        return;
+      case FaultKind.answerCut:
+        server.faults.cut = fault.cut;
+        return;
       case FaultKind.crashingPart: {
         this.#fleet.crashOn(CRASHING_PART);
         const random = seededRandom(this.#plan.seed);
@@ -221,8 +209,12 @@
 
   /** Records that a server takes requests. */
   #serve(server: number, softwareVersion: string | undefined): void {
-    if (softwareVersion === undefined) return;
     const fromMs = performance.now();
+    const outage = this.#history.outages.findLast((one) =>
+      one.server === server
+    );
+    if (outage) outage.toMs = Math.min(outage.toMs, fromMs);
+    if (softwareVersion === undefined) return;
     this.#history.versions.push({
       server,
       softwareVersion,
@@ -276,57 +268,4 @@
     await body();
     disruption.toMs = performance.now();
   }
-
-  #collect(): void {
-    const { servers, replaced } = this.#fleet;
-    const all = [
-      ...servers.map((server, index) => ({ index, server })),
-      ...replaced,
-    ];
-    for (const { index: server, server: { arrivals, runs } } of all) {
-      const atMsById = new Map(
-        arrivals.map(({ requestId, atMs }) => [requestId, atMs]),
-      );
-      for (const { atMs, requestId } of arrivals) {
-        this.#history.arrivals.push({ server, atMs, requestId });
-      }
-      for (const { headers } of runs) {
-        const requestId = String(attemptIdOf(headers));
-        const atMs = atMsById.get(requestId) ?? 0;
-        this.#history.runs.push({ server, atMs, requestId });
-      }
-    }
-  }
-
-  #streamCounts(): StreamCounts {
-    const { streams } = this.#history;
-    const takenUp = streams.flatMap(({ attempts }) =>
-      attempts.filter(({ isTakenUp }) => isTakenUp)
-    );
-    return {
-      joined: joinedStreams(this.#history),
-      takenUp: takenUp.length,
-      wentOn: takenUp.filter(({ hasBegun }) => hasBegun).length,
-    };
-  }
-
-  #counts(): Record<string, number> {
-    const counts: Record<string, number> = {};
-    for (const { end } of this.#history.clients) {
-      const name = nameOf(end);
-      counts[name] = (counts[name] ?? 0) + 1;
-    }
-    return counts;
-  }
-}
-
-function nameOf(end: ClientEnd): string {
-  switch (end.kind) {
-    case "answered":
-      return String(end.status);
-    case "broken":
-      return end.reason;
-    case "left":
-      return "client_left";
-  }
 }
--- /dev/null
+++ b/src/proof/_soak_answer_oracles.ts
@@ -0,0 +1,132 @@
+/** Checks the answers of a soak that have neither a length nor chunks. */
+import {
+  type ClientRecord,
+  type ServerRecord,
+  type SoakHistory,
+  STABLE_MS,
+  type Violation,
+} from "./_soak_history.ts";
+
+/** A server that lives this long after the end of an answer did not end with it. */
+const LIVES_ON_MS = 1000;
+/** An entry counts a request's time from when it has read it. */
+const DEADLINE_MARGIN_MS = 50;
+
+/** Numbers of answers without a length or chunks. */
+export interface UnframedCounts {
+  /** Whole answers of servers that live on. */
+  whole: number;
+  /** Those of them that their clients got whole. */
+  delivered: number;
+  /** Answers that servers cut. */
+  cut: number;
+  /** Requests with such an answer whose client got a part with a length or chunks, as complete. */
+  cutFramed: number;
+  /** Requests with such an answer whose client got a part that ended with its connection. */
+  cutUnframed: number;
+}
+
+/**
+ * @param history A soak's history.
+ * @returns All broken promises about answers without a length or chunks.
+ */
+export function findAnswerViolations(history: SoakHistory): Violation[] {
+  return [...findFramedCuts(history), ...findLostAnswers(history)];
+}
+
+/**
+ * @param history A soak's history.
+ * @returns How answers without a length or chunks reached their clients.
+ */
+export function countUnframed(history: SoakHistory): UnframedCounts {
+  const delivered = deliveriesOf(history);
+  const parts = clientsWithParts(history);
+  const framed = parts.filter(isFramed);
+  return {
+    whole: delivered.length,
+    delivered: delivered.filter(({ client }) => hasWholeAnswer(client)).length,
+    cut: history.cutAnswers.length,
+    cutFramed: framed.length,
+    cutUnframed: parts.length - framed.length,
+  };
+}
+
+function findFramedCuts(history: SoakHistory): Violation[] {
+  return clientsWithParts(history).filter(isFramed).map(
+    ({ id, entry, endedAtMs, end }) => {
+      const cut = history.cutAnswers.findLast((one) => one.requestId === id)!;
+      const declaredEnd = end.kind === "answered" ? end.declaredEnd : "";
+      return {
+        promise: "cut_answer_is_not_framed",
+        atMs: endedAtMs,
+        detail: `${id} got a part as complete, by its ${declaredEnd}, from ` +
+          `entry ${entry}, ${Math.round(endedAtMs - cut.atMs)} ms after ` +
+          `server ${cut.server} cut its answer`,
+      };
+    },
+  );
+}
+
+function findLostAnswers(history: SoakHistory): Violation[] {
+  return deliveriesOf(history)
+    .filter(({ client }) => !hasWholeAnswer(client))
+    .map(({ client: { id, entry, endedAtMs, end }, answer }) => ({
+      promise: "whole_answer_is_delivered",
+      atMs: endedAtMs,
+      detail: `${id} was answered whole by server ${answer.server}, which ` +
+        `lives on, and ended at entry ${entry}: ${JSON.stringify(end)}`,
+    }));
+}
+
+/** Clients that hold a part of a server's answer as a complete answer. */
+function clientsWithParts(
+  { clients, cutAnswers }: SoakHistory,
+): ClientRecord[] {
+  const cutIds = new Set(cutAnswers.map(({ requestId }) => requestId));
+  return clients.filter(({ id, end }) =>
+    cutIds.has(id) && end.kind === "answered" && end.status === 200 &&
+    !end.isOwnAnswer
+  );
+}
+
+function isFramed({ end }: ClientRecord): boolean {
+  return end.kind === "answered" && end.declaredEnd !== "connection_end";
+}
+
+/** A whole answer of a server that lives on, and the client that must get it. */
+interface Delivery {
+  answer: ServerRecord;
+  client: ClientRecord;
+}
+
+function deliveriesOf(history: SoakHistory): Delivery[] {
+  const clientsById = new Map(history.clients.map((one) => [one.id, one]));
+  return history.wholeAnswers.flatMap((answer) => {
+    const client = clientsById.get(answer.requestId);
+    return client && mustDeliver(history, answer, client)
+      ? [{ answer, client }]
+      : [];
+  });
+}
+
+function mustDeliver(
+  { restarts, disruptions }: SoakHistory,
+  { server, atMs }: ServerRecord,
+  { entry, sentAtMs, endedAtMs, deadlineMs, end }: ClientRecord,
+): boolean {
+  if (end.kind === "left") return false;
+  if (endedAtMs - sentAtMs >= deadlineMs - DEADLINE_MARGIN_MS) return false;
+  const isServerEnded = restarts.some((one) =>
+    one.server === server && one.atMs >= sentAtMs &&
+    one.atMs <= atMs + LIVES_ON_MS
+  );
+  const isEntryDisrupted = disruptions.some((one) =>
+    !one.isPlanned && one.entry === entry && one.fromMs <= endedAtMs &&
+    one.toMs >= sentAtMs - STABLE_MS
+  );
+  return !isServerEnded && !isEntryDisrupted;
+}
+
+function hasWholeAnswer({ end }: ClientRecord): boolean {
+  return end.kind === "answered" && end.status === 200 && end.isOwnAnswer;
+}
--- a/src/proof/_soak_client.ts
+++ b/src/proof/_soak_client.ts
@@ -7,6 +7,7 @@
 import {
   attemptIdOf,
   completeStreamBody,
+  declaredEndOf,
   HOST,
   KEY,
   type MarkedEvent,
@@ -130,7 +131,7 @@
   const { id, route, events } = first;
   const stream: StreamRecord = {
     id,
-    isWhole: first.end.kind === "answered" && first.end.status === 200,
+    isWhole: isWholeStream(first.end),
     events: [...events],
     attempts: [{
       entry: first.target.index,
@@ -143,7 +144,7 @@
   streams.push(stream);
   let lastEnd = first.end;
   for (let i = 0; i < MAX_RETURNS && route.isResumable; i++) {
-    if (lastEnd.kind === "answered" || stream.events.length === 0) return;
+    if (isFinal(lastEnd) || stream.events.length === 0) return;
     const target = entries[Math.floor(random() * entries.length)]!;
     const again = `${id}-${i}`;
     const sentAtMs = performance.now();
@@ -160,7 +161,7 @@
     });
     lastEnd = endOf(attempt, { isLeft, lastEventId });
     stream.events.push(...attempt.events);
-    stream.isWhole = lastEnd.kind === "answered" && lastEnd.status === 200;
+    stream.isWhole = isWholeStream(lastEnd);
     stream.attempts.push({
       entry: target.index,
       atMs: sentAtMs,
@@ -180,13 +181,23 @@
   }
 }
 
+/** The end of a connection alone does not tell the client that a stream is whole; its last event does. */
+function isFinal(end: ClientEnd): boolean {
+  if (end.kind !== "answered") return false;
+  return end.declaredEnd !== "connection_end" || end.isOwnAnswer;
+}
+
+function isWholeStream(end: ClientEnd): boolean {
+  return isFinal(end) && end.kind === "answered" && end.status === 200;
+}
+
 function endOf(
-  { status, isComplete, events }: StreamAttempt,
+  { status, declaredEnd, events }: StreamAttempt,
   { isLeft, lastEventId }: { isLeft: boolean; lastEventId: number },
 ): ClientEnd {
-  if (isComplete) {
+  if (declaredEnd) {
     const isOwnAnswer = (events.at(-1)?.id ?? lastEventId) === EVENTS;
-    return { kind: "answered", status, isOwnAnswer };
+    return { kind: "answered", status, isOwnAnswer, declaredEnd };
   }
   if (isLeft && events.length === LEAVE_AFTER_EVENTS) return { kind: "left" };
   return { kind: "broken", reason: status === 0 ? "no_answer" : "answer_cut" };
@@ -231,13 +242,14 @@
       });
       response.on("error", () => broken("answer_cut"));
       response.on("close", () => {
-        if (!response.complete) return broken("answer_cut");
+        const declaredEnd = declaredEndOf(response);
+        if (!declaredEnd) return broken("answer_cut");
         const status = response.statusCode ?? 0;
         const isWhole = route.isStream
           ? withoutMarks(body) === completeStreamBody(EVENTS)
           : body === PLAIN_ANSWER_BODY;
         const isOwnAnswer = attemptIdOf(response.headers) === id && isWhole;
-        resolve({ kind: "answered", status, isOwnAnswer });
+        resolve({ kind: "answered", status, isOwnAnswer, declaredEnd });
       });
     });
     request.setTimeout(GIVE_UP_MS, () => request.destroy(new Error("timeout")));
--- a/src/proof/_soak_crash_oracles.ts
+++ b/src/proof/_soak_crash_oracles.ts
@@ -93,9 +93,16 @@
         next.server === server && next.fromMs <= sentAtMs
       )
     );
-  // Engines that are down count, too: the part may not keep them down.
+  const isOut = (server: number) =>
+    history.outages.some((outage) =>
+      outage.server === server && outage.fromMs <= endedAtMs &&
+      outage.toMs >= sentAtMs
+    );
+  // Engines that the part has crashed count, too: it may not keep them down.
   const engines = new Set(history.versions.map(({ server }) => server));
-  const unlimited = [...engines].filter((server) => !isLimited(server));
+  const unlimited = [...engines].filter((server) =>
+    !isLimited(server) && !isOut(server)
+  );
   return unlimited.length >= MIN_ENGINES &&
     isCalm(history, { entry, fromMs: sentAtMs, toMs: endedAtMs });
 }
--- a/src/proof/_soak_fleet.ts
+++ b/src/proof/_soak_fleet.ts
@@ -3,6 +3,7 @@
 import { Child } from "../e2e/_child.ts";
 import {
   CONFIG,
+  CutEnding,
   fetchReadinessStatus,
   NO_FAULTS,
   restartServer,
@@ -27,6 +28,8 @@
 const DRAIN_MS = 2500;
 /** Time after which a crashed server is back. */
 const RETURN_MS = 2000;
+/** Time after which the registration of a server that is gone lapses. */
+const LAPSE_MS = 2400;
 
 /** One entry; its process changes when it starts again. */
 export interface SoakEntry {
@@ -38,12 +41,21 @@
   child: Child;
 }
 
-/** Is told of servers that crash and come back. */
+/** Is told of servers that end by themselves and come back. */
 export interface CrashWatcher {
   onCrash(index: number): void;
+  /** A server has ended with an answer that it cut. */
+  onCutEnd(index: number, end: CutEnd): void;
   onReturn(index: number): void;
 }
 
+/** End of a server that cut an answer. */
+export interface CutEnd {
+  ending: CutEnding;
+  /** Whether the server was leaving, so that its successor serves already. */
+  isLeaving: boolean;
+}
+
 /** Entries, servers and store of a soak. */
 export class SoakFleet {
   readonly entries: SoakEntry[] = [];
@@ -204,17 +216,41 @@
       id,
       ...(isEngine(index) ? { ...engine, softwareVersion } : {}),
       faults: { ...NO_FAULTS, lateMs: CALL_MS, endOnPart },
-      onCrash: () => void server.then((one) => this.#returnLater(index, one)),
+      onCrash: () =>
+        void server.then((one) => {
+          this.#watcher.onCrash(index);
+          return this.#returnLater(index, one);
+        }),
+      onCutEnd: (ending) =>
+        void server.then((one) => this.#onCutEnd(index, one, ending)),
     });
     return server;
   }
 
+  async #onCutEnd(
+    index: number,
+    server: StandinBackendServer,
+    ending: CutEnding,
+  ): Promise<void> {
+    const isCurrent = () => this.servers[index] === server;
+    this.#watcher.onCutEnd(index, { ending, isLeaving: !isCurrent() });
+    if (ending !== CutEnding.replaced) {
+      return await this.#returnLater(index, server);
+    }
+    const endedId = server.id;
+    server.id = `${endedId}r`;
+    server.faults.rate = undefined;
+    await this.#restart(server);
+    if (isCurrent()) this.#watcher.onReturn(index);
+    await new Promise((resolve) => setTimeout(resolve, LAPSE_MS));
+    if (!this.#isClosed) await this.store.delete(`servers/${endedId}`);
+  }
+
   async #returnLater(
     index: number,
     server: StandinBackendServer,
   ): Promise<void> {
     this.#crashed.add(server);
-    this.#watcher.onCrash(index);
     await new Promise((resolve) => setTimeout(resolve, RETURN_MS));
     if (!this.#crashed.has(server)) return;
     await this.#restart(server);
--- a/src/proof/_soak_history.ts
+++ b/src/proof/_soak_history.ts
@@ -1,5 +1,5 @@
 /** What happened in a soak, as clients and servers saw it. */
-import type { MarkedEvent } from "../standin/mod.ts";
+import type { DeclaredEnd, MarkedEvent } from "../standin/mod.ts";
 
 /** Entry of a disruption of the store, which concerns all entries. */
 export const STORE = -1;
@@ -54,7 +54,12 @@
 /** How a request ended for its client. */
 export type ClientEnd =
   /** `isOwnAnswer`: the whole answer of a server to this very request. */
-  | { kind: "answered"; status: number; isOwnAnswer: boolean }
+  | {
+    kind: "answered";
+    status: number;
+    isOwnAnswer: boolean;
+    declaredEnd: DeclaredEnd;
+  }
   /** The connection ended without a complete answer. */
   | { kind: "broken"; reason: string }
   /** The client itself closed the connection. */
@@ -89,6 +94,13 @@
   atMs: number;
 }
 
+/** A time in which a server that cut an answer was down. */
+export interface ServerOutage {
+  server: number;
+  fromMs: number;
+  toMs: number;
+}
+
 /** A request with the part of a prompt that crashes servers. */
 export interface CrashingRequest {
   id: string;
@@ -115,6 +127,11 @@
   rates: NamedRate[];
   disruptions: Disruption[];
   restarts: ServerRestart[];
+  outages: ServerOutage[];
+  /** Answers without a length or chunks that servers cut after a part. */
+  cutAnswers: ServerRecord[];
+  /** Successful answers without a length or chunks that servers sent whole. */
+  wholeAnswers: ServerRecord[];
   /** Requests that crash the servers which answer them. */
   crashingRequests: CrashingRequest[];
   /** Crashes of servers by such requests. */
--- a/src/proof/_soak_oracles.ts
+++ b/src/proof/_soak_oracles.ts
@@ -8,6 +8,7 @@
   STABLE_MS,
   type Violation,
 } from "./_soak_history.ts";
+import { findAnswerViolations } from "./_soak_answer_oracles.ts";
 import { findCrashViolations } from "./_soak_crash_oracles.ts";
 import { findStreamViolations } from "./_soak_stream_oracles.ts";
 
@@ -17,6 +18,8 @@
 /** Requests allowed in a window: this multiple of the rate, plus a fixed number. */
 const ALLOWED_FACTOR = 1.5;
 const ALLOWED_EXTRA = 5;
+/** Servers to which a request that may run again is sent, by the configuration. */
+const MAX_ATTEMPTS = 2;
 /** An entry counts a request's time from when it has read it. */
 const DEADLINE_MARGIN_MS = 50;
 
@@ -31,6 +34,7 @@
     ...findWrongAnswers(history),
     ...findCutRequests(history),
     ...findRateExcess(history),
+    ...findAnswerViolations(history),
     ...findStreamViolations(history),
     ...findCrashViolations(history),
   ];
@@ -63,10 +67,13 @@
     }));
 }
 
-function findWrongAnswers({ clients }: SoakHistory): Violation[] {
+/** Answers that their server itself cut are judged apart. */
+function findWrongAnswers({ clients, cutAnswers }: SoakHistory): Violation[] {
+  const cutIds = new Set(cutAnswers.map(({ requestId }) => requestId));
   return clients
-    .filter(({ end }) =>
-      end.kind === "answered" && end.status === 200 && !end.isOwnAnswer
+    .filter(({ id, end }) =>
+      end.kind === "answered" && end.status === 200 && !end.isOwnAnswer &&
+      !cutIds.has(id)
     )
     .map(({ id, endedAtMs }) => ({
       promise: "own_whole_answer",
@@ -79,9 +86,8 @@
  * A request that a server ran must be answered, unless its deadline has passed or its entry had an
  * unplanned disruption. One that may not run again ends with its server.
  */
-function findCutRequests(
-  { clients, runs, disruptions, restarts, versions }: SoakHistory,
-): Violation[] {
+function findCutRequests(history: SoakHistory): Violation[] {
+  const { clients, runs, disruptions, restarts, versions } = history;
   const counts = countRuns(runs);
   // Only the software version that began a stream may continue it.
   const isVersionGone = (
@@ -106,6 +112,7 @@
     .filter((client) =>
       client.end.kind === "broken" && counts.has(client.id) &&
       !isServerGone(client) && !isVersionGone(client) && !isExpired(client) &&
+      !isCutByServers(client, history) &&
       !disruptions.some((disruption) =>
         !disruption.isPlanned && disruption.entry === client.entry &&
         disruption.fromMs <= client.endedAtMs &&
@@ -121,6 +128,23 @@
     }));
 }
 
+/** A request whose servers cut its answer, and that may not be sent to a further one. */
+function isCutByServers(
+  { id, isIdempotent, sentAtMs, endedAtMs }: ClientRecord,
+  { cutAnswers, runs, restarts }: SoakHistory,
+): boolean {
+  const cuts = cutAnswers.filter(({ requestId }) => requestId === id).length;
+  if (cuts === 0) return false;
+  const ended = runs.filter(({ requestId, server }) =>
+    requestId === id &&
+    restarts.some((restart) =>
+      restart.server === server && restart.atMs >= sentAtMs &&
+      restart.atMs <= endedAtMs
+    )
+  ).length;
+  return Math.max(cuts, ended) >= (isIdempotent ? MAX_ATTEMPTS : 1);
+}
+
 function isExpired({ sentAtMs, endedAtMs, deadlineMs }: ClientRecord): boolean {
   return endedAtMs - sentAtMs >= deadlineMs - DEADLINE_MARGIN_MS;
 }
--- a/src/proof/_soak_plan.ts
+++ b/src/proof/_soak_plan.ts
@@ -1,5 +1,6 @@
 /** Plans of faults for the soak: the same seed gives the same plan. */
 import { seededRandom } from "../base/random.ts";
+import { type AnswerCut, CutEnding } from "../standin/mod.ts";
 
 /** Kinds of faults. */
 export const FaultKind = {
@@ -27,6 +28,10 @@
   versionRestart: "version_restart",
   /** A part of prompts crashes the engines that answer them, and clients send such requests. */
   crashingPart: "crashing_part",
+  /** A server sends its answers without a length or chunks for a while. */
+  unframed: "unframed",
+  /** A server cuts its next answer, which has neither a length nor chunks. */
+  answerCut: "answer_cut",
 } as const;
 
 /** One of {@link FaultKind}. */
@@ -45,6 +50,8 @@
   perSecond?: number;
   /** Number of the software version that an engine has from then on. */
   softwareVersion?: number;
+  /** How an answer is cut. */
+  cut?: AnswerCut;
 }
 
 /** Sizes of a soak. */
@@ -52,6 +59,8 @@
   entryCount: number;
   serverCount: number;
   durationMs: number;
+  /** Kinds of faults that are left out of the plan. */
+  without?: readonly FaultKind[];
 }
 
 /** Faults of a plan, by its seed. */
@@ -87,6 +96,14 @@
 /** Earliest start of a crashing part, and time within which it starts. */
 const CRASHING_PART_FROM_MS = 2000;
 const CRASHING_PART_SPAN_MS = 1500;
+/** Added to the seed of a plan for its answers without a length or chunks. */
+const UNFRAMED_SEED = 3_000_003;
+/** Mean time between two faults of such answers. */
+const MEAN_UNFRAMED_PAUSE_MS = 500;
+/** Part of these faults that cut an answer. */
+const CUT_SHARE = 0.6;
+/** Part of the cuts that are resets. */
+const RESET_SHARE = 0.25;
 const RATES = [0.5, 1, 2, 5];
 /** Part of the changes of a rate that end it. */
 const END_RATE_SHARE = 0.3;
@@ -129,8 +146,13 @@
     if (atMs > sizes.durationMs - QUIET_END_MS) break;
     faults.push(...planFault(Math.round(atMs), random, sizes));
   }
-  faults.push(...planVersions(seed, sizes), ...planCrashingPart(seed, sizes));
-  return { ...sizes, seed, faults: faults.sort((a, b) => a.atMs - b.atMs) };
+  faults.push(
+    ...planVersions(seed, sizes),
+    ...planCrashingPart(seed, sizes),
+    ...planUnframed(seed, sizes),
+  );
+  const kept = faults.filter(({ kind }) => !sizes.without?.includes(kind));
+  return { ...sizes, seed, faults: kept.sort((a, b) => a.atMs - b.atMs) };
 }
 
 /**
@@ -189,6 +211,36 @@
   }];
 }
 
+/** Plans whole and cut answers without a length or chunks, with random numbers of their own. */
+function planUnframed(
+  seed: number,
+  { serverCount, durationMs }: SoakSizes,
+): Fault[] {
+  const random = seededRandom(seed + UNFRAMED_SEED);
+  const endings = Object.values(CutEnding);
+  const faults: Fault[] = [];
+  let atMs = 0;
+  while (true) {
+    atMs += -Math.log(1 - random()) * MEAN_UNFRAMED_PAUSE_MS;
+    if (atMs > durationMs - QUIET_END_MS) return faults;
+    const isCut = random() < CUT_SHARE;
+    const index = Math.floor(random() * serverCount);
+    const forMs = Math.round(
+      MIN_FOR_MS + random() * (MAX_FOR_MS - MIN_FOR_MS),
+    );
+    const cut = {
+      isReset: random() < RESET_SHARE,
+      ending: endings[Math.floor(random() * endings.length)]!,
+    };
+    const base = { atMs: Math.round(atMs), index };
+    faults.push(
+      isCut
+        ? { ...base, kind: FaultKind.answerCut, forMs: 0, cut }
+        : { ...base, kind: FaultKind.unframed, forMs },
+    );
+  }
+}
+
 function planFault(
   atMs: number,
   random: () => number,
@@ -228,6 +280,8 @@
     case FaultKind.release:
     case FaultKind.versionRestart:
     case FaultKind.crashingPart:
+    case FaultKind.unframed:
+    case FaultKind.answerCut:
       return [{ kind, atMs, forMs, index: pick(serverCount) }];
   }
 }
--- a/src/proof/crowd_main.ts
+++ b/src/proof/crowd_main.ts
@@ -34,7 +34,7 @@
 }
 
 async function runAt(rate: number): Promise<string> {
-  const watcher = { onCrash: () => {}, onReturn: () => {} };
+  const watcher = { onCrash: () => {}, onCutEnd: () => {}, onReturn: () => {} };
   const sizes = { entryCount: ENTRIES, serverCount: 0, durationMs: 0 };
   const fleet = await SoakFleet.create(sizes, watcher);
   const children: Child[] = [];
--- a/src/proof/soak_main.ts
+++ b/src/proof/soak_main.ts
@@ -5,8 +5,14 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { runSoak, type SoakResult } from "./_soak.ts";
-import { type Fault, planSoak, type SoakPlan } from "./_soak_plan.ts";
+import { runSoak } from "./_soak.ts";
+import type { SoakResult } from "./_soak_result.ts";
+import {
+  type Fault,
+  FaultKind,
+  planSoak,
+  type SoakPlan,
+} from "./_soak_plan.ts";
 
 /** Faults printed beside a broken promise: the last ones before it. */
 const CONTEXT_FAULTS = 6;
@@ -17,6 +23,11 @@
     .option("seconds", { type: "number", default: 20 })
     .option("entries", { type: "number", default: 4 })
     .option("servers", { type: "number", default: 6 })
+    .option("without", {
+      choices: Object.values(FaultKind),
+      array: true,
+      describe: "kinds of faults to leave out",
+    })
     .strict().parse();
   for (const signal of ["SIGINT", "SIGTERM"]) {
     process.once(signal, () => process.exit(1));
@@ -27,6 +38,7 @@
       entryCount: options.entries,
       serverCount: options.servers,
       durationMs: options.seconds * 1000,
+      without: options.without,
     });
     console.log(describePlan(plan));
     const result = await runSoak(plan);
@@ -56,12 +68,14 @@
 
 function describeResult(
   { seed, faults }: SoakPlan,
-  { violations, counts, streams, startedAtMs }: SoakResult,
+  { violations, counts, streams, unframed, startedAtMs }: SoakResult,
 ): string {
   const lines = [
     `seed ${seed}: ${violations.length} broken, ${
       JSON.stringify(counts)
-    }, ${streams.joined.length} streams of several versions, ${streams.wentOn} of ${streams.takenUp} take-ups went on`,
+    }, ${streams.joined.length} streams of several versions, ${streams.wentOn} of ${streams.takenUp} take-ups went on, unframed ${
+      JSON.stringify(unframed)
+    }`,
   ];
   const allowed = violations.length > 0 ? [] : streams.joined;
   for (const { promise, atMs, detail } of [...violations, ...allowed]) {
@@ -75,9 +89,12 @@
   return lines.join("\n");
 }
 
-function describeFault({ kind, atMs, forMs, index, perSecond }: Fault): string {
+function describeFault(
+  { kind, atMs, forMs, index, perSecond, cut }: Fault,
+): string {
   const rate = perSecond === undefined ? "" : ` ${perSecond}/s`;
-  return `${formatSeconds(atMs)} ${kind} ${index}${rate} for ${forMs} ms`;
+  const how = cut ? ` ${cut.ending}${cut.isReset ? " reset" : ""}` : "";
+  return `${formatSeconds(atMs)} ${kind} ${index}${rate}${how} for ${forMs} ms`;
 }
 
 function formatSeconds(ms: number): string {
--- a/src/proof/soak_oracles_test.ts
+++ b/src/proof/soak_oracles_test.ts
@@ -6,8 +6,14 @@
   SoakHistory,
   StreamRecord,
 } from "./_soak_history.ts";
-import { findViolations } from "./_soak_oracles.ts";
+import { promisesBroken as brokenIn } from "./_soak_history_kit.ts";
 
+const ANSWERED = {
+  kind: "answered",
+  status: 200,
+  isOwnAnswer: true,
+  declaredEnd: "length",
+} as const;
 const CLIENT: ClientRecord = {
   id: "r-1",
   entry: 0,
@@ -15,28 +21,12 @@
   sentAtMs: 10_000,
   deadlineMs: 4000,
   endedAtMs: 10_100,
-  end: { kind: "answered", status: 200, isOwnAnswer: true },
+  end: ANSWERED,
 };
 const RUN = { requestId: "r-1", server: 0, atMs: 10_050 };
 
-function historyOf(parts: Partial<SoakHistory>): SoakHistory {
-  return {
-    clients: [CLIENT],
-    streams: [],
-    versions: [],
-    runs: [],
-    arrivals: [],
-    rates: [],
-    disruptions: [],
-    restarts: [],
-    crashingRequests: [],
-    crashes: [],
-    ...parts,
-  };
-}
-
 function promisesBroken(parts: Partial<SoakHistory>): string[] {
-  return findViolations(historyOf(parts)).map(({ promise }) => promise);
+  return brokenIn({ clients: [CLIENT], ...parts });
 }
 
 test("request that runs twice breaks at-most-once, unless it may be repeated", () => {
@@ -48,14 +38,14 @@
 });
 
 test("refused request that runs breaks the promise of refusals", () => {
-  const end = { kind: "answered", status: 503, isOwnAnswer: false } as const;
+  const end = { ...ANSWERED, status: 503, isOwnAnswer: false };
   const clients = [{ ...CLIENT, end }];
   assert.deepEqual(promisesBroken({ clients, runs: [RUN] }), ["true_refusals"]);
   assert.deepEqual(promisesBroken({ clients }), []);
 });
 
 test("success that is not the whole answer to the request is found", () => {
-  const end = { kind: "answered", status: 200, isOwnAnswer: false } as const;
+  const end = { ...ANSWERED, isOwnAnswer: false };
   const clients = [{ ...CLIENT, end }];
   assert.deepEqual(promisesBroken({ clients }), ["own_whole_answer"]);
 });
@@ -261,7 +251,7 @@
       id: `s-${sentAtMs}-${i}`,
       sentAtMs,
       endedAtMs: sentAtMs + 100,
-      end: { kind: "answered", status, isOwnAnswer: true },
+      end: { ...ANSWERED, status },
     }));
   const historyWith = (status: number) => {
     const clients = [...at(10_000, 200), ...at(27_000, status)];
