--- a/src/proof/_soak.ts
+++ b/src/proof/_soak.ts
@@ -1,12 +1,15 @@
 /** Runs one plan of faults against a fleet of real processes and checks what clients and servers saw. */
 import { setTimeout as sleep } from "node:timers/promises";
 import { seededRandom } from "../base/random.ts";
-import { CutEnding } from "../standin/mod.ts";
+import { CONFIG_KEY, CutEnding, SERVERS_PREFIX } from "../standin/mod.ts";
+import { probeConfigs } from "./_config_probe.ts";
 import { runClient } from "./_soak_client.ts";
 import { CRASHING_PART, sendCrashingRequests } from "./_soak_crash_client.ts";
-import { type CutEnd, type SoakEntry, SoakFleet } from "./_soak_fleet.ts";
+import type { SoakEntry } from "./_soak_entry.ts";
+import { type CutEnd, SoakFleet } from "./_soak_fleet.ts";
 import { type Disruption, type SoakHistory, STORE } from "./_soak_history.ts";
-import { type Fault, FaultKind, type SoakPlan } from "./_soak_plan.ts";
+import { type Fault, FaultKind, type SoakPlan } from "./_soak_fault.ts";
+import type { StoreAck } from "./_store_writers.ts";
 import { addServerRecords, resultOf, type SoakResult } from "./_soak_result.ts";
 
 /** Connections to each entry. */
@@ -42,6 +45,11 @@
     outages: [],
     cutAnswers: [],
     wholeAnswers: [],
+    eras: [],
+    leavingAcks: [],
+    configAcks: [],
+    configSamples: [],
+    storeCalls: [],
     crashingRequests: [],
     crashes: [],
   };
@@ -60,15 +68,23 @@
       onCutEnd: (index, end) => this.#ended(index, end),
       onReturn: (index) =>
         this.#serve(index, this.#fleet.servers[index]!.softwareVersion),
+      onAck: (ack) => this.#acknowledged(ack),
+      onStoreCall: (entry) =>
+        this.#history.storeCalls.push({ entry, atMs: performance.now() }),
     });
     const ended = new AbortController();
     this.#startedAtMs = performance.now();
     for (const [index, { softwareVersion }] of this.#fleet.servers.entries()) {
       this.#serve(index, softwareVersion);
     }
-    const clients = this.#fleet.entries.flatMap((entry) =>
-      this.#startClients(entry, ended.signal)
-    );
+    this.#recordEra();
+    if (faults.some(({ kind }) => kind === FaultKind.storeRestore)) {
+      this.#fleet.writers.startHeartbeats();
+    }
+    const clients = this.#fleet.entries.flatMap((entry) => [
+      ...this.#startClients(entry, ended.signal),
+      this.#probeConfigs(entry, ended.signal),
+    ]);
     const injected = faults.map((fault) => this.#injectInTime(fault));
     await sleep(durationMs);
     await Promise.all(injected);
@@ -101,6 +117,28 @@
     this.#history.rates.push({ server, fromMs: atMs, perSecond: undefined });
   }
 
+  #acknowledged({ key, value, era, atMs }: StoreAck): void {
+    const { version, state } = (value ?? {}) as Record<string, unknown>;
+    if (key === CONFIG_KEY) {
+      this.#history.configAcks.push({ version: Number(version), era, atMs });
+    }
+    if (state !== "draining") return;
+    const serverId = key.slice(SERVERS_PREFIX.length);
+    this.#history.leavingAcks.push({ serverId, era, atMs });
+  }
+
+  #recordEra(): void {
+    const { era } = this.#fleet.store.store;
+    this.#history.eras.push({ era, fromMs: performance.now() });
+  }
+
+  #probeConfigs(entry: SoakEntry, signal: AbortSignal): Promise<void> {
+    const { configSamples: samples } = this.#history;
+    const { controlPort, entries } = this.#fleet;
+    const options = { controlPort, entryCount: entries.length, samples };
+    return probeConfigs(entry, options, signal);
+  }
+
   #startClients(entry: SoakEntry, signal: AbortSignal): Promise<void>[] {
     return Array.from({ length: CLIENTS_PER_ENTRY }, (_, i) => {
       const name = `c${entry.index}-${i}`;
@@ -177,6 +215,17 @@
       case FaultKind.answerCut:
         server.faults.cut = fault.cut;
         return;
+      case FaultKind.storeRestore:
+        return await this.#fleet.writers.restore(
+          fault.restore!,
+          (body) =>
+            this.#disrupt({ index: STORE }, false, async () => {
+              await body();
+              this.#recordEra();
+            }),
+        );
+      case FaultKind.leave:
+        return await this.#release(index, server.softwareVersion, forMs);
       case FaultKind.crashingPart: {
         this.#fleet.crashOn(CRASHING_PART);
         const random = seededRandom(this.#plan.seed);
@@ -193,12 +242,17 @@
     this.#serve(index, softwareVersion);
   }
 
-  async #release(index: number, softwareVersion: string): Promise<void> {
-    // The new engine names no rate.
+  async #release(
+    index: number,
+    softwareVersion: string | undefined,
+    drainMs?: number,
+  ): Promise<void> {
+    // The new server names no rate.
     const fromMs = performance.now();
     this.#history.rates.push({ server: index, fromMs, perSecond: undefined });
     this.#endServing(index);
-    await this.#fleet.release(index, softwareVersion, {
+    await this.#fleet.release(index, softwareVersion ?? "v1", {
+      drainMs,
       onStart: () => this.#serve(index, softwareVersion),
       onEnd: () => {
         const atMs = performance.now();
--- /dev/null
+++ b/src/proof/_soak_entry.ts
@@ -0,0 +1,101 @@
+/** Entries of a soak, as processes of their own. */
+import { Child } from "../e2e/_child.ts";
+import { fetchReadinessStatus, type TcpRelay } from "../standin/mod.ts";
+
+/** Ports are taken from below the ephemeral range; all entries use the same ones. */
+const FIRST_PORT = 30_100;
+const PORTS_PER_PROCESS = 8;
+const PORT_BLOCKS = 250;
+/** Longer than the deadline of the clients' requests, as on the platform. */
+const GRACE_S = 8;
+/** One entry; its process changes when it starts again. */
+export interface SoakEntry {
+  index: number;
+  ipAddress: string;
+  clientPort: number;
+  readinessPort: number;
+  link: TcpRelay;
+  child: Child;
+}
+
+/** Ports of the entries of one soak. */
+export interface EntryPorts {
+  client: number;
+  readiness: number;
+  control: number;
+  peer: number;
+}
+
+/**
+ * @param pid Id of the process that runs the soak.
+ * @returns Ports that soaks of other processes hardly use.
+ */
+export function portsOf(pid: number): EntryPorts {
+  const first = FIRST_PORT + (pid % PORT_BLOCKS) * PORTS_PER_PROCESS;
+  return {
+    client: first,
+    readiness: first + 1,
+    control: first + 2,
+    peer: first + 3,
+  };
+}
+
+/**
+ * @param entry The entry.
+ * @param ports Its ports.
+ * @returns Its process.
+ */
+export function startEntry(
+  { index, ipAddress, link }: Omit<SoakEntry, "child">,
+  { client, readiness, control, peer }: EntryPorts,
+): Child {
+  const seeds = [1, 2, 3].map((host) => `127.0.1.${host}:${control}`);
+  return Child.create({
+    program: "router/main",
+    args: [],
+    variables: {
+      CICADAHITCH_INSTANCE: `entry-${index}`,
+      CICADAHITCH_ZONE: "a",
+      CICADAHITCH_IP_ADDRESS: ipAddress,
+      CICADAHITCH_CLIENT_ADDRESS: `${ipAddress}:${client}`,
+      CICADAHITCH_READINESS_ADDRESS: `${ipAddress}:${readiness}`,
+      CICADAHITCH_CONTROL_ADDRESS: `${ipAddress}:${control}`,
+      CICADAHITCH_PEER_PORT: String(peer),
+      CICADAHITCH_SEED_ADDRESSES: seeds.join(","),
+      CICADAHITCH_STORE_ADDRESS: link.address,
+      CICADAHITCH_GRACE_S: String(GRACE_S),
+      CICADAHITCH_ENGINES_CHECK_FENCES: "true",
+      CICADAHITCH_LOG_LEVEL: "warn",
+    },
+  });
+}
+
+/**
+ * @param index Index of an entry.
+ * @returns Its IP address.
+ */
+export function entryAddress(index: number): string {
+  return `127.0.${1 + (index >> 7)}.${1 + (index & 127)}`;
+}
+
+/**
+ * @param address An IP address.
+ * @returns The entry that has it; negative if none has.
+ */
+export function entryIndexOf(address: string): number {
+  const [, , third = 0, fourth = 0] = address.split(".").map(Number);
+  return ((third - 1) << 7) + fourth - 1;
+}
+
+/**
+ * @param entry An entry.
+ * @returns Whether it says that it is ready.
+ */
+export async function isReady(entry: SoakEntry): Promise<boolean> {
+  try {
+    const { readinessPort, ipAddress } = entry;
+    return await fetchReadinessStatus(readinessPort, ipAddress) === 200;
+  } catch {
+    return false;
+  }
+}
--- a/src/proof/_soak_fleet.ts
+++ b/src/proof/_soak_fleet.ts
@@ -1,24 +1,29 @@
 /** The fleet of a soak: entries as processes of their own, stand-ins for the store and the servers. */
 import process from "node:process";
-import { Child } from "../e2e/_child.ts";
+import { seededRandom } from "../base/random.ts";
 import {
   CONFIG,
+  CONFIG_KEY,
   CutEnding,
-  fetchReadinessStatus,
   NO_FAULTS,
   restartServer,
+  SERVERS_PREFIX,
   StandinBackendServer,
   StandinPlatformStore,
   TcpRelay,
 } from "../standin/mod.ts";
-import { isEngine, type SoakSizes } from "./_soak_plan.ts";
+import {
+  entryAddress,
+  entryIndexOf,
+  isReady,
+  portsOf,
+  type SoakEntry,
+  startEntry,
+} from "./_soak_entry.ts";
+import type { SoakSizes } from "./_soak_fault.ts";
+import { isEngine } from "./_soak_plan.ts";
+import { type StoreAck, StoreWriters } from "./_store_writers.ts";
 
-/** Ports are taken from below the ephemeral range; all entries use the same ones. */
-const FIRST_PORT = 30_100;
-const PORTS_PER_PROCESS = 8;
-const PORT_BLOCKS = 250;
-/** Longer than the deadline of the clients' requests, as on the platform. */
-const GRACE_S = 8;
 const POLL_MS = 20;
 /** Times of a plain call and of the events of a stream. */
 const CALL_MS = 40;
@@ -30,23 +35,17 @@
 const RETURN_MS = 2000;
 /** Time after which the registration of a server that is gone lapses. */
 const LAPSE_MS = 2400;
+const WRITERS_SEED = 1;
 
-/** One entry; its process changes when it starts again. */
-export interface SoakEntry {
-  index: number;
-  ipAddress: string;
-  clientPort: number;
-  readinessPort: number;
-  link: TcpRelay;
-  child: Child;
-}
-
-/** Is told of servers that end by themselves and come back. */
-export interface CrashWatcher {
+/** Is told of servers that end by themselves and come back, and of what the store sees. */
+export interface FleetWatcher {
   onCrash(index: number): void;
   /** A server has ended with an answer that it cut. */
   onCutEnd(index: number, end: CutEnd): void;
   onReturn(index: number): void;
+  onAck?(ack: StoreAck): void;
+  /** An entry's call has reached the store. */
+  onStoreCall?(index: number): void;
 }
 
 /** End of a server that cut an answer. */
@@ -56,6 +55,16 @@
   isLeaving: boolean;
 }
 
+/** Options of {@link SoakFleet.release}. */
+export interface ReleaseOptions {
+  /** Called when the new server takes requests. */
+  onStart(): void;
+  /** Called when the old one ends. */
+  onEnd(): void;
+  /** Time from the old one's announcement that it leaves to its end. */
+  drainMs?: number;
+}
+
 /** Entries, servers and store of a soak. */
 export class SoakFleet {
   readonly entries: SoakEntry[] = [];
@@ -63,15 +72,11 @@
   /** Engines that a release has replaced, with the index of their successors. */
   readonly replaced: { index: number; server: StandinBackendServer }[] = [];
   readonly store: StandinPlatformStore;
-  readonly #ports: {
-    client: number;
-    readiness: number;
-    control: number;
-    peer: number;
-  };
+  readonly writers: StoreWriters;
+  readonly #ports = portsOf(process.pid);
   /** Servers that have crashed and are not back. */
   readonly #crashed = new Set<StandinBackendServer>();
-  readonly #watcher: CrashWatcher;
+  readonly #watcher: FleetWatcher;
   /** Restarts in progress; those of one server happen one after the other. */
   readonly #restarts = new Map<StandinBackendServer, Promise<void>>();
   /** Part of prompts that crashes engines; undefined: none. */
@@ -85,19 +90,17 @@
 
   private constructor(
     store: StandinPlatformStore,
-    watcher: CrashWatcher,
+    watcher: FleetWatcher,
   ) {
     this.store = store;
     this.#watcher = watcher;
+    this.writers = StoreWriters.create({
+      store,
+      random: seededRandom(WRITERS_SEED),
+      isAlive: (key) => this.#isAlive(key),
+      onAck: (ack) => watcher.onAck?.(ack),
+    });
     process.on("exit", this.#killAll);
-    const first = FIRST_PORT +
-      (process.pid % PORT_BLOCKS) * PORTS_PER_PROCESS;
-    this.#ports = {
-      client: first,
-      readiness: first + 1,
-      control: first + 2,
-      peer: first + 3,
-    };
   }
 
   /**
@@ -107,10 +110,16 @@
    */
   static async create(
     sizes: SoakSizes,
-    watcher: CrashWatcher,
+    watcher: FleetWatcher,
   ): Promise<SoakFleet> {
-    const fleet = new SoakFleet(await StandinPlatformStore.create(), watcher);
-    await fleet.store.putConfig(CONFIG);
+    const store = await StandinPlatformStore.create({
+      onCall: (address) => {
+        const index = entryIndexOf(address);
+        if (index >= 0) watcher.onStoreCall?.(index);
+      },
+    });
+    const fleet = new SoakFleet(store, watcher);
+    await fleet.writers.write(CONFIG_KEY, CONFIG);
     for (let i = 0; i < sizes.serverCount; i++) await fleet.#addServer(i);
     for (let i = 0; i < sizes.entryCount; i++) await fleet.#addEntry(i);
     for (const entry of fleet.entries) await fleet.untilReady(entry);
@@ -119,12 +128,13 @@
 
   /** @param entry An entry whose process has ended; it is started again. */
   restart(entry: SoakEntry): void {
-    if (!this.#isClosed) entry.child = this.#start(entry);
+    if (!this.#isClosed) entry.child = startEntry(entry, this.#ports);
   }
 
   /** Writes the next version of the configuration. */
   async writeConfig(): Promise<void> {
-    await this.store.putConfig({ ...CONFIG, version: ++this.#configVersion });
+    const config = { ...CONFIG, version: ++this.#configVersion };
+    await this.writers.write(CONFIG_KEY, config);
   }
 
   /** @param index Server that restarts and registers again. */
@@ -153,12 +163,12 @@
    *
    * @param index The engine.
    * @param softwareVersion Software version of its successor.
-   * @param options Called when the new engine takes requests, and when the old one ends.
+   * @param options What is called when, and how long the old engine serves.
    */
   async release(
     index: number,
     softwareVersion: string,
-    { onStart, onEnd }: { onStart: () => void; onEnd: () => void },
+    { onStart, onEnd, drainMs = DRAIN_MS }: ReleaseOptions,
   ): Promise<void> {
     const server = this.servers[index]!;
     const id = `i-${index}-${this.replaced.length}`;
@@ -167,15 +177,20 @@
     await this.#register(this.servers[index]);
     onStart();
     await this.#register(server, { state: "draining" });
-    await new Promise((resolve) => setTimeout(resolve, DRAIN_MS));
+    await new Promise((resolve) => setTimeout(resolve, drainMs));
     if (this.#isClosed) return;
-    await this.store.delete(`servers/${server.id}`);
+    await this.writers.write(`${SERVERS_PREFIX}${server.id}`, undefined);
     onEnd();
     this.#crashed.delete(server);
     await this.#restarts.get(server);
     await server.close();
   }
 
+  /** Port of the entries' control addresses. */
+  get controlPort(): number {
+    return this.#ports.control;
+  }
+
   /** @param entry Entry to wait for. */
   async untilReady(entry: SoakEntry): Promise<void> {
     while (!this.#isClosed && !await isReady(entry)) {
@@ -186,6 +201,7 @@
   /** Ends all processes and stand-ins. */
   async close(): Promise<void> {
     this.#isClosed = true;
+    this.writers.close();
     await Promise.all(this.#restarts.values());
     process.off("exit", this.#killAll);
     for (const { child } of this.entries) {
@@ -227,6 +243,17 @@
     return server;
   }
 
+  /** The operator lives; a registration's server may not. */
+  #isAlive(key: string): boolean {
+    if (!key.startsWith(SERVERS_PREFIX)) return true;
+    const all = [
+      ...this.servers,
+      ...this.replaced.map(({ server }) => server),
+    ];
+    const server = all.find(({ id }) => `${SERVERS_PREFIX}${id}` === key);
+    return server !== undefined && !this.#crashed.has(server);
+  }
+
   async #onCutEnd(
     index: number,
     server: StandinBackendServer,
@@ -243,7 +270,7 @@
     await this.#restart(server);
     if (isCurrent()) this.#watcher.onReturn(index);
     await new Promise((resolve) => setTimeout(resolve, LAPSE_MS));
-    if (!this.#isClosed) await this.store.delete(`servers/${endedId}`);
+    await this.writers.write(`${SERVERS_PREFIX}${endedId}`, undefined);
   }
 
   async #returnLater(
@@ -284,50 +311,21 @@
     // A restart during a release must not bring back a server that leaves.
     const isLeaving = this.replaced.some((one) => one.server === server);
     if (isLeaving && !("state" in fields)) return;
-    await this.store.put(`servers/${server.id}`, registration);
+    await this.writers.write(`${SERVERS_PREFIX}${server.id}`, registration);
   }
 
   async #addEntry(index: number): Promise<void> {
     const { client, readiness } = this.#ports;
+    const ipAddress = entryAddress(index);
+    const targetAddress = this.store.address;
+    const sourceAddress = ipAddress;
     const entry = {
       index,
-      ipAddress: `127.0.${1 + (index >> 7)}.${1 + (index & 127)}`,
+      ipAddress,
       clientPort: client,
       readinessPort: readiness,
-      link: await TcpRelay.create({ targetAddress: this.store.address }),
+      link: await TcpRelay.create({ targetAddress, sourceAddress }),
     };
-    this.entries.push({ ...entry, child: this.#start(entry) });
-  }
-
-  #start({ index, ipAddress, link }: Omit<SoakEntry, "child">): Child {
-    const { client, readiness, control, peer } = this.#ports;
-    const seeds = [1, 2, 3].map((host) => `127.0.1.${host}:${control}`);
-    return Child.create({
-      program: "router/main",
-      args: [],
-      variables: {
-        CICADAHITCH_INSTANCE: `entry-${index}`,
-        CICADAHITCH_ZONE: "a",
-        CICADAHITCH_IP_ADDRESS: ipAddress,
-        CICADAHITCH_CLIENT_ADDRESS: `${ipAddress}:${client}`,
-        CICADAHITCH_READINESS_ADDRESS: `${ipAddress}:${readiness}`,
-        CICADAHITCH_CONTROL_ADDRESS: `${ipAddress}:${control}`,
-        CICADAHITCH_PEER_PORT: String(peer),
-        CICADAHITCH_SEED_ADDRESSES: seeds.join(","),
-        CICADAHITCH_STORE_ADDRESS: link.address,
-        CICADAHITCH_GRACE_S: String(GRACE_S),
-        CICADAHITCH_ENGINES_CHECK_FENCES: "true",
-        CICADAHITCH_LOG_LEVEL: "warn",
-      },
-    });
-  }
-}
-
-async function isReady(entry: SoakEntry): Promise<boolean> {
-  try {
-    const { readinessPort, ipAddress } = entry;
-    return await fetchReadinessStatus(readinessPort, ipAddress) === 200;
-  } catch {
-    return false;
+    this.entries.push({ ...entry, child: startEntry(entry, this.#ports) });
   }
 }
--- a/src/proof/_soak_history.ts
+++ b/src/proof/_soak_history.ts
@@ -70,6 +70,8 @@
   requestId: string;
   server: number;
   atMs: number;
+  /** Id of the server at that time; part of arrivals only. */
+  serverId?: string;
 }
 
 /** From when on a server named a rate; undefined: none. */
@@ -115,6 +117,41 @@
   atMs: number;
 }
 
+/** From when on the store has an era; each one begins with a copy of the store. */
+export interface StoreEra {
+  era: number;
+  fromMs: number;
+}
+
+/** The store's answer to a server that says it leaves. */
+export interface LeavingAck {
+  serverId: string;
+  era: number;
+  atMs: number;
+}
+
+/** The store's answer to the operator's configuration. */
+export interface ConfigAck {
+  version: number;
+  era: number;
+  atMs: number;
+}
+
+/** The configuration that an entry had. */
+export interface ConfigSample {
+  entry: number;
+  /** Id of the entry's process. */
+  pid: number;
+  atMs: number;
+  version: number;
+}
+
+/** A call of an entry that reached the store. */
+export interface StoreCall {
+  entry: number;
+  atMs: number;
+}
+
 /** Everything that happened in a soak; times by one monotonic clock. */
 export interface SoakHistory {
   clients: ClientRecord[];
@@ -132,6 +169,12 @@
   cutAnswers: ServerRecord[];
   /** Successful answers without a length or chunks that servers sent whole. */
   wholeAnswers: ServerRecord[];
+  eras: StoreEra[];
+  leavingAcks: LeavingAck[];
+  configAcks: ConfigAck[];
+  /** In the order of the answers of each entry. */
+  configSamples: ConfigSample[];
+  storeCalls: StoreCall[];
   /** Requests that crash the servers which answer them. */
   crashingRequests: CrashingRequest[];
   /** Crashes of servers by such requests. */
--- a/src/proof/_soak_oracles.ts
+++ b/src/proof/_soak_oracles.ts
@@ -10,6 +10,7 @@
 } from "./_soak_history.ts";
 import { findAnswerViolations } from "./_soak_answer_oracles.ts";
 import { findCrashViolations } from "./_soak_crash_oracles.ts";
+import { findStoreViolations } from "./_soak_store_oracles.ts";
 import { findStreamViolations } from "./_soak_stream_oracles.ts";
 
 /** Statuses which promise that the request has not run and never will. */
@@ -35,6 +36,7 @@
     ...findCutRequests(history),
     ...findRateExcess(history),
     ...findAnswerViolations(history),
+    ...findStoreViolations(history),
     ...findStreamViolations(history),
     ...findCrashViolations(history),
   ];
--- a/src/proof/_soak_plan.ts
+++ b/src/proof/_soak_plan.ts
@@ -1,80 +1,19 @@
 /** Plans of faults for the soak: the same seed gives the same plan. */
 import { seededRandom } from "../base/random.ts";
-import { type AnswerCut, CutEnding } from "../standin/mod.ts";
-
-/** Kinds of faults. */
-export const FaultKind = {
-  /** The entry gets SIGTERM, and starts again when it has exited. */
-  stop: "stop",
-  /** The entry gets SIGKILL, and starts again at once. */
-  kill: "kill",
-  /** The entry is suspended for a while. */
-  freeze: "freeze",
-  /** The store refuses connections for a while. */
-  storeDown: "store_down",
-  /** The entry's connections to the store are silent for a while. */
-  storeSilent: "store_silent",
-  /** A server names a rate of requests, or no more. */
-  rate: "rate",
-  /** A server restarts under its id. */
-  serverRestart: "server_restart",
-  /** A server fails some of the next requests. */
-  serverFails: "server_fails",
-  /** The operator writes a configuration. */
-  config: "config",
-  /** An engine is replaced by one of the next software version, and leaves. */
-  release: "release",
-  /** An engine restarts under its id with another software version. */
-  versionRestart: "version_restart",
-  /** A part of prompts crashes the engines that answer them, and clients send such requests. */
-  crashingPart: "crashing_part",
-  /** A server sends its answers without a length or chunks for a while. */
-  unframed: "unframed",
-  /** A server cuts its next answer, which has neither a length nor chunks. */
-  answerCut: "answer_cut",
-} as const;
-
-/** One of {@link FaultKind}. */
-export type FaultKind = typeof FaultKind[keyof typeof FaultKind];
-
-/** One fault. */
-export interface Fault {
-  kind: FaultKind;
-  /** Time from the start of the requests. */
-  atMs: number;
-  /** How long it lasts, where it lasts. */
-  forMs: number;
-  /** Index of the entry or server, where there is one. */
-  index: number;
-  /** Requests per second that a server names; undefined: any number. */
-  perSecond?: number;
-  /** Number of the software version that an engine has from then on. */
-  softwareVersion?: number;
-  /** How an answer is cut. */
-  cut?: AnswerCut;
-}
-
-/** Sizes of a soak. */
-export interface SoakSizes {
-  entryCount: number;
-  serverCount: number;
-  durationMs: number;
-  /** Kinds of faults that are left out of the plan. */
-  without?: readonly FaultKind[];
-}
-
-/** Faults of a plan, by its seed. */
-export interface SoakPlan extends SoakSizes {
-  seed: number;
-  faults: Fault[];
-}
+import { CutEnding } from "../standin/mod.ts";
+import {
+  type Fault,
+  FaultKind,
+  MAX_FOR_MS,
+  MIN_FOR_MS,
+  QUIET_END_MS,
+  type SoakPlan,
+  type SoakSizes,
+} from "./_soak_fault.ts";
+import { planRestores } from "./_store_plan.ts";
 
 /** Mean time between two faults that are planned one by one. */
 const MEAN_PAUSE_MS = 900;
-/** No fault begins in the last part, in which the fleet has to recover. */
-const QUIET_END_MS = 4000;
-const MIN_FOR_MS = 200;
-const MAX_FOR_MS = 3000;
 /** Time between the entries of a series. */
 const SERIES_PAUSE_MS = 700;
 /** Part of the stops and kills that hit all entries in turn. */
@@ -150,6 +89,7 @@
     ...planVersions(seed, sizes),
     ...planCrashingPart(seed, sizes),
     ...planUnframed(seed, sizes),
+    ...planRestores(seed, sizes),
   );
   const kept = faults.filter(({ kind }) => !sizes.without?.includes(kind));
   return { ...sizes, seed, faults: kept.sort((a, b) => a.atMs - b.atMs) };
@@ -282,6 +222,8 @@
     case FaultKind.crashingPart:
     case FaultKind.unframed:
     case FaultKind.answerCut:
+    case FaultKind.storeRestore:
+    case FaultKind.leave:
       return [{ kind, atMs, forMs, index: pick(serverCount) }];
   }
 }
--- a/src/proof/_soak_result.ts
+++ b/src/proof/_soak_result.ts
@@ -4,6 +4,7 @@
 import type { SoakFleet } from "./_soak_fleet.ts";
 import type { ClientEnd, SoakHistory, Violation } from "./_soak_history.ts";
 import { findViolations } from "./_soak_oracles.ts";
+import { countStore, type StoreCounts } from "./_soak_store_oracles.ts";
 import { joinedStreams } from "./_soak_stream_oracles.ts";
 
 /** Numbers of streams. */
@@ -23,6 +24,7 @@
   counts: Record<string, number>;
   streams: StreamCounts;
   unframed: UnframedCounts;
+  store: StoreCounts;
   history: SoakHistory;
   /** Start of the requests, by the clock of the history. */
   startedAtMs: number;
@@ -42,6 +44,7 @@
     counts: countEnds(history),
     streams: countStreams(history),
     unframed: countUnframed(history),
+    store: countStore(history),
     history,
     startedAtMs,
   };
@@ -73,8 +76,8 @@
   const atMsById = new Map(
     arrivals.map(({ requestId, atMs }) => [requestId, atMs]),
   );
-  for (const { atMs, requestId } of arrivals) {
-    history.arrivals.push({ server, atMs, requestId });
+  for (const arrival of arrivals) {
+    history.arrivals.push({ server, ...arrival });
   }
   for (const { headers } of runs) {
     const requestId = String(attemptIdOf(headers));
--- a/src/proof/soak_main.ts
+++ b/src/proof/soak_main.ts
@@ -7,12 +7,8 @@
 import { hideBin } from "yargs/helpers";
 import { runSoak } from "./_soak.ts";
 import type { SoakResult } from "./_soak_result.ts";
-import {
-  type Fault,
-  FaultKind,
-  planSoak,
-  type SoakPlan,
-} from "./_soak_plan.ts";
+import { type Fault, FaultKind, type SoakPlan } from "./_soak_fault.ts";
+import { planSoak } from "./_soak_plan.ts";
 
 /** Faults printed beside a broken promise: the last ones before it. */
 const CONTEXT_FAULTS = 6;
@@ -68,14 +64,14 @@
 
 function describeResult(
   { seed, faults }: SoakPlan,
-  { violations, counts, streams, unframed, startedAtMs }: SoakResult,
+  { violations, counts, streams, unframed, store, startedAtMs }: SoakResult,
 ): string {
   const lines = [
     `seed ${seed}: ${violations.length} broken, ${
       JSON.stringify(counts)
     }, ${streams.joined.length} streams of several versions, ${streams.wentOn} of ${streams.takenUp} take-ups went on, unframed ${
       JSON.stringify(unframed)
-    }`,
+    }, store ${JSON.stringify(store)}`,
   ];
   const allowed = violations.length > 0 ? [] : streams.joined;
   for (const { promise, atMs, detail } of [...violations, ...allowed]) {
@@ -90,11 +86,16 @@
 }
 
 function describeFault(
-  { kind, atMs, forMs, index, perSecond, cut }: Fault,
+  { kind, atMs, forMs, index, perSecond, cut, restore }: Fault,
 ): string {
   const rate = perSecond === undefined ? "" : ` ${perSecond}/s`;
   const how = cut ? ` ${cut.ending}${cut.isReset ? " reset" : ""}` : "";
-  return `${formatSeconds(atMs)} ${kind} ${index}${rate}${how} for ${forMs} ms`;
+  const from = restore
+    ? ` from ${restore.copyAgeMs} ms before, ${restore.lostWrites} more lost,`
+    : "";
+  return `${
+    formatSeconds(atMs)
+  } ${kind} ${index}${rate}${how}${from} for ${forMs} ms`;
 }
 
 function formatSeconds(ms: number): string {
--- a/src/proof/soak_plan_test.ts
+++ b/src/proof/soak_plan_test.ts
@@ -3,11 +3,16 @@
 import { hash } from "node:crypto";
 import { test } from "node:test";
 import { CutEnding } from "../standin/mod.ts";
-import { FaultKind, planSoak } from "./_soak_plan.ts";
+import { FaultKind } from "./_soak_fault.ts";
+import { planSoak } from "./_soak_plan.ts";
 
 const SIZES = { entryCount: 4, serverCount: 6, durationMs: 15_000 };
 /** Kinds that draw from random numbers of their own; they bring all later faults of a plan. */
-const LATER_KINDS = [FaultKind.unframed, FaultKind.answerCut];
+const LATER_KINDS = [
+  FaultKind.unframed,
+  FaultKind.answerCut,
+  FaultKind.storeRestore,
+];
 
 test("same seed gives the same plan", () => {
   assert.deepEqual(planSoak(7, SIZES), planSoak(7, SIZES));
@@ -27,10 +32,12 @@
 });
 
 // Guards against seeds that pass as they have none of the faults.
-test("first seeds draw whole answers without a length, and all ends of cut ones", () => {
+test("first seeds draw restores, servers that leave, and all ends of cut answers", () => {
   const faults = [1, 2, 3, 4].flatMap((seed) => planSoak(seed, SIZES).faults);
   const kinds = new Set(faults.map(({ kind }) => kind));
-  for (const kind of LATER_KINDS) assert.ok(kinds.has(kind), kind);
+  for (const kind of [...LATER_KINDS, FaultKind.leave]) {
+    assert.ok(kinds.has(kind), kind);
+  }
   const cuts = new Set(
     faults.flatMap(({ cut }) => cut ? `${cut.ending} ${cut.isReset}` : []),
   );
--- a/src/standin/backend_server.ts
+++ b/src/standin/backend_server.ts
@@ -1,5 +1,5 @@
 /** Stand-in for a backend server of the platform: plain calls, streams, reports and orders. */
-import type { IncomingHttpHeaders, ServerResponse } from "node:http";
+import type { ServerResponse } from "node:http";
 import { endAnswer, endHost } from "./_answer_cut.ts";
 import { answerJson, type HostRequest, HttpHost } from "./_http_host.ts";
 import { answerCall, answerEmpty } from "./_platform_answer.ts";
@@ -17,6 +17,7 @@
   deleteCopy,
   isCopyAt,
 } from "./_run_copies.ts";
+import type { ExecutedRequest, ServerArrival } from "./server_records.ts";
 import { registrationOf, reportOf } from "./_server_status.ts";
 import { UnframedAnswers } from "./_unframed_answers.ts";
 import {
@@ -28,14 +29,6 @@
   type StandinBackendServerOptions,
 } from "./backend_server_options.ts";
 
-/** A request that was executed. */
-export interface ExecutedRequest {
-  method: string;
-  target: string;
-  headers: IncomingHttpHeaders;
-  body: string;
-}
-
 /** Events of a stream that are sent before its answer is cut. */
 const EVENTS_BEFORE_CUT = 2;
 
@@ -48,7 +41,7 @@
   /** Number of requests rejected as not executed, without a retry delay. */
   refused = 0;
   /** Requests that arrived, executed or not; times by the process's monotonic clock. */
-  readonly arrivals: { atMs: number; requestId: string }[] = [];
+  readonly arrivals: ServerArrival[] = [];
   /** Answers that only the end of their connection ends. */
   readonly unframedAnswers = UnframedAnswers.create();
   /** Ids of copies that were freed before a run resumed from them. */
@@ -239,7 +232,8 @@
   #run(request: HostRequest): void {
     const { response, headers } = request;
     const requestId = String(headers["attempt-id"] ?? "");
-    this.arrivals.push({ atMs: performance.now(), requestId });
+    const arrival = { atMs: performance.now(), requestId, serverId: this.id };
+    this.arrivals.push(arrival);
     if (consumeFault(this.faults, "refuseWeights")) {
       return answerEmpty(response, 421);
     }
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -54,6 +54,7 @@
   StandinPlatformStore,
   type StandinPlatformStoreOptions,
 } from "./platform_store_server.ts";
+export { CONFIG_KEY, SERVERS_PREFIX } from "../platform/names.ts";
 export { restartServer } from "./restart_server.ts";
 export {
   headWithoutLength,
@@ -73,10 +74,8 @@
   writersOf,
 } from "./stream_client.ts";
 export { PLAIN_ANSWER_BODY } from "./_platform_answer.ts";
-export {
-  type ExecutedRequest,
-  StandinBackendServer,
-} from "./backend_server.ts";
+export { StandinBackendServer } from "./backend_server.ts";
+export type { ExecutedRequest, ServerArrival } from "./server_records.ts";
 export {
   type AnswerCut,
   CutEnding,
--- a/src/standin/platform_store_server.ts
+++ b/src/standin/platform_store_server.ts
@@ -13,6 +13,8 @@
 export interface StandinPlatformStoreOptions {
   /** `ip:port`; port 0 selects a free port. */
   listenAddress: string;
+  /** Called for each call that arrives, with the IP address of the caller. */
+  onCall?(fromAddress: string): void;
 }
 
 const DEFAULT_OPTIONS: StandinPlatformStoreOptions = {
@@ -61,7 +63,10 @@
     server.#host = await HttpHost.create({
       ...DEFAULT_OPTIONS,
       ...options,
-      handle: (request) => server.#serve(request),
+      handle: (request) => {
+        options.onCall?.(request.response.socket?.remoteAddress ?? "");
+        return server.#serve(request);
+      },
     });
     return server;
   }
--- a/src/standin/tcp_relay.ts
+++ b/src/standin/tcp_relay.ts
@@ -10,6 +10,8 @@
   targetAddress: string;
   /** Delay added in each direction. */
   delayMs: number;
+  /** IP address from which connections are forwarded; undefined: any. */
+  sourceAddress?: string;
 }
 
 /** A forwarded connection. */
@@ -109,7 +111,11 @@
       client.destroy();
       return;
     }
-    const target = connect(splitAddress(this.#options.targetAddress));
+    const { targetAddress, sourceAddress } = this.#options;
+    const target = connect({
+      ...splitAddress(targetAddress),
+      localAddress: sourceAddress,
+    });
     const connection = { client, target, frozen: this.#isSilent };
     this.#connections.add(connection);
     for (const socket of [client, target]) socket.setNoDelay(true);
