--- a/src/proof/_soak_answer_oracles.ts
+++ b/src/proof/_soak_answer_oracles.ts
@@ -1,4 +1,5 @@
 /** Checks the answers of a soak that have neither a length nor chunks. */
+import { DeclaredEnd } from "../standin/mod.ts";
 import {
   type ClientRecord,
   type ServerRecord,
@@ -90,7 +91,7 @@
 }
 
 function isFramed({ end }: ClientRecord): boolean {
-  return end.kind === "answered" && end.declaredEnd !== "connection_end";
+  return end.kind === "answered" && end.declaredEnd !== DeclaredEnd.connection;
 }
 
 /** A whole answer of a server that lives on, and the client that must get it. */
--- a/src/proof/_soak_client.ts
+++ b/src/proof/_soak_client.ts
@@ -7,6 +7,7 @@
 import {
   attemptIdOf,
   completeStreamBody,
+  DeclaredEnd,
   declaredEndOf,
   HOST,
   KEY,
@@ -184,7 +185,7 @@
 /** The end of a connection alone does not tell the client that a stream is whole; its last event does. */
 function isFinal(end: ClientEnd): boolean {
   if (end.kind !== "answered") return false;
-  return end.declaredEnd !== "connection_end" || end.isOwnAnswer;
+  return end.declaredEnd !== DeclaredEnd.connection || end.isOwnAnswer;
 }
 
 function isWholeStream(end: ClientEnd): boolean {
@@ -192,10 +193,10 @@
 }
 
 function endOf(
-  { status, declaredEnd, events }: StreamAttempt,
+  { status, isComplete, declaredEnd, events }: StreamAttempt,
   { isLeft, lastEventId }: { isLeft: boolean; lastEventId: number },
 ): ClientEnd {
-  if (declaredEnd) {
+  if (isComplete && declaredEnd) {
     const isOwnAnswer = (events.at(-1)?.id ?? lastEventId) === EVENTS;
     return { kind: "answered", status, isOwnAnswer, declaredEnd };
   }
@@ -242,8 +243,8 @@
       });
       response.on("error", () => broken("answer_cut"));
       response.on("close", () => {
-        const declaredEnd = declaredEndOf(response);
-        if (!declaredEnd) return broken("answer_cut");
+        if (!response.complete) return broken("answer_cut");
+        const declaredEnd = declaredEndOf(response.headers);
         const status = response.statusCode ?? 0;
         const isWhole = route.isStream
           ? withoutMarks(body) === completeStreamBody(EVENTS)
--- a/src/proof/soak_answer_oracles_test.ts
+++ b/src/proof/soak_answer_oracles_test.ts
@@ -1,7 +1,7 @@
 /** Checks of answers without a length or chunks, each shown broken and kept promises. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { DeclaredEnd } from "../standin/mod.ts";
+import { DeclaredEnd } from "../standin/mod.ts";
 import type { ClientRecord, SoakHistory } from "./_soak_history.ts";
 import { promisesBroken as brokenIn } from "./_soak_history_kit.ts";
 
@@ -36,15 +36,15 @@
   const found = (clients: ClientRecord[]) =>
     promisesBroken({ clients, runs: [RUN], cutAnswers: [CUT] });
   const framed = ["cut_answer_is_not_framed"];
-  assert.deepEqual(found(got("length")), framed);
-  assert.deepEqual(found(got("last_chunk")), framed);
-  assert.deepEqual(found(got("connection_end")), []);
-  assert.deepEqual(found(got("length", true)), []);
+  assert.deepEqual(found(got(DeclaredEnd.length)), framed);
+  assert.deepEqual(found(got(DeclaredEnd.chunks)), framed);
+  assert.deepEqual(found(got(DeclaredEnd.connection)), []);
+  assert.deepEqual(found(got(DeclaredEnd.length, true)), []);
   const broken = { kind: "broken", reason: "answer_cut" } as const;
   assert.deepEqual(found([{ ...CLIENT, end: broken }]), []);
   const refused = { ...ANSWERED, status: 502, isOwnAnswer: false };
   assert.deepEqual(found([{ ...CLIENT, end: refused }]), []);
-  assert.deepEqual(promisesBroken({ clients: got("connection_end") }), [
+  assert.deepEqual(promisesBroken({ clients: got(DeclaredEnd.connection) }), [
     "own_whole_answer",
   ]);
 });
@@ -82,7 +82,10 @@
   const lost = ["whole_answer_is_delivered"];
   assert.deepEqual(found({ clients }), lost);
   assert.deepEqual(found({}), []);
-  const unframed = { ...ANSWERED, declaredEnd: "connection_end" } as const;
+  const unframed = {
+    ...ANSWERED,
+    declaredEnd: DeclaredEnd.connection,
+  } as const;
   assert.deepEqual(found({ clients: [{ ...CLIENT, end: unframed }] }), []);
   const ended = [{ server: 0, atMs: 10_900 }];
   assert.deepEqual(found({ clients, restarts: ended }), []);
--- a/src/standin/answer_cut_test.ts
+++ b/src/standin/answer_cut_test.ts
@@ -8,7 +8,11 @@
   CutEnding,
   NO_FAULTS,
 } from "./backend_server_options.ts";
-import { completeStreamBody, sendClientRequest } from "./platform_client.ts";
+import {
+  completeStreamBody,
+  DeclaredEnd,
+  sendClientRequest,
+} from "./platform_client.ts";
 import { PLAIN_ANSWER_BODY } from "./_platform_answer.ts";
 import { tryConnect } from "../router/try_connect.ts";
 
@@ -44,7 +48,7 @@
     const server = await start(t, { model });
     const asked = await ask(server);
     assert.equal(asked.body, whole);
-    assert.equal(asked.declaredEnd, "connection_end");
+    assert.equal(asked.declaredEnd, DeclaredEnd.connection);
     const { whole: sent, cut } = server.unframedAnswers;
     assert.deepEqual([sent.length, cut.length], [1, 0]);
   });
@@ -56,8 +60,8 @@
         const asked = await ask(server);
         assert.notEqual(asked.body, whole);
         assert.ok(whole.startsWith(asked.body) && asked.body.length > 0);
-        const end = isReset ? undefined : "connection_end";
-        assert.equal(asked.declaredEnd, end);
+        assert.equal(asked.isComplete, !isReset);
+        assert.equal(asked.declaredEnd, DeclaredEnd.connection);
         const { whole: sent, cut } = server.unframedAnswers;
         assert.deepEqual([sent.length, cut.length], [0, 1]);
         assert.equal(await tryConnect(server.address), "reached");
@@ -71,8 +75,9 @@
   const server = await start(t, { cut });
   server.faults.bodyLateMs = 1000;
   const asked = await Promise.all(["a", "b"].map((id) => ask(server, id)));
+  const { connection } = DeclaredEnd;
   const ends = asked.map(({ declaredEnd }) => declaredEnd);
-  assert.deepEqual(ends, ["connection_end", "connection_end"]);
+  assert.deepEqual(ends, [connection, connection]);
   assert.equal(server.unframedAnswers.cut.length, 2);
 });
 
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -10,7 +10,6 @@
   renderPrompt,
   toAnswerInput,
 } from "./answer.ts";
-export { type DeclaredEnd, declaredEndOf } from "./answer_end.ts";
 export {
   DEFAULT_ENGINE_OPTIONS,
   type EngineExecution,
@@ -39,6 +38,8 @@
   completeStreamBody,
   CONFIG,
   configWith,
+  DeclaredEnd,
+  declaredEndOf,
   type EntryAddress,
   fetchReadinessStatus,
   HOST,
@@ -57,6 +58,7 @@
 export { CONFIG_KEY, SERVERS_PREFIX } from "../platform/names.ts";
 export { restartServer } from "./restart_server.ts";
 export {
+  AddressAfterEnd,
   headWithoutLength,
   type RawResponder,
   SEALED_HEAD,
--- a/src/standin/platform_client.ts
+++ b/src/standin/platform_client.ts
@@ -1,6 +1,5 @@
 /** Test client of an entry, with a sample configuration and the load balancer's readiness check. */
-import { request as httpRequest } from "node:http";
-import { type DeclaredEnd, declaredEndOf } from "./answer_end.ts";
+import { type IncomingHttpHeaders, request as httpRequest } from "node:http";
 import { StandinBackendServer } from "./backend_server.ts";
 
 /** Host name of all routes. */
@@ -56,15 +55,25 @@
   };
 }
 
+/** How an answer declares the end of its body. */
+export const DeclaredEnd = {
+  length: "length",
+  chunks: "chunks",
+  /** Not at all: the body ends with its connection. */
+  connection: "connection",
+} as const;
+
+/** One of {@link DeclaredEnd}. */
+export type DeclaredEnd = typeof DeclaredEnd[keyof typeof DeclaredEnd];
+
 /** An answer as received by a client. */
 export interface ClientResponse {
   status: number;
   headers: Record<string, unknown>;
   body: string;
-  /** Whether the whole body was received. */
+  /** Whether the whole body was received; without a declared end: whether no reset cut it. */
   isComplete: boolean;
-  /** What declared the end of the body; undefined if it was cut or reset before. */
-  declaredEnd: DeclaredEnd | undefined;
+  declaredEnd: DeclaredEnd;
 }
 
 /** Address at which an entry accepts clients. */
@@ -102,32 +111,36 @@
       },
     }, (response) => {
       let body = "";
-      let isCut = false;
-      const resolveNow = () => {
-        const declaredEnd = isCut ? undefined : declaredEndOf(response);
+      const resolveWith = (isComplete: boolean) =>
         resolve({
           status: response.statusCode ?? 0,
           headers: response.headers,
           body,
-          isComplete: declaredEnd !== undefined,
-          declaredEnd,
+          isComplete,
+          declaredEnd: declaredEndOf(response.headers),
         });
-      };
-      const onCut = () => {
-        isCut = true;
-        resolveNow();
-      };
       response.on("data", (chunk) => body += chunk);
-      response.on("end", resolveNow);
-      response.on("error", onCut);
+      response.on("end", () => resolveWith(response.complete));
+      response.on("error", () => resolveWith(false));
       // Only the request tells that a body without a length was reset.
-      request.off("error", reject).on("error", onCut);
+      request.off("error", reject).on("error", () => resolveWith(false));
     });
     request.on("error", reject);
     request.end("payload");
   });
 }
 
+/**
+ * @param headers Headers of an answer.
+ * @returns How they declare the end of its body.
+ */
+export function declaredEndOf(headers: IncomingHttpHeaders): DeclaredEnd {
+  if (headers["content-length"] !== undefined) return DeclaredEnd.length;
+  return headers["transfer-encoding"] === "chunked"
+    ? DeclaredEnd.chunks
+    : DeclaredEnd.connection;
+}
+
 /** Headers of a request for a model. */
 export const MODEL_REQUEST_HEADERS = {
   model: "m",
--- a/src/standin/stream_client.ts
+++ b/src/standin/stream_client.ts
@@ -1,7 +1,12 @@
 /** Test client that reads a marked stream event by event, and may break off and take it up again. */
 import { request as httpRequest } from "node:http";
-import { type DeclaredEnd, declaredEndOf } from "./answer_end.ts";
-import { type EntryAddress, HOST, KEY } from "./platform_client.ts";
+import {
+  type DeclaredEnd,
+  declaredEndOf,
+  type EntryAddress,
+  HOST,
+  KEY,
+} from "./platform_client.ts";
 
 /** An event, and the server that wrote it. */
 export interface MarkedEvent {
@@ -17,7 +22,7 @@
   retryAfter?: string;
   events: MarkedEvent[];
   isComplete: boolean;
-  /** What declared the end of the stream; undefined if it is not complete. */
+  /** Absent if no answer began. */
   declaredEnd?: DeclaredEnd;
 }
 
@@ -78,8 +83,8 @@
       request.on("error", () => isCut = true);
       response.on("error", () => {});
       response.on("close", () => {
-        if (!isCut) attempt.declaredEnd = declaredEndOf(response);
-        attempt.isComplete = attempt.declaredEnd !== undefined;
+        attempt.isComplete = response.complete && !isCut;
+        attempt.declaredEnd = declaredEndOf(response.headers);
         resolve(attempt);
       });
     });
