--- a/src/standin/platform_client.ts
+++ b/src/standin/platform_client.ts
@@ -122,8 +122,9 @@
       response.on("data", (chunk) => body += chunk);
       response.on("end", () => resolveWith(response.complete));
       response.on("error", () => resolveWith(false));
-      // Only the request tells that a body without a length was reset.
-      request.off("error", reject).on("error", () => resolveWith(false));
+      // A reset during an answer without a declared end is reported as the request's error.
+      request.off("error", reject);
+      request.on("error", () => resolveWith(false));
     });
     request.on("error", reject);
     request.end("payload");
