--- a/src/proof/soak_answer_oracles_test.ts
+++ b/src/proof/soak_answer_oracles_test.ts
@@ -96,3 +96,31 @@
   const stop = { ...kill, isPlanned: true };
   assert.deepEqual(found({ clients, disruptions: [stop] }), lost);
 });
+
+// An entry can't tell it from a stream that its last server cut, which must not look complete.
+test("stream whose last server ended it with its connection may break off, one with a server left may not", () => {
+  const end = { kind: "broken", reason: "answer_cut" } as const;
+  const stream = [{
+    ...CLIENT,
+    end,
+    isIdempotent: true,
+    softwareVersion: "v1",
+  }];
+  const history = {
+    wholeAnswers: [CUT],
+    versions: [{ server: 0, softwareVersion: "v1", fromMs: 0, toMs: Infinity }],
+  };
+  const runs = [{ ...RUN, server: 1 }, RUN];
+  const broken = ["planned_stop_cuts_nothing", "whole_answer_is_delivered"];
+  const found = (parts: Partial<SoakHistory>) =>
+    promisesBroken({ ...history, ...parts });
+  assert.deepEqual(found({ clients: stream, runs }), []);
+  assert.deepEqual(found({ clients: stream, runs: [RUN] }), broken);
+  const both = { clients: stream, runs, wholeAnswers: [CUT, CUT] };
+  assert.deepEqual(found(both), [...broken, broken[1]]);
+  const call = [{ ...CLIENT, end, isIdempotent: true }];
+  assert.deepEqual(found({ clients: call, runs }), broken);
+  assert.deepEqual(found({ clients: stream, runs, wholeAnswers: [] }), [
+    "planned_stop_cuts_nothing",
+  ]);
+});
