--- a/src/standin/answer_cut_test.ts
+++ b/src/standin/answer_cut_test.ts
@@ -2,6 +2,7 @@
 import { connect } from "node:net";
 import { once } from "node:events";
 import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { StandinBackendServer } from "./backend_server.ts";
 import {
   type AnswerCut,
@@ -17,6 +18,7 @@
 import { tryConnect } from "../router/try_connect.ts";
 
 const EVENTS = 6;
+const POLL_MS = 10;
 
 async function start(
   t: TestContext,
@@ -69,7 +71,9 @@
         }
         const { whole: sent, cut } = server.unframedAnswers;
         assert.deepEqual([sent.length, cut.length], [0, 1]);
-        assert.equal(await tryConnect(server.address), "reached");
+        const isFreed = ending === CutEnding.lingers;
+        const after = isFreed ? "refused" : "reached";
+        while (await tryConnect(server.address) !== after) await sleep(POLL_MS);
       });
     }
   }
--- a/src/standin/http_host_test.ts
+++ b/src/standin/http_host_test.ts
@@ -3,6 +3,7 @@
 import { connect } from "node:net";
 import { test } from "node:test";
 import { HttpHost } from "./_http_host.ts";
+import { sendClientRequest } from "./platform_client.ts";
 
 const MAX_POLLS = 100;
 
@@ -30,3 +31,25 @@
   }
   assert(isClosed);
 });
+
+test("host that closes connections accepts them and answers none", async (t) => {
+  const host = await HttpHost.create({
+    listenAddress: "127.0.0.1:0",
+    handle: ({ response }) => void response.end("served"),
+  });
+  t.after(() => host.down());
+  const [ipAddress = "", port] = host.address.split(":");
+  const entry = { ipAddress, clientPort: Number(port) };
+  assert.equal((await sendClientRequest(entry, "/")).body, "served");
+  host.endConnections({ isReset: false, acceptance: "close" });
+  const isRefused = (error: NodeJS.ErrnoException) =>
+    error.code === "ECONNREFUSED";
+  await assert.rejects(
+    sendClientRequest(entry, "/"),
+    (error: Error) => !isRefused(error),
+  );
+  await host.down();
+  await assert.rejects(sendClientRequest(entry, "/"), isRefused);
+  await host.up();
+  assert.equal((await sendClientRequest(entry, "/")).body, "served");
+});
