--- a/src/proof/_soak_history.ts
+++ b/src/proof/_soak_history.ts
@@ -1,5 +1,5 @@
 /** What happened in a soak, as clients and servers saw it. */
-import type { MarkedEvent } from "../standin/mod.ts";
+import type { DeclaredEnd, MarkedEvent } from "../standin/mod.ts";
 
 /** Entry of a disruption of the store, which concerns all entries. */
 export const STORE = -1;
@@ -54,7 +54,12 @@
 /** How a request ended for its client. */
 export type ClientEnd =
   /** `isOwnAnswer`: the whole answer of a server to this very request. */
-  | { kind: "answered"; status: number; isOwnAnswer: boolean }
+  | {
+    kind: "answered";
+    status: number;
+    isOwnAnswer: boolean;
+    declaredEnd: DeclaredEnd;
+  }
   /** The connection ended without a complete answer. */
   | { kind: "broken"; reason: string }
   /** The client itself closed the connection. */
@@ -65,6 +70,8 @@
   requestId: string;
   server: number;
   atMs: number;
+  /** Id of the server at that time; part of arrivals only. */
+  serverId?: string;
 }
 
 /** From when on a server named a rate; undefined: none. */
@@ -89,6 +96,13 @@
   atMs: number;
 }
 
+/** A time in which a server that cut an answer was down. */
+export interface ServerOutage {
+  server: number;
+  fromMs: number;
+  toMs: number;
+}
+
 /** A request with the part of a prompt that crashes servers. */
 export interface CrashingRequest {
   id: string;
@@ -103,6 +117,41 @@
   atMs: number;
 }
 
+/** From when on the store has an era; each one begins with a copy of the store. */
+export interface StoreEra {
+  era: number;
+  fromMs: number;
+}
+
+/** The store's answer to a server that says it leaves. */
+export interface LeavingAck {
+  serverId: string;
+  era: number;
+  atMs: number;
+}
+
+/** The store's answer to the operator's configuration. */
+export interface ConfigAck {
+  version: number;
+  era: number;
+  atMs: number;
+}
+
+/** The configuration that an entry had. */
+export interface ConfigSample {
+  entry: number;
+  /** Id of the entry's process. */
+  pid: number;
+  atMs: number;
+  version: number;
+}
+
+/** A call of an entry that reached the store. */
+export interface StoreCall {
+  entry: number;
+  atMs: number;
+}
+
 /** Everything that happened in a soak; times by one monotonic clock. */
 export interface SoakHistory {
   clients: ClientRecord[];
@@ -115,6 +164,17 @@
   rates: NamedRate[];
   disruptions: Disruption[];
   restarts: ServerRestart[];
+  outages: ServerOutage[];
+  /** Answers without a length or chunks that servers cut after a part. */
+  cutAnswers: ServerRecord[];
+  /** Successful answers without a length or chunks that servers sent whole. */
+  wholeAnswers: ServerRecord[];
+  eras: StoreEra[];
+  leavingAcks: LeavingAck[];
+  configAcks: ConfigAck[];
+  /** In the order of the answers of each entry. */
+  configSamples: ConfigSample[];
+  storeCalls: StoreCall[];
   /** Requests that crash the servers which answer them. */
   crashingRequests: CrashingRequest[];
   /** Crashes of servers by such requests. */
--- a/src/proof/_soak_plan.ts
+++ b/src/proof/_soak_plan.ts
@@ -1,71 +1,19 @@
 /** Plans of faults for the soak: the same seed gives the same plan. */
 import { seededRandom } from "../base/random.ts";
-
-/** Kinds of faults. */
-export const FaultKind = {
-  /** The entry gets SIGTERM, and starts again when it has exited. */
-  stop: "stop",
-  /** The entry gets SIGKILL, and starts again at once. */
-  kill: "kill",
-  /** The entry is suspended for a while. */
-  freeze: "freeze",
-  /** The store refuses connections for a while. */
-  storeDown: "store_down",
-  /** The entry's connections to the store are silent for a while. */
-  storeSilent: "store_silent",
-  /** A server names a rate of requests, or no more. */
-  rate: "rate",
-  /** A server restarts under its id. */
-  serverRestart: "server_restart",
-  /** A server fails some of the next requests. */
-  serverFails: "server_fails",
-  /** The operator writes a configuration. */
-  config: "config",
-  /** An engine is replaced by one of the next software version, and leaves. */
-  release: "release",
-  /** An engine restarts under its id with another software version. */
-  versionRestart: "version_restart",
-  /** A part of prompts crashes the engines that answer them, and clients send such requests. */
-  crashingPart: "crashing_part",
-} as const;
-
-/** One of {@link FaultKind}. */
-export type FaultKind = typeof FaultKind[keyof typeof FaultKind];
-
-/** One fault. */
-export interface Fault {
-  kind: FaultKind;
-  /** Time from the start of the requests. */
-  atMs: number;
-  /** How long it lasts, where it lasts. */
-  forMs: number;
-  /** Index of the entry or server, where there is one. */
-  index: number;
-  /** Requests per second that a server names; undefined: any number. */
-  perSecond?: number;
-  /** Number of the software version that an engine has from then on. */
-  softwareVersion?: number;
-}
-
-/** Sizes of a soak. */
-export interface SoakSizes {
-  entryCount: number;
-  serverCount: number;
-  durationMs: number;
-}
-
-/** Faults of a plan, by its seed. */
-export interface SoakPlan extends SoakSizes {
-  seed: number;
-  faults: Fault[];
-}
+import { CutEnding } from "../standin/mod.ts";
+import {
+  type Fault,
+  FaultKind,
+  MAX_FOR_MS,
+  MIN_FOR_MS,
+  QUIET_END_MS,
+  type SoakPlan,
+  type SoakSizes,
+} from "./_soak_fault.ts";
+import { planRestores } from "./_store_plan.ts";
 
 /** Mean time between two faults that are planned one by one. */
 const MEAN_PAUSE_MS = 900;
-/** No fault begins in the last part, in which the fleet has to recover. */
-const QUIET_END_MS = 4000;
-const MIN_FOR_MS = 200;
-const MAX_FOR_MS = 3000;
 /** Time between the entries of a series. */
 const SERIES_PAUSE_MS = 700;
 /** Part of the stops and kills that hit all entries in turn. */
@@ -87,6 +35,14 @@
 /** Earliest start of a crashing part, and time within which it starts. */
 const CRASHING_PART_FROM_MS = 2000;
 const CRASHING_PART_SPAN_MS = 1500;
+/** Added to the seed of a plan for its answers without a length or chunks. */
+const UNFRAMED_SEED = 3_000_003;
+/** Mean time between two faults of such answers. */
+const MEAN_UNFRAMED_PAUSE_MS = 500;
+/** Part of these faults that cut an answer. */
+const CUT_SHARE = 0.6;
+/** Part of the cuts that are resets. */
+const RESET_SHARE = 0.25;
 const RATES = [0.5, 1, 2, 5];
 /** Part of the changes of a rate that end it. */
 const END_RATE_SHARE = 0.3;
@@ -129,8 +85,14 @@
     if (atMs > sizes.durationMs - QUIET_END_MS) break;
     faults.push(...planFault(Math.round(atMs), random, sizes));
   }
-  faults.push(...planVersions(seed, sizes), ...planCrashingPart(seed, sizes));
-  return { ...sizes, seed, faults: faults.sort((a, b) => a.atMs - b.atMs) };
+  faults.push(
+    ...planVersions(seed, sizes),
+    ...planCrashingPart(seed, sizes),
+    ...planUnframed(seed, sizes),
+    ...planRestores(seed, sizes),
+  );
+  const kept = faults.filter(({ kind }) => !sizes.without?.includes(kind));
+  return { ...sizes, seed, faults: kept.sort((a, b) => a.atMs - b.atMs) };
 }
 
 /**
@@ -189,6 +151,36 @@
   }];
 }
 
+/** Plans whole and cut answers without a length or chunks, with random numbers of their own. */
+function planUnframed(
+  seed: number,
+  { serverCount, durationMs }: SoakSizes,
+): Fault[] {
+  const random = seededRandom(seed + UNFRAMED_SEED);
+  const endings = Object.values(CutEnding);
+  const faults: Fault[] = [];
+  let atMs = 0;
+  while (true) {
+    atMs += -Math.log(1 - random()) * MEAN_UNFRAMED_PAUSE_MS;
+    if (atMs > durationMs - QUIET_END_MS) return faults;
+    const isCut = random() < CUT_SHARE;
+    const index = Math.floor(random() * serverCount);
+    const forMs = Math.round(
+      MIN_FOR_MS + random() * (MAX_FOR_MS - MIN_FOR_MS),
+    );
+    const cut = {
+      isReset: random() < RESET_SHARE,
+      ending: endings[Math.floor(random() * endings.length)]!,
+    };
+    const base = { atMs: Math.round(atMs), index };
+    faults.push(
+      isCut
+        ? { ...base, kind: FaultKind.answerCut, forMs: 0, cut }
+        : { ...base, kind: FaultKind.unframed, forMs },
+    );
+  }
+}
+
 function planFault(
   atMs: number,
   random: () => number,
@@ -228,6 +220,10 @@
     case FaultKind.release:
     case FaultKind.versionRestart:
     case FaultKind.crashingPart:
+    case FaultKind.unframed:
+    case FaultKind.answerCut:
+    case FaultKind.storeRestore:
+    case FaultKind.leave:
       return [{ kind, atMs, forMs, index: pick(serverCount) }];
   }
 }
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -39,6 +39,7 @@
   CONFIG,
   configWith,
   DeclaredEnd,
+  declaredEndOf,
   type EntryAddress,
   fetchReadinessStatus,
   HOST,
@@ -54,6 +55,7 @@
   StandinPlatformStore,
   type StandinPlatformStoreOptions,
 } from "./platform_store_server.ts";
+export { CONFIG_KEY, SERVERS_PREFIX } from "../platform/names.ts";
 export { restartServer } from "./restart_server.ts";
 export {
   AddressAfterEnd,
@@ -74,11 +76,11 @@
   writersOf,
 } from "./stream_client.ts";
 export { PLAIN_ANSWER_BODY } from "./_platform_answer.ts";
+export { StandinBackendServer } from "./backend_server.ts";
+export type { ExecutedRequest, ServerArrival } from "./server_records.ts";
 export {
-  type ExecutedRequest,
-  StandinBackendServer,
-} from "./backend_server.ts";
-export {
+  type AnswerCut,
+  CutEnding,
   NO_FAULTS,
   type StandinBackendServerFaults,
   type StandinBackendServerOptions,
--- a/src/standin/platform_client.ts
+++ b/src/standin/platform_client.ts
@@ -131,7 +131,11 @@
   });
 }
 
-function declaredEndOf(headers: IncomingHttpHeaders): DeclaredEnd {
+/**
+ * @param headers Headers of an answer.
+ * @returns How they declare the end of its body.
+ */
+export function declaredEndOf(headers: IncomingHttpHeaders): DeclaredEnd {
   if (headers["content-length"] !== undefined) return DeclaredEnd.length;
   return headers["transfer-encoding"] === "chunked"
     ? DeclaredEnd.chunks
--- a/src/standin/platform_store_server.ts
+++ b/src/standin/platform_store_server.ts
@@ -16,6 +16,8 @@
   listenAddress: string;
   /** Era until the first {@link StandinPlatformStore.restore}. */
   firstEra: number;
+  /** Called for each call that arrives, with the IP address of the caller. */
+  onCall?(fromAddress: string): void;
 }
 
 const DEFAULT_OPTIONS: StandinPlatformStoreOptions = {
@@ -67,7 +69,10 @@
     const server = new StandinPlatformStore(firstEra);
     server.#host = await HttpHost.create({
       listenAddress,
-      handle: (request) => server.#serve(request),
+      handle: (request) => {
+        options.onCall?.(request.response.socket?.remoteAddress ?? "");
+        return server.#serve(request);
+      },
     });
     return server;
   }
--- a/src/standin/stream_client.ts
+++ b/src/standin/stream_client.ts
@@ -1,6 +1,12 @@
 /** Test client that reads a marked stream event by event, and may break off and take it up again. */
 import { request as httpRequest } from "node:http";
-import { type EntryAddress, HOST, KEY } from "./platform_client.ts";
+import {
+  type DeclaredEnd,
+  declaredEndOf,
+  type EntryAddress,
+  HOST,
+  KEY,
+} from "./platform_client.ts";
 
 /** An event, and the server that wrote it. */
 export interface MarkedEvent {
@@ -16,6 +22,8 @@
   retryAfter?: string;
   events: MarkedEvent[];
   isComplete: boolean;
+  /** Absent if no answer began. */
+  declaredEnd?: DeclaredEnd;
 }
 
 /** One attempt of a client. */
@@ -60,7 +68,7 @@
       attempt.status = response.statusCode ?? 0;
       attempt.retryAfter = response.headers["retry-after"];
       const reader = MarkedEventReader.create();
-      let hasLeft = false;
+      let isCut = false;
       response.on("data", (chunk) => {
         for (const event of reader.push(String(chunk))) {
           if (attempt.events.length >= breakAfterEvents) break;
@@ -68,16 +76,21 @@
           onEvent?.(event);
         }
         if (attempt.events.length < breakAfterEvents) return;
-        hasLeft = true;
+        isCut = true;
         request.destroy();
       });
+      // Only the request tells that a body without a length was reset.
+      request.on("error", () => isCut = true);
       response.on("error", () => {});
       response.on("close", () => {
-        attempt.isComplete = response.complete && !hasLeft;
+        attempt.isComplete = response.complete && !isCut;
+        attempt.declaredEnd = declaredEndOf(response.headers);
         resolve(attempt);
       });
     });
-    request.on("error", () => resolve(attempt));
+    request.on("error", () => {
+      if (attempt.status === 0) resolve(attempt);
+    });
     request.end("payload");
   });
 }
