--- a/src/router/store_client.ts
+++ b/src/router/store_client.ts
@@ -21,7 +21,10 @@
  * @returns A client.
  */
 export function createStore(
-  { storeAddress, heartbeatMs }: RouterSettings,
+  { storeAddress, heartbeatMs }: Pick<
+    RouterSettings,
+    "storeAddress" | "heartbeatMs"
+  >,
   log: Logger,
 ): PlatformStore {
   return PlatformStore.create({
