--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -12,6 +12,7 @@
   StandinPlatformStore,
   TcpRelay,
 } from "../standin/mod.ts";
+import { noteRefusals } from "./_admitted_client.ts";
 import { silentLog } from "./_kit.ts";
 import { ChoiceName } from "./choose.ts";
 import { Router } from "./router.ts";
@@ -29,6 +30,8 @@
   /** Port on which the entry serves other entries. */
   controlPort: number;
   peerPort: number;
+  /** Ids of the requests that the entry refused because it read them late. */
+  refusedBehind: Set<unknown>;
 }
 
 /**
@@ -141,11 +144,11 @@
     (_, i) => `127.0.0.${i + 1}`,
   );
   const start = (entry: Omit<TestEntry, "router">): Promise<Router> => {
-    const { name, link, clock, ipAddress } = entry;
+    const { name, link, clock, ipAddress, refusedBehind } = entry;
     const [linkHost = "", linkPort] = link.address.split(":");
     const at = (port: number) => ({ ipAddress, port });
     return Router.create({
-      log,
+      log: noteRefusals(log, refusedBehind),
       clock,
       settings: {
         instance: name,
@@ -184,6 +187,7 @@
       readinessPort: ports.readiness,
       controlPort: ports.control,
       peerPort: ports.peer,
+      refusedBehind: new Set<unknown>(),
     };
     entries.push({ ...entry, router: await start(entry) });
   }
