--- a/src/router/_store_return_fleet.ts
+++ b/src/router/_store_return_fleet.ts
@@ -1,5 +1,4 @@
 /** Entries that follow one store, register there and compete for the roll's lease, in one process. */
-import type { Server as HttpServer } from "node:http";
 import { Lifecycle, systemClock as clock } from "../base/mod.ts";
 import { seededRandom } from "../base/random.ts";
 import type { StandinPlatformStore } from "../standin/mod.ts";
@@ -97,16 +96,15 @@
         state: () => ({}),
       },
     );
-    this.#own(`control-${index}`, control);
-    const name = `entry-${index}`;
-    const lifecycle = this.#lifecycle;
-    lifecycle.own({ name, close: () => store.close() });
-    lifecycle.task(name, (signal) => follower.run(signal));
-    lifecycle.task(name, (signal) => registration.run(signal));
-    lifecycle.task(name, (signal) => acquireLease(lease, signal));
+    const lifecycle = this.#lifecycle.child(`entry-${index}`);
+    lifecycle.own({ name: "control", close: () => closeServer(control) });
+    lifecycle.own({ name: "store", close: () => store.close() });
+    lifecycle.task("follower", (signal) => follower.run(signal));
+    lifecycle.task("registration", (signal) => registration.run(signal));
+    lifecycle.task("lease", (signal) => acquireLease(lease, signal));
     const entry = { address, mirror, relay };
     this.#entries.push(entry);
-    lifecycle.task(name, (signal) => this.#gossip(entry, signal));
+    lifecycle.task("gossip", (signal) => this.#gossip(entry, signal));
   }
 
   /** Stops all entries. */
@@ -121,10 +119,6 @@
     return createStore({ storeAddress, heartbeatMs }, log);
   }
 
-  #own(name: string, server: HttpServer): void {
-    this.#lifecycle.own({ name, close: () => closeServer(server) });
-  }
-
   /** Tells all other entries the sync state, in place of datagrams. */
   async #gossip(entry: Entry, signal: AbortSignal): Promise<void> {
     const intervalMs = gossipIntervalFor(this.#options.entryCount);
