--- a/src/router/peer_gossip_test.ts
+++ b/src/router/peer_gossip_test.ts
@@ -15,6 +15,7 @@
 import { gossipIntervalFor } from "./gossip_interval.ts";
 import { StoreMirror } from "./mirror.ts";
 import { ENTRIES_PREFIX, Registration } from "./registration.ts";
+import { positionAt } from "../store/position.ts";
 
 const SEED = 20_261_203;
 /** Duration of the store outage. */
@@ -153,6 +154,7 @@
   const later = [
     "gone",
     "changingNext",
+    "era",
     "leaving",
     "ended",
     "cleared",
@@ -217,6 +219,27 @@
   assert.ok(!stateContains(world, '"storeRevision":"99999"'));
 });
 
+// A peer may be the only one that has seen the restore, also with a lower revision than this entry's.
+test("entry without the store follows a peer to a newer era", async (t) => {
+  const world = await openWorld(t);
+  await world.worker("i-1");
+  const peer = await FakePeer.create(t, world);
+  world.link.silent();
+  const catchup = {
+    revision: "3",
+    era: 7,
+    ageMs: 0,
+    isAll: true,
+    entries: [],
+    deletes: [],
+  };
+  peer.answers.set("/relay", JSON.stringify(catchup));
+  await until(async () => {
+    await peer.sendFields({ revision: "3", era: 7 });
+    return stateContains(world, '"storeEra":7,"storeRevision":"3"');
+  });
+});
+
 /** Opens a world whose entry lost the store and learns from a peer that a registration is deleted. */
 async function openWithRelayedDeletion(
   t: TestContext,
@@ -332,12 +355,12 @@
   const mirror = StoreMirror.create(new TestClock());
   const values = ["10.0.0.1", "host.example", "", "10.0.0.1:80", "::1", "\xff"];
   values.forEach((value, i) => {
-    const revision = BigInt(i + 1);
+    const position = positionAt(0, BigInt(i + 1));
     const entry = {
       key: `${ENTRIES_PREFIX}${i}`,
       value: Buffer.from(value, "latin1"),
-      modRevision: revision,
-      createRevision: revision,
+      modPosition: position,
+      createPosition: position,
     };
     mirror.applyStep({ kind: "put", entry });
   });
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -1,4 +1,5 @@
 /** Creates and connects all components of a router process. */
+import { isStart } from "../store/position.ts";
 import {
   type Clock,
   Lifecycle,
@@ -130,7 +131,7 @@
     this.#cacheTransfer = CacheTransfer.create({
       ...this.#parts(),
       controlPort: options.settings.controlAddress.port,
-      isReady: () => this.#mirror.revision > 0n,
+      isReady: () => !isStart(this.#mirror.position),
       cacheOf: (id, bornAtMs) => this.#state.cacheOf(id, bornAtMs),
     });
     this.#network = this.#createNetwork();
@@ -183,7 +184,8 @@
     return {
       instance: this.#settings.instance,
       configVersion: this.#state.table?.version,
-      storeRevision: String(this.#mirror.revision),
+      storeEra: this.#mirror.position.era,
+      storeRevision: String(this.#mirror.position.revision),
       knowledgeAgeMs: Math.round(this.#mirror.ageMs),
       storeConnected: this.#follower.contact.connected,
       storeCalls: this.#store.calls,
@@ -246,6 +248,7 @@
       seedAddresses: seedAddresses.map((seed) => seed.ipAddress),
       syncState: () => this.#mirror.syncState,
       onPeerSyncState: (peer, syncState) => {
+        this.#follower.onPeerEra(syncState.position.era);
         void this.#relay.onPeerSyncState(peer, syncState);
         void this.#cacheTransfer.fetchFrom(peer);
       },
