--- a/src/router/_store_return_fleet.ts
+++ b/src/router/_store_return_fleet.ts
@@ -27,6 +27,7 @@
 interface Entry {
   address: string;
   mirror: StoreMirror;
+  follower: StoreFollower;
   relay: RelayClient;
 }
 
@@ -102,7 +103,7 @@
     lifecycle.task("follower", (signal) => follower.run(signal));
     lifecycle.task("registration", (signal) => registration.run(signal));
     lifecycle.task("lease", (signal) => acquireLease(lease, signal));
-    const entry = { address, mirror, relay };
+    const entry = { address, mirror, follower, relay };
     this.#entries.push(entry);
     lifecycle.task("gossip", (signal) => this.#gossip(entry, signal));
   }
@@ -125,8 +126,9 @@
     while (!signal.aborted) {
       await clock.sleep(jittered(intervalMs, this.#random), signal);
       const { syncState } = entry.mirror;
-      for (const { address, relay } of this.#entries) {
+      for (const { address, follower, relay } of this.#entries) {
         if (address === entry.address) continue;
+        follower.onPeerEra(syncState.position.era);
         void relay.onPeerSyncState(entry.address, syncState);
       }
     }
