--- a/src/standin/platform_store_test.ts
+++ b/src/standin/platform_store_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
+import { request } from "undici";
 import { StandinPlatformStore } from "./platform_store_server.ts";
 
 const LEASE_TTL_MS = 60_000;
@@ -10,7 +11,7 @@
   method: string,
   path: string,
   body?: unknown,
-) => Promise<{ status: number; era: string | null; body: string }>;
+) => Promise<{ status: number; era: string; body: string }>;
 
 async function openStore(
   t: TestContext,
@@ -22,9 +23,11 @@
       ? body
       : JSON.stringify(body);
     const url = `http://${store.address}/v1/${path}`;
-    const answer = await fetch(url, { method, body: sent });
-    const era = answer.headers.get("store-era");
-    return { status: answer.status, era, body: await answer.text() };
+    // A kept connection may have been cut by a restore.
+    const answer = await request(url, { method, body: sent, reset: true });
+    const { statusCode, headers, body: received } = answer;
+    const era = String(headers["store-era"]);
+    return { status: statusCode, era, body: await received.text() };
   };
   return { store, call };
 }
