--- a/src/router/_restored_store_kit.ts
+++ b/src/router/_restored_store_kit.ts
@@ -170,8 +170,8 @@
   worker.runs.length = 0;
   for (let i = 0; i < REQUESTS_PER_ENTRY; i++) {
     const asked = entries.map((entry) => sendClientRequest(entry, "/book/a"));
-    for (const { status } of await Promise.all(asked)) {
-      assert.equal(status, 200);
+    for (const { status, body } of await Promise.all(asked)) {
+      assert.equal(status, 200, body);
     }
   }
   return worker.runs.length;
