Renew registrations of entries apart from each other

Entries renew their registration every 20 s since their start. After a restore of the store each registers again at its next renewal, with two writes: 360 entries that had started together made 720 writes in the same moment, where the store takes 400 a second; refused ones tried again in step 2 s later.

Each wait is now shortened at random, by up to a fifth, and that before another try is 2 to 4 s. In the first interval after a common start 720 writes spread over 4 s, 180 a second; later, with phases spread over the interval, 36 to 45 a second.

--- a/src/router/peer_gossip_test.ts
+++ b/src/router/peer_gossip_test.ts
@@ -370,6 +370,7 @@
     log: silentLog,
     instance: "entry-1",
     ipAddress: "10.0.0.9",
+    random: () => 0.5,
     store: undefined as never,
   });
   assert.deepEqual(registration.ipAddresses(), ["10.0.0.1"]);
--- a/src/router/registration.ts
+++ b/src/router/registration.ts
@@ -8,10 +8,16 @@
 export const ENTRIES_PREFIX = "cicadahitch/entries/";
 /** TTL of the registration's lease: the registration of a stopped entry expires within this time. */
 const LEASE_TTL_MS = 60_000;
-/** Interval between lease renewals. */
+/** Longest interval between lease renewals. */
 const RENEW_INTERVAL_MS = 20_000;
-/** Delay before a failed registration is retried. */
-const RETRY_DELAY_MS = 2000;
+/** Longest delay before a failed registration is retried. */
+const RETRY_DELAY_MS = 4000;
+/**
+ * Largest fraction by which a wait is shortened at random. Entries that started together would
+ * otherwise renew in step, and register in step again after a restore of the store.
+ */
+const MAX_RENEW_JITTER = 0.2;
+const MAX_RETRY_JITTER = 0.5;
 
 /** Options of a {@link Registration}. */
 export interface RegistrationOptions {
@@ -21,6 +27,8 @@
   log: Logger;
   instance: string;
   ipAddress: string;
+  /** Random number from 0 to 1. */
+  random: () => number;
 }
 
 /** This entry's registration in the store. */
@@ -59,13 +67,21 @@
     while (!signal.aborted) {
       const lease = await this.#register();
       if (!lease) {
-        await clock.sleep(RETRY_DELAY_MS, signal);
+        await clock.sleep(this.#retryDelayMs, signal);
         continue;
       }
       await this.#renewUntilLost(lease, signal);
     }
   }
 
+  get #renewDelayMs(): number {
+    return RENEW_INTERVAL_MS * (1 - MAX_RENEW_JITTER * this.#options.random());
+  }
+
+  get #retryDelayMs(): number {
+    return RETRY_DELAY_MS * (1 - MAX_RETRY_JITTER * this.#options.random());
+  }
+
   async #register(): Promise<StoreLease | undefined> {
     const { store, instance, ipAddress, log } = this.#options;
     const granted = await store.grantLease(LEASE_TTL_MS);
@@ -88,7 +104,7 @@
   ): Promise<void> {
     const { clock, store } = this.#options;
     while (!signal.aborted) {
-      await clock.sleep(RENEW_INTERVAL_MS, signal);
+      await clock.sleep(this.#renewDelayMs, signal);
       if (signal.aborted) return;
       const renewed = await store.renewLease(leaseId);
       if (renewed.isErr) continue;
