--- a/src/lease/mod.ts
+++ b/src/lease/mod.ts
@@ -1,12 +1,13 @@
 /** Leases with fencing numbers. */
+export type { AcquireFailure } from "./_claim.ts";
 export {
-  type AcquireFailure,
   FencedLease,
   type FencedLeaseOptions,
   type LeaseCalls,
   type LeaseState,
 } from "./fenced_lease.ts";
 export {
+  encodeNextHolder,
   type LastHolder,
   type LastHolderOptions,
   readJson,
--- a/src/standin/platform_store_server.ts
+++ b/src/standin/platform_store_server.ts
@@ -7,18 +7,22 @@
   type TableEvent,
   type Write,
 } from "../store/mod.ts";
+import { positionAt } from "../store/position.ts";
 import { type HostRequest, HttpHost } from "./_http_host.ts";
 
 /** Settings of a {@link StandinPlatformStore}. */
 export interface StandinPlatformStoreOptions {
   /** `ip:port`; port 0 selects a free port. */
   listenAddress: string;
+  /** Era until the first {@link StandinPlatformStore.restore}. */
+  firstEra: number;
   /** Called for each call that arrives, with the IP address of the caller. */
   onCall?(fromAddress: string): void;
 }
 
 const DEFAULT_OPTIONS: StandinPlatformStoreOptions = {
   listenAddress: "127.0.0.1:0",
+  firstEra: 1,
 };
 
 /** Settings of {@link StandinPlatformStore.restore}. */
@@ -45,12 +49,14 @@
 
 /** A store for tests, with the faults of {@link MemoryStore}. */
 export class StandinPlatformStore {
-  readonly store = MemoryStore.create();
+  readonly store: MemoryStore;
   /** Fields that replace those of a sent item, by key; simulates malformed items of other writers. */
   readonly fieldOverrides = new Map<string, object>();
   #host!: HttpHost;
 
-  private constructor() {}
+  private constructor(firstEra: number) {
+    this.store = MemoryStore.create({ firstEra });
+  }
 
   /**
    * @param options Settings that differ from the defaults.
@@ -59,10 +65,10 @@
   static async create(
     options: Partial<StandinPlatformStoreOptions> = {},
   ): Promise<StandinPlatformStore> {
-    const server = new StandinPlatformStore();
+    const { listenAddress, firstEra } = { ...DEFAULT_OPTIONS, ...options };
+    const server = new StandinPlatformStore(firstEra);
     server.#host = await HttpHost.create({
-      ...DEFAULT_OPTIONS,
-      ...options,
+      listenAddress,
       handle: (request) => {
         options.onCall?.(request.response.socket?.remoteAddress ?? "");
         return server.#serve(request);
@@ -215,9 +221,11 @@
     const timer = setTimeout(() => stop.abort(), waitMs);
     response.once("close", () => stop.abort());
     const events: TableEvent[] = [];
+    const { era } = this.store.table.position;
+    const from = positionAt(era, after + 1n);
     try {
       for await (
-        const step of this.store.watch(prefix, after + 1n, stop.signal)
+        const step of this.store.watch(prefix, from, stop.signal)
       ) {
         if (step.isErr) return toFailureAnswer(step.error);
         if (step.value.kind === "progress") {
@@ -243,7 +251,9 @@
   async #commit(sent: TransactionBody): Promise<Answer | undefined> {
     const expect = (sent.expected ?? []).map(({ key, revision }) => ({
       key,
-      modRevision: BigInt(revision),
+      modPosition: revision === 0
+        ? undefined
+        : positionAt(this.store.table.position.era, BigInt(revision)),
     }));
     const puts = (sent.writes ?? []).map(({ key, value, lease }): Write => ({
       kind: "put",
@@ -259,7 +269,7 @@
     if (outcome.isErr) return toFailureAnswer(outcome.error);
     const { value } = outcome;
     return value.kind === "committed"
-      ? { status: 200, body: { revision: Number(value.revision) } }
+      ? { status: 200, body: { revision: Number(value.position.revision) } }
       : {
         status: 412,
         body: { items: value.current.map((entry) => this.#toItem(entry)) },
@@ -291,8 +301,8 @@
     return {
       key: entry.key,
       value: Buffer.from(entry.value).toString("base64"),
-      revision: Number(entry.modRevision),
-      created: Number(entry.createRevision),
+      revision: Number(entry.modPosition.revision),
+      created: Number(entry.createPosition.revision),
       lease: 0,
       ...this.fieldOverrides.get(entry.key),
     };
@@ -300,7 +310,7 @@
 
   #toWatchEvent(event: TableEvent): Record<string, unknown> {
     if (event.kind === "put") return this.#toItem(event.entry);
-    const revision = Number(event.revision);
+    const revision = Number(event.position.revision);
     return { key: event.key, revision, deleted: true };
   }
 
@@ -327,6 +337,8 @@
 function lastRevision(events: TableEvent[], after: bigint): number {
   const last = events.at(-1);
   if (!last) return Number(after);
-  const revision = last.kind === "put" ? last.entry.modRevision : last.revision;
+  const { revision } = last.kind === "put"
+    ? last.entry.modPosition
+    : last.position;
   return Number(revision);
 }
--- a/src/store/memory_store.ts
+++ b/src/store/memory_store.ts
@@ -1,8 +1,13 @@
 /** In-memory key-value store with fault injection, for tests and the stand-in service. */
 import { err, ok, type Result } from "true-myth/result";
-import { type Clock, systemClock } from "../base/mod.ts";
+import { systemClock } from "../base/mod.ts";
 import { type LeaseSnapshot, LeaseTable } from "./_lease_table.ts";
 import { findCommitRefusal } from "./commit_limits.ts";
+import type {
+  MemoryStoreOptions,
+  StoreCounters,
+  StoreFaults,
+} from "./memory_store_options.ts";
 import {
   type KeyRange,
   prefixRange,
@@ -10,6 +15,7 @@
   type TableEvent,
   type TableSnapshot,
 } from "./revision_table.ts";
+import type { StorePosition } from "./position.ts";
 import type {
   CommitOutcome,
   Expectation,
@@ -22,40 +28,6 @@
   Write,
 } from "./store.ts";
 
-/** Faults that a test injects. */
-export interface StoreFaults {
-  /** All calls fail without effect, and watches end. */
-  down: boolean;
-  /** Delay of every call before it takes effect. */
-  slowMs: number;
-  /** The next commit takes effect, but its caller gets `effect_unknown`. */
-  loseNextAnswer: boolean;
-  /** The next commit has no effect, and its caller gets `effect_unknown`. */
-  loseNextRequest: boolean;
-  /** The next commit takes effect this much later, and its caller gets `effect_unknown`; 0: off. */
-  lateNextEffectMs: number;
-}
-
-/** Counts of calls and bytes since the store was created. */
-export interface StoreCounters {
-  reads: number;
-  /** Commits and lease calls. */
-  writes: number;
-  /** Watches opened. */
-  watches: number;
-  /** Those from revisions that the store does not have. */
-  goneWatches: number;
-  /** Bytes of keys and values, read and written. */
-  bytes: number;
-}
-
-/** Settings of a {@link MemoryStore}. */
-export interface MemoryStoreOptions {
-  clock: Clock;
-  /** Time without events after which a watch reports its progress. */
-  progressMs: number;
-}
-
 /** The state of a {@link MemoryStore} at one time. */
 export interface StoreSnapshot {
   readonly table: TableSnapshot;
@@ -65,10 +37,9 @@
 const DEFAULT_OPTIONS: MemoryStoreOptions = {
   clock: systemClock,
   progressMs: 1000,
+  firstEra: 0,
 };
 
-const FIRST_ERA = 1;
-
 /** {@link KeyValueStore} in memory. */
 export class MemoryStore implements KeyValueStore {
   readonly faults: StoreFaults = {
@@ -86,16 +57,16 @@
     bytes: 0,
   };
   /** The stored data; tests read and change it directly, bypassing the injected faults. */
-  readonly table = RevisionTable.create();
+  readonly table: RevisionTable;
   readonly #options: MemoryStoreOptions;
   readonly #leases: LeaseTable;
   readonly #closed = new AbortController();
-  #era = FIRST_ERA;
   /** Aborted when the store goes back to a snapshot. */
   #eraEnd = new AbortController();
 
   private constructor(options: MemoryStoreOptions) {
     this.#options = options;
+    this.table = RevisionTable.create(options.firstEra);
     this.#leases = LeaseTable.create({
       clock: options.clock,
       signal: this.#closed.signal,
@@ -113,7 +84,7 @@
 
   /** Rises by one with each {@link restore}. */
   get era(): number {
-    return this.#era;
+    return this.table.position.era;
   }
 
   /** @returns A copy of the data and the leases. */
@@ -130,7 +101,6 @@
   restore(snapshot: StoreSnapshot): void {
     this.table.restore(snapshot.table);
     this.#leases.restore(snapshot.leases);
-    this.#era++;
     this.#eraEnd.abort();
     this.#eraEnd = new AbortController();
   }
@@ -151,14 +121,14 @@
 
   /**
    * @param range Keys to list.
-   * @returns The entries, and the revision at which they were read.
+   * @returns The entries, and the position at which they were read.
    */
   async listRange(range: KeyRange): Promise<Result<Listing, StoreFailure>> {
     this.counters.reads++;
     if (!await this.#isReachable()) return err(unavailable());
     const entries = this.table.list(range);
     this.#countEntries(entries);
-    return ok({ entries, revision: this.table.revision });
+    return ok({ entries, position: this.table.position });
   }
 
   async commit(
@@ -168,6 +138,9 @@
     this.counters.writes++;
     this.#countWrites(writes);
     if (!await this.#isReachable()) return err(unavailable());
+    if (expect.some(({ modPosition }) => this.#isOfEarlierEra(modPosition))) {
+      return err(this.#eraChanged());
+    }
     const refusal = findCommitRefusal(expect, writes);
     if (refusal) return err(unavailable(refusal));
     const expired = writes.find((write) => this.#hasExpiredLease(write));
@@ -182,12 +155,13 @@
 
   async *watch(
     prefix: string,
-    fromRevision: bigint,
+    from: StorePosition,
     signal: AbortSignal,
   ): AsyncGenerator<Result<WatchStep, StoreFailure>> {
     this.counters.watches++;
     if (!await this.#isReachable()) return yield err(unavailable());
-    if (!this.#hasHistoryFrom(fromRevision)) {
+    if (this.#isOfEarlierEra(from)) return yield err(this.#eraChanged());
+    if (!this.#hasHistoryFrom(from)) {
       this.counters.goneWatches++;
       const oldestRevision = this.table.compactedRevision + 1n;
       return yield err({ kind: "compacted", oldestRevision });
@@ -197,7 +171,7 @@
     let notify = () => {};
     const unsubscribe = this.table.subscribe(
       prefixRange(prefix),
-      fromRevision,
+      from.revision,
       (events) => {
         pending.push(...events);
         notify();
@@ -224,13 +198,14 @@
     this.counters.writes++;
     if (!await this.#isReachable()) return err(unavailable());
     const leaseId = this.#leases.grant(ttlMs);
-    return ok({ leaseId, ttlMs });
+    return ok({ leaseId, ttlMs, era: this.era });
   }
 
   async renewLease(leaseId: bigint): Promise<Result<StoreLease, StoreFailure>> {
     this.counters.writes++;
     if (!await this.#isReachable()) return err(unavailable());
-    return ok({ leaseId, ttlMs: this.#leases.renew(leaseId) });
+    const ttlMs = this.#leases.renew(leaseId);
+    return ok({ leaseId, ttlMs, era: this.era });
   }
 
   async revokeLease(leaseId: bigint): Promise<Result<void, StoreFailure>> {
@@ -246,17 +221,25 @@
 
   /** Applies the injected delay, then tells whether the call reaches the store. */
   async #isReachable(): Promise<boolean> {
-    const era = this.#era;
+    const { era } = this;
     const { slowMs } = this.faults;
     if (slowMs > 0) await this.#sleep(slowMs);
     this.#leases.expire();
-    return !this.#isUnavailable() && era === this.#era;
+    return !this.#isUnavailable() && era === this.era;
+  }
+
+  #isOfEarlierEra(position: StorePosition | undefined): boolean {
+    return position !== undefined && position.era < this.era;
+  }
+
+  #eraChanged(): StoreFailure {
+    return { kind: "era_changed", era: this.era, mayHaveEffect: false };
   }
 
-  #hasHistoryFrom(revision: bigint): boolean {
-    const { compactedRevision, revision: current } = this.table;
+  #hasHistoryFrom({ revision }: StorePosition): boolean {
+    const { compactedRevision, position: current } = this.table;
     if (revision === 0n) return true;
-    return revision > compactedRevision && revision <= current + 1n;
+    return revision > compactedRevision && revision <= current.revision + 1n;
   }
 
   #isUnavailable(): boolean {
@@ -285,7 +268,7 @@
   #takeSteps(pending: TableEvent[]): WatchStep[] {
     const events = pending.splice(0);
     if (events.length > 0) return events;
-    return [{ kind: "progress", revision: this.table.revision }];
+    return [{ kind: "progress", position: this.table.position }];
   }
 
   #consumeLostRequest(): boolean {
@@ -304,9 +287,9 @@
     const lateMs = this.faults.lateNextEffectMs;
     if (lateMs === 0) return false;
     this.faults.lateNextEffectMs = 0;
-    const era = this.#era;
+    const { era } = this;
     void this.#sleep(lateMs).then(() => {
-      if (era === this.#era) this.table.commit(expect, writes);
+      if (era === this.era) this.table.commit(expect, writes);
     });
     return true;
   }
--- a/src/store/revision_table.ts
+++ b/src/store/revision_table.ts
@@ -1,4 +1,5 @@
 /** In-memory state of a multi-version key-value store: entries, revisions, history, subscribers. */
+import { isSamePosition, positionAt, type StorePosition } from "./position.ts";
 import type {
   CommitOutcome,
   Expectation,
@@ -9,7 +10,7 @@
 /** One change of a key. */
 export type TableEvent =
   | { kind: "put"; entry: KeyValueEntry }
-  | { kind: "delete"; key: string; revision: bigint };
+  | { kind: "delete"; key: string; position: StorePosition };
 
 /** Keys from `from` (inclusive) to `to` (exclusive); without `to`, there is no upper bound. */
 export interface KeyRange {
@@ -59,14 +60,20 @@
   #entries = new Map<string, StoredEntry>();
   readonly #subscribers = new Set<Subscriber>();
   #history: TableEvent[] = [];
+  #era: number;
   #revision = FIRST_REVISION;
   #compactedRevision = 0n;
 
-  private constructor() {}
+  private constructor(firstEra: number) {
+    this.#era = firstEra;
+  }
 
-  /** @returns An empty table. */
-  static create(): RevisionTable {
-    return new RevisionTable();
+  /**
+   * @param firstEra Era until the first {@link RevisionTable.restore}; 0: the store names none.
+   * @returns An empty table.
+   */
+  static create(firstEra = 0): RevisionTable {
+    return new RevisionTable(firstEra);
   }
 
   /** Revision of the last change. */
@@ -74,6 +81,11 @@
     return this.#revision;
   }
 
+  /** Position of the last change. */
+  get position(): StorePosition {
+    return positionAt(this.#era, this.#revision);
+  }
+
   /** History up to this revision (inclusive) was deleted. */
   get compactedRevision(): bigint {
     return this.#compactedRevision;
@@ -112,14 +124,14 @@
       return {
         kind: "conflict",
         current: this.#currentEntries(expect),
-        revision: this.#revision,
+        position: this.position,
       };
     }
     const revision = this.#revision + 1n;
     const events: TableEvent[] = [];
     for (const write of writes) this.#apply(write, revision, events);
     this.#publish(revision, events);
-    return { kind: "committed", revision: this.#revision };
+    return { kind: "committed", position: this.position };
   }
 
   /**
@@ -160,14 +172,18 @@
   }
 
   /**
-   * Goes back to an earlier state. Later revisions will be given out again, to other changes.
-   * Subscribers are not notified; those of before must end their subscriptions.
+   * Goes back to an earlier state, in a new era. Later revisions will be given out again, to other
+   * changes. Subscribers are not notified; those of before must end their subscriptions.
    *
    * @param snapshot The state to go back to.
    */
   restore(snapshot: TableSnapshot): void {
-    this.#entries = new Map(snapshot.entries);
-    this.#history = [...snapshot.history];
+    const era = ++this.#era;
+    this.#entries = new Map();
+    for (const [key, entry] of snapshot.entries) {
+      this.#entries.set(key, inEra(era, entry));
+    }
+    this.#history = snapshot.history.map((event) => eventInEra(era, event));
     this.#revision = snapshot.revision;
     this.#compactedRevision = snapshot.compactedRevision;
   }
@@ -193,8 +209,8 @@
   }
 
   #isSatisfied(expect: Expectation[]): boolean {
-    return expect.every(({ key, modRevision }) =>
-      (this.#entries.get(key)?.modRevision ?? 0n) === modRevision
+    return expect.every(({ key, modPosition }) =>
+      isSamePosition(this.#entries.get(key)?.modPosition, modPosition)
     );
   }
 
@@ -222,11 +238,12 @@
     revision: bigint,
     events: TableEvent[],
   ): void {
+    const position = positionAt(this.#era, revision);
     const stored: StoredEntry = {
       key: write.key,
       value: write.value,
-      modRevision: revision,
-      createRevision: this.#entries.get(write.key)?.createRevision ?? revision,
+      modPosition: position,
+      createPosition: this.#entries.get(write.key)?.createPosition ?? position,
       leaseId: write.leaseId ?? 0n,
     };
     this.#entries.set(write.key, stored);
@@ -235,7 +252,8 @@
 
   #delete(key: string, revision: bigint, events: TableEvent[]): void {
     if (!this.#entries.delete(key)) return;
-    events.push({ kind: "delete", key, revision });
+    const position = positionAt(this.#era, revision);
+    events.push({ kind: "delete", key, position });
   }
 
   #publish(revision: bigint, events: TableEvent[]): void {
@@ -254,12 +272,28 @@
 }
 
 function toPublicEntry(stored: StoredEntry): KeyValueEntry {
-  const { key, value, modRevision, createRevision } = stored;
-  return { key, value, modRevision, createRevision };
+  const { key, value, modPosition, createPosition } = stored;
+  return { key, value, modPosition, createPosition };
+}
+
+function inEra<T extends KeyValueEntry>(era: number, entry: T): T {
+  return {
+    ...entry,
+    modPosition: positionAt(era, entry.modPosition.revision),
+    createPosition: positionAt(era, entry.createPosition.revision),
+  };
+}
+
+function eventInEra(era: number, event: TableEvent): TableEvent {
+  if (event.kind === "put") return { ...event, entry: inEra(era, event.entry) };
+  return { ...event, position: positionAt(era, event.position.revision) };
 }
 
 function revisionOf(event: TableEvent): bigint {
-  return event.kind === "put" ? event.entry.modRevision : event.revision;
+  const { revision } = event.kind === "put"
+    ? event.entry.modPosition
+    : event.position;
+  return revision;
 }
 
 function keyOf(event: TableEvent): string {
