Name the store's era in the datagrams of a test's peer

The stand-in store names era 1, so a peer that names none is behind and is never asked: the tests of malformed answers and of relayed deletions waited for a call that did not come. Their peer now names the store's era in its datagrams and answers; the checks are the same.

--- a/src/router/peer_gossip_test.ts
+++ b/src/router/peer_gossip_test.ts
@@ -192,7 +192,8 @@
   const world = await openWorld(t);
   await world.worker("i-1");
   const peer = await FakePeer.create(t, world);
-  const relay = { revision: "99999", ageMs: 0, isAll: false, deletes: [] };
+  const { era } = world.store.store;
+  const relay = { revision: "99999", era, ageMs: 0, isAll: false, deletes: [] };
   const entry = { value: "", modRevision: "99998", createRevision: "1" };
   const bodies = [
     {},
@@ -210,7 +211,7 @@
     peer.answers.set("/relay", JSON.stringify(body));
     const before = peer.asked.length;
     while (!peer.asked.slice(before).includes("/relay")) {
-      await peer.sendFields({ revision: "99999" });
+      await peer.sendFields({ revision: "99999", era });
       await new Promise((resolve) => setTimeout(resolve, 20));
     }
   }
@@ -253,10 +254,22 @@
   await until(() => stateContains(world, '"storeConnected":false'));
   const revision = "99999";
   const deletes = [{ key: "servers/i-1", revision }];
-  const catchup = { revision, ageMs: 0, isAll: false, entries: [], deletes };
+  const catchup = {
+    revision,
+    era: world.store.store.era,
+    ageMs: 0,
+    isAll: false,
+    entries: [],
+    deletes,
+  };
   peer.answers.set("/relay", JSON.stringify(catchup));
   await until(async () => {
-    await peer.sendFields({ revision, storeServes: true, ...told });
+    await peer.sendFields({
+      revision,
+      era: world.store.store.era,
+      storeServes: true,
+      ...told,
+    });
     return stateContains(world, '"storeRevision":"99999"');
   });
   return world;
@@ -295,12 +308,24 @@
   setTimeout(() => world.clock.stop(), DRAIN_MS - 100).unref();
   const revision = "99999";
   const deletes = [{ key: "servers/i-1", revision }];
-  const catchup = { revision, ageMs: 0, isAll: false, entries: [], deletes };
+  const catchup = {
+    revision,
+    era: world.store.store.era,
+    ageMs: 0,
+    isAll: false,
+    entries: [],
+    deletes,
+  };
   peer.answers.set("/relay", JSON.stringify(catchup));
   for (let sent = 0; stateContains(world, '"i-1"'); sent++) {
     const storeServedMs = Math.round(world.clock.nowMs() - deletedAtMs);
     assert.ok(sent < MAX_DATAGRAMS, "the deleted server is still in use");
-    await peer.sendFields({ revision, storeServes: true, storeServedMs });
+    await peer.sendFields({
+      revision,
+      era: world.store.store.era,
+      storeServes: true,
+      storeServedMs,
+    });
     await new Promise((resolve) => setTimeout(resolve, 20));
   }
 });
