--- a/src/router/peer_era_during_listing_test.ts
+++ b/src/router/peer_era_during_listing_test.ts
@@ -31,6 +31,7 @@
       // A connection that is dead, and still seems open.
       async *watch(_prefix, _from, signal) {
         await sleep(60_000, undefined, { signal }).catch(() => {});
+        yield* [];
       },
     },
   });
