--- a/src/router/reset_during_upload_test.ts
+++ b/src/router/reset_during_upload_test.ts
@@ -25,7 +25,6 @@
     connectMs: 500,
     idleMs: 1000,
   });
-  // Opened before, and stays open: the server lives.
   const ends: Record<string, number> = {};
   for (let i = 0; i < 20; i++) {
     const exchange = pool.send({
@@ -34,10 +33,10 @@
       headers: [],
       body: Buffer.alloc(20 * 1024 * 1024),
     });
-    // The reset arrives together with the data.
+    // The blocked process finds the data and the reset at the same time.
     await new Promise((resolve) => setTimeout(resolve, 5));
-    const until = Date.now() + 30;
-    while (Date.now() < until);
+    const untilMs = Date.now() + 30;
+    while (Date.now() < untilMs);
     while (true) {
       const step = await exchange.next(1000);
       if (!step) break;
