Deliver answers at a stop that their clients have not read yet

At a planned stop a slow client lost the rest of its answer: 3.9 of 14.7 MB, with a length, and closed in order without one.

Cause: since Node 19 the server's close() closes idle connections, and takes one for idle once the answer has been handed over, read or not. Change: the entry closes idle connections itself, as it did beside that already, by the requests whose answers aren't delivered.

--- a/src/router/cut_by_entry_test.ts
+++ b/src/router/cut_by_entry_test.ts
@@ -14,6 +14,7 @@
   HOST,
   KEY,
   NO_FAULTS,
+  SEALED_HEAD,
   StandinPlatformStore,
   StandinRawServer,
 } from "../standin/mod.ts";
@@ -21,6 +22,9 @@
 import { onReset } from "./socket_reset.ts";
 import { openWorld, until } from "./_world.ts";
 
+/** Longer than a stopping entry accepts connections. */
+const LISTENING_MS = 3000;
+
 function ask(
   { ipAddress, clientPort }: { ipAddress: string; clientPort: number },
   { path, version = "1.1" }: { path: string; version?: string },
@@ -65,6 +69,28 @@
   assert.ok(isWhole || isReset, `${text.length} bytes, closed in order`);
 });
 
+// Guards against taking a connection for idle whose client still reads the answer.
+test("planned stop delivers an answer that a slow client has not read yet", async (t) => {
+  const world = await openWorld(t, { graceMs: 10_000 });
+  const body = "x".repeat(14 * 1024 * 1024);
+  await serveBytes(t, world, {
+    id: "i-raw",
+    service: "plain",
+    answer: (socket, id) =>
+      socket.end(
+        `${SEALED_HEAD}attempt-id: ${id}\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+      ),
+  });
+  const socket = ask(world, { path: "/look/a" });
+  socket.pause();
+  await sleep(600);
+  const drained = world.router.drain();
+  await sleep(LISTENING_MS);
+  const { text } = await readEnd(socket.resume());
+  await drained;
+  assert.equal(text.length - text.indexOf("\r\n\r\n") - 4, body.length);
+});
+
 test("stream that breaks off is reset for a client of HTTP/1.0", async (t) => {
   const world = await openWorld(t);
   const faults = { ...NO_FAULTS, cutAfterEvents: 2 };
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -94,11 +94,13 @@
         this.#handle(request, response).catch((error) => {
           // An exception in one request must not crash the process and fail the others.
           options.log.error({ event: "request_fault", error });
-          response.destroy();
+          abortResponse(response);
         });
       },
     );
     this.#server.requestTimeout = 0;
+    // close() would call it, and cut answers that their clients have not read yet.
+    this.#server.closeIdleConnections = () => {};
     // Before Node's own listener, which reads from the connection.
     this.#server.prependListener("connection", (socket) => this.#open(socket));
   }
@@ -199,11 +201,7 @@
     await closed;
   }
 
-  /**
-   * Closes connections without a request in flight, so that no further request arrives on them:
-   * keep-alive connections whose last answer began before the stop, and connections without any
-   * request yet. Node's closeIdleConnections() leaves the latter open.
-   */
+  /** Closes connections without a request in flight, so that no further request arrives on them. */
   #closeIdle(): void {
     for (const [socket, requests] of this.#connections) {
       if (requests.size === 0) socket.destroy();
