--- a/src/router/_admitted_client.ts
+++ b/src/router/_admitted_client.ts
@@ -3,16 +3,22 @@
 import type { Logger } from "../base/mod.ts";
 import {
   type ClientResponse,
+  type EntryAddress,
   sendClientRequest,
   toRequestHeaders,
 } from "../standin/mod.ts";
 import type { LogLine } from "./_kit.ts";
-import type { TestEntry } from "./_world.ts";
 
 /** Reason of an entry that reads its requests late, as its log gives it. */
 const BEHIND = "overloaded";
 let sentCount = 0;
 
+/** An entry whose log was noted by {@link noteRefusals}. */
+export interface NotedEntry extends EntryAddress {
+  /** Ids of the requests that the entry refused because it read them late. */
+  refusedBehind: Set<unknown>;
+}
+
 /**
  * Sends a request. An entry that reads requests late refuses them, as in a test process that gets
  * little processor time; such a request is sent again when the entry says. Any other refusal is the
@@ -24,7 +30,7 @@
  * @returns The answer.
  */
 export async function sendAdmitted(
-  entry: TestEntry,
+  entry: NotedEntry,
   path: string,
   headers: Record<string, string> = {},
 ): Promise<ClientResponse> {
