--- a/src/standin/platform_store_server.ts
+++ b/src/standin/platform_store_server.ts
@@ -137,10 +137,11 @@
     copy: StoreSnapshot,
     { awayMs }: RestoreOptions = { awayMs: 0 },
   ): Promise<void> {
-    await this.#host.down();
+    // The port is kept: another process might be given it while the store is away.
+    this.#host.endConnections({ isReset: true, acceptance: "close" });
     await new Promise((resolve) => setTimeout(resolve, awayMs));
     this.store.restore(copy);
-    await this.#host.up();
+    this.#host.endConnections({ isReset: true, acceptance: "serve" });
   }
 
   /** Stops the store permanently. */
