--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -277,11 +277,14 @@
     );
     const answerByMs = arrivedAtMs + timeLeftMs;
     if (answerByMs <= nowMs) return this.#refuse(facts, sink, "expired");
+    const { route, workspace } = routed;
+    const service = pickService(route.shares, this.#options.random);
     const ready: RoutedRequest = {
       facts,
-      route: routed.route,
-      service: pickService(routed.route.shares, this.#options.random),
-      workspace: routed.workspace,
+      route,
+      service,
+      workspace,
+      rank: inForce.urgency.rankOf(service, route, workspace),
       rawHeaders: request.rawHeaders,
       body: body.bytes,
       arrivedAtMs,
--- a/src/router/routing_table.ts
+++ b/src/router/routing_table.ts
@@ -7,6 +7,7 @@
   type Service,
   type Workspace,
 } from "./model.ts";
+import { Urgency } from "./urgency.ts";
 
 /** Result of authenticating a request by its key. */
 export type Authentication =
@@ -18,6 +19,8 @@
 export class RoutingTable {
   readonly version: number;
   readonly limits: ClientLimits;
+  /** Order of the requests of each service. */
+  readonly urgency: Urgency;
   /** Routes by host; longest path prefix first. */
   readonly #routes = new Map<string, Route[]>();
   readonly #services = new Map<string, Service>();
@@ -29,6 +32,7 @@
   private constructor(config: RoutingConfig) {
     this.version = config.version;
     this.limits = config.limits;
+    this.urgency = Urgency.create(config);
     this.#requiresKeys = config.workspaces.length > 0;
     for (const service of config.services) {
       this.#services.set(service.name, service);
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -164,14 +164,14 @@
   }
 
   #priorityOf(
-    { route, workspace, answerByMs, facts }: RoutedRequest,
+    { route, workspace, rank, answerByMs, facts }: RoutedRequest,
     { lastEventId }: Progress,
   ): number {
     // A resumed stream is late after a short pause already, so it is admitted first.
     if (lastEventId !== facts.lastEventId) return 0;
     const leftMs = answerByMs - this.#options.clock.nowMs();
     return enginePriority(
-      workspace?.priority ?? route.priority,
+      rank ?? workspace?.priority ?? route.priority,
       isClientRetry(leftMs, route.timeoutMs),
     );
   }
