Share answer times between the servers of a scheduled service

Cause: a server starts with 15 ms for each generated token, and an entry of a large deployment sees few answers of one server. Change: servers of a scheduled service share one estimate, also with servers that start later. Others keep their own.

--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -178,7 +178,7 @@
     (BASE_TTFT_MS + uncachedTokens / PREFILL_TOKENS_PER_MS);
   const expectedMs = queueMs + processingMs + (copy?.copyMs ?? 0);
   const tokensToRecompute = Math.max(0, view.sharedTokens - availableTokens);
-  const outputMs = server.outputMs(prompt.outputTokens);
+  const outputMs = server.outputTimes.expectedMs(prompt.outputTokens);
   const weights = assessWeights(prompt, {
     version: weightsVersion,
     expectedMs,
--- a/src/router/choose_test.ts
+++ b/src/router/choose_test.ts
@@ -136,8 +136,8 @@
 test("long answer starts on replaced weights although short answers take long per token", () => {
   const server = testServer("a");
   for (let i = 0; i < 200; i++) {
-    if (i % 5 === 0) server.recordOutput(600, 80);
-    else server.recordOutput(200, 5);
+    if (i % 5 === 0) server.outputTimes.record(600, 80);
+    else server.outputTimes.record(200, 5);
   }
   const servers = [server];
   for (const ageMs of [30, 6500]) {
--- a/src/router/effective_state.ts
+++ b/src/router/effective_state.ts
@@ -8,6 +8,7 @@
 import { ExpectedCache, type OwnedCache } from "./expected_cache.ts";
 import type { Fleet } from "./fleet.ts";
 import type { MirrorChange } from "./mirror.ts";
+import { OutputTimes } from "./output_times.ts";
 import {
   copyMsPerToken,
   type RoutingConfig,
@@ -48,6 +49,8 @@
   #promptStores = new Map<string, PromptStore>();
   /** Keys with a malformed value, so that each is logged once. */
   readonly #malformedKeys = new Set<string>();
+  /** Answer times of the services whose servers share them. */
+  readonly #outputTimes = new Map<string, OutputTimes>();
 
   private constructor(options: EffectiveStateOptions) {
     this.#options = options;
@@ -132,6 +135,7 @@
       cacheTokens: (known?.engine?.cacheTokens ?? 0) * USABLE_CACHE_RATIO,
       connectionLimit: known?.connectionLimit ?? Infinity,
       copyMsPerToken: copyMsPerToken(known?.engine ?? {}),
+      outputTimes: this.#sharedOutputTimes(service),
     };
   }
 
@@ -144,6 +148,17 @@
     return 2 * (this.#table?.streamTimeoutMs(service) ?? 0);
   }
 
+  /**
+   * An entry sees too few answers of one server to learn its answer times before the server restarts;
+   * with the initial estimate, no long answer may begin on weights that were just replaced.
+   */
+  #sharedOutputTimes(service: string): OutputTimes | undefined {
+    if (!this.#table?.urgency.isScheduled(service)) return undefined;
+    const known = this.#outputTimes.get(service) ?? OutputTimes.create();
+    this.#outputTimes.set(service, known);
+    return known;
+  }
+
   #applyRemoval(key: string): void {
     this.#malformedKeys.delete(key);
     const removed = decodeDeletion(key);
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -5,21 +5,10 @@
 import { ChannelPool } from "./channel.ts";
 import { Health } from "./health.ts";
 import type { BackendServer } from "./model.ts";
+import { OutputTimes } from "./output_times.ts";
 import { PeerLoadSum, type ServerLoad } from "./peer_load_sum.ts";
 import { PermitPauses } from "./permit_pauses.ts";
 
-/** Initial estimate of the time per generated token; small models are several times faster. */
-const INITIAL_TOKEN_MS = 15;
-/** Bounds per token, which limit the effect of a single outlier. */
-const TOKEN_MIN_MS = 1;
-const TOKEN_MAX_MS = 200;
-/** Weight of the newest sample in the moving averages. */
-const SAMPLE_WEIGHT = 0.1;
-/**
- * Initial estimate of the tokens per answer; the moving average replaces it after a few answers.
- */
-const INITIAL_OUTPUT_TOKENS = 50;
-
 /** Timeouts of connections to servers. */
 export const CONNECTION_TIMES = {
   /** Servers are a few ms away, so a slower connection attempt means that the server is dead. */
@@ -36,6 +25,8 @@
   connectionLimit: number;
   /** Time per token to copy cached tokens from this server within its zone. */
   copyMsPerToken: number;
+  /** Answer times that all servers of the service share; absent: each server has its own. */
+  outputTimes?: OutputTimes;
 }
 
 /** Settings of a {@link Server}. */
@@ -76,9 +67,8 @@
   #changesNextUntilMs = -Infinity;
   #refusedUntilMs = -Infinity;
   #lastByteAtMs = -Infinity;
-  /** Moving averages of the answer time and of the maximum tokens per answer. */
-  #answerMs = INITIAL_TOKEN_MS * INITIAL_OUTPUT_TOKENS;
-  #answerTokens = INITIAL_OUTPUT_TOKENS;
+  readonly #ownOutputTimes = OutputTimes.create();
+  #outputTimes: OutputTimes;
 
   private constructor(entry: BackendServer, options: ServerOptions) {
     this.id = entry.id;
@@ -89,6 +79,7 @@
     this.cache = ExpectedCache.create(options.cacheTokens);
     this.#connectionLimit = options.connectionLimit;
     this.#copyMsPerToken = options.copyMsPerToken;
+    this.#outputTimes = options.outputTimes ?? this.#ownOutputTimes;
     this.#recordAllWeights(entry.weights);
   }
 
@@ -156,10 +147,11 @@
   }
 
   /** @param limits Limits that apply from now on. */
-  limit({ cacheTokens, connectionLimit, copyMsPerToken }: ServerLimits): void {
-    this.cache.resize(cacheTokens);
-    this.#connectionLimit = connectionLimit;
-    this.#copyMsPerToken = copyMsPerToken;
+  limit(limits: ServerLimits): void {
+    this.cache.resize(limits.cacheTokens);
+    this.#connectionLimit = limits.connectionLimit;
+    this.#copyMsPerToken = limits.copyMsPerToken;
+    this.#outputTimes = limits.outputTimes ?? this.#ownOutputTimes;
   }
 
   /**
@@ -266,30 +258,9 @@
     this.#lastByteAtMs = nowMs;
   }
 
-  /**
-   * @param tokens Maximum number of tokens that a request generates.
-   * @returns Expected time from the first token to the last.
-   */
-  outputMs(tokens: number): number {
-    return tokens * this.#answerMs / this.#answerTokens;
-  }
-
-  /**
-   * Updates the moving averages with a complete answer. Answers are weighted by their tokens: short
-   * answers wait for the prefill of other prompts between a few tokens, and a plain mean of time
-   * per token would make all answers look several times slower.
-   *
-   * @param tookMs Time from the first token to the last.
-   * @param tokens Maximum number of tokens that the answer might have had.
-   */
-  recordOutput(tookMs: number, tokens: number): void {
-    if (tokens <= 0) return;
-    const sampleMs = Math.min(
-      TOKEN_MAX_MS * tokens,
-      Math.max(TOKEN_MIN_MS * tokens, tookMs),
-    );
-    this.#answerMs += SAMPLE_WEIGHT * (sampleMs - this.#answerMs);
-    this.#answerTokens += SAMPLE_WEIGHT * (tokens - this.#answerTokens);
+  /** Time from the first token of an answer of this server to the last. */
+  get outputTimes(): OutputTimes {
+    return this.#outputTimes;
   }
 
   /**
