Learn rates of engines and paces of servers in scheduled services

Cause: placement estimates times from constants (80 tokens per ms, 45 ms, 5 ms per request) and a slowness that only the local entry knows; a deployment's engines prefill 64 or 140 tokens per ms, and a server that becomes slow is noticed by each entry on its own. Change: src/service_rates estimates the rates of a service (extended Kalman filter on logarithms with bounded residuals) and a factor for each server incarnation, whose samples entries exchange in the datagram field `paces`. Choice, answers, /state, the request metrics and the configuration use it for engines of scheduled services; all others keep the constants and the local slowness. Tested: new tests of rates, paces, exchange, choices over generated cases and a fleet of four entries in virtual time; 143 tests of src/router and src/base/imports_test.ts pass.

--- a/src/router/_kit.ts
+++ b/src/router/_kit.ts
@@ -1,9 +1,13 @@
 /** Test doubles and factories shared by the router's tests. */
 import { pino } from "pino";
 import { type Clock, createSilentLogger, type Logger } from "../base/mod.ts";
+import type { ServiceRates } from "../service_rates/mod.ts";
+import type { PromptPlacement } from "./choose.ts";
+import type { Chain } from "./expected_cache.ts";
 import { Fleet, type FleetOptions } from "./fleet.ts";
 import type { BackendServer } from "./model.ts";
-import { Server, type ServerOptions } from "./server.ts";
+import { Server } from "./server.ts";
+import type { ServerOptions } from "./server_options.ts";
 
 /** A clock whose time advances only when a test calls {@link TestClock.advance}. */
 export class TestClock {
@@ -62,30 +66,58 @@
 
 /**
  * @param id The server's id.
- * @param fields Overrides of the defaults, which describe a ready engine in zone `a`.
+ * @param fields Overrides of the defaults, which describe a ready engine in zone `a`; learned rates of
+ *   its service, by default none.
  * @returns A server without load.
  */
 export function testServer(
   id: string,
-  fields: Partial<BackendServer> = {},
+  { learnedRates, ...fields }: Partial<BackendServer> & {
+    learnedRates?: ServiceRates;
+  } = {},
 ): Server {
-  return Server.create(registration(id, fields), SERVER_OPTIONS);
+  const options = { ...SERVER_OPTIONS, learnedRates };
+  return Server.create(registration(id, fields), options);
+}
+
+/**
+ * @param parts Parts of the prompt.
+ * @returns A prompt on weights that weren't replaced.
+ */
+export function testPrompt(parts: Chain["parts"]): PromptPlacement {
+  return {
+    model: "m",
+    promptTokens: parts.reduce((sum, { tokens }) => sum + tokens, 0),
+    outputTokens: 80,
+    chainFor: (version) => ({ salt: `w${version}`, parts }),
+    wantedVersion: 1,
+    stores: [],
+    replacedForMs: () => 0,
+    weightsLimits: {
+      staleFromMs: 7000,
+      orderByMs: 8500,
+      retiredFromMs: 9000,
+      beginUntilMs: 9600,
+    },
+  };
 }
 
 /**
  * @param clock The fleet's clock.
- * @param options Overrides of the defaults: a silent log, and a store without outages.
+ * @param options Overrides of the defaults: a silent log, a store without outages, no learned rates.
  * @returns A fleet without servers.
  */
 export function testFleet(
   clock: Clock,
-  options: Partial<FleetOptions> = {},
+  { learnedRates, ...options }: Partial<FleetOptions> & {
+    learnedRates?: ServiceRates;
+  } = {},
 ): Fleet {
   return Fleet.create({
     clock,
     log: silentLog,
     heartbeatMs: 1000,
-    serverOptions: () => SERVER_OPTIONS,
+    serverOptions: () => ({ ...SERVER_OPTIONS, learnedRates }),
     outage: () => undefined,
     inRegistrationGrace: () => false,
     streamLifetimeMs: () => 0,
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -84,6 +84,8 @@
   originSource?: OriginSource;
   ttftMs?: number;
   expectedMs?: number;
+  /** Time to the first byte of the first answer, from its send, relative to the expected time. */
+  firstByteRatio?: number;
   /**
    * Servers that ended while running the request, in this client attempt and earlier ones, or while
    * running requests with {@link Progress.quarantinedPart}.
--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -6,6 +6,7 @@
 } from "./cache_copy.ts";
 import type { Chain } from "./expected_cache.ts";
 import type { RunCopy } from "./model.ts";
+import type { ServerLoad } from "./peer_load_sum.ts";
 import type { Caller } from "./permit_bucket.ts";
 import { type PromptStore, selectStore } from "./prompt_store.ts";
 import type { Server } from "./server.ts";
@@ -21,12 +22,6 @@
 /** One of {@link ChoiceName}. */
 export type ChoiceName = typeof ChoiceName[keyof typeof ChoiceName];
 
-/** Prefill throughput of an engine; the deployments' sizing sheet gives 81.9 tokens per ms. */
-const PREFILL_TOKENS_PER_MS = 80;
-/** Time to first token of a fully cached prompt: 41 ms by the sizing sheet plus one decode step. */
-const BASE_TTFT_MS = 45;
-/** Delay of the first token per running request, which lengthens every decode step until then. */
-const RUNNING_DELAY_MS = 5;
 /**
  * Saving a prompt stores its unshared last part too, which no other request reuses. Above this
  * ratio of unshared to shared tokens, a save would evict more useful data than it adds.
@@ -97,6 +92,10 @@
   queueMs: number;
   /** Prompt tokens that the server has to prefill. */
   uncachedTokens: number;
+  /** Load of the server without the request; absent for plain calls and moved runs. */
+  load?: Readonly<ServerLoad>;
+  /** Part of `expectedMs` in which cached prompt parts are copied. */
+  copyMs?: number;
   weightsVersion?: number;
   /** Remaining time in which the server's replaced weights may be used; undefined: unlimited. */
   weightsLeftMs?: number;
@@ -170,13 +169,16 @@
   const availableTokens = copy ? copy.tokens : cached;
   const uncachedTokens = Math.max(0, prompt.promptTokens - availableTokens);
   const load = server.load(nowMs);
-  const slowness = server.health.slowness(nowMs);
-  const queueMs = slowness *
-    (load.pendingTokens / PREFILL_TOKENS_PER_MS +
-      load.running * RUNNING_DELAY_MS);
-  const processingMs = slowness *
-    (BASE_TTFT_MS + uncachedTokens / PREFILL_TOKENS_PER_MS);
-  const expectedMs = queueMs + processingMs + (copy?.copyMs ?? 0);
+  // The constants, unless the rates of the service are learned.
+  const { rates } = server.times;
+  const timeFactor = server.times.factor(nowMs);
+  const queueMs = timeFactor *
+    (load.pendingTokens / rates.tokensPerMs +
+      load.running * rates.runningMs);
+  const processingMs = timeFactor *
+    (rates.baseMs + uncachedTokens / rates.tokensPerMs);
+  const copyMs = copy?.copyMs ?? 0;
+  const expectedMs = queueMs + processingMs + copyMs;
   const tokensToRecompute = Math.max(0, view.sharedTokens - availableTokens);
   const outputMs = server.outputMs(prompt.outputTokens);
   const weights = assessWeights(prompt, {
@@ -194,6 +196,8 @@
     expectedMs,
     queueMs,
     uncachedTokens,
+    load,
+    copyMs,
     weightsVersion,
     weightsLeftMs: weights.leftMs,
     maySend: weights.maySend,
--- a/src/router/choose_test.ts
+++ b/src/router/choose_test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { testServer } from "./_kit.ts";
+import { seededRandom } from "../base/random.ts";
+import { ServiceRates } from "../service_rates/mod.ts";
+import { testPrompt, testServer } from "./_kit.ts";
 import { ExpectedCache } from "./expected_cache.ts";
 import {
   ChoiceName,
@@ -8,6 +10,7 @@
   type Placement,
   type PromptPlacement,
 } from "./choose.ts";
+import type { Server } from "./server.ts";
 
 const PARTS = [
   { id: "shared", tokens: 4000 },
@@ -16,22 +19,7 @@
 const CHAIN = { salt: "w1", parts: PARTS };
 
 function prompt(fields: Partial<PromptPlacement> = {}): PromptPlacement {
-  return {
-    model: "m",
-    promptTokens: 5000,
-    outputTokens: 80,
-    chainFor: (version) => ({ salt: `w${version}`, parts: PARTS }),
-    wantedVersion: 1,
-    stores: [],
-    replacedForMs: () => 0,
-    weightsLimits: {
-      staleFromMs: 7000,
-      orderByMs: 8500,
-      retiredFromMs: 9000,
-      beginUntilMs: 9600,
-    },
-    ...fields,
-  };
+  return { ...testPrompt(PARTS), ...fields };
 }
 
 function placement(fields: Partial<Placement> = {}): Placement {
@@ -256,3 +244,63 @@
   const long = prompt({ outputTokens: 800 });
   assert.equal(choose(placement({ servers, prompt: long }))?.server.id, "next");
 });
+
+const GENERATED_CASES = 500;
+
+/** Loads that are the same for the same seed; slow servers only if they are asked for. */
+function loadedServers(
+  seed: number,
+  { isSlow, learnedRates }: { isSlow: boolean; learnedRates?: ServiceRates },
+): Server[] {
+  const random = seededRandom(seed);
+  return Array.from({ length: 2 + Math.floor(10 * random()) }, (_, i) => {
+    const server = testServer(`i-${i}`, { learnedRates });
+    for (let n = Math.floor(8 * random()); n > 0; n--) {
+      const ticket = server.startRequest(Math.floor(5000 * random()), false);
+      if (random() < 0.5) ticket.started();
+    }
+    const ratio = 0.2 + 6 * random();
+    if (isSlow) server.health.answered(1000, ratio);
+    return server;
+  });
+}
+
+// Services that aren't scheduled must be served as before rates were learned: by the constants and the
+// slowness that this entry measured.
+test("servers without learned rates are chosen by the constants and their slowness", () => {
+  for (let seed = 0; seed < GENERATED_CASES; seed++) {
+    const servers = loadedServers(seed, { isSlow: true });
+    const times = servers.map(({ ownLoad, health }) => {
+      const slowness = health.slowness(1000);
+      const { pendingTokens, running } = ownLoad;
+      return slowness * (pendingTokens / 80 + running * 5) +
+        slowness * (45 + 5000 / 80);
+    });
+    const choice = choose(placement({ servers }));
+    const expectedMs = Math.min(...times);
+    assert.equal(choice?.expectedMs, expectedMs, `seed ${seed}`);
+    assert.equal(choice.server, servers[times.indexOf(expectedMs)]);
+    const perMs = 80 / choice.server.health.slowness(1000);
+    assert.equal(choice.server.tokensPerMs(1000), perMs);
+  }
+});
+
+// Where the constants are correct, learning must not change which server is chosen.
+test("learned rates choose the same servers where answers confirm the constants", () => {
+  for (let seed = 0; seed < GENERATED_CASES; seed++) {
+    const learnedRates = ServiceRates.create();
+    const learning = loadedServers(seed, { isSlow: false, learnedRates });
+    for (const server of learning) {
+      const { pendingTokens: queuedTokens, running } = server.ownLoad;
+      const ttftMs = 45 + 5 * running + (queuedTokens + 1000) / 80;
+      const work = { queuedTokens, running, uncachedTokens: 1000 };
+      server.times.record({ ...work, ttftMs }, 1000);
+    }
+    const fixed = loadedServers(seed, { isSlow: false });
+    const learned = choose(placement({ servers: learning }));
+    const before = choose(placement({ servers: fixed }));
+    assert.equal(learned?.server.id, before?.server.id, `seed ${seed}`);
+    const expectedMs = Math.round(before!.expectedMs);
+    assert.equal(Math.round(learned!.expectedMs), expectedMs);
+  }
+});
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -123,7 +123,7 @@
     this.#resends.refund(request, progress);
     const { servers, ends, givenUp, ttftMs, expectedMs } = progress;
     const { weights, copyFrom, endedServers, origin, originSource } = progress;
-    const { quarantinedPart, hasUndeclaredEnd } = progress;
+    const { quarantinedPart, hasUndeclaredEnd, firstByteRatio } = progress;
     return {
       outcome,
       servers,
@@ -131,6 +131,7 @@
       givenUp,
       ttftMs,
       expectedMs,
+      firstByteRatio,
       weights,
       copyFrom,
       endedServers,
--- a/src/router/effective_state.ts
+++ b/src/router/effective_state.ts
@@ -5,6 +5,7 @@
   decodeValue,
   type MalformedValue,
 } from "../platform/mod.ts";
+import { ServiceRates } from "../service_rates/mod.ts";
 import { ExpectedCache, type OwnedCache } from "./expected_cache.ts";
 import type { Fleet } from "./fleet.ts";
 import type { MirrorChange } from "./mirror.ts";
@@ -17,7 +18,7 @@
 import { PUBLISH_TIMES_KEY } from "./publish_times_record.ts";
 import type { PromptStore } from "./prompt_store.ts";
 import { RoutingTable } from "./routing_table.ts";
-import type { ServerLimits } from "./server.ts";
+import type { ServerLimits } from "./server_options.ts";
 import type { VersionAge, WantedVersions } from "./wanted_weights.ts";
 
 /** Fraction of a configured cache capacity that is expected to hold cached prompts. */
@@ -46,6 +47,8 @@
   #table: RoutingTable | undefined;
   /** Prompt stores by address. */
   #promptStores = new Map<string, PromptStore>();
+  /** Learned rates of the engines of scheduled services. */
+  readonly #learnedRates = new Map<string, ServiceRates>();
   /** Keys with a malformed value, so that each is logged once. */
   readonly #malformedKeys = new Set<string>();
 
@@ -132,9 +135,17 @@
       cacheTokens: (known?.engine?.cacheTokens ?? 0) * USABLE_CACHE_RATIO,
       connectionLimit: known?.connectionLimit ?? Infinity,
       copyMsPerToken: copyMsPerToken(known?.engine ?? {}),
+      learnedRates: this.#learnedRates.get(service),
     };
   }
 
+  /** @returns The learned rates by service, for state dumps. */
+  learnedRates(): Record<string, unknown> {
+    return Object.fromEntries(
+      [...this.#learnedRates].map(([name, rates]) => [name, rates.state()]),
+    );
+  }
+
   /**
    * @param service Name of a service.
    * @returns How long clients may take up a stream of it again: they may wait for one attempt and return
@@ -166,6 +177,7 @@
     if (this.#table && config.version <= this.#table.version) return;
     const before = this.#table?.version;
     this.#table = RoutingTable.create(config);
+    this.#applyScheduledServices(this.#table);
     this.#options.fleet.applyLimits();
     this.#options.onConfig(config);
     this.#applyPromptStores(config.services);
@@ -177,6 +189,21 @@
     });
   }
 
+  /** What was learned survives a change of the configuration while the service stays scheduled. */
+  #applyScheduledServices(table: RoutingTable): void {
+    const scheduled = new Set<string>();
+    for (const { name, engine } of table.services()) {
+      if (engine && table.urgency.isScheduled(name)) scheduled.add(name);
+    }
+    for (const name of this.#learnedRates.keys()) {
+      if (!scheduled.has(name)) this.#learnedRates.delete(name);
+    }
+    for (const name of scheduled) {
+      if (this.#learnedRates.has(name)) continue;
+      this.#learnedRates.set(name, ServiceRates.create());
+    }
+  }
+
   #applyWanted(wanted: WantedWeights): void {
     const maxAgeMs = this.#options.maxAgeMs();
     const coalescedMs = this.#options.coalescedMs();
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -7,7 +7,8 @@
 } from "./model.ts";
 import type { RateAnswer, RateStatement } from "./rate_statement.ts";
 import { RemovedServers } from "./removed_servers.ts";
-import { Server, type ServerOptions } from "./server.ts";
+import { Server } from "./server.ts";
+import type { ServerOptions } from "./server_options.ts";
 import { SoftwareVersions, type StreamOrigin } from "./software_versions.ts";
 import type { Outage } from "./store_contact.ts";
 
--- /dev/null
+++ b/src/router/learned_rates_test.ts
@@ -0,0 +1,180 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { poisson, seededRandom } from "../base/random.ts";
+import { ServiceRates } from "../service_rates/mod.ts";
+import { CONFIG, MODEL_REQUEST_HEADERS } from "../standin/mod.ts";
+import { sendAdmitted } from "./_admitted_client.ts";
+import { registration, TestClock, testFleet, testPrompt } from "./_kit.ts";
+import { openWorld, type TestEntry, until, useConfig } from "./_world.ts";
+import { ChoiceName, choose } from "./choose.ts";
+import { PaceExchange } from "./pace_exchange.ts";
+import { ownLoads, PeerLoads } from "./peer_loads.ts";
+
+const SERVERS = 6;
+const ENTRIES = 4;
+/** Some 60% of what the servers prefill. */
+const REQUESTS_PER_MS = 0.13;
+const TOKENS_PER_MS = 64;
+const BASE_MS = 20;
+const OUTPUT_MS = 400;
+const TICK_MS = 2;
+const GOSSIP_INTERVAL_MS = 50;
+const SLOW_FROM_MS = 6000;
+const SLOW_UNTIL_MS = 12_000;
+const END_MS = 18_000;
+const SLOW_FACTOR = 4;
+const WINDOW_MS = 500;
+
+/**
+ * Simulates entries that share servers, of which the first is slow for a while.
+ *
+ * @param seed Seed of the random numbers.
+ * @returns Share of the first server in the requests of each window of {@link WINDOW_MS}.
+ */
+function sharesOfSlowServer(seed: number): number[] {
+  const random = seededRandom(seed);
+  const clock = new TestClock();
+  const startMs = clock.nowMs();
+  const entries = Array.from({ length: ENTRIES }, (_, i) => {
+    const learnedRates = ServiceRates.create();
+    const fleet = testFleet(clock, { learnedRates });
+    for (let k = 0; k < SERVERS; k++) fleet.put(registration(`i-${k}`));
+    const paces = PaceExchange.create({ clock, fleet });
+    return { name: `e-${i}`, fleet, paces, loads: PeerLoads.create(fleet) };
+  });
+  const busyUntilMs = new Map<string, number>();
+  let later: { atMs: number; act: () => void }[] = [];
+  const send = ({ fleet }: typeof entries[number], ageMs: number) => {
+    const nowMs = clock.nowMs();
+    const { server, uncachedTokens, load } = choose({
+      servers: [...fleet.all()],
+      zone: "a",
+      nowMs,
+      tried: new Set(),
+      loadAgeMs: GOSSIP_INTERVAL_MS,
+      random,
+      choice: ChoiceName.cost,
+      prompt: testPrompt([
+        { id: `${random()}`, tokens: 300 + Math.round(3000 * random()) },
+      ]),
+    })!;
+    const isSlow = server.id === "i-0" && ageMs >= SLOW_FROM_MS &&
+      ageMs < SLOW_UNTIL_MS;
+    const factor = (isSlow ? SLOW_FACTOR : 1) * (0.8 + 0.4 * random());
+    const prefilledAtMs = Math.max(nowMs, busyUntilMs.get(server.id) ?? 0) +
+      factor * uncachedTokens / TOKENS_PER_MS;
+    busyUntilMs.set(server.id, prefilledAtMs);
+    const ttftMs = prefilledAtMs - nowMs + factor * BASE_MS;
+    const ticket = server.startRequest(uncachedTokens, false);
+    const { pendingTokens: queuedTokens, running } = load!;
+    const sample = { queuedTokens, running, uncachedTokens, ttftMs };
+    const started = () => {
+      ticket.started();
+      server.times.record(sample, clock.nowMs());
+    };
+    later.push({ atMs: nowMs + ttftMs, act: started });
+    later.push({ atMs: nowMs + ttftMs + OUTPUT_MS, act: ticket.ended });
+    return server.id;
+  };
+  const exchange = () => {
+    for (const { name, fleet, paces } of entries) {
+      const rows = paces.nextRows() ?? [];
+      const loads = ownLoads(fleet);
+      for (const other of entries) {
+        if (other.name === name) continue;
+        other.loads.applyReport({ name, loads }, clock.nowMs());
+        other.paces.applyRows(rows);
+      }
+    }
+  };
+  const shares: number[] = [];
+  let counts = { all: 0, slow: 0 };
+  for (let ageMs = 0; ageMs < END_MS; ageMs += TICK_MS) {
+    const nowMs = startMs + ageMs;
+    const due = later.filter(({ atMs }) => atMs <= nowMs);
+    later = later.filter(({ atMs }) => atMs > nowMs);
+    for (const { act } of due) act();
+    for (let n = poisson(REQUESTS_PER_MS * TICK_MS, random); n > 0; n--) {
+      const entry = entries[Math.floor(random() * ENTRIES)]!;
+      counts.all++;
+      if (send(entry, ageMs) === "i-0") counts.slow++;
+    }
+    clock.advance(TICK_MS);
+    if ((ageMs + TICK_MS) % GOSSIP_INTERVAL_MS === 0) exchange();
+    if ((ageMs + TICK_MS) % WINDOW_MS !== 0) continue;
+    shares.push(counts.slow / Math.max(1, counts.all));
+    counts = { all: 0, slow: 0 };
+  }
+  return shares;
+}
+
+/** Largest value among the windows between two times. */
+function maxBetween(shares: number[], fromMs: number, untilMs: number): number {
+  return Math.max(...shares.slice(fromMs / WINDOW_MS, untilMs / WINDOW_MS));
+}
+
+// A server that becomes slow holds up the requests of all entries until they know it; once it has
+// recovered, its capacity is lost until they use it again, and overloaded if all use it at once.
+test("server that is slow for 6 s is avoided within 2 s and gets its share within 3 s", () => {
+  const fairShare = 1 / SERVERS;
+  for (const seed of [1, 2, 3]) {
+    const shares = sharesOfSlowServer(seed);
+    const avoidedFromMs = SLOW_FROM_MS + 2000;
+    const whileSlow = maxBetween(shares, avoidedFromMs, SLOW_UNTIL_MS);
+    assert.ok(whileSlow < 0.6 * fairShare, `seed ${seed}: ${whileSlow}`);
+    const usedByMs = SLOW_UNTIL_MS + 3000;
+    const afterwards = maxBetween(shares, SLOW_UNTIL_MS, usedByMs);
+    assert.ok(afterwards > 0.5 * fairShare, `seed ${seed}: ${afterwards}`);
+    // A window has 65 requests, so that the share of a server without any fault varies by a third.
+    assert.ok(afterwards < 1.5 * fairShare, `seed ${seed}: ${afterwards}`);
+    const first = shares[SLOW_UNTIL_MS / WINDOW_MS]!;
+    assert.ok(first < 0.6 * fairShare, `seed ${seed}: ${first}`);
+  }
+});
+
+/** The sample configuration with a second, more urgent route of the engines, which schedules them. */
+function scheduledConfig(version: number): typeof CONFIG {
+  const urgent = {
+    ...CONFIG.routes[0],
+    name: "urgent",
+    prefix: "/urgent/",
+    priority: 0,
+    target_latency_ms: 300,
+  };
+  return { ...CONFIG, version, routes: [...CONFIG.routes, urgent] };
+}
+
+/** State of an entry, as far as it is about rates. */
+function ratesAt({ router }: TestEntry): {
+  serviceRates: Record<string, { samples: number }>;
+  servers: { pace?: number }[];
+} {
+  return router.state() as ReturnType<typeof ratesAt>;
+}
+
+// Rates that aren't fed by answers, or paces that aren't exchanged, would leave the constants in use.
+test("answers of scheduled engines teach their entry and the others", async (t) => {
+  const world = await openWorld(t, { entryCount: 2 });
+  await world.engine("i-1");
+  const [first, second] = world.entries as [TestEntry, TestEntry];
+  const ask = async () => {
+    const headers = MODEL_REQUEST_HEADERS;
+    const { status } = await sendAdmitted(world, "/stream/a", headers);
+    assert.equal(status, 200);
+  };
+  await ask();
+  assert.deepEqual(ratesAt(first).serviceRates, {});
+  assert.equal(ratesAt(first).servers[0]?.pace, undefined);
+  await useConfig(world, scheduledConfig(2));
+  await until(() => ratesAt(second).servers[0]?.pace === 1);
+  for (let i = 0; i < 4; i++) await ask();
+  assert.equal(ratesAt(first).serviceRates["engines"]?.samples, 4);
+  await until(() => ratesAt(second).servers[0]?.pace !== 1);
+  assert.equal(ratesAt(second).serviceRates["engines"]?.samples, 0);
+  // What was learned survives further configurations, and ends with the scheduling.
+  await useConfig(world, scheduledConfig(3));
+  assert.equal(ratesAt(first).serviceRates["engines"]?.samples, 4);
+  await useConfig(world, { ...CONFIG, version: 4 });
+  assert.deepEqual(ratesAt(first).serviceRates, {});
+  assert.equal(ratesAt(first).servers[0]?.pace, undefined);
+});
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -51,6 +51,8 @@
   leaving?: [string, StartMs, number][];
   /** Rates of requests that servers take: id, start time, requests per second, ms since then. */
   rates?: [string, StartMs, number | null, number][];
+  /** Samples of the paces of servers: id, start time, factor, number of samples, mean age in ms. */
+  paces?: [string, StartMs, number, number, number][];
   /** Software versions of services with several; absent if there is none. */
   software?: VersionRow[];
   /** Time that requests wait before the sender reads them; absent if short, or from earlier releases. */
@@ -91,6 +93,7 @@
   typeof value === "number" && Number.isFinite(value) && value >= 0;
 const isNumber: Validator = (value) =>
   typeof value === "number" && Number.isFinite(value);
+const isPositive: Validator = (value) => isCount(value) && value !== 0;
 const isCountOrNone: Validator = (value) => value === null || isCount(value);
 /** Earlier releases leave the start time out. */
 const isOptionalCount: Validator = (value) =>
@@ -124,6 +127,9 @@
   rates: (value) =>
     value === undefined ||
     listOf(rowOf(isString, isCount, isCountOrNone, isCount))(value),
+  paces: (value) =>
+    value === undefined ||
+    listOf(rowOf(isString, isCount, isPositive, isCount, isCount))(value),
   software: (value) =>
     value === undefined ||
     listOf(rowOf(isString, isStringOrNone, isCount))(value),
--- a/src/router/peer_gossip.ts
+++ b/src/router/peer_gossip.ts
@@ -12,6 +12,8 @@
 import type { Fleet } from "./fleet.ts";
 import { LeavingAnnouncements } from "./leaving_announcements.ts";
 import type { SyncState } from "./mirror.ts";
+import { changesIn } from "./datagram_changes.ts";
+import { PaceExchange } from "./pace_exchange.ts";
 import type { PeerLags } from "./peer_lags.ts";
 import { ownLoads, PeerLoads } from "./peer_loads.ts";
 import { type Datagram, readDatagram, type StartMs } from "./peer_datagram.ts";
@@ -81,6 +83,7 @@
   readonly #gone: [string, StartMs][] = [];
   readonly #leaving: LeavingAnnouncements;
   readonly #peerLoads: PeerLoads;
+  readonly #paces: PaceExchange;
   #heldBack: () => string[] = () => [];
   #changingNext: () => string[] = () => [];
   #peerStoreContactAtMs = -Infinity;
@@ -94,6 +97,7 @@
     this.#options = options;
     this.#leaving = LeavingAnnouncements.create(options);
     this.#peerLoads = PeerLoads.create(options.fleet);
+    this.#paces = PaceExchange.create(options);
   }
 
   /**
@@ -176,25 +180,7 @@
 
   #sendIfDue(): void {
     const datagram = this.#buildDatagram();
-    // Changes of ages alone do not count as a change.
-    const content = JSON.stringify({
-      ...datagram,
-      ageMs: 0,
-      lagMs: undefined,
-      confirmed: undefined,
-      storeServedMs: undefined,
-      named: [],
-      software: undefined,
-    });
-    const urgent = JSON.stringify([
-      datagram.software?.map(([service, version]) => [service, version]),
-      datagram.heldBack,
-      datagram.silent,
-      datagram.gone,
-      datagram.weights,
-      this.#leaving.ids,
-      datagram.stopping,
-    ]);
+    const { content, urgent } = changesIn(datagram, this.#leaving.ids);
     const { quarantine, quotas, rates, random } = this.#options;
     const hasNews = quarantine.hasNews || rates.hasNews;
     if (!hasNews && !this.#isDue(datagram, content, urgent)) return;
@@ -210,6 +196,7 @@
       ...datagram,
       leaving: this.#leaving.nextRows(),
       rates: rateRows.length > 0 ? rateRows : undefined,
+      paces: this.#paces.nextRows(),
       ...quarantine.takeNews(),
       ...quotas.takeUpdate(),
     };
@@ -331,6 +318,7 @@
     }
     this.#leaving.applyRows(report.leaving ?? []);
     this.#options.rates.applyRows(report.rates ?? []);
+    this.#paces.applyRows(report.paces ?? []);
     fleet.versions.applyRows(report.software ?? []);
     if (report.storeServedMs !== undefined) {
       const servedAtMs = nowMs - report.storeServedMs;
--- a/src/router/peer_gossip_test.ts
+++ b/src/router/peer_gossip_test.ts
@@ -160,6 +160,7 @@
     "cleared",
     "startedAtMs",
     "taken",
+    "paces",
   ];
   for (const name of later) {
     for (const value of [null, {}, "x", [null], [[7]], ["i-1", 7]]) {
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -1,6 +1,7 @@
 /** Reads and validates a backend server's response, and updates the server's state from it. */
 import type { Clock } from "../base/mod.ts";
 import { readAnswer } from "../platform/mod.ts";
+import { expectedTtftMs, INITIAL_RATES } from "../service_rates/mod.ts";
 import { areIdsAscending, rejectionReason } from "./answer_rules.ts";
 import {
   brokenEnd,
@@ -226,10 +227,9 @@
   }
 
   #recordResponse(send: Send, facts: AnswerFacts, nowMs: number): void {
-    const { choice, sentAtMs, ticket, request } = send;
+    const { choice, ticket, request } = send;
     const { server } = choice;
-    const baseMs = choice.expectedMs / server.health.slowness(nowMs);
-    server.health.answered(nowMs, (nowMs - sentAtMs) / Math.max(1, baseMs));
+    recordTime(send, facts, nowMs);
     server.order.recordStart(send, nowMs);
     ticket.started();
     const { prompt } = request.facts;
@@ -239,6 +239,34 @@
   }
 }
 
+/** Learns from the time to the answer's first byte. */
+function recordTime(
+  { choice, sentAtMs, progress }: Send,
+  { status }: AnswerFacts,
+  nowMs: number,
+): void {
+  const { server, expectedMs, load, copyMs = 0, uncachedTokens } = choice;
+  const tookMs = nowMs - sentAtMs;
+  // The expected time of a moved run is unknown, and stated as 0.
+  if (expectedMs > 0) progress.firstByteRatio ??= tookMs / expectedMs;
+  const sample = load && server.times.pace && {
+    queuedTokens: load.pendingTokens,
+    running: load.running,
+    uncachedTokens,
+    ttftMs: Math.max(0, tookMs - copyMs),
+  };
+  if (!sample) {
+    const baseMs = expectedMs / server.health.slowness(nowMs);
+    server.health.answered(nowMs, tookMs / Math.max(1, baseMs));
+    return;
+  }
+  // The slowness stays relative to the constants, as it is used while rates aren't learned.
+  const constantMs = expectedTtftMs(INITIAL_RATES, sample);
+  server.health.answered(nowMs, sample.ttftMs / constantMs);
+  // Requests that were not executed tell nothing about the engine's speed.
+  if (status === 200) server.times.record(sample, nowMs);
+}
+
 function endOfStream(
   { firstEventAtMs, progress }: Send,
   { head: { isFramed }, body }: PartialAnswer,
--- a/src/router/recovered_server_test.ts
+++ b/src/router/recovered_server_test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { seededRandom } from "../base/random.ts";
-import { TestClock, testServer } from "./_kit.ts";
-import { ChoiceName, choose, type PromptPlacement } from "./choose.ts";
+import { TestClock, testPrompt, testServer } from "./_kit.ts";
+import { ChoiceName, choose } from "./choose.ts";
 
 const SERVERS = 6;
 /** High enough that the other servers are busier if one server gets no requests. */
@@ -40,24 +40,6 @@
   }
 }
 
-function prompt(id: string): PromptPlacement {
-  return {
-    model: "m",
-    promptTokens: PROMPT_TOKENS,
-    outputTokens: 80,
-    chainFor: () => ({ salt: "w1", parts: [{ id, tokens: PROMPT_TOKENS }] }),
-    wantedVersion: 1,
-    stores: [],
-    replacedForMs: () => 0,
-    weightsLimits: {
-      staleFromMs: 7000,
-      orderByMs: 8500,
-      retiredFromMs: 9000,
-      beginUntilMs: 9600,
-    },
-  };
-}
-
 /**
  * Simulates a load with one server that is slow at first.
  *
@@ -89,7 +71,7 @@
       loadAgeMs: 50,
       random,
       choice: ChoiceName.cost,
-      prompt: prompt(id),
+      prompt: testPrompt([{ id, tokens: PROMPT_TOKENS }]),
     })!;
     const i = servers.indexOf(server);
     if (ageMs >= COUNT_FROM_MS) counts[i]!++;
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -120,6 +120,8 @@
   ttftMs?: number;
   /** Expected time to the first byte when the last server was chosen. */
   expectedMs?: number;
+  /** Time from the send that was answered first to the answer's first byte, relative to the expected time. */
+  firstByteRatio?: number;
   /**
    * Servers that ended while running the request, or requests with {@link quarantinedPart}, before its
    * last send; absent if none is known.
--- a/src/router/request_log.ts
+++ b/src/router/request_log.ts
@@ -62,6 +62,13 @@
         labels: { route: route.name },
       }).record(result.ttftMs);
     }
+    if (result.firstByteRatio !== undefined) {
+      this.#metrics.histogram("first_byte_over_expected_percent", {
+        help:
+          "Time from a send to the answer's first byte, over the expected time",
+        labels: { service },
+      }).record(100 * result.firstByteRatio);
+    }
     const isAnswered = outcome.kind === "answered";
     const quota = isAnswered ? this.#answered : this.#failed;
     if (!this.#takeLine(quota)) return;
--- a/src/router/request_log_test.ts
+++ b/src/router/request_log_test.ts
@@ -56,6 +56,24 @@
   assert.equal(line["copyFrom"], "10.0.0.1:8080");
 });
 
+// The accuracy of expected times is watched by service; without its record, learned rates that have
+// gone wrong would show only in late answers.
+test("time to the first byte is recorded relative to the expected one", () => {
+  const metrics = Metrics.create();
+  const { log } = recordedLog();
+  const requestLog = RequestLog.create(log, metrics, {
+    clock: new TestClock(),
+  });
+  const outcome: Outcome = { kind: "answered", status: 200 };
+  const result = { outcome, servers: ["i-1"], ends: [] };
+  requestLog.logServed(REQUEST, { ...result, firstByteRatio: 1.25 });
+  requestLog.logServed(REQUEST, result);
+  const text = metrics.render();
+  const name = "first_byte_over_expected_percent";
+  assert.ok(text.includes(`${name}_sum{service="engines"} 125`), text);
+  assert.ok(text.includes(`${name}_count{service="engines"} 1`), text);
+});
+
 test("line of an answered request does not name parts", () => {
   const line = lineOf({ kind: "answered", status: 200 });
   assert.equal(line["parts"], undefined);
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -24,7 +24,7 @@
 import { Registration } from "./registration.ts";
 import { relayAnswer, RelayClient } from "./relay.ts";
 import { RequestLog } from "./request_log.ts";
-import { CONNECTION_TIMES, type ServerOptions } from "./server.ts";
+import { CONNECTION_TIMES, type ServerOptions } from "./server_options.ts";
 import { ServerRecords } from "./server_records.ts";
 import { otherSeeds, type RouterSettings } from "./settings.ts";
 import { sweepServers } from "./sweep.ts";
@@ -197,6 +197,7 @@
       suspects: this.#quarantine.state(),
       quotas: this.#quotas.state(),
       permits: this.#network.permits.state(),
+      serviceRates: this.#state.learnedRates(),
       servers: [...this.#fleet.all()].map((server) => server.state(nowMs)),
     };
   }
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -7,6 +7,8 @@
 import type { BackendServer } from "./model.ts";
 import { PeerLoadSum, type ServerLoad } from "./peer_load_sum.ts";
 import { PermitPauses } from "./permit_pauses.ts";
+import type { ServerLimits, ServerOptions } from "./server_options.ts";
+import { ServerTimes } from "./server_times.ts";
 
 /** Initial estimate of the time per generated token; small models are several times faster. */
 const INITIAL_TOKEN_MS = 15;
@@ -20,33 +22,6 @@
  */
 const INITIAL_OUTPUT_TOKENS = 50;
 
-/** Timeouts of connections to servers. */
-export const CONNECTION_TIMES = {
-  /** Servers are a few ms away, so a slower connection attempt means that the server is dead. */
-  connectMs: 300,
-  /** Idle timeout, unless the server announces a shorter one. */
-  idleMs: 4000,
-} as const;
-
-/** Limits of a server, from the configuration of its service. */
-export interface ServerLimits {
-  /** Capacity of the prefix cache, in tokens, that placement may rely on. */
-  cacheTokens: number;
-  /** Maximum number of connections from all entries together. */
-  connectionLimit: number;
-  /** Time per token to copy cached tokens from this server within its zone. */
-  copyMsPerToken: number;
-}
-
-/** Settings of a {@link Server}. */
-export interface ServerOptions extends ServerLimits {
-  connectMs: number;
-  idleMs: number;
-  lagMs?: () => number;
-  /** Announcements of the same server start before its registration lapsed; undefined: none. */
-  announcements?: Announcements;
-}
-
 /** Tracks one request in flight in this entry's load count of a server. */
 export interface LoadTicket {
   /** Call when the first token has arrived. */
@@ -61,6 +36,8 @@
   readonly channels: ChannelPool;
   readonly cache: ExpectedCache;
   readonly health = Health.create();
+  /** How fast the server is. */
+  readonly times: ServerTimes;
   readonly order = AnswerOrder.create();
   /** Announcements that the server made in its answers. */
   readonly announcements: Announcements;
@@ -89,6 +66,7 @@
     this.cache = ExpectedCache.create(options.cacheTokens);
     this.#connectionLimit = options.connectionLimit;
     this.#copyMsPerToken = options.copyMsPerToken;
+    this.times = ServerTimes.create(this.health, options.learnedRates);
     this.#recordAllWeights(entry.weights);
   }
 
@@ -156,10 +134,11 @@
   }
 
   /** @param limits Limits that apply from now on. */
-  limit({ cacheTokens, connectionLimit, copyMsPerToken }: ServerLimits): void {
-    this.cache.resize(cacheTokens);
-    this.#connectionLimit = connectionLimit;
-    this.#copyMsPerToken = copyMsPerToken;
+  limit(limits: ServerLimits): void {
+    this.cache.resize(limits.cacheTokens);
+    this.#connectionLimit = limits.connectionLimit;
+    this.#copyMsPerToken = limits.copyMsPerToken;
+    this.times.use(limits.learnedRates);
   }
 
   /**
@@ -292,6 +271,14 @@
     this.#answerTokens += SAMPLE_WEIGHT * (tokens - this.#answerTokens);
   }
 
+  /**
+   * @param nowMs Current time.
+   * @returns Prompt tokens that the server prefills per ms.
+   */
+  tokensPerMs(nowMs: number): number {
+    return this.times.rates.tokensPerMs / this.times.factor(nowMs);
+  }
+
   /**
    * Adds a request to the load count.
    *
@@ -337,6 +324,7 @@
       weights: Object.fromEntries(this.entry.weights),
       load: this.load(nowMs),
       slowness: this.health.slowness(nowMs),
+      pace: this.times.pace?.factor(nowMs),
       failures: this.health.failures(nowMs),
       isDown: this.health.isDown,
       heldBack: this.isHeldBack(nowMs),
--- a/src/router/urgency.ts
+++ b/src/router/urgency.ts
@@ -36,6 +36,14 @@
     return new Urgency(config);
   }
 
+  /**
+   * @param service Name of a service.
+   * @returns Whether its requests are scheduled by urgency, so that each has a rank.
+   */
+  isScheduled(service: string): boolean {
+    return this.#services.get(service)?.isScheduled ?? false;
+  }
+
   /**
    * @param service Name of the service that serves the request.
    * @param route Its route.
