--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -8,35 +8,8 @@
 import { OutputTimes } from "./output_times.ts";
 import { PeerLoadSum, type ServerLoad } from "./peer_load_sum.ts";
 import { PermitPauses } from "./permit_pauses.ts";
-
-/** Timeouts of connections to servers. */
-export const CONNECTION_TIMES = {
-  /** Servers are a few ms away, so a slower connection attempt means that the server is dead. */
-  connectMs: 300,
-  /** Idle timeout, unless the server announces a shorter one. */
-  idleMs: 4000,
-} as const;
-
-/** Limits of a server, from the configuration of its service. */
-export interface ServerLimits {
-  /** Capacity of the prefix cache, in tokens, that placement may rely on. */
-  cacheTokens: number;
-  /** Maximum number of connections from all entries together. */
-  connectionLimit: number;
-  /** Time per token to copy cached tokens from this server within its zone. */
-  copyMsPerToken: number;
-  /** Answer times that all servers of the service share; absent: each server has its own. */
-  outputTimes?: OutputTimes;
-}
-
-/** Settings of a {@link Server}. */
-export interface ServerOptions extends ServerLimits {
-  connectMs: number;
-  idleMs: number;
-  lagMs?: () => number;
-  /** Announcements of the same server start before its registration lapsed; undefined: none. */
-  announcements?: Announcements;
-}
+import type { ServerLimits, ServerOptions } from "./server_options.ts";
+import { ServerTimes } from "./server_times.ts";
 
 /** Tracks one request in flight in this entry's load count of a server. */
 export interface LoadTicket {
@@ -52,6 +25,8 @@
   readonly channels: ChannelPool;
   readonly cache: ExpectedCache;
   readonly health = Health.create();
+  /** How fast the server is. */
+  readonly times: ServerTimes;
   readonly order = AnswerOrder.create();
   /** Announcements that the server made in its answers. */
   readonly announcements: Announcements;
@@ -80,6 +55,7 @@
     this.#connectionLimit = options.connectionLimit;
     this.#copyMsPerToken = options.copyMsPerToken;
     this.#outputTimes = options.outputTimes ?? this.#ownOutputTimes;
+    this.times = ServerTimes.create(this.health, options.learnedRates);
     this.#recordAllWeights(entry.weights);
   }
 
@@ -152,6 +128,7 @@
     this.#connectionLimit = limits.connectionLimit;
     this.#copyMsPerToken = limits.copyMsPerToken;
     this.#outputTimes = limits.outputTimes ?? this.#ownOutputTimes;
+    this.times.use(limits.learnedRates);
   }
 
   /**
@@ -263,6 +240,14 @@
     return this.#outputTimes;
   }
 
+  /**
+   * @param nowMs Current time.
+   * @returns Prompt tokens that the server prefills per ms.
+   */
+  tokensPerMs(nowMs: number): number {
+    return this.times.rates.tokensPerMs / this.times.factor(nowMs);
+  }
+
   /**
    * Adds a request to the load count.
    *
@@ -308,6 +293,7 @@
       weights: Object.fromEntries(this.entry.weights),
       load: this.load(nowMs),
       slowness: this.health.slowness(nowMs),
+      pace: this.times.pace?.factor(nowMs),
       failures: this.health.failures(nowMs),
       isDown: this.health.isDown,
       heldBack: this.isHeldBack(nowMs),
--- a/src/router/urgency.ts
+++ b/src/router/urgency.ts
@@ -38,7 +38,7 @@
 
   /**
    * @param service Name of a service.
-   * @returns Whether its requests are scheduled by urgency.
+   * @returns Whether its requests are scheduled by urgency, so that each has a rank.
    */
   isScheduled(service: string): boolean {
     return this.#services.get(service)?.isScheduled ?? false;
