--- a/src/router/learned_rates_test.ts
+++ b/src/router/learned_rates_test.ts
@@ -29,9 +29,10 @@
  * Simulates entries that share servers, of which the first is slow for a while.
  *
  * @param seed Seed of the random numbers.
+ * @param lostRatio Part of the datagrams between entries that is lost.
  * @returns Share of the first server in the requests of each window of {@link WINDOW_MS}.
  */
-function sharesOfSlowServer(seed: number): number[] {
+function sharesOfSlowServer(seed: number, lostRatio: number): number[] {
   const random = seededRandom(seed);
   const clock = new TestClock();
   const startMs = clock.nowMs();
@@ -81,7 +82,7 @@
       const rows = paces.nextRows() ?? [];
       const loads = ownLoads(fleet);
       for (const other of entries) {
-        if (other.name === name) continue;
+        if (other.name === name || random() < lostRatio) continue;
         other.loads.applyReport({ name, loads }, clock.nowMs());
         other.paces.applyRows(rows);
       }
@@ -108,27 +109,29 @@
   return shares;
 }
 
-/** Largest value among the windows between two times. */
-function maxBetween(shares: number[], fromMs: number, untilMs: number): number {
-  return Math.max(...shares.slice(fromMs / WINDOW_MS, untilMs / WINDOW_MS));
+/** Windows between two times, each as a multiple of an equal share. */
+function between(shares: number[], fromMs: number, untilMs: number): number[] {
+  return shares.slice(fromMs / WINDOW_MS, untilMs / WINDOW_MS)
+    .map((share) => share * SERVERS);
+}
+
+function mean(values: number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
 }
 
 // A server that becomes slow holds up the requests of all entries until they know it; once it has
 // recovered, its capacity is lost until they use it again, and overloaded if all use it at once.
 test("server that is slow for 6 s is avoided within 2 s and gets its share within 3 s", () => {
-  const fairShare = 1 / SERVERS;
-  for (const seed of [1, 2, 3]) {
-    const shares = sharesOfSlowServer(seed);
-    const avoidedFromMs = SLOW_FROM_MS + 2000;
-    const whileSlow = maxBetween(shares, avoidedFromMs, SLOW_UNTIL_MS);
-    assert.ok(whileSlow < 0.6 * fairShare, `seed ${seed}: ${whileSlow}`);
-    const usedByMs = SLOW_UNTIL_MS + 3000;
-    const afterwards = maxBetween(shares, SLOW_UNTIL_MS, usedByMs);
-    assert.ok(afterwards > 0.5 * fairShare, `seed ${seed}: ${afterwards}`);
-    // A window has 65 requests, so that the share of a server without any fault varies by a third.
-    assert.ok(afterwards < 1.5 * fairShare, `seed ${seed}: ${afterwards}`);
-    const first = shares[SLOW_UNTIL_MS / WINDOW_MS]!;
-    assert.ok(first < 0.6 * fairShare, `seed ${seed}: ${first}`);
+  for (let seed = 1; seed <= 6; seed++) {
+    const shares = sharesOfSlowServer(seed, seed % 2 === 0 ? 0.3 : 0);
+    const slow = between(shares, SLOW_FROM_MS + 2000, SLOW_UNTIL_MS);
+    assert.ok(mean(slow) < 0.3, `seed ${seed}: ${slow}`);
+    const after = between(shares, SLOW_UNTIL_MS, SLOW_UNTIL_MS + 3000);
+    assert.ok(after[0]! < 1, `seed ${seed}: ${after}`);
+    const used = mean(after.slice(2));
+    assert.ok(used > 0.5 && used < 1.25, `seed ${seed}: ${after}`);
+    // Some 65 requests arrive in a window; before the server was slow, it had up to 1.65 in 40 trials.
+    assert.ok(Math.max(...after) < 1.65, `seed ${seed}: ${after}`);
   }
 });
 
--- a/src/service_rates/service_rates_test.ts
+++ b/src/service_rates/service_rates_test.ts
@@ -62,8 +62,9 @@
     const [fast, , , slow] = paces.map((pace) => pace.factor(nowMs));
     const ratio = slow! / fast!;
     assert.ok(ratio > 1.7 && ratio < 3, `seed ${seed}: ${ratio}`);
-    const { tokensPerMs } = rates;
+    const { tokensPerMs, baseMs } = rates;
     assert.ok(tokensPerMs > 60 && tokensPerMs < 110, `${tokensPerMs}`);
+    assert.ok(baseMs > 30 && baseMs < 70, `${baseMs}`);
   }
 });
 
@@ -74,6 +75,11 @@
     const load = { ...LOAD, factors: EQUAL, outliers };
     assertAccurate({ ...load, actual: INITIAL_RATES });
     assertAccurate({ ...load, actual: scaled(10) });
+    for (const seed of SEEDS) {
+      const { rates } = learn({ ...load, seed, actual: INITIAL_RATES });
+      const { tokensPerMs } = rates;
+      assert.ok(tokensPerMs > 60 && tokensPerMs < 110, `${tokensPerMs}`);
+    }
   }
 });
 
