--- a/src/router/request_forwarder.ts
+++ b/src/router/request_forwarder.ts
@@ -155,10 +155,8 @@
   #endStream(send: Send): ForwardEnd {
     const tookMs = this.#nowMs - send.headAtMs!;
     const { prompt } = this.#task.request.facts;
-    send.choice.server.outputTimes.record(
-      tookMs,
-      prompt?.outputTokens ?? 0,
-    );
+    const tokens = prompt?.outputTokens ?? 0;
+    send.choice.server.outputTimes.record(tookMs, tokens);
     this.#continueWith(send);
     this.#writer.endStream(send);
     return this.#finish(send);
