Fail answers without a length whose connection is reset

undici takes a reset of the connection for the end of an answer without a declared length, so HttpService declared a cut answer complete. The pool's clients now track how their connection ends and report the reset as a failure of the answer. The detection of resets moves from src/router to src/base, as both HTTP clients need it.

--- a/src/backends/_http_call.ts
+++ b/src/backends/_http_call.ts
@@ -1,5 +1,6 @@
 /** Connection pools and failure classification, shared by the HTTP adapters. */
-import { Pool } from "undici";
+import { buildConnector, Pool } from "undici";
+import { ResetClient } from "./_reset_client.ts";
 
 /** A failed call, classified by whether the server may have executed it. */
 export type CallFailure =
@@ -39,7 +40,12 @@
 export function createPool(url: string, options: HttpPoolOptions): Pool {
   return new Pool(url, {
     pipelining: 1,
-    connect: { timeout: options.connectTimeoutMs, noDelay: true },
+    connect: buildConnector({
+      timeout: options.connectTimeoutMs,
+      noDelay: true,
+    }),
+    factory: (origin, clientOptions) =>
+      ResetClient.create(origin, clientOptions),
     headersTimeout: options.headMs,
     bodyTimeout: options.silenceMs,
     keepAliveTimeout: KEEP_ALIVE_MS,
--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -8,7 +8,7 @@
 import { dial, type DialOptions } from "./dial.ts";
 import { isFramed, isLastAnswer } from "./framing.ts";
 import { ServerConnections } from "./server_connections.ts";
-import { onReset } from "./socket_reset.ts";
+import { onReset } from "../base/socket_reset.ts";
 import { WakeSignal } from "./wake_signal.ts";
 
 /** A request to send over a channel. */
--- a/src/router/cut_by_entry_test.ts
+++ b/src/router/cut_by_entry_test.ts
@@ -19,7 +19,7 @@
   StandinRawServer,
 } from "../standin/mod.ts";
 import { serveBytes } from "./_raw_server.ts";
-import { onReset } from "./socket_reset.ts";
+import { onReset } from "../base/socket_reset.ts";
 import { openWorld, until } from "./_world.ts";
 
 /** Longer than a stopping entry accepts connections. */
--- a/src/router/response_sink_test.ts
+++ b/src/router/response_sink_test.ts
@@ -4,7 +4,7 @@
 import { type AddressInfo, connect } from "node:net";
 import { test } from "node:test";
 import { ResponseSink } from "./response_sink.ts";
-import { onReset } from "./socket_reset.ts";
+import { onReset } from "../base/socket_reset.ts";
 
 // Guards against a listener leak: each write that waited for the client left its listeners behind.
 test("sink removes the listeners of completed writes", async () => {
--- a/src/router/server_connections.ts
+++ b/src/router/server_connections.ts
@@ -1,7 +1,7 @@
 /** Determines from the connections to a server whether it lives on after one of them has ended. */
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { isReset } from "./socket_reset.ts";
+import { isReset } from "../base/socket_reset.ts";
 import { CRASH_SETTLE_MS, tryConnect } from "./try_connect.ts";
 
 /** State of a server after one of its connections has ended. */
