Report positions that have no fencing number as a failure

fencingNumberOf threw for an era above 32767 or a revision above 38 bits. The exception left FencedLease.acquire after the commit, so that the key kept all others from the lease until it expired, and ended the loops that acquire it. It now returns a typed failure; the lease is given back, and the callers log it. Numbers of all other positions stay the same, so their order at engines does too. The test that expected the exception now expects the failure, at the same positions and at a negative revision, and the highest number as well.

--- a/src/agent/agent_dependencies.ts
+++ b/src/agent/agent_dependencies.ts
@@ -100,7 +100,7 @@
   const found = await store.get(leaseKey);
   if (found.isOk) {
     const position = found.value?.createPosition ?? START_POSITION;
-    return Result.ok(fencingNumberOf(position));
+    return fencingNumberOf(position).mapErr(({ kind }) => ({ message: kind }));
   }
   return Result.err({ message: found.error.kind });
 }
--- a/src/lease/_claim.ts
+++ b/src/lease/_claim.ts
@@ -2,7 +2,11 @@
 import { randomUUID } from "node:crypto";
 import { Result } from "true-myth";
 import type { Clock } from "../base/mod.ts";
-import { fencingNumberOf, type StorePosition } from "../store/position.ts";
+import {
+  fencingNumberOf,
+  type NoFencingNumber,
+  type StorePosition,
+} from "../store/position.ts";
 import type {
   Expectation,
   KeyValueEntry,
@@ -33,12 +37,14 @@
 
 /** Why a lease was not acquired. */
 export type AcquireFailure =
-  | { kind: "held"; holderId: string; fencingNumber: bigint }
+  /** The fencing number is undefined if the holder's position is too high for one. */
+  | { kind: "held"; holderId: string; fencingNumber: bigint | undefined }
   /**
    * The caller's copy of the last holder's record is outdated: another process has held the lease.
    */
   | { kind: "outdated" }
-  | { kind: "store"; failure: StoreFailure };
+  | { kind: "store"; failure: StoreFailure }
+  | NoFencingNumber;
 
 /** Outcome of the write that claims the lease's key. */
 export type ClaimResult =
@@ -154,7 +160,7 @@
   return {
     kind: "held",
     holderId: readHolderId(entry.value),
-    fencingNumber: fencingNumberOf(entry.createPosition),
+    fencingNumber: fencingNumberOf(entry.createPosition).unwrapOr(undefined),
   };
 }
 
--- a/src/lease/fenced_lease.ts
+++ b/src/lease/fenced_lease.ts
@@ -100,6 +100,7 @@
     options: FencedLeaseOptions,
     held: {
       position: StorePosition;
+      fencingNumber: bigint;
       claim: Claim;
       granted: StoreLease;
       sentAt: ClockReading;
@@ -109,7 +110,7 @@
     this.#store = store;
     this.#options = options;
     this.position = held.position;
-    this.fencingNumber = fencingNumberOf(held.position);
+    this.fencingNumber = held.fencingNumber;
     this.#answeredEra = held.position.era;
     this.#leaseId = held.granted.leaseId;
     this.#claim = held.claim;
@@ -158,7 +159,19 @@
         mayHaveEffect: false,
       });
     }
-    const held = { position, claim, granted: granted.value, sentAt, calls: 3 };
+    const number = fencingNumberOf(position);
+    if (number.isErr) {
+      await store.revokeLease(leaseId);
+      return Result.err(number.error);
+    }
+    const held = {
+      position,
+      fencingNumber: number.value,
+      claim,
+      granted: granted.value,
+      sentAt,
+      calls: 3,
+    };
     return Result.ok(new FencedLease(store, options, held));
   }
 
--- a/src/planner/pool_planner.ts
+++ b/src/planner/pool_planner.ts
@@ -159,7 +159,12 @@
       clock,
       random,
     });
-    if (acquired.isErr) return;
+    if (acquired.isErr) {
+      if (acquired.error.kind === "no_fencing_number") {
+        log.error({ pool }, "The store's position is too high for a lease");
+      }
+      return;
+    }
     this.#lease = acquired.value;
     const { fencingNumber } = acquired.value;
     log.info(
--- a/src/router/roll_lease.ts
+++ b/src/router/roll_lease.ts
@@ -1,6 +1,12 @@
 /** The lease of the weights roll, which decides which entry may order engines, and from when on. */
 import type { Clock, Logger } from "../base/mod.ts";
-import { encodeNextHolder, FencedLease, readLastHolder } from "../lease/mod.ts";
+import {
+  type AcquireFailure,
+  encodeNextHolder,
+  FencedLease,
+  readLastHolder,
+} from "../lease/mod.ts";
+import { formatPosition } from "../store/position.ts";
 import type { KeyValueEntry, KeyValueStore } from "../store/store.ts";
 
 /** Store key of the lease. */
@@ -48,6 +54,7 @@
   #lease: FencedLease | undefined;
   #ordersFromMs = 0;
   #isAcquiringStopped = false;
+  #hasLoggedPosition = false;
   /** Newest era of the store that was noticed, and when. */
   #era = 0;
   #eraNoticedAtMs = -Infinity;
@@ -124,6 +131,7 @@
       },
     });
     if (acquired.isErr) {
+      this.#logFailure(acquired.error);
       await clock.sleep(LEASE_TTL_MS / 3, signal);
       return;
     }
@@ -131,6 +139,14 @@
     void this.#renewUntilLost(acquired.value, signal);
   }
 
+  /** Logs once that the store's positions are too high: no entry can order engines then. */
+  #logFailure(failure: AcquireFailure): void {
+    if (failure.kind !== "no_fencing_number" || this.#hasLoggedPosition) return;
+    this.#hasLoggedPosition = true;
+    const position = formatPosition(failure.position);
+    this.#options.log.error({ event: "no_fencing_number", position });
+  }
+
   /** Releases the lease, because another holder has a higher fencing number or the work ends. */
   async giveUp(): Promise<void> {
     const lease = this.#lease;
--- a/src/store/mod.ts
+++ b/src/store/mod.ts
@@ -29,6 +29,7 @@
   isStart,
   laterOf,
   nextPosition,
+  type NoFencingNumber,
   parsePosition,
   positionAt,
   START_POSITION,
--- a/src/store/position.ts
+++ b/src/store/position.ts
@@ -4,6 +4,8 @@
  * era.
  */
 
+import { Result } from "true-myth";
+
 /** A revision within an era. Positions of a later era come after all positions of earlier ones. */
 export interface StorePosition {
   /** Rises by one with each restore; 0 where the service names no era. */
@@ -17,6 +19,12 @@
 /** Bits of a fencing number that hold the revision; the era is in the bits above. */
 const FENCING_REVISION_BITS = 38n;
 const MAX_FENCING_REVISION = (1n << FENCING_REVISION_BITS) - 1n;
+/** A position that is too high for a fencing number. */
+export interface NoFencingNumber {
+  kind: "no_fencing_number";
+  position: StorePosition;
+}
+
 /** Longest text of an era or a revision that is parsed. */
 const MAX_DIGITS = 18;
 
@@ -99,20 +107,21 @@
 
 /**
  * Maps a position to the number that engines compare, which rises over eras and is exact in JSON.
- * Throws a RangeError if the position is too high for that.
  *
  * @param position Position at which a lease was taken.
- * @returns The fencing number; in era 0 the revision.
+ * @returns The fencing number, in era 0 the revision; a failure if the era is above 32767 or the
+ *   revision needs more than 38 bits, as a number beyond its bits would belong to another era.
  */
-export function fencingNumberOf({ era, revision }: StorePosition): bigint {
+export function fencingNumberOf(
+  position: StorePosition,
+): Result<bigint, NoFencingNumber> {
+  const { era, revision } = position;
   const number = (BigInt(era) << FENCING_REVISION_BITS) + revision;
-  if (revision < 0n || revision > MAX_FENCING_REVISION) {
-    throw new RangeError(`No fencing number for revision ${revision}`);
-  }
-  if (number > BigInt(Number.MAX_SAFE_INTEGER)) {
-    throw new RangeError(`No fencing number for era ${era}`);
-  }
-  return number;
+  const isExact = revision >= 0n && revision <= MAX_FENCING_REVISION &&
+    number <= BigInt(Number.MAX_SAFE_INTEGER);
+  return isExact
+    ? Result.ok(number)
+    : Result.err({ kind: "no_fencing_number", position });
 }
 
 function parseDigits(text: string): bigint | undefined {
--- a/src/store/position_test.ts
+++ b/src/store/position_test.ts
@@ -11,6 +11,7 @@
   parsePosition,
   positionAt,
   START_POSITION,
+  type StorePosition,
 } from "./position.ts";
 
 const SEED = 20_261_204;
@@ -21,6 +22,12 @@
   revision: fc.bigInt({ min: 0n, max: MAX_REVISION }),
 }).map(({ era, revision }) => positionAt(era, revision));
 
+function numberOf(position: StorePosition): bigint {
+  const number = fencingNumberOf(position);
+  assert.ok(number.isOk);
+  return number.value;
+}
+
 // A store that came back from an older copy would count as older until its revisions have passed.
 test("a lower revision of a later era comes after", () => {
   const before = positionAt(1, 900n);
@@ -40,22 +47,29 @@
 // Engines would refuse the newest holder of a lease, or obey an older one.
 test("fencing numbers order as positions do and are exact in JSON", () => {
   const both = fc.property(positions, positions, (a, b) => {
-    const [first, second] = [fencingNumberOf(a), fencingNumberOf(b)];
+    const [first, second] = [numberOf(a), numberOf(b)];
     assert.ok(Number.isSafeInteger(Number(first)));
     const order = first === second ? 0 : first < second ? -1 : 1;
     assert.equal(Math.sign(comparePositions(a, b)), order);
   });
   fc.assert(both, { seed: SEED });
-  assert.equal(fencingNumberOf(positionAt(0, 51n)), 51n);
+  assert.equal(numberOf(positionAt(0, 51n)), 51n);
 });
 
 // A number beyond its bits would be read as a holder of another era.
 test("a position without an exact fencing number is refused", () => {
-  assert.throws(
-    () => fencingNumberOf(positionAt(0, MAX_REVISION + 1n)),
-    RangeError,
-  );
-  assert.throws(() => fencingNumberOf(positionAt(1 << 15, 0n)), RangeError);
+  const refused = [
+    positionAt(0, MAX_REVISION + 1n),
+    positionAt(0, -1n),
+    positionAt(1 << 15, 0n),
+  ];
+  for (const position of refused) {
+    const number = fencingNumberOf(position);
+    assert.ok(number.isErr);
+    assert.deepEqual(number.error, { kind: "no_fencing_number", position });
+  }
+  const highest = positionAt((1 << 15) - 1, MAX_REVISION);
+  assert.equal(numberOf(highest), BigInt(Number.MAX_SAFE_INTEGER));
 });
 
 // An entry of the last release reads and writes the revision alone.
