Continue a store listing at the page that failed

PlatformStore.list began again at the first page whenever one failed, so a store that was short of capacity got every earlier page's call again. The pages of the last failed listing are now kept, and the next listing of the same prefix continues with the failed page. The position stays that of the first page, from which a watch delivers what was changed in between. It begins anew after a restore, if a page is older than the first one (which was used before and could lose a change), and if the first page is older than the longest time that a single call may take, as followers take a listing for the store's present state. Range deletions, which have no watch, always begin anew.

--- a/src/platform/http_call.ts
+++ b/src/platform/http_call.ts
@@ -34,7 +34,7 @@
 }
 
 /** Bounds the total duration of a call, as a multiple of its idle timeout. */
-const TOTAL_TIMEOUT_FACTOR = 4;
+export const TOTAL_TIMEOUT_FACTOR = 4;
 
 /** Sends calls to one address over a connection pool. */
 export class HttpCaller {
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -16,9 +16,14 @@
   WatchStep,
   Write,
 } from "../store/store.ts";
-import type { Call, CallFailure } from "./http_call.ts";
+import {
+  type Call,
+  type CallFailure,
+  TOTAL_TIMEOUT_FACTOR,
+} from "./http_call.ts";
 import { StorePath } from "./names.ts";
 import { type StoreAnswer, StoreCaller } from "./store_caller.ts";
+import { StoreLister } from "./store_lister.ts";
 import {
   overtakenFailure,
   readFailure,
@@ -32,7 +37,6 @@
   positionOf,
   readConflict,
   readEntry,
-  readPage,
   readWatch,
   type UnreadableItem,
   type WatchAnswer,
@@ -51,6 +55,8 @@
   watchSlackMs: number;
   /** Called for each unreadable item of a list or watch; the answer's other items are used. */
   onUnreadable?(item: UnreadableItem): void;
+  /** Monotonic clock; tests replace it. */
+  nowMs?(): number;
 }
 
 /** How long the first poll of a watch waits for an event. */
@@ -73,11 +79,19 @@
 /** Client of the platform's store. */
 export class PlatformStore implements KeyValueStore {
   readonly #caller: StoreCaller;
+  readonly #lister: StoreLister;
   readonly #options: PlatformStoreOptions;
 
   private constructor(options: PlatformStoreOptions) {
     this.#options = options;
     this.#caller = StoreCaller.create(options.address, options.connectMs);
+    this.#lister = StoreLister.create({
+      read: (path) => this.#read(path),
+      newestEra: () => this.#caller.newestEra,
+      onUnreadable: (items) => this.#reportUnreadable(items),
+      nowMs: options.nowMs ?? (() => performance.now()),
+      maxAgeMs: options.callMs * TOTAL_TIMEOUT_FACTOR,
+    });
   }
 
   /**
@@ -104,26 +118,8 @@
     return tryParse(() => readEntry(body, era));
   }
 
-  async list(prefix: string): Promise<Result<Listing, StoreFailure>> {
-    const entries: KeyValueEntry[] = [];
-    let after = "";
-    // The pages are no snapshot: a watch from the first page's position delivers later changes. Pages
-    // of two eras are no listing at all.
-    let position: StorePosition | undefined;
-    while (true) {
-      const answer = await this.#read(rangePath(prefix, after));
-      if (answer.isErr) return Result.err(answer.error);
-      const { body, era } = answer.value;
-      if (position && position.era !== era) return this.#eraChanged();
-      const page = tryParse(() => readPage(body, era));
-      if (page.isErr) return Result.err(page.error);
-      this.#reportUnreadable(page.value.unreadable);
-      position ??= page.value.position;
-      entries.push(...page.value.entries);
-      if (page.value.nextAfter === undefined) break;
-      after = page.value.nextAfter;
-    }
-    return Result.ok({ entries, position });
+  list(prefix: string): Promise<Result<Listing, StoreFailure>> {
+    return this.#lister.continue(prefix);
   }
 
   async commit(
@@ -332,7 +328,7 @@
         expanded.push(write);
         continue;
       }
-      const listing = await this.list("");
+      const listing = await this.#lister.begin("");
       if (listing.isErr) return Result.err(listing.error);
       for (const { key } of listing.value.entries) {
         if (key < write.from || key >= write.to) continue;
@@ -342,9 +338,3 @@
     return Result.ok(expanded);
   }
 }
-
-function rangePath(prefix: string, after: string): string {
-  const query = new URLSearchParams({ prefix });
-  if (after !== "") query.set("after", after);
-  return `${StorePath.range}?${query}`;
-}
--- a/src/platform/store_era_test.ts
+++ b/src/platform/store_era_test.ts
@@ -1,69 +1,12 @@
 import assert from "node:assert/strict";
-import { createServer, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
-import { test, type TestContext } from "node:test";
+import { test } from "node:test";
 import { positionAt } from "../store/position.ts";
 import type { StoreFailure, Write } from "../store/store.ts";
-import { PlatformStore } from "./store.ts";
+import { item, page, start } from "./_scripted_store.ts";
+import type { PlatformStore } from "./store.ts";
 
-const CALL_MS = 5000;
 const WRITES: Write[] = [{ kind: "put", key: "k", value: new Uint8Array() }];
 
-/** One scripted answer; without an era, as of a store that names none. */
-interface Scripted {
-  status?: number;
-  era?: number | string;
-  body?: unknown;
-  /** Resolves when the answer may be sent. */
-  after?: Promise<void>;
-}
-
-interface Scene {
-  store: PlatformStore;
-  /** Targets of the received requests. */
-  requests: string[];
-}
-
-/** Starts a store that gives the answers in the order of the requests. */
-async function start(t: TestContext, answers: Scripted[]): Promise<Scene> {
-  const requests: string[] = [];
-  const server = createServer((request, response) => {
-    requests.push(request.url!);
-    void send(response, answers[requests.length - 1]!);
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
-  const store = PlatformStore.create({
-    address: `127.0.0.1:${port}`,
-    connectMs: CALL_MS,
-    callMs: CALL_MS,
-    watchWaitMs: CALL_MS,
-    watchSlackMs: CALL_MS,
-  });
-  t.after(() => {
-    store.close();
-    server.closeAllConnections();
-    server.close();
-  });
-  return { store, requests };
-}
-
-async function send(response: ServerResponse, answer: Scripted): Promise<void> {
-  const { status = 200, era, body = {}, after } = answer;
-  await after;
-  if (era !== undefined) response.setHeader("store-era", era);
-  response.writeHead(status, { "content-type": "application/json" });
-  response.end(JSON.stringify(body));
-}
-
-function item(key: string, revision: number): object {
-  return { key, value: "", revision, created: revision, lease: 0 };
-}
-
-function page(revision: number, ...items: object[]): object {
-  return { items, more_pages: false, current_rev: revision };
-}
-
 function watched(revision: number, ...events: object[]): object {
   return { events, current_rev: revision };
 }
