Count a crashed server that listens again at once as ended

A probe after a lost connection took an accepted connection for a server that lives on, and dropped the lost requests. A process that was replaced within milliseconds looked the same, so its crashes were not counted until a probe met a closed port. An accepted connection now decides nothing unless a connection that was open before the loss is still open: the lost requests stay undecided for 5 s, and the server counts as ended if it leaves the store or registers a new start in that time unannounced. A refused connection blames only the requests lost since the last probe, as before. Other entries are told that a server is silent only if it refused a connection: told after a restart, they would suspect the new start.

--- a/src/router/_crashing_part_kit.ts
+++ b/src/router/_crashing_part_kit.ts
@@ -25,7 +25,7 @@
  */
 export const STABLE_MS = 3000;
 const ENGINES = 12;
-/** Time after which a crashed engine is back. */
+/** Time after which a crashed engine is back, unless a test gives another one. */
 const RETURN_MS = 2500;
 /** Pause between two requests of a kind. */
 const PAUSE_MS = 60;
@@ -69,13 +69,13 @@
 
 /**
  * @param t The test.
- * @param options Number of entries, and faults of the engines beside the crashes.
+ * @param options Number of entries, time after which a crashed engine is back, and faults of the engines beside the crashes.
  * @returns Entries that know all engines.
  */
 export async function openCrashingFleet(
   t: TestContext,
-  { entryCount = 3, ...other }:
-    & { entryCount?: number }
+  { entryCount = 3, returnMs = RETURN_MS, ...other }:
+    & { entryCount?: number; returnMs?: number }
     & Partial<StandinBackendServerFaults> = {},
 ): Promise<CrashingFleet> {
   const world = await openWorld(t, { entryCount });
@@ -114,7 +114,7 @@
       faults,
       onCrash: () => {
         crashAtMs.push(performance.now());
-        timers.push(setTimeout(() => void comeBack(), RETURN_MS));
+        timers.push(setTimeout(() => void comeBack(), returnMs));
       },
     });
     const timers: NodeJS.Timeout[] = [];
--- a/src/router/_suspect_simulation.ts
+++ b/src/router/_suspect_simulation.ts
@@ -123,7 +123,7 @@
       metrics: Metrics.create(),
       entryCount: () => entryCount,
       isResponsibleFor: () => true,
-      onServerEnded: () => {},
+      onServerRefused: () => {},
     });
     const records = SuspectRecords.create({
       store: { commit: (expect, writes) => this.#commit(expect, writes) },
--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -258,15 +258,16 @@
 
 /** All connections to one server. */
 export class ChannelPool {
+  /** All connections to the server. */
+  readonly connections: ServerConnections;
   readonly #options: ChannelOptions;
   readonly #idle: Channel[] = [];
   readonly #busy = new Set<Channel>();
-  readonly #connections: ServerConnections;
   #opened = 0;
 
   private constructor(options: ChannelOptions) {
     this.#options = options;
-    this.#connections = ServerConnections.create(options.address);
+    this.connections = ServerConnections.create(options.address);
   }
 
   /**
@@ -311,7 +312,7 @@
       if (isReusable) this.#idle.push(channel);
       else channel.close();
     };
-    return new Channel(this.#options, this.#connections, onRelease);
+    return new Channel(this.#options, this.connections, onRelease);
   }
 }
 
--- a/src/router/quarantine.ts
+++ b/src/router/quarantine.ts
@@ -33,8 +33,8 @@
 /** Dependencies of a {@link Quarantine}. */
 export interface QuarantineOptions extends PartQuarantineOptions {
   metrics: Metrics;
-  /** Called when a server has ended, to notify the other entries. */
-  onServerEnded(serverId: string): void;
+  /** Called when an ended server refuses connections, to notify the other entries. */
+  onServerRefused(serverId: string): void;
 }
 
 /** Gossip between entries about suspected requests and parts of prompts. */
@@ -65,10 +65,8 @@
     this.#repeater = GossipRepeater.create(options);
     this.#serverEnds = ServerEndDetector.create({
       clock: options.clock,
-      onEnd: (server, lost) => {
-        options.onServerEnded(server.id);
-        this.ended(server.entry, lost);
-      },
+      onEnd: (server, lost) => this.ended(server.entry, lost),
+      onRefused: ({ id }) => options.onServerRefused(id),
     });
   }
 
--- a/src/router/quarantine_test.ts
+++ b/src/router/quarantine_test.ts
@@ -19,7 +19,7 @@
     metrics,
     entryCount: () => 4,
     isResponsibleFor: () => true,
-    onServerEnded: () => {},
+    onServerRefused: () => {},
   });
 }
 
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -87,7 +87,7 @@
     this.#quarantine = Quarantine.create({
       ...this.#parts(),
       entryCount: () => this.#network.gossip.count,
-      onServerEnded: (id) => this.#network.gossip.announceSilent(id),
+      onServerRefused: (id) => this.#network.gossip.announceSilent(id),
       isResponsibleFor: (part) => this.#network.permits.grantsFor(part),
     });
     this.#quotas = Quotas.create({
--- a/src/router/server_connections.ts
+++ b/src/router/server_connections.ts
@@ -40,6 +40,15 @@
     socket.once("close", () => this.#open.delete(socket));
   }
 
+  /**
+   * @returns Tells whether a connection that is open now is still open, which shows that the process
+   *   lives on.
+   */
+  watchOpen(): () => boolean {
+    const open = [...this.#open].filter((socket) => !this.#hasEnded(socket));
+    return () => open.some((socket) => !this.#hasEnded(socket));
+  }
+
   /**
    * Call it when a connection has ended. A connection that was open before and stays open shows that
    * the process lives on. That others end as well shows nothing: their own answers may end them.
@@ -47,9 +56,9 @@
    * @returns State of the server.
    */
   async stateAfterEnd(): Promise<StateAfterEnd> {
-    const others = [...this.#open].filter((socket) => !this.#hasEnded(socket));
+    const isOneOpen = this.watchOpen();
     await sleep(CRASH_SETTLE_MS);
-    if (others.some((socket) => !this.#hasEnded(socket))) return "alive";
+    if (isOneOpen()) return "alive";
     const isRefused = await tryConnect(this.#address) === "refused";
     return isRefused ? "ended" : "unclear";
   }
--- a/src/router/server_end_detector.ts
+++ b/src/router/server_end_detector.ts
@@ -10,8 +10,8 @@
 /** Minimum time between probes of one server, which may reset many connections and stay alive. */
 const MIN_PROBE_INTERVAL_MS = 200;
 /**
- * Time after a lost connection in which a server that leaves the store counts as ended, if probing
- * it was inconclusive.
+ * Time after a lost connection in which a server that leaves the store or restarts counts as ended, if
+ * probing it was inconclusive.
  */
 const INCONCLUSIVE_MS = 5000;
 /** Maximum number of lost requests recorded per server; more than servers usually run at a time. */
@@ -36,17 +36,26 @@
   clock: Clock;
   /** Called when a server has ended while these requests were in flight on it. */
   onEnd(server: Server, lost: LostRequest[]): void;
+  /** Called in addition when the server was found to refuse connections. */
+  onRefused(server: Server): void;
 }
 
 interface PendingProbe {
   lost: LostRequest[];
   atMs: number;
+  /** Whether a connection that was open when the first one was lost is still open. */
+  isOneOpen(): boolean;
 }
 
 /** Tracks servers with lost connections until it is known whether they have ended. */
 export class ServerEndDetector {
   readonly #options: ServerEndDetectorOptions;
   readonly #pending = new Map<Server, PendingProbe>();
+  /**
+   * Requests lost at servers whose address accepted a connection afterwards. A process that has ended
+   * may be replaced within milliseconds, and its successor accepts connections as well.
+   */
+  readonly #undecided = new WeakMap<Server, LostRequest[]>();
   readonly #probedAtMs = new WeakMap<Server, number>();
 
   private constructor(options: ServerEndDetectorOptions) {
@@ -78,24 +87,43 @@
       if (known.lost.length < MAX_LOST_REQUESTS) known.lost.push(request);
       return;
     }
-    const pending = { lost: [request], atMs: nowMs };
+    const isOneOpen = server.channels.connections.watchOpen();
+    const pending = { lost: [request], atMs: nowMs, isOneOpen };
     this.#pending.set(server, pending);
     void this.#probe(server, pending);
   }
 
   /**
    * Handles the removal of a server. It counts as ended if a connection to it was lost recently, no
-   * probe has settled the question, and it was not leaving.
+   * probe has shown that it lived on, and it was not leaving.
    *
    * @param server A server that left the store, restarted or whose address another server has
    *   taken.
    */
   left(server: Server): void {
-    const pending = this.#pending.get(server);
-    if (!pending) return;
     const nowMs = this.#options.clock.nowMs();
-    const isRecent = nowMs - pending.atMs < INCONCLUSIVE_MS;
-    this.#settle(server, isRecent && !server.isLeaving(nowMs));
+    const pending = this.#pending.get(server);
+    const isPendingRecent = pending && nowMs - pending.atMs < INCONCLUSIVE_MS;
+    const lost = [
+      ...this.#recentUndecided(server),
+      ...isPendingRecent ? pending.lost : [],
+    ];
+    const hasEnded = lost.length > 0 && !server.isLeaving(nowMs);
+    this.#settle(server, hasEnded ? lost : []);
+  }
+
+  #recentUndecided(server: Server): LostRequest[] {
+    const fromMs = this.#options.clock.nowMs() - INCONCLUSIVE_MS;
+    const lost = this.#undecided.get(server) ?? [];
+    return lost.filter(({ atMs }) => atMs > fromMs);
+  }
+
+  /** Keeps the requests of a probe that found a listener, which may be another process by now. */
+  #leaveUndecided(server: Server, { lost, isOneOpen }: PendingProbe): void {
+    this.#pending.delete(server);
+    if (isOneOpen()) return;
+    const all = [...this.#recentUndecided(server), ...lost];
+    this.#undecided.set(server, all.slice(-MAX_LOST_REQUESTS));
   }
 
   async #probe(server: Server, pending: PendingProbe): Promise<void> {
@@ -107,19 +135,21 @@
     if (this.#pending.get(server) !== pending) return;
     switch (outcome) {
       case "reached":
-        return this.#settle(server, false);
+        return this.#leaveUndecided(server, pending);
       case "refused":
         server.health.refusedConnection(clock.nowMs());
-        return this.#settle(server, true);
+        this.#options.onRefused(server);
+        return this.#settle(server, pending.lost);
       case "unclear":
         // Removal from the store, or another server at the address, may still settle the question.
         return;
     }
   }
 
-  #settle(server: Server, hasEnded: boolean): void {
-    const pending = this.#pending.get(server);
+  /** @param lost Requests under which the server has ended; none if it may live on. */
+  #settle(server: Server, lost: LostRequest[]): void {
     this.#pending.delete(server);
-    if (pending && hasEnded) this.#options.onEnd(server, pending.lost);
+    this.#undecided.delete(server);
+    if (lost.length > 0) this.#options.onEnd(server, lost);
   }
 }
