Bound what an endless answer makes an entry read

undici limits header fields and nothing else: a status line, interim answers, chunk lengths and chunk extensions without end were read until the request's deadline, and the client got 504. An exchange now ends once more than 1 MB of its bytes, and more than eight per byte of its body, are no part of the body. An event of a stream that never ends was buffered without limit, in quadratic time; it now breaks the stream off above 4 MB.

Tested: endless_answer_test.ts, of whose 12 cases four failed before (504 in place of 502) and the file then hung at the twelfth, now 12 of 12; the bytes that the raw server could write are asserted.

--- /dev/null
+++ b/src/router/exchange.ts
@@ -0,0 +1,216 @@
+/** One request on a connection to a backend server, and its response. */
+import type { IncomingHttpHeaders } from "node:http";
+import type { Dispatcher } from "undici";
+import { isFramed, isLastAnswer } from "./framing.ts";
+import type { ServerConnections } from "./server_connections.ts";
+import type { WakeSignal } from "./wake_signal.ts";
+
+/** Why a response is incomplete. */
+export type ChannelFailure =
+  /** No connection could be established; the request was not sent. */
+  | { kind: "unreachable"; message: string }
+  /** The connection failed after the request was sent, completely or in part. */
+  | { kind: "broken"; message: string };
+
+/** Status and headers of a response. */
+export interface AnswerHead {
+  status: number;
+  /** Header names are in lower case. */
+  headers: IncomingHttpHeaders;
+  /** A length or chunks declare the end of the body; otherwise the end of the connection does. */
+  isFramed: boolean;
+}
+
+/** One step of reading a response. */
+export type AnswerStep =
+  | { kind: "head"; head: AnswerHead }
+  | { kind: "data"; bytes: Buffer }
+  | { kind: "end" }
+  | { kind: "failed"; failure: ChannelFailure };
+
+/** Unread bytes of a response above which reading from the connection is paused (backpressure). */
+const MAX_UNREAD_BYTES = 64 * 1024;
+
+/**
+ * Most bytes of a response that are no part of its body: heads of interim and final responses, chunk
+ * lengths and extensions, trailers. undici limits header fields alone, and reads the rest without end.
+ */
+const MAX_OVERHEAD_BYTES = 1024 * 1024;
+/** Chunks of a single byte have five other bytes; extensions may add some. */
+const MAX_OVERHEAD_PER_BODY_BYTE = 8;
+
+/** The connection that carries an exchange. */
+export interface ExchangeChannel {
+  /** All connections to the server. */
+  readonly connections: Pick<ServerConnections, "stateAfterEnd">;
+  /** Bytes that were received on the current connection. */
+  readonly receivedBytes: number;
+  /** Whether the current connection ended with a reset. */
+  readonly wasReset: boolean;
+  /** @param isReusable Whether the connection may carry another request. */
+  release(isReusable: boolean): void;
+}
+
+/** One request and its response, which is read step by step. */
+export class Exchange implements Dispatcher.DispatchHandler {
+  readonly #channel: ExchangeChannel;
+  readonly #steps: AnswerStep[] = [];
+  #controller: Dispatcher.DispatchController | undefined;
+  #unreadBytes = 0;
+  #bodyBytes = 0;
+  /** Bytes that were received on the connection before this response. */
+  #receivedBefore = 0;
+  #mayPause = false;
+  readonly #wake: WakeSignal;
+  #aborted: Error | undefined;
+  #isFramed = false;
+  #sent = false;
+  #done = false;
+
+  constructor(channel: ExchangeChannel, wake: WakeSignal) {
+    this.#channel = channel;
+    this.#wake = wake;
+  }
+
+  /** Whether the request may have reached the server. */
+  get sent(): boolean {
+    return this.#sent;
+  }
+
+  /**
+   * Waits for the next step.
+   *
+   * @param waitMs Timeout.
+   * @returns The step, or undefined after the timeout.
+   */
+  async next(waitMs: number): Promise<AnswerStep | undefined> {
+    if (this.#steps.length === 0) await this.#wake.wait(waitMs);
+    return this.take();
+  }
+
+  /** @returns The next step, if it has arrived. */
+  take(): AnswerStep | undefined {
+    const step = this.#steps.shift();
+    if (step?.kind === "data") this.#consumed(step.bytes.length);
+    return step;
+  }
+
+  /** Cancels the exchange and closes its connection, so that the server drops the request. */
+  abort(): void {
+    this.#abort(new ExchangeAborted());
+  }
+
+  /** Cancels the exchange if too many of the bytes received for it are no part of a body. */
+  checkOverhead(): void {
+    const receivedBytes = this.#channel.receivedBytes - this.#receivedBefore;
+    const maxBytes = MAX_OVERHEAD_BYTES +
+      MAX_OVERHEAD_PER_BODY_BYTE * this.#bodyBytes;
+    if (receivedBytes - this.#bodyBytes > maxBytes) {
+      this.#abort(new OverheadExceeded());
+    }
+  }
+
+  #abort(reason: Error): void {
+    if (this.#done) return;
+    this.#aborted = reason;
+    this.#controller?.abort(reason);
+    this.#end(failed(this.#sent ? "broken" : "unreachable", reason.name));
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#aborted) {
+      controller.abort(this.#aborted);
+      return;
+    }
+    this.#sent = true;
+    this.#receivedBefore = this.#channel.receivedBytes;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (status < 200) return;
+    this.#isFramed = isFramed(status, headers);
+    // undici throws if such a connection ends while reading from it is paused.
+    this.#mayPause = this.#isFramed && !isLastAnswer(headers);
+    const head = { status, headers, isFramed: this.#isFramed };
+    this.#push({ kind: "head", head });
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.#unreadBytes += chunk.length;
+    this.#bodyBytes += chunk.length;
+    if (this.#mayPause && this.#unreadBytes > MAX_UNREAD_BYTES) {
+      controller.pause();
+    }
+    this.#push({ kind: "data", bytes: chunk });
+  }
+
+  onResponseEnd(): void {
+    if (this.#channel.wasReset) {
+      this.#end(WAS_RESET);
+    } else if (this.#isFramed) {
+      this.#end({ kind: "end" });
+    } else {
+      void this.#endWithConnection();
+    }
+  }
+
+  /** A server that crashes may close its connections like one that has finished its response. */
+  async #endWithConnection(): Promise<void> {
+    const state = await this.#channel.connections.stateAfterEnd();
+    // A reset that arrived with the last data is known only after the end.
+    if (this.#channel.wasReset) this.#end(WAS_RESET);
+    else if (state === "ended") this.#end(failed("broken", "server_ended"));
+    else this.#end({ kind: "end" });
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    const code = (error as { code?: string }).code ?? error.name;
+    const kind = this.#sent ? "broken" : "unreachable";
+    this.#end(failed(kind, code));
+  }
+
+  #end(step: AnswerStep): void {
+    if (this.#done) return;
+    this.#done = true;
+    this.#channel.release(step.kind === "end");
+    this.#push(step);
+  }
+
+  #push(step: AnswerStep): void {
+    this.#steps.push(step);
+    this.#wake.notify();
+  }
+
+  #consumed(bytes: number): void {
+    this.#unreadBytes -= bytes;
+    if (this.#controller?.paused && this.#unreadBytes < MAX_UNREAD_BYTES / 2) {
+      this.#controller.resume();
+    }
+  }
+}
+
+/** A body without a length ends when the connection closes; after a reset it may be incomplete. */
+const WAS_RESET = failed("broken", "Connection reset before the end");
+
+class ExchangeAborted extends Error {
+  override readonly name = "ExchangeAborted";
+}
+
+class OverheadExceeded extends Error {
+  override readonly name = "OverheadExceeded";
+}
+
+function failed(kind: ChannelFailure["kind"], message: string): AnswerStep {
+  return { kind: "failed", failure: { kind, message } };
+}
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -22,6 +22,9 @@
 /** Largest response other than a stream; such responses are buffered until they are complete. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
+/** Largest event of a stream; its bytes are buffered until it is complete. */
+const MAX_EVENT_BYTES = 4 * 1024 * 1024;
+
 /** One part of a response. */
 export type AnswerPart =
   /** The server runs the request and has started the stream. */
@@ -132,7 +135,8 @@
       case "stream":
         if (step.kind === "end") return endOfStream(send, answer);
         send.firstEventAtMs ??= nowMs;
-        return this.#handleEvents(send, body.splitter.push(step.bytes));
+        return this.#handleEvents(send, body.splitter.push(step.bytes)) ??
+          tooLargeEvent(body.splitter);
       case "whole":
         if (step.kind === "end") return this.#endWhole(send, facts, body);
         body.chunks.push(step.bytes);
@@ -262,6 +266,12 @@
   return !notRun && ownId !== "";
 }
 
+function tooLargeEvent({ remainder }: EventSplitter): AnswerPart | undefined {
+  return remainder.length > MAX_EVENT_BYTES
+    ? over({ kind: "unknown", reason: "event_too_large" })
+    : undefined;
+}
+
 function over(end: SendEnd): AnswerPart {
   return { kind: "over", end };
 }
