Count malformed registrations

A malformed registration already named no server, dropped a known one and was logged once; no metric showed it. malformed_registrations_total rises with each such log line.

Tested: effective_state_test.ts (the new case failed to compile before, as there was no counter; with the counter alone it covers missing fields, other types, unknown states and undecodable bytes), malformed_test.ts.

--- a/src/router/effective_state.ts
+++ b/src/router/effective_state.ts
@@ -1,5 +1,5 @@
 /** Applies changes of the platform's store: configuration, servers, wanted weights, prompt stores. */
-import type { Logger } from "../base/mod.ts";
+import type { Logger, Metrics } from "../base/mod.ts";
 import {
   decodeDeletion,
   decodeValue,
@@ -26,6 +26,7 @@
 /** Options of {@link EffectiveState}. */
 export interface EffectiveStateOptions {
   log: Logger;
+  metrics: Metrics;
   fleet: Fleet;
   wanted: WantedVersions;
   /** Longest time since the changes received now were made, from lost contact or a stall; 0: none. */
@@ -153,15 +154,22 @@
   /** Drops a server whose registration is malformed; other malformed values leave the old in effect. */
   #onMalformed(malformed: MalformedValue): void {
     const { key } = malformed;
+    const named = decodeDeletion(key);
     if (!this.#malformedKeys.has(key)) {
       this.#malformedKeys.add(key);
       this.#options.log.error({ event: "store_malformed", ...malformed });
+      if (named.kind === "server") this.#countMalformed();
     }
-    const named = decodeDeletion(key);
     if (named.kind !== "server") return;
     this.#options.fleet.drop(named.serverId, "registration_malformed");
   }
 
+  #countMalformed(): void {
+    this.#options.metrics.counter("malformed_registrations_total", {
+      help: "Registrations of servers that became malformed",
+    }).add();
+  }
+
   #applyConfig(config: RoutingConfig): void {
     if (this.#table && config.version <= this.#table.version) return;
     const before = this.#table?.version;
--- a/src/router/effective_state_test.ts
+++ b/src/router/effective_state_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import { CONFIG } from "../standin/mod.ts";
+import { Metrics } from "../base/mod.ts";
 import { type LogLine, recordedLog, TestClock, testFleet } from "./_kit.ts";
 import type { Fleet } from "./fleet.ts";
 import { EffectiveState } from "./effective_state.ts";
@@ -25,6 +26,7 @@
   readonly fleet: Fleet;
   readonly wanted: WantedVersions;
   readonly state: EffectiveState;
+  readonly metrics = Metrics.create();
   maxAgeMs = 0;
   coalescedMs = 0;
   recordedAges: VersionAge[] = [];
@@ -45,6 +47,7 @@
     });
     this.state = EffectiveState.create({
       log,
+      metrics: this.metrics,
       fleet: this.fleet,
       wanted: this.wanted,
       maxAgeMs: () => this.maxAgeMs,
@@ -114,6 +117,37 @@
   assert.equal(harness.count("store_malformed"), 3);
 });
 
+// Another writer's registration must neither name a server nor hide the others, whatever is wrong with
+// it, and operators need to see how many there are.
+test("malformed registrations are counted, name no server and leave the others valid", () => {
+  const harness = new Harness();
+  harness.put("servers/valid", REGISTRATION);
+  const malformed: unknown[] = [
+    null,
+    [],
+    {},
+    { ...REGISTRATION, service: undefined },
+    { ...REGISTRATION, service: 3 },
+    { ...REGISTRATION, address: "nowhere" },
+    { ...REGISTRATION, state: "asleep" },
+    { ...REGISTRATION, slots: "4" },
+    { ...REGISTRATION, born: "yesterday" },
+    { ...REGISTRATION, models: { m: 1 } },
+  ];
+  malformed.forEach((value, i) => {
+    harness.put(`servers/${i}`, REGISTRATION);
+    // Repeated writes of the same writer count once.
+    for (let write = 0; write < 2; write++) harness.put(`servers/${i}`, value);
+  });
+  harness.putBytes("servers/bytes", Buffer.from([0xff, 0xfe, 0]));
+  harness.put("servers/other", { ...REGISTRATION, service: "unknown" });
+  assert.deepEqual(harness.open(), ["valid"]);
+  const count = malformed.length + 1;
+  assert.equal(harness.count("store_malformed"), count);
+  const line = `malformed_registrations_total ${count}\n`;
+  assert.ok(harness.metrics.render().includes(line));
+});
+
 test("malformed configuration or weights leave the previous ones in effect", () => {
   const harness = new Harness();
   harness.put("op/config", CONFIG);
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -105,6 +105,7 @@
     });
     this.#state = EffectiveState.create({
       log: this.#log,
+      metrics: this.#metrics,
       fleet: this.#fleet,
       wanted: this.#wanted,
       maxAgeMs: () => this.#follower.contact.maxAgeMs,
