Back up runs that may not be repeated, and restore lost ones

Cause: a stream on a route that is not resumable was truncated when its engine crashed. Change: on scheduled engine services whose configuration has backups, such a stream names another engine for a copy of its memory. When its connection breaks, or its engine registers with another start time, the request is sent there once, after the connection is closed, with the id of the last event. It counts as the same run, is charged to the resend budget and is never begun anew. The stand-in engine makes backups, with a fault that omits them. Tested: src/router, src/standin, src/platform and src/run_backup. The new world tests use assert.equal for conditions that may fail: a failing assert.ok hung for over 30 s under tsx, as Node reads the source file for its message.

--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -176,6 +176,7 @@
     cacheTokens: number(engine, "kv_capacity_tokens"),
     tokenBytes: optionalNumber(engine, "kv_token_bytes"),
     linkMbps: optionalNumber(engine, "link_mbps"),
+    hasBackups: engine["backups"] === true,
   };
 }
 
--- a/src/platform/decode_test.ts
+++ b/src/platform/decode_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
+import type { ForwardFacts } from "../router/model.ts";
 import { decodeValue } from "./decode.ts";
 import { forwardHeaders, readAnswer, readRequest } from "./headers.ts";
 
@@ -283,6 +284,43 @@
   ]);
 });
 
+// Guards against the address of another engine, or another id, in the header of a restore.
+test("backup and restore of a run name the engine that holds the copy", () => {
+  const facts = { deadlineMs: 10, serverId: "i-1" };
+  const last = (more: Partial<ForwardFacts>) =>
+    forwardHeaders([], { ...facts, ...more }).slice(4);
+  const address = "10.0.0.2:80";
+  assert.deepEqual(last({ backupTo: address }), ["kv-backup", address]);
+  const copy = { source: { id: "i-2", address }, copyId: "r-1" };
+  assert.deepEqual(last({ copy }), ["kv-from", `${address}/r-1`]);
+});
+
+test("engines have backups only if their configuration says so", () => {
+  const hasBackups = (backups?: unknown) => {
+    const engine = { slots: 1, kv_capacity_tokens: 1, backups };
+    const decoded = decodeValue(
+      "op/config",
+      bytes({
+        version: 1,
+        routes: [],
+        services: [{ name: "s", engine }],
+        limits: {
+          max_header_bytes: 1,
+          max_body_bytes: 2,
+          header_timeout_ms: 3,
+          idle_timeout_ms: 4,
+        },
+      }),
+    );
+    assert.ok(decoded.isOk && decoded.value.kind === "config");
+    return decoded.value.config.services[0]?.engine?.hasBackups;
+  };
+  assert.equal(hasBackups(true), true);
+  for (const value of [undefined, false, "true", 1]) {
+    assert.equal(hasBackups(value), false);
+  }
+});
+
 test("client's headers that only the router may set are dropped", () => {
   const reserved = [
     "hold",
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -188,6 +188,9 @@
   if (facts.lastEventId !== undefined) {
     headers.push(Header.lastEventId, facts.lastEventId);
   }
+  if (facts.backupTo !== undefined) {
+    headers.push(Header.backupTarget, facts.backupTo);
+  }
   if (facts.copy) {
     const { source, copyId } = facts.copy;
     headers.push(Header.copySource, `${source.address}/${copyId}`);
--- a/src/router/_request_forwarder_kit.ts
+++ b/src/router/_request_forwarder_kit.ts
@@ -14,6 +14,7 @@
 import type { AnswerSink, RoutedRequest } from "./request.ts";
 import { Resends } from "./resends.ts";
 import type { RunMover } from "./run_mover.ts";
+import type { RunBackups } from "./run_backups.ts";
 import type { Sender } from "./send.ts";
 import { SendGate } from "./send_gate.ts";
 import type { WakeSignal } from "./wake_signal.ts";
@@ -81,6 +82,7 @@
         fleet: { has: () => true },
       }),
       mover: inactiveMover(),
+      runBackups: fakeBackups({}),
       quarantine: {
         verdict: () => ({ kind: "clear" }),
         answered: () => {},
@@ -157,6 +159,22 @@
   return { ...inactiveMover(), ...mover } as unknown as RunMover;
 }
 
+/**
+ * @param runBackups Methods that replace those of an object that makes no backups.
+ * @returns Backups of runs.
+ */
+export function fakeBackups(runBackups: Partial<RunBackups>): RunBackups {
+  return {
+    choose: () => undefined,
+    release: () => {},
+    isEngineReplaced: () => false,
+    restore: () => Promise.resolve(undefined),
+    began: () => {},
+    ended: () => {},
+    ...runBackups,
+  } as unknown as RunBackups;
+}
+
 function inactiveMover(): RunMover {
   return {
     isDue: () => false,
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -31,6 +31,8 @@
   notNeeded: "not_needed",
   /** Its weights were replaced too long ago to start an answer. */
   weightsRetired: "weights_retired",
+  /** Its engine has started again, and another engine has a backup of it. */
+  engineReplaced: "engine_replaced",
   /** It had not started to answer, and a part of its prompt probably crashes servers. */
   partQuarantined: "part_quarantined",
   /** The client had disconnected. */
@@ -151,6 +153,16 @@
   hasRunOn?: boolean;
   /** Result of the attempt to move the run, if there was one. */
   move?: RunMove;
+  /** The engine to which the run's memory is copied while it runs. */
+  backup?: Server;
+}
+
+/**
+ * @param send A send.
+ * @returns Whether it continues a lost run from its backup.
+ */
+export function isRestored({ choice }: Pick<Send, "choice">): boolean {
+  return choice.copy?.lostRun !== undefined;
 }
 
 /**
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -25,6 +25,7 @@
   type ServeResult,
 } from "./request.ts";
 import { RESEND_MIN_LEFT_MS, Resends, type ResendsOptions } from "./resends.ts";
+import { RunBackups, type RunBackupsOptions } from "./run_backups.ts";
 import { RunMover } from "./run_mover.ts";
 import { Sender, type SenderOptions } from "./send.ts";
 import { callerOf, SendGate } from "./send_gate.ts";
@@ -58,7 +59,8 @@
     SenderOptions,
     AnswerReaderOptions,
     Omit<ResendsOptions, "hasUntriedServer" | "isVersionGone" | "fleet">,
-    Pick<ForwarderParts, "log" | "quarantine" | "drainEndMs"> {
+    Pick<ForwarderParts, "log" | "quarantine" | "drainEndMs">,
+    Pick<RunBackupsOptions, "hasBackups"> {
   /** Origins of streams that clients take up. */
   origins: Pick<StreamOrigins, "find" | "began" | "completed">;
   /** Workspace quotas. */
@@ -99,6 +101,7 @@
       gate,
       resends: this.#resends,
       mover: this.#mover,
+      runBackups: RunBackups.create({ ...options, resends: this.#resends }),
       isWorthSending: (request, choice) => this.#shouldAdmit(request, choice),
     };
   }
--- a/src/router/effective_state.ts
+++ b/src/router/effective_state.ts
@@ -113,6 +113,14 @@
     }
   }
 
+  /**
+   * @param service Name of a service.
+   * @returns Whether its engines copy the memory of runs to each other.
+   */
+  hasBackups(service: string): boolean {
+    return this.#table?.findService(service)?.engine?.hasBackups === true;
+  }
+
   /** Names of the services whose servers are engines. */
   engineServices(): string[] {
     const names: string[] = [];
--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -46,7 +46,7 @@
 ]);
 
 /** Events about single requests; those of other requests are left out of the context. */
-const OTHER_REQUEST_EVENTS = new Set(["request", "run_moved"]);
+const OTHER_REQUEST_EVENTS = new Set(["request", "run_moved", "run_restored"]);
 
 /** Descriptions of the reasons in request log lines. */
 const REASONS: Record<string, string> = {
@@ -61,6 +61,7 @@
   expired: "its deadline had passed before the entry handled it",
   foreign_answer: "the server sent the answer to another request",
   headers_too_large: "the request's headers exceeded the configured limit",
+  engine_replaced: "its engine had started again, so that its run was lost",
   deadline: "its deadline passed before the answer was complete",
   no_event: "its stream paused, and another server could continue it",
   no_head: "no answer began in time, and another server could be asked",
@@ -112,6 +113,17 @@
   [ResendRefusal.quarantined]: "servers had ended while running it",
 };
 
+/** Descriptions of the outcomes of lost runs that had a backup. */
+const RESTORES: Record<string, string> = {
+  continued: "continued from its backup",
+  no_copy: "did not continue: the engine with its backup had no copy",
+  unreachable: "did not continue: the engine with its backup was unreachable",
+  failed:
+    "did not continue: the engine with its backup did not begin to stream",
+  not_sent:
+    "did not continue: it could not be sent to the engine with its backup",
+};
+
 /**
  * @param text A line of a log; any text before its JSON is ignored.
  * @returns The parsed line; undefined if it was not written by an entry.
@@ -139,10 +151,15 @@
   const lines = sortByTime(log.filter(({ fields }) => fields["id"] === id));
   if (lines.length === 0) return { lines, context: [] };
   const ended = lines.findLast(({ event }) => event === "request");
+  const restored = lines.findLast(({ event }) => event === "run_restored");
+  const outcomes = [
+    ...(restored ? [describeRestore(restored.fields)] : []),
+    ...(ended ? [describeOutcome(ended.fields)] : []),
+  ];
   return {
     lines,
     context: findContext(lines, log),
-    outcome: ended && describeOutcome(ended.fields),
+    outcome: ended && outcomes.join(" "),
   };
 }
 
@@ -231,6 +248,14 @@
   return typeof value === "object" ? JSON.stringify(value) : String(value);
 }
 
+function describeRestore(
+  { from, to, outcome, reason }: Record<string, unknown>,
+): string {
+  const how = RESTORES[String(outcome)] ?? String(outcome);
+  const why = reason === undefined ? "" : ` (${reason})`;
+  return `Its run was lost at ${from} and ${how}, ${to}${why}.`;
+}
+
 function describeOutcome(fields: Record<string, unknown>): string {
   const { outcome, status, reason, tookMs, notResent } = fields;
   const servers = Array.isArray(fields["servers"]) ? fields["servers"] : [];
--- a/src/router/explain_test.ts
+++ b/src/router/explain_test.ts
@@ -53,6 +53,27 @@
   assert.equal(text.at(-1), "Answered 200 by i-2 after 700 ms.");
 });
 
+// Guards against an explanation that names two engines of a request without saying why.
+test("explanation says whether a lost run continued from its backup", () => {
+  const ended = { id: "r1", servers: ["i-1", "i-2"], tookMs: 700 };
+  const lost = { id: "r1", from: "i-1", to: "i-2" };
+  const answered = { ...ended, outcome: "answered", status: 200 };
+  assert.equal(
+    explain("r1", [
+      line(8500, "run_restored", { ...lost, outcome: "continued" }),
+      line(9000, "request", answered),
+    ]).outcome,
+    "Its run was lost at i-1 and continued from its backup, i-2. " +
+      "Answered 200 by i-2 after 700 ms.",
+  );
+  const refused = { ...lost, outcome: "no_copy", reason: "refused_503" };
+  const { outcome } = explain("r1", [
+    line(8500, "run_restored", refused),
+    line(9000, "request", { ...ended, outcome: "broken_off", reason: "x" }),
+  ]);
+  assert.match(outcome!, /had no copy, i-2 \(refused_503\)\. Aborted/);
+});
+
 test("refusal for a part in quarantine shows when the part was quarantined", () => {
   const log = [
     line(1000, "part_quarantined", { part: "5c1e07a2", crashedServers: 5 }),
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -52,6 +52,8 @@
   /** Size of one token in the KV cache. */
   tokenBytes?: number;
   linkMbps?: number;
+  /** Whether the engines copy the memory of runs to each other while they run. */
+  hasBackups?: boolean;
 }
 
 /** A store of cached prompts, to which engines save prompts and from which they copy them. */
@@ -247,7 +249,9 @@
   saveTo?: string;
   /** Overrides the client's last event id. */
   lastEventId?: string;
-  /** Copy of the KV cache of the request's run, if a moved run is continued. */
+  /** `ip:port` of the engine to which the run's memory is copied while it runs. */
+  backupTo?: string;
+  /** Copy of the KV cache of the request's run, if a moved or lost run is continued. */
   copy?: RunCopy;
 }
 
@@ -260,9 +264,17 @@
 
 /** KV cache of a run, copied to the engine at which the run continues. */
 export interface RunCopy {
-  /** The engine from which the run was moved. */
+  /** The engine from which the run was moved, or the one that holds the run's backup. */
   source: ServerAddress;
   copyId: string;
+  /** The lost run, if the copy is its backup, which engines free themselves. */
+  lostRun?: LostRunPlace;
+}
+
+/** Where a run was lost, and when. */
+export interface LostRunPlace {
+  serverId: string;
+  lostAtMs: number;
 }
 
 /** What an answer says about the rate of requests that its server takes. */
--- a/src/router/open_runs.ts
+++ b/src/router/open_runs.ts
@@ -4,6 +4,7 @@
 import {
   closedEnd,
   CloseReason,
+  isRestored,
   type Payment,
   type Progress,
   type Send,
@@ -14,7 +15,8 @@
 import type { Quotas } from "./quotas.ts";
 import type { AnswerPart, AnswerReader } from "./read_answer.ts";
 import type { AnswerSink, RoutedRequest } from "./request.ts";
-import type { Resends } from "./resends.ts";
+import type { OpenState, Resends } from "./resends.ts";
+import type { RunBackups } from "./run_backups.ts";
 import type { RunMover } from "./run_mover.ts";
 import type { Sender } from "./send.ts";
 import type { SendGate } from "./send_gate.ts";
@@ -28,6 +30,7 @@
   reader: AnswerReader;
   resends: Resends;
   mover: RunMover;
+  runBackups: RunBackups;
   gate: Pick<SendGate, "giveBack">;
   /** Is notified of requests whose connection broke, and of requests that were answered successfully. */
   quarantine: Quarantine;
@@ -47,6 +50,8 @@
   readonly #task: ForwardTask;
   readonly #wake: WakeSignal;
   #sends: Send[] = [];
+  /** The run that was lost last, until it is restored or can't be. */
+  #lost: Send | undefined;
 
   private constructor(
     parts: OpenRunsParts,
@@ -81,6 +86,19 @@
     return this.#sends;
   }
 
+  /** Whether a run was lost, and it was not tried yet to continue it from its backup. */
+  get hasLost(): boolean {
+    return this.#lost !== undefined;
+  }
+
+  /** What decides whether the request may be sent again. */
+  get state(): OpenState {
+    const isAnyUp = this.#sends.some(({ choice }) =>
+      !choice.server.health.isDown
+    );
+    return { count: this.count, isAnyUp };
+  }
+
   /** Servers of the open runs. */
   get servers(): Set<Server> {
     return new Set(this.#sends.map(({ choice }) => choice.server));
@@ -98,15 +116,30 @@
       choice.copy !== undefined;
     if (isRepeat) this.#parts.quotas.runsAgain(request);
     const wake = this.#wake;
-    const task = { sink, progress, choice, payment, isRepeat, wake };
+    const backup = this.#parts.runBackups.choose(request, choice);
+    const task = { sink, progress, choice, payment, isRepeat, wake, backup };
     this.#parts.quarantine.parts.sending(request);
     this.#sends = [...this.#sends, this.#parts.sender.send(request, task)];
   }
 
+  /**
+   * Continues a lost run from its backup.
+   *
+   * @returns Whether the request was sent to the engine with the backup.
+   */
+  async restore(): Promise<boolean> {
+    const lost = this.#lost;
+    this.#lost = undefined;
+    const restore = lost && await this.#parts.runBackups.restore(lost);
+    if (restore) this.open(restore.choice, restore.payment);
+    return restore !== undefined;
+  }
+
   /** @returns The next received part of any open answer; undefined if there is none. */
   read(): { send: Send; part: AnswerPart } | undefined {
     for (const send of this.#sends) {
       const part = this.#parts.reader.read(send);
+      if (part?.kind === "began") this.#parts.runBackups.began(send);
       if (part) return { send, part };
     }
     return undefined;
@@ -144,6 +177,7 @@
   answered(send: Send): void {
     this.#remove(send);
     this.#countRun(send);
+    this.#parts.runBackups.ended(send);
     if (send.answer!.facts.status < 500) {
       this.#parts.quarantine.answered(send);
     }
@@ -167,15 +201,21 @@
         if (end.isBroken && send.exchange.sent) {
           this.#parts.quarantine.recordBrokenSend(send);
         }
+        if (end.isBroken || reason === CloseReason.engineReplaced) {
+          this.#lost = send;
+        }
         this.#countRun(send);
         break;
       case "not_run":
-        if (choice.chain) choice.server.cache.forget(choice.chain, nowMs);
+        if (choice.chain && !isRestored(send)) {
+          choice.server.cache.forget(choice.chain, nowMs);
+        }
         this.#countNotRun(send, end.isUnsent ?? false);
     }
     if (end.kind !== "moved" && move?.kind === "copied") {
       this.#parts.mover.free(move.choice.copy);
     }
+    this.#parts.runBackups.ended(send, end);
     this.#remove(send);
   }
 
@@ -196,9 +236,10 @@
     this.finishRun(send, closedEnd(send, reason));
   }
 
-  #countRun({ exchange, choice }: Send): void {
+  #countRun(send: Send): void {
+    const { exchange, choice } = send;
     if (!exchange.sent) return;
-    this.#task.progress.runs++;
+    if (!isRestored(send)) this.#task.progress.runs++;
     this.#task.progress.ranAt.add(choice.server);
   }
 
@@ -212,7 +253,7 @@
       resends.refundUnsent(request, payment);
       gate.giveBack(choice);
     }
-    if (!choice.copy) return;
+    if (!choice.copy || isRestored(send)) return;
     mover.free(choice.copy);
     // The original run was stopped for the move, and the request must run from the start again.
     progress.runs++;
@@ -230,6 +271,7 @@
 
   #remove(send: Send): void {
     this.#sends = this.#sends.filter((other) => other !== send);
+    this.#parts.runBackups.release(send);
     send.ticket.ended();
     send.exchange.abort();
   }
@@ -250,6 +292,7 @@
     case CloseReason.weightsRetired:
       return true;
     case CloseReason.notNeeded:
+    case CloseReason.engineReplaced:
     case CloseReason.clientGone:
     case CloseReason.shutdown:
     case CloseReason.partQuarantined:
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -199,7 +199,8 @@
       } else server.recordWeights(prompt.model, facts.weightsVersion);
       return { kind: "not_run", reason: "other_weights" };
     }
-    server.refused(nowMs + REFUSED_HOLD_MS);
+    // A missing backup doesn't mean that the engine refuses other requests.
+    if (!choice.copy?.lostRun) server.refused(nowMs + REFUSED_HOLD_MS);
     return { kind: "not_run", reason: `refused_${facts.status}` };
   }
 
--- a/src/router/request_forwarder.ts
+++ b/src/router/request_forwarder.ts
@@ -4,11 +4,13 @@
  * continues. A run is closed only
  * - when another run of the request has responded or continues the stream,
  * - when its engine has stopped it in order to move it,
+ * - when its engine has started again, so that it is lost, and it may continue from its backup,
  * - before it starts on weights that were replaced too long ago to start a response,
  * - before its first event, when a part of its prompt turns out to crash servers,
  * - when the client has disconnected, or the deadline or the grace time of a shutdown has passed.
  * A started stream without an open run, if it may be sent again, waits for a server and for the resend
- * budget while its client stays connected.
+ * budget while its client stays connected. A lost run that has a backup continues from it, at most once,
+ * also where the request may not be sent again.
  */
 import type { Logger } from "../base/mod.ts";
 import { applyVerdict } from "./send_verdict.ts";
@@ -28,7 +30,7 @@
 import type { AnswerPart } from "./read_answer.ts";
 import { RefusalReason } from "./refusal_reason.ts";
 import { ResendRefusal, type RoutedRequest } from "./request.ts";
-import { isTemporary, type OpenState } from "./resends.ts";
+import { isTemporary } from "./resends.ts";
 import { WakeSignal } from "./wake_signal.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
@@ -109,7 +111,8 @@
     if (read) return await this.#onPart(read.send, read.part);
     if (this.#nowMs >= this.#endAtMs) return this.#timeOut();
     const [first] = this.#runs.all;
-    if (first && this.#isMoveDue(first)) {
+    const isAlone = this.#runs.count === 1;
+    if (first && isAlone && this.#parts.mover.isDue(first)) {
       // Parts that arrive during this call are read first in the next step.
       first.move = await this.#parts.mover.move(first);
       return undefined;
@@ -187,10 +190,6 @@
     this.#runs.keepOnly(send);
   }
 
-  #isMoveDue(send: Send): boolean {
-    return this.#runs.count === 1 && this.#parts.mover.isDue(send);
-  }
-
   /** Closes a run whose wait has expired, or marks its silent server as suspected. */
   #checkRun(send: Send): void {
     const nowMs = this.#nowMs;
@@ -203,6 +202,9 @@
       // Closing the connection cancels the request before the engine answers it.
       return this.#endRun(send, closedEnd(send, CloseReason.partQuarantined));
     }
+    if (this.#parts.runBackups.isEngineReplaced(send)) {
+      return this.#endRun(send, closedEnd(send, CloseReason.engineReplaced));
+    }
     if (send.answer) return;
     if (nowMs >= startDeadlineMs(send, { wanted: this.#parts.wanted, nowMs })) {
       // Closing the connection cancels the request before the engine starts it.
@@ -246,7 +248,8 @@
   async #sendNext(): Promise<ResendRefusal | undefined> {
     const { request, progress, sink } = this.#task;
     const { resends, gate } = this.#parts;
-    const refusal = resends.refusalOf(request, progress, this.#openState);
+    if (this.#runs.hasLost && await this.#runs.restore()) return undefined;
+    const refusal = resends.refusalOf(request, progress, this.#runs.state);
     if (refusal) return refusal;
     if (this.#isQuarantined()) return ResendRefusal.quarantined;
     const chosen = gate.choose(request, progress, this.#runs.servers);
@@ -273,7 +276,7 @@
       this.#reason = RefusalReason.shutdown;
       return ResendRefusal.noTime;
     }
-    const open = this.#openState;
+    const open = this.#runs.state;
     const payment = resends.chargeSend(request, progress, open);
     if (payment.kind === "refused") return ResendRefusal.noBudget;
     if (open.count > 0) progress.hedgedSends++;
@@ -281,12 +284,6 @@
     return undefined;
   }
 
-  get #openState(): OpenState {
-    const { all, count } = this.#runs;
-    const isAnyUp = all.some(({ choice }) => !choice.server.health.isDown);
-    return { count, isAnyUp };
-  }
-
   /** Checked before each send, as servers may have terminated during this very attempt. */
   #isQuarantined(): boolean {
     const { request, progress } = this.#task;
@@ -306,6 +303,8 @@
           this.#parts.resends.chargeReservedSend(this.#task.progress),
         );
       case "not_run":
+        // The reason why the run was lost is kept, and the request can't be sent again.
+        if (send.choice.copy?.lostRun) return;
         this.#reason = end.reason;
         // An unreachable server is marked as down, so another one may be tried without backoff.
         if (!end.isUnsent) this.#backOff();
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -284,6 +284,7 @@
       wanted: this.#wanted,
       promptStores: () => this.#state.promptStores,
       cacheOf: (id) => this.#state.cacheOf(id),
+      hasBackups: (service) => this.#state.hasBackups(service),
       entryCount: () => this.#network.gossip.possibleEntryCount,
       loadAgeMs: () => this.#network.gossip.gossipIntervalMs,
       onSilent: (id) => this.#network.gossip.announceSilent(id),
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -12,6 +12,7 @@
   PlacedPrompt,
   RoutedRequest,
 } from "./request.ts";
+import type { Server } from "./server.ts";
 import type { WakeSignal } from "./wake_signal.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
@@ -27,6 +28,8 @@
   resumed: "resumed",
   /** Continues a run with its memory. */
   moved: "moved",
+  /** Continues a lost run from its backup. */
+  restored: "restored",
 } as const;
 
 /** Dependencies of a {@link Sender}. */
@@ -51,6 +54,8 @@
   isRepeat: boolean;
   /** Woken whenever a part of the answer is received. */
   wake: WakeSignal;
+  /** The engine to which the run's memory is copied while it runs. */
+  backup?: Server;
 }
 
 /** Sends requests, each to one server. */
@@ -78,7 +83,7 @@
    */
   send(
     request: RoutedRequest,
-    { sink, progress, choice, payment, isRepeat, wake }: SendTask,
+    { sink, progress, choice, payment, isRepeat, wake, backup }: SendTask,
   ): Send {
     const { server } = choice;
     const sentAtMs = this.#options.clock.nowMs();
@@ -96,7 +101,7 @@
     const exchange = server.channels.send({
       method: request.facts.method,
       target: request.facts.target,
-      headers: this.#headers(request, progress, { choice, priority }),
+      headers: this.#headers(request, progress, { choice, priority, backup }),
       body: request.body,
     }, wake);
     this.#notePrompt(choice, sentAtMs);
@@ -113,6 +118,7 @@
       isRepeat,
       idleSinceMs: sentAtMs,
       isSuspected: false,
+      backup,
     };
   }
 
@@ -124,7 +130,9 @@
   ): void {
     if (server.announcements.rate.perSecond === undefined) return;
     const isResumed = lastEventId !== facts.lastEventId;
-    const kind = copy
+    const kind = copy?.lostRun
+      ? SendKind.restored
+      : copy
       ? SendKind.moved
       : isResumed
       ? SendKind.resumed
@@ -179,7 +187,11 @@
   #headers(
     request: RoutedRequest,
     progress: Progress,
-    { choice, priority }: { choice: Choice; priority: number },
+    { choice, priority, backup }: {
+      choice: Choice;
+      priority: number;
+      backup?: Server;
+    },
   ): string[] {
     const { workspace } = request;
     const leftMs = request.answerByMs - this.#options.clock.nowMs();
@@ -195,6 +207,7 @@
       enginePriority: choice.chain ? priority : undefined,
       copyFrom: choice.copyFrom,
       saveTo: choice.saveTo,
+      backupTo: backup?.entry.address,
       copy: choice.copy,
       lastEventId: isResumed ? progress.lastEventId : undefined,
     });
--- a/src/standin/backend_server.ts
+++ b/src/standin/backend_server.ts
@@ -13,9 +13,10 @@
 } from "./_platform_stream.ts";
 import {
   addCopy,
+  backUp,
   deleteCopiesOf,
   deleteCopy,
-  isCopyAt,
+  mayRunAt,
 } from "./_run_copies.ts";
 import type { ExecutedRequest, ServerArrival } from "./server_records.ts";
 import { registrationOf, reportOf } from "./_server_status.ts";
@@ -252,9 +253,7 @@
       const loaded = { "weight-versions": String(this.version) };
       return answerEmpty(response, 421, loaded);
     }
-    const copy = headers["kv-from"];
-    const isCopyHere = copy === undefined ||
-      isCopyAt(String(copy), this.address);
+    const isCopyHere = mayRunAt(request, this.address);
     if (consumeFault(this.faults, "refuse") || !isCopyHere) {
       this.refused++;
       return answerEmpty(response, 503, { "not-executed": "1" });
@@ -265,6 +264,7 @@
       headers,
       body: request.body.toString(),
     });
+    if (!consumeFault(this.faults, "noBackup")) backUp(request);
     if (isCrashing(request, this.faults)) return this.#crashDuring(request);
     if (consumeFault(this.faults, "hang")) return;
     if (consumeFault(this.faults, "loseAnswer")) return void response.destroy();
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -38,6 +38,7 @@
   completeStreamBody,
   CONFIG,
   configWith,
+  configWithBackups,
   DeclaredEnd,
   declaredEndOf,
   type EntryAddress,
--- a/src/standin/platform_client.ts
+++ b/src/standin/platform_client.ts
@@ -199,6 +199,31 @@
   return { ...CONFIG, version, routes };
 }
 
+/**
+ * @param version Version of the configuration.
+ * @param options Timeout of all routes, and whether the engines back up runs; default: they do.
+ * @returns A copy of {@link CONFIG} whose engine service has routes of two priorities, of which the more
+ *   urgent one is resumable.
+ */
+export function configWithBackups(
+  version: number,
+  { timeoutMs, hasBackups = true }: {
+    timeoutMs?: number;
+    hasBackups?: boolean;
+  } = {},
+): typeof CONFIG {
+  const config = configWith(version, { timeoutMs });
+  const routes = config.routes.map((route) =>
+    route["name"] === "once" ? { ...route, priority: 2 } : route
+  );
+  const services = config.services.map((service) =>
+    service.engine && hasBackups
+      ? { ...service, engine: { ...service.engine, backups: true } }
+      : service
+  );
+  return { ...config, routes, services };
+}
+
 /** @returns The body of a complete stream with this number of events. */
 export function completeStreamBody(events: number): string {
   return StandinBackendServer.streamText("x", events);
