--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -14,7 +14,6 @@
 import { coalesceDelayMs, StoreFollower } from "./follower.ts";
 import { EffectiveState } from "./effective_state.ts";
 import { Ingress } from "./ingress.ts";
-import { openListeners } from "./listeners.ts";
 import { StoreMirror } from "./mirror.ts";
 import { CacheTransfer } from "./cache_transfer.ts";
 import { LoopLag } from "./loop_lag.ts";
@@ -22,12 +21,16 @@
 import { Quarantine } from "./quarantine.ts";
 import { Quotas } from "./quotas.ts";
 import { Registration } from "./registration.ts";
-import { relayAnswer, RelayClient } from "./relay.ts";
+import { RelayClient } from "./relay.ts";
 import { RequestLog } from "./request_log.ts";
+import {
+  dumpState,
+  type RouterComponents,
+  startComponents,
+} from "./router_components.ts";
 import { CONNECTION_TIMES, type ServerOptions } from "./server_options.ts";
 import { ServerRecords } from "./server_records.ts";
-import { otherSeeds, type RouterSettings } from "./settings.ts";
-import { sweepServers } from "./sweep.ts";
+import type { RouterSettings } from "./settings.ts";
 import { createStore } from "./store_client.ts";
 import { WantedVersions } from "./wanted_weights.ts";
 import { PUBLISH_TIMES_KEY, readVersionAges } from "./publish_times_record.ts";
@@ -157,7 +160,7 @@
    */
   static async create(options: RouterOptions): Promise<Router> {
     const router = new Router(options);
-    await router.#start();
+    await startComponents(router.#lifecycle, router.#components);
     return router;
   }
 
@@ -181,25 +184,31 @@
 
   /** @returns The state of the process for the state dump. */
   state(): unknown {
-    const nowMs = this.#clock.nowMs();
+    return dumpState(this.#components);
+  }
+
+  get #components(): RouterComponents {
     return {
-      instance: this.#settings.instance,
-      configVersion: this.#state.table?.version,
-      storeEra: this.#mirror.position.era,
-      storeRevision: String(this.#mirror.position.revision),
-      knowledgeAgeMs: Math.round(this.#mirror.ageMs),
-      storeConnected: this.#follower.contact.connected,
-      storeCalls: this.#store.calls,
-      entries: this.#network.gossip.count,
-      holdsRollLease: this.#roll.holdsLease,
-      active: this.#ingress.active,
-      wanted: this.#wanted.all(),
-      lagMs: Math.round(this.#lag.ms),
-      suspects: this.#quarantine.state(),
-      quotas: this.#quotas.state(),
-      permits: this.#network.permits.state(),
-      serviceRates: this.#state.learnedRates(),
-      servers: [...this.#fleet.all()].map((server) => server.state(nowMs)),
+      settings: this.#settings,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      mirror: this.#mirror,
+      store: this.#store,
+      follower: this.#follower,
+      quarantine: this.#quarantine,
+      quotas: this.#quotas,
+      lag: this.#lag,
+      fleet: this.#fleet,
+      records: this.#records,
+      network: this.#network,
+      relay: this.#relay,
+      registration: this.#registration,
+      cacheTransfer: this.#cacheTransfer,
+      roll: this.#roll,
+      ingress: this.#ingress,
+      wanted: this.#wanted,
+      state: this.#state,
     };
   }
 
@@ -310,35 +319,6 @@
     });
   }
 
-  async #start(): Promise<void> {
-    const settings = this.#settings;
-    const lifecycle = this.#lifecycle;
-    lifecycle.own({ name: "store", close: () => this.#store.close() });
-    await openListeners(lifecycle, settings, {
-      relay: (after) => relayAnswer(this.#mirror, after),
-      expectedCaches: () => this.#cacheTransfer.answer(this.#state.caches()),
-      metrics: () => this.#metrics.render(),
-      state: () => this.state(),
-      isReady: () => this.#state.table !== undefined && !this.#ingress.draining,
-    });
-    lifecycle.own({ name: "fleet", close: () => this.#fleet.close() });
-    lifecycle.own({ name: "ingress", close: () => this.#ingress.close() });
-    const { clientAddress } = settings;
-    await this.#ingress.listen(clientAddress.ipAddress, clientAddress.port);
-    lifecycle.task("lag", (signal) => this.#lag.run(signal));
-    lifecycle.task("follower", (signal) => this.#follower.run(signal));
-    this.#network.open(lifecycle);
-    const seeds = otherSeeds(settings);
-    lifecycle.task("seeds", (sig) => this.#relay.pollUntilSynced(seeds, sig));
-    lifecycle.task("registration", (signal) => this.#registration.run(signal));
-    lifecycle.task("roll", (signal) => this.#roll.run(signal));
-    lifecycle.task("records", (signal) => this.#records.run(signal));
-    const { contact } = this.#follower;
-    const sweepOptions = { ...this.#parts(), contact, fleet: this.#fleet };
-    lifecycle.task("sweep", (signal) => sweepServers(sweepOptions, signal));
-    this.#log.info({ event: "listening", zone: settings.zone });
-  }
-
   /** Whether the store served another entry while it didn't respond to this one. */
   get #isOutageLocal(): boolean {
     const { contact } = this.#follower;
