Bound the exchange of paces and base it on each entry's own median

Rows per datagram follow from a byte budget and the number of entries, servers with unsent samples wait in a queue, and the samples that deviate most are sent first. Unsent samples decay like the pace itself. A removed or restarted server no longer counts in the median, which is taken over at most 256 recently sampled servers. Rows are relative to the sender's median, so that an entry with rates that it has not learned yet doesn't distort the others. The weight of a pace and the rows of a datagram are bounded.

--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -38,6 +38,8 @@
 export class Fleet {
   /** Software versions of the servers, by service. */
   readonly versions: SoftwareVersions;
+  /** Servers with samples of their pace that may not have been sent to the other entries. */
+  readonly unsentPaces = new Set<Server>();
   readonly #options: FleetOptions;
   readonly #servers = new Map<string, Server>();
   /** Servers whose registration may have lapsed in an outage and may be written again. */
@@ -51,10 +53,8 @@
   }
 
   /**
-   * Creates a registry without servers.
-   *
    * @param options Dependencies.
-   * @returns The registry.
+   * @returns A registry without servers.
    */
   static create(options: FleetOptions): Fleet {
     return new Fleet(options);
@@ -80,8 +80,6 @@
   }
 
   /**
-   * Checks whether a server object is still current.
-   *
    * @param server A server returned earlier.
    * @returns Whether it is still registered and has not restarted since.
    */
@@ -90,8 +88,6 @@
   }
 
   /**
-   * Lists servers that are not leaving.
-   *
    * @param service Service name.
    * @returns Its servers that do not shut down soon.
    */
@@ -227,6 +223,7 @@
       ? known.announcements
       : this.#removed.announcementsOf(entry);
     const server = Server.create(entry, { ...options, announcements });
+    server.times.onSample = () => this.unsentPaces.add(server);
     this.#servers.set(entry.id, server);
     this.versions.joined(entry);
     this.restoreRate(server);
@@ -298,6 +295,8 @@
   }
 
   #onRemoved(server: Server): void {
+    server.times.end();
+    this.unsentPaces.delete(server);
     this.versions.left(server.entry);
     this.#options.onRemoved(server);
   }
--- a/src/router/learned_rates_test.ts
+++ b/src/router/learned_rates_test.ts
@@ -79,7 +79,7 @@
   };
   const exchange = () => {
     for (const { name, fleet, paces } of entries) {
-      const rows = paces.nextRows() ?? [];
+      const rows = paces.nextRows(ENTRIES) ?? [];
       const loads = ownLoads(fleet);
       for (const other of entries) {
         if (other.name === name || random() < lostRatio) continue;
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -51,7 +51,7 @@
   leaving?: [string, StartMs, number][];
   /** Rates of requests that servers take: id, start time, requests per second, ms since then. */
   rates?: [string, StartMs, number | null, number][];
-  /** Samples of the paces of servers: id, start time, factor, number of samples, mean age in ms. */
+  /** Samples of the paces of servers: id, start time, factor, number of samples, age in ms. */
   paces?: [string, StartMs, number, number, number][];
   /** Software versions of services with several; absent if there is none. */
   software?: VersionRow[];
@@ -91,6 +91,8 @@
 const isStringOrNone: Validator = (value) => value === null || isString(value);
 const isCount: Validator = (value) =>
   typeof value === "number" && Number.isFinite(value) && value >= 0;
+const isWhole: Validator = (value) =>
+  isCount(value) && Number.isSafeInteger(value);
 const isNumber: Validator = (value) =>
   typeof value === "number" && Number.isFinite(value);
 const isPositive: Validator = (value) => isCount(value) && value !== 0;
@@ -129,7 +131,7 @@
     listOf(rowOf(isString, isCount, isCountOrNone, isCount))(value),
   paces: (value) =>
     value === undefined ||
-    listOf(rowOf(isString, isCount, isPositive, isCount, isCount))(value),
+    listOf(rowOf(isString, isCount, isPositive, isWhole, isCount))(value),
   software: (value) =>
     value === undefined ||
     listOf(rowOf(isString, isStringOrNone, isCount))(value),
--- a/src/router/peer_gossip.ts
+++ b/src/router/peer_gossip.ts
@@ -196,7 +196,7 @@
       ...datagram,
       leaving: this.#leaving.nextRows(),
       rates: rateRows.length > 0 ? rateRows : undefined,
-      paces: this.#paces.nextRows(),
+      paces: this.#paces.nextRows(this.count),
       ...quarantine.takeNews(),
       ...quotas.takeUpdate(),
     };
--- a/src/router/server_times.ts
+++ b/src/router/server_times.ts
@@ -14,6 +14,9 @@
   readonly #health: Pick<Health, "slowness">;
   #learned: ServiceRates | undefined;
   #pace: ServerPace | undefined;
+  #isEnded = false;
+  /** Called when there is a sample that was not sent to the other entries. */
+  onSample: () => void = () => {};
 
   private constructor(health: Pick<Health, "slowness">) {
     this.#health = health;
@@ -45,11 +48,17 @@
 
   /** @param learned Learned rates that apply from now on; undefined if they aren't learned. */
   use(learned: ServiceRates | undefined): void {
-    if (learned === this.#learned) return;
+    if (learned === this.#learned || this.#isEnded) return;
     this.#learned = learned;
     this.#pace = learned?.createPace();
   }
 
+  /** Ends learning, as the server was removed or has restarted; its last answers may still arrive. */
+  end(): void {
+    this.#isEnded = true;
+    if (this.#pace) this.#learned?.remove(this.#pace);
+  }
+
   /**
    * @param nowMs Current time.
    * @returns Time that the server takes, as a multiple of the time by {@link ServerTimes.rates}.
@@ -65,19 +74,31 @@
    * @param nowMs Current time.
    */
   record(sample: RateSample, nowMs: number): void {
-    if (!this.#learned || !this.#pace) return;
+    if (!this.#learned || !this.#pace || this.#isEnded) return;
     this.#learned.record(sample, { pace: this.#pace, nowMs });
+    this.onSample();
+  }
+
+  /**
+   * @param nowMs Current time.
+   * @returns This entry's samples since the last call, relative to its median pace; undefined if there
+   *   are none.
+   */
+  takeUnsentSamples(nowMs: number): PaceSums | undefined {
+    const sums = this.#pace?.takeUnsentSamples(nowMs);
+    const reference = this.#learned?.referenceFactor(nowMs) ?? 1;
+    return sums && { ...sums, factor: sums.factor / reference };
   }
 
   /**
    * Learns from answers that another entry received, if rates are learned.
    *
-   * @param sums The other entry's samples.
+   * @param sums The other entry's samples, relative to its median pace.
    * @param nowMs Current time.
    */
   merge(sums: PaceSums, nowMs: number): void {
-    if (!this.#learned || !this.#pace) return;
-    this.#pace.merge(sums, nowMs);
-    this.#learned.onPaceChange(this.#pace, nowMs);
+    if (!this.#learned || !this.#pace || this.#isEnded) return;
+    const factor = sums.factor * this.#learned.referenceFactor(nowMs);
+    this.#pace.merge({ ...sums, factor }, nowMs);
   }
 }
--- a/src/service_rates/_engines.ts
+++ b/src/service_rates/_engines.ts
@@ -32,7 +32,7 @@
 
 /**
  * @param options Simulated engines.
- * @returns What their answers teach.
+ * @returns What was learned from their answers.
  */
 export function learn(
   { seed, actual, factors, count, intervalMs, outliers, noise = 0.3 }:
--- a/src/service_rates/server_pace_test.ts
+++ b/src/service_rates/server_pace_test.ts
@@ -50,17 +50,42 @@
 
 test("samples of other entries count like own ones, and less with age", () => {
   const own = ServerPace.create();
-  const told = ServerPace.create();
+  const peer = ServerPace.create();
   const late = ServerPace.create();
   for (let i = 0; i < 3; i++) own.record(2, 1000);
-  const news = own.takeNews(1100);
-  assert.equal(news?.count, 3);
-  assert.equal(Math.round(news.ageMs), 100);
-  told.merge(news, 1100);
-  late.merge({ ...news, ageMs: 3000 }, 1100);
-  assertBetween(told.factor(1100) / own.factor(1100), 0.97, 1.03);
+  const sums = own.takeUnsentSamples(1100);
+  assert.equal(sums?.count, 3);
+  assert.equal(Math.round(sums.ageMs), 100);
+  peer.merge(sums, 1100);
+  late.merge({ ...sums, ageMs: 3000 }, 1100);
+  assertBetween(peer.factor(1100) / own.factor(1100), 0.97, 1.03);
   assertBetween(late.factor(1100), 1.01, 1.2);
-  assert.equal(own.takeNews(1200), undefined);
+  assert.equal(own.takeUnsentSamples(1200), undefined);
+});
+
+// By their mean age, samples of different ages would weigh less than they do for the sender.
+test("samples sent late weigh as much as they do for the sender", () => {
+  const own = ServerPace.create();
+  const peer = ServerPace.create();
+  peer.factor(0);
+  own.record(2, 0);
+  own.record(2, 4000);
+  peer.merge(own.takeUnsentSamples(4000)!, 4000);
+  const ratio = peer.factor(4000) / own.factor(4000);
+  assertBetween(ratio, 0.99, 1.01);
+});
+
+// Samples of hundreds of entries would otherwise delay the next change by seconds.
+test("total weight is bounded and the factor kept", () => {
+  const pace = ServerPace.create();
+  const sums = { factor: 2, count: 100, ageMs: 0 };
+  for (let i = 0; i < 360; i++) pace.merge(sums, 1000);
+  assertBetween(pace.weight(1000), 100, 250);
+  assertBetween(pace.factor(1000), 1.9, 2);
+  for (let i = 0; i < 1000; i++) pace.record(2, 1000);
+  assertBetween(pace.weight(1000), 100, 250);
+  assertBetween(pace.factor(1000), 1.9, 2);
+  assertBetween(pace.unsentDeviation(1000) ?? NaN, 0, 250);
 });
 
 // A peer's valid but absurd row must not outweigh all other samples.
@@ -75,7 +100,7 @@
 });
 
 test("pace starts with the given factor and does not keep it", () => {
-  const pace = ServerPace.create(2.5);
+  const pace = ServerPace.create(() => 2.5);
   assertBetween(pace.factor(1000), 2.499, 2.501);
   const nowMs = answer(pace, { ratio: 1, fromMs: 1000, ms: 3000 });
   assertBetween(pace.factor(nowMs), 1, 1.2);
--- a/src/service_rates/service_rates.ts
+++ b/src/service_rates/service_rates.ts
@@ -41,8 +41,12 @@
 const MAX_LOG_RATIO = Math.log(50);
 /** Interval at which the median of the paces is computed. */
 const MEDIAN_INTERVAL_MS = 500;
-/** Paces with fewer recent samples don't count for the median. */
+/** Paces with fewer recent samples of this entry don't count for the median. */
 const MIN_MEDIAN_WEIGHT = 0.5;
+/** Most recently sampled paces of which the median is computed; bounds the time to sort them. */
+const MAX_MEDIAN_PACES = 256;
+/** Below this number of paces, the median may be the pace of a single slow server. */
+const MIN_REFERENCE_PACES = 3;
 /** Least time that counts, as times are compared by ratio. */
 const MIN_TTFT_MS = 0.1;
 
@@ -63,9 +67,10 @@
   readonly #products = new Float64Array(PARAMETERS);
   #agreement = 0;
   #samples = 0;
-  /** Paces with samples. */
+  /** Paces with recent samples of this entry, the last sampled one last. */
   readonly #paces = new Set<ServerPace>();
   #medianFactor = 1;
+  #medianPaces = 0;
   #medianAtMs = -Infinity;
 
   private constructor() {
@@ -93,7 +98,24 @@
 
   /** @returns The pace of a new server: the median of the service's. */
   createPace(): ServerPace {
-    return ServerPace.create(this.#medianFactor);
+    return ServerPace.create((nowMs) => this.#median(nowMs));
+  }
+
+  /** @param pace Pace of a server that was removed or has restarted. */
+  remove(pace: ServerPace): void {
+    if (this.#paces.delete(pace)) this.#medianAtMs = -Infinity;
+  }
+
+  /**
+   * Entries exchange factors relative to this one, which cancels a uniform difference of their rates,
+   * e.g. to those of an entry that has just started.
+   *
+   * @param nowMs Current time.
+   * @returns The median pace by this entry's own samples; 1 if they are of too few servers.
+   */
+  referenceFactor(nowMs: number): number {
+    const median = this.#median(nowMs);
+    return this.#medianPaces < MIN_REFERENCE_PACES ? 1 : median;
   }
 
   /**
@@ -109,28 +131,30 @@
     const ratio = Math.max(MIN_TTFT_MS, sample.ttftMs) /
       expectedTtftMs(this, sample);
     if (!Number.isFinite(ratio) || ratio <= 0) return;
-    const relativePace = pace.factor(nowMs) / this.#medianFactor;
+    const relativePace = pace.factor(nowMs) / this.#median(nowMs);
     pace.record(ratio, nowMs);
     this.#update(sample, Math.log(ratio / relativePace));
-    this.onPaceChange(pace, nowMs);
+    this.#paces.delete(pace);
+    this.#paces.add(pace);
+    if (this.#paces.size <= MAX_MEDIAN_PACES) return;
+    const [oldest] = this.#paces;
+    this.#paces.delete(oldest!);
   }
 
-  /**
-   * Takes a pace that has new samples into account for the median.
-   *
-   * @param pace Pace of a server of the service.
-   * @param nowMs Current time.
-   */
-  onPaceChange(pace: ServerPace, nowMs: number): void {
-    this.#paces.add(pace);
-    if (nowMs - this.#medianAtMs < MEDIAN_INTERVAL_MS) return;
+  #median(nowMs: number): number {
+    if (nowMs - this.#medianAtMs < MEDIAN_INTERVAL_MS) {
+      return this.#medianFactor;
+    }
     this.#medianAtMs = nowMs;
     const factors: number[] = [];
-    for (const known of this.#paces) {
-      if (known.weight(nowMs) < MIN_MEDIAN_WEIGHT) this.#paces.delete(known);
-      else factors.push(known.factor(nowMs));
+    for (const pace of this.#paces) {
+      const { factor, weight } = pace.ownSamples(nowMs);
+      if (weight < MIN_MEDIAN_WEIGHT) this.#paces.delete(pace);
+      else factors.push(factor);
     }
+    this.#medianPaces = factors.length;
     this.#medianFactor = medianOf(factors);
+    return this.#medianFactor;
   }
 
   /** @returns The rates for state dumps. */
--- a/src/service_rates/service_rates_test.ts
+++ b/src/service_rates/service_rates_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { learn, type LearnOptions } from "./_engines.ts";
-import { INITIAL_RATES } from "./engine_rates.ts";
+import { expectedTtftMs, INITIAL_RATES } from "./engine_rates.ts";
 import { ServiceRates } from "./service_rates.ts";
 
 const SEEDS = [1, 2, 3, 4, 5];
@@ -113,7 +113,7 @@
 });
 
 // An undefined or negative load or time must not make the rates NaN for good.
-test("answers with impossible values teach nothing that is not finite", () => {
+test("rates stay finite after answers with impossible values", () => {
   const rates = ServiceRates.create();
   const pace = rates.createPace();
   const values = [NaN, Infinity, -Infinity, -1e9, 0, 1e12];
@@ -128,3 +128,17 @@
     assert.ok(Number.isFinite(value) && value > 0, `${value}`);
   }
 });
+
+// Sorting the paces of 12,000 servers would delay the datagram that is handled meanwhile.
+test("median is that of a bounded number of recently sampled servers", () => {
+  const rates = ServiceRates.create();
+  const paces = Array.from({ length: 1256 }, () => rates.createPace());
+  for (const [i, pace] of paces.entries()) {
+    const work = { queuedTokens: 0, uncachedTokens: 0, running: 0 };
+    const ratio = i < 1000 ? 2 : 0.5;
+    const ttftMs = ratio * expectedTtftMs(rates, work);
+    rates.record({ ...work, ttftMs }, { pace, nowMs: 1000 });
+  }
+  assert.equal(rates.referenceFactor(1600).toFixed(3), "0.500");
+  assert.equal(rates.referenceFactor(60_000), 1);
+});
