Count only answers with status 200 in the accuracy of expected times

Answers sooner than twice the expected copy time are no samples, and a request remembers whether its expected time followed from learned rates, as its service may no longer be scheduled when it is answered.

--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -96,6 +96,8 @@
   load?: Readonly<ServerLoad>;
   /** Part of `expectedMs` in which cached prompt parts are copied. */
   copyMs?: number;
+  /** Whether `expectedMs` follows from learned rates; they may no longer apply when the answer starts. */
+  usesLearnedRates?: boolean;
   weightsVersion?: number;
   /** Remaining time in which the server's replaced weights may be used; undefined: unlimited. */
   weightsLeftMs?: number;
@@ -198,6 +200,7 @@
     uncachedTokens,
     load,
     copyMs,
+    usesLearnedRates: server.times.pace !== undefined,
     weightsVersion,
     weightsLeftMs: weights.leftMs,
     maySend: weights.maySend,
--- a/src/router/learned_rates_test.ts
+++ b/src/router/learned_rates_test.ts
@@ -4,10 +4,19 @@
 import { ServiceRates } from "../service_rates/mod.ts";
 import { CONFIG, MODEL_REQUEST_HEADERS } from "../standin/mod.ts";
 import { sendAdmitted } from "./_admitted_client.ts";
-import { registration, TestClock, testFleet, testPrompt } from "./_kit.ts";
+import {
+  registration,
+  TestClock,
+  testFleet,
+  testPrompt,
+  testServer,
+} from "./_kit.ts";
 import { openWorld, type TestEntry, until, useConfig } from "./_world.ts";
-import { ChoiceName, choose } from "./choose.ts";
+import { type Send, startProgress } from "./attempt.ts";
+import { type Choice, ChoiceName, choose } from "./choose.ts";
+import { RequestKind } from "./model.ts";
 import { PaceExchange } from "./pace_exchange.ts";
+import { AnswerReader } from "./read_answer.ts";
 import { ownLoads, PeerLoads } from "./peer_loads.ts";
 
 const SERVERS = 6;
@@ -135,6 +144,102 @@
   }
 });
 
+/**
+ * Chooses an idle engine that has learned nothing, and reads the head of its answer.
+ *
+ * @param answer When and with which status it answers; `change` is called before.
+ * @returns The choice and the result.
+ */
+function readHead(
+  { status = 200, learnedRates, tookMs, change }: {
+    status?: number;
+    learnedRates?: ServiceRates;
+    tookMs(choice: Choice): number;
+    change?(choice: Choice): void;
+  },
+): { choice: Choice; send: Send; nowMs: number } {
+  const clock = new TestClock();
+  const server = testServer("i-1", { learnedRates });
+  // Learned rates that differ from the constants would show a comparison in the wrong unit.
+  const work = { queuedTokens: 0, uncachedTokens: 1000, running: 0 };
+  for (let i = 0; i < 300; i++) {
+    server.times.record({ ...work, ttftMs: 230 }, clock.nowMs());
+  }
+  const choice = choose({
+    servers: [server],
+    zone: "a",
+    nowMs: clock.nowMs(),
+    tried: new Set(),
+    loadAgeMs: 50,
+    random: () => 0.5,
+    choice: ChoiceName.cost,
+    prompt: testPrompt([{ id: "p", tokens: 1000 }]),
+  })!;
+  change?.(choice);
+  const headers = { "server-seal": "s", "attempt-id": "r-1" };
+  const head = { status, headers, isFramed: true };
+  const send = {
+    request: {
+      facts: { requestId: "r-1" },
+      route: { kind: RequestKind.stream, resumable: true },
+      arrivedAtMs: clock.nowMs(),
+    },
+    progress: startProgress(undefined),
+    choice,
+    exchange: { take: () => ({ kind: "head", head }) },
+    ticket: server.startRequest(0, false),
+    sentAtMs: clock.nowMs(),
+  } as unknown as Send;
+  clock.advance(tookMs(choice));
+  const reader = AnswerReader.create({
+    clock,
+    fleet: testFleet(clock),
+    onSilent: () => {},
+    onGone: () => {},
+  });
+  const steps = [send.exchange.take()];
+  send.exchange.take = () => steps.shift();
+  reader.read(send);
+  return { choice, send, nowMs: clock.nowMs() };
+}
+
+function samplesOf(rates: ServiceRates): number {
+  return (rates.state() as { samples: number }).samples;
+}
+
+// Errors come sooner than answers, and would make expected times look too long.
+test("only answers with status 200 count in the expected times' accuracy", () => {
+  for (const learnedRates of [undefined, ServiceRates.create()]) {
+    const tookMs = () => 10;
+    const failed = readHead({ status: 500, learnedRates, tookMs });
+    assert.equal(failed.send.progress.firstByteRatio, undefined);
+    const served = readHead({ learnedRates, tookMs });
+    assert.ok(served.send.progress.firstByteRatio! > 0);
+  }
+});
+
+// The rest of the time would be near 0, and the engine look many times faster than it is.
+test("answer sooner than the expected copy time is no sample", () => {
+  const learnedRates = ServiceRates.create();
+  const change = (choice: Choice) => void (choice.copyMs = 60);
+  readHead({ learnedRates, tookMs: () => 100, change });
+  assert.equal(samplesOf(learnedRates), 300);
+  readHead({ learnedRates, tookMs: () => 130, change });
+  assert.equal(samplesOf(learnedRates), 601);
+});
+
+// The expected time by learned rates, divided by the slowness, is not the time by the constants.
+test("answer after a service is no longer scheduled counts relative to the constants", () => {
+  const { choice, nowMs } = readHead({
+    learnedRates: ServiceRates.create(),
+    tookMs: () => 230,
+    change: ({ server }) => server.times.use(undefined),
+  });
+  // 230 ms are 4 times the constants, and the newest sample has a weight of 0.15.
+  const slowness = choice.server.health.slowness(nowMs);
+  assert.ok(slowness > 1.35 && slowness < 1.5, `${slowness}`);
+});
+
 /** The sample configuration with a second, more urgent route of the engines, which schedules them. */
 function scheduledConfig(version: number): typeof CONFIG {
   const urgent = {
@@ -156,7 +261,7 @@
 }
 
 // Rates that aren't fed by answers, or paces that aren't exchanged, would leave the constants in use.
-test("answers of scheduled engines teach their entry and the others", async (t) => {
+test("entries learn from answers of scheduled engines and from each other", async (t) => {
   const world = await openWorld(t, { entryCount: 2 });
   await world.engine("i-1");
   const [first, second] = world.entries as [TestEntry, TestEntry];
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -20,6 +20,8 @@
 const REFUSED_HOLD_MS = 250;
 /** Error code of a connection attempt if nothing listens at the server's address. */
 const REFUSED_CODE = "ECONNREFUSED";
+/** Above this share of the time to the first byte, the expected copy time was probably too long. */
+const MAX_COPY_SHARE = 0.5;
 /** Largest response other than a stream; such responses are buffered until they are complete. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
@@ -247,24 +249,23 @@
 ): void {
   const { server, expectedMs, load, copyMs = 0, uncachedTokens } = choice;
   const tookMs = nowMs - sentAtMs;
-  // The expected time of a moved run is unknown, and stated as 0.
-  if (expectedMs > 0) progress.firstByteRatio ??= tookMs / expectedMs;
-  const sample = load && server.times.pace && {
-    queuedTokens: load.pendingTokens,
-    running: load.running,
-    uncachedTokens,
-    ttftMs: Math.max(0, tookMs - copyMs),
-  };
-  if (!sample) {
+  // The expected time of a moved run is unknown, and stated as 0. Requests that were not executed tell
+  // nothing about the server's speed.
+  if (status === 200 && expectedMs > 0) {
+    progress.firstByteRatio ??= tookMs / expectedMs;
+  }
+  if (!load || !choice.usesLearnedRates) {
     const baseMs = expectedMs / server.health.slowness(nowMs);
     server.health.answered(nowMs, tookMs / Math.max(1, baseMs));
     return;
   }
+  const { pendingTokens: queuedTokens, running } = load;
+  const work = { queuedTokens, running, uncachedTokens };
   // The slowness stays relative to the constants, as it is used while rates aren't learned.
-  const constantMs = expectedTtftMs(INITIAL_RATES, sample);
-  server.health.answered(nowMs, sample.ttftMs / constantMs);
-  // Requests that were not executed tell nothing about the engine's speed.
-  if (status === 200) server.times.record(sample, nowMs);
+  const constantMs = expectedTtftMs(INITIAL_RATES, work) + copyMs;
+  server.health.answered(nowMs, tookMs / constantMs);
+  if (status !== 200 || copyMs > MAX_COPY_SHARE * tookMs) return;
+  server.times.record({ ...work, ttftMs: tookMs - copyMs }, nowMs);
 }
 
 function endOfStream(
