Bound unread answers that can't be paused

An answer without a length, or the last one of its connection, can't be paused and was kept whole for a client that reads slowly, for each such client. Their unread bytes now count towards one budget of the entry: an answer is broken off above 16 MB unread, or above 64 KB while all together have more than 64 MB. The limits are chosen, not measured. The data of an answer that is broken off is dropped before its end can arrive, so that it doesn't look complete.

--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -8,6 +8,7 @@
 import { Exchange, type ExchangeChannel } from "./exchange.ts";
 import { ServerConnections } from "./server_connections.ts";
 import { onReset } from "../base/socket_reset.ts";
+import { UnreadBudget } from "./unread_budget.ts";
 import { WakeSignal } from "./wake_signal.ts";
 
 export {
@@ -30,6 +31,7 @@
 export class Channel implements ExchangeChannel {
   /** All connections to the server. */
   readonly connections: ServerConnections;
+  readonly unread: UnreadBudget;
   readonly #client: Client;
   readonly #onRelease: (channel: Channel, isReusable: boolean) => void;
   #wasReset = false;
@@ -37,11 +39,12 @@
   #exchange: Exchange | undefined;
 
   constructor(
-    options: ChannelOptions,
+    options: ChannelOptions & { unread: UnreadBudget },
     connections: ServerConnections,
     onRelease: (channel: Channel, isReusable: boolean) => void,
   ) {
     this.connections = connections;
+    this.unread = options.unread;
     this.#onRelease = onRelease;
     this.#client = new Client(`http://${options.address}`, {
       pipelining: 1,
@@ -121,19 +124,21 @@
 export interface ChannelOptions extends DialOptions {
   /** Time after which an idle connection is closed, unless the server announces a shorter one. */
   idleMs: number;
+  /** Shared by the connections to all servers; defaults to one of its own. */
+  unread?: UnreadBudget;
 }
 
 /** All connections to one server. */
 export class ChannelPool {
   /** All connections to the server. */
   readonly connections: ServerConnections;
-  readonly #options: ChannelOptions;
+  readonly #options: ChannelOptions & { unread: UnreadBudget };
   readonly #idle: Channel[] = [];
   readonly #busy = new Set<Channel>();
   #opened = 0;
 
   private constructor(options: ChannelOptions) {
-    this.#options = options;
+    this.#options = { unread: UnreadBudget.create(), ...options };
     this.connections = ServerConnections.create(options.address);
   }
 
--- a/src/router/exchange.ts
+++ b/src/router/exchange.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from "undici";
 import { isFramed, isLastAnswer } from "./framing.ts";
 import type { ServerConnections } from "./server_connections.ts";
+import type { UnreadBudget } from "./unread_budget.ts";
 import type { WakeSignal } from "./wake_signal.ts";
 
 /** Why a response is incomplete. */
@@ -47,6 +48,8 @@
   readonly receivedBytes: number;
   /** Whether the current connection ended with a reset. */
   readonly wasReset: boolean;
+  /** Bounds unread bytes of responses whose reading can't be paused. */
+  readonly unread: UnreadBudget;
   /** @param isReusable Whether the connection may carry another request. */
   release(isReusable: boolean): void;
 }
@@ -54,13 +57,14 @@
 /** One request and its response, which is read step by step. */
 export class Exchange implements Dispatcher.DispatchHandler {
   readonly #channel: ExchangeChannel;
-  readonly #steps: AnswerStep[] = [];
+  #steps: AnswerStep[] = [];
   #controller: Dispatcher.DispatchController | undefined;
   #unreadBytes = 0;
   #bodyBytes = 0;
   /** Bytes that were received on the connection before this response. */
   #receivedBefore = 0;
   #mayPause = false;
+  #isCounted = true;
   readonly #wake: WakeSignal;
   #aborted: Error | undefined;
   #isFramed = false;
@@ -97,6 +101,7 @@
 
   /** Cancels the exchange and closes its connection, so that the server drops the request. */
   abort(): void {
+    this.#stopCounting();
     this.#abort(new ExchangeAborted());
   }
 
@@ -144,12 +149,28 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    if (this.#done) return;
     this.#unreadBytes += chunk.length;
     this.#bodyBytes += chunk.length;
-    if (this.#mayPause && this.#unreadBytes > MAX_UNREAD_BYTES) {
-      controller.pause();
-    }
     this.#push({ kind: "data", bytes: chunk });
+    if (this.#mayPause) {
+      if (this.#unreadBytes > MAX_UNREAD_BYTES) controller.pause();
+      return;
+    }
+    const { unread } = this.#channel;
+    unread.add(chunk.length);
+    if (!unread.isExceededBy(this.#unreadBytes)) return;
+    this.#stopCounting();
+    this.#steps = this.#steps.filter(({ kind }) => kind !== "data");
+    // Before the end may arrive, which would complete an answer that lacks the dropped data.
+    this.#abort(new UnreadExceeded());
+  }
+
+  /** The owner reads no more, or nothing is left to read. */
+  #stopCounting(): void {
+    if (!this.#mayPause) this.#channel.unread.add(-this.#unreadBytes);
+    this.#unreadBytes = 0;
+    this.#isCounted = false;
   }
 
   onResponseEnd(): void {
@@ -193,7 +214,9 @@
   }
 
   #consumed(bytes: number): void {
+    if (!this.#isCounted) return;
     this.#unreadBytes -= bytes;
+    if (!this.#mayPause) this.#channel.unread.add(-bytes);
     if (this.#controller?.paused && this.#unreadBytes < MAX_UNREAD_BYTES / 2) {
       this.#controller.resume();
     }
@@ -207,6 +230,10 @@
   override readonly name = "ExchangeAborted";
 }
 
+class UnreadExceeded extends Error {
+  override readonly name = "UnreadExceeded";
+}
+
 class OverheadExceeded extends Error {
   override readonly name = "OverheadExceeded";
 }
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -3,6 +3,7 @@
 import {
   AnswerRateKind,
   type BackendServer,
+  isOlderStart,
   isSameIncarnation,
 } from "./model.ts";
 import type { RateAnswer, RateStatement } from "./rate_statement.ts";
@@ -10,6 +11,7 @@
 import { Server, type ServerOptions } from "./server.ts";
 import { SoftwareVersions, type StreamOrigin } from "./software_versions.ts";
 import type { Outage } from "./store_contact.ts";
+import { UnreadBudget } from "./unread_budget.ts";
 
 /** Dependencies of a {@link Fleet}. */
 export interface FleetOptions {
@@ -42,6 +44,7 @@
   /** Servers whose registration may have lapsed in an outage and may be written again. */
   readonly #lapsed = new Set<string>();
   readonly #removed: RemovedServers;
+  readonly #unread = UnreadBudget.create();
 
   private constructor(options: FleetOptions) {
     this.#options = options;
@@ -225,7 +228,8 @@
     const announcements = isSame
       ? known.announcements
       : this.#removed.announcementsOf(entry);
-    const server = Server.create(entry, { ...options, announcements });
+    const unread = this.#unread;
+    const server = Server.create(entry, { ...options, announcements, unread });
     this.#servers.set(entry.id, server);
     this.versions.joined(entry);
     this.restoreRate(server);
@@ -342,8 +346,3 @@
     this.#options.log.info({ event: "server_draining", server: entry.id });
   }
 }
-
-function isOlderStart(entry: BackendServer, known: BackendServer): boolean {
-  return entry.bornAtMs !== undefined && known.bornAtMs !== undefined &&
-    entry.bornAtMs < known.bornAtMs;
-}
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -314,3 +314,16 @@
   waiting: number;
   running: number;
 }
+
+/**
+ * @param entry A registration.
+ * @param known Another one of the same server.
+ * @returns Whether the first one is known to be of an earlier start.
+ */
+export function isOlderStart(
+  entry: BackendServer,
+  known: BackendServer,
+): boolean {
+  return entry.bornAtMs !== undefined && known.bornAtMs !== undefined &&
+    entry.bornAtMs < known.bornAtMs;
+}
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -2,7 +2,7 @@
 import { Announcements } from "./announcements.ts";
 import { AnswerOrder } from "./answer_order.ts";
 import { ExpectedCache } from "./expected_cache.ts";
-import { ChannelPool } from "./channel.ts";
+import { type ChannelOptions, ChannelPool } from "./channel.ts";
 import { Health } from "./health.ts";
 import type { BackendServer } from "./model.ts";
 import { PeerLoadSum, type ServerLoad } from "./peer_load_sum.ts";
@@ -39,10 +39,8 @@
 }
 
 /** Settings of a {@link Server}. */
-export interface ServerOptions extends ServerLimits {
-  connectMs: number;
-  idleMs: number;
-  lagMs?: () => number;
+export interface ServerOptions
+  extends ServerLimits, Omit<ChannelOptions, "address"> {
   /** Announcements of the same server start before its registration lapsed; undefined: none. */
   announcements?: Announcements;
 }
