Log an unreadable registration once

An unreadable value of a server, the configuration or weights was logged as store_item_unreadable at each of its writes and listings, besides its line as a malformed value. The latter alone remains; other keys are logged as before.

--- a/src/platform/store_bodies.ts
+++ b/src/platform/store_bodies.ts
@@ -45,6 +45,8 @@
   /** Undefined if the item has no readable key. */
   key?: string;
   reason: string;
+  /** Whether the item is used, with an empty value. */
+  isKept: boolean;
 }
 
 /** One page of a range listing. */
@@ -181,12 +183,13 @@
   { era, unreadable }: ReadContext,
 ): KeyValueEntry | undefined {
   if (!isObject(item)) {
-    unreadable.push({ reason: "Not an object" });
+    unreadable.push({ reason: "Not an object", isKept: false });
     return undefined;
   }
   const entry = tryRead(item, unreadable, () => readEntry(item, era));
   if (entry && readValue(item["value"]) === undefined) {
-    unreadable.push({ key: entry.key, reason: "Value is not a base64 string" });
+    const reason = "Value is not a base64 string";
+    unreadable.push({ key: entry.key, reason, isKept: true });
   }
   return entry;
 }
@@ -201,7 +204,7 @@
   } catch (error) {
     const key = typeof item["key"] === "string" ? item["key"] : undefined;
     const reason = error instanceof Error ? error.message : String(error);
-    unreadable.push({ key, reason });
+    unreadable.push({ key, reason, isKept: false });
     return undefined;
   }
 }
--- a/src/router/store_client.ts
+++ b/src/router/store_client.ts
@@ -1,8 +1,9 @@
 /** Creates the client of the platform's store, with the router's timeouts. */
 import type { Logger } from "../base/mod.ts";
-import { PlatformStore } from "../platform/mod.ts";
+import { decodeValue, PlatformStore } from "../platform/mod.ts";
 import { formatAddress, type RouterSettings } from "./settings.ts";
 
+const EMPTY_VALUE = new Uint8Array();
 /** Connect timeout; the store usually answers within 4 ms. */
 const CONNECT_TIMEOUT_MS = 500;
 /** Timeout of a call: a slow store takes 60 times the usual 4 ms. */
@@ -33,7 +34,14 @@
     callMs: CALL_TIMEOUT_MS,
     watchWaitMs: Math.round(WATCH_WAIT_INTERVALS * heartbeatMs),
     watchSlackMs: WATCH_SLACK_MS,
-    onUnreadable: (item) =>
-      log.error({ event: "store_item_unreadable", ...item }),
+    onUnreadable: ({ key, reason, isKept }) => {
+      if (isKept && key !== undefined && isReportedAsMalformed(key)) return;
+      log.error({ event: "store_item_unreadable", key, reason });
+    },
   });
 }
+
+/** Whether the empty value of an unreadable item is reported by whom the key belongs to. */
+function isReportedAsMalformed(key: string): boolean {
+  return decodeValue(key, EMPTY_VALUE).isErr;
+}
