Bound whole answers that clients don't take

An answer that is read whole, up to 16 MB, was held for each client that did not take it, for as long as the client stayed connected. More than 128 MB of such answers now abort the oldest ones; the newest is kept. The limit is chosen, not measured.

--- a/src/router/response_sink.ts
+++ b/src/router/response_sink.ts
@@ -1,10 +1,17 @@
 /** Writes a response to a client's connection. */
 import type { ServerResponse } from "node:http";
+import { HeldAnswers } from "./held_answers.ts";
 import type { AnswerSink, SinkHead } from "./request.ts";
 
 /** Time for a client to take what was written before its answer is aborted. */
 const FLUSH_TIMEOUT_MS = 1000;
 
+/**
+ * Most bytes of whole answers that this process holds for clients that have not taken them. Chosen, not
+ * measured: eight answers of the largest size.
+ */
+const MAX_HELD_BYTES = 128 * 1024 * 1024;
+
 /** Responses without a declared end, which end with their connection. */
 const withoutDeclaredEnd = new WeakSet<ServerResponse>();
 
@@ -19,6 +26,11 @@
   response.destroy();
 }
 
+const heldAnswers = HeldAnswers.create({
+  maxBytes: MAX_HELD_BYTES,
+  abort: abortResponse,
+});
+
 /** Response to a client over HTTP. */
 export class ResponseSink implements AnswerSink {
   readonly #response: ServerResponse;
@@ -96,6 +108,7 @@
       : ["content-length", String(body.length)];
     this.#writeHead(head, [...headers, ...length]);
     this.#response.end(body);
+    heldAnswers.add(this.#response);
   }
 
   #writeHead({ status, isFramed = true }: SinkHead, headers: string[]): void {
