--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -3,6 +3,7 @@
 import {
   AnswerRateKind,
   type BackendServer,
+  isOlderStart,
   isSameIncarnation,
 } from "./model.ts";
 import type { RateAnswer, RateStatement } from "./rate_statement.ts";
@@ -11,6 +12,7 @@
 import type { ServerOptions } from "./server_options.ts";
 import { SoftwareVersions, type StreamOrigin } from "./software_versions.ts";
 import type { Outage } from "./store_contact.ts";
+import { UnreadBudget } from "./unread_budget.ts";
 
 /** Dependencies of a {@link Fleet}. */
 export interface FleetOptions {
@@ -45,6 +47,7 @@
   /** Servers whose registration may have lapsed in an outage and may be written again. */
   readonly #lapsed = new Set<string>();
   readonly #removed: RemovedServers;
+  readonly #unread = UnreadBudget.create();
 
   private constructor(options: FleetOptions) {
     this.#options = options;
@@ -222,7 +225,8 @@
     const announcements = isSame
       ? known.announcements
       : this.#removed.announcementsOf(entry);
-    const server = Server.create(entry, { ...options, announcements });
+    const own = { announcements, unread: this.#unread };
+    const server = Server.create(entry, { ...options, ...own });
     server.times.onSample = () => this.unsentPaces.add(server);
     this.#servers.set(entry.id, server);
     this.versions.joined(entry);
@@ -342,8 +346,3 @@
     this.#options.log.info({ event: "server_draining", server: entry.id });
   }
 }
-
-function isOlderStart(entry: BackendServer, known: BackendServer): boolean {
-  return entry.bornAtMs !== undefined && known.bornAtMs !== undefined &&
-    entry.bornAtMs < known.bornAtMs;
-}
--- a/src/router/server_options.ts
+++ b/src/router/server_options.ts
@@ -1,6 +1,7 @@
 /** Settings of backend servers. */
 import type { ServiceRates } from "../service_rates/mod.ts";
 import type { Announcements } from "./announcements.ts";
+import type { ChannelOptions } from "./channel.ts";
 import type { OutputTimes } from "./output_times.ts";
 
 /** Timeouts of connections to servers. */
@@ -26,10 +27,8 @@
 }
 
 /** Settings of a {@link Server}. */
-export interface ServerOptions extends ServerLimits {
-  connectMs: number;
-  idleMs: number;
-  lagMs?: () => number;
+export interface ServerOptions
+  extends ServerLimits, Omit<ChannelOptions, "address"> {
   /** Announcements of the same server start before its registration lapsed; undefined: none. */
   announcements?: Announcements;
 }
