Admit requests of scheduled services by priority and workspace

Cause: above a service's capacity, entries send requests in order of arrival, so that urgent requests wait behind others at servers and miss their targets. Change: entries exchange their demand (datagram field `demand`), divide the room of a service, and admit, hold or refuse requests before their first send.

--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -16,6 +16,7 @@
 import { silentLog } from "./_kit.ts";
 import { ChoiceName } from "./choose.ts";
 import { Router } from "./router.ts";
+import { AdmissionMode } from "./settings.ts";
 
 /** One router (entry) and the TCP relay between it and the store. */
 export interface TestEntry {
@@ -171,6 +172,9 @@
         resendLimits: { ratio: 0.2, slack: 54, windowMs: 10_000 },
         logLevel: "silent",
         choice: ChoiceName.cost,
+        admission: AdmissionMode.auto,
+        priorityFloor: 0.05,
+        maxWaitShare: 0.5,
       },
     });
   };
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -93,6 +93,12 @@
   quarantinedForMs?: number;
   /** Part of the prompt for which the request is in quarantine. */
   quarantinedPart?: string;
+  /** Called when a server begins to answer. */
+  onAnswerBegan?(): void;
+  /** Time that the request waited for room of its service. */
+  waitedMs?: number;
+  /** Requests of its service that were admitted meanwhile, by priority. */
+  admittedMeanwhile?: Record<string, number>;
   /** Weights of the server that was chosen last. */
   weights?: ChosenWeights;
   /** Server or store from which the last server was to copy the cached prompt. */
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -12,7 +12,9 @@
   ServerSelector,
   type ServerSelectorOptions,
 } from "./server_selector.ts";
+import type { Entrance, LoadScheduling } from "./load_scheduling.ts";
 import { RequestKind } from "./model.ts";
+import type { ForwardTask } from "./open_runs.ts";
 import type { Permits } from "./permits.ts";
 import type { Quotas } from "./quotas.ts";
 import { AnswerReader, type AnswerReaderOptions } from "./read_answer.ts";
@@ -44,6 +46,9 @@
  */
 const RESERVATION_MARGIN_MS = 20;
 
+/** A request that got no room. */
+type Refused = Extract<Entrance, { kind: "refused" }>;
+
 /** End of a request that takes up a stream of unknown origin. */
 const VERSION_UNKNOWN: ForwardEnd = {
   kind: "given_up",
@@ -64,6 +69,8 @@
   /** Workspace quotas. */
   quotas: Pick<Quotas, "admit" | "runsAgain" | "giveBack">;
   permits: Pick<Permits, "acquire" | "reserve" | "giveBack">;
+  /** Admits the requests of scheduled services by priority. */
+  scheduling: Pick<LoadScheduling, "schedules" | "enter">;
 }
 
 /** Sends requests to backend servers and relays the answers. */
@@ -124,6 +131,7 @@
     const { servers, ends, givenUp, ttftMs, expectedMs } = progress;
     const { weights, copyFrom, endedServers, origin, originSource } = progress;
     const { quarantinedPart, hasUndeclaredEnd } = progress;
+    const { waitedMs, admittedMeanwhile } = progress;
     return {
       outcome,
       servers,
@@ -131,6 +139,8 @@
       givenUp,
       ttftMs,
       expectedMs,
+      waitedMs,
+      admittedMeanwhile,
       weights,
       copyFrom,
       endedServers,
@@ -156,15 +166,52 @@
     }
     const isKnown = await this.#findOrigin(request, progress);
     const task = { request, sink, progress };
-    const end = isKnown
-      ? await RequestForwarder.create(this.#parts, task).run()
-      : VERSION_UNKNOWN;
+    const end = isKnown ? await this.#forward(task) : VERSION_UNKNOWN;
     if (progress.runs === 0) quotas.giveBack(request);
+    if (end.kind === "refused") return this.#refuse(request, sink, end);
     return end.kind === "given_up"
       ? await this.#giveUp(request, sink, { progress, end })
       : end;
   }
 
+  /** Sends a request, in a scheduled service once there is room for it. */
+  async #forward(task: ForwardTask): Promise<ForwardEnd | Refused> {
+    const { request, sink, progress } = task;
+    const { scheduling } = this.#options;
+    const forwarder = RequestForwarder.create(this.#parts, task);
+    if (!scheduling.schedules(request)) return await forwarder.run();
+    const entered = scheduling.enter(request, sink);
+    const entrance = entered instanceof Promise ? await entered : entered;
+    progress.waitedMs = entrance.waitedMs;
+    progress.admittedMeanwhile = entrance.admittedMeanwhile;
+    switch (entrance.kind) {
+      case "gone":
+        return { kind: "client_gone" };
+      case "refused":
+        return entrance;
+      case "admitted":
+        // An engine has prefilled the prompt when its answer begins.
+        if (request.facts.prompt) progress.onAnswerBegan = entrance.release;
+        try {
+          return await forwarder.run();
+        } finally {
+          entrance.release();
+        }
+    }
+  }
+
+  /** Refuses a request for which its service has no room. */
+  #refuse(
+    { facts }: RoutedRequest,
+    sink: AnswerSink,
+    { reason, retryAfterMs }: Refused,
+  ): Outcome {
+    const echo = echoHeaders(facts.requestId);
+    const headers = [...echo, ...retryHeaders(retryAfterMs)];
+    sink.send({ status: 503, headers }, Buffer.alloc(0));
+    return { kind: "refused", reason };
+  }
+
   /**
    * Finds out which software began a stream that the client takes up.
    *
@@ -184,10 +231,9 @@
     return source !== OriginSource.unknown;
   }
 
-  #shouldAdmit(
-    { route, answerByMs }: RoutedRequest,
-    choice: Choice,
-  ): boolean {
+  #shouldAdmit(request: RoutedRequest, choice: Choice): boolean {
+    const { route, answerByMs } = request;
+    if (this.#options.scheduling.schedules(request)) return true;
     // Plain services refuse requests beyond their capacity; only engines queue requests for long.
     if (!choice.chain) return true;
     return shouldAdmit({
--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -65,6 +65,7 @@
   no_event: "its stream paused, and another server could continue it",
   no_head: "no answer began in time, and another server could be asked",
   no_connection: "no connection to the server was made in time",
+  no_room: "its service had no room to serve it in time",
   no_server: "no server of the service takes requests",
   not_ready: "the entry knew no configuration yet",
   other_weights: "the server had other weights by then",
@@ -91,6 +92,7 @@
   version_unknown:
     "its service has several software versions, and which of them began its stream is unknown",
   version_gone: "no server had the software version that had begun its stream",
+  waited: "it waited for room, and could not be served in time any more",
   weights_retired:
     "its engine's weights were replaced too long ago to start an answer",
   wrong_server: "another server had the address",
@@ -142,7 +144,8 @@
   return {
     lines,
     context: findContext(lines, log),
-    outcome: ended && describeOutcome(ended.fields),
+    outcome: ended &&
+      describeOutcome(ended.fields) + describeWait(ended.fields),
   };
 }
 
@@ -263,6 +266,20 @@
   }
 }
 
+/** How long the request waited for room of its service, and which priorities went before it. */
+function describeWait(
+  { priority, waitedMs, admittedMeanwhile }: Record<string, unknown>,
+): string {
+  const wait = waitedMs === undefined
+    ? ""
+    : ` It waited ${waitedMs} ms for room of its service.`;
+  if (typeof admittedMeanwhile !== "object" || !admittedMeanwhile) return wait;
+  const admitted = Object.entries(admittedMeanwhile)
+    .map(([priority, count]) => `${count} of priority ${priority}`);
+  const others = admitted.length > 0 ? admitted.join(", ") : "none";
+  return `${wait} Its priority is ${priority}; admitted meanwhile: ${others}.`;
+}
+
 function describeServers(servers: unknown[]): string {
   return servers.length === 0
     ? "It was sent to no server."
--- a/src/router/peer_datagram.ts
+++ b/src/router/peer_datagram.ts
@@ -1,6 +1,7 @@
 /** Format of the datagrams between entries. A datagram with one invalid field counts as lost. */
 import type { VersionRow } from "./software_versions.ts";
 import type { Confirmation } from "./mirror.ts";
+import type { DemandRow } from "../scheduling/mod.ts";
 
 /**
  * Start time of the server process that an observation is about, in ms since 1970; 0 if unknown, or if
@@ -67,6 +68,8 @@
   answeredParts?: AnsweredPartRow[];
   /** Sender's start time in ms since 1970, by its own clock; absent from earlier releases. */
   startedAtMs?: number;
+  /** Demand for scheduled services; absent if there is none, or from earlier releases. */
+  demand?: DemandRow[];
   /** Workspace, units of its limit that the sender has consumed since its start, and units left. */
   taken?: [string, number, number][];
   /** Whether the sender's contact with the store is stable; read only by earlier releases. */
@@ -91,6 +94,7 @@
   typeof value === "number" && Number.isFinite(value) && value >= 0;
 const isNumber: Validator = (value) =>
   typeof value === "number" && Number.isFinite(value);
+const isRank: Validator = (value) => Number.isInteger(value) && isCount(value);
 const isCountOrNone: Validator = (value) => value === null || isCount(value);
 /** Earlier releases leave the start time out. */
 const isOptionalCount: Validator = (value) =>
@@ -140,6 +144,9 @@
   answeredParts: (value) =>
     value === undefined || listOf(rowOf(isString, isCount))(value),
   startedAtMs: isOptionalCount,
+  demand: (value) =>
+    value === undefined ||
+    listOf(rowOf(isString, isRank, isString, isCount, isCount))(value),
   taken: (value) =>
     value === undefined || listOf(rowOf(isString, isNumber, isNumber))(value),
   storeServes: (value) => typeof value === "boolean",
--- a/src/router/peer_gossip.ts
+++ b/src/router/peer_gossip.ts
@@ -11,6 +11,7 @@
 import type { PlacedPrompt } from "./request.ts";
 import type { Fleet } from "./fleet.ts";
 import { LeavingAnnouncements } from "./leaving_announcements.ts";
+import type { LoadScheduling } from "./load_scheduling.ts";
 import type { SyncState } from "./mirror.ts";
 import type { PeerLags } from "./peer_lags.ts";
 import { ownLoads, PeerLoads } from "./peer_loads.ts";
@@ -67,6 +68,8 @@
   rates: RateAnnouncements;
   /** Workspace rate limits; entries exchange what they have consumed. */
   quotas: Pick<Quotas, "hasUpdate" | "takeUpdate" | "applyPeerUpdate">;
+  /** Demand for scheduled services; entries exchange it. */
+  demand: Pick<LoadScheduling, "rows" | "applyRows">;
   /** Called with the sync state that a peer reported. */
   onPeerSyncState(ipAddress: string, syncState: SyncState): void;
 }
@@ -233,7 +236,8 @@
   }
 
   #buildDatagram(): Datagram {
-    const { name, fleet, syncState, wanted, members, lags } = this.#options;
+    const { name, fleet, syncState, wanted, members, lags, demand } =
+      this.#options;
     const { position, confirmed } = syncState();
     const storeServedMs = this.#options.storeServedMs();
     return {
@@ -250,6 +254,7 @@
       storeServedMs,
       lagMs: lags.ownToldMs,
       stopping: members.isStopping || undefined,
+      demand: demand.rows(),
       software: fleet.versions.rows(),
       weights: [...this.#weights],
       silent: [...this.#silent],
@@ -292,6 +297,7 @@
     members.heard(ipAddress, nowMs);
     members.setStopping(ipAddress, datagram.stopping ?? false);
     lags.record(ipAddress, datagram.lagMs, datagram.stopping);
+    this.#options.demand.applyRows(ipAddress, datagram.demand ?? []);
     this.#apply(datagram, nowMs);
     const { startedAtMs, taken } = datagram;
     if (startedAtMs !== undefined && taken) {
--- a/src/router/refusal_reason.ts
+++ b/src/router/refusal_reason.ts
@@ -18,6 +18,10 @@
   overRate: "over_rate",
   /** The entry is shutting down, and the response would come after its grace time. */
   shutdown: "shutdown",
+  /** Its service has no room to serve it in time. */
+  noRoom: "no_room",
+  /** It waited for room of its service, and can't be served in time any more. */
+  waited: "waited",
   /** The workspace has exceeded its quota. */
   overQuota: "over_quota",
 } as const;
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -120,6 +120,10 @@
   ttftMs?: number;
   /** Expected time to the first byte when the last server was chosen. */
   expectedMs?: number;
+  /** Time that the request waited for room of its service; absent if it did not. */
+  waitedMs?: number;
+  /** Requests of its service that were admitted while it waited, or before its refusal, by priority. */
+  admittedMeanwhile?: Record<string, number>;
   /**
    * Servers that ended while running the request, or requests with {@link quarantinedPart}, before its
    * last send; absent if none is known.
--- a/src/router/request_forwarder.ts
+++ b/src/router/request_forwarder.ts
@@ -132,6 +132,7 @@
   async #onPart(send: Send, part: AnswerPart): Promise<ForwardEnd | undefined> {
     switch (part.kind) {
       case "began":
+        this.#task.progress.onAnswerBegan?.();
         // The other runs stay open until this one delivers events.
         return undefined;
       case "events":
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -14,6 +14,7 @@
 import { coalesceDelayMs, StoreFollower } from "./follower.ts";
 import { EffectiveState } from "./effective_state.ts";
 import { Ingress } from "./ingress.ts";
+import { LoadScheduling } from "./load_scheduling.ts";
 import { openListeners } from "./listeners.ts";
 import { StoreMirror } from "./mirror.ts";
 import { CacheTransfer } from "./cache_transfer.ts";
@@ -62,6 +63,7 @@
   readonly #lag: LoopLag;
   readonly #fleet: Fleet;
   readonly #records: ServerRecords;
+  readonly #scheduling: LoadScheduling;
   readonly #network: PeerNetwork;
   readonly #relay: RelayClient;
   readonly #registration: Registration;
@@ -92,9 +94,7 @@
     });
     this.#quotas = Quotas.create({
       ...this.#parts(),
-      // Seeds are not counted: a stale one would hold a share of the quotas permanently.
-      entryCount: () =>
-        Math.max(this.#network.gossip.count, this.#registration.count),
+      entryCount: () => this.#sharingCount,
     });
     this.#fleet = this.#createFleet();
     this.#records = ServerRecords.create({
@@ -134,6 +134,7 @@
       isReady: () => !isStart(this.#mirror.position),
       cacheOf: (id, bornAtMs) => this.#state.cacheOf(id, bornAtMs),
     });
+    this.#scheduling = this.#createScheduling();
     this.#network = this.#createNetwork();
     this.#roll = this.#createRoll();
     this.#dispatcher = this.#createDispatcher();
@@ -196,6 +197,7 @@
       lagMs: Math.round(this.#lag.ms),
       suspects: this.#quarantine.state(),
       quotas: this.#quotas.state(),
+      scheduling: this.#scheduling.state(),
       permits: this.#network.permits.state(),
       servers: [...this.#fleet.all()].map((server) => server.state(nowMs)),
     };
@@ -231,6 +233,18 @@
     });
   }
 
+  #createScheduling(): LoadScheduling {
+    return LoadScheduling.create({
+      ...this.#parts(),
+      ...this.#settings,
+      fleet: this.#fleet,
+      table: () => this.#state.table,
+      entryCount: () => this.#sharingCount,
+      gossipIntervalMs: () => this.#network.gossip.gossipIntervalMs,
+      drainEndMs: () => this.#ingress.drainEndMs,
+    });
+  }
+
   #createNetwork(): PeerNetwork {
     const { instance, peerPort, seedAddresses } = this.#settings;
     return PeerNetwork.create({
@@ -246,6 +260,7 @@
       quarantine: this.#quarantine,
       lagMs: () => this.#ingress.behindMs,
       quotas: this.#quotas,
+      demand: this.#scheduling,
       seedAddresses: seedAddresses.map((seed) => seed.ipAddress),
       syncState: () => this.#mirror.syncState,
       onPeerSyncState: (peer, syncState) => {
@@ -279,6 +294,8 @@
       quarantine: this.#quarantine,
       quotas: this.#quotas,
       permits: this.#network.permits,
+      scheduling: this.#scheduling,
+      isDivided: (service) => this.#scheduling.isDivided(service),
       origins: this.#network.origins,
       ...this.#settings,
       wanted: this.#wanted,
@@ -336,6 +353,14 @@
     this.#log.info({ event: "listening", zone: settings.zone });
   }
 
+  /**
+   * Number of entries that share limits and room with each other. Seeds are not counted: a stale one
+   * would hold a share permanently.
+   */
+  get #sharingCount(): number {
+    return Math.max(this.#network.gossip.count, this.#registration.count);
+  }
+
   /** Whether the store served another entry while it didn't respond to this one. */
   get #isOutageLocal(): boolean {
     const { contact } = this.#follower;
--- a/src/router/server_selector.ts
+++ b/src/router/server_selector.ts
@@ -27,6 +27,8 @@
   promptStores(): PromptStore[];
   /** Age of the load data received from other entries. */
   loadAgeMs(): number;
+  /** Whether a service has less room than its requests demand. */
+  isDivided(service: string): boolean;
 }
 
 /** Selects servers for requests. */
@@ -179,6 +181,7 @@
       loadAgeMs: this.#options.loadAgeMs(),
       random,
       choice,
+      isDivided: this.#options.isDivided(request.service),
     });
   }
 
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -39,8 +39,23 @@
   resendLimits: ResendLimits;
   logLevel: LogLevel;
   choice: ChoiceName;
+  admission: AdmissionMode;
+  /** Part of a service's room that each less urgent priority with demand keeps. */
+  priorityFloor: number;
+  /** Longest wait for room, as a share of the time that a request has. */
+  maxWaitShare: number;
 }
 
+/** Whether the requests of scheduled services are admitted by priority. */
+export const AdmissionMode = {
+  /** In services whose routes have consistent priorities and targets. */
+  auto: "auto",
+  off: "off",
+} as const;
+
+/** One of {@link AdmissionMode}. */
+export type AdmissionMode = typeof AdmissionMode[keyof typeof AdmissionMode];
+
 /** Variable that is missing or has an invalid value. */
 export interface InvalidSetting {
   variable: string;
@@ -57,6 +72,10 @@
 const ORDER_TURN_MS = 3000;
 const WEIGHTS_BOUND_MS = 10_000;
 const HEARTBEAT_MS = 1200;
+const PRIORITY_FLOOR = 0.05;
+const MAX_PRIORITY_FLOOR = 0.5;
+const MAX_WAIT_SHARE = 0.5;
+const MAX_MAX_WAIT_SHARE = 0.9;
 const RESEND_LIMITS: ResendLimits = { ratio: 0.2, slack: 54, windowMs: 10_000 };
 
 /**
@@ -85,6 +104,17 @@
     parse: (value: string) => number | undefined,
   ): number =>
     env[PREFIX + name] ? read(name, "a number or empty", parse) : fallback;
+  const readShareOr = (
+    name: string,
+    fallback: number,
+    { max }: { max: number },
+  ): number => {
+    if (!env[PREFIX + name]) return fallback;
+    return read(name, `0 to ${max} or empty`, (value) => {
+      const share = parseNumber(value);
+      return share !== undefined && share <= max ? share : undefined;
+    });
+  };
   const settings: RouterSettings = {
     instance: read("INSTANCE", "a name", nonEmpty),
     zone: read("ZONE", "a name", nonEmpty),
@@ -123,6 +153,16 @@
       faults,
       values: Object.values(ChoiceName),
     }) ?? ChoiceName.cost,
+    admission: readOneOf(env, "ADMISSION", {
+      faults,
+      values: Object.values(AdmissionMode),
+    }) ?? AdmissionMode.auto,
+    priorityFloor: readShareOr("PRIORITY_FLOOR", PRIORITY_FLOOR, {
+      max: MAX_PRIORITY_FLOOR,
+    }),
+    maxWaitShare: readShareOr("MAX_WAIT_SHARE", MAX_WAIT_SHARE, {
+      max: MAX_MAX_WAIT_SHARE,
+    }),
   };
   return faults.length > 0 ? Result.err(faults) : Result.ok(settings);
 }
--- a/src/router/urgency.ts
+++ b/src/router/urgency.ts
@@ -9,6 +9,8 @@
   /** Priorities in order; the rank of a request is the index of its priorities. */
   ranked: string[];
   isScheduled: boolean;
+  /** Shortest target latency of the service's routes. */
+  shortestTargetMs: number;
 }
 
 /** Ranks of requests, by service, for one version of the configuration. */
@@ -24,6 +26,9 @@
         ranked: rankPriorities(own, workspaces),
         isScheduled: isOrderConsistent(own) &&
           (engine === undefined || hasSeveralPriorities(own)),
+        shortestTargetMs: Math.min(
+          ...own.map(({ targetLatencyMs }) => targetLatencyMs),
+        ),
       });
     }
   }
@@ -53,6 +58,14 @@
     const rank = known.ranked.indexOf(priorityKey(route, workspace));
     return rank < 0 ? MAX_RANK : Math.min(MAX_RANK, rank);
   }
+
+  /**
+   * @param service Name of a service.
+   * @returns Shortest target latency of its routes; infinite if it has none.
+   */
+  shortestTargetMs(service: string): number {
+    return this.#services.get(service)?.shortestTargetMs ?? Infinity;
+  }
 }
 
 /**
--- /dev/null
+++ b/src/scheduling/admission_queue.ts
@@ -0,0 +1,312 @@
+/**
+ * Admission of requests to one scheduled service at one entry. It decides by the last division of the
+ * service's room; requests that get no room wait while they are expected to be served in time.
+ */
+import type { Division, OwnDemand } from "./divide_room.ts";
+import type { ReportedFlow } from "./demand_table.ts";
+import { type FlowState, FlowTable } from "./flow_table.ts";
+import { HoldTime } from "./hold_time.ts";
+import {
+  type Offer,
+  type OfferedRequest,
+  type Permit,
+  RefusedBecause,
+  type Settlement,
+  Ticket,
+  type WaitingRequest,
+} from "./ticket.ts";
+import { WaitEstimate } from "./wait_estimate.ts";
+import type { WaitingFlow } from "./waiting_flow.ts";
+
+/** Limits on the requests that wait at an entry, over all services. */
+export const MAX_WAITING_REQUESTS = 512;
+export const MAX_WAITING_BYTES = 16 * 1024 * 1024;
+
+/** Requests that wait at an entry, over all services. */
+export interface HeldRequests {
+  count: number;
+  bytes: number;
+}
+
+/** Options of {@link AdmissionQueue}. */
+export interface AdmissionQueueOptions {
+  /** Returns a number from 0 to 1. */
+  random: () => number;
+  /** Longest wait, as a share of the time that the request has. */
+  maxWaitShare: number;
+  /** Estimate of the time that a request stays admitted, until there are samples. */
+  holdMs: number;
+  held: HeldRequests;
+  nowMs: number;
+}
+
+/** Admitted and refused requests of one priority. */
+export interface PriorityCounts {
+  admitted: number;
+  refused: number;
+}
+
+/** Admission queue. */
+export class AdmissionQueue {
+  readonly #held: HeldRequests;
+  readonly #hold: HoldTime;
+  readonly #estimate: WaitEstimate;
+  readonly #flows: FlowTable;
+  /** Flows with waiting requests. */
+  readonly #waiting = new Set<WaitingFlow>();
+  readonly #counts: PriorityCounts[] = [];
+
+  private constructor(options: AdmissionQueueOptions) {
+    const hold = HoldTime.create(options.holdMs);
+    this.#hold = hold;
+    this.#held = options.held;
+    const flows = FlowTable.create({ ...options, hold });
+    this.#flows = flows;
+    this.#estimate = WaitEstimate.create({
+      ...options,
+      hold,
+      roomInMs: (flow, units, nowMs) => flows.roomInMs(flow, units, nowMs),
+    });
+  }
+
+  /**
+   * @param options Settings and random numbers.
+   * @returns A queue that needs a division before the first request is offered.
+   */
+  static create(options: AdmissionQueueOptions): AdmissionQueue {
+    return new AdmissionQueue(options);
+  }
+
+  /** Whether requests wait. */
+  get isWaiting(): boolean {
+    return this.#waiting.size > 0;
+  }
+
+  /** Whether there is room for all. */
+  get isFree(): boolean {
+    return this.#flows.isFree;
+  }
+
+  /** Counts since the start, by priority. */
+  get counts(): readonly (PriorityCounts | undefined)[] {
+    return this.#counts;
+  }
+
+  /**
+   * @param request A request that is about to be offered.
+   * @returns Whether the last division doesn't say whether it has room.
+   */
+  needsDivision(request: OfferedRequest): boolean {
+    return this.#flows.needsDivision(request);
+  }
+
+  /**
+   * @param nowMs Current time.
+   * @param next A request that is about to be offered.
+   * @returns Demand of this entry's flows, for the division of the room.
+   */
+  demand(nowMs: number, next?: OfferedRequest): OwnDemand[] {
+    return this.#flows.demand(nowMs, next);
+  }
+
+  /**
+   * @param nowMs Current time.
+   * @returns Demand of this entry's flows, as the other entries are told.
+   */
+  reported(nowMs: number): ReportedFlow[] {
+    return this.#flows.reported(nowMs);
+  }
+
+  /**
+   * @param nowMs Current time.
+   * @returns Flows with the most demand, for the state dump.
+   */
+  state(nowMs: number): FlowState[] {
+    return this.#flows.state(nowMs);
+  }
+
+  /**
+   * @param division New division of the room.
+   * @param nowMs Current time.
+   */
+  apply(division: Division, nowMs: number): void {
+    this.#flows.apply(division, nowMs);
+    this.#admitWaiting(nowMs);
+  }
+
+  /**
+   * @param request A request; the last division must include its demand, see
+   *   {@link AdmissionQueue.needsDivision}.
+   * @param nowMs Current time.
+   * @returns Whether it may be sent.
+   */
+  offer(request: OfferedRequest, nowMs: number): Offer {
+    this.#hold.offered(request.units);
+    if (this.isFree) {
+      return { kind: "admitted", permit: this.force(request, nowMs) };
+    }
+    const flow = this.#flows.flowOf(request);
+    const waiting: WaitingRequest = {
+      ...request,
+      isLate: this.#estimate.isLate(request, nowMs),
+      giveUpAtMs: this.#estimate.giveUpAtMs(request, nowMs),
+      ticket: Ticket.create(),
+    };
+    this.#enqueue(flow, waiting);
+    this.#admitWaiting(nowMs);
+    const { ticket } = waiting;
+    if (ticket.settlement) return ticket.settlement;
+    if (this.#mayWait(flow, waiting, nowMs)) return { kind: "waiting", ticket };
+    const reason = RefusedBecause.noRoom;
+    return this.#refuse(flow, waiting, { reason, nowMs });
+  }
+
+  /**
+   * Admits a request in any case.
+   *
+   * @param request The request.
+   * @param nowMs Current time.
+   * @returns Its permit.
+   */
+  force(request: OfferedRequest, nowMs: number): Permit {
+    const isLate = this.#estimate.isLate(request, nowMs);
+    return this.#admit({ ...request, isLate }, nowMs);
+  }
+
+  /**
+   * @param permit Permit of a request that no longer takes room.
+   * @param nowMs Current time.
+   */
+  release(permit: Permit, nowMs: number): void {
+    this.#hold.ended(nowMs - permit.admittedAtMs);
+    this.#flows.release(permit, nowMs);
+    this.#admitWaiting(nowMs);
+  }
+
+  /** @param ticket Ticket of a request whose client has disconnected. */
+  withdraw(ticket: Ticket): void {
+    for (const flow of this.#waiting) {
+      const request = flow.requests().find((one) => one.ticket === ticket);
+      if (request) return this.#dequeue(flow, request);
+    }
+  }
+
+  /**
+   * Admits requests whose turn has come, and refuses those that can't be served in time any more.
+   *
+   * @param nowMs Current time.
+   */
+  expire(nowMs: number): void {
+    this.#admitWaiting(nowMs);
+    for (const flow of this.#waiting) {
+      for (const request of flow.requests()) {
+        const isLate = this.#estimate.isLate(request, nowMs);
+        const mayStay = nowMs < request.giveUpAtMs &&
+          (!isLate || request.isLate ||
+            this.#mayWaitLate(flow, request, nowMs));
+        if (!mayStay) this.#refuseWaited(flow, request, nowMs);
+      }
+    }
+  }
+
+  /**
+   * Refuses all requests that wait.
+   *
+   * @param nowMs Current time.
+   */
+  refuseAll(nowMs: number): void {
+    for (const flow of this.#waiting) {
+      for (const request of flow.requests()) {
+        this.#refuseWaited(flow, request, nowMs);
+      }
+    }
+  }
+
+  /** Admits waiting requests in order while there is room. */
+  #admitWaiting(nowMs: number): void {
+    while (this.#waiting.size > 0) {
+      let best: WaitingFlow | undefined;
+      for (const flow of this.#waiting) {
+        if (best && !flow.isBefore(best)) continue;
+        if (this.#flows.hasRoom(flow, nowMs)) best = flow;
+      }
+      if (!best) return;
+      const request = best.next!;
+      this.#dequeue(best, request);
+      const permit = this.#admit(request, nowMs);
+      request.ticket.settle({ kind: "admitted", permit });
+    }
+  }
+
+  #admit(
+    request: OfferedRequest & { isLate: boolean },
+    nowMs: number,
+  ): Permit {
+    const { priority, workspace, units } = request;
+    this.#flows.admit(request, nowMs);
+    this.#countsOf(priority).admitted++;
+    return { priority, workspace, units, admittedAtMs: nowMs };
+  }
+
+  /** Whether a request may wait; with the late ones, if it is expected to become late. */
+  #mayWait(
+    flow: WaitingFlow,
+    request: WaitingRequest,
+    nowMs: number,
+  ): boolean {
+    const { count, bytes } = this.#held;
+    if (count > MAX_WAITING_REQUESTS || bytes > MAX_WAITING_BYTES) return false;
+    if (this.#estimate.isWorthWaiting(flow, request, nowMs)) return true;
+    return !request.isLate && this.#mayWaitLate(flow, request, nowMs);
+  }
+
+  #mayWaitLate(
+    flow: WaitingFlow,
+    request: WaitingRequest,
+    nowMs: number,
+  ): boolean {
+    flow.remove(request);
+    request.isLate = true;
+    flow.add(request);
+    return this.#estimate.isWorthWaiting(flow, request, nowMs);
+  }
+
+  #refuseWaited(
+    flow: WaitingFlow,
+    request: WaitingRequest,
+    nowMs: number,
+  ): void {
+    const reason = RefusedBecause.waited;
+    request.ticket.settle(this.#refuse(flow, request, { reason, nowMs }));
+  }
+
+  #refuse(
+    flow: WaitingFlow,
+    request: WaitingRequest,
+    { reason, nowMs }: { reason: RefusedBecause; nowMs: number },
+  ): Settlement {
+    const retryAfterMs = this.#estimate.retryAfterMs(flow, request, nowMs);
+    this.#dequeue(flow, request);
+    flow.refuse(request.units, { holdMs: this.#hold.meanMs, nowMs });
+    this.#countsOf(request.priority).refused++;
+    return { kind: "refused", reason, retryAfterMs };
+  }
+
+  #enqueue(flow: WaitingFlow, request: WaitingRequest): void {
+    flow.add(request);
+    this.#waiting.add(flow);
+    this.#held.count++;
+    this.#held.bytes += request.bodyBytes;
+  }
+
+  #dequeue(flow: WaitingFlow, request: WaitingRequest): void {
+    flow.remove(request);
+    this.#held.count--;
+    this.#held.bytes -= request.bodyBytes;
+    if (!flow.isWaiting) this.#waiting.delete(flow);
+  }
+
+  #countsOf(priority: number): PriorityCounts {
+    return this.#counts[priority] ??= { admitted: 0, refused: 0 };
+  }
+}
--- /dev/null
+++ b/src/scheduling/flow_table.ts
@@ -0,0 +1,245 @@
+/** The flows of one service at one entry, with their shares of the room. */
+import type { ReportedFlow } from "./demand_table.ts";
+import type { Division, OwnDemand } from "./divide_room.ts";
+import { type FlowDemand, type FlowId, flowKey } from "./flow.ts";
+import type { HoldTime } from "./hold_time.ts";
+import { RoomPool } from "./room_pool.ts";
+import type { AdmittedRequest } from "./ticket.ts";
+import { WaitingFlow } from "./waiting_flow.ts";
+
+/** Flows without demand are forgotten when their mean demand is below this. */
+const MIN_MEAN_UNITS = 0.01;
+/** Time constant of the mean demand. */
+const MEAN_MS = 1000;
+/** Flows in the state dump of one service. */
+const MAX_STATE_FLOWS = 20;
+/** Tolerance for sums of fractions. */
+const EPSILON = 1e-6;
+
+/** Options of {@link FlowTable}. */
+export interface FlowTableOptions {
+  /** Returns a number from 0 to 1. */
+  random: () => number;
+  hold: HoldTime;
+  nowMs: number;
+}
+
+/** A flow in the state dump. */
+export interface FlowState extends ReportedFlow {
+  /** Absent while there is room for all. */
+  allowance?: number;
+}
+
+/** Flows by priority and workspace. */
+export class FlowTable {
+  readonly #options: FlowTableOptions;
+  readonly #flows = new Map<string, WaitingFlow>();
+  /** Room of the flows that get less than they demand, by priority. */
+  readonly #pools = new Map<number, RoomPool>();
+  #isFree = true;
+  /** Units that may be admitted without a new division, while there is room for all. */
+  #spare = 0;
+  #meanAtMs: number;
+
+  private constructor(options: FlowTableOptions) {
+    this.#options = options;
+    this.#meanAtMs = options.nowMs;
+  }
+
+  /**
+   * @param options Measured times and random numbers.
+   * @returns A table without flows and without room.
+   */
+  static create(options: FlowTableOptions): FlowTable {
+    return new FlowTable(options);
+  }
+
+  /** Whether there is room for all. */
+  get isFree(): boolean {
+    return this.#isFree;
+  }
+
+  /**
+   * @param id A flow.
+   * @returns Its state.
+   */
+  flowOf({ priority, workspace }: FlowId): WaitingFlow {
+    const id = { priority, workspace };
+    const key = flowKey(id);
+    let flow = this.#flows.get(key);
+    if (!flow) this.#flows.set(key, flow = WaitingFlow.create(id));
+    return flow;
+  }
+
+  /** @returns Whether the last division doesn't say whether a request that is offered has room. */
+  needsDivision(request: FlowDemand): boolean {
+    if (this.#isFree) return request.units > this.#spare;
+    const flow = this.#flows.get(flowKey(request));
+    if (!flow?.share) return true;
+    const { isMet, allowance } = flow.share;
+    return isMet && flow.admitted + flow.waiting + request.units > allowance;
+  }
+
+  /**
+   * @param nowMs Current time.
+   * @param next A request that is about to be offered.
+   * @returns Demand of all flows, for the division of the room.
+   */
+  demand(nowMs: number, next?: FlowDemand): OwnDemand[] {
+    const nextFlow = next && this.flowOf(next);
+    const weight = this.#meanWeight(nowMs);
+    const demand: OwnDemand[] = [];
+    for (const [key, flow] of this.#flows) {
+      const units = flow.admitted + this.#waitingUnits(flow, nowMs) +
+        (flow === nextFlow ? next!.units : 0);
+      flow.meanUnits += weight * (units - flow.meanUnits);
+      if (units === 0 && flow.meanUnits < MIN_MEAN_UNITS) {
+        this.#flows.delete(key);
+        continue;
+      }
+      demand.push({ ...flow.id, units, silentUnits: flow.meanUnits });
+    }
+    return demand;
+  }
+
+  /**
+   * @param nowMs Current time.
+   * @returns Demand of all flows, as the other entries are told.
+   */
+  reported(nowMs: number): ReportedFlow[] {
+    return [...this.#flows.values()].map((flow) => ({
+      ...flow.id,
+      admitted: flow.meanAdmitted({
+        holdMs: this.#options.hold.meanMs,
+        nowMs,
+      }),
+      waiting: this.#waitingUnits(flow, nowMs),
+    }));
+  }
+
+  /**
+   * @param nowMs Current time.
+   * @returns Flows with the most demand, for the state dump.
+   */
+  state(nowMs: number): FlowState[] {
+    return this.reported(nowMs)
+      .sort((a, b) => b.admitted + b.waiting - a.admitted - a.waiting)
+      .slice(0, MAX_STATE_FLOWS)
+      .map((flow) => ({
+        ...flow,
+        allowance: this.#flows.get(flowKey(flow))?.share?.allowance,
+      }));
+  }
+
+  /**
+   * @param division New division of the room.
+   * @param nowMs Current time.
+   */
+  apply(division: Division, nowMs: number): void {
+    this.#isFree = division.kind === "free";
+    switch (division.kind) {
+      case "free":
+        this.#spare = division.spare;
+        this.#pools.clear();
+        for (const flow of this.#flows.values()) flow.share = undefined;
+        return;
+      case "divided":
+        for (const [key, flow] of this.#flows) {
+          flow.share = division.shares.get(key);
+        }
+        this.#setPools(nowMs);
+    }
+  }
+
+  /**
+   * @param flow A flow with a waiting request.
+   * @param nowMs Current time.
+   * @returns Whether its next request has room.
+   */
+  hasRoom(flow: WaitingFlow, nowMs: number): boolean {
+    if (this.#isFree) return true;
+    const { share, admitted, id } = flow;
+    if (!share) return false;
+    const { units } = flow.next!;
+    return share.isMet
+      ? admitted + units <= share.allowance + EPSILON
+      : this.#pools.get(id.priority)?.fits(units, nowMs) ?? false;
+  }
+
+  /**
+   * @param flow A flow.
+   * @param units Size of its next request.
+   * @param nowMs Current time.
+   * @returns Expected time until there is room for the request.
+   */
+  roomInMs(flow: WaitingFlow, units: number, nowMs: number): number {
+    return this.#poolOf(flow)?.waitMs(units, nowMs) ?? 0;
+  }
+
+  /**
+   * @param request A request that is admitted.
+   * @param nowMs Current time.
+   */
+  admit(request: AdmittedRequest, nowMs: number): void {
+    const { units } = request;
+    const flow = this.flowOf(request);
+    const holdMs = this.#options.hold.meanMs;
+    flow.admit(request, { holdMs, nowMs });
+    if (this.#isFree) this.#spare -= units;
+    this.#poolOf(flow)?.add(units, { holdMs, nowMs });
+  }
+
+  /**
+   * @param request A request that no longer takes room.
+   * @param nowMs Current time.
+   */
+  release(request: FlowDemand, nowMs: number): void {
+    const { units } = request;
+    const flow = this.flowOf(request);
+    flow.release(units, { holdMs: this.#options.hold.meanMs, nowMs });
+    if (this.#isFree) this.#spare += units;
+    this.#poolOf(flow)?.remove(units, nowMs);
+  }
+
+  #waitingUnits(flow: WaitingFlow, nowMs: number): number {
+    const holdMs = this.#options.hold.meanMs;
+    return flow.waiting + flow.refusedUnits({ holdMs, nowMs });
+  }
+
+  #poolOf({ share, id }: WaitingFlow): RoomPool | undefined {
+    return share?.isMet === false ? this.#pools.get(id.priority) : undefined;
+  }
+
+  #setPools(nowMs: number): void {
+    const sums = new Map<number, { allowance: number; admitted: number }>();
+    for (const { share, id: { priority }, admitted } of this.#flows.values()) {
+      if (share?.isMet !== false) continue;
+      const sum = sums.get(priority) ?? { allowance: 0, admitted: 0 };
+      sum.allowance += share.allowance;
+      sum.admitted += admitted;
+      sums.set(priority, sum);
+    }
+    for (const priority of this.#pools.keys()) {
+      if (!sums.has(priority)) this.#pools.delete(priority);
+    }
+    for (const [priority, { allowance, admitted }] of sums) {
+      const pool = this.#pools.get(priority) ?? this.#createPool(nowMs);
+      this.#pools.set(priority, pool);
+      pool.set(allowance, admitted, nowMs);
+    }
+  }
+
+  #createPool(nowMs: number): RoomPool {
+    const { random, hold } = this.#options;
+    return RoomPool.create(random() * hold.meanUnits * hold.meanMs, nowMs);
+  }
+
+  /** Weight of the current demand in its mean; at first, the mean is the current demand. */
+  #meanWeight(nowMs: number): number {
+    const weight = nowMs - this.#options.nowMs < MEAN_MS
+      ? 1
+      : 1 - Math.exp((this.#meanAtMs - nowMs) / MEAN_MS);
+    this.#meanAtMs = nowMs;
+    return weight;
+  }
+}
--- /dev/null
+++ b/src/scheduling/service_scheduler.ts
@@ -0,0 +1,185 @@
+/** Schedules the requests of one service at one entry: divides its room and admits by the division. */
+import {
+  AdmissionQueue,
+  type HeldRequests,
+  type PriorityCounts,
+} from "./admission_queue.ts";
+import { type DemandRow, demandRows, DemandTable } from "./demand_table.ts";
+import { divideRoom, type Division } from "./divide_room.ts";
+import type { Offer, OfferedRequest, Permit, Ticket } from "./ticket.ts";
+
+/** Shortest time between two divisions, unless a request needs one. */
+const DIVISION_INTERVAL_MS = 20;
+/** How long single flows are still reported after the room was last divided. */
+const REPORT_FLOWS_MS = 1000;
+
+/** Options of {@link ServiceScheduler}. */
+export interface ServiceSchedulerOptions {
+  service: string;
+  /** Returns a number from 0 to 1. */
+  random: () => number;
+  /** Part of the room that each less urgent priority with demand keeps. */
+  floorShare: number;
+  /** Longest wait, as a share of the time that the request has. */
+  maxWaitShare: number;
+  /** Estimate of the time that a request stays admitted, until there are samples. */
+  holdMs: number;
+  /** Requests that wait at this entry, over all services. */
+  held: HeldRequests;
+  /** Demand of the other entries. */
+  table: DemandTable;
+  /** Units that the service can hold; 0 if no server is available, which admits all requests. */
+  room(nowMs: number): number;
+  /** Number of entries that may be alive, this one included. */
+  entryCount(): number;
+  nowMs: number;
+}
+
+/** State of a scheduled service for the state dump. */
+export interface ServiceScheduleState {
+  service: string;
+  room: number;
+  isDivided: boolean;
+  counts: readonly (PriorityCounts | undefined)[];
+  flows: unknown[];
+}
+
+/** Scheduler. */
+export class ServiceScheduler {
+  readonly #options: ServiceSchedulerOptions;
+  readonly #queue: AdmissionQueue;
+  #dividedAtMs = -Infinity;
+  #reportFlowsUntilMs = -Infinity;
+  #room = 0;
+
+  private constructor(options: ServiceSchedulerOptions) {
+    this.#options = options;
+    this.#queue = AdmissionQueue.create(options);
+  }
+
+  /**
+   * @param options Settings, room and demand of the other entries.
+   * @returns A scheduler without requests.
+   */
+  static create(options: ServiceSchedulerOptions): ServiceScheduler {
+    return new ServiceScheduler(options);
+  }
+
+  /** Whether requests wait. */
+  get isWaiting(): boolean {
+    return this.#queue.isWaiting;
+  }
+
+  /** Whether there is room for all requests. */
+  get isFree(): boolean {
+    return this.#queue.isFree;
+  }
+
+  /** Admitted and refused requests since the start, by priority. */
+  get counts(): readonly (PriorityCounts | undefined)[] {
+    return this.#queue.counts;
+  }
+
+  /**
+   * @param request A request before its first send.
+   * @param nowMs Current time.
+   * @returns Whether it may be sent.
+   */
+  offer(request: OfferedRequest, nowMs: number): Offer {
+    if (this.#isDue(nowMs) || this.#queue.needsDivision(request)) {
+      this.#divide(nowMs, request);
+    }
+    return this.#queue.offer(request, nowMs);
+  }
+
+  /** See {@link AdmissionQueue.force}. */
+  force(request: OfferedRequest, nowMs: number): Permit {
+    return this.#queue.force(request, nowMs);
+  }
+
+  /**
+   * @param permit Permit of a request that no longer takes room.
+   * @param nowMs Current time.
+   */
+  release(permit: Permit, nowMs: number): void {
+    this.#queue.release(permit, nowMs);
+    if (this.#queue.isWaiting && this.#isDue(nowMs)) this.#divide(nowMs);
+  }
+
+  /** @param ticket Ticket of a request whose client has disconnected. */
+  withdraw(ticket: Ticket): void {
+    this.#queue.withdraw(ticket);
+  }
+
+  /**
+   * Must be called regularly while requests wait.
+   *
+   * @param nowMs Current time.
+   */
+  tick(nowMs: number): void {
+    if (this.#isDue(nowMs)) this.#divide(nowMs);
+    this.#queue.expire(nowMs);
+  }
+
+  /**
+   * Refuses all requests that wait.
+   *
+   * @param nowMs Current time.
+   */
+  refuseAll(nowMs: number): void {
+    this.#queue.refuseAll(nowMs);
+  }
+
+  /**
+   * @param nowMs Current time.
+   * @returns Rows to send to the other entries.
+   */
+  rows(nowMs: number): DemandRow[] {
+    return demandRows(this.#queue.reported(nowMs), {
+      service: this.#options.service,
+      isDivided: nowMs < this.#reportFlowsUntilMs,
+    });
+  }
+
+  /**
+   * @param nowMs Current time.
+   * @returns State for the state dump.
+   */
+  state(nowMs: number): ServiceScheduleState {
+    return {
+      service: this.#options.service,
+      room: Math.round(this.#room),
+      isDivided: !this.#queue.isFree,
+      counts: this.#queue.counts,
+      flows: this.#queue.state(nowMs),
+    };
+  }
+
+  #isDue(nowMs: number): boolean {
+    return nowMs - this.#dividedAtMs >= DIVISION_INTERVAL_MS;
+  }
+
+  #divide(nowMs: number, next?: OfferedRequest): void {
+    this.#dividedAtMs = nowMs;
+    const division = this.#division(nowMs, next);
+    if (division.kind === "divided") {
+      this.#reportFlowsUntilMs = nowMs + REPORT_FLOWS_MS;
+    }
+    this.#queue.apply(division, nowMs);
+  }
+
+  #division(nowMs: number, next?: OfferedRequest): Division {
+    const { table, service, floorShare, entryCount, room } = this.#options;
+    this.#room = room(nowMs);
+    // Requests then end as they do without scheduling, with the reason why there is no server.
+    if (this.#room <= 0) return { kind: "free", spare: Infinity };
+    const heard = table.expire(nowMs);
+    return divideRoom({
+      room: this.#room,
+      floorShare,
+      own: this.#queue.demand(nowMs, next),
+      peers: table.flows(service),
+      silentEntries: Math.max(0, entryCount() - 1 - heard),
+    });
+  }
+}
