Test the division of room, demand and the admission queue in virtual time

Change: servers of a divided service are chosen by their room, a started process keeps to an equal share for 500 ms, and demand is reported as an average.

--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -9,7 +9,7 @@
 import type { Caller } from "./permit_bucket.ts";
 import { type PromptStore, selectStore } from "./prompt_store.ts";
 import type { Server } from "./server.ts";
-import { callsHeldBy } from "./service_room.ts";
+import { callsHeldBy, dividedCostMs } from "./service_room.ts";
 import { assessWeights, type ReplacedWeights } from "./replaced_weights.ts";
 
 /** Placement policies; all except `cost` are baselines for comparison. */
@@ -58,12 +58,6 @@
 /** Expected duration of a plain call; the sizing sheets give 21 to 86 ms. */
 const PLAIN_CALL_MS = 60;
 
-/**
- * Cost of a server that holds all its room, while the room of its service is divided: otherwise slots of
- * slow servers stay idle while requests wait at fast ones.
- */
-const OVER_ROOM_COST_MS = 1000;
-
 /** Input of {@link choose}: a request and its candidate servers. */
 export interface Placement {
   servers: Server[];
@@ -79,7 +73,7 @@
   loadAgeMs: number;
   random: () => number;
   choice: ChoiceName;
-  /** Plain calls go to servers that hold less than their room, if there is one. */
+  /** Whether the service has less room than its requests demand; see {@link dividedCostMs}. */
   isDivided?: boolean;
 }
 
@@ -155,15 +149,17 @@
   const workMs = PLAIN_CALL_MS * server.health.slowness(nowMs);
   const queued = Math.max(0, running + 1 - slots);
   const expectedMs = workMs * (1 + queued / slots + running / (10 * slots));
-  const isOverRoom = placement.isDivided && running >= callsHeldBy(server);
-  const overRoomMs = isOverRoom ? OVER_ROOM_COST_MS : 0;
+  const isOverRoom = running >= callsHeldBy(server);
+  const dividedMs = placement.isDivided
+    ? dividedCostMs({ ...placement, isOverRoom })
+    : 0;
   return {
     server,
     expectedMs,
     queueMs: expectedMs - workMs,
     uncachedTokens: 0,
     maySend: true,
-    score: scoreOf(placement, server, expectedMs + running + overRoomMs),
+    score: scoreOf(placement, server, expectedMs + running + dividedMs),
   };
 }
 
--- a/src/router/load_scheduling.ts
+++ b/src/router/load_scheduling.ts
@@ -75,11 +75,13 @@
   readonly #services = new Map<string, ScheduledService>();
   readonly #held: HeldRequests = { count: 0, bytes: 0 };
   readonly #metrics: AdmissionMetrics;
+  readonly #startedAtMs: number;
   #isTicking = false;
 
   private constructor(options: LoadSchedulingOptions) {
     this.#options = options;
     this.#metrics = AdmissionMetrics.create(options.metrics);
+    this.#startedAtMs = options.clock.nowMs();
   }
 
   /**
@@ -270,6 +272,8 @@
       table: this.#table,
       room: this.#roomOf(service),
       entryCount,
+      startedAtMs: this.#startedAtMs,
+      reportIntervalMs: this.#options.gossipIntervalMs,
       nowMs,
     });
   }
--- a/src/router/service_room.ts
+++ b/src/router/service_room.ts
@@ -3,6 +3,9 @@
 
 /** Requests that a plain server holds beside those that it runs, for each of its slots. */
 const EXTRA_PER_SLOT = 0.25;
+/** Load data up to this age is taken for current. */
+const RECENT_LOAD_MS = 100;
+const OVER_ROOM_COST_MS = 1000;
 /** Tokens that an engine prefills per ms, as placement assumes. */
 const PREFILL_TOKENS_PER_MS = 80;
 
@@ -15,6 +18,31 @@
   return slots + Math.max(1, Math.ceil(slots * EXTRA_PER_SLOT));
 }
 
+/** A plain server of a service with less room than its requests demand. */
+export interface DividedCostOptions {
+  /** Whether the server holds all its room. */
+  isOverRoom: boolean | undefined;
+  /** Age of the load data received from other entries. */
+  loadAgeMs: number;
+  /** Returns a number from 0 to 1. */
+  random: () => number;
+}
+
+/**
+ * Servers that hold all their room are chosen last: otherwise slots of slow servers stay idle while
+ * requests wait at fast ones. Load data older than a call says nothing about the present, and all
+ * entries would choose the same server by it; the choice is then mostly random.
+ *
+ * @param options The server and its load data.
+ * @returns Cost in addition to the expected time.
+ */
+export function dividedCostMs(
+  { isOverRoom, loadAgeMs, random }: DividedCostOptions,
+): number {
+  if (loadAgeMs > RECENT_LOAD_MS) return random() * loadAgeMs;
+  return isOverRoom ? OVER_ROOM_COST_MS : 0;
+}
+
 /** Options of {@link serviceRoom}. */
 export interface ServiceRoomOptions {
   nowMs: number;
--- a/src/scheduling/_service_fleet.ts
+++ b/src/scheduling/_service_fleet.ts
@@ -1,6 +1,7 @@
 /** Simulates entries that schedule the requests of one plain service, in virtual time. */
 import { poisson, seededRandom } from "../base/random.ts";
 import { gossipIntervalFor, jittered } from "../router/gossip_interval.ts";
+import { dividedCostMs } from "../router/service_room.ts";
 import {
   type DemandRow,
   DemandTable,
@@ -86,19 +87,16 @@
 /** Units that one server, and the service, can hold. */
 const SERVER_ROOM = SLOTS + Math.ceil(SLOTS / 4);
 export const ROOM = SERVICE_TIMES_MS.length * SERVER_ROOM;
-/** While the room is divided, servers that hold all their room are chosen last. */
-const OVER_ROOM_COST_MS = 1000;
 
 /** Simulated entries, servers and clients. */
 export class ServiceFleet {
   readonly #options: ServiceFleetOptions;
   readonly #random: () => number;
   readonly entries: Entry[] = [];
-  readonly servers: Server[] = [];
+  readonly #servers: Server[] = [];
   #events: { atMs: number; run(): void }[] = [];
   #nowMs = 0;
   #killedAtMs = -Infinity;
-  #startedMs = 0;
   /** Time that servers spent on answers within their target. */
   #inTimeWorkMs = 0;
   readonly #results = new Map<LoadStream, StreamResult>();
@@ -107,7 +105,7 @@
     this.#options = options;
     this.#random = seededRandom(options.seed);
     for (const serviceMs of SERVICE_TIMES_MS) {
-      this.servers.push({ serviceMs, running: [], queue: [] });
+      this.#servers.push({ serviceMs, running: [], queue: [] });
     }
     for (let i = 0; i < options.entryCount; i++) {
       const entry = { address: `entry-${i}`, partition: 0, weight: 1 };
@@ -129,13 +127,7 @@
       .reduce((sum, count) => sum + count, 0);
   }
 
-  /** Share of the servers' time since the last reset that was spent on answers within the target. */
-  get inTimeShare(): number {
-    const slots = SLOTS * this.servers.length;
-    return this.#inTimeWorkMs / slots / (this.#nowMs - this.#startedMs);
-  }
-
-  /** @returns The result of a stream since the last reset. */
+  /** @returns The result of a stream in the last measurement. */
   result(stream: LoadStream): StreamResult {
     let result = this.#results.get(stream);
     if (!result) {
@@ -151,13 +143,6 @@
     return result;
   }
 
-  /** Clears the results. */
-  reset(): void {
-    this.#results.clear();
-    this.#inTimeWorkMs = 0;
-    this.#startedMs = this.#nowMs;
-  }
-
   /** @param entry An entry that ends; its clients come back at other entries. */
   kill(entry: Entry): void {
     entry.isUp = false;
@@ -178,7 +163,7 @@
     while (this.#nowMs < endMs) {
       this.#nowMs++;
       this.#runEvents();
-      for (const server of this.servers) this.#endRequests(server);
+      for (const server of this.#servers) this.#endRequests(server);
       const up = this.entries.filter(({ isUp }) => isUp);
       for (const entry of up) this.#runEntry(entry);
       for (const stream of streams) {
@@ -189,6 +174,23 @@
     }
   }
 
+  /**
+   * Applies load, and lets the requests end.
+   *
+   * @param ms Time with load.
+   * @param streams The load.
+   * @returns Share of the servers' time with load that was spent on answers within the target.
+   */
+  measure(ms: number, streams: readonly LoadStream[]): number {
+    this.#results.clear();
+    this.#inTimeWorkMs = 0;
+    this.run(ms, streams);
+    const slots = SLOTS * this.#servers.length;
+    const inTimeShare = this.#inTimeWorkMs / slots / ms;
+    this.run(DEADLINE_MS, []);
+    return inTimeShare;
+  }
+
   #arrive(stream: LoadStream): void {
     const result = this.result(stream);
     result.requests++;
@@ -233,7 +235,7 @@
       entry.scheduler.release(permit, this.#nowMs);
       return this.#refuse(client, 200);
     }
-    const server = this.servers[at]!;
+    const server = this.#servers[at]!;
     const { scheduler, own } = entry;
     own[at]!++;
     const jitter = 1 + SERVICE_TIME_JITTER * (2 * this.#random() - 1);
@@ -272,18 +274,20 @@
   /** The server with the lowest expected time among those that are not full, as the entry knows. */
   #chooseServer({ own, peers, scheduler }: Entry): number | undefined {
     const loadAgeMs = gossipIntervalFor(this.#options.entryCount);
-    const jitterMs = Math.max(1, (loadAgeMs - 50) / 8);
     let best: number | undefined;
     let bestCost = Infinity;
-    for (const [i, { serviceMs, queue }] of this.servers.entries()) {
+    for (const [i, { serviceMs, queue }] of this.#servers.entries()) {
       if (queue.length >= QUEUE) continue;
       let running = own[i]!;
       for (const loads of peers.values()) running += loads[i]!;
       const queued = Math.max(0, running + 1 - SLOTS);
-      const isOver = !scheduler.isFree && running >= SERVER_ROOM;
-      const cost = (isOver ? OVER_ROOM_COST_MS : 0) + running +
-        this.#random() * jitterMs +
-        serviceMs * (1 + queued / SLOTS + running / (10 * SLOTS));
+      const cost = running + this.#random() +
+        serviceMs * (1 + queued / SLOTS + running / (10 * SLOTS)) +
+        (scheduler.isFree ? 0 : dividedCostMs({
+          isOverRoom: running >= SERVER_ROOM,
+          loadAgeMs,
+          random: this.#random,
+        }));
       if (cost >= bestCost) continue;
       best = i;
       bestCost = cost;
@@ -350,9 +354,11 @@
       table,
       room: () => ROOM,
       entryCount: () => this.#registeredCount,
+      reportIntervalMs: () => gossipIntervalFor(this.#options.entryCount),
+      startedAtMs: this.#nowMs,
       nowMs: this.#nowMs,
     });
-    const own = this.servers.map(() => 0);
+    const own = this.#servers.map(() => 0);
     const nextReportMs = this.#nowMs + this.#random() * TICK_MS;
     const peers = new Map<string, number[]>();
     return { isUp: true, table, scheduler, nextReportMs, own, peers };
--- a/src/scheduling/admission_queue.ts
+++ b/src/scheduling/admission_queue.ts
@@ -37,6 +37,8 @@
   /** Estimate of the time that a request stays admitted, until there are samples. */
   holdMs: number;
   held: HeldRequests;
+  /** Time between two reports of demand to the other entries. */
+  reportIntervalMs(): number;
   nowMs: number;
 }
 
--- /dev/null
+++ b/src/scheduling/admission_queue_test.ts
@@ -0,0 +1,231 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { AdmissionQueue, MAX_WAITING_REQUESTS } from "./admission_queue.ts";
+import type { FlowShare } from "./divide_room.ts";
+import {
+  type Offer,
+  type OfferedRequest,
+  type Permit,
+  Ticket,
+} from "./ticket.ts";
+
+const HOLD_MS = 100;
+const TARGET_MS = 500;
+const DEADLINE_MS = 2000;
+
+// Guards against waits while there is room for all.
+test("requests are admitted at once while there is room for all", () => {
+  const queue = createQueue();
+  queue.apply({ kind: "free", spare: 2 }, 0);
+  assert.equal(queue.offer(request(), 0).kind, "admitted");
+  assert.equal(queue.offer(request(), 0).kind, "admitted");
+  assert.equal(queue.needsDivision(request()), true);
+});
+
+// Guards against less urgent requests that are admitted before urgent ones.
+test("freed room goes to the most urgent request that waits", () => {
+  const queue = createQueue();
+  divide(queue, { "0/w": constrained(1), "1/w": constrained(1) });
+  const permits = [0, 1].map((priority) =>
+    permitOf(queue.offer(request({ priority }), 0))
+  );
+  const late = ticketOf(queue.offer(request({ priority: 1 }), 0));
+  const urgent = ticketOf(queue.offer(request({ priority: 0 }), 0));
+  queue.release(permits[0]!, HOLD_MS);
+  assert.equal(urgent.settlement?.kind, "admitted");
+  assert.equal(late.settlement, undefined);
+  queue.release(permits[1]!, HOLD_MS);
+  assert.equal(late.settlement?.kind, "admitted");
+});
+
+// Guards against a workspace that is served before others that have used less of their share.
+test("workspace that has used the least of its allowance is next", () => {
+  const queue = createQueue();
+  divide(queue, { "0/a": constrained(2), "0/b": constrained(2) });
+  const [first] = ["a", "a", "b", "b"].map((workspace) =>
+    permitOf(queue.offer(request({ workspace }), 0))
+  );
+  const again = ticketOf(queue.offer(request({ workspace: "b" }), 0));
+  const less = ticketOf(queue.offer(request({ workspace: "a" }), 0));
+  queue.release(first!, HOLD_MS);
+  assert.equal(less.settlement?.kind, "admitted");
+  assert.equal(again.settlement, undefined);
+});
+
+// Guards against new requests that wait behind ones whose answers are late anyway, and against clients
+// that come back and are never served.
+test("late requests get one admission in eight", () => {
+  const queue = createQueue();
+  divide(queue, { "0/w": constrained(1) });
+  let permit = permitOf(queue.offer(request(), 0));
+  const late = ticketOf(queue.offer(request({ targetAtMs: 0 }), 0));
+  let admitted = 0;
+  while (!late.settlement) {
+    const ticket = ticketOf(queue.offer(request(), 0));
+    queue.release(permit, 1);
+    permit = settledPermit(late.settlement ? late : ticket);
+    admitted++;
+  }
+  assert.equal(admitted, 7);
+});
+
+// Guards against requests that are held although they can't be served.
+test("request that would wait beyond its deadline is refused at once", () => {
+  const queue = createQueue();
+  divide(queue, { "0/w": constrained(1) });
+  queue.offer(request(), 0);
+  const offer = queue.offer(request({ targetAtMs: 60, deadlineAtMs: 120 }), 0);
+  assert.ok(offer.kind === "refused" && offer.reason === "no_room");
+  assert.ok(offer.retryAfterMs > 0 && offer.retryAfterMs <= 0.3 * 120);
+  divide(queue, { "0/w": constrained(0) });
+  assert.equal(queue.offer(request(), 0).kind, "refused");
+});
+
+// Guards against clients that all return at the same time, or that ignore the delay.
+test("retry delays are spread and below a third of the remaining time", () => {
+  const delays = new Set<number>();
+  for (const random of [0, 0.3, 0.6, 0.99]) {
+    const queue = createQueue({ random: () => random });
+    divide(queue, { "0/w": constrained(0) });
+    const offer = queue.offer(request(), 0);
+    assert.ok(offer.kind === "refused");
+    assert.ok(offer.retryAfterMs <= 0.3 * DEADLINE_MS);
+    delays.add(offer.retryAfterMs);
+  }
+  assert.equal(delays.size, 4);
+});
+
+// Guards against requests that wait until their deadline when no room is freed.
+test("request waits no longer than its share of the time", () => {
+  const queue = createQueue({ maxWaitShare: 0.25 });
+  divide(queue, { "0/w": constrained(1) });
+  queue.offer(request(), 0);
+  const targetAtMs = DEADLINE_MS;
+  const ticket = ticketOf(queue.offer(request({ targetAtMs }), 0));
+  queue.expire(0.25 * DEADLINE_MS - 1);
+  assert.equal(ticket.settlement, undefined);
+  queue.expire(0.25 * DEADLINE_MS);
+  const { settlement } = ticket;
+  assert.ok(settlement?.kind === "refused" && settlement.reason === "waited");
+  assert.equal(queue.isWaiting, false);
+});
+
+// Guards against room that is given to a client that has gone.
+test("withdrawn request is not admitted", () => {
+  const held = { count: 0, bytes: 0 };
+  const queue = createQueue({ held });
+  divide(queue, { "0/w": constrained(1) });
+  const permit = permitOf(queue.offer(request(), 0));
+  const ticket = ticketOf(queue.offer(request({ bodyBytes: 5 }), 0));
+  assert.deepEqual(held, { count: 1, bytes: 5 });
+  queue.withdraw(ticket);
+  assert.deepEqual(held, { count: 0, bytes: 0 });
+  queue.release(permit, HOLD_MS);
+  assert.equal(ticket.settlement, undefined);
+});
+
+// Guards against memory that grows with the requests that wait.
+test("requests beyond the limit of an entry don't wait", () => {
+  const held = { count: MAX_WAITING_REQUESTS, bytes: 0 };
+  const queue = createQueue({ held });
+  divide(queue, { "0/w": constrained(1) });
+  queue.offer(request(), 0);
+  assert.equal(queue.offer(request(), 0).kind, "refused");
+  assert.equal(held.count, MAX_WAITING_REQUESTS);
+});
+
+// Guards against large requests that no allowance ever covers, and against their use of more than it.
+test("request larger than its allowance is admitted, at the mean rate of the allowance", () => {
+  const queue = createQueue();
+  divide(queue, { "0/w": constrained(10) });
+  let admitted = 0;
+  let permit: Permit | undefined;
+  let endMs = 0;
+  for (let nowMs = 0; nowMs < 100 * HOLD_MS; nowMs += 10) {
+    if (permit && nowMs >= endMs) {
+      queue.release(permit, nowMs);
+      permit = undefined;
+    }
+    const large = request({ units: 40, targetAtMs: nowMs, arrivedMs: nowMs });
+    const offer = queue.offer(large, nowMs);
+    if (offer.kind === "waiting") queue.withdraw(offer.ticket);
+    if (offer.kind !== "admitted") continue;
+    permit = offer.permit;
+    endMs = nowMs + HOLD_MS;
+    admitted++;
+  }
+  // A quarter of the time would be 25; a request may be rounded up while the debt is not paid.
+  assert.ok(admitted >= 20 && admitted <= 45, `${admitted} admitted`);
+});
+
+// Guards against waiting requests that have no answer when the entry ends.
+test("all waiting requests are refused when the grace time ends", () => {
+  const queue = createQueue();
+  divide(queue, { "0/w": constrained(1) });
+  queue.offer(request(), 0);
+  const ticket = ticketOf(queue.offer(request(), 0));
+  queue.refuseAll(1);
+  assert.equal(ticket.settlement?.kind, "refused");
+});
+
+function createQueue(
+  options: Partial<Parameters<typeof AdmissionQueue.create>[0]> = {},
+): AdmissionQueue {
+  return AdmissionQueue.create({
+    random: () => 0,
+    maxWaitShare: 0.5,
+    holdMs: HOLD_MS,
+    held: { count: 0, bytes: 0 },
+    reportIntervalMs: () => 50,
+    nowMs: 0,
+    ...options,
+  });
+}
+
+function request(
+  { arrivedMs = 0, ...fields }: Partial<OfferedRequest> & {
+    arrivedMs?: number;
+  } = {},
+): OfferedRequest {
+  return {
+    priority: 0,
+    workspace: "w",
+    units: 1,
+    targetAtMs: arrivedMs + TARGET_MS,
+    deadlineAtMs: arrivedMs + DEADLINE_MS,
+    bodyBytes: 0,
+    ...fields,
+  };
+}
+
+/** Share of a flow that demands more than it gets. */
+function constrained(allowance: number): FlowShare {
+  return { allowance, isMet: false };
+}
+
+/** Applies shares, also those of flows without requests yet. */
+function divide(
+  queue: AdmissionQueue,
+  shares: Record<string, FlowShare>,
+): void {
+  for (const key of Object.keys(shares)) {
+    const [priority, workspace = ""] = key.split("/");
+    queue.demand(0, request({ priority: Number(priority), workspace }));
+  }
+  queue.apply({ kind: "divided", shares: new Map(Object.entries(shares)) }, 0);
+}
+
+function permitOf(offer: Offer): Permit {
+  assert.ok(offer.kind === "admitted");
+  return offer.permit;
+}
+
+function ticketOf(offer: Offer): Ticket {
+  assert.ok(offer.kind === "waiting");
+  return offer.ticket;
+}
+
+function settledPermit({ settlement }: Ticket): Permit {
+  assert.ok(settlement?.kind === "admitted");
+  return settlement.permit;
+}
--- a/src/scheduling/divide_room.ts
+++ b/src/scheduling/divide_room.ts
@@ -39,8 +39,12 @@
 export type Division =
   /** All demand fits. `spare`: what this entry may admit until it divides again. */
   | { kind: "free"; spare: number }
-  /** Shares of this entry's flows, by {@link flowKey}. */
-  | { kind: "divided"; shares: ReadonlyMap<string, FlowShare> };
+  /** Shares of this entry's flows, by {@link flowKey}. `limit`: units of all flows; absent: no limit. */
+  | {
+    kind: "divided";
+    shares: ReadonlyMap<string, FlowShare>;
+    limit?: number;
+  };
 
 /** Demand of a flow at all entries. */
 interface SummedFlow {
--- a/src/scheduling/flow_table.ts
+++ b/src/scheduling/flow_table.ts
@@ -5,12 +5,14 @@
 import type { HoldTime } from "./hold_time.ts";
 import { RoomPool } from "./room_pool.ts";
 import type { AdmittedRequest } from "./ticket.ts";
-import { WaitingFlow } from "./waiting_flow.ts";
+import { type AverageWindow, WaitingFlow } from "./waiting_flow.ts";
 
 /** Flows without demand are forgotten when their mean demand is below this. */
 const MIN_MEAN_UNITS = 0.01;
 /** Time constant of the mean demand. */
 const MEAN_MS = 1000;
+/** Reported averages cover at least this many mean times that requests stay admitted. */
+const AVERAGED_HOLDS = 2;
 /** Flows in the state dump of one service. */
 const MAX_STATE_FLOWS = 20;
 /** Tolerance for sums of fractions. */
@@ -21,6 +23,8 @@
   /** Returns a number from 0 to 1. */
   random: () => number;
   hold: HoldTime;
+  /** Time between two reports of demand to the other entries. */
+  reportIntervalMs(): number;
   nowMs: number;
 }
 
@@ -40,6 +44,9 @@
   /** Units that may be admitted without a new division, while there is room for all. */
   #spare = 0;
   #meanAtMs: number;
+  /** Units that are admitted, and that may be, over all flows. */
+  #admitted = 0;
+  #limit = Infinity;
 
   private constructor(options: FlowTableOptions) {
     this.#options = options;
@@ -109,10 +116,7 @@
   reported(nowMs: number): ReportedFlow[] {
     return [...this.#flows.values()].map((flow) => ({
       ...flow.id,
-      admitted: flow.meanAdmitted({
-        holdMs: this.#options.hold.meanMs,
-        nowMs,
-      }),
+      admitted: flow.meanAdmitted(this.#window(nowMs)),
       waiting: this.#waitingUnits(flow, nowMs),
     }));
   }
@@ -147,6 +151,7 @@
         for (const [key, flow] of this.#flows) {
           flow.share = division.shares.get(key);
         }
+        this.#limit = division.limit ?? Infinity;
         this.#setPools(nowMs);
     }
   }
@@ -161,9 +166,14 @@
     const { share, admitted, id } = flow;
     if (!share) return false;
     const { units } = flow.next!;
-    return share.isMet
-      ? admitted + units <= share.allowance + EPSILON
-      : this.#pools.get(id.priority)?.fits(units, nowMs) ?? false;
+    if (this.#admitted > 0 && this.#admitted + units > this.#limit) {
+      return false;
+    }
+    if (admitted + units <= share.allowance + EPSILON) return true;
+    if (share.isMet) return false;
+    const roundedUp = share.allowance + units * this.#roundingOf(flow, nowMs);
+    if (admitted + units <= roundedUp) return true;
+    return this.#pools.get(id.priority)?.fits(units, nowMs) ?? false;
   }
 
   /**
@@ -184,7 +194,8 @@
     const { units } = request;
     const flow = this.flowOf(request);
     const holdMs = this.#options.hold.meanMs;
-    flow.admit(request, { holdMs, nowMs });
+    flow.admit(request, this.#window(nowMs));
+    this.#admitted += units;
     if (this.#isFree) this.#spare -= units;
     this.#poolOf(flow)?.add(units, { holdMs, nowMs });
   }
@@ -196,11 +207,36 @@
   release(request: FlowDemand, nowMs: number): void {
     const { units } = request;
     const flow = this.flowOf(request);
-    flow.release(units, { holdMs: this.#options.hold.meanMs, nowMs });
+    flow.release(units, this.#window(nowMs));
+    this.#admitted -= units;
     if (this.#isFree) this.#spare += units;
     this.#poolOf(flow)?.remove(units, nowMs);
   }
 
+  /** Random number that rounds a flow's allowance up or down; redrawn when a request has ended on average. */
+  #roundingOf(flow: WaitingFlow, nowMs: number): number {
+    const { random, hold } = this.#options;
+    if (nowMs >= flow.roundedUntilMs) {
+      flow.rounding = random();
+      flow.roundedUntilMs = nowMs + hold.meanMs;
+    }
+    return flow.rounding;
+  }
+
+  /**
+   * A single value is outdated when it arrives if requests end between two reports; an average is a better
+   * estimate. At first, the other entries must hear of each request.
+   */
+  #window(nowMs: number): AverageWindow {
+    const { hold, reportIntervalMs, nowMs: startMs } = this.#options;
+    if (nowMs - startMs < MEAN_MS) return { averageMs: 0, nowMs };
+    const averageMs = Math.max(
+      reportIntervalMs(),
+      AVERAGED_HOLDS * hold.meanMs,
+    );
+    return { averageMs, nowMs };
+  }
+
   #waitingUnits(flow: WaitingFlow, nowMs: number): number {
     const holdMs = this.#options.hold.meanMs;
     return flow.waiting + flow.refusedUnits({ holdMs, nowMs });
--- a/src/scheduling/service_scheduler.ts
+++ b/src/scheduling/service_scheduler.ts
@@ -10,6 +10,11 @@
 
 /** Shortest time between two divisions, unless a request needs one. */
 const DIVISION_INTERVAL_MS = 20;
+/**
+ * A process keeps to an equal share for this long after its start: the first demand that entries report
+ * when all of them have started is far below that of the next moment.
+ */
+const EQUAL_SHARE_MS = 500;
 /** How long single flows are still reported after the room was last divided. */
 const REPORT_FLOWS_MS = 1000;
 
@@ -32,6 +37,10 @@
   room(nowMs: number): number;
   /** Number of entries that may be alive, this one included. */
   entryCount(): number;
+  /** When the process started. */
+  startedAtMs: number;
+  /** Time between two reports of demand to the other entries. */
+  reportIntervalMs(): number;
   nowMs: number;
 }
 
@@ -169,17 +178,29 @@
   }
 
   #division(nowMs: number, next?: OfferedRequest): Division {
-    const { table, service, floorShare, entryCount, room } = this.#options;
+    const { table, service, floorShare, entryCount, room, startedAtMs } =
+      this.#options;
     this.#room = room(nowMs);
     // Requests then end as they do without scheduling, with the reason why there is no server.
     if (this.#room <= 0) return { kind: "free", spare: Infinity };
-    const heard = table.expire(nowMs);
-    return divideRoom({
+    const demand = {
       room: this.#room,
       floorShare,
       own: this.#queue.demand(nowMs, next),
+    };
+    const entries = Math.max(1, entryCount());
+    const heard = table.expire(nowMs);
+    if (nowMs - startedAtMs < EQUAL_SHARE_MS) {
+      const silentEntries = entries - 1;
+      const division = divideRoom({ ...demand, peers: [], silentEntries });
+      return division.kind === "divided"
+        ? { ...division, limit: this.#room / entries }
+        : division;
+    }
+    return divideRoom({
+      ...demand,
       peers: table.flows(service),
-      silentEntries: Math.max(0, entryCount() - 1 - heard),
+      silentEntries: Math.max(0, entries - 1 - heard),
     });
   }
 }
--- a/src/scheduling/waiting_flow.ts
+++ b/src/scheduling/waiting_flow.ts
@@ -7,15 +7,17 @@
 const LATE_TURN = 8;
 /** Weight of the newest sample in the moving average of the late requests' part. */
 const SAMPLE_WEIGHT = 0.1;
-/**
- * Time constant of the reported average, in mean times that requests stay admitted. A single value is
- * outdated when it arrives, if reports are further apart than requests last.
- */
-const AVERAGED_HOLDS = 2;
 /** Refused work below this counts as none. */
 const MIN_REFUSED_UNITS = 0.05;
 
 /** Time constant of an average, and current time. */
+export interface AverageWindow {
+  /** 0 for the current value. */
+  averageMs: number;
+  nowMs: number;
+}
+
+/** Mean time of an admission, and current time. */
 export interface TimeWindow {
   /** Mean time that requests stay admitted. */
   holdMs: number;
@@ -33,6 +35,9 @@
   waiting = 0;
   /** This entry's share in the last division that had demand of the flow. */
   share: FlowShare | undefined;
+  /** Random number that rounds the allowance, and until when it holds. */
+  rounding = 0;
+  roundedUntilMs = -Infinity;
   /** Mean demand, for the entries that are not heard. */
   meanUnits = 0;
   /** Requests that can meet their target, by target. */
@@ -71,9 +76,9 @@
    * @param window Time constant of the average, and current time.
    * @returns Moving average of the admitted units.
    */
-  meanAdmitted({ holdMs, nowMs }: TimeWindow): number {
-    const tauMs = holdMs * AVERAGED_HOLDS;
-    const weight = 1 - Math.exp((this.#averagedAtMs - nowMs) / tauMs);
+  meanAdmitted({ averageMs, nowMs }: AverageWindow): number {
+    if (averageMs === 0) return this.#admitted;
+    const weight = 1 - Math.exp((this.#averagedAtMs - nowMs) / averageMs);
     return this.#meanAdmitted + weight * (this.#admitted - this.#meanAdmitted);
   }
 
@@ -81,7 +86,7 @@
    * @param units Units that are no longer admitted.
    * @param window See {@link WaitingFlow.meanAdmitted}.
    */
-  release(units: number, window: TimeWindow): void {
+  release(units: number, window: AverageWindow): void {
     this.#setAdmitted(Math.max(0, this.#admitted - units), window);
   }
 
@@ -133,7 +138,7 @@
    * @param request A request that is admitted.
    * @param window See {@link WaitingFlow.meanAdmitted}.
    */
-  admit({ units, isLate }: AdmittedRequest, window: TimeWindow): void {
+  admit({ units, isLate }: AdmittedRequest, window: AverageWindow): void {
     this.#setAdmitted(this.#admitted + units, window);
     this.#sinceLate = isLate ? 0 : this.#sinceLate + 1;
     this.#lateShare += SAMPLE_WEIGHT * ((isLate ? 1 : 0) - this.#lateShare);
@@ -185,7 +190,7 @@
     return units < MIN_REFUSED_UNITS ? 0 : units;
   }
 
-  #setAdmitted(units: number, window: TimeWindow): void {
+  #setAdmitted(units: number, window: AverageWindow): void {
     this.#meanAdmitted = this.meanAdmitted(window);
     this.#averagedAtMs = window.nowMs;
     this.#admitted = units;
