--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -10,6 +10,7 @@
 import type { Caller } from "./permit_bucket.ts";
 import { type PromptStore, selectStore } from "./prompt_store.ts";
 import type { Server } from "./server.ts";
+import { callsHeldBy, dividedCostMs } from "./service_room.ts";
 import { assessWeights, type ReplacedWeights } from "./replaced_weights.ts";
 
 /** Placement policies; all except `cost` are baselines for comparison. */
@@ -67,6 +68,8 @@
   loadAgeMs: number;
   random: () => number;
   choice: ChoiceName;
+  /** Whether the service has less room than its requests demand; see {@link dividedCostMs}. */
+  isDivided?: boolean;
 }
 
 /** Properties of a prompt that affect placement. */
@@ -147,13 +150,17 @@
   const workMs = PLAIN_CALL_MS * server.health.slowness(nowMs);
   const queued = Math.max(0, running + 1 - slots);
   const expectedMs = workMs * (1 + queued / slots + running / (10 * slots));
+  const isOverRoom = running >= callsHeldBy(server);
+  const dividedMs = placement.isDivided
+    ? dividedCostMs({ ...placement, isOverRoom })
+    : 0;
   return {
     server,
     expectedMs,
     queueMs: expectedMs - workMs,
     uncachedTokens: 0,
     maySend: true,
-    score: scoreOf(placement, server, expectedMs + running),
+    score: scoreOf(placement, server, expectedMs + running + dividedMs),
   };
 }
 
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -1,6 +1,7 @@
 /** Serves requests: enforces the workspace's quota and sends each client a final answer. */
 import { echoHeaders, retryHeaders } from "../platform/mod.ts";
 import { admissionRetryAfterMs, shouldAdmit } from "./admission.ts";
+import { RETRY_AFTER_SHARE, retryAfterMs } from "./retry_after.ts";
 import {
   type ForwardEnd,
   type ForwarderParts,
@@ -12,7 +13,9 @@
   ServerSelector,
   type ServerSelectorOptions,
 } from "./server_selector.ts";
+import type { Entrance, LoadScheduling } from "./load_scheduling.ts";
 import { RequestKind } from "./model.ts";
+import type { ForwardTask } from "./open_runs.ts";
 import type { Permits } from "./permits.ts";
 import type { Quotas } from "./quotas.ts";
 import { AnswerReader, type AnswerReaderOptions } from "./read_answer.ts";
@@ -33,18 +36,15 @@
 import { OriginSource } from "./software_versions.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 
-/** Range of the random retry delay that refused clients are given. */
-const RETRY_AFTER_MIN_MS = 200;
-const RETRY_AFTER_MAX_MS = 700;
-/** Clients ignore a retry delay above about a third of their remaining time; this stays below. */
-const RETRY_AFTER_SHARE = 0.3;
-
 /**
  * Added to the time of a reserved permit, so that a caller who is told to return then doesn't arrive
  * a little early.
  */
 const RESERVATION_MARGIN_MS = 20;
 
+/** A request that got no room. */
+type Refused = Extract<Entrance, { kind: "refused" }>;
+
 /** End of a request that takes up a stream of unknown origin. */
 const VERSION_UNKNOWN: ForwardEnd = {
   kind: "given_up",
@@ -66,6 +66,8 @@
   /** Workspace quotas. */
   quotas: Pick<Quotas, "admit" | "runsAgain" | "giveBack">;
   permits: Pick<Permits, "acquire" | "reserve" | "giveBack">;
+  /** Admits the requests of scheduled services by priority. */
+  scheduling: Pick<LoadScheduling, "schedules" | "enter">;
 }
 
 /** Sends requests to backend servers and relays the answers. */
@@ -127,6 +129,7 @@
     const { servers, ends, givenUp, ttftMs, expectedMs } = progress;
     const { weights, copyFrom, endedServers, origin, originSource } = progress;
     const { quarantinedPart, hasUndeclaredEnd, firstByteRatio } = progress;
+    const { waitedMs, admittedMeanwhile } = progress;
     return {
       outcome,
       servers,
@@ -135,6 +138,8 @@
       ttftMs,
       expectedMs,
       firstByteRatio,
+      waitedMs,
+      admittedMeanwhile,
       weights,
       copyFrom,
       endedServers,
@@ -160,15 +165,52 @@
     }
     const isKnown = await this.#findOrigin(request, progress);
     const task = { request, sink, progress };
-    const end = isKnown
-      ? await RequestForwarder.create(this.#parts, task).run()
-      : VERSION_UNKNOWN;
+    const end = isKnown ? await this.#forward(task) : VERSION_UNKNOWN;
     if (progress.runs === 0) quotas.giveBack(request);
+    if (end.kind === "refused") return this.#refuse(request, sink, end);
     return end.kind === "given_up"
       ? await this.#giveUp(request, sink, { progress, end })
       : end;
   }
 
+  /** Sends a request, in a scheduled service once there is room for it. */
+  async #forward(task: ForwardTask): Promise<ForwardEnd | Refused> {
+    const { request, sink, progress } = task;
+    const { scheduling } = this.#options;
+    const forwarder = RequestForwarder.create(this.#parts, task);
+    if (!scheduling.schedules(request)) return await forwarder.run();
+    const entered = scheduling.enter(request, sink);
+    const entrance = entered instanceof Promise ? await entered : entered;
+    progress.waitedMs = entrance.waitedMs;
+    progress.admittedMeanwhile = entrance.admittedMeanwhile;
+    switch (entrance.kind) {
+      case "gone":
+        return { kind: "client_gone" };
+      case "refused":
+        return entrance;
+      case "admitted":
+        // An engine has prefilled the prompt when its answer begins.
+        if (request.facts.prompt) progress.onAnswerBegan = entrance.release;
+        try {
+          return await forwarder.run();
+        } finally {
+          entrance.release();
+        }
+    }
+  }
+
+  /** Refuses a request for which its service has no room. */
+  #refuse(
+    { facts }: RoutedRequest,
+    sink: AnswerSink,
+    { reason, retryAfterMs }: Refused,
+  ): Outcome {
+    const echo = echoHeaders(facts.requestId);
+    const headers = [...echo, ...retryHeaders(retryAfterMs)];
+    sink.send({ status: 503, headers }, Buffer.alloc(0));
+    return { kind: "refused", reason };
+  }
+
   /**
    * Finds out which software began a stream that the client takes up.
    *
@@ -188,10 +230,9 @@
     return source !== OriginSource.unknown;
   }
 
-  #shouldAdmit(
-    { route, answerByMs }: RoutedRequest,
-    choice: Choice,
-  ): boolean {
+  #shouldAdmit(request: RoutedRequest, choice: Choice): boolean {
+    const { route, answerByMs } = request;
+    if (this.#options.scheduling.schedules(request)) return true;
     // Plain services refuse requests beyond their capacity; only engines queue requests for long.
     if (!choice.chain) return true;
     return shouldAdmit({
@@ -302,17 +343,6 @@
   }
 }
 
-/**
- * @param leftMs Time until the client's deadline.
- * @param random Returns a random number from 0 to 1.
- * @returns Retry delay, randomized so that refused clients don't retry at the same time.
- */
-export function retryAfterMs(leftMs: number, random: () => number): number {
-  const span = RETRY_AFTER_MAX_MS - RETRY_AFTER_MIN_MS;
-  const pauseMs = RETRY_AFTER_MIN_MS + span * random();
-  return Math.max(0, Math.min(pauseMs, leftMs * RETRY_AFTER_SHARE));
-}
-
 /** Whether a client gets its answer by a new request rather than by taking up its stream later. */
 function canBeginAnew(refusal: ResendRefusal): boolean {
   return refusal === ResendRefusal.versionGone ||
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -13,7 +13,7 @@
 import { readRequest, retryHeaders } from "../platform/mod.ts";
 import { shouldShed } from "./admission.ts";
 import { ConnectionGate } from "./connection_gate.ts";
-import { retryAfterMs } from "./dispatch.ts";
+import { retryAfterMs } from "./retry_after.ts";
 import { Intake } from "./intake.ts";
 import type { LoopLag } from "./loop_lag.ts";
 import { readBody } from "./read_body.ts";
--- a/src/router/peer_gossip.ts
+++ b/src/router/peer_gossip.ts
@@ -11,6 +11,7 @@
 import type { PlacedPrompt } from "./request.ts";
 import type { Fleet } from "./fleet.ts";
 import { LeavingAnnouncements } from "./leaving_announcements.ts";
+import type { LoadScheduling } from "./load_scheduling.ts";
 import type { SyncState } from "./mirror.ts";
 import { changesIn } from "./datagram_changes.ts";
 import { PaceExchange } from "./pace_exchange.ts";
@@ -69,6 +70,8 @@
   rates: RateAnnouncements;
   /** Workspace rate limits; entries exchange what they have consumed. */
   quotas: Pick<Quotas, "hasUpdate" | "takeUpdate" | "applyPeerUpdate">;
+  /** Demand for scheduled services; entries exchange it. */
+  demand: Pick<LoadScheduling, "rows" | "applyRows">;
   /** Called with the sync state that a peer reported. */
   onPeerSyncState(ipAddress: string, syncState: SyncState): void;
 }
@@ -220,7 +223,8 @@
   }
 
   #buildDatagram(): Datagram {
-    const { name, fleet, syncState, wanted, members, lags } = this.#options;
+    const { name, fleet, syncState, wanted, members, lags, demand } =
+      this.#options;
     const { position, confirmed } = syncState();
     const storeServedMs = this.#options.storeServedMs();
     return {
@@ -237,6 +241,7 @@
       storeServedMs,
       lagMs: lags.ownToldMs,
       stopping: members.isStopping || undefined,
+      demand: demand.rows(),
       software: fleet.versions.rows(),
       weights: [...this.#weights],
       silent: [...this.#silent],
@@ -279,6 +284,7 @@
     members.heard(ipAddress, nowMs);
     members.setStopping(ipAddress, datagram.stopping ?? false);
     lags.record(ipAddress, datagram.lagMs, datagram.stopping);
+    this.#options.demand.applyRows(ipAddress, datagram.demand ?? []);
     this.#apply(datagram, nowMs);
     const { startedAtMs, taken } = datagram;
     if (startedAtMs !== undefined && taken) {
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -122,6 +122,10 @@
   expectedMs?: number;
   /** Time from the send that was answered first to the answer's first byte, relative to the expected time. */
   firstByteRatio?: number;
+  /** Time that the request waited for room of its service; absent if it did not. */
+  waitedMs?: number;
+  /** Requests of its service that were admitted while it waited, or before its refusal, by priority. */
+  admittedMeanwhile?: Record<string, number>;
   /**
    * Servers that ended while running the request, or requests with {@link quarantinedPart}, before its
    * last send; absent if none is known.
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -14,6 +14,7 @@
 import { coalesceDelayMs, StoreFollower } from "./follower.ts";
 import { EffectiveState } from "./effective_state.ts";
 import { Ingress } from "./ingress.ts";
+import { LoadScheduling } from "./load_scheduling.ts";
 import { StoreMirror } from "./mirror.ts";
 import { CacheTransfer } from "./cache_transfer.ts";
 import { LoopLag } from "./loop_lag.ts";
@@ -65,6 +66,7 @@
   readonly #lag: LoopLag;
   readonly #fleet: Fleet;
   readonly #records: ServerRecords;
+  readonly #scheduling: LoadScheduling;
   readonly #network: PeerNetwork;
   readonly #relay: RelayClient;
   readonly #registration: Registration;
@@ -93,12 +95,8 @@
       onServerRefused: (id) => this.#network.gossip.announceSilent(id),
       isResponsibleFor: (part) => this.#network.permits.grantsFor(part),
     });
-    this.#quotas = Quotas.create({
-      ...this.#parts(),
-      // Seeds are not counted: a stale one would hold a share of the quotas permanently.
-      entryCount: () =>
-        Math.max(this.#network.gossip.count, this.#registration.count),
-    });
+    const entryCount = () => this.#sharingCount;
+    this.#quotas = Quotas.create({ ...this.#parts(), entryCount });
     this.#fleet = this.#createFleet();
     this.#records = ServerRecords.create({
       ...this.#parts(),
@@ -138,12 +136,12 @@
       isReady: () => !isStart(this.#mirror.position),
       cacheOf: (id, bornAtMs) => this.#state.cacheOf(id, bornAtMs),
     });
+    this.#scheduling = this.#createScheduling();
     this.#network = this.#createNetwork();
     this.#roll = this.#createRoll();
     this.#dispatcher = this.#createDispatcher();
-    this.#requestLog = RequestLog.create(this.#log, this.#metrics, {
-      clock: this.#clock,
-    });
+    const { clock } = this.#parts();
+    this.#requestLog = RequestLog.create(this.#log, this.#metrics, { clock });
     this.#ingress = this.#createIngress();
     this.#mirror.onChange((change) => this.#state.apply(change));
     this.#network.gossip.setHeldBackSources(
@@ -189,15 +187,12 @@
 
   get #components(): RouterComponents {
     return {
+      ...this.#parts(),
       settings: this.#settings,
-      clock: this.#clock,
-      log: this.#log,
-      metrics: this.#metrics,
-      mirror: this.#mirror,
-      store: this.#store,
       follower: this.#follower,
       quarantine: this.#quarantine,
       quotas: this.#quotas,
+      scheduling: this.#scheduling,
       lag: this.#lag,
       fleet: this.#fleet,
       records: this.#records,
@@ -242,6 +237,18 @@
     });
   }
 
+  #createScheduling(): LoadScheduling {
+    return LoadScheduling.create({
+      ...this.#parts(),
+      ...this.#settings,
+      fleet: this.#fleet,
+      table: () => this.#state.table,
+      entryCount: () => this.#sharingCount,
+      gossipIntervalMs: () => this.#network.gossip.gossipIntervalMs,
+      drainEndMs: () => this.#ingress.drainEndMs,
+    });
+  }
+
   #createNetwork(): PeerNetwork {
     const { instance, peerPort, seedAddresses } = this.#settings;
     return PeerNetwork.create({
@@ -257,6 +264,7 @@
       quarantine: this.#quarantine,
       lagMs: () => this.#ingress.behindMs,
       quotas: this.#quotas,
+      demand: this.#scheduling,
       seedAddresses: seedAddresses.map((seed) => seed.ipAddress),
       syncState: () => this.#mirror.syncState,
       onPeerSyncState: (peer, syncState) => {
@@ -290,6 +298,8 @@
       quarantine: this.#quarantine,
       quotas: this.#quotas,
       permits: this.#network.permits,
+      scheduling: this.#scheduling,
+      isDivided: (service) => this.#scheduling.isDivided(service),
       origins: this.#network.origins,
       ...this.#settings,
       wanted: this.#wanted,
@@ -319,6 +329,14 @@
     });
   }
 
+  /**
+   * Number of entries that share limits and room with each other. Seeds are not counted: a stale one
+   * would hold a share permanently.
+   */
+  get #sharingCount(): number {
+    return Math.max(this.#network.gossip.count, this.#registration.count);
+  }
+
   /** Whether the store served another entry while it didn't respond to this one. */
   get #isOutageLocal(): boolean {
     const { contact } = this.#follower;
--- a/src/router/router_components.ts
+++ b/src/router/router_components.ts
@@ -8,6 +8,7 @@
 import type { Ingress } from "./ingress.ts";
 import { openListeners } from "./listeners.ts";
 import type { LoopLag } from "./loop_lag.ts";
+import type { LoadScheduling } from "./load_scheduling.ts";
 import type { StoreMirror } from "./mirror.ts";
 import type { PeerNetwork } from "./peer_network.ts";
 import type { Quarantine } from "./quarantine.ts";
@@ -31,6 +32,7 @@
   follower: StoreFollower;
   quarantine: Quarantine;
   quotas: Quotas;
+  scheduling: LoadScheduling;
   lag: LoopLag;
   fleet: Fleet;
   records: ServerRecords;
@@ -104,6 +106,7 @@
     lagMs: Math.round(components.lag.ms),
     suspects: components.quarantine.state(),
     quotas: components.quotas.state(),
+    scheduling: components.scheduling.state(),
     permits: network.permits.state(),
     serviceRates: state.learnedRates(),
     servers: [...components.fleet.all()].map((server) => server.state(nowMs)),
