--- a/src/router/learned_rates_test.ts
+++ b/src/router/learned_rates_test.ts
@@ -4,6 +4,7 @@
 import { ServiceRates } from "../service_rates/mod.ts";
 import { CONFIG, MODEL_REQUEST_HEADERS } from "../standin/mod.ts";
 import { sendAdmitted } from "./_admitted_client.ts";
+import { accuraciesAtChunkedEngines } from "./_chunked_engines.ts";
 import {
   registration,
   TestClock,
@@ -144,6 +145,22 @@
   }
 });
 
+// Engines that interleave prefill and decoding don't follow the estimator's formula, which the other
+// tests take for the actual time. At 3.5 times the load, requests queue in all engines.
+test("expected times are accurate at engines that prefill in chunks", () => {
+  for (const load of [1, 2, 3, 3.5]) {
+    for (let seed = 1; seed <= 3; seed++) {
+      const ratios = accuraciesAtChunkedEngines(seed, load);
+      const at = (quantile: number) =>
+        ratios[Math.floor(quantile * ratios.length)]!;
+      const seen = `seed ${seed}, load ${load}: ` +
+        `${[0.1, 0.5, 0.9].map((quantile) => at(quantile).toFixed(2))}`;
+      assert.ok(at(0.5) > 0.8 && at(0.5) < 1.25, seen);
+      assert.ok(at(0.9) < 2, seen);
+    }
+  }
+});
+
 /**
  * Chooses an idle engine that has learned nothing, and reads the head of its answer.
  *
