Learn rates of engines only where a setting asks for it

Ruled out: nothing yet; entries that share the paces may all choose the same engine. Change: CICADAHITCH_ENGINE_RATES, fixed by default, learned on request. Tested: settings, effective state, learned rates.

--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -16,7 +16,7 @@
 import { silentLog } from "./_kit.ts";
 import { ChoiceName } from "./choose.ts";
 import { Router } from "./router.ts";
-import { AdmissionMode } from "./settings.ts";
+import { AdmissionMode, EngineRatesMode } from "./settings.ts";
 
 /** One router (entry) and the TCP relay between it and the store. */
 export interface TestEntry {
@@ -80,6 +80,8 @@
   orderTurnMs?: number;
   /** Answers may not start on weights that were replaced this long ago. */
   weightsBoundMs?: number;
+  /** Default: fixed. */
+  engineRates?: EngineRatesMode;
   /** Grace time of a stop. */
   graceMs?: number;
   /** Additional seed addresses at which no entry listens. */
@@ -120,6 +122,7 @@
     weightsBoundMs = 10_000,
     graceMs = 2000,
     staleSeeds = [],
+    engineRates = EngineRatesMode.fixed,
     log = silentLog,
   }: WorldOptions = {},
 ): Promise<World> {
@@ -172,6 +175,7 @@
         resendLimits: { ratio: 0.2, slack: 54, windowMs: 10_000 },
         logLevel: "silent",
         choice: ChoiceName.cost,
+        engineRates,
         admission: AdmissionMode.auto,
         priorityFloor: 0.05,
         maxWaitShare: 0.5,
--- a/src/router/effective_state.ts
+++ b/src/router/effective_state.ts
@@ -19,6 +19,7 @@
 import { PUBLISH_TIMES_KEY } from "./publish_times_record.ts";
 import type { PromptStore } from "./prompt_store.ts";
 import { RoutingTable } from "./routing_table.ts";
+import { EngineRatesMode } from "./settings.ts";
 import type { ServerLimits } from "./server_options.ts";
 import type { VersionAge, WantedVersions } from "./wanted_weights.ts";
 
@@ -30,6 +31,8 @@
   log: Logger;
   metrics: Metrics;
   fleet: Fleet;
+  /** Whether the rates of engines of scheduled services are learned. */
+  engineRates: EngineRatesMode;
   wanted: WantedVersions;
   /** Longest time since the changes received now were made, from lost contact or a stall; 0: none. */
   maxAgeMs(): number;
@@ -223,8 +226,11 @@
   /** What was learned survives a change of the configuration while the service stays scheduled. */
   #applyScheduledServices(table: RoutingTable): void {
     const scheduled = new Set<string>();
+    const learns = this.#options.engineRates === EngineRatesMode.learned;
     for (const { name, engine } of table.services()) {
-      if (engine && table.urgency.isScheduled(name)) scheduled.add(name);
+      if (engine && learns && table.urgency.isScheduled(name)) {
+        scheduled.add(name);
+      }
     }
     for (const name of this.#learnedRates.keys()) {
       if (!scheduled.has(name)) this.#learnedRates.delete(name);
--- a/src/router/effective_state_test.ts
+++ b/src/router/effective_state_test.ts
@@ -9,6 +9,7 @@
 import { PUBLISH_TIMES_KEY } from "./publish_times_record.ts";
 import { type VersionAge, WantedVersions } from "./wanted_weights.ts";
 import { positionAt } from "../store/position.ts";
+import { EngineRatesMode } from "./settings.ts";
 
 const SEED = 20_261_203;
 
@@ -48,6 +49,7 @@
     this.state = EffectiveState.create({
       log,
       metrics: this.metrics,
+      engineRates: EngineRatesMode.learned,
       fleet: this.fleet,
       wanted: this.wanted,
       maxAgeMs: () => this.maxAgeMs,
--- a/src/router/learned_rates_test.ts
+++ b/src/router/learned_rates_test.ts
@@ -12,6 +12,7 @@
   testPrompt,
   testServer,
 } from "./_kit.ts";
+import { EngineRatesMode } from "./settings.ts";
 import { openWorld, type TestEntry, until, useConfig } from "./_world.ts";
 import { type Send, startProgress } from "./attempt.ts";
 import { type Choice, ChoiceName, choose } from "./choose.ts";
@@ -279,7 +280,10 @@
 
 // Rates that aren't fed by answers, or paces that aren't exchanged, would leave the constants in use.
 test("entries learn from answers of scheduled engines and from each other", async (t) => {
-  const world = await openWorld(t, { entryCount: 2 });
+  const world = await openWorld(t, {
+    entryCount: 2,
+    engineRates: EngineRatesMode.learned,
+  });
   await world.engine("i-1");
   const [first, second] = world.entries as [TestEntry, TestEntry];
   const ask = async () => {
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -105,8 +105,8 @@
       isWriterOf: (key) => this.#network.permits.grantsFor(key),
     });
     this.#state = EffectiveState.create({
-      log: this.#log,
-      metrics: this.#metrics,
+      ...this.#parts(),
+      engineRates: this.#settings.engineRates,
       fleet: this.#fleet,
       wanted: this.#wanted,
       maxAgeMs: () => this.#follower.contact.maxAgeMs,
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -10,6 +10,18 @@
   port: number;
 }
 
+/** Source of the rates by which answer times of engines are expected. */
+export const EngineRatesMode = {
+  /** Constants, and a factor for each server that each entry estimates alone. */
+  fixed: "fixed",
+  /** Learned from answers, with factors of servers that entries exchange. */
+  learned: "learned",
+} as const;
+
+/** One of {@link EngineRatesMode}. */
+export type EngineRatesMode =
+  typeof EngineRatesMode[keyof typeof EngineRatesMode];
+
 /** Settings of an entry. */
 export interface RouterSettings {
   instance: string;
@@ -39,6 +51,8 @@
   resendLimits: ResendLimits;
   logLevel: LogLevel;
   choice: ChoiceName;
+  /** Where the rates of engines of scheduled services come from. */
+  engineRates: EngineRatesMode;
   admission: AdmissionMode;
   /** Part of a service's room that each less urgent priority with demand keeps. */
   priorityFloor: number;
@@ -153,6 +167,10 @@
       faults,
       values: Object.values(ChoiceName),
     }) ?? ChoiceName.cost,
+    engineRates: readOneOf(env, "ENGINE_RATES", {
+      faults,
+      values: Object.values(EngineRatesMode),
+    }) ?? EngineRatesMode.fixed,
     admission: readOneOf(env, "ADMISSION", {
       faults,
       values: Object.values(AdmissionMode),
--- a/src/router/settings_test.ts
+++ b/src/router/settings_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ChoiceName } from "./choose.ts";
-import { readSettings } from "./settings.ts";
+import { EngineRatesMode, readSettings } from "./settings.ts";
 
 const GOOD = {
   CICADAHITCH_INSTANCE: "entry-1",
@@ -100,3 +100,17 @@
   assert.equal(faults.get("CICADAHITCH_PEER_PORT")?.value, "70000");
   assert.ok([...faults.values()].every(({ allowed }) => allowed !== ""));
 });
+
+// An unknown source of rates would silently keep the constants.
+test("rates of engines are fixed unless they are to be learned", () => {
+  const modeOf = (mode?: string) =>
+    readSettings({ ...GOOD, CICADAHITCH_ENGINE_RATES: mode });
+  const unset = modeOf();
+  assert.ok(unset.isOk && unset.value.engineRates === EngineRatesMode.fixed);
+  const learned = modeOf("learned");
+  assert.ok(learned.isOk);
+  assert.equal(learned.value.engineRates, EngineRatesMode.learned);
+  const unknown = modeOf("guessed");
+  assert.ok(unknown.isErr);
+  assert.equal(unknown.error[0]?.variable, "CICADAHITCH_ENGINE_RATES");
+});
