Give new flows their share at once, and test the admission queue

Cause: a flow without requests at the time of a division had no pool, so that its wait was estimated as none. Change: pools and shares come from the division itself.

--- a/src/scheduling/admission_queue_test.ts
+++ b/src/scheduling/admission_queue_test.ts
@@ -33,9 +33,9 @@
   const urgent = ticketOf(queue.offer(request({ priority: 0 }), 0));
   queue.release(permits[0]!, HOLD_MS);
   assert.equal(urgent.settlement?.kind, "admitted");
-  assert.equal(late.settlement, undefined);
+  assert.equal(kindOf(late), undefined);
   queue.release(permits[1]!, HOLD_MS);
-  assert.equal(late.settlement?.kind, "admitted");
+  assert.equal(kindOf(late), "admitted");
 });
 
 // Guards against a workspace that is served before others that have used less of their share.
@@ -58,11 +58,14 @@
   const queue = createQueue();
   divide(queue, { "0/w": constrained(1) });
   let permit = permitOf(queue.offer(request(), 0));
-  const late = ticketOf(queue.offer(request({ targetAtMs: 0 }), 0));
+  const late = ticketOf(
+    queue.offer(request({ targetAtMs: 0, deadlineAtMs: 4000 }), 0),
+  );
   let admitted = 0;
   while (!late.settlement) {
+    assert.ok(admitted < 100, "never admitted");
     const ticket = ticketOf(queue.offer(request(), 0));
-    queue.release(permit, 1);
+    queue.release(permit, HOLD_MS);
     permit = settledPermit(late.settlement ? late : ticket);
     admitted++;
   }
@@ -75,8 +78,14 @@
   divide(queue, { "0/w": constrained(1) });
   queue.offer(request(), 0);
   const offer = queue.offer(request({ targetAtMs: 60, deadlineAtMs: 120 }), 0);
-  assert.ok(offer.kind === "refused" && offer.reason === "no_room");
-  assert.ok(offer.retryAfterMs > 0 && offer.retryAfterMs <= 0.3 * 120);
+  assert.ok(
+    offer.kind === "refused" && offer.reason === "no_room",
+    offer.kind,
+  );
+  assert.ok(
+    offer.retryAfterMs > 0 && offer.retryAfterMs <= 0.3 * 120,
+    `${offer.retryAfterMs} ms`,
+  );
   divide(queue, { "0/w": constrained(0) });
   assert.equal(queue.offer(request(), 0).kind, "refused");
 });
@@ -88,8 +97,8 @@
     const queue = createQueue({ random: () => random });
     divide(queue, { "0/w": constrained(0) });
     const offer = queue.offer(request(), 0);
-    assert.ok(offer.kind === "refused");
-    assert.ok(offer.retryAfterMs <= 0.3 * DEADLINE_MS);
+    assert.ok(offer.kind === "refused", offer.kind);
+    assert.ok(offer.retryAfterMs <= 0.3 * DEADLINE_MS, "too long");
     delays.add(offer.retryAfterMs);
   }
   assert.equal(delays.size, 4);
@@ -103,10 +112,13 @@
   const targetAtMs = DEADLINE_MS;
   const ticket = ticketOf(queue.offer(request({ targetAtMs }), 0));
   queue.expire(0.25 * DEADLINE_MS - 1);
-  assert.equal(ticket.settlement, undefined);
+  assert.equal(kindOf(ticket), undefined);
   queue.expire(0.25 * DEADLINE_MS);
   const { settlement } = ticket;
-  assert.ok(settlement?.kind === "refused" && settlement.reason === "waited");
+  assert.ok(
+    settlement?.kind === "refused" && settlement.reason === "waited",
+    "not refused",
+  );
   assert.equal(queue.isWaiting, false);
 });
 
@@ -203,29 +215,28 @@
   return { allowance, isMet: false };
 }
 
-/** Applies shares, also those of flows without requests yet. */
 function divide(
   queue: AdmissionQueue,
   shares: Record<string, FlowShare>,
 ): void {
-  for (const key of Object.keys(shares)) {
-    const [priority, workspace = ""] = key.split("/");
-    queue.demand(0, request({ priority: Number(priority), workspace }));
-  }
   queue.apply({ kind: "divided", shares: new Map(Object.entries(shares)) }, 0);
 }
 
 function permitOf(offer: Offer): Permit {
-  assert.ok(offer.kind === "admitted");
+  assert.ok(offer.kind === "admitted", offer.kind);
   return offer.permit;
 }
 
 function ticketOf(offer: Offer): Ticket {
-  assert.ok(offer.kind === "waiting");
+  assert.ok(offer.kind === "waiting", offer.kind);
   return offer.ticket;
 }
 
+function kindOf({ settlement }: Ticket): string | undefined {
+  return settlement?.kind;
+}
+
 function settledPermit({ settlement }: Ticket): Permit {
-  assert.ok(settlement?.kind === "admitted");
+  assert.ok(settlement?.kind === "admitted", "not admitted");
   return settlement.permit;
 }
--- a/src/scheduling/flow_table.ts
+++ b/src/scheduling/flow_table.ts
@@ -1,6 +1,6 @@
 /** The flows of one service at one entry, with their shares of the room. */
 import type { ReportedFlow } from "./demand_table.ts";
-import type { Division, OwnDemand } from "./divide_room.ts";
+import type { Division, FlowShare, OwnDemand } from "./divide_room.ts";
 import { type FlowDemand, type FlowId, flowKey } from "./flow.ts";
 import type { HoldTime } from "./hold_time.ts";
 import { RoomPool } from "./room_pool.ts";
@@ -47,6 +47,8 @@
   /** Units that are admitted, and that may be, over all flows. */
   #admitted = 0;
   #limit = Infinity;
+  /** Shares of the last division; undefined while there is room for all. */
+  #shares: ReadonlyMap<string, FlowShare> | undefined;
 
   private constructor(options: FlowTableOptions) {
     this.#options = options;
@@ -74,7 +76,11 @@
     const id = { priority, workspace };
     const key = flowKey(id);
     let flow = this.#flows.get(key);
-    if (!flow) this.#flows.set(key, flow = WaitingFlow.create(id));
+    if (!flow) {
+      flow = WaitingFlow.create(id);
+      flow.share = this.#shares?.get(key);
+      this.#flows.set(key, flow);
+    }
     return flow;
   }
 
@@ -144,6 +150,7 @@
     switch (division.kind) {
       case "free":
         this.#spare = division.spare;
+        this.#shares = undefined;
         this.#pools.clear();
         for (const flow of this.#flows.values()) flow.share = undefined;
         return;
@@ -151,6 +158,7 @@
         for (const [key, flow] of this.#flows) {
           flow.share = division.shares.get(key);
         }
+        this.#shares = division.shares;
         this.#limit = division.limit ?? Infinity;
         this.#setPools(nowMs);
     }
@@ -248,11 +256,12 @@
 
   #setPools(nowMs: number): void {
     const sums = new Map<number, { allowance: number; admitted: number }>();
-    for (const { share, id: { priority }, admitted } of this.#flows.values()) {
-      if (share?.isMet !== false) continue;
+    for (const [key, { isMet, allowance }] of this.#shares ?? []) {
+      if (isMet) continue;
+      const priority = Number.parseInt(key);
       const sum = sums.get(priority) ?? { allowance: 0, admitted: 0 };
-      sum.allowance += share.allowance;
-      sum.admitted += admitted;
+      sum.allowance += allowance;
+      sum.admitted += this.#flows.get(key)?.admitted ?? 0;
       sums.set(priority, sum);
     }
     for (const priority of this.#pools.keys()) {
