--- /dev/null
+++ b/src/scheduling/_load_stream.ts
@@ -0,0 +1,28 @@
+/** Load of a simulated service, and what became of it. */
+
+/** Requests of one kind. */
+export interface LoadStream {
+  priority: number;
+  workspace: string;
+  /** Rate, as a share of the service's capacity. */
+  load: number;
+}
+
+/** What became of the requests of a stream. */
+export interface StreamResult {
+  requests: number;
+  served: number;
+  inTime: number;
+  /** Refusals, and those later than an eighth of the target. */
+  refusals: number;
+  lateRefusals: number;
+}
+
+/** Result of a stream without requests. */
+export const NO_REQUESTS: StreamResult = {
+  requests: 0,
+  served: 0,
+  inTime: 0,
+  refusals: 0,
+  lateRefusals: 0,
+};
--- a/src/scheduling/_service_fleet.ts
+++ b/src/scheduling/_service_fleet.ts
@@ -2,6 +2,11 @@
 import { poisson, seededRandom } from "../base/random.ts";
 import { gossipIntervalFor, jittered } from "../router/gossip_interval.ts";
 import { dividedCostMs } from "../router/service_room.ts";
+import {
+  type LoadStream,
+  NO_REQUESTS,
+  type StreamResult,
+} from "./_load_stream.ts";
 import {
   type DemandRow,
   DemandTable,
@@ -10,24 +15,6 @@
   type Settlement,
 } from "./mod.ts";
 
-/** Requests of one kind. */
-export interface LoadStream {
-  priority: number;
-  workspace: string;
-  /** Rate, as a share of the service's capacity. */
-  load: number;
-}
-
-/** What became of the requests of a stream. */
-export interface StreamResult {
-  requests: number;
-  served: number;
-  inTime: number;
-  /** Refusals, and those later than an eighth of the target. */
-  refusals: number;
-  lateRefusals: number;
-}
-
 /** Settings of a {@link ServiceFleet}. */
 export interface ServiceFleetOptions {
   entryCount: number;
@@ -129,17 +116,8 @@
 
   /** @returns The result of a stream in the last measurement. */
   result(stream: LoadStream): StreamResult {
-    let result = this.#results.get(stream);
-    if (!result) {
-      result = {
-        requests: 0,
-        served: 0,
-        inTime: 0,
-        refusals: 0,
-        lateRefusals: 0,
-      };
-      this.#results.set(stream, result);
-    }
+    const result = this.#results.get(stream) ?? { ...NO_REQUESTS };
+    this.#results.set(stream, result);
     return result;
   }
 
--- a/src/scheduling/service_fleet_test.ts
+++ b/src/scheduling/service_fleet_test.ts
@@ -1,11 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import {
-  type LoadStream,
-  ROOM,
-  ServiceFleet,
-  type StreamResult,
-} from "./_service_fleet.ts";
+import type { LoadStream, StreamResult } from "./_load_stream.ts";
+import { ROOM, ServiceFleet } from "./_service_fleet.ts";
 
 const SEEDS = [1, 2, 3];
 const WARM_UP_MS = 3000;
