--- a/src/scheduling/_service_fleet.ts
+++ b/src/scheduling/_service_fleet.ts
@@ -315,8 +315,7 @@
 
   #pickEntry(): Entry | undefined {
     const up = this.entries.filter(({ isUp }) => isUp);
-    const total = up.reduce((sum, { weight }) => sum + weight, 0);
-    let at = this.#random() * total;
+    let at = this.#random() * up.reduce((sum, { weight }) => sum + weight, 0);
     return up.find(({ weight }) => (at -= weight) < 0);
   }
 
