Fit the bytes held for slow clients to entries with 200 MB

The limits were 64 MB of unread responses and 128 MB of whole answers, more than the smallest entries have beside the process itself; now 32 MB and 48 MB.

--- a/src/router/response_sink.ts
+++ b/src/router/response_sink.ts
@@ -7,10 +7,10 @@
 const FLUSH_TIMEOUT_MS = 1000;
 
 /**
- * Most bytes of whole answers that this process holds for clients that have not taken them. Chosen, not
- * measured: eight answers of the largest size.
+ * Most bytes of whole answers that this process holds for clients that have not taken them: three of
+ * the largest size, which leaves room for the rest of the process on entries with 200 MB.
  */
-const MAX_HELD_BYTES = 128 * 1024 * 1024;
+const MAX_HELD_BYTES = 48 * 1024 * 1024;
 
 /** Responses without a declared end, which end with their connection. */
 const withoutDeclaredEnd = new WeakSet<ServerResponse>();
--- a/src/router/unread_budget.ts
+++ b/src/router/unread_budget.ts
@@ -11,12 +11,13 @@
 }
 
 /**
- * Chosen, not measured: the largest whole answer, and four of them. Responses that declare their end
- * are paused at 64 KB, which is free here as well, so that clients that read are not affected.
+ * One response may be as large as the largest whole answer; the total leaves room for the rest of the
+ * process on entries with 200 MB. Responses that declare their end are paused at 64 KB, which is free
+ * here as well, so that clients that read are not affected.
  */
 const DEFAULT_LIMITS: UnreadLimits = {
   responseBytes: 16 * 1024 * 1024,
-  totalBytes: 64 * 1024 * 1024,
+  totalBytes: 32 * 1024 * 1024,
   freeBytes: 64 * 1024,
 };
 
