--- a/src/router/settings_test.ts
+++ b/src/router/settings_test.ts
@@ -79,6 +79,9 @@
     CICADAHITCH_HEARTBEAT_MS: "0",
     CICADAHITCH_ENGINES_CHECK_FENCES: "perhaps",
     CICADAHITCH_CHOICE: "best",
+    CICADAHITCH_ADMISSION: "on",
+    CICADAHITCH_PRIORITY_FLOOR: "0.6",
+    CICADAHITCH_MAX_WAIT_SHARE: "-1",
     CICADAHITCH_LOG_LEVEL: "loud",
   });
   assert.ok(settings.isErr);
@@ -86,12 +89,15 @@
     settings.error.map((fault) => [fault.variable, fault]),
   );
   assert.deepEqual([...faults.keys()].sort(), [
+    "CICADAHITCH_ADMISSION",
     "CICADAHITCH_CHOICE",
     "CICADAHITCH_ENGINES_CHECK_FENCES",
     "CICADAHITCH_GRACE_S",
     "CICADAHITCH_HEARTBEAT_MS",
     "CICADAHITCH_LOG_LEVEL",
+    "CICADAHITCH_MAX_WAIT_SHARE",
     "CICADAHITCH_PEER_PORT",
+    "CICADAHITCH_PRIORITY_FLOOR",
     "CICADAHITCH_STORE_ADDRESS",
     "CICADAHITCH_WEIGHTS_BOUND_MS",
     "CICADAHITCH_ZONE",
@@ -100,3 +106,26 @@
   assert.equal(faults.get("CICADAHITCH_PEER_PORT")?.value, "70000");
   assert.ok([...faults.values()].every(({ allowed }) => allowed !== ""));
 });
+
+// Guards against a platform that sets variables to the empty string and so switches scheduling off.
+test("admission settings have defaults, and bounds", () => {
+  const empty = readSettings({
+    ...GOOD,
+    CICADAHITCH_ADMISSION: "",
+    CICADAHITCH_PRIORITY_FLOOR: "",
+  });
+  assert.ok(empty.isOk);
+  assert.equal(empty.value.admission, "auto");
+  assert.equal(empty.value.priorityFloor, 0.05);
+  assert.equal(empty.value.maxWaitShare, 0.5);
+  const set = readSettings({
+    ...GOOD,
+    CICADAHITCH_ADMISSION: "off",
+    CICADAHITCH_PRIORITY_FLOOR: "0",
+    CICADAHITCH_MAX_WAIT_SHARE: "0.9",
+  });
+  assert.ok(set.isOk);
+  assert.equal(set.value.admission, "off");
+  assert.equal(set.value.priorityFloor, 0);
+  assert.equal(set.value.maxWaitShare, 0.9);
+});
