--- a/src/router/explain_test.ts
+++ b/src/router/explain_test.ts
@@ -178,3 +178,25 @@
   assert.deepEqual(explain("a", log).context, [refused]);
   assert.match(explain("b", log).outcome ?? "", /several software versions/);
 });
+
+// Guards against refusals for lack of room that don't say which requests got it.
+test("request that got no room says how long it waited and what was admitted", () => {
+  const line = parseLogLine(JSON.stringify({
+    time: 1,
+    processId: "p-1",
+    event: "request",
+    id: "r-1",
+    outcome: "refused",
+    reason: "waited",
+    servers: [],
+    priority: 2,
+    waitedMs: 40,
+    admittedMeanwhile: { 0: 3, 2: 1 },
+  }));
+  assert.equal(
+    explain("r-1", [line!]).outcome,
+    "Refused as not run: it waited for room, and could not be served in time any more. " +
+      "It was sent to no server. It waited 40 ms for room of its service. " +
+      "Its priority is 2; admitted meanwhile: 3 of priority 0, 1 of priority 2.",
+  );
+});
--- a/src/scheduling/service_scheduler.ts
+++ b/src/scheduling/service_scheduler.ts
@@ -6,6 +6,7 @@
 } from "./admission_queue.ts";
 import { type DemandRow, demandRows, DemandTable } from "./demand_table.ts";
 import { divideRoom, type Division } from "./divide_room.ts";
+import type { FlowDemand } from "./flow.ts";
 import type { Offer, OfferedRequest, Permit, Ticket } from "./ticket.ts";
 
 /** Shortest time between two divisions, unless a request needs one. */
@@ -50,7 +51,10 @@
   room: number;
   isDivided: boolean;
   counts: readonly (PriorityCounts | undefined)[];
+  /** This entry's flows with the most demand. */
   flows: unknown[];
+  /** Demand that the other entries reported. */
+  peers: FlowDemand[];
 }
 
 /** Scheduler. */
@@ -161,6 +165,7 @@
       isDivided: !this.#queue.isFree,
       counts: this.#queue.counts,
       flows: this.#queue.state(nowMs),
+      peers: [...this.#options.table.flows(this.#options.service)],
     };
   }
 
