Back up runs only where a setting asks for it

Cause: copies of runs take memory from cached prompts. Change: CICADAHITCH_RUN_BACKUPS, off by default.

--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -16,7 +16,7 @@
 import { silentLog } from "./_kit.ts";
 import { ChoiceName } from "./choose.ts";
 import { Router } from "./router.ts";
-import { AdmissionMode, EngineRatesMode } from "./settings.ts";
+import { AdmissionMode, EngineRatesMode, RunBackupMode } from "./settings.ts";
 
 /** One router (entry) and the TCP relay between it and the store. */
 export interface TestEntry {
@@ -176,6 +176,7 @@
         logLevel: "silent",
         choice: ChoiceName.cost,
         engineRates,
+        runBackups: RunBackupMode.auto,
         admission: AdmissionMode.auto,
         priorityFloor: 0.05,
         maxWaitShare: 0.5,
--- a/src/router/effective_state.ts
+++ b/src/router/effective_state.ts
@@ -19,7 +19,7 @@
 import { PUBLISH_TIMES_KEY } from "./publish_times_record.ts";
 import type { PromptStore } from "./prompt_store.ts";
 import { RoutingTable } from "./routing_table.ts";
-import { EngineRatesMode } from "./settings.ts";
+import { EngineRatesMode, RunBackupMode } from "./settings.ts";
 import type { ServerLimits } from "./server_options.ts";
 import type { VersionAge, WantedVersions } from "./wanted_weights.ts";
 
@@ -33,6 +33,7 @@
   fleet: Fleet;
   /** Whether the rates of engines of scheduled services are learned. */
   engineRates: EngineRatesMode;
+  runBackups: RunBackupMode;
   wanted: WantedVersions;
   /** Longest time since the changes received now were made, from lost contact or a stall; 0: none. */
   maxAgeMs(): number;
@@ -128,6 +129,7 @@
    * @returns Whether its engines copy the memory of runs to each other.
    */
   hasBackups(service: string): boolean {
+    if (this.#options.runBackups === RunBackupMode.off) return false;
     return this.#table?.findService(service)?.engine?.hasBackups === true;
   }
 
--- a/src/router/effective_state_test.ts
+++ b/src/router/effective_state_test.ts
@@ -9,7 +9,7 @@
 import { PUBLISH_TIMES_KEY } from "./publish_times_record.ts";
 import { type VersionAge, WantedVersions } from "./wanted_weights.ts";
 import { positionAt } from "../store/position.ts";
-import { EngineRatesMode } from "./settings.ts";
+import { EngineRatesMode, RunBackupMode } from "./settings.ts";
 
 const SEED = 20_261_203;
 
@@ -50,6 +50,7 @@
       log,
       metrics: this.metrics,
       engineRates: EngineRatesMode.learned,
+      runBackups: RunBackupMode.auto,
       fleet: this.fleet,
       wanted: this.wanted,
       maxAgeMs: () => this.maxAgeMs,
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -106,7 +106,7 @@
     });
     this.#state = EffectiveState.create({
       ...this.#parts(),
-      engineRates: this.#settings.engineRates,
+      ...this.#settings,
       fleet: this.#fleet,
       wanted: this.#wanted,
       maxAgeMs: () => this.#follower.contact.maxAgeMs,
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -22,6 +22,17 @@
 export type EngineRatesMode =
   typeof EngineRatesMode[keyof typeof EngineRatesMode];
 
+/** Whether runs that may not be repeated are copied to a second engine. */
+export const RunBackupMode = {
+  /** On engines that support it, for routes that can't be resumed. */
+  auto: "auto",
+  /** Never; copies take memory from cached prompts. */
+  off: "off",
+} as const;
+
+/** One of {@link RunBackupMode}. */
+export type RunBackupMode = typeof RunBackupMode[keyof typeof RunBackupMode];
+
 /** Settings of an entry. */
 export interface RouterSettings {
   instance: string;
@@ -53,6 +64,7 @@
   choice: ChoiceName;
   /** Where the rates of engines of scheduled services come from. */
   engineRates: EngineRatesMode;
+  runBackups: RunBackupMode;
   admission: AdmissionMode;
   /** Part of a service's room that each less urgent priority with demand keeps. */
   priorityFloor: number;
@@ -171,6 +183,10 @@
       faults,
       values: Object.values(EngineRatesMode),
     }) ?? EngineRatesMode.fixed,
+    runBackups: readOneOf(env, "RUN_BACKUPS", {
+      faults,
+      values: Object.values(RunBackupMode),
+    }) ?? RunBackupMode.off,
     admission: readOneOf(env, "ADMISSION", {
       faults,
       values: Object.values(AdmissionMode),
--- a/src/router/settings_test.ts
+++ b/src/router/settings_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ChoiceName } from "./choose.ts";
-import { EngineRatesMode, readSettings } from "./settings.ts";
+import { EngineRatesMode, readSettings, RunBackupMode } from "./settings.ts";
 
 const GOOD = {
   CICADAHITCH_INSTANCE: "entry-1",
@@ -143,3 +143,11 @@
   assert.equal(set.value.priorityFloor, 0);
   assert.equal(set.value.maxWaitShare, 0.9);
 });
+
+// Copies of runs take memory from cached prompts, so that they are made only where an operator asks.
+test("runs are backed up only on request", () => {
+  const unset = readSettings(GOOD);
+  assert.ok(unset.isOk && unset.value.runBackups === RunBackupMode.off);
+  const set = readSettings({ ...GOOD, CICADAHITCH_RUN_BACKUPS: "auto" });
+  assert.ok(set.isOk && set.value.runBackups === RunBackupMode.auto);
+});
