--- a/src/router/recent_admissions.ts
+++ b/src/router/recent_admissions.ts
@@ -4,7 +4,7 @@
 /** Admitted requests by priority. */
 export type AdmittedCounts = Record<string, number>;
 
-/** Admissions are told of the last one to two of these intervals. */
+/** Admissions cover the last one to two of these intervals. */
 const INTERVAL_MS = 1000;
 
 type Counts = readonly (PriorityCounts | undefined)[];
--- a/src/router/server_connections.ts
+++ b/src/router/server_connections.ts
@@ -41,8 +41,8 @@
   }
 
   /**
-   * @returns Tells whether a connection that is open now is still open, which shows that the process
-   *   lives on.
+   * @returns Function that returns whether one of the connections that are open now is still open, which
+   *   shows that the process lives on.
    */
   watchOpen(): () => boolean {
     const open = [...this.#open].filter((socket) => !this.#hasEnded(socket));
--- a/src/scheduling/admission_queue.ts
+++ b/src/scheduling/admission_queue.ts
@@ -113,7 +113,7 @@
 
   /**
    * @param nowMs Current time.
-   * @returns Demand of this entry's flows, as the other entries are told.
+   * @returns Demand of this entry's flows, as reported to the other entries.
    */
   reported(nowMs: number): ReportedFlow[] {
     return this.#flows.reported(nowMs);
--- a/src/scheduling/flow_table.ts
+++ b/src/scheduling/flow_table.ts
@@ -122,7 +122,7 @@
 
   /**
    * @param nowMs Current time.
-   * @returns Demand of all flows, as the other entries are told.
+   * @returns Demand of all flows, as reported to the other entries.
    */
   reported(nowMs: number): ReportedFlow[] {
     const window = this.#window(nowMs);
