--- a/src/router/urgency.ts
+++ b/src/router/urgency.ts
@@ -18,14 +18,22 @@
   readonly #services = new Map<string, ServicePriorities>();
 
   private constructor({ routes, services, workspaces }: RoutingConfig) {
-    for (const { name, engine } of services) {
-      const own = routes.filter(({ shares }) =>
+    const routesOf = (name: string) =>
+      routes.filter(({ shares }) =>
         shares.some(({ service }) => service === name)
       );
+    const isOrderedEverywhere = services.every(({ name, engine }) =>
+      engine === undefined || isOrdered(routesOf(name))
+    );
+    for (const { name, engine } of services) {
+      const own = routesOf(name);
+      // With one priority, only the shares of workspaces differ; they are divided unless the priorities
+      // of the configuration's engines express something else than urgency.
+      const isFairShared = engine === undefined && isOrderedEverywhere &&
+        isOrderConsistent(own);
       this.#services.set(name, {
         ranked: rankPriorities(own, workspaces),
-        isScheduled: isOrderConsistent(own) &&
-          (engine === undefined || hasSeveralPriorities(own)),
+        isScheduled: isOrdered(own) || isFairShared,
         shortestTargetMs: Math.min(
           ...own.map(({ targetLatencyMs }) => targetLatencyMs),
         ),
@@ -76,6 +84,11 @@
   }
 }
 
+/** Whether the routes have several priorities, which agree with their targets. */
+function isOrdered(routes: readonly Route[]): boolean {
+  return isOrderConsistent(routes) && hasSeveralPriorities(routes);
+}
+
 /**
  * Whether no more urgent route has a longer target latency than a less urgent one. Otherwise, holding
  * back less urgent requests would first delay those that have the least time.
--- a/src/router/urgency_test.ts
+++ b/src/router/urgency_test.ts
@@ -112,3 +112,25 @@
   const urgency = Urgency.create(configOf([idle, plain], { engine: null }));
   assert.equal(urgency.rankOf(ENGINES, plain, undefined), 1);
 });
+
+// Deployments whose engines are served in the order of workspaces' priorities alone had their plain
+// services scheduled as well, and scored lower.
+test("plain service with one priority is not scheduled beside unordered engines", () => {
+  const relaxed = route({ priority: 0, targetLatencyMs: 1000 });
+  const strict = route({ priority: 1, targetLatencyMs: 800 });
+  const shares = [{ service: "plain", weight: 1 }];
+  const call = route({ priority: 2, targetLatencyMs: 150, shares });
+  const urgentCall = route({ priority: 0, targetLatencyMs: 100, shares });
+  const rankOf = (routes: Route[]) => {
+    const config = configOf(routes);
+    const services = [...config.services, {
+      name: "plain",
+      connectionLimit: 1,
+    }];
+    const urgency = Urgency.create({ ...config, services });
+    return urgency.rankOf("plain", call, undefined);
+  };
+  assert.equal(rankOf([relaxed, strict, call]), undefined);
+  assert.equal(rankOf([HINT, REVIEW, call]), 0);
+  assert.equal(rankOf([relaxed, strict, call, urgentCall]), 1);
+});
