--- a/review/2/play.mjs
+++ b/review/2/play.mjs
@@ -13,7 +13,7 @@
 const PAUSE_MS = 100;
 const DEADLINE_MS = 4000;
 const TIMEOUT_MS = 2000;
-const PLAY_MS = 60_000;
+const PLAY_MS = 90_000;
 /** Share of their answers that the faulty workers break off; half of the workers are faulty. */
 const CUT_SHARE = 0.05;
 const FAULTY = new Set(["i-1", "i-2"]);
--- /dev/null
+++ b/review/tried/second_sigterm/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" || exit 2
+exec node play.mjs
