Reset answers without a declared end when their entry is killed

Cause: such an answer ends with its connection, and the kernel closes the connections of a killed process in order. The entry resets them only when it aborts an answer itself. Whole answers that a slow client hasn't taken, and all streams to clients of HTTP/1.0, had the same fault.

Change: while such an answer is under way, SO_LINGER with a time of 0 makes the kernel reset its connection if the process ends. It is taken back once the kernel has all bytes, so that a whole answer stays whole. Node can't set the option; koffi calls setsockopt, loaded on first use.

Ruled out: chunks for all clients of HTTP/1.1.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -20,6 +20,10 @@
   target: "node20",
   format: "cjs",
   logLevel: "warning",
+  // Its binary stays with the package.
+  external: ["koffi"],
+  // The bundle runs in a script of node:vm, which has no import().
+  supported: { "dynamic-import": false },
   alias: {
     "undici": here("./bundle/undici.cjs"),
     "hdr-histogram-js": here("./bundle/hdr_histogram.cjs"),
--- /dev/null
+++ b/src/router/killed_entry_test.ts
@@ -0,0 +1,156 @@
+/** Answers without a declared end whose entry is killed while they are under way. */
+import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import process from "node:process";
+import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { onReset } from "../base/socket_reset.ts";
+import {
+  completeStreamBody,
+  CONFIG,
+  fetchReadinessStatus,
+  headWithoutLength,
+  HOST,
+  KEY,
+  type RawResponder,
+  SEALED_HEAD,
+  StandinPlatformStore,
+  StandinRawServer,
+} from "../standin/mod.ts";
+import { until } from "./_world.ts";
+
+const IP_ADDRESS = "127.9.7.10";
+const CLIENT_PORT = 23821;
+const READINESS_PORT = 23822;
+/** Time in which what was sent reaches the entry, and what fits the sockets' buffers. */
+const SETTLE_MS = 400;
+
+interface AskOptions {
+  service: "engines" | "plain";
+  path: string;
+  version?: "1.0" | "1.1";
+  /** Whether the client reads before the entry is killed. */
+  isReading: boolean;
+  answer: RawResponder;
+}
+
+/** Asks an entry that runs as a process of its own, and kills it. */
+async function askAndKill(
+  t: TestContext,
+  { service, path, version = "1.1", isReading, answer }: AskOptions,
+) {
+  const store = await StandinPlatformStore.create();
+  t.after(() => store.close());
+  await store.putConfig(CONFIG);
+  const server = await StandinRawServer.create(answer);
+  t.after(() => server.close());
+  await store.put("servers/i-raw", server.entry(service));
+  const entry = startEntry(t, store.address);
+  await until(async () =>
+    await fetchReadinessStatus(READINESS_PORT, IP_ADDRESS).catch(() => 0) ===
+      200
+  );
+  const socket = connect({ host: IP_ADDRESS, port: CLIENT_PORT });
+  const read = watch(socket);
+  if (!isReading) socket.pause();
+  socket.write(
+    `POST ${path} HTTP/${version}\r\nhost: ${HOST}\r\nattempt-id: a1\r\n` +
+      `deadline-ms: 4000\r\nauthorization: Bearer ${KEY}\r\nmodel: m\r\n` +
+      "content-length: 1\r\n\r\nx",
+  );
+  await until(() => server.requests.length > 0);
+  await sleep(SETTLE_MS);
+  entry.kill("SIGKILL");
+  await once(entry, "exit");
+  socket.resume();
+  if (!socket.closed) {
+    await new Promise((resolve) => socket.once("close", resolve));
+  }
+  await sleep(10);
+  const text = Buffer.concat(read.parts).toString("latin1");
+  const [head = "", body = ""] = text.split(/\r\n\r\n(.*)/s);
+  return { head, body, isReset: read.isReset };
+}
+
+function startEntry(t: TestContext, storeAddress: string) {
+  const entry = spawn(process.execPath, [
+    "--import",
+    "tsx",
+    "src/router/main.ts",
+  ], {
+    stdio: "ignore",
+    env: {
+      CICADAHITCH_INSTANCE: "e-1",
+      CICADAHITCH_ZONE: "a",
+      CICADAHITCH_IP_ADDRESS: IP_ADDRESS,
+      CICADAHITCH_CLIENT_ADDRESS: `${IP_ADDRESS}:${CLIENT_PORT}`,
+      CICADAHITCH_READINESS_ADDRESS: `${IP_ADDRESS}:${READINESS_PORT}`,
+      CICADAHITCH_CONTROL_ADDRESS: `${IP_ADDRESS}:23823`,
+      CICADAHITCH_PEER_PORT: "23824",
+      CICADAHITCH_STORE_ADDRESS: storeAddress,
+      CICADAHITCH_GRACE_S: "1",
+      CICADAHITCH_SEED_ADDRESSES: "",
+      CICADAHITCH_ENGINES_CHECK_FENCES: "",
+    },
+  });
+  t.after(() => entry.kill("SIGKILL"));
+  return entry;
+}
+
+/** Records what is read from a connection, and whether it is reset. */
+function watch(socket: Socket): { parts: Buffer[]; isReset: boolean } {
+  const read = { parts: [] as Buffer[], isReset: false };
+  socket.on("error", () => {});
+  socket.on("data", (bytes: Buffer) => read.parts.push(bytes));
+  onReset(socket, () => read.isReset = true);
+  return read;
+}
+
+// Guards against an orderly end of an answer that ends with its connection for lack of chunks.
+test("killed entry resets a stream for a client of HTTP/1.0", async (t) => {
+  const events = completeStreamBody(2);
+  const { head, isReset } = await askAndKill(t, {
+    service: "engines",
+    path: "/once/a",
+    version: "1.0",
+    isReading: true,
+    answer: (socket, id) => {
+      const size = events.length.toString(16);
+      socket.write(
+        `${SEALED_HEAD}attempt-id: ${id}\r\ntransfer-encoding: chunked\r\n\r\n` +
+          `${size}\r\n${events}\r\n`,
+      );
+    },
+  });
+  assert.match(head, / 200 /);
+  assert.doesNotMatch(head, /transfer-encoding|content-length/i);
+  assert.ok(isReset, "closed in order");
+});
+
+// Guards against an orderly end of a whole answer of which the process still holds a part.
+test("killed entry resets an answer that its client has not taken", async (t) => {
+  const whole = "x".repeat(14 * 1024 * 1024);
+  const { body, isReset } = await askAndKill(t, {
+    service: "plain",
+    path: "/look/a",
+    isReading: false,
+    answer: (socket, id) => socket.end(headWithoutLength(id) + whole),
+  });
+  assert.ok(body.length < whole.length);
+  assert.ok(isReset, "closed in order");
+});
+
+// Guards against aborting an answer that the kernel holds whole and can deliver by itself.
+test("killed entry leaves the answer whole that it has written", async (t) => {
+  const whole = "x".repeat(64 * 1024);
+  const { body, isReset } = await askAndKill(t, {
+    service: "plain",
+    path: "/look/a",
+    isReading: false,
+    answer: (socket, id) => socket.end(headWithoutLength(id) + whole),
+  });
+  assert.equal(body, whole);
+  assert.ok(!isReset);
+});
--- a/src/router/response_sink.ts
+++ b/src/router/response_sink.ts
@@ -1,5 +1,6 @@
 /** Writes a response to a client's connection. */
 import type { ServerResponse } from "node:http";
+import { ExitReset } from "../base/exit_reset.ts";
 import { HeldAnswers } from "./held_answers.ts";
 import type { AnswerSink, SinkHead } from "./request.ts";
 
@@ -36,6 +37,10 @@
   readonly #response: ServerResponse;
   readonly #isDraining: () => boolean;
   #gone = false;
+  /** Protects a response without a declared end; its bytes are written only after that. */
+  #protection: Promise<ExitReset | undefined> | undefined;
+  /** Resolves when the last part that was written is with the kernel. */
+  #flushed: Promise<void> | undefined;
 
   /**
    * @param response Node's response object, to which everything is written.
@@ -67,11 +72,12 @@
     this.#writeHead(head, head.headers);
     // Clients of HTTP/1.0 get no chunks.
     const response = this.#response;
-    if (!response.chunkedEncoding) withoutDeclaredEnd.add(response);
+    if (!response.chunkedEncoding) this.#endWithConnection();
   }
 
   async write(bytes: Buffer): Promise<void> {
-    if (this.#gone || this.#response.write(bytes)) return;
+    if (this.#protection) await this.#protection;
+    if (this.#gone || this.#writePart(bytes)) return;
     const response = this.#response;
     await new Promise<void>((resolve) => {
       const settle = () => {
@@ -85,7 +91,8 @@
   }
 
   end(): void {
-    this.#response.end();
+    if (this.#protection) void this.#endProtected(this.#protection);
+    else this.#response.end();
   }
 
   abortAnswer(): void {
@@ -107,17 +114,63 @@
       ? []
       : ["content-length", String(body.length)];
     this.#writeHead(head, [...headers, ...length]);
-    this.#response.end(body);
+    if (isFramed) {
+      this.#response.end(body);
+      heldAnswers.add(this.#response);
+    } else void this.#sendProtected(body);
+  }
+
+  /** The response ends with its connection. */
+  #endWithConnection(): void {
+    withoutDeclaredEnd.add(this.#response);
+    const { socket } = this.#response;
+    this.#protection ??= socket
+      ? ExitReset.create(socket)
+      : Promise.resolve(undefined);
+  }
+
+  async #sendProtected(body: Buffer): Promise<void> {
+    await this.#protection;
+    if (this.#gone) return;
+    this.#writePart(body);
     heldAnswers.add(this.#response);
+    this.end();
+  }
+
+  /** Ends a response once the kernel has all of it: it then delivers it even if this process is killed. */
+  async #endProtected(
+    protection: Promise<ExitReset | undefined>,
+  ): Promise<void> {
+    const reset = await protection;
+    await this.#flushed;
+    if (this.#gone) return;
+    reset?.release();
+    this.#response.end();
+  }
+
+  /** @returns Whether more can be written at once. */
+  #writePart(bytes: Buffer): boolean {
+    if (!this.#protection) return this.#response.write(bytes);
+    return this.#writeTracked(bytes);
+  }
+
+  #writeTracked(bytes: Buffer): boolean {
+    let hasRoom = true;
+    this.#flushed = new Promise((resolve) => {
+      this.#response.once("close", resolve);
+      hasRoom = this.#response.write(bytes, () => {
+        this.#response.off("close", resolve);
+        resolve();
+      });
+    });
+    return hasRoom;
   }
 
   #writeHead({ status, isFramed = true }: SinkHead, headers: string[]): void {
     const response = this.#response;
-    if (!isFramed) {
-      withoutDeclaredEnd.add(response);
-      response.useChunkedEncodingByDefault = false;
-    }
+    if (!isFramed) response.useChunkedEncodingByDefault = false;
     if (!isFramed || this.#isDraining()) response.shouldKeepAlive = false;
     response.writeHead(status, headers);
+    if (!isFramed) this.#endWithConnection();
   }
 }
