Detect a reset of an answer while its request is being written

Cause: libuv reports a reset that arrives with data as an orderly end. The empty write that finds it waits behind the request's body, and undici destroys the socket at the end, which cancels the write of the body that has the error.

Change: while writes are under way, the socket is kept to the end of the turn. A write that fails with ECONNRESET in that turn shows the reset; EPIPE means that the server had ended the connection before, and its answer is whole.

--- a/src/backends/cut_service_answer_test.ts
+++ b/src/backends/cut_service_answer_test.ts
@@ -5,10 +5,15 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { HttpService } from "./mod.ts";
 
-async function askCut(t: TestContext, cut: (socket: Socket) => void) {
+async function askCut(
+  t: TestContext,
+  cut: (socket: Socket) => void,
+  bodyBytes = 1,
+) {
   const server = createServer((socket) => {
     socket.on("error", () => {});
     socket.once("data", () => {
+      socket.pause();
       socket.write("HTTP/1.1 200 OK\r\n\r\npart", () => cut(socket));
     });
   });
@@ -26,7 +31,7 @@
     method: "POST",
     path: "/",
     headers: [],
-    body: Buffer.from("x"),
+    body: Buffer.alloc(bodyBytes),
   };
   for await (const step of service.run(call, signal)) {
     kinds.push(step.isOk ? step.value.kind : step.error.kind);
@@ -46,3 +51,19 @@
   });
   assert.equal(kinds.at(-1), "broken");
 });
+
+// Guards against missing a reset because the request's body is still being written.
+test("answer without a length that is reset during the request has no end", async (t) => {
+  const kinds = await askCut(
+    t,
+    (socket) => socket.resetAndDestroy(),
+    20 * 1024 * 1024,
+  );
+  assert.equal(kinds.at(-1), "broken");
+});
+
+// Guards against failing an early answer that its server ended in order before it read the request.
+test("answer without a length that ends in order during the request is whole", async (t) => {
+  const kinds = await askCut(t, (socket) => socket.end(), 20 * 1024 * 1024);
+  assert.equal(kinds.at(-1), "end");
+});
--- a/src/base/socket_reset.ts
+++ b/src/base/socket_reset.ts
@@ -27,6 +27,27 @@
     if (isReset(error)) listener();
   };
   socket.prependListener("error", check);
-  // A write without bytes sends nothing, and fails on a connection that was reset.
-  socket.prependListener("end", () => socket.write("", check));
+  socket.prependListener("end", () => {
+    // A write without bytes sends nothing, and fails on a connection that was reset.
+    if (socket.writableLength === 0) socket.write("", check);
+    else delayDestroy(socket, listener);
+  });
+}
+
+/**
+ * Writes that are under way fail in the same turn as the end if the connection was reset. Destroying
+ * the socket in that turn would cancel them before, and a write without bytes would wait behind them.
+ */
+function delayDestroy(socket: Socket, onReset: () => void): void {
+  const errors: (NodeJS.ErrnoException | undefined)[] = [];
+  socket.destroy = (error) => {
+    errors.push(error);
+    return socket;
+  };
+  setImmediate(() => {
+    Reflect.deleteProperty(socket, "destroy");
+    // The kernel reports EPIPE in its place if the peer had ended the connection before the reset.
+    if (errors.some((error) => error?.code === "ECONNRESET")) onReset();
+    if (errors.length > 0) socket.destroy(errors[0]);
+  });
 }
