Change the shared salt of cached prompts with the isolated workspaces

Cause: the isolated workspace got a salt of its own, and all others kept the one under which its earlier parts lie.

Change: the shared salt has a digest of the names of the isolated workspaces, and is looked up by the configuration in force when a request is sent. It follows from the configuration alone, so that entries agree on it, also after a restart, and a set that comes back finds its own parts. A configuration that leaves the isolated workspaces as they were keeps all salts.

--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -215,6 +215,7 @@
       log: this.#log,
       metrics: this.#metrics,
       random: this.#random,
+      table: () => this.#state.table,
       isStoreServing: () => this.#follower.contact.connected,
       coalesceMs: () =>
         coalesceDelayMs(this.#network.gossip.count, this.#settings.heartbeatMs),
@@ -242,7 +243,6 @@
       ...this.#parts(),
       ...this.#settings,
       fleet: this.#fleet,
-      table: () => this.#state.table,
       entryCount: () => this.#sharingCount,
       gossipIntervalMs: () => this.#network.gossip.gossipIntervalMs,
       drainEndMs: () => this.#ingress.drainEndMs,
@@ -319,7 +319,6 @@
     return Ingress.create({
       ...this.#parts(),
       lag: this.#lag,
-      table: () => this.#state.table,
       knowledgeAgeMs: () => this.#mirror.ageMs,
       serve: (request, sink) => this.#dispatcher.serve(request, sink),
       peersHaveRoom: () => this.#network.lags.haveRoom,
--- a/src/router/routing_table.ts
+++ b/src/router/routing_table.ts
@@ -7,6 +7,7 @@
   type Service,
   type Workspace,
 } from "./model.ts";
+import { CacheSalts } from "./cache_salts.ts";
 import { Urgency } from "./urgency.ts";
 
 /** Result of authenticating a request by its key. */
@@ -21,6 +22,8 @@
   readonly limits: ClientLimits;
   /** Order of the requests of each service. */
   readonly urgency: Urgency;
+  /** Salts of cached prompts. */
+  readonly cacheSalts: CacheSalts;
   /** Routes by host; longest path prefix first. */
   readonly #routes = new Map<string, Route[]>();
   readonly #services = new Map<string, Service>();
@@ -33,6 +36,7 @@
     this.version = config.version;
     this.limits = config.limits;
     this.urgency = Urgency.create(config);
+    this.cacheSalts = CacheSalts.create(config.workspaces);
     this.#requiresKeys = config.workspaces.length > 0;
     for (const service of config.services) {
       this.#services.set(service.name, service);
--- a/src/router/server_selector.ts
+++ b/src/router/server_selector.ts
@@ -1,6 +1,7 @@
 /** Selects the server for a request, for its first send and for resends. */
 import type { Clock } from "../base/mod.ts";
 import type { Progress } from "./attempt.ts";
+import { CacheSalts } from "./cache_salts.ts";
 import {
   type Choice,
   type ChoiceName,
@@ -8,10 +9,10 @@
   type PromptPlacement,
 } from "./choose.ts";
 import type { Fleet } from "./fleet.ts";
-import type { Workspace } from "./model.ts";
 import { Caller } from "./permit_bucket.ts";
 import type { PromptStore } from "./prompt_store.ts";
 import { type RoutedRequest, SkipReason } from "./request.ts";
+import type { RoutingTable } from "./routing_table.ts";
 import type { Server } from "./server.ts";
 import type { WantedVersions } from "./wanted_weights.ts";
 
@@ -23,6 +24,8 @@
   zone: string;
   random: () => number;
   choice: ChoiceName;
+  /** The configuration in force; a request may have been routed by an earlier one. */
+  table(): Pick<RoutingTable, "cacheSalts"> | undefined;
   /** Shared stores of cached prompts, outside the engines' own caches. */
   promptStores(): PromptStore[];
   /** Age of the load data received from other entries. */
@@ -188,7 +191,8 @@
   #promptOf(request: RoutedRequest): PromptPlacement | undefined {
     const { prompt } = request.facts;
     if (!prompt) return undefined;
-    const { wanted, promptStores } = this.#options;
+    const { wanted, promptStores, table } = this.#options;
+    const salts = table()?.cacheSalts ?? CacheSalts.create([]);
     return {
       model: prompt.model,
       promptTokens: prompt.promptTokens,
@@ -198,18 +202,13 @@
       weightsLimits: wanted.limits,
       stores: promptStores(),
       chainFor: (version) => ({
-        salt: cacheSalt(version, request.workspace),
+        salt: salts.saltOf(version, request.workspace),
         parts: prompt.parts,
       }),
     };
   }
 }
 
-/** The salt separates the caches of different weights versions and of isolated workspaces. */
-function cacheSalt(version: number, workspace: Workspace | undefined): string {
-  return workspace?.isolated ? `w${version}.${workspace.name}` : `w${version}`;
-}
-
 /**
  * Whether another process, maybe of another software version, may answer under the server's id. Servers
  * that state no start time get another id when they start again.
