Keep the origins of streams when all entries end at once

When all entries ended at once and started again, streams that clients took up were joined from two software versions, or refused although servers of their version were there.

Joined: the store recorded versions only while a service had several. Entries that found one version after their start took it for that of every stream. Now a service whose streams may be taken up always has a record of its versions: one call when its first servers join, and one or two for a release.

Refused: the origins of streams lay in the memory of entries alone. One version alone costs nothing for a stream.

--- a/src/router/origin_table.ts
+++ b/src/router/origin_table.ts
@@ -13,6 +13,19 @@
   leftMs: number;
 }
 
+/** Streams of this entry that its record in the store lacks. */
+export type UnrecordedStreams =
+  /** All services have one software version. */
+  | { kind: "one_version" }
+  | { kind: "none" }
+  | {
+    kind: "rows";
+    /** All streams of this entry, at services with several versions. */
+    rows: OriginRow[];
+    /** To be called when the rows were written. */
+    onRecorded(): void;
+  };
+
 interface KnownStream {
   origin: StreamOrigin;
   untilMs: number;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -99,8 +99,9 @@
     this.#quotas = Quotas.create({ ...this.#parts(), entryCount });
     this.#fleet = this.#createFleet();
     this.#records = ServerRecords.create({
-      ...this.#parts(),
+      ...{ ...this.#parts(), ...options.settings, entryCount },
       fleet: this.#fleet,
+      origins: () => this.#network.origins,
       quarantine: this.#quarantine,
       isWriterOf: (key) => this.#network.permits.grantsFor(key),
     });
--- a/src/router/routing_table.ts
+++ b/src/router/routing_table.ts
@@ -30,6 +30,8 @@
   readonly #workspaces = new Map<string, Workspace>();
   /** Longest timeout of the streams of each service. */
   readonly #streamTimeoutsMs = new Map<string, number>();
+  /** Services with streams that clients may take up. */
+  readonly #resumable = new Set<string>();
   readonly #requiresKeys: boolean;
 
   private constructor(config: RoutingConfig) {
@@ -48,7 +50,7 @@
       const routes = this.#routes.get(route.host) ?? [];
       routes.push(route);
       this.#routes.set(route.host, routes);
-      this.#addStreamTimeout(route);
+      this.#addStreams(route);
     }
     for (const routes of this.#routes.values()) {
       routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
@@ -109,9 +111,18 @@
     return this.#streamTimeoutsMs.get(service) ?? 0;
   }
 
-  #addStreamTimeout({ kind, shares, timeoutMs }: Route): void {
+  /**
+   * @param service Name of a service.
+   * @returns Whether clients may take up its streams.
+   */
+  isResumable(service: string): boolean {
+    return this.#resumable.has(service);
+  }
+
+  #addStreams({ kind, shares, timeoutMs, resumable }: Route): void {
     if (kind !== RequestKind.stream) return;
     for (const { service } of shares) {
+      if (resumable) this.#resumable.add(service);
       const longestMs = Math.max(this.streamTimeoutMs(service), timeoutMs);
       this.#streamTimeoutsMs.set(service, longestMs);
     }
--- a/src/router/software_record.ts
+++ b/src/router/software_record.ts
@@ -1,7 +1,7 @@
 /**
- * Stores in the platform's store which services have several software versions. If all entries restart
- * at once, the record alone tells them that a stream which a client takes up may be of a version whose
- * servers have left.
+ * Stores in the platform's store which software versions serve streams that clients may take up. If all
+ * entries restart at once, the record alone tells them that such a stream may be of a version whose
+ * servers have left. A service with one version is recorded once.
  */
 import type { Clock, Logger } from "../base/mod.ts";
 import { readJson } from "../lease/mod.ts";
@@ -25,6 +25,8 @@
   isWriterOf(key: string): boolean;
   /** Whether the store is answering. */
   isStoreServing(): boolean;
+  /** Whether clients may take up streams of a service. Default: only services with several versions count. */
+  isResumable?(service: string): boolean;
 }
 
 /** Keeps the records up to date. */
@@ -72,12 +74,12 @@
   #puts(): RecordWrite[] {
     const { mirror, versions, isWriterOf } = this.#options;
     const writes: RecordWrite[] = [];
-    for (const service of versions.mixedServices()) {
-      const key = SOFTWARE_RECORD_PREFIX + service;
-      const recorded = new Set(readVersions(mirror.entry(key)?.value));
+    for (const service of versions.services()) {
       const current = versions.current(service).map((one) => one ?? null);
-      const isRecorded = current.every((version) => recorded.has(version));
-      if (isRecorded || !isWriterOf(key)) continue;
+      if (!this.#isRecorded(service, current)) continue;
+      const key = SOFTWARE_RECORD_PREFIX + service;
+      const recorded = readVersions(mirror.entry(key)?.value);
+      if (!isOutdated(recorded, current) || !isWriterOf(key)) continue;
       const value = new TextEncoder().encode(
         JSON.stringify({ versions: current }),
       );
@@ -89,12 +91,29 @@
   #deletes(): RecordWrite[] {
     const { mirror, versions, isWriterOf } = this.#options;
     return mirror.entries(SOFTWARE_RECORD_PREFIX)
-      .filter(({ key }) =>
-        !versions.isMixed(key.slice(SOFTWARE_RECORD_PREFIX.length)) &&
-        isWriterOf(key)
-      )
+      .filter(({ key }) => {
+        const service = key.slice(SOFTWARE_RECORD_PREFIX.length);
+        const isRecorded = this.#isRecorded(service, versions.current(service));
+        return !isRecorded && isWriterOf(key);
+      })
       .map(({ key }) => ({ kind: "delete", key }));
   }
+
+  /** Whether the service is to have a record. */
+  #isRecorded(service: string, current: readonly unknown[]): boolean {
+    const { versions, isResumable } = this.#options;
+    if (versions.isMixed(service)) return true;
+    return current.length > 0 && (isResumable?.(service) ?? false);
+  }
+}
+
+/** Whether a record lacks a version, or has several where one is left. */
+function isOutdated(
+  recorded: (string | null)[],
+  current: (string | null)[],
+): boolean {
+  const isComplete = current.every((version) => recorded.includes(version));
+  return !isComplete || current.length === 1 && recorded.length > 1;
 }
 
 /** Versions in a record, null for servers that state none; empty if the record is malformed. */
--- a/src/router/software_record_test.ts
+++ b/src/router/software_record_test.ts
@@ -17,7 +17,14 @@
     streamLifetimeMs: () => 0,
   });
   const stored = new Map<string, KeyValueEntry>();
-  const setup = { clock, versions, stored, calls: 0, isWriter: true };
+  const setup = {
+    clock,
+    versions,
+    stored,
+    calls: 0,
+    isWriter: true,
+    isResumable: false,
+  };
   const commit = (_: unknown, writes: readonly Write[]) => {
     setup.calls++;
     for (const write of writes) {
@@ -39,6 +46,7 @@
     },
     isWriterOf: () => setup.isWriter,
     isStoreServing: () => true,
+    isResumable: () => setup.isResumable,
   });
   return { ...setup, setup, record };
 }
@@ -103,3 +111,31 @@
   await record.update();
   assert.equal(setup.calls, 0);
 });
+
+// Guards against entries that all start together and don't know the version of earlier streams.
+test("service with one version is recorded once if its streams may be taken up", async () => {
+  const { versions, record, setup, clock, stored } = create();
+  setup.isResumable = true;
+  join(versions, "v1");
+  for (let i = 0; i < 20; i++) {
+    await record.update();
+    clock.advance(500);
+  }
+  assert.equal(setup.calls, 1);
+  assert.equal(stored.size, 1);
+});
+
+// Guards against a version that a record keeps alive long after its last stream.
+test("record of a service names the one version that is left", async () => {
+  const { versions, record, setup, clock, stored } = create();
+  setup.isResumable = true;
+  join(versions, "v1", "v2");
+  await record.update();
+  versions.left(registration("v1", { softwareVersion: "v1" }));
+  clock.advance(30_001);
+  await record.update();
+  await record.update();
+  assert.equal(setup.calls, 2);
+  const value = Buffer.from(stored.get(KEY)!.value).toString();
+  assert.equal(value, '{"versions":["v2"]}');
+});
--- a/src/router/software_versions.ts
+++ b/src/router/software_versions.ts
@@ -118,6 +118,11 @@
     return false;
   }
 
+  /** Names of the services that had a server. */
+  services(): IterableIterator<string> {
+    return this.#services.keys();
+  }
+
   /** Names of the services with several versions. */
   mixedServices(): string[] {
     return [...this.#mixed].filter((service) => this.isMixed(service));
--- a/src/router/stream_origins.ts
+++ b/src/router/stream_origins.ts
@@ -13,7 +13,11 @@
   type OriginMessage,
   type OriginReply,
 } from "./origin_message.ts";
-import { type OriginRow, OriginTable } from "./origin_table.ts";
+import {
+  type OriginRow,
+  OriginTable,
+  type UnrecordedStreams,
+} from "./origin_table.ts";
 import type { RoutedRequest } from "./request.ts";
 import {
   OriginSource,
@@ -84,6 +88,9 @@
   /** When each entry that had just started was told the streams. */
   readonly #startedAtMs = LRUMap.create<string, number>(MAX_STARTED);
   #lastSequence: number;
+  /** Number of own streams that began, or were found to need a record, and how many of them have one. */
+  #begunCount = 0;
+  #recordedCount = 0;
 
   private constructor(options: StreamOriginsOptions) {
     this.#options = options;
@@ -118,9 +125,34 @@
     const leftMs = Math.max(facts.deadlineMs ?? 0, route.timeoutMs) + RETURN_MS;
     const row = { id, origin, leftMs };
     this.#table.set(row, { isOwn: true });
+    this.#begunCount++;
     if (this.#options.versions.isMixed(origin.service)) this.#tell([row]);
   }
 
+  /** @returns What the entry's record in the store lacks. */
+  unrecorded(): UnrecordedStreams {
+    const mixed = new Set(this.#options.versions.mixedServices());
+    if (mixed.size === 0) return { kind: "one_version" };
+    const begunCount = this.#begunCount;
+    if (begunCount === this.#recordedCount) return { kind: "none" };
+    const rows = this.#table.rows({ onlyOwn: true })
+      .filter(({ origin }) => mixed.has(origin.service));
+    const onRecorded = () => {
+      this.#recordedCount = begunCount;
+    };
+    return { kind: "rows", rows, onRecorded };
+  }
+
+  /**
+   * @param rows Streams of a record in the store.
+   * @param options Whether it is the record of this entry's earlier process.
+   */
+  learn(rows: OriginRow[], { isOwn }: { isOwn: boolean }): void {
+    for (const row of rows) {
+      if (isUsableId(row.id)) this.#table.set(row, { isOwn });
+    }
+  }
+
   /** @param request A request whose stream was delivered to the end. */
   completed(request: RoutedRequest): void {
     this.#table.delete(streamIdOf(request));
@@ -267,6 +299,7 @@
   #tellOpen(service: string): void {
     const rows = this.#table.rows({ onlyOwn: true });
     this.#options.log.info({ event: "software_versions_mixed", service });
+    this.#begunCount++;
     this.#tell(rows.filter(({ origin }) => origin.service === service));
   }
 
