Go on with a stop after a second SIGTERM

Change: the listener stays, and a further signal is logged. SIGKILL after the grace time ends the process as before.

Evidence: "router that stops goes on to its grace time after a second SIGTERM" failed before.

--- a/src/router/main.ts
+++ b/src/router/main.ts
@@ -45,7 +45,14 @@
     // Settings come from the environment and can't change while the process runs.
     log.info({ event: "reload_asked" });
   });
-  process.once("SIGTERM", () => {
+  let isStopping = false;
+  // Without a listener, a second signal would end the process with its requests in flight.
+  process.on("SIGTERM", () => {
+    if (isStopping) {
+      log.info({ event: "stop_asked_again" });
+      return;
+    }
+    isStopping = true;
     void router.drain().then(() => log.flush(() => process.exit(0)));
   });
 }
--- a/src/router/start_test.ts
+++ b/src/router/start_test.ts
@@ -86,3 +86,18 @@
   const { name, message } = lines.at(-1) ?? {};
   assert.deepEqual({ name, message }, { name: "OddWarning", message: "Odd" });
 });
+
+// Guards against a second signal that ends the process with its requests in flight.
+test("router that stops goes on to its grace time after a second SIGTERM", async (t) => {
+  const router = startRouter(t);
+  const exited = once(router, "exit");
+  const events: string[] = [];
+  for await (const line of createInterface({ input: router.stdout })) {
+    const { event } = JSON.parse(line);
+    events.push(event);
+    if (event === "listening" || event === "stopping") router.kill("SIGTERM");
+  }
+  assert.deepEqual(await exited, [0, null]);
+  assert.ok(events.includes("stop_asked_again"), events.join());
+  assert.ok(events.includes("stopped"));
+});
