Bound the changes that entries keep for each other by their size

Cause: the replica of the store keeps the last 2,000 changes with their values.

Change: their values have 4 MB at most; a peer further behind gets all entries, as before. The changes have a module of their own, RecentChanges.

Evidence: "kept changes are bounded by the size of their values" failed before.

--- a/src/router/mirror.ts
+++ b/src/router/mirror.ts
@@ -7,6 +7,7 @@
 import { randomUUID } from "node:crypto";
 import type { Clock } from "../base/mod.ts";
 import { LRUMap } from "../placement/lru_map.ts";
+import { type MirrorChange, RecentChanges } from "./recent_changes.ts";
 import {
   isAfter,
   isBefore,
@@ -17,20 +18,10 @@
 } from "../store/position.ts";
 import type { KeyValueEntry, Listing, WatchStep } from "../store/store.ts";
 
-/** Recent changes kept for peers that lag a little; a peer further behind gets all entries. */
-const MAX_KEPT_CHANGES = 2000;
 /** Processes whose last answer count is kept: all live ones, and their predecessors. */
 const MAX_KEPT_ORIGINS = 2000;
 
-/** A change of one key in the store. */
-export type MirrorChange =
-  | {
-    kind: "put";
-    entry: KeyValueEntry;
-    /** The first listing of a restored store has it: the value may be older than the last one. */
-    isFromCopy?: boolean;
-  }
-  | { kind: "delete"; key: string; position: StorePosition };
+export type { MirrorChange } from "./recent_changes.ts";
 
 /** Listener that is called for each change, in order. */
 export type ChangeListener = (change: MirrorChange) => void;
@@ -81,11 +72,9 @@
 export class StoreMirror {
   readonly #clock: Clock;
   readonly #entries = new Map<string, KeyValueEntry>();
-  readonly #changes: MirrorChange[] = [];
+  readonly #recent = RecentChanges.create(START_POSITION);
   readonly #listeners: ChangeListener[] = [];
   readonly #eraListeners: ((change: EraChange) => void)[] = [];
-  /** Changes after this position are kept; older ones are not. */
-  #changesFrom = START_POSITION;
   #position = START_POSITION;
   readonly #origin = randomUUID();
   #ownAnswerCount = 0;
@@ -187,8 +176,7 @@
     for (const entry of listing.entries) this.#applyListed(entry, isFromCopy);
     this.#position = listing.position;
     // The single changes between the last step and the listing are unknown.
-    this.#changes.length = 0;
-    this.#changesFrom = listing.position;
+    this.#recent.clear(listing.position);
   }
 
   /** Tells the listeners of a new era; returns whether there is one. */
@@ -280,13 +268,10 @@
    */
   changesSince(after: StorePosition): Catchup {
     const position = this.#position;
-    if (isBefore(after, this.#changesFrom)) {
-      return { kind: "all", position, entries: [...this.#entries.values()] };
-    }
-    const changes = this.#changes.filter((step) =>
-      isAfter(positionOf(step), after)
-    );
-    return { kind: "steps", position, changes };
+    const changes = this.#recent.since(after);
+    return changes
+      ? { kind: "steps", position, changes }
+      : { kind: "all", position, entries: [...this.#entries.values()] };
   }
 
   /** Confirms the replica by an answer that this process just received from the store. */
@@ -299,10 +284,7 @@
     // One commit may change several keys at the same position: an equal position is checked per key.
     if (isBefore(position, this.#position) || !this.#isOfEra(position)) return;
     this.#apply(change);
-    this.#changes.push(change);
-    if (this.#changes.length > MAX_KEPT_CHANGES) {
-      this.#changesFrom = positionOf(this.#changes.shift()!);
-    }
+    this.#recent.add(change);
     this.#advance(position);
   }
 
@@ -334,7 +316,3 @@
 function isSameValue(a: Uint8Array, b: Uint8Array): boolean {
   return Buffer.compare(a, b) === 0;
 }
-
-function positionOf(change: MirrorChange): StorePosition {
-  return change.kind === "put" ? change.entry.modPosition : change.position;
-}
--- a/src/router/mirror_test.ts
+++ b/src/router/mirror_test.ts
@@ -116,6 +116,27 @@
 }
 
 // An entry was deaf to a restored store until its revisions had passed the replica's.
+// Guards against memory that grows with each version of a large configuration.
+test("kept changes are bounded by the size of their values", () => {
+  const { mirror } = create();
+  const valueBytes = 600_000;
+  const largePut = (revision: bigint): WatchStep => ({
+    kind: "put",
+    entry: { ...entry("op/config", revision), value: Buffer.alloc(valueBytes) },
+  });
+  for (let revision = 1n; revision <= 100n; revision++) {
+    mirror.applyStep(largePut(revision));
+  }
+  assert.equal(mirror.changesSince(positionAt(0, 50n)).kind, "all");
+  const last = mirror.changesSince(positionAt(0, 99n));
+  assert.equal(last.kind === "steps" && last.changes.length, 1);
+  // A value above the bound by itself is not kept, and peers get all entries.
+  const huge = { ...entry("a/1", 101n), value: Buffer.alloc(5 * 1024 * 1024) };
+  mirror.applyStep({ kind: "put", entry: huge });
+  assert.equal(mirror.changesSince(positionAt(0, 100n)).kind, "all");
+  assert.equal(mirror.changesSince(positionAt(0, 101n)).kind, "steps");
+});
+
 test("listing of a newer era replaces the content, whatever its revision", () => {
   const { mirror, seen } = createInEra1({ "a/1": "new", "a/2": "same", c: "" });
   const eras: EraChange[] = [];
