Keep the record of software versions while there is no configuration

Until an entry has read the configuration, no service seems to have streams that may be taken up, and the record of its versions looked obsolete. Found by reading; the record was written again half a second later.

--- a/src/router/response_sink.ts
+++ b/src/router/response_sink.ts
@@ -77,7 +77,11 @@
 
   async write(bytes: Buffer): Promise<void> {
     if (this.#protection) await this.#protection;
-    if (this.#gone || this.#writePart(bytes)) return;
+    if (this.#gone) return;
+    const hasRoom = this.#protection
+      ? this.#writeTracked(bytes)
+      : this.#response.write(bytes);
+    if (hasRoom) return;
     const response = this.#response;
     await new Promise<void>((resolve) => {
       const settle = () => {
@@ -132,7 +136,7 @@
   async #sendProtected(body: Buffer): Promise<void> {
     await this.#protection;
     if (this.#gone) return;
-    this.#writePart(body);
+    this.#writeTracked(body);
     heldAnswers.add(this.#response);
     this.end();
   }
@@ -148,12 +152,7 @@
     this.#response.end();
   }
 
-  /** @returns Whether more can be written at once. */
-  #writePart(bytes: Buffer): boolean {
-    if (!this.#protection) return this.#response.write(bytes);
-    return this.#writeTracked(bytes);
-  }
-
+  /** Writes a part whose arrival at the kernel is awaited before the end; returns whether there is room. */
   #writeTracked(bytes: Buffer): boolean {
     let hasRoom = true;
     this.#flushed = new Promise((resolve) => {
--- a/src/router/server_records.ts
+++ b/src/router/server_records.ts
@@ -49,6 +49,9 @@
       ...options,
       versions,
       isResumable: (service) => options.table()?.isResumable(service) ?? false,
+      // Without a configuration, a record that is still needed would look obsolete.
+      isStoreServing: () =>
+        options.table() !== undefined && options.isStoreServing(),
     });
     this.#origins = OriginRecord.create({
       ...options,
