--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -95,11 +95,12 @@
       onServerRefused: (id) => this.#network.gossip.announceSilent(id),
       isResponsibleFor: (part) => this.#network.permits.grantsFor(part),
     });
-    const entryCount = () => this.#sharingCount;
-    this.#quotas = Quotas.create({ ...this.#parts(), entryCount });
+    const shared = { ...this.#parts(), entryCount: () => this.#sharingCount };
+    this.#quotas = Quotas.create(shared);
     this.#fleet = this.#createFleet();
     this.#records = ServerRecords.create({
-      ...{ ...this.#parts(), ...options.settings, entryCount },
+      ...shared,
+      ...options.settings,
       fleet: this.#fleet,
       origins: () => this.#network.origins,
       quarantine: this.#quarantine,
@@ -141,8 +142,7 @@
     this.#network = this.#createNetwork();
     this.#roll = this.#createRoll();
     this.#dispatcher = this.#createDispatcher();
-    const { clock } = this.#parts();
-    this.#requestLog = RequestLog.create(this.#log, this.#metrics, { clock });
+    this.#requestLog = RequestLog.create(this.#log, this.#metrics, shared);
     this.#ingress = this.#createIngress();
     this.#mirror.onChange((change) => this.#state.apply(change));
     this.#network.gossip.setHeldBackSources(
--- a/src/router/software_record.ts
+++ b/src/router/software_record.ts
@@ -76,7 +76,7 @@
     const writes: RecordWrite[] = [];
     for (const service of versions.services()) {
       const current = versions.current(service).map((one) => one ?? null);
-      if (!this.#isRecorded(service, current)) continue;
+      if (!this.#needsRecord(service, current)) continue;
       const key = SOFTWARE_RECORD_PREFIX + service;
       const recorded = readVersions(mirror.entry(key)?.value);
       if (!isOutdated(recorded, current) || !isWriterOf(key)) continue;
@@ -93,14 +93,14 @@
     return mirror.entries(SOFTWARE_RECORD_PREFIX)
       .filter(({ key }) => {
         const service = key.slice(SOFTWARE_RECORD_PREFIX.length);
-        const isRecorded = this.#isRecorded(service, versions.current(service));
-        return !isRecorded && isWriterOf(key);
+        const isNeeded = this.#needsRecord(service, versions.current(service));
+        return !isNeeded && isWriterOf(key);
       })
       .map(({ key }) => ({ kind: "delete", key }));
   }
 
   /** Whether the service is to have a record. */
-  #isRecorded(service: string, current: readonly unknown[]): boolean {
+  #needsRecord(service: string, current: readonly unknown[]): boolean {
     const { versions, isResumable } = this.#options;
     if (versions.isMixed(service)) return true;
     return current.length > 0 && (isResumable?.(service) ?? false);
