Share the fixtures of the review's regression tests

Two tests started an entry as a process, two kept a store for records, and one file had its server and its reading loop twice.

--- a/src/router/all_entries_end_test.ts
+++ b/src/router/all_entries_end_test.ts
@@ -58,48 +58,42 @@
   return started;
 }
 
-/** Registers engines that no entry need know yet. */
-async function register(
-  t: TestContext,
-  { store }: VersionsSetup,
-  { softwareVersion, ids }: { softwareVersion: string; ids: string[] },
-): Promise<StandinBackendServer[]> {
-  const engines = [];
-  for (const id of ids) {
-    const engine = await StandinBackendServer.create({
-      id,
-      model: "m",
-      events: EVENTS,
-      softwareVersion,
-    });
+/** Registers engines of another version, which no entry need know yet. */
+async function registerV2(t: TestContext, { store }: VersionsSetup) {
+  for (const id of ["i-3", "i-4"]) {
+    const softwareVersion = "v2";
+    const options = { id, model: "m", events: EVENTS, softwareVersion };
+    const engine = await StandinBackendServer.create(options);
     t.after(() => engine.close());
     await store.put(`servers/${id}`, engine.entry("engines"));
-    engines.push(engine);
   }
-  return engines;
 }
 
 async function unregister({ store }: VersionsSetup, ids: string[]) {
   for (const id of ids) await store.delete(`servers/${id}`);
 }
 
-/** Takes up each stream at another entry than before. */
+/** Takes up the streams of each entry at the next one. */
 async function takeUpElsewhere(
   entries: TestEntry[],
   broken: Broken[],
-): Promise<StreamAttempt[]> {
-  const attempts = [];
-  for (const [i, entry] of entries.entries()) {
-    const previous = `entry-${(i + 1) % ENTRIES + 1}-`;
-    const streams = broken.filter(({ id }) => id.startsWith(previous));
-    attempts.push(...await takeUp(entry, streams));
+): Promise<{ before: Broken; after: StreamAttempt }[]> {
+  const pairs = [];
+  for (const [i, { name }] of entries.entries()) {
+    const before = broken.filter(({ id }) => id.startsWith(`${name}-`));
+    const attempts = await takeUp(entries[(i + 1) % ENTRIES]!, before);
+    pairs.push(
+      ...before.map((one, k) => ({ before: one, after: attempts[k]! })),
+    );
   }
-  return attempts;
+  assert.equal(pairs.length, broken.length);
+  return pairs;
 }
 
-function assertRefused(attempts: StreamAttempt[]): void {
-  assert.ok(attempts.length > 0);
-  for (const { status } of attempts) assert.equal(status, 503);
+async function assertRefused(entries: TestEntry[], broken: Broken[]) {
+  for (const { after } of await takeUpElsewhere(entries, broken)) {
+    assert.equal(after.status, 503);
+  }
 }
 
 // Guards against taking the only version that is left for that of all streams.
@@ -110,10 +104,10 @@
   const broken = await breakOff(setup);
   const started = await restartAll(setup, async () => {
     await unregister(setup, ["i-1", "i-2"]);
-    await register(t, setup, { softwareVersion: "v2", ids: ["i-3", "i-4"] });
+    await registerV2(t, setup);
   });
   for (const entry of started) await until(() => stateContains(entry, "i-4"));
-  assertRefused(await takeUpElsewhere(started, broken));
+  await assertRefused(started, broken);
 });
 
 // Guards against a second version that no record names, as it came just before the entries ended.
@@ -122,13 +116,13 @@
   await setup.startEngines("v1", ["i-1", "i-2"]);
   await untilVersionRecorded(setup);
   const broken = await breakOff(setup);
-  await register(t, setup, { softwareVersion: "v2", ids: ["i-3", "i-4"] });
+  await registerV2(t, setup);
   const started = await restartAll(
     setup,
     () => unregister(setup, ["i-1", "i-2"]),
   );
   for (const entry of started) await until(() => stateContains(entry, "i-4"));
-  assertRefused(await takeUpElsewhere(started, broken));
+  await assertRefused(started, broken);
 });
 
 // Guards against refusing all streams because the entries that knew their versions are gone.
@@ -143,17 +137,12 @@
   );
   await untilOriginsRecorded(setup, broken);
   const started = await restartAll(setup);
-  const attempts = await takeUpElsewhere(started, broken);
-  const eventsById = new Map(broken.map(({ id, events }) => [id, events]));
-  const order = started.flatMap((_, i) =>
-    broken.filter(({ id }) => id.startsWith(`entry-${(i + 1) % ENTRIES + 1}-`))
-  );
-  for (const [i, { status, events, isComplete }] of attempts.entries()) {
-    assert.equal(status, 200);
-    const all = [...eventsById.get(order[i]!.id)!, ...events];
+  for (const { before, after } of await takeUpElsewhere(started, broken)) {
+    assert.equal(after.status, 200);
+    const all = [...before.events, ...after.events];
     assert.equal(writersOf(all).length, 1);
     assert.equal(all.length, EVENTS);
-    assert.ok(isComplete);
+    assert.ok(after.isComplete);
   }
 });
 
--- a/src/router/cut_by_entry_test.ts
+++ b/src/router/cut_by_entry_test.ts
@@ -1,15 +1,12 @@
 /** Answers without a declared end to their client, which the entry itself cuts. */
 import assert from "node:assert/strict";
-import { spawn } from "node:child_process";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
-import process from "node:process";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   completeStreamBody,
   CONFIG,
-  fetchReadinessStatus,
   headWithoutLength,
   HOST,
   KEY,
@@ -20,7 +17,8 @@
 } from "../standin/mod.ts";
 import { serveBytes } from "./_raw_server.ts";
 import { onReset } from "../base/socket_reset.ts";
-import { openWorld, until } from "./_world.ts";
+import { startEntryProcess } from "./_entry_process.ts";
+import { openWorld } from "./_world.ts";
 
 /** Longer than a stopping entry accepts connections. */
 const LISTENING_MS = 3000;
@@ -111,31 +109,9 @@
   });
   t.after(() => raw.close());
   await store.put("servers/i-raw", raw.entry("engines"));
-  const ip = "127.9.7.9";
-  const child = spawn(process.execPath, [
-    "--import",
-    "tsx",
-    "src/router/main.ts",
-  ], {
-    env: {
-      CICADAHITCH_INSTANCE: "e-1",
-      CICADAHITCH_ZONE: "a",
-      CICADAHITCH_IP_ADDRESS: ip,
-      CICADAHITCH_CLIENT_ADDRESS: `${ip}:23811`,
-      CICADAHITCH_READINESS_ADDRESS: `${ip}:23812`,
-      CICADAHITCH_CONTROL_ADDRESS: `${ip}:23813`,
-      CICADAHITCH_PEER_PORT: "23814",
-      CICADAHITCH_STORE_ADDRESS: store.address,
-      CICADAHITCH_GRACE_S: "1",
-      CICADAHITCH_SEED_ADDRESSES: "",
-      CICADAHITCH_ENGINES_CHECK_FENCES: "",
-    },
-  });
-  t.after(() => child.kill("SIGKILL"));
-  await until(async () =>
-    await fetchReadinessStatus(23812, ip).catch(() => 0) === 200
-  );
-  const socket = ask({ ipAddress: ip, clientPort: 23811 }, {
+  const address = { ipAddress: "127.9.7.9", clientPort: 23811 };
+  const child = await startEntryProcess(t, address, store.address);
+  const socket = ask(address, {
     path: "/once/a",
   });
   const ended = readEnd(socket);
--- a/src/router/killed_entry_test.ts
+++ b/src/router/killed_entry_test.ts
@@ -1,16 +1,13 @@
 /** Answers without a declared end whose entry is killed while they are under way. */
 import assert from "node:assert/strict";
-import { spawn } from "node:child_process";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
-import process from "node:process";
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { onReset } from "../base/socket_reset.ts";
 import {
   completeStreamBody,
   CONFIG,
-  fetchReadinessStatus,
   headWithoutLength,
   HOST,
   KEY,
@@ -19,11 +16,10 @@
   StandinPlatformStore,
   StandinRawServer,
 } from "../standin/mod.ts";
+import { startEntryProcess } from "./_entry_process.ts";
 import { until } from "./_world.ts";
 
-const IP_ADDRESS = "127.9.7.10";
-const CLIENT_PORT = 23821;
-const READINESS_PORT = 23822;
+const ADDRESS = { ipAddress: "127.9.7.10", clientPort: 23821 };
 /** Time in which what was sent reaches the entry, and what fits the sockets' buffers. */
 const SETTLE_MS = 400;
 
@@ -47,12 +43,8 @@
   const server = await StandinRawServer.create(answer);
   t.after(() => server.close());
   await store.put("servers/i-raw", server.entry(service));
-  const entry = startEntry(t, store.address);
-  await until(async () =>
-    await fetchReadinessStatus(READINESS_PORT, IP_ADDRESS).catch(() => 0) ===
-      200
-  );
-  const socket = connect({ host: IP_ADDRESS, port: CLIENT_PORT });
+  const entry = await startEntryProcess(t, ADDRESS, store.address);
+  const socket = connect({ host: ADDRESS.ipAddress, port: ADDRESS.clientPort });
   const read = watch(socket);
   if (!isReading) socket.pause();
   socket.write(
@@ -74,31 +66,6 @@
   return { head, body, isReset: read.isReset };
 }
 
-function startEntry(t: TestContext, storeAddress: string) {
-  const entry = spawn(process.execPath, [
-    "--import",
-    "tsx",
-    "src/router/main.ts",
-  ], {
-    stdio: "ignore",
-    env: {
-      CICADAHITCH_INSTANCE: "e-1",
-      CICADAHITCH_ZONE: "a",
-      CICADAHITCH_IP_ADDRESS: IP_ADDRESS,
-      CICADAHITCH_CLIENT_ADDRESS: `${IP_ADDRESS}:${CLIENT_PORT}`,
-      CICADAHITCH_READINESS_ADDRESS: `${IP_ADDRESS}:${READINESS_PORT}`,
-      CICADAHITCH_CONTROL_ADDRESS: `${IP_ADDRESS}:23823`,
-      CICADAHITCH_PEER_PORT: "23824",
-      CICADAHITCH_STORE_ADDRESS: storeAddress,
-      CICADAHITCH_GRACE_S: "1",
-      CICADAHITCH_SEED_ADDRESSES: "",
-      CICADAHITCH_ENGINES_CHECK_FENCES: "",
-    },
-  });
-  t.after(() => entry.kill("SIGKILL"));
-  return entry;
-}
-
 /** Records what is read from a connection, and whether it is reset. */
 function watch(socket: Socket): { parts: Buffer[]; isReset: boolean } {
   const read = { parts: [] as Buffer[], isReset: false };
--- a/src/router/origin_record_test.ts
+++ b/src/router/origin_record_test.ts
@@ -1,10 +1,9 @@
 /** The store's records of the streams that entries began. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { Result } from "true-myth";
-import type { KeyValueEntry, Write } from "../store/store.ts";
 import { silentLog, TestClock } from "./_kit.ts";
 import { OriginFleet } from "./_origin_fleet.ts";
+import { RecordStore } from "./_record_store.ts";
 import { ORIGIN_RECORD_PREFIX, OriginRecord } from "./origin_record.ts";
 
 const OWN_KEY = `${ORIGIN_RECORD_PREFIX}10.0.0.0`;
@@ -15,67 +14,53 @@
   const fleet = OriginFleet.create({ entryCount: 2 });
   for (const version of softwareVersions) fleet.join(version, version);
   const [entry] = fleet.entries;
-  const stored = new Map<string, KeyValueEntry>();
-  const setup = { calls: 0, isServing: true, fails: false };
+  const store = new RecordStore();
+  const setup = { isServing: true };
   const clock = new TestClock();
-  const commit = (_: unknown, writes: readonly Write[]) => {
-    setup.calls++;
-    if (setup.fails) return Promise.resolve(Result.err({ kind: "down" }));
-    for (const write of writes) {
-      if (write.kind === "delete") stored.delete(write.key);
-      if (write.kind !== "put") continue;
-      const { key, value } = write;
-      stored.set(key, { key, value } as KeyValueEntry);
-    }
-    return Promise.resolve(Result.ok({ revision: 1n }));
-  };
   const record = OriginRecord.create({
-    store: { commit } as never,
+    ...store.parts,
     clock,
     log: silentLog,
-    mirror: {
-      entry: (key) => stored.get(key),
-      entries: () => [...stored.values()],
-    },
     ownAddress: "10.0.0.0",
     origins: () => entry!.origins,
     entryCount: () => 2,
     isWriterOf: () => true,
     isStoreServing: () => setup.isServing,
   });
-  return { fleet, entry: entry!, stored, setup, clock, record };
+  return { fleet, entry: entry!, store, setup, clock, record };
 }
 
 // Guards against calls to the store that nobody needs.
 test("streams of a service with one version are not recorded", async () => {
-  const { fleet, entry, record, setup } = create("v1");
+  const { fleet, entry, record, store } = create("v1");
   fleet.begin(entry, "a", "v1");
   for (let i = 0; i < 10; i++) await record.update();
-  assert.equal(setup.calls, 0);
+  assert.equal(store.calls, 0);
 });
 
 test("streams are recorded once, and again only after another one began", async () => {
-  const { fleet, entry, record, setup } = create("v1", "v2");
+  const { fleet, entry, record, store } = create("v1", "v2");
   fleet.begin(entry, "a", "v1");
   for (let i = 0; i < 10; i++) await record.update();
-  assert.equal(setup.calls, 1);
+  assert.equal(store.calls, 1);
   fleet.begin(entry, "b", "v2");
   for (let i = 0; i < 10; i++) await record.update();
-  assert.equal(setup.calls, 2);
+  assert.equal(store.calls, 2);
 });
 
 // Guards against streams that stay unrecorded because the store was down for a moment.
 test("streams whose record failed are recorded later", async () => {
-  const { fleet, entry, record, setup, stored } = create("v1", "v2");
+  const { fleet, entry, record, setup, store } = create("v1", "v2");
   fleet.begin(entry, "a", "v1");
   setup.isServing = false;
   await record.update();
-  assert.equal(setup.calls, 0);
-  Object.assign(setup, { isServing: true, fails: true });
+  assert.equal(store.calls, 0);
+  setup.isServing = true;
+  store.fails = true;
   await record.update();
-  setup.fails = false;
+  store.fails = false;
   await record.update();
-  assert.match(Buffer.from(stored.get(OWN_KEY)!.value).toString(), /"a"/);
+  assert.match(store.text(OWN_KEY), /"a"/);
 });
 
 // Guards against a new process that replaces the record of the one before it.
@@ -84,25 +69,25 @@
   before.fleet.begin(before.entry, "a", "v1");
   await before.record.update();
   const after = create("v1", "v2");
-  after.stored.set(OWN_KEY, before.stored.get(OWN_KEY)!);
+  after.store.put(OWN_KEY, before.store.text(OWN_KEY));
   after.record.onWritten(OWN_KEY);
   assert.equal(await after.fleet.takeUp(after.entry, "a"), "own v1");
   after.fleet.begin(after.entry, "b", "v2");
   await after.record.update();
-  const text = Buffer.from(after.stored.get(OWN_KEY)!.value).toString();
+  const text = after.store.text(OWN_KEY);
   assert.match(text, /"a".*"b"/);
 });
 
 // Guards against deleting records that entries which start later still have to read.
 test("records are deleted when all services have had one version for a while", async () => {
-  const { record, setup, stored, clock } = create("v1");
-  stored.set(OWN_KEY, { key: OWN_KEY, value: Buffer.from("{}") } as never);
+  const { record, store, clock } = create("v1");
+  store.put(OWN_KEY, "{}");
   await record.update();
-  assert.equal(stored.size, 1);
+  assert.equal(store.stored.size, 1);
   clock.advance(OBSOLETE_MS);
   await record.update();
-  assert.equal(stored.size, 0);
-  assert.equal(setup.calls, 1);
+  assert.equal(store.stored.size, 0);
+  assert.equal(store.calls, 1);
 });
 
 test("malformed parts of a record are left out", async () => {
@@ -114,9 +99,8 @@
       '{"engines":{"v1":[["a"],[1,2],"a",null]}}',
     ]
   ) {
-    const { fleet, entry, record, stored } = create("v1", "v2");
-    const value = Buffer.from(text);
-    stored.set(OWN_KEY, { key: OWN_KEY, value } as unknown as KeyValueEntry);
+    const { fleet, entry, record, store } = create("v1", "v2");
+    store.put(OWN_KEY, text);
     record.onWritten(OWN_KEY);
     assert.equal(await fleet.takeUp(entry, "a"), "unknown undefined");
   }
