Judge streams that two servers ended with their connections by how they began

Each had begun in chunks, its first server was lost, and two further servers (or one of them twice) sent the rest whole and closed the connection, without a length or chunks: ends undeclared_end twice, then attempts_used. An entry can't tell such an end from that of a server that cuts its answer (cut_answer_test.ts), so it may not write a last chunk. All of the route's attempts were used, and it broke off at once, so that the client takes the stream up. The check allowed this for exactly one such server and found two. Ruled out: a resend that was allowed and left out (notResent says attempts_used).

Change: the check knows how the head of the client's answer declared its end.

--- a/src/proof/_soak_history.ts
+++ b/src/proof/_soak_history.ts
@@ -60,8 +60,8 @@
     isOwnAnswer: boolean;
     declaredEnd: DeclaredEnd;
   }
-  /** The connection ended without a complete answer. */
-  | { kind: "broken"; reason: string }
+  /** The connection ended without a complete answer. `declaredEnd`: absent if none had begun. */
+  | { kind: "broken"; reason: string; declaredEnd?: DeclaredEnd }
   /** The client itself closed the connection. */
   | { kind: "left" };
 
