Give each test process ports that no other one uses

Cause: stand-ins took ports from 10,100 on, beginning at 100 times the process id modulo 1899. Processes whose ids differ by a multiple of 19 begin next to each other, skip the ports that are in use, and take those of listeners that are down for a moment. The servers of two soaks, and of many tests, have the same ids, so that one's requests run at the other's. Worlds and the entries of soaks chose their ports alike.

Change: a process claims a block of ports by listening on its first one, which the kernel gives to one process alone, and gives out the other ports of the block once.

--- a/src/proof/_soak_entry.ts
+++ b/src/proof/_soak_entry.ts
@@ -1,11 +1,17 @@
 /** Entries of a soak, as processes of their own. */
 import { Child } from "../e2e/_child.ts";
-import { fetchReadinessStatus, type TcpRelay } from "../standin/mod.ts";
+import {
+  fetchReadinessStatus,
+  PortRange,
+  type TcpRelay,
+} from "../standin/mod.ts";
 
 /** Ports are taken from below the ephemeral range; all entries use the same ones. */
-const FIRST_PORT = 30_100;
-const PORTS_PER_PROCESS = 8;
-const PORT_BLOCKS = 250;
+const PORTS = PortRange.create({
+  firstPort: 30_100,
+  lastPort: 32_099,
+  blockPorts: 20,
+});
 /** Longer than the deadline of the clients' requests, as on the platform. */
 const GRACE_S = 8;
 /** One entry; its process changes when it starts again. */
@@ -26,17 +32,13 @@
   peer: number;
 }
 
-/**
- * @param pid Id of the process that runs the soak.
- * @returns Ports that soaks of other processes hardly use.
- */
-export function portsOf(pid: number): EntryPorts {
-  const first = FIRST_PORT + (pid % PORT_BLOCKS) * PORTS_PER_PROCESS;
+/** @returns Ports that no other soak uses. */
+export async function claimPorts(): Promise<EntryPorts> {
   return {
-    client: first,
-    readiness: first + 1,
-    control: first + 2,
-    peer: first + 3,
+    client: await PORTS.next(),
+    readiness: await PORTS.next(),
+    control: await PORTS.next(),
+    peer: await PORTS.next(),
   };
 }
 
--- a/src/proof/_soak_fleet.ts
+++ b/src/proof/_soak_fleet.ts
@@ -13,10 +13,11 @@
   TcpRelay,
 } from "../standin/mod.ts";
 import {
+  claimPorts,
   entryAddress,
   entryIndexOf,
+  type EntryPorts,
   isReady,
-  portsOf,
   type SoakEntry,
   startEntry,
 } from "./_soak_entry.ts";
@@ -73,7 +74,7 @@
   readonly replaced: { index: number; server: StandinBackendServer }[] = [];
   readonly store: StandinPlatformStore;
   readonly writers: StoreWriters;
-  readonly #ports = portsOf(process.pid);
+  readonly #ports: EntryPorts;
   /** Servers that have crashed and are not back. */
   readonly #crashed = new Set<StandinBackendServer>();
   readonly #watcher: FleetWatcher;
@@ -90,9 +91,11 @@
 
   private constructor(
     store: StandinPlatformStore,
+    ports: EntryPorts,
     watcher: FleetWatcher,
   ) {
     this.store = store;
+    this.#ports = ports;
     this.#watcher = watcher;
     this.writers = StoreWriters.create({
       store,
@@ -118,7 +121,7 @@
         if (index >= 0) watcher.onStoreCall?.(index);
       },
     });
-    const fleet = new SoakFleet(store, watcher);
+    const fleet = new SoakFleet(store, await claimPorts(), watcher);
     await fleet.writers.write(CONFIG_KEY, CONFIG);
     for (let i = 0; i < sizes.serverCount; i++) await fleet.#addServer(i);
     for (let i = 0; i < sizes.entryCount; i++) await fleet.#addEntry(i);
--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -1,12 +1,12 @@
 /** Starts routers, a fake platform store and fake backend servers in the test process. */
 import assert from "node:assert/strict";
 import { createServer } from "node:http";
-import process from "node:process";
 import type { TestContext } from "node:test";
 import { type Clock, type Logger, systemClock } from "../base/mod.ts";
 import {
   CONFIG,
   fetchReadinessStatus,
+  PortRange,
   StandinBackendServer,
   type StandinBackendServerOptions,
   StandinPlatformStore,
@@ -251,18 +251,17 @@
 
 /**
  * Ports are taken from below the ephemeral range, since any process may be given a free ephemeral
- * port between the check and the call to listen. Each test process starts at another port.
+ * port between the check and the call to listen.
  */
-const FIRST_PORT = 12_000;
-const LAST_PORT = 30_000;
-const PORTS_PER_PROCESS = 120;
-let nextPort = FIRST_PORT +
-  (process.pid * PORTS_PER_PROCESS) % (LAST_PORT - FIRST_PORT);
+const PORTS = PortRange.create({
+  firstPort: 20_000,
+  lastPort: 29_999,
+  blockPorts: 100,
+});
 
 async function freePort(): Promise<number> {
   while (true) {
-    const port = nextPort++;
-    if (nextPort > LAST_PORT) nextPort = FIRST_PORT;
+    const port = await PORTS.next();
     if (await isFree(port)) return port;
   }
 }
--- a/src/standin/_http_host.ts
+++ b/src/standin/_http_host.ts
@@ -6,18 +6,18 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
+import { PortRange } from "./port_range.ts";
 
 /**
  * Ports below the ephemeral range: while a listener is down, the system may give an ephemeral port to
- * any connection. `fetch` refuses some ports below these. Each process starts at another port.
+ * any connection. `fetch` refuses some ports below these.
  */
-const FIRST_PORT = 10_100;
-const LAST_PORT = 11_999;
-const PORTS_PER_PROCESS = 100;
-let nextFreePort = FIRST_PORT +
-  (process.pid * PORTS_PER_PROCESS) % (LAST_PORT - FIRST_PORT);
+const PORTS = PortRange.create({
+  firstPort: 10_100,
+  lastPort: 19_999,
+  blockPorts: 100,
+});
 
 /** A request whose body was read completely. */
 export interface HostRequest {
@@ -99,7 +99,7 @@
     this.#acceptance = "serve";
     server.on("connection", (socket) => this.#track(socket));
     let tries = 0;
-    while (!await this.#listen(server, this.#port || nextPort())) {
+    while (!await this.#listen(server, this.#port || await PORTS.next())) {
       if (!this.#port) continue;
       // Another process may have been given the port in the meantime, for a short time.
       if (++tries > MAX_TRIES) throw new Error(`Port ${this.#port} is in use`);
@@ -178,12 +178,6 @@
   }
 }
 
-function nextPort(): number {
-  const port = nextFreePort++;
-  if (nextFreePort > LAST_PORT) nextFreePort = FIRST_PORT;
-  return port;
-}
-
 /**
  * Sends a JSON response.
  *
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -99,3 +99,8 @@
   type StandinWeightStoreOptions,
 } from "./weight_store_server.ts";
 export { type AcceptedOrder } from "./_platform_orders.ts";
+export {
+  PortRange,
+  PortRangeError,
+  type PortRangeOptions,
+} from "./port_range.ts";
