Record streams as they begin, and keep completed ones out of the record

Seen: if all entries ended right after streams began at a service with two software versions, the take-ups of these streams were refused, though servers of their version were there.

Cause, by reading and with tests: an entry wrote its record every 500 ms, whether or not a stream had just begun. And it read its own record back like that of its earlier process: streams that had been completed meanwhile came back, stayed for up to 20 s, and were part of all later records, whose size sets the time between two writes. A store that was restored from an older copy got the streams again only when another one began.

Change: a stream that begins wakes the record. All entries together may write 16 times in advance of the rate of 20 a second, which stays as it was; the least time between two writes of an entry that came on top of it is gone (4 entries: 200 ms at a sustained rate, 500 before). From 17 entries on the pause is random around the rate's, as all of them learn of a second version at once. A record names the process that wrote it, so that an entry takes back only what its earlier process wrote. A new era of the store makes all streams unrecorded.

Two of the new tests fail before ("stream that was completed is not part of the next record"; "streams are recorded again after the store was restored", which needs a new method); the third would wait for the 500 ms.

--- a/src/router/_origin_fleet.ts
+++ b/src/router/_origin_fleet.ts
@@ -89,6 +89,14 @@
     origins.began(requestOf({ id }), originAt(server));
   }
 
+  /**
+   * @param entry Entry that has delivered the last event of a stream.
+   * @param id Id of the attempt.
+   */
+  complete({ origins }: OriginEntry, id: string): void {
+    origins.completed(requestOf({ id }));
+  }
+
   /**
    * @param entry Entry at which a client takes up a stream.
    * @param firstId Id of the attempt that began it.
--- a/src/router/origin_record.ts
+++ b/src/router/origin_record.ts
@@ -3,20 +3,24 @@
  * several software versions. If all entries end at once, those that start after them read it, and the
  * streams go on at their own version. A stream that began after the last write is not known then.
  */
+import { randomUUID } from "node:crypto";
 import type { Clock, Logger } from "../base/mod.ts";
 import { readJson } from "../lease/mod.ts";
 import type { KeyValueStore } from "../store/store.ts";
 import type { StoreMirror } from "./mirror.ts";
 import type { OriginRow, UnrecordedStreams } from "./origin_table.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
+import { WakeSignal } from "./wake_signal.ts";
 
 /** Key prefix of the records; the entry's address follows. */
 export const ORIGIN_RECORD_PREFIX = "cicadahitch/origins/";
 
-/** Least time between two writes of an entry, which bounds what is lost with it. */
-const MIN_INTERVAL_MS = 500;
 /** Most writes of all entries together, as the platform bounds the calls to its store. */
 const MAX_WRITES_PER_S = 20;
+/** Most writes of all entries together after a time without any, beyond that rate. */
+const MAX_BURST_WRITES = 16;
+/** Interval at which obsolete records are looked for, and a store that was away is tried. */
+const CHECK_INTERVAL_MS = 500;
 /** Most bytes of all entries together, as each entry keeps a copy of the store. */
 const MAX_BYTES_PER_S = 20_000;
 /** Streams in a record; the latest ones are kept. */
@@ -27,7 +31,13 @@
 const MAX_DELETES = 32;
 
 /** Streams by service and software version: the id of the first attempt, and the time left. */
-type RecordBody = Record<string, Record<string, [string, number][]>>;
+type StreamsByVersion = Record<string, Record<string, [string, number][]>>;
+
+/** A record; its process tells an entry's own writes from those of its earlier process. */
+interface RecordBody {
+  process: string;
+  services: StreamsByVersion;
+}
 
 /** Dependencies of an {@link OriginRecord}. */
 export interface OriginRecordOptions {
@@ -38,7 +48,12 @@
   mirror: Pick<StoreMirror, "entry" | "entries">;
   /** Address of this entry. */
   ownAddress: string;
-  origins(): Pick<StreamOrigins, "unrecorded" | "learn">;
+  origins(): Pick<
+    StreamOrigins,
+    "unrecorded" | "learn" | "forgetRecorded" | "onUnrecorded"
+  >;
+  /** Random number from 0 to 1. */
+  random(): number;
   /** Number of entries that write a record each. */
   entryCount(): number;
   /** Whether this entry deletes an obsolete record. */
@@ -51,8 +66,12 @@
 export class OriginRecord {
   readonly #options: OriginRecordOptions;
   readonly #ownKey: string;
+  readonly #processId = randomUUID();
+  readonly #wake = WakeSignal.create();
   #sizeBytes = 0;
   #lastMixedAtMs: number;
+  /** Until when the writes so far use up the rate. */
+  #usedUntilMs = -Infinity;
 
   private constructor(options: OriginRecordOptions) {
     this.#options = options;
@@ -71,15 +90,27 @@
   /** @param key Key of a record that was written, by this entry's earlier process or by another one. */
   onWritten(key: string): void {
     const { mirror, origins } = this.#options;
-    const rows = readRows(mirror.entry(key)?.value);
+    const { process, rows } = readRecord(mirror.entry(key)?.value);
+    // Streams that were completed since must not come back.
+    if (process === this.#processId) return;
     // The next record of this entry replaces that of its earlier process and has to contain it.
     origins().learn(rows, { isOwn: key === this.#ownKey });
   }
 
+  /** Records that the store was restored from an older copy, which may lack the last writes. */
+  onRestored(): void {
+    this.#options.origins().forgetRecorded();
+  }
+
   /** @param signal Stops the updates. */
   async run(signal: AbortSignal): Promise<void> {
+    const { clock, origins } = this.#options;
+    const wake = () => this.#wake.notify();
+    origins().onUnrecorded(wake);
+    signal.addEventListener("abort", wake, { once: true });
     while (!signal.aborted) {
-      await this.#options.clock.sleep(this.#intervalMs(), signal);
+      if (!this.#isDue()) await this.#wake.wait(CHECK_INTERVAL_MS);
+      if (!signal.aborted) await clock.sleep(this.#pauseMs(), signal);
       if (!signal.aborted) await this.update();
     }
   }
@@ -97,9 +128,13 @@
   async #write(
     { rows, onRecorded }: Extract<UnrecordedStreams, { kind: "rows" }>,
   ): Promise<void> {
-    const { store, log } = this.#options;
-    const value = toValue(rows.slice(-MAX_STREAMS));
+    const { store, clock, log } = this.#options;
+    const services = toStreams(rows.slice(-MAX_STREAMS));
+    const body: RecordBody = { process: this.#processId, services };
+    const value = new TextEncoder().encode(JSON.stringify(body));
     this.#sizeBytes = value.length;
+    this.#usedUntilMs = Math.max(clock.nowMs(), this.#usedUntilMs) +
+      this.#intervalMs();
     const write = { kind: "put" as const, key: this.#ownKey, value };
     const committed = await store.commit([], [write]);
     if (committed.isOk) onRecorded();
@@ -116,33 +151,51 @@
     if (deletes.length > 0) await store.commit([], deletes);
   }
 
+  #isDue(): boolean {
+    const { origins, isStoreServing } = this.#options;
+    return isStoreServing() && origins().unrecorded().kind === "rows";
+  }
+
+  /** Time until the next write, so that all entries together keep their rate. */
+  #pauseMs(): number {
+    const { entryCount, clock, random } = this.#options;
+    const burst = Math.floor(MAX_BURST_WRITES / entryCount());
+    const intervalMs = this.#intervalMs();
+    // Many entries learn of a second version at once.
+    if (burst === 0) return intervalMs * (0.5 + random());
+    const dueAtMs = this.#usedUntilMs - burst * intervalMs;
+    return Math.max(0, dueAtMs - clock.nowMs());
+  }
+
+  /** Mean time between two writes of this entry. */
   #intervalMs(): number {
     const entryCount = this.#options.entryCount();
     return Math.max(
-      MIN_INTERVAL_MS,
       1000 * entryCount / MAX_WRITES_PER_S,
       1000 * entryCount * this.#sizeBytes / MAX_BYTES_PER_S,
     );
   }
 }
 
-function toValue(rows: OriginRow[]): Uint8Array {
-  const body: RecordBody = {};
+function toStreams(rows: OriginRow[]): StreamsByVersion {
+  const services: StreamsByVersion = {};
   for (const { id, origin, leftMs } of rows) {
     const { service, softwareVersion } = origin;
     // Servers that state no version are told apart by their process, which the streams may outlive.
     if (softwareVersion === undefined) continue;
-    const versions = body[service] ??= {};
+    const versions = services[service] ??= {};
     (versions[softwareVersion] ??= []).push([id, Math.round(leftMs)]);
   }
-  return new TextEncoder().encode(JSON.stringify(body));
+  return services;
 }
 
-/** Rows of a record; what is malformed is left out. */
-function readRows(value: Uint8Array | undefined): OriginRow[] {
-  if (!value) return [];
+/** The process that wrote a record, and its rows; what is malformed is left out. */
+function readRecord(
+  value: Uint8Array | undefined,
+): { process?: unknown; rows: OriginRow[] } {
   const rows: OriginRow[] = [];
-  for (const [service, versions] of Object.entries(readJson(value))) {
+  const { process, services } = value ? readJson(value) : {};
+  for (const [service, versions] of entriesOf(services)) {
     for (const [softwareVersion, streams] of entriesOf(versions)) {
       if (!Array.isArray(streams)) continue;
       for (const stream of streams) {
@@ -152,7 +205,7 @@
       }
     }
   }
-  return rows;
+  return { process, rows };
 }
 
 function entriesOf(value: unknown): [string, unknown][] {
--- a/src/router/origin_record_test.ts
+++ b/src/router/origin_record_test.ts
@@ -1,6 +1,7 @@
 /** The store's records of the streams that entries began. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setImmediate } from "node:timers/promises";
 import { silentLog, TestClock } from "./_kit.ts";
 import { OriginFleet } from "./_origin_fleet.ts";
 import { RecordStore } from "./_record_store.ts";
@@ -17,17 +18,24 @@
   const store = new RecordStore();
   const setup = { isServing: true };
   const clock = new TestClock();
+  const pausesMs: number[] = [];
+  clock.sleep = (ms = 0) => {
+    pausesMs.push(ms);
+    clock.advance(ms);
+    return Promise.resolve();
+  };
   const record = OriginRecord.create({
     ...store.parts,
     clock,
     log: silentLog,
     ownAddress: "10.0.0.0",
     origins: () => entry!.origins,
+    random: () => 0.5,
     entryCount: () => 2,
     isWriterOf: () => true,
     isStoreServing: () => setup.isServing,
   });
-  return { fleet, entry: entry!, store, setup, clock, record };
+  return { fleet, entry: entry!, store, setup, clock, record, pausesMs };
 }
 
 // Guards against calls to the store that nobody needs.
@@ -78,6 +86,53 @@
   assert.match(text, /"a".*"b"/);
 });
 
+// Guards against records that grow, and are written more seldom, as the entry reads its own ones back.
+test("stream that was completed is not part of the next record", async () => {
+  const { fleet, entry, record, store } = create("v1", "v2");
+  fleet.begin(entry, "a", "v1");
+  await record.update();
+  fleet.complete(entry, "a");
+  record.onWritten(OWN_KEY);
+  fleet.begin(entry, "b", "v2");
+  await record.update();
+  assert.match(store.text(OWN_KEY), /"b"/);
+  assert.doesNotMatch(store.text(OWN_KEY), /"a"/);
+});
+
+// Guards against a store that was restored from an older copy and keeps lacking the streams.
+test("streams are recorded again after the store was restored", async () => {
+  const { fleet, entry, record, store } = create("v1", "v2");
+  fleet.begin(entry, "a", "v1");
+  await record.update();
+  store.stored.clear();
+  record.onRestored();
+  await record.update();
+  assert.match(store.text(OWN_KEY), /"a"/);
+});
+
+// Guards against streams that nobody knows because all entries end right after they began.
+test("first streams are recorded without a pause, and many at a bounded rate", async () => {
+  const { fleet, entry, record, store, pausesMs } = create("v1", "v2");
+  const stop = new AbortController();
+  const running = record.run(stop.signal);
+  const begin = async (id: string) => {
+    fleet.begin(entry, id, "v1");
+    while (!store.stored.has(OWN_KEY) || !store.text(OWN_KEY).includes(id)) {
+      await setImmediate();
+    }
+  };
+  await begin("a");
+  await begin("b");
+  assert.ok(!pausesMs.some((ms) => ms > 0));
+  const calls = 40;
+  for (let i = 0; i < calls; i++) await begin(`c-${i}`);
+  const pausedMs = pausesMs.reduce((sum, ms) => sum + ms);
+  // Two entries may write 20 times a second together, and 16 times in advance.
+  assert.ok(pausedMs >= (calls - 16 / 2) * 1000 * 2 / 20, `${pausedMs} ms`);
+  stop.abort();
+  await running;
+});
+
 // Guards against deleting records that entries which start later still have to read.
 test("records are deleted when all services have had one version for a while", async () => {
   const { record, store, clock } = create("v1");
@@ -95,8 +150,9 @@
     const text of [
       "",
       "[]",
-      '{"engines":7}',
-      '{"engines":{"v1":[["a"],[1,2],"a",null]}}',
+      '{"services":[]}',
+      '{"services":{"engines":7}}',
+      '{"services":{"engines":{"v1":[["a"],[1,2],"a",null]}}}',
     ]
   ) {
     const { fleet, entry, record, store } = create("v1", "v2");
--- a/src/router/server_records.ts
+++ b/src/router/server_records.ts
@@ -58,7 +58,10 @@
       ownAddress: options.ipAddress,
     });
     this.#suspects = SuspectRecords.create(options);
-    options.mirror.onEraChange(() => this.#suspects.onRestored());
+    options.mirror.onEraChange(() => {
+      this.#suspects.onRestored();
+      this.#origins.onRestored();
+    });
   }
 
   /**
--- a/src/router/stream_origins.ts
+++ b/src/router/stream_origins.ts
@@ -91,6 +91,7 @@
   /** Number of own streams that began, or were found to need a record, and how many of them have one. */
   #begunCount = 0;
   #recordedCount = 0;
+  #onUnrecorded: () => void = () => {};
 
   private constructor(options: StreamOriginsOptions) {
     this.#options = options;
@@ -126,7 +127,21 @@
     const row = { id, origin, leftMs };
     this.#table.set(row, { isOwn: true });
     this.#begunCount++;
-    if (this.#options.versions.isMixed(origin.service)) this.#tell([row]);
+    if (!this.#options.versions.isMixed(origin.service)) return;
+    this.#tell([row]);
+    this.#onUnrecorded();
+  }
+
+  /** @param listener Called when the entry's record in the store lacks a stream. */
+  onUnrecorded(listener: () => void): void {
+    this.#onUnrecorded = listener;
+  }
+
+  /** The store may lack the streams that were recorded. */
+  forgetRecorded(): void {
+    if (this.#begunCount === 0) return;
+    this.#recordedCount = -1;
+    this.#onUnrecorded();
   }
 
   /** @returns What the entry's record in the store lacks. */
@@ -301,6 +316,7 @@
     this.#options.log.info({ event: "software_versions_mixed", service });
     this.#begunCount++;
     this.#tell(rows.filter(({ origin }) => origin.service === service));
+    this.#onUnrecorded();
   }
 
   /** Asks until an entry knows the stream, all have replied, or the time is over. */
