Record a software version before the first event of its streams is delivered

Seen: three entries served one software version, their clients broke streams off, the entries were killed, the version was replaced meanwhile, and the entries started again. The streams were taken up with 200 and ran on at the new version, joined, if they had begun in the first half second of their entries (all_entries_killed_test.ts, processes with SIGKILL: status 200 in place of 503).

Cause: the version of a service was recorded at the next of the checks that come every 500 ms, and nothing held a stream back until then. A version that came within 5 s of another one waited for these 5 s, the least time between two writes of a record.

Change: before the first event of a stream that may be taken up is delivered, its version has to be in the record. A version is recorded as its first server registers, so that streams seldom wait. The entry whose stream waits writes the record itself, as the one that is responsible may be away. If the store is away, nothing waits, as entries learn of no server then; if it takes no writes, all streams of a version together wait for one second at most, and a log line says so. Two writes of a record by one entry lie 500 ms apart.

Weighed: keeping new servers out of use until their version is recorded would leave a service without servers while the store takes no writes.

--- a/src/router/_entry_process.ts
+++ b/src/router/_entry_process.ts
@@ -2,18 +2,12 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import process from "node:process";
 import type { TestContext } from "node:test";
-import { fetchReadinessStatus } from "../standin/mod.ts";
+import { type EntryAddress, fetchReadinessStatus } from "../standin/mod.ts";
 import { until } from "./_world.ts";
 
-/** Address of an entry, and the first of the four ports that it uses. */
-export interface EntryAddress {
-  ipAddress: string;
-  clientPort: number;
-}
-
 /**
  * @param t The test; the process is killed when it ends.
- * @param address Where the entry listens.
+ * @param address Where the entry listens; it uses the three ports after the client port, too.
  * @param storeAddress `ip:port` of the store.
  * @returns The process of an entry that is ready.
  */
@@ -27,7 +21,7 @@
   const entry = spawn(process.execPath, args, {
     stdio: "ignore",
     env: {
-      CICADAHITCH_INSTANCE: "e-1",
+      CICADAHITCH_INSTANCE: `e-${ipAddress}`,
       CICADAHITCH_ZONE: "a",
       CICADAHITCH_IP_ADDRESS: ipAddress,
       CICADAHITCH_CLIENT_ADDRESS: at(0),
--- a/src/router/_software_versions_kit.ts
+++ b/src/router/_software_versions_kit.ts
@@ -4,6 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   type AttemptOptions,
+  type EntryAddress,
   MODEL_REQUEST_HEADERS,
   readStream,
   resumeHeaders,
@@ -16,7 +17,8 @@
 import { openLongTimeoutSetup } from "./_long_timeout_kit.ts";
 import type { LongTimeoutSetup } from "./_long_timeout_kit.ts";
 import { LONG_TIMEOUT_MS } from "./_long_timeout_kit.ts";
-import { stateContains, type TestEntry, until } from "./_world.ts";
+import { ORIGIN_RECORD_PREFIX } from "./origin_record.ts";
+import { stateContains, until } from "./_world.ts";
 
 /** Pause between attempts that an overloaded entry refuses. */
 const RETRY_PAUSE_MS = 100;
@@ -90,7 +92,7 @@
  * @returns The stream.
  */
 export function openStream(
-  entry: TestEntry,
+  entry: EntryAddress,
   id: string,
   { from, breakAfterEvents }: {
     from?: ResumePoint;
@@ -126,7 +128,7 @@
  * @returns The streams.
  */
 export async function openStreams(
-  entry: TestEntry,
+  entry: EntryAddress,
   { prefix = "s", breakAfterEvents }: {
     prefix?: string;
     breakAfterEvents?: number;
@@ -152,7 +154,7 @@
  * @returns The new attempts, in order.
  */
 export function takeUp(
-  entry: TestEntry,
+  entry: EntryAddress,
   broken: readonly { id: string; events: StreamAttempt["events"] }[],
   { suffix = "again", breakAfterEvents }: {
     suffix?: string;
@@ -179,12 +181,23 @@
   })));
 }
 
+/**
+ * @param storeAddress `ip:port` of the stand-in for the store.
+ * @returns The text of all records of streams.
+ */
+export async function readOriginRecords(storeAddress: string): Promise<string> {
+  const query = `prefix=${encodeURIComponent(ORIGIN_RECORD_PREFIX)}`;
+  const response = await fetch(`http://${storeAddress}/v1/kv-range?${query}`);
+  const { items } = await response.json() as { items: { value: string }[] };
+  return items.map(({ value }) => atob(value)).join();
+}
+
 /**
  * Repeats an attempt while the entry refuses it as it is overloaded. A stream that can't go on is
  * refused without a pause.
  */
 async function readUntilAccepted(
-  entry: TestEntry,
+  entry: EntryAddress,
   options: AttemptOptions,
 ): Promise<StreamAttempt> {
   while (true) {
--- a/src/router/all_entries_end_test.ts
+++ b/src/router/all_entries_end_test.ts
@@ -12,10 +12,10 @@
   EVENTS,
   openStreams,
   openVersionsSetup,
+  readOriginRecords,
   takeUp,
   type VersionsSetup,
 } from "./_software_versions_kit.ts";
-import { ORIGIN_RECORD_PREFIX } from "./origin_record.ts";
 import { stateContains, type TestEntry, until } from "./_world.ts";
 
 const ENTRIES = 3;
@@ -181,15 +181,8 @@
 ): Promise<void> {
   const endMs = performance.now() + RECORD_MS;
   await until(async () => {
-    const text = await readRecords(store.address);
+    const text = await readOriginRecords(store.address);
     return performance.now() > endMs ||
       broken.every(({ id }) => text.includes(`"${id}"`));
   });
 }
-
-async function readRecords(storeAddress: string): Promise<string> {
-  const query = `prefix=${encodeURIComponent(ORIGIN_RECORD_PREFIX)}`;
-  const response = await fetch(`http://${storeAddress}/v1/kv-range?${query}`);
-  const { items } = await response.json() as { items: { value: string }[] };
-  return items.map(({ value }) => atob(value)).join();
-}
--- a/src/router/answer_writer.ts
+++ b/src/router/answer_writer.ts
@@ -3,12 +3,14 @@
 import type { PartialAnswer, Progress, Send } from "./attempt.ts";
 import type { AnswerPart } from "./read_answer.ts";
 import type { AnswerSink, RoutedRequest, SinkHead } from "./request.ts";
-import { originAt } from "./software_versions.ts";
+import { originAt, type StreamOrigin } from "./software_versions.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 
 /** Dependencies of {@link AnswerWriter}. */
 export interface AnswerWriterParts {
   origins: Pick<StreamOrigins, "began" | "completed">;
+  /** Waits until entries that start later can know the version of a stream. */
+  untilVersionRecorded(origin: StreamOrigin): Promise<void>;
 }
 
 /** Destination of a response and the state of its request. */
@@ -20,7 +22,7 @@
 
 /** Writes the response of one request. */
 export class AnswerWriter {
-  readonly #origins: AnswerWriterParts["origins"];
+  readonly #parts: AnswerWriterParts;
   readonly #task: AnswerWriterTask;
   /** Error response of a server, used if no run delivers a better one. */
   #failure: { send: Send; body: Buffer } | undefined;
@@ -28,15 +30,15 @@
   #isFramed = true;
 
   private constructor(
-    { origins }: AnswerWriterParts,
+    parts: AnswerWriterParts,
     task: AnswerWriterTask,
   ) {
-    this.#origins = origins;
+    this.#parts = parts;
     this.#task = task;
   }
 
   /**
-   * @param parts Receives the origin of a stream.
+   * @param parts Record the origin of a stream.
    * @param task Destination of the response.
    * @returns A writer that has written nothing yet.
    */
@@ -56,7 +58,7 @@
     { bytes, lastEventId }: Extract<AnswerPart, { kind: "events" }>,
   ): Promise<void> {
     const { sink, progress } = this.#task;
-    if (!progress.streamStarted) this.#recordOrigin(send);
+    if (!progress.streamStarted) await this.#recordOrigin(send);
     this.#writeHead(send);
     progress.lastEventId = lastEventId ?? progress.lastEventId;
     await sink.write(bytes);
@@ -77,7 +79,7 @@
     this.#writeHead(send);
     this.#task.sink.end();
     this.#recordEnd(send);
-    this.#origins.completed(this.#task.request);
+    this.#parts.origins.completed(this.#task.request);
   }
 
   /**
@@ -113,10 +115,12 @@
     this.#task.progress.hasUndeclaredEnd = !answer!.head.isFramed || undefined;
   }
 
-  #recordOrigin({ choice }: Send): void {
+  async #recordOrigin({ choice }: Send): Promise<void> {
     const { request, progress } = this.#task;
+    const { origins, untilVersionRecorded } = this.#parts;
     progress.origin ??= originAt(choice.server.entry);
-    this.#origins.began(request, progress.origin);
+    origins.began(request, progress.origin);
+    if (request.route.resumable) await untilVersionRecorded(progress.origin);
   }
 
   #writeHead({ answer }: Send): void {
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -59,7 +59,10 @@
     SenderOptions,
     AnswerReaderOptions,
     Omit<ResendsOptions, "hasUntriedServer" | "isVersionGone" | "fleet">,
-    Pick<ForwarderParts, "log" | "quarantine" | "drainEndMs">,
+    Pick<
+      ForwarderParts,
+      "log" | "quarantine" | "drainEndMs" | "untilVersionRecorded"
+    >,
     Pick<RunBackupsOptions, "hasBackups"> {
   /** Origins of streams that clients take up. */
   origins: Pick<StreamOrigins, "find" | "began" | "completed">;
--- a/src/router/record_writer.ts
+++ b/src/router/record_writer.ts
@@ -1,10 +1,11 @@
 /** Keeps records of the entries in the platform's store up to date. */
 import type { Clock, Logger } from "../base/mod.ts";
 import type { KeyValueStore, Write } from "../store/store.ts";
+import { WakeSignal } from "./wake_signal.ts";
 
 /** Interval at which the records are compared with what is known. */
 const CHECK_INTERVAL_MS = 500;
-/** Least time between two writes of one record by this entry. */
+/** Default of {@link RecordWriterOptions.rewriteIntervalMs}. */
 const REWRITE_INTERVAL_MS = 5000;
 /** Writes in one call. */
 const MAX_WRITES = 32;
@@ -21,6 +22,8 @@
   isStoreServing(): boolean;
   /** Event of the log line about a call. */
   event: string;
+  /** Least time between two writes of one record by this entry. */
+  rewriteIntervalMs?: number;
   /** Returns the records that are missing, differ or are obsolete, as far as this entry writes them. */
   dueWrites(nowMs: number): RecordWrite[];
 }
@@ -30,6 +33,7 @@
   readonly #options: RecordWriterOptions;
   /** When this entry last wrote or deleted each record. */
   readonly #writtenAtMs = new Map<string, number>();
+  readonly #wake = WakeSignal.create();
 
   private constructor(options: RecordWriterOptions) {
     this.#options = options;
@@ -49,12 +53,18 @@
    * @param signal Stops the updates.
    */
   async run(signal: AbortSignal): Promise<void> {
+    signal.addEventListener("abort", () => this.notify(), { once: true });
     while (!signal.aborted) {
-      await this.#options.clock.sleep(CHECK_INTERVAL_MS, signal);
+      await this.#wake.wait(CHECK_INTERVAL_MS);
       if (!signal.aborted) await this.update();
     }
   }
 
+  /** Updates the records now instead of at the end of the interval. */
+  notify(): void {
+    this.#wake.notify();
+  }
+
   /** Writes the records that are due. */
   async update(): Promise<void> {
     const { store, clock, log, isStoreServing, event, dueWrites } =
@@ -75,7 +85,8 @@
   }
 
   #mayWrite(key: string, nowMs: number): boolean {
+    const { rewriteIntervalMs = REWRITE_INTERVAL_MS } = this.#options;
     const writtenAtMs = this.#writtenAtMs.get(key) ?? -Infinity;
-    return nowMs - writtenAtMs >= REWRITE_INTERVAL_MS;
+    return nowMs - writtenAtMs >= rewriteIntervalMs;
   }
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -302,6 +302,8 @@
       scheduling: this.#scheduling,
       isDivided: (service) => this.#scheduling.isDivided(service),
       origins: this.#network.origins,
+      untilVersionRecorded: (origin) =>
+        this.#records.software.untilRecorded(origin),
       ...this.#settings,
       wanted: this.#wanted,
       promptStores: () => this.#state.promptStores,
--- a/src/router/server_records.ts
+++ b/src/router/server_records.ts
@@ -38,14 +38,14 @@
 /** The records of servers' rates, of software versions and the streams they began, and of suspects. */
 export class ServerRecords {
   readonly rates: RateRecord;
-  readonly #software: SoftwareRecord;
+  readonly software: SoftwareRecord;
   readonly #origins: OriginRecord;
   readonly #suspects: SuspectRecords;
 
   private constructor(options: ServerRecordsOptions) {
     const { versions } = options.fleet;
     this.rates = RateRecord.create(options);
-    this.#software = SoftwareRecord.create({
+    this.software = SoftwareRecord.create({
       ...options,
       versions,
       isResumable: (service) => options.table()?.isResumable(service) ?? false,
@@ -76,7 +76,7 @@
   onWritten(key: string): void {
     this.#suspects.onWritten(key);
     if (key.startsWith(RATE_RECORD_PREFIX)) this.rates.onWritten(key);
-    if (key.startsWith(SOFTWARE_RECORD_PREFIX)) this.#software.onWritten(key);
+    if (key.startsWith(SOFTWARE_RECORD_PREFIX)) this.software.onWritten(key);
     if (key.startsWith(ORIGIN_RECORD_PREFIX)) this.#origins.onWritten(key);
   }
 
@@ -88,7 +88,7 @@
   async run(signal: AbortSignal): Promise<void> {
     await Promise.all([
       this.rates.run(signal),
-      this.#software.run(signal),
+      this.software.run(signal),
       this.#origins.run(signal),
       this.#suspects.run(signal),
     ]);
--- a/src/router/software_record_test.ts
+++ b/src/router/software_record_test.ts
@@ -1,6 +1,7 @@
 /** The store's records of services with several software versions. */
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { test, type TestContext } from "node:test";
+import { setImmediate } from "node:timers/promises";
 import { registration, silentLog, TestClock } from "./_kit.ts";
 import { RecordStore } from "./_record_store.ts";
 import { SOFTWARE_RECORD_PREFIX, SoftwareRecord } from "./software_record.ts";
@@ -16,14 +17,18 @@
     streamLifetimeMs: () => 0,
   });
   const store = new RecordStore();
-  const setup = { isWriter: true, isResumable: false };
+  const setup = { isWriter: true, isResumable: false, isServing: true };
+  clock.sleep = async (ms = 0) => {
+    clock.advance(ms);
+    await setImmediate();
+  };
   const record = SoftwareRecord.create({
     ...store.parts,
     clock,
     log: silentLog,
     versions,
     isWriterOf: () => setup.isWriter,
-    isStoreServing: () => true,
+    isStoreServing: () => setup.isServing,
     isResumable: () => setup.isResumable,
   });
   const { stored } = store;
@@ -115,3 +120,54 @@
   assert.equal(store.calls, 2);
   assert.equal(store.text(KEY), '{"versions":["v2"]}');
 });
+
+const V1 = { service: "engines", softwareVersion: "v1" };
+
+/** A record that is kept up to date until the test ends. */
+function createRunning(t: TestContext) {
+  const made = create();
+  made.setup.isResumable = true;
+  const stop = new AbortController();
+  t.after(() => stop.abort());
+  void made.record.run(stop.signal);
+  return made;
+}
+
+// Guards against streams of a version that no entry knows which starts after all have ended.
+test("stream waits for the record of its version, and lets its own entry write it", async (t) => {
+  const { versions, record, setup, store, stored } = createRunning(t);
+  setup.isWriter = false;
+  join(versions, "v1");
+  assert.ok(!stored.has(KEY));
+  await record.untilRecorded(V1);
+  assert.match(store.text(KEY), /"v1"/);
+  setup.isServing = false;
+  await record.untilRecorded(V1);
+});
+
+// Guards against a delay of all streams while the store takes no writes.
+test("streams of a version that can't be recorded wait for a bounded time together", async (t) => {
+  const { clock, versions, record, store, stored } = createRunning(t);
+  store.fails = true;
+  join(versions, "v1");
+  const startMs = clock.nowMs();
+  await Promise.all([record.untilRecorded(V1), record.untilRecorded(V1)]);
+  const waitedMs = clock.nowMs() - startMs;
+  await record.untilRecorded(V1);
+  assert.equal(clock.nowMs() - startMs, waitedMs);
+  // A store that fails isn't asked at each look.
+  assert.ok(store.calls < 5);
+  store.fails = false;
+  clock.advance(500);
+  await record.update();
+  assert.ok(stored.has(KEY));
+});
+
+test("stream doesn't wait while the store is away", async (t) => {
+  const { clock, versions, record, setup } = createRunning(t);
+  setup.isServing = false;
+  join(versions, "v1");
+  const startMs = clock.nowMs();
+  await record.untilRecorded(V1);
+  assert.equal(clock.nowMs(), startMs);
+});
--- a/src/router/software_versions.ts
+++ b/src/router/software_versions.ts
@@ -68,6 +68,7 @@
   readonly #services = new Map<string, Map<string | undefined, Sightings>>();
   readonly #mixed = new Set<string>();
   #onMixed: (service: string) => void = () => {};
+  #onJoined: () => void = () => {};
 
   private constructor(options: SoftwareVersionsOptions) {
     this.#options = options;
@@ -86,10 +87,17 @@
     this.#onMixed = listener;
   }
 
+  /** @param listener Called when the first server of a version has registered. */
+  onJoined(listener: () => void): void {
+    this.#onJoined = listener;
+  }
+
   /** @param entry A server that has registered or started again. */
   joined({ service, softwareVersion }: BackendServer): void {
-    this.#sightings(service, softwareVersion).servers++;
+    const sightings = this.#sightings(service, softwareVersion);
+    sightings.servers++;
     this.#detectMixed(service);
+    if (sightings.servers === 1) this.#onJoined();
   }
 
   /** @param entry A server that was removed, or whose process has ended. */
