Reset cut answers to callers of HTTP/1.0 on the path through agents

Seen: a caller of HTTP/1.0 of `cicadahitch entry`, which gets no chunks, got an orderly end of its connection if the entry was killed in the middle of a stream (src/e2e/http10_test.ts, a process with SIGKILL), and if the entry broke an answer off itself (services_test.ts). By HTTP/1.0 both are whole answers.

Beside it, the sinks destroyed the response, and closed the connection in order, trusting in a last chunk that HTTP/1.0 doesn't have.

Change: a response without chunks or a length has SO_LINGER with time 0 until the kernel has all of it (base/exit_reset.ts), and is aborted with a reset. It is taken back before Node closes the connection at the response's `finish`.

Ruled out by reading: whole answers, which have a length (buffered_sink.ts, models_handler.ts, failures).

--- a/src/entry/answer_sink.ts
+++ b/src/entry/answer_sink.ts
@@ -1,5 +1,6 @@
 /** Writes a run's answer to the caller's HTTP response, in the format that the caller requested. */
 import type { ServerResponse } from "node:http";
+import { ExitReset } from "../base/exit_reset.ts";
 import type { RunEnd, RunHead } from "../wire/gen/cicadahitch.ts";
 import {
   errorBody,
@@ -33,6 +34,39 @@
   fail(failure: RequestFailure): void;
 }
 
+/**
+ * Lets the kernel reset the connection of a response without chunks or a length, as for callers of
+ * HTTP/1.0, if this process ends before it has written all of it.
+ *
+ * @param response A response whose head was written.
+ */
+export function protectUndeclaredEnd(response: ServerResponse): void {
+  const { socket } = response;
+  if (!socket || declaresEnd(response)) return;
+  let reset: ExitReset | undefined;
+  // Before Node's own listener, which closes the connection.
+  response.prependOnceListener("finish", () => reset?.release());
+  void ExitReset.create(socket).then((created) => {
+    reset = created;
+    if (response.writableFinished) reset?.release();
+  });
+}
+
+/**
+ * Breaks off a response. If only the end of its connection would end it, the connection is reset, as the
+ * caller would take the part for the whole.
+ *
+ * @param response A response whose head was written.
+ */
+export function abortResponse(response: ServerResponse): void {
+  if (declaresEnd(response)) response.destroy();
+  else response.socket?.resetAndDestroy();
+}
+
+function declaresEnd(response: ServerResponse): boolean {
+  return response.chunkedEncoding || response.hasHeader("content-length");
+}
+
 /**
  * Writes with backpressure, since the caller may be slow.
  *
--- a/src/entry/service_sink.ts
+++ b/src/entry/service_sink.ts
@@ -2,7 +2,9 @@
 import type { ServerResponse } from "node:http";
 import type { RunHead } from "../wire/gen/cicadahitch.ts";
 import {
+  abortResponse,
   type AnswerSink,
+  protectUndeclaredEnd,
   writeFailure,
   writeWithBackpressure,
 } from "./answer_sink.ts";
@@ -57,7 +59,7 @@
   }
 
   fail(failure: RequestFailure): void {
-    if (this.#isCommitted) this.#response.destroy();
+    if (this.#isCommitted) abortResponse(this.#response);
     else writeFailure(this.#response, failure);
   }
 
@@ -69,5 +71,6 @@
       this.#response.appendHeader(name, value);
     }
     this.#response.writeHead(status);
+    protectUndeclaredEnd(this.#response);
   }
 }
--- a/src/entry/services_test.ts
+++ b/src/entry/services_test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
+import { connect } from "node:net";
 import { test } from "node:test";
+import { onReset } from "../base/socket_reset.ts";
 import { RefusalCode, RunOutcome } from "../wire/gen/cicadahitch.ts";
-import { FakeAgent, type Script } from "./_fake_agent.ts";
+import { FakeAgent, KEY, type Script } from "./_fake_agent.ts";
 import { type Call, errorOf, send, startEntry } from "./_fixture.ts";
 
 const POOL = { pool: "booking" };
@@ -138,3 +140,28 @@
   assert.equal(agents[0]!.pushes, 1);
   await close();
 });
+
+// Guards against closing a cut answer in order, which a caller of HTTP/1.0 takes for its end.
+test("answer that breaks off is reset for a caller without chunks", async () => {
+  const { entry, close } = await startBooking([(run) => {
+    run.started();
+    const value = { status: 200, headers: [] };
+    run.send({ $case: "head", value });
+    run.pieces(run.start.nextSeq, ["bo"].slice(run.start.nextSeq));
+    run.end(2);
+  }]);
+  const [host, port] = entry.httpAddress.split(":");
+  const socket = connect({ host, port: Number(port) });
+  let text = "";
+  let isReset = false;
+  onReset(socket, () => isReset = true);
+  socket.on("error", () => {});
+  socket.on("data", (bytes) => text += bytes);
+  socket.write(
+    `GET ${BOOK.path} HTTP/1.0\r\nauthorization: Bearer ${KEY}\r\n\r\n`,
+  );
+  await new Promise((resolve) => socket.once("close", resolve));
+  assert.match(text, / 200 [^]*\r\n\r\nbo$/);
+  assert.ok(isReset);
+  await close();
+});
--- a/src/entry/stream_sink.ts
+++ b/src/entry/stream_sink.ts
@@ -2,7 +2,9 @@
 import type { ServerResponse } from "node:http";
 import type { RunHead } from "../wire/gen/cicadahitch.ts";
 import {
+  abortResponse,
   type AnswerSink,
+  protectUndeclaredEnd,
   writeFailure,
   writeWithBackpressure,
 } from "./answer_sink.ts";
@@ -61,7 +63,7 @@
     const body = JSON.stringify(errorBody(failure));
     this.#response.write(`event: error\ndata: ${body}\n\n`, () => {
       // Without the final chunk, the caller's HTTP library also reports an incomplete response.
-      this.#response.destroy();
+      abortResponse(this.#response);
     });
   }
 
@@ -73,5 +75,6 @@
       "cache-control": "no-cache",
       "x-accel-buffering": "no",
     });
+    protectUndeclaredEnd(this.#response);
   }
 }
