--- a/src/router/all_entries_end_test.ts
+++ b/src/router/all_entries_end_test.ts
@@ -1,6 +1,7 @@
 /** Streams that clients take up after all entries have ended and started again. */
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   fetchReadinessStatus,
   StandinBackendServer,
@@ -16,7 +17,13 @@
   takeUp,
   type VersionsSetup,
 } from "./_software_versions_kit.ts";
-import { stateContains, type TestEntry, until } from "./_world.ts";
+import { SOFTWARE_RECORD_PREFIX } from "./software_record.ts";
+import {
+  openBareWorld,
+  stateContains,
+  type TestEntry,
+  until,
+} from "./_world.ts";
 
 const ENTRIES = 3;
 const READ_EVENTS = 3;
@@ -186,3 +193,15 @@
       broken.every(({ id }) => text.includes(`"${id}"`));
   });
 }
+
+// Guards against deleting a record that looks obsolete to an entry that knows no route yet.
+test("record of versions is kept while the entry has no configuration", async (t) => {
+  const world = await openBareWorld(t);
+  const key = `${SOFTWARE_RECORD_PREFIX}engines`;
+  await world.store.put(key, { versions: ["v1"] });
+  await world.worker("i-1", { model: "m", softwareVersion: "v1" });
+  // Several checks of the records.
+  await sleep(1500);
+  const records = () => world.store.store.list(SOFTWARE_RECORD_PREFIX);
+  assert.equal((await records()).unwrapOr(undefined)?.entries.length, 1);
+});
