Gather streams that begin together into one record, and write less in advance

A write waits 20 ms now for streams that begin together, and four entries may write three times each in advance.

--- a/src/router/origin_record.ts
+++ b/src/router/origin_record.ts
@@ -20,7 +20,9 @@
 /** Most writes of all entries together, as the platform bounds the calls to its store. */
 const MAX_WRITES_PER_S = 20;
 /** Most writes of all entries together after a time without any, beyond that rate. */
-const MAX_BURST_WRITES = 16;
+const MAX_BURST_WRITES = 12;
+/** Time in which streams that begin together are gathered for one write. */
+const GATHER_MS = 20;
 /** Interval at which obsolete records are looked for, and a store that was away is tried. */
 const CHECK_INTERVAL_MS = 500;
 /** Most bytes of all entries together, as each entry keeps a copy of the store. */
@@ -166,7 +168,7 @@
     // Many entries learn of a second version at once.
     if (burst === 0) return intervalMs * (0.5 + random());
     const dueAtMs = this.#usedUntilMs - burst * intervalMs;
-    return Math.max(0, dueAtMs - clock.nowMs());
+    return Math.max(GATHER_MS, dueAtMs - clock.nowMs());
   }
 
   /** Mean time between two writes of this entry. */
