Count unrecorded streams in a module of their own, and read records through the stand-in

Which streams an entry's record lacks is counted in unrecorded_count.ts; the forwarder gets the record of versions itself instead of one of its methods; the kit reads the stand-in's store. No behaviour changes.

--- a/src/router/_request_forwarder_kit.ts
+++ b/src/router/_request_forwarder_kit.ts
@@ -71,7 +71,7 @@
       clock,
       log: silentLog,
       origins: { began: () => {}, completed: () => {} },
-      untilVersionRecorded: () => Promise.resolve(),
+      versionRecord: { untilRecorded: () => Promise.resolve() },
       sender: engine.sender,
       reader: engine.reader,
       resends: Resends.create({
--- a/src/router/_software_versions_kit.ts
+++ b/src/router/_software_versions_kit.ts
@@ -11,6 +11,7 @@
   type ResumePoint,
   type StandinBackendServer,
   type StandinBackendServerOptions,
+  type StandinPlatformStore,
   type StreamAttempt,
   toRequestHeaders,
 } from "../standin/mod.ts";
@@ -182,14 +183,15 @@
 }
 
 /**
- * @param storeAddress `ip:port` of the stand-in for the store.
+ * @param store The stand-in for the store.
  * @returns The text of all records of streams.
  */
-export async function readOriginRecords(storeAddress: string): Promise<string> {
-  const query = `prefix=${encodeURIComponent(ORIGIN_RECORD_PREFIX)}`;
-  const response = await fetch(`http://${storeAddress}/v1/kv-range?${query}`);
-  const { items } = await response.json() as { items: { value: string }[] };
-  return items.map(({ value }) => atob(value)).join();
+export async function readOriginRecords(
+  { store }: StandinPlatformStore,
+): Promise<string> {
+  const listing = await store.list(ORIGIN_RECORD_PREFIX);
+  const { entries } = listing.unwrapOrElse(() => assert.fail());
+  return entries.map(({ value }) => new TextDecoder().decode(value)).join();
 }
 
 /**
--- a/src/router/all_entries_end_test.ts
+++ b/src/router/all_entries_end_test.ts
@@ -188,7 +188,7 @@
 ): Promise<void> {
   const endMs = performance.now() + RECORD_MS;
   await until(async () => {
-    const text = await readOriginRecords(store.address);
+    const text = await readOriginRecords(store);
     return performance.now() > endMs ||
       broken.every(({ id }) => text.includes(`"${id}"`));
   });
--- a/src/router/all_entries_killed_test.ts
+++ b/src/router/all_entries_killed_test.ts
@@ -105,7 +105,7 @@
   broken: Broken[],
 ): Promise<void> {
   await until(async () => {
-    const text = await readOriginRecords(store.address);
+    const text = await readOriginRecords(store);
     return broken.flat().every(({ id }) => text.includes(`"${id}"`));
   });
 }
--- a/src/router/answer_writer.ts
+++ b/src/router/answer_writer.ts
@@ -3,14 +3,14 @@
 import type { PartialAnswer, Progress, Send } from "./attempt.ts";
 import type { AnswerPart } from "./read_answer.ts";
 import type { AnswerSink, RoutedRequest, SinkHead } from "./request.ts";
-import { originAt, type StreamOrigin } from "./software_versions.ts";
+import type { SoftwareRecord } from "./software_record.ts";
+import { originAt } from "./software_versions.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 
 /** Dependencies of {@link AnswerWriter}. */
 export interface AnswerWriterParts {
   origins: Pick<StreamOrigins, "began" | "completed">;
-  /** Waits until entries that start later can know the version of a stream. */
-  untilVersionRecorded(origin: StreamOrigin): Promise<void>;
+  versionRecord: Pick<SoftwareRecord, "untilRecorded">;
 }
 
 /** Destination of a response and the state of its request. */
@@ -117,10 +117,11 @@
 
   async #recordOrigin({ choice }: Send): Promise<void> {
     const { request, progress } = this.#task;
-    const { origins, untilVersionRecorded } = this.#parts;
+    const { origins, versionRecord } = this.#parts;
     progress.origin ??= originAt(choice.server.entry);
     origins.began(request, progress.origin);
-    if (request.route.resumable) await untilVersionRecorded(progress.origin);
+    if (!request.route.resumable) return;
+    await versionRecord.untilRecorded(progress.origin);
   }
 
   #writeHead({ answer }: Send): void {
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -59,10 +59,8 @@
     SenderOptions,
     AnswerReaderOptions,
     Omit<ResendsOptions, "hasUntriedServer" | "isVersionGone" | "fleet">,
-    Pick<
-      ForwarderParts,
-      "log" | "quarantine" | "drainEndMs" | "untilVersionRecorded"
-    >,
+    Pick<ForwarderParts, "log" | "quarantine" | "drainEndMs">,
+    Pick<ForwarderParts, "versionRecord">,
     Pick<RunBackupsOptions, "hasBackups"> {
   /** Origins of streams that clients take up. */
   origins: Pick<StreamOrigins, "find" | "began" | "completed">;
@@ -91,9 +89,7 @@
       isVersionGone: (request, progress) =>
         this.#servers.isVersionGone(request, progress),
     });
-    const { permits, clock, fleet } = options;
-    const servers = this.#servers;
-    const gate = SendGate.create({ clock, fleet, servers, permits });
+    const gate = SendGate.create({ ...options, servers: this.#servers });
     this.#mover = RunMover.create({
       ...options,
       reserve: (request, progress) =>
--- a/src/router/origin_record.ts
+++ b/src/router/origin_record.ts
@@ -52,10 +52,7 @@
   mirror: Pick<StoreMirror, "entry" | "entries">;
   /** Address of this entry. */
   ownAddress: string;
-  origins(): Pick<
-    StreamOrigins,
-    "unrecorded" | "learn" | "forgetRecorded" | "onUnrecorded"
-  >;
+  origins(): Pick<StreamOrigins, "unrecorded" | "learn" | "unrecordedCount">;
   /** Random number from 0 to 1. */
   random(): number;
   /** Number of entries that write a record each. */
@@ -103,14 +100,14 @@
 
   /** Records that the store was restored from an older copy, which may lack the last writes. */
   onRestored(): void {
-    this.#options.origins().forgetRecorded();
+    this.#options.origins().unrecordedCount.forget();
   }
 
   /** @param signal Stops the updates. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, origins } = this.#options;
     const wake = () => this.#wake.notify();
-    origins().onUnrecorded(wake);
+    origins().unrecordedCount.onDue(wake);
     signal.addEventListener("abort", wake, { once: true });
     while (!signal.aborted) {
       if (!this.#isDue()) await this.#wake.wait(CHECK_INTERVAL_MS);
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -168,10 +168,8 @@
     this.#log.info({ event: "stopping", active: this.#ingress.active });
     this.#roll.stopAcquiringLease();
     this.#network.handOver();
-    await this.#ingress.drain(
-      this.#settings.graceMs - EXIT_MARGIN_MS,
-      () => this.#roll.busy,
-    );
+    const graceMs = this.#settings.graceMs - EXIT_MARGIN_MS;
+    await this.#ingress.drain(graceMs, () => this.#roll.busy);
     await this.stop();
     this.#log.info({ event: "stopped" });
   }
@@ -302,8 +300,7 @@
       scheduling: this.#scheduling,
       isDivided: (service) => this.#scheduling.isDivided(service),
       origins: this.#network.origins,
-      untilVersionRecorded: (origin) =>
-        this.#records.software.untilRecorded(origin),
+      versionRecord: this.#records.software,
       ...this.#settings,
       wanted: this.#wanted,
       promptStores: () => this.#state.promptStores,
--- a/src/router/stream_origins.ts
+++ b/src/router/stream_origins.ts
@@ -24,6 +24,7 @@
   type SoftwareVersions,
   type StreamOrigin,
 } from "./software_versions.ts";
+import { UnrecordedCount } from "./unrecorded_count.ts";
 
 /** Entries that are told of each stream. */
 const HOLDERS = 3;
@@ -88,10 +89,8 @@
   /** When each entry that had just started was told the streams. */
   readonly #startedAtMs = LRUMap.create<string, number>(MAX_STARTED);
   #lastSequence: number;
-  /** Number of own streams that began, or were found to need a record, and how many of them have one. */
-  #begunCount = 0;
-  #recordedCount = 0;
-  #onUnrecorded: () => void = () => {};
+  /** Own streams that the entry's record in the store lacks. */
+  readonly unrecordedCount = UnrecordedCount.create();
 
   private constructor(options: StreamOriginsOptions) {
     this.#options = options;
@@ -126,35 +125,19 @@
     const leftMs = Math.max(facts.deadlineMs ?? 0, route.timeoutMs) + RETURN_MS;
     const row = { id, origin, leftMs };
     this.#table.set(row, { isOwn: true });
-    this.#begunCount++;
-    if (!this.#options.versions.isMixed(origin.service)) return;
-    this.#tell([row]);
-    this.#onUnrecorded();
-  }
-
-  /** @param listener Called when the entry's record in the store lacks a stream. */
-  onUnrecorded(listener: () => void): void {
-    this.#onUnrecorded = listener;
-  }
-
-  /** The store may lack the streams that were recorded. */
-  forgetRecorded(): void {
-    if (this.#begunCount === 0) return;
-    this.#recordedCount = -1;
-    this.#onUnrecorded();
+    const isMixed = this.#options.versions.isMixed(origin.service);
+    if (isMixed) this.#tell([row]);
+    this.unrecordedCount.add({ isDue: isMixed });
   }
 
   /** @returns What the entry's record in the store lacks. */
   unrecorded(): UnrecordedStreams {
     const mixed = new Set(this.#options.versions.mixedServices());
     if (mixed.size === 0) return { kind: "one_version" };
-    const begunCount = this.#begunCount;
-    if (begunCount === this.#recordedCount) return { kind: "none" };
+    const onRecorded = this.unrecordedCount.pending();
+    if (!onRecorded) return { kind: "none" };
     const rows = this.#table.rows({ onlyOwn: true })
       .filter(({ origin }) => mixed.has(origin.service));
-    const onRecorded = () => {
-      this.#recordedCount = begunCount;
-    };
     return { kind: "rows", rows, onRecorded };
   }
 
@@ -314,9 +297,8 @@
   #tellOpen(service: string): void {
     const rows = this.#table.rows({ onlyOwn: true });
     this.#options.log.info({ event: "software_versions_mixed", service });
-    this.#begunCount++;
     this.#tell(rows.filter(({ origin }) => origin.service === service));
-    this.#onUnrecorded();
+    this.unrecordedCount.add({ isDue: true });
   }
 
   /** Asks until an entry knows the stream, all have replied, or the time is over. */
