Log what ties a server's refusal to a request, and errors of client connections

An end has "_unproven" behind its reason where a refusal without an id came on a reused connection. Errors of client connections have a line and a counter, with the number of running requests. Their answers are Node's own, written by ClientErrors now; no decision changes.

--- a/src/router/_request_forwarder_kit.ts
+++ b/src/router/_request_forwarder_kit.ts
@@ -146,7 +146,7 @@
 /** @returns The response of a stream that has started. */
 export function begunAnswer(): PartialAnswer {
   return {
-    head: { status: 200, headers: {}, isFramed: true },
+    head: { status: 200, headers: {}, isFramed: true, isFirst: true },
     facts: { status: 200 } as AnswerFacts,
     body: { kind: "stream", splitter: EventSplitter.create() },
   };
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -44,10 +44,22 @@
 /** One of {@link CloseReason}. */
 export type CloseReason = typeof CloseReason[keyof typeof CloseReason];
 
+/** A send whose request did not run. */
+export interface NotRun {
+  kind: "not_run";
+  reason: string;
+  /** It never reached the server. */
+  isUnsent?: boolean;
+  /**
+   * The server's refusal names no request and came on a connection that had carried others, so that
+   * nothing ties it to this one.
+   */
+  isUnproven?: boolean;
+}
+
 /** How one send ended without a complete answer. */
 export type SendEnd =
-  /** The request did not run. `isUnsent`: it never reached the server. */
-  | { kind: "not_run"; reason: string; isUnsent?: boolean }
+  | NotRun
   /** The request may have run. `isBroken`: the connection broke, and the server may have crashed. */
   | { kind: "unknown"; reason: string; isBroken?: boolean }
   /** The run was stopped and continues at another server from a copy of its KV cache. */
--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -36,6 +36,8 @@
   readonly #onRelease: (channel: Channel, isReusable: boolean) => void;
   #wasReset = false;
   #socket: Socket | undefined;
+  /** The current connection has carried a request. */
+  #isUsed = false;
   #exchange: Exchange | undefined;
 
   constructor(
@@ -58,6 +60,7 @@
             connections.add(socket);
             this.#detectReset(socket);
             this.#limitOverhead(socket);
+            this.#isUsed = false;
           }
           callback(...result);
         }),
@@ -91,6 +94,13 @@
     return exchange;
   }
 
+  /** @returns Whether the request that is sent now is the first one on the current connection. */
+  begin(): boolean {
+    const isFirst = !this.#isUsed;
+    this.#isUsed = true;
+    return isFirst;
+  }
+
   /** @param isReusable Whether the connection may carry another request. */
   release(isReusable: boolean): void {
     this.#exchange = undefined;
--- a/src/router/exchange.ts
+++ b/src/router/exchange.ts
@@ -20,6 +20,8 @@
   headers: IncomingHttpHeaders;
   /** A length or chunks declare the end of the body; otherwise the end of the connection does. */
   isFramed: boolean;
+  /** No other request was sent on the connection before, so that this is no late answer to one. */
+  isFirst: boolean;
 }
 
 /** One step of reading a response. */
@@ -50,6 +52,8 @@
   readonly wasReset: boolean;
   /** Bounds unread bytes of responses whose reading can't be paused. */
   readonly unread: UnreadBudget;
+  /** @returns Whether the request that is sent now is the first one on the current connection. */
+  begin(): boolean;
   /** @param isReusable Whether the connection may carry another request. */
   release(isReusable: boolean): void;
 }
@@ -68,6 +72,7 @@
   readonly #wake: WakeSignal;
   #aborted: Error | undefined;
   #isFramed = false;
+  #isFirst = false;
   #sent = false;
   #done = false;
 
@@ -129,6 +134,7 @@
       return;
     }
     this.#sent = true;
+    this.#isFirst = this.#channel.begin();
     this.#receivedBefore = this.#channel.receivedBytes;
   }
 
@@ -141,7 +147,12 @@
     this.#isFramed = isFramed(status, headers);
     // undici throws if such a connection ends while reading from it is paused.
     this.#mayPause = this.#isFramed && !isLastAnswer(headers);
-    const head = { status, headers, isFramed: this.#isFramed };
+    const head = {
+      status,
+      headers,
+      isFramed: this.#isFramed,
+      isFirst: this.#isFirst,
+    };
     this.#push({ kind: "head", head });
   }
 
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -9,6 +9,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import { ClientErrors } from "../base/client_errors.ts";
 import type { Clock, Logger, Metrics } from "../base/mod.ts";
 import { readRequest, retryHeaders } from "../platform/mod.ts";
 import { shouldShed } from "./admission.ts";
@@ -101,6 +102,13 @@
     this.#server.requestTimeout = 0;
     // close() would call it, and cut answers that their clients have not read yet.
     this.#server.closeIdleConnections = () => {};
+    ClientErrors.create(this.#server, (error) => {
+      options.metrics.counter("client_errors_total", {
+        help: "Errors of client connections, by Node's code",
+        labels: { code: error.code },
+      }).add();
+      options.log.warn({ event: "client_error", ...error });
+    });
     // Before Node's own listener, which reads from the connection.
     this.#server.prependListener("connection", (socket) => this.#open(socket));
   }
--- a/src/router/learned_rates_test.ts
+++ b/src/router/learned_rates_test.ts
@@ -195,7 +195,7 @@
   })!;
   change?.(choice);
   const headers = { "server-seal": "s", "attempt-id": "r-1" };
-  const head = { status, headers, isFramed: true };
+  const head = { status, headers, isFramed: true, isFirst: true };
   const send = {
     request: {
       facts: { requestId: "r-1" },
--- a/src/router/open_runs.ts
+++ b/src/router/open_runs.ts
@@ -193,7 +193,9 @@
     const { choice, sentAtMs, move } = send;
     const nowMs = this.#parts.clock.nowMs();
     const reason = end.kind === "moved" ? end.kind : end.reason;
-    this.#task.progress.ends.push(`${reason}@${Math.round(nowMs - sentAtMs)}`);
+    const proof = end.kind === "not_run" && end.isUnproven ? "_unproven" : "";
+    const tookMs = Math.round(nowMs - sentAtMs);
+    this.#task.progress.ends.push(`${reason}${proof}@${tookMs}`);
     switch (end.kind) {
       case "moved":
         break;
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -5,6 +5,7 @@
 import { areIdsAscending, rejectionReason } from "./answer_rules.ts";
 import {
   brokenEnd,
+  type NotRun,
   type PartialAnswer,
   type PartialBody,
   type Send,
@@ -104,7 +105,10 @@
       return over({ kind: "unknown", reason: "foreign_answer" });
     }
     this.#recordRate(send, facts);
-    if (facts.notRun) return over(this.#endOfRefusal(send, facts));
+    if (facts.notRun) {
+      const isUnproven = !head.isFirst && facts.requestId === undefined;
+      return over({ ...this.#endOfRefusal(send, facts), isUnproven });
+    }
     this.#recordResponse(send, facts, nowMs);
     send.headAtMs = nowMs;
     send.idleSinceMs = nowMs;
@@ -189,7 +193,7 @@
     return { kind: "not_run", reason: message, isUnsent: true };
   }
 
-  #endOfRefusal({ choice, request }: Send, facts: AnswerFacts): SendEnd {
+  #endOfRefusal({ choice, request }: Send, facts: AnswerFacts): NotRun {
     const { server } = choice;
     const nowMs = this.#options.clock.nowMs();
     if (facts.serverId !== undefined && facts.serverId !== server.id) {
--- a/src/router/run_timeouts_test.ts
+++ b/src/router/run_timeouts_test.ts
@@ -17,6 +17,7 @@
       "transfer-encoding": "chunked",
     },
     isFramed: true,
+    isFirst: true,
   },
 };
 const EVENT: AnswerStep = {
