Answer running requests in spite of errors behind them on their connection

Callers whose call ran got 408 in place of its answer, a promise that it had not run, if the head of their next request stayed unfinished past header_timeout_ms; and 400, 413 or 431 at once behind bytes that are no request. A begun stream was cut, and all pipelined calls lost their answers.

Cause: Node's HTTP server answers errors of a connection by itself and closes it, unless the running answer's head is sent; it doesn't look whether a request of the connection runs. The class: a status is written by a part that doesn't know what runs on its connection.

ClientErrors knows the requests of a connection. If one that was read whole is not answered, it keeps the connection until the last of them is, and closes it behind that answer; a request that was read in part can't run, and gets no answer there. Without a running request the answer is as before. A client that closes is gone, as before.

--- a/src/base/client_errors.ts
+++ b/src/base/client_errors.ts
@@ -1,4 +1,7 @@
-/** Answers errors of client connections, in place of Node's HTTP server, and reports them. */
+/**
+ * Handles errors of client connections in place of Node's HTTP server, which answers them although a
+ * request of the same connection runs: the client would take that status for the request's answer.
+ */
 import {
   type IncomingMessage,
   type Server,
@@ -36,6 +39,8 @@
   readonly #onError: (error: ClientError) => void;
   /** Exchanges that have not ended, in the order of their requests. */
   readonly #exchanges = new WeakMap<Socket, Set<Exchange>>();
+  /** Connections that are closed behind the answers to their running requests. */
+  readonly #ending = new WeakSet<Socket>();
 
   private constructor(onError: (error: ClientError) => void) {
     this.#onError = onError;
@@ -68,15 +73,28 @@
   }
 
   #handle(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (!socket.writable) return void socket.destroy(error);
     const exchanges = [...this.#exchanges.get(socket) ?? []];
+    // A request that was received in part can't run.
     const running = exchanges.filter(({ request }) => request.complete);
+    const last = running.at(-1);
+    const isGone = !socket.writable || (last && socket.readableEnded);
+    if (isGone) return void socket.destroy(error);
+    // Whatever else arrives on the connection repeats the error.
+    if (this.#ending.has(socket)) return;
     const { code = "" } = error;
     this.#onError({ code, runningCount: running.length });
+    if (last) return this.#endBehind(last, socket);
     const isAnswering = exchanges.some(({ response }) => response.headersSent);
     if (!isAnswering) socket.write(answerTo(code));
     socket.destroy(error);
   }
+
+  /** Closes a connection once the running requests are answered; Node reads no further ones. */
+  #endBehind({ response }: Exchange, socket: Socket): void {
+    this.#ending.add(socket);
+    response.shouldKeepAlive = false;
+    response.once("finish", () => socket.destroySoon());
+  }
 }
 
 function answerTo(code: string): string {
--- a/src/router/interrupted_call_test.ts
+++ b/src/router/interrupted_call_test.ts
@@ -154,6 +154,17 @@
   assert.match(received(), /first[^]*last\r\n0\r\n\r\n$/);
 });
 
+// Guards against a call that goes on, and a connection that stays open, for a client that is gone.
+test("client that closes behind bytes that are no head is gone", async (t) => {
+  const { ingress, client, run, sinks } = await openIngress(t);
+  await run("/a");
+  client.write("no head\r\n\r\n");
+  await sleep(REACTION_MS);
+  client.end();
+  await until(() => sinks.get("/a")!.gone);
+  assert.equal(ingress.active, 0);
+});
+
 // Guards against answers that are lost behind the first one.
 test("pipelined requests are all answered in spite of bytes that are no head behind them", async (t) => {
   const { client, received, run, answer } = await openIngress(t);
