Send requests that may run once on connections of their own

Callers of unsafe calls, and of streams that may not be resumed, were refused with 503 although the call ran, or it ran two or three times, when a server sent a refusal late, into the next request on the connection.

Cause: a Not-Executed or 421 that names no request was believed for whatever request was in flight. Servers shed without an id, so nothing but the order of answers ties such a refusal to its request, and a second answer breaks the order. The class: a statement is taken for one about the request at hand without anything that ties it to it.

A request that may run once more only is now sent as the first one on a new connection, on which the first answer is its own by the order of HTTP. The connection goes to the idle ones afterwards if there is none. A refusal without an id on a reused connection counts as unproven: an idempotent request goes to another server, on a connection of its own, and its route's attempts count the send as a run; another one would get 502. Only requests of which no more than one run is allowed pay for a new connection; learning which servers name their refusals was ruled out, as the first refusal of each would have to fail.

--- a/src/router/answer_rules.ts
+++ b/src/router/answer_rules.ts
@@ -16,6 +16,22 @@
   }
 }
 
+/**
+ * A refusal that names no request may be a late copy of another one's, unless it is the first answer
+ * on its connection.
+ *
+ * @param route Route of a request.
+ * @param options Whether the request may have run already.
+ * @returns Whether its next refusal must be known to be its own, as the request may run no more than
+ *   once more.
+ */
+export function needsProvenRefusal(
+  route: Route,
+  { mayHaveRun }: { mayHaveRun: boolean },
+): boolean {
+  return mayHaveRun || !isIdempotent(route) || route.maxAttempts === 1;
+}
+
 /**
  * @param facts Head of a server's response.
  * @returns Why the response can't be forwarded as the server's own; undefined if it can.
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -79,6 +79,8 @@
   givenUp?: GiveUpDetails;
   /** Runs that may have started and have ended; a run that continues from a copy counts once. */
   runs: number;
+  /** Sends whose refusal nothing ties to the request, so that it may have run. */
+  unprovenRefusals: number;
   sends: number;
   /** Hedged sends: sends in addition to an open run that was silent. */
   hedgedSends: number;
@@ -196,6 +198,7 @@
     servers: [],
     ends: [],
     runs: 0,
+    unprovenRefusals: 0,
     sends: 0,
     hedgedSends: 0,
     possibleDeliveries: 0,
--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -1,6 +1,7 @@
 /**
  * Connections to one backend server. Each connection carries one request at a time and is reused only
- * after a complete, well-framed response.
+ * after a complete, well-framed response. A request may ask for a connection that has carried no other
+ * one: the first answer on it is its own.
  */
 import type { Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
@@ -138,6 +139,14 @@
   unread?: UnreadBudget;
 }
 
+/** Options of {@link ChannelPool.send}. */
+export interface SendOptions {
+  /** Notified of each step of the response; defaults to a signal of the exchange's own. */
+  wake?: WakeSignal;
+  /** Send the request as the first one on a new connection. */
+  isFirst?: boolean;
+}
+
 /** All connections to one server. */
 export class ChannelPool {
   /** All connections to the server. */
@@ -172,12 +181,16 @@
 
   /**
    * @param request Request to send.
-   * @param wake Notified of each step of the response.
+   * @param options Who is notified, and which connection is used.
    * @returns The exchange, which must be read to its end or aborted.
    */
-  send(request: ChannelRequest, wake = WakeSignal.create()): Exchange {
+  send(
+    request: ChannelRequest,
+    { wake = WakeSignal.create(), isFirst = false }: SendOptions = {},
+  ): Exchange {
     // The most recently used channel is taken, so that the others can reach their idle timeout.
-    const channel = this.#idle.pop() ?? this.#open();
+    const idle = isFirst ? undefined : this.#idle.pop();
+    const channel = idle ?? this.#open(isFirst);
     this.#busy.add(channel);
     return channel.send(request, wake);
   }
@@ -187,11 +200,13 @@
     for (const channel of this.#idle.splice(0)) channel.close();
   }
 
-  #open(): Channel {
+  #open(isFirst: boolean): Channel {
     this.#opened++;
     const onRelease = (channel: Channel, isReusable: boolean) => {
       this.#busy.delete(channel);
-      if (isReusable) this.#idle.push(channel);
+      // Connections that are opened for one request each would pile up.
+      const isKept = isReusable && (!isFirst || this.#idle.length === 0);
+      if (isKept) this.#idle.push(channel);
       else channel.close();
     };
     return new Channel(this.#options, this.connections, onRelease);
--- a/src/router/open_runs.ts
+++ b/src/router/open_runs.ts
@@ -212,6 +212,7 @@
         if (choice.chain && !isRestored(send)) {
           choice.server.cache.forget(choice.chain, nowMs);
         }
+        if (end.isUnproven) this.#task.progress.unprovenRefusals++;
         this.#countNotRun(send, end.isUnsent ?? false);
     }
     if (end.kind !== "moved" && move?.kind === "copied") {
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -2,7 +2,11 @@
 import type { Clock } from "../base/mod.ts";
 import { readAnswer } from "../platform/mod.ts";
 import { expectedTtftMs, INITIAL_RATES } from "../service_rates/mod.ts";
-import { areIdsAscending, rejectionReason } from "./answer_rules.ts";
+import {
+  areIdsAscending,
+  isIdempotent,
+  rejectionReason,
+} from "./answer_rules.ts";
 import {
   brokenEnd,
   type NotRun,
@@ -15,6 +19,7 @@
 import { EventSplitter } from "./event_splitter.ts";
 import type { Fleet } from "./fleet.ts";
 import { type AnswerFacts, type BackendServer, RequestKind } from "./model.ts";
+import type { RoutedRequest } from "./request.ts";
 import type { Server } from "./server.ts";
 
 /** How long a server that refused a request, e.g. as its weights are being changed, gets no other. */
@@ -106,8 +111,9 @@
     }
     this.#recordRate(send, facts);
     if (facts.notRun) {
-      const isUnproven = !head.isFirst && facts.requestId === undefined;
-      return over({ ...this.#endOfRefusal(send, facts), isUnproven });
+      const end = this.#endOfRefusal(send, facts);
+      const isProven = head.isFirst || facts.requestId !== undefined;
+      return over(isProven ? end : unproven(end, request));
     }
     this.#recordResponse(send, facts, nowMs);
     send.headAtMs = nowMs;
@@ -291,10 +297,14 @@
     : { kind: "stream_end" };
 }
 
-/**
- * Servers put the request's id into every response. A refusal without an id is accepted all the same,
- * because a refused request has not run.
- */
+/** A refusal that may belong to another request. */
+function unproven(end: NotRun, { route }: RoutedRequest): SendEnd {
+  return isIdempotent(route)
+    ? { ...end, isUnproven: true }
+    : { kind: "unknown", reason: "unproven_refusal" };
+}
+
+/** Servers put the request's id into every response but some refusals. */
 function isForeign({ requestId, notRun }: AnswerFacts, ownId: string): boolean {
   if (requestId !== undefined) return requestId !== ownId;
   return !notRun && ownId !== "";
--- a/src/router/resends.ts
+++ b/src/router/resends.ts
@@ -159,6 +159,7 @@
     }
     const { route, answerByMs } = request;
     const { runs, sends, hedgedSends, streamStarted, ranAt } = progress;
+    const { unprovenRefusals } = progress;
     if (sends === 0) return undefined;
     const runCount = runs + open.count;
     if (runCount > 0 && !isIdempotent(route)) {
@@ -175,7 +176,7 @@
       [...ranAt].filter((server) =>
         fleet.has(server) && server.health.isEndUndecided(nowMs)
       ).length;
-    const countedRuns = runCount - endedCount;
+    const countedRuns = runCount + unprovenRefusals - endedCount;
     if (countedRuns >= route.maxAttempts) {
       return countedRuns - undecidedCount < route.maxAttempts
         ? ResendRefusal.endUndecided
--- a/src/router/send.ts
+++ b/src/router/send.ts
@@ -2,7 +2,7 @@
 import type { Clock, Metrics } from "../base/mod.ts";
 import { forwardHeaders } from "../platform/mod.ts";
 import { enginePriority, isClientRetry } from "./admission.ts";
-import { isIdempotent } from "./answer_rules.ts";
+import { isIdempotent, needsProvenRefusal } from "./answer_rules.ts";
 import type { Payment, Progress, Send } from "./attempt.ts";
 import type { ExpectedCache } from "./expected_cache.ts";
 import type { Choice } from "./choose.ts";
@@ -98,12 +98,14 @@
     const isBound = !isIdempotent(request.route);
     const ticket = server.startRequest(choice.uncachedTokens, isBound);
     const priority = this.#priorityOf(request, progress);
+    const mayHaveRun = isRepeat || progress.unprovenRefusals > 0;
+    const isFirst = needsProvenRefusal(request.route, { mayHaveRun });
     const exchange = server.channels.send({
       method: request.facts.method,
       target: request.facts.target,
       headers: this.#headers(request, progress, { choice, priority, backup }),
       body: request.body,
-    }, wake);
+    }, { wake, isFirst });
     this.#notePrompt(choice, sentAtMs);
     return {
       request,
--- a/src/router/untied_refusal_test.ts
+++ b/src/router/untied_refusal_test.ts
@@ -25,8 +25,9 @@
 
 const EVENT = "id: 1\ndata: x1\n\n";
 
-/** Routes whose requests may run once only, with the service of their servers. */
+/** Routes whose requests may run at one server only, with its service. */
 const ROUTES = [
+  { path: "/open/a", service: "plain", headers: {} },
   { path: "/book/a", service: "plain", headers: {} },
   { path: "/once/a", service: "engines", headers: MODEL_REQUEST_HEADERS },
 ];
@@ -92,3 +93,32 @@
     });
   }
 }
+
+// Guards against runs at more servers than the route allows.
+test("late refusals don't run an idempotent request more often than its route allows", async (t) => {
+  const world = await openWorld(t);
+  const runIds: string[] = [];
+  const used = new Set<Socket>();
+  const answer = (socket: Socket, attemptId: string) => {
+    runIds.push(attemptId);
+    if (used.has(socket)) setTimeout(() => socket.write(REFUSAL), COPY_MS);
+    used.add(socket);
+    const head = `${SEALED_HEAD}attempt-id: ${attemptId}\r\n`;
+    setTimeout(
+      () => socket.write(`${head}content-length: 0\r\n\r\n`),
+      ANSWER_MS,
+    );
+  };
+  for (const id of ["i-raw1", "i-raw2", "i-raw3"]) {
+    await serveBytes(t, world, { id, service: "plain", answer });
+  }
+  const calls = Array.from({ length: 12 }, (_, i) => `call-${i}`);
+  for (const id of calls) {
+    await askUntilAccepted(world, "/look/a", { "attempt-id": id });
+  }
+  const maxAttempts = 2;
+  for (const id of calls) {
+    const runCount = runIds.filter((one) => one === id).length;
+    assert.ok(runCount <= maxAttempts, `${id} ran ${runCount} times`);
+  }
+});
