Answer running requests in spite of errors behind them on the path through agents

Callers of cicadahitch entry, and operators at the administration address, got 400, 408, 413 or 431 from Node's HTTP server in place of the answer to a request that ran, as on the router's own path: the same cause in the other two servers on which requests run longer than one turn. The readiness check and the control address answer in the turn that reads a request, so nothing runs behind their errors.

--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from "node:net";
 import { H3, type H3Event, toNodeHandler } from "h3";
 import { Result } from "true-myth";
+import { ClientErrors } from "../base/client_errors.ts";
 import type { Clock, Logger, Owned } from "../base/mod.ts";
 import type { BranchSet, ConfigSync } from "../config/mod.ts";
 import type { KeyValueStore } from "../store/store.ts";
@@ -80,6 +81,7 @@
       address: options.peerAddress,
     });
     this.#server = createServer(toNodeHandler(this.#createApp()));
+    ClientErrors.create(this.#server, { log: options.log });
   }
 
   /**
--- a/src/base/client_errors.ts
+++ b/src/base/client_errors.ts
@@ -9,6 +9,8 @@
   STATUS_CODES,
 } from "node:http";
 import type { Socket } from "node:net";
+import type { Logger } from "./log.ts";
+import type { Metrics } from "./metrics.ts";
 
 /** Status for bytes that are no request. */
 const BAD_REQUEST = 400;
@@ -20,12 +22,10 @@
   HPE_HEADER_OVERFLOW: 431,
 };
 
-/** An error of a client's connection. */
-export interface ClientError {
-  /** Node's error code. */
-  code: string;
-  /** Requests that were received whole on the connection and are not answered. */
-  runningCount: number;
+/** Where errors of client connections are reported. */
+export interface ClientErrorsOptions {
+  log: Logger;
+  metrics?: Metrics;
 }
 
 /** A request and its response. */
@@ -36,26 +36,23 @@
 
 /** Handles the connection errors of one HTTP server. */
 export class ClientErrors {
-  readonly #onError: (error: ClientError) => void;
+  readonly #options: ClientErrorsOptions;
   /** Exchanges that have not ended, in the order of their requests. */
   readonly #exchanges = new WeakMap<Socket, Set<Exchange>>();
   /** Connections that are closed behind the answers to their running requests. */
   readonly #ending = new WeakSet<Socket>();
 
-  private constructor(onError: (error: ClientError) => void) {
-    this.#onError = onError;
+  private constructor(options: ClientErrorsOptions) {
+    this.#options = options;
   }
 
   /**
    * @param server Server whose connections are handled from now on.
-   * @param onError Called for each error; closed connections are none.
+   * @param options Where errors are reported; closed connections are none.
    * @returns The handler.
    */
-  static create(
-    server: Server,
-    onError: (error: ClientError) => void,
-  ): ClientErrors {
-    const errors = new ClientErrors(onError);
+  static create(server: Server, options: ClientErrorsOptions): ClientErrors {
+    const errors = new ClientErrors(options);
     server.prependListener("request", (request, response) => {
       errors.#add({ request, response });
     });
@@ -82,13 +79,23 @@
     // Whatever else arrives on the connection repeats the error.
     if (this.#ending.has(socket)) return;
     const { code = "" } = error;
-    this.#onError({ code, runningCount: running.length });
+    this.#report(code, running.length);
     if (last) return this.#endBehind(last, socket);
     const isAnswering = exchanges.some(({ response }) => response.headersSent);
     if (!isAnswering) socket.write(answerTo(code));
     socket.destroy(error);
   }
 
+  /** @param runningCount Requests that were received whole on the connection and are not answered. */
+  #report(code: string, runningCount: number): void {
+    const { log, metrics } = this.#options;
+    metrics?.counter("client_errors_total", {
+      help: "Errors of client connections, by Node's code",
+      labels: { code },
+    }).add();
+    log.warn({ event: "client_error", code, runningCount });
+  }
+
   /** Closes a connection once the running requests are answered; Node reads no further ones. */
   #endBehind({ response }: Exchange, socket: Socket): void {
     this.#ending.add(socket);
--- a/src/entry/early_disconnect_test.ts
+++ b/src/entry/early_disconnect_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { setImmediate as nextTurn } from "node:timers/promises";
-import { systemClock } from "../base/mod.ts";
+import { createSilentLogger, systemClock } from "../base/mod.ts";
 import { blockEventLoop, sendAndDisconnect } from "../standin/mod.ts";
 import { HttpServer, type RequestHandler } from "./http_server.ts";
 
@@ -23,6 +23,7 @@
   const server = HttpServer.create({
     address: "127.0.0.1:0",
     clock: systemClock,
+    log: createSilentLogger(),
     requestTimeoutMs: 5000,
     chat: serve,
     text: serve,
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -161,6 +161,7 @@
     return HttpServer.create({
       address: options.httpAddress,
       clock: options.clock,
+      log: options.log,
       requestTimeoutMs: tuning.bodyTimeoutMs,
       chat: this.#handle(
         "chat",
--- a/src/entry/http_server.ts
+++ b/src/entry/http_server.ts
@@ -9,7 +9,8 @@
 import { fromNodeHandler, H3 } from "h3";
 import { toNodeHandler } from "h3/node";
 import { Result } from "true-myth";
-import type { Clock, Owned } from "../base/mod.ts";
+import { ClientErrors } from "../base/client_errors.ts";
+import type { Clock, Logger, Owned } from "../base/mod.ts";
 import { Intake } from "../router/intake.ts";
 import type { ListenFailure } from "../wire/mod.ts";
 import { writeFailure } from "./answer_sink.ts";
@@ -26,6 +27,7 @@
   /** `ip:port`; port 0 picks a free port. */
   address: string;
   clock: Clock;
+  log: Logger;
   /** How long the head and body of a request may take to arrive, in ms. */
   requestTimeoutMs: number;
   chat: RequestHandler;
@@ -69,6 +71,7 @@
       else if (isDecodable(request.url)) void handle(request, response);
       else writeFailure(response, BAD_PATH);
     });
+    ClientErrors.create(this.#server, { log: options.log });
     this.#server.on("connection", () => this.#intake.accepted());
     this.#server.requestTimeout = options.requestTimeoutMs;
     this.#server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -102,13 +102,7 @@
     this.#server.requestTimeout = 0;
     // close() would call it, and cut answers that their clients have not read yet.
     this.#server.closeIdleConnections = () => {};
-    ClientErrors.create(this.#server, (error) => {
-      options.metrics.counter("client_errors_total", {
-        help: "Errors of client connections, by Node's code",
-        labels: { code: error.code },
-      }).add();
-      options.log.warn({ event: "client_error", ...error });
-    });
+    ClientErrors.create(this.#server, options);
     // Before Node's own listener, which reads from the connection.
     this.#server.prependListener("connection", (socket) => this.#open(socket));
   }
