Answer pipelined requests during a stop before their connection closes

A caller that pipelined two calls lost the second one's answer if the entry was stopping: the first answer announced the end of the connection, and the entry closed it behind that answer, with the second call running. A call that was read behind an answer that closes its connection ran, too, though its answer could not be delivered.

Cause: the ingress closed a connection after any answer of a stop, without a look at the other requests of the connection. Only the newest request's answer closes it now, and a request behind an answer that closes its connection is not served.

--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -13,6 +13,7 @@
 import type { Clock, Logger, Metrics } from "../base/mod.ts";
 import { readRequest, retryHeaders } from "../platform/mod.ts";
 import { shouldShed } from "./admission.ts";
+import { ClientConnections } from "./client_connections.ts";
 import { ConnectionGate } from "./connection_gate.ts";
 import { retryAfterMs } from "./retry_after.ts";
 import { Intake } from "./intake.ts";
@@ -72,8 +73,7 @@
   readonly #server: HttpServer;
   readonly #gate: ConnectionGate;
   readonly #intake: Intake;
-  /** Open connections, with the requests in flight on each. */
-  readonly #connections = new Map<Socket, Map<ServerResponse, RequestFacts>>();
+  readonly #connections = ClientConnections.create();
   #isDraining = false;
   #drainEndMs = Infinity;
   /** New requests are refused. */
@@ -117,9 +117,7 @@
 
   /** Number of requests in flight. */
   get active(): number {
-    let count = 0;
-    for (const requests of this.#connections.values()) count += requests.size;
-    return count;
+    return this.#connections.active;
   }
 
   /** Time that requests wait, or may wait, before they are served. */
@@ -173,7 +171,7 @@
     this.#isClosing = true;
     const closed = new Promise((resolve) => this.#server.close(resolve));
     while ((this.active > 0 || isBusy()) && clock.nowMs() < endMs) {
-      this.#closeIdle();
+      this.#connections.closeIdle();
       await clock.sleep(DRAIN_POLL_MS);
     }
     while (this.active > 0 && clock.nowMs() < endMs + FLUSH_MS) {
@@ -186,11 +184,9 @@
   /** Closes all connections, and logs the requests that get no complete answer. */
   #abort(): void {
     this.#isAborting = true;
-    for (const requests of this.#connections.values()) {
-      for (const [response, facts] of requests) {
-        this.#options.onLocalAnswer(facts, "aborted");
-        abortResponse(response);
-      }
+    for (const [response, facts] of this.#connections.requests) {
+      this.#options.onLocalAnswer(facts, "aborted");
+      abortResponse(response);
     }
     this.#server.closeAllConnections();
   }
@@ -203,22 +199,13 @@
     await closed;
   }
 
-  /** Closes connections without a request in flight, so that no further request arrives on them. */
-  #closeIdle(): void {
-    for (const [socket, requests] of this.#connections) {
-      if (requests.size === 0) socket.destroy();
-    }
-  }
-
   #open(socket: Socket): void {
     this.#intake.accepted();
     if (!this.#gate.admit(this.behindMs)) {
       socket.resetAndDestroy();
       return;
     }
-    this.#connections.set(socket, new Map());
-    // Node closes no response that waits behind another one when its connection closes.
-    socket.once("close", () => this.#connections.delete(socket));
+    this.#connections.open(socket);
   }
 
   async #handle(
@@ -230,16 +217,18 @@
     // The request arrived at some time since its socket or the accept queue was last polled.
     const arrivedAtMs = readAtMs - this.#intake.maxWaitMs / 2;
     const { socket } = request;
+    if (this.#connections.isEnding(socket)) return;
     const facts = readRequest(request);
-    const requests = this.#connections.get(socket);
-    requests?.set(response, facts);
-    response.once("close", () => requests?.delete(response));
+    this.#connections.add(socket, response, facts);
+    // Requests that were pipelined behind this one are answered before the connection closes.
+    const isLast = () =>
+      this.#isDraining && this.#connections.isNewest(socket, response);
     response.once("finish", () => {
       // The answer's head may have announced keep-alive before the stop began.
-      if (this.#isDraining) socket.destroySoon();
+      if (isLast()) socket.destroySoon();
     });
     response.sendDate = false;
-    const sink = new ResponseSink(response, () => this.#isDraining);
+    const sink = new ResponseSink(response, isLast);
     request.on("error", () => {
       // The client has disconnected; the response's close event notifies the request handler.
     });
--- a/src/router/interrupted_call_test.ts
+++ b/src/router/interrupted_call_test.ts
@@ -191,6 +191,22 @@
   assert.match(received(), /answer to \/a[^]*answer to \/b$/);
 });
 
+// Guards against a run whose answer can't be delivered.
+test("request behind an answer that closes its connection is not run", async (t) => {
+  const { ingress, client, received, run, sinks } = await openIngress(t);
+  await run("/a");
+  const drained = ingress.drain(10_000, () => false);
+  const sink = sinks.get("/a")!;
+  sink.begin({ status: 200, headers: [] });
+  await sink.write(Buffer.from("first"));
+  await until(() => received().includes("first"));
+  client.write(headOf("/b"));
+  await sleep(REACTION_MS);
+  sink.end();
+  await drained;
+  assert.deepEqual([...sinks.keys()], ["/a"]);
+});
+
 const ALONE: Record<string, { bytes: string; status: string }> = {
   "bytes that are no head": { bytes: "no head\r\n\r\n", status: "400" },
   "a head that is too large": {
