Send runs and calls that must not be repeated on connections of their own, in agents, too

A run was refused as not run, and a call that must not be repeated got another call's answer, if the engine or service beside the agent sent an answer late, into the next request on the connection.

These services give their answers no id, and a pool of kept connections takes any answer for that of the request in flight.

Runs of engines and calls that must not be repeated are sent on connections that carry nothing else. The agent stands beside its server, so such a connection costs no time on the network. Repeatable calls, reports and orders use the pool as before: an order is fenced and checked by number.

--- a/src/backends/_http_call.ts
+++ b/src/backends/_http_call.ts
@@ -1,5 +1,5 @@
 /** Connection pools and failure classification, shared by the HTTP adapters. */
-import { buildConnector, Pool } from "undici";
+import { buildConnector, type Client, Pool } from "undici";
 import { ResetClient } from "./_reset_client.ts";
 
 /** A failed call, classified by whether the server may have executed it. */
@@ -39,18 +39,70 @@
  */
 export function createPool(url: string, options: HttpPoolOptions): Pool {
   return new Pool(url, {
+    ...toClientOptions(options),
+    factory: (origin, clientOptions) =>
+      ResetClient.create(origin, clientOptions),
+  });
+}
+
+function toClientOptions(options: HttpPoolOptions): Client.Options {
+  return {
     pipelining: 1,
     connect: buildConnector({
       timeout: options.connectTimeoutMs,
       noDelay: true,
     }),
-    factory: (origin, clientOptions) =>
-      ResetClient.create(origin, clientOptions),
     headersTimeout: options.headMs,
     bodyTimeout: options.silenceMs,
     keepAliveTimeout: KEEP_ALIVE_MS,
     keepAliveMaxTimeout: KEEP_ALIVE_MS,
-  });
+  };
+}
+
+/**
+ * Connections that carry one call each. The first answer on such a connection is the call's own, while
+ * a late answer to an earlier call may come on one that is reused.
+ */
+export class SingleCallConnections {
+  readonly #url: URL;
+  readonly #options: HttpPoolOptions;
+  readonly #open = new Set<Client>();
+
+  private constructor(url: string, options: HttpPoolOptions) {
+    this.#url = new URL(url);
+    this.#options = options;
+  }
+
+  /**
+   * @param url Base URL of the server.
+   * @param options Timeouts.
+   * @returns An object without connections.
+   */
+  static create(url: string, options: HttpPoolOptions): SingleCallConnections {
+    return new SingleCallConnections(url, options);
+  }
+
+  /** @returns A client that connects for its only call; the caller closes it. */
+  open(): Client {
+    const client = ResetClient.create(
+      this.#url,
+      toClientOptions(this.#options),
+    );
+    this.#open.add(client);
+    return client;
+  }
+
+  /** @param client Client whose call has ended, or is to be cancelled. */
+  close(client: Client): void {
+    this.#open.delete(client);
+    // Nothing needs to wait for the connection's end.
+    void client.destroy();
+  }
+
+  /** Cancels all calls. */
+  closeAll(): void {
+    for (const client of this.#open) this.close(client);
+  }
 }
 
 /**
--- a/src/backends/http_engine.ts
+++ b/src/backends/http_engine.ts
@@ -1,8 +1,12 @@
 /** Client of a model engine's OpenAI-compatible HTTP interface; see docs/INTERFACES.md. */
 import { err, ok, type Result } from "true-myth/result";
-import type { Dispatcher, Pool } from "undici";
+import type { Client, Dispatcher, Pool } from "undici";
 import { readEngineStream } from "./_engine_stream.ts";
-import { createPool, toCallFailure } from "./_http_call.ts";
+import {
+  createPool,
+  SingleCallConnections,
+  toCallFailure,
+} from "./_http_call.ts";
 import { readLines } from "./_lines.ts";
 import type {
   CacheEvent,
@@ -57,10 +61,12 @@
 export class HttpEngine implements Engine {
   readonly #options: HttpEngineOptions;
   readonly #pool: Pool;
+  readonly #runs: SingleCallConnections;
 
   private constructor(options: HttpEngineOptions) {
     this.#options = options;
     this.#pool = createPool(options.url, options);
+    this.#runs = SingleCallConnections.create(options.url, options);
   }
 
   /**
@@ -85,31 +91,26 @@
     call: EngineCall,
     signal: AbortSignal,
   ): AsyncGenerator<Result<EngineResponsePart, EngineFailure>> {
-    const abortController = new AbortController();
-    const answer = await this.#send({
-      method: "POST",
-      path: API_PATHS[call.api],
-      headers: { ...JSON_HEADERS, "x-request-id": call.requestId },
-      body: JSON.stringify(toEngineBody(call)),
-      signal: AbortSignal.any([signal, abortController.signal]),
-    });
-    if (answer.isErr) return yield err(answer.error);
-    const { statusCode, body } = answer.value;
-    if (statusCode !== STATUS_OK) {
-      return yield err(await toRejection(statusCode, body));
-    }
-    const options = { forwardsUsage: wantsUsage(call.body) };
-    let isComplete = false;
+    const connection = this.#runs.open();
     try {
-      const chunks = body.iterator({ destroyOnReturn: false });
-      for await (const part of readEngineStream(chunks, options)) {
-        isComplete = part.isOk && part.value.kind === "end";
-        yield part;
+      const answer = await request(connection, {
+        method: "POST",
+        path: API_PATHS[call.api],
+        headers: { ...JSON_HEADERS, "x-request-id": call.requestId },
+        body: JSON.stringify(toEngineBody(call)),
+        signal,
+      });
+      if (answer.isErr) return yield err(answer.error);
+      const { statusCode, body } = answer.value;
+      if (statusCode !== STATUS_OK) {
+        return yield err(await toRejection(statusCode, body));
       }
+      const options = { forwardsUsage: wantsUsage(call.body) };
+      const chunks = body.iterator({ destroyOnReturn: false });
+      yield* readEngineStream(chunks, options);
     } finally {
-      // After a complete response the connection is reused; any other exit cancels the run.
-      if (isComplete) body.dump().catch(() => {});
-      else abortController.abort();
+      // Cancels the run if it has not ended.
+      this.#runs.close(connection);
     }
   }
 
@@ -163,6 +164,7 @@
 
   close(): void {
     void this.#pool.destroy();
+    this.#runs.closeAll();
   }
 
   async #query<T>(path: string): Promise<Result<T, EngineFailure>> {
@@ -202,14 +204,21 @@
     }
   }
 
-  async #send(
-    request: Dispatcher.RequestOptions,
+  #send(
+    options: Dispatcher.RequestOptions,
   ): Promise<Result<Dispatcher.ResponseData, EngineFailure>> {
-    try {
-      return ok(await this.#pool.request(request));
-    } catch (error) {
-      return err(toCallFailure(error));
-    }
+    return request(this.#pool, options);
+  }
+}
+
+async function request(
+  dispatcher: Pool | Client,
+  options: Dispatcher.RequestOptions,
+): Promise<Result<Dispatcher.ResponseData, EngineFailure>> {
+  try {
+    return ok(await dispatcher.request(options));
+  } catch (error) {
+    return err(toCallFailure(error));
   }
 }
 
--- a/src/backends/http_service.ts
+++ b/src/backends/http_service.ts
@@ -1,7 +1,11 @@
 /** HTTP client of a plain service. */
 import { err, ok, type Result } from "true-myth/result";
-import type { Dispatcher, Pool } from "undici";
-import { createPool, toCallFailure } from "./_http_call.ts";
+import type { Client, Dispatcher, Pool } from "undici";
+import {
+  createPool,
+  SingleCallConnections,
+  toCallFailure,
+} from "./_http_call.ts";
 import type {
   HeaderField,
   PlainService,
@@ -46,9 +50,11 @@
 /** Implements {@link PlainService} over HTTP. */
 export class HttpService implements PlainService {
   readonly #pool: Pool;
+  readonly #singleCalls: SingleCallConnections;
 
   private constructor(options: HttpServiceOptions) {
     this.#pool = createPool(options.url, options);
+    this.#singleCalls = SingleCallConnections.create(options.url, options);
   }
 
   /**
@@ -67,10 +73,12 @@
   ): AsyncGenerator<Result<ServiceResponsePart, ServiceFailure>> {
     const abortController = new AbortController();
     const combinedSignal = AbortSignal.any([signal, abortController.signal]);
-    const answer = await this.#send(call, combinedSignal);
-    if (answer.isErr) return yield err(answer.error);
-    const { statusCode, headers, body } = answer.value;
+    const own = call.atMostOnce ? this.#singleCalls.open() : undefined;
     try {
+      const dispatcher = own ?? this.#pool;
+      const answer = await sendCall(dispatcher, call, combinedSignal);
+      if (answer.isErr) return yield err(answer.error);
+      const { statusCode, headers, body } = answer.value;
       yield ok({
         kind: "head",
         status: statusCode,
@@ -84,29 +92,32 @@
       yield err({ kind: "broken", message: toCallFailure(error).message });
     } finally {
       abortController.abort();
+      if (own) this.#singleCalls.close(own);
     }
   }
 
   close(): void {
     void this.#pool.destroy();
+    this.#singleCalls.closeAll();
   }
+}
 
-  async #send(
-    call: ServiceCall,
-    signal: AbortSignal,
-  ): Promise<Result<Dispatcher.ResponseData, ServiceFailure>> {
-    try {
-      const answer = await this.#pool.request({
-        method: call.method as Dispatcher.HttpMethod,
-        path: call.path,
-        headers: toRequestHeaders(call.headers),
-        body: call.body.length > 0 ? call.body : null,
-        signal,
-      });
-      return ok(answer);
-    } catch (error) {
-      return err(toCallFailure(error));
-    }
+async function sendCall(
+  dispatcher: Pool | Client,
+  call: ServiceCall,
+  signal: AbortSignal,
+): Promise<Result<Dispatcher.ResponseData, ServiceFailure>> {
+  try {
+    const answer = await dispatcher.request({
+      method: call.method as Dispatcher.HttpMethod,
+      path: call.path,
+      headers: toRequestHeaders(call.headers),
+      body: call.body.length > 0 ? call.body : null,
+      signal,
+    });
+    return ok(answer);
+  } catch (error) {
+    return err(toCallFailure(error));
   }
 }
 
--- a/src/backends/service.ts
+++ b/src/backends/service.ts
@@ -21,6 +21,8 @@
   path: string;
   headers: HeaderField[];
   body: Uint8Array;
+  /** The call must not be repeated; default: it may be. */
+  atMostOnce?: boolean;
 }
 
 /** A part of a service's response. */
