Give requests their answer after a stall at the end of a stop's grace time

A caller whose request nothing had answered at the end of the grace time got a closed connection in place of 502, if the process stalled there.

Cause: the ingress counted the time for the last answers from the end of the grace time, though it noticed that end only after the stall, together with those who serve the requests; it aborted before they had their turn.

The time counts from when the end is noticed, and lasts three polls at the least, in each of which due timers run. A request that is answered ends the wait, so a stop without stalls takes as long as before.

--- a/src/router/graceful_shutdown_test.ts
+++ b/src/router/graceful_shutdown_test.ts
@@ -1,7 +1,12 @@
 /** Requests that are still in flight when the grace time of a stop ends. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { configWith, sendClientRequest } from "../standin/mod.ts";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  blockEventLoop,
+  configWith,
+  sendClientRequest,
+} from "../standin/mod.ts";
 import { recordedLog } from "./_kit.ts";
 import {
   askUntilAccepted,
@@ -14,6 +19,11 @@
 
 /** Longer than a stopping entry accepts connections. */
 const GRACE_MS = 4000;
+/** Part of it that is reserved for the exit of the process. */
+const EXIT_MARGIN_MS = 700;
+/** Length of each turn of a stalled event loop, and how long before the end of the grace time it begins. */
+const STALL_MS = 300;
+const STALL_BEFORE_MS = 50;
 
 /** Starts an entry whose requests have more time than its stop, and its only engine. */
 async function openSetup(t: Parameters<typeof openWorld>[0]) {
@@ -46,6 +56,21 @@
   assert.equal(line["reason"], "shutdown");
 });
 
+// Guards against closing the connection before those who serve the request had their turn.
+test("request without an answer gets one when the process stalls at the end of the grace time", async (t) => {
+  const { world, engine } = await openSetup(t);
+  engine.faults.stall = { afterEvent: 0, pauseMs: GONE_MS };
+  const answer = ask(world);
+  await until(() => engine.runs.length === 1);
+  const drained = world.router.drain();
+  await sleep(GRACE_MS - EXIT_MARGIN_MS - STALL_BEFORE_MS);
+  t.after(blockEventLoop(STALL_MS));
+  await drained;
+  const { status, isComplete } = await answer;
+  assert.equal(status, 502);
+  assert.ok(isComplete);
+});
+
 // Guards against a log line that says that the client has left.
 test("log says that a stop has cut a stream", async (t) => {
   const { world, lines, engine } = await openSetup(t);
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -45,6 +45,8 @@
 const DRAIN_POLL_MS = 50;
 /** Time after the grace time in which the last answers reach their clients. */
 const FLUSH_MS = 200;
+/** Least number of polls in that time: in each, timers that are due may run. */
+const MIN_FLUSH_TURNS = 3;
 
 /** Dependencies of an {@link Ingress}. */
 export interface IngressOptions {
@@ -174,7 +176,14 @@
       this.#connections.closeIdle();
       await clock.sleep(DRAIN_POLL_MS);
     }
-    while (this.active > 0 && clock.nowMs() < endMs + FLUSH_MS) {
+    // After a stall, the grace time ends for the requests in the turns that follow.
+    const flushEndMs = Math.max(clock.nowMs(), endMs) + FLUSH_MS;
+    for (
+      let turns = 0;
+      this.active > 0 &&
+      (turns < MIN_FLUSH_TURNS || clock.nowMs() < flushEndMs);
+      turns++
+    ) {
       await clock.sleep(DRAIN_POLL_MS);
     }
     this.#abort();
