Send late refusals, and bytes behind calls, in the soak

The soak kept all promises on though calls were refused and ran: its servers answered once, and its clients sent nothing ahead of an answer.

Servers now send refusals without an id late for a while, into the next request on a connection, and one call in twelve has bytes behind it that are no request. A status by which an entry says that it has not run a request counts as a refusal: 400, 413 and 431, too. The new kind draws from random numbers of its own, so the other faults of each seed stay.

--- a/src/proof/_soak.ts
+++ b/src/proof/_soak.ts
@@ -212,6 +212,11 @@
         await sleep(forMs);
         server.faults.isUnframed = false;
         return;
+      case FaultKind.lateRefusals:
+        server.faults.hasLateRefusals = true;
+        await sleep(forMs);
+        server.faults.hasLateRefusals = false;
+        return;
       case FaultKind.answerCut:
         server.faults.cut = fault.cut;
         return;
--- a/src/proof/_soak_client.ts
+++ b/src/proof/_soak_client.ts
@@ -36,6 +36,9 @@
 const LEAVE_SHARE = 0.2;
 /** Events after which it does so. */
 const LEAVE_AFTER_EVENTS = 2;
+/** Of this many calls, a client sends one with bytes behind it that are no request. */
+const HASTY_CALLS = 12;
+const NO_REQUEST = "no request\r\n\r\n";
 /** Further attempts at a stream. */
 const MAX_RETURNS = 3;
 
@@ -87,7 +90,15 @@
     const isLeft = route.isResumable && random() < LEAVE_SHARE;
     const sentAtMs = performance.now();
     const events: MarkedEvent[] = [];
-    const end = await ask(target, { agent, id, route, isLeft, events });
+    const isHasty = !route.isStream && i % HASTY_CALLS === 0;
+    const end = await ask(target, {
+      agent,
+      id,
+      route,
+      isLeft,
+      isHasty,
+      events,
+    });
     record(options, { target, id, route, sentAtMs, end, events });
     if (route.isStream) {
       await followStream(options, { target, id, route, sentAtMs, end, events });
@@ -207,11 +218,13 @@
 
 function ask(
   { ipAddress, clientPort }: ClientTarget,
-  { agent, id, route, isLeft, events }: {
+  { agent, id, route, isLeft, isHasty, events }: {
     agent: Agent;
     id: string;
     route: Route;
     isLeft: boolean;
+    /** Bytes that are no request follow it at once. */
+    isHasty: boolean;
     /** Receives the events of a stream. */
     events: MarkedEvent[];
   },
@@ -262,6 +275,8 @@
       "error",
       (error: NodeJS.ErrnoException) => broken(error.code ?? error.message),
     );
-    request.end("payload");
+    request.end("payload", () => {
+      if (isHasty) request.socket?.write(NO_REQUEST);
+    });
   });
 }
--- a/src/proof/_soak_fault.ts
+++ b/src/proof/_soak_fault.ts
@@ -42,6 +42,8 @@
   storeRestore: "store_restore",
   /** A server says that it leaves, and goes on serving for a while beside its successor. */
   leave: "leave",
+  /** A server sends refusals of earlier requests a second time, while the next ones run. */
+  lateRefusals: "late_refusals",
 } as const;
 
 /** One of {@link FaultKind}. */
--- a/src/proof/_soak_oracles.ts
+++ b/src/proof/_soak_oracles.ts
@@ -17,8 +17,8 @@
 import { findStoreViolations } from "./_soak_store_oracles.ts";
 import { findStreamViolations } from "./_soak_stream_oracles.ts";
 
-/** Statuses which promise that the request has not run and never will. */
-const NOT_RUN = new Set([408, 421, 429, 503]);
+/** Statuses which promise that the request has not run, or by which the entry says so. */
+const NOT_RUN = new Set([400, 408, 413, 421, 429, 431, 503]);
 const WINDOW_MS = 4000;
 /** Requests allowed in a window: this multiple of the rate, plus a fixed number. */
 const ALLOWED_FACTOR = 1.5;
--- a/src/proof/_soak_plan.ts
+++ b/src/proof/_soak_plan.ts
@@ -43,6 +43,9 @@
 const CUT_SHARE = 0.6;
 /** Part of the cuts that are resets. */
 const RESET_SHARE = 0.25;
+/** Added to the seed of a plan for its late refusals, and mean time between two of these faults. */
+const LATE_REFUSALS_SEED = 5_000_003;
+const MEAN_LATE_REFUSALS_PAUSE_MS = 2000;
 const RATES = [0.5, 1, 2, 5];
 /** Part of the changes of a rate that end it. */
 const END_RATE_SHARE = 0.3;
@@ -90,6 +93,7 @@
     ...planCrashingPart(seed, sizes),
     ...planUnframed(seed, sizes),
     ...planRestores(seed, sizes),
+    ...planLateRefusals(seed, sizes),
   );
   const kept = faults.filter(({ kind }) => !sizes.without?.includes(kind));
   return { ...sizes, seed, faults: kept.sort((a, b) => a.atMs - b.atMs) };
@@ -181,6 +185,25 @@
   }
 }
 
+function planLateRefusals(
+  seed: number,
+  { serverCount, durationMs }: SoakSizes,
+): Fault[] {
+  const random = seededRandom(seed + LATE_REFUSALS_SEED);
+  const faults: Fault[] = [];
+  let atMs = 0;
+  while (true) {
+    atMs += -Math.log(1 - random()) * MEAN_LATE_REFUSALS_PAUSE_MS;
+    if (atMs > durationMs - QUIET_END_MS) return faults;
+    faults.push({
+      kind: FaultKind.lateRefusals,
+      atMs: Math.round(atMs),
+      forMs: Math.round(MIN_FOR_MS + random() * (MAX_FOR_MS - MIN_FOR_MS)),
+      index: Math.floor(random() * serverCount),
+    });
+  }
+}
+
 function planFault(
   atMs: number,
   random: () => number,
@@ -224,6 +247,7 @@
     case FaultKind.answerCut:
     case FaultKind.storeRestore:
     case FaultKind.leave:
+    case FaultKind.lateRefusals:
       return [{ kind, atMs, forMs, index: pick(serverCount) }];
   }
 }
--- a/src/proof/soak_oracles_test.ts
+++ b/src/proof/soak_oracles_test.ts
@@ -44,6 +44,12 @@
   assert.deepEqual(promisesBroken({ clients }), []);
 });
 
+test("request that runs and is answered as none breaks the promise of refusals", () => {
+  const end = { ...ANSWERED, status: 400, isOwnAnswer: false };
+  const clients = [{ ...CLIENT, end }];
+  assert.deepEqual(promisesBroken({ clients, runs: [RUN] }), ["true_refusals"]);
+});
+
 test("success that is not the whole answer to the request is found", () => {
   const end = { ...ANSWERED, isOwnAnswer: false };
   const clients = [{ ...CLIENT, end }];
--- a/src/proof/soak_plan_test.ts
+++ b/src/proof/soak_plan_test.ts
@@ -12,6 +12,7 @@
   FaultKind.unframed,
   FaultKind.answerCut,
   FaultKind.storeRestore,
+  FaultKind.lateRefusals,
 ];
 
 test("same seed gives the same plan", () => {
--- a/src/standin/backend_server.ts
+++ b/src/standin/backend_server.ts
@@ -19,6 +19,7 @@
   mayRunAt,
 } from "./_run_copies.ts";
 import type { ExecutedRequest, ServerArrival } from "./server_records.ts";
+import { LateRefusals } from "./_late_refusals.ts";
 import { registrationOf, reportOf } from "./_server_status.ts";
 import { UnframedAnswers } from "./_unframed_answers.ts";
 import {
@@ -45,6 +46,7 @@
   readonly arrivals: ServerArrival[] = [];
   /** Answers that only the end of their connection ends. */
   readonly unframedAnswers = UnframedAnswers.create();
+  readonly #lateRefusals = LateRefusals.create();
   /** Ids of copies that were freed before a run resumed from them. */
   readonly freedCopyIds: string[] = [];
   readonly faults: StandinBackendServerFaults;
@@ -235,6 +237,9 @@
     const requestId = String(headers["attempt-id"] ?? "");
     const arrival = { atMs: performance.now(), requestId, serverId: this.id };
     this.arrivals.push(arrival);
+    const { hasLateRefusals, isUnframed, rate } = this.faults;
+    const isEnabled = hasLateRefusals && !isUnframed;
+    this.#lateRefusals.send(response, { isEnabled, rate });
     if (consumeFault(this.faults, "refuseWeights")) {
       return answerEmpty(response, 421);
     }
--- a/src/standin/backend_server_options.ts
+++ b/src/standin/backend_server_options.ts
@@ -106,6 +106,8 @@
   isEndBeforeHead: boolean;
   /** Whether all answers announce that the server is shutting down. */
   leaving: boolean;
+  /** Whether requests on connections that have carried others meet a late refusal without an id. */
+  hasLateRefusals: boolean;
   /** Value of the header by which all answers name the requests a second that the server takes. */
   rate: string | undefined;
   /** Rejects all requests as not executed, with this retry delay in seconds; undefined: off. */
@@ -134,6 +136,7 @@
   bodyLateMs: 0,
   unframed: 0,
   isUnframed: false,
+  hasLateRefusals: false,
   cut: undefined,
   foreign: 0,
   hang: 0,
@@ -157,6 +160,7 @@
   | "lateMs"
   | "bodyLateMs"
   | "isUnframed"
+  | "hasLateRefusals"
   | "cut"
   | "endOnTarget"
   | "endOnPart"
