Take no success for a refusal

A server's answer with status 200 that also had the header of refusals was taken for one: its caller got 503, or the request ran again elsewhere, though the server had answered it.

Cause: any status with that header counted. The platform's servers send it with 400, 421, 429 and 503; a success that has it contradicts itself, and is now judged as an answer: forwarded if it is signed, else a failure that promises nothing.

headers_test.ts: the new test fails without the change, and passes with it.

--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -110,8 +110,7 @@
   const encoding = firstValue(headers, "content-encoding");
   return {
     status,
-    // Status 421 also guarantees this: another server has the address or loaded other weights.
-    notRun: headers[Header.notRun] !== undefined || status === 421,
+    notRun: isRefusal(status, headers),
     requestId: firstValue(headers, Header.requestId),
     signed: headers[Header.signature] !== undefined,
     encoded: encoding !== undefined && encoding !== "identity",
@@ -161,6 +160,12 @@
   return requestId === "" ? [] : [Header.requestId, requestId];
 }
 
+/** Status 421 refuses by itself: another server has the address, or the weights are others. */
+function isRefusal(status: number, headers: IncomingHttpHeaders): boolean {
+  const isFailure = status >= 400;
+  return isFailure && (status === 421 || headers[Header.notRun] !== undefined);
+}
+
 function addRouterHeaders(headers: string[], facts: ForwardFacts): void {
   headers.push(
     Header.deadline,
--- a/src/platform/headers_test.ts
+++ b/src/platform/headers_test.ts
@@ -38,3 +38,14 @@
     assert.deepEqual(rate(value), { kind: "malformed", value });
   }
 });
+
+// Guards against a refusal, or a second run, of a request whose server answered it with a success.
+test("success is no refusal, whatever else its head says", () => {
+  const isRefusal = (status: number, value?: string) =>
+    readAnswer(status, { [Header.notRun]: value }).notRun;
+  assert.equal(isRefusal(200, "1"), false);
+  assert.equal(isRefusal(503, "1"), true);
+  assert.equal(isRefusal(400, "1"), true);
+  assert.equal(isRefusal(421), true);
+  assert.equal(isRefusal(503), false);
+});
