Bound the log lines of errors of client connections

Each error of a client's connection had a line, so a client that repeats them could fill the log. At most one line a second is written, with the number of errors since the last one, as for connections that are closed unread; the counter has them all.

--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -81,7 +81,7 @@
       address: options.peerAddress,
     });
     this.#server = createServer(toNodeHandler(this.#createApp()));
-    ClientErrors.create(this.#server, { log: options.log });
+    ClientErrors.create(this.#server, { clock, log: options.log });
   }
 
   /**
--- a/src/base/client_errors.ts
+++ b/src/base/client_errors.ts
@@ -9,6 +9,7 @@
   STATUS_CODES,
 } from "node:http";
 import type { Socket } from "node:net";
+import type { Clock } from "./clock.ts";
 import type { Logger } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
 
@@ -22,8 +23,12 @@
   HPE_HEADER_OVERFLOW: 431,
 };
 
+/** Minimum time between log lines. */
+const LOG_INTERVAL_MS = 1000;
+
 /** Where errors of client connections are reported. */
 export interface ClientErrorsOptions {
+  clock: Clock;
   log: Logger;
   metrics?: Metrics;
 }
@@ -41,6 +46,9 @@
   readonly #exchanges = new WeakMap<Socket, Set<Exchange>>();
   /** Connections that are closed behind the answers to their running requests. */
   readonly #ending = new WeakSet<Socket>();
+  #loggedAtMs = -Infinity;
+  /** Errors since the last log line. */
+  #count = 0;
 
   private constructor(options: ClientErrorsOptions) {
     this.#options = options;
@@ -88,12 +96,17 @@
 
   /** @param runningCount Requests that were received whole on the connection and are not answered. */
   #report(code: string, runningCount: number): void {
-    const { log, metrics } = this.#options;
+    const { clock, log, metrics } = this.#options;
     metrics?.counter("client_errors_total", {
       help: "Errors of client connections, by Node's code",
       labels: { code },
     }).add();
-    log.warn({ event: "client_error", code, runningCount });
+    this.#count++;
+    const nowMs = clock.nowMs();
+    if (nowMs - this.#loggedAtMs < LOG_INTERVAL_MS) return;
+    this.#loggedAtMs = nowMs;
+    log.warn({ event: "client_error", code, runningCount, count: this.#count });
+    this.#count = 0;
   }
 
   /** Closes a connection once the running requests are answered; Node reads no further ones. */
--- a/src/entry/http_server.ts
+++ b/src/entry/http_server.ts
@@ -71,7 +71,8 @@
       else if (isDecodable(request.url)) void handle(request, response);
       else writeFailure(response, BAD_PATH);
     });
-    ClientErrors.create(this.#server, { log: options.log });
+    const { clock, log } = options;
+    ClientErrors.create(this.#server, { clock, log });
     this.#server.on("connection", () => this.#intake.accepted());
     this.#server.requestTimeout = options.requestTimeoutMs;
     this.#server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
