Don't count refusals that nothing ties to a started stream as its runs

A caller's resumable stream was cut, though a server could have gone on with it: its first send was refused late, without an id, on a kept connection; its run at another server began to answer, and that server restarted.

Cause: the unproven refusal counted as a run, so the route's two attempts were used up. Most servers that refuse have not run the request, and a cut stream is worse for its caller than one run more; started streams without an open run are exempt from the maximum of sends for the same reason.

--- a/src/router/resends.ts
+++ b/src/router/resends.ts
@@ -159,8 +159,10 @@
     }
     const { route, answerByMs } = request;
     const { runs, sends, hedgedSends, streamStarted, ranAt } = progress;
-    const { unprovenRefusals } = progress;
     if (sends === 0) return undefined;
+    const isCut = streamStarted && !open.isAnyUp;
+    // Most servers that refuse have not run the request, and a started stream would be cut otherwise.
+    const unprovenRuns = isCut ? 0 : progress.unprovenRefusals;
     const runCount = runs + open.count;
     if (runCount > 0 && !isIdempotent(route)) {
       return ResendRefusal.notRepeatable;
@@ -176,7 +178,7 @@
       [...ranAt].filter((server) =>
         fleet.has(server) && server.health.isEndUndecided(nowMs)
       ).length;
-    const countedRuns = runCount + unprovenRefusals - endedCount;
+    const countedRuns = runCount + unprovenRuns - endedCount;
     if (countedRuns >= route.maxAttempts) {
       return countedRuns - undecidedCount < route.maxAttempts
         ? ResendRefusal.endUndecided
@@ -184,7 +186,6 @@
     }
     const leftMs = answerByMs - nowMs;
     if (leftMs < RESEND_MIN_LEFT_MS) return ResendRefusal.noTime;
-    const isCut = streamStarted && !open.isAnyUp;
     const isUsed = sends - hedgedSends >= MAX_SENDS;
     return isUsed && !isCut ? ResendRefusal.sendsUsed : undefined;
   }
