Log how old the copy of the store was when a stream's origin was looked for

Callers' streams were joined with another software version, and no line told whether the entry that took a stream up knew the versions as they were, or as they had been. A request's line now has storeCopyAgeMs beside originSource, so that a conclusion from an old copy can be told from a wrong origin. No logic has changed.

--- a/src/router/_origin_fleet.ts
+++ b/src/router/_origin_fleet.ts
@@ -163,6 +163,7 @@
       versions,
       members,
       isConfirmed: () => entry.isConfirmed,
+      storeCopyAgeMs: () => 0,
       send: (to, message) => {
         const bytes = encodeOriginMessage(message);
         this.sent.datagrams++;
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -98,6 +98,8 @@
   origin?: StreamOrigin;
   /** Who knew the origin, if the client takes up a stream. */
   originSource?: OriginSource;
+  /** How old the copy of the store was when the origin was looked for. */
+  storeCopyAgeMs?: number;
   ttftMs?: number;
   expectedMs?: number;
   /** Expected times of the best server, if the request was refused for them. */
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -131,7 +131,7 @@
     const expectedMs = progress.expectedMs ?? tooLate?.expectedMs;
     const { weights, copyFrom, endedServers, origin, originSource } = progress;
     const { quarantinedPart, hasUndeclaredEnd, firstByteRatio } = progress;
-    const { waitedMs, admittedMeanwhile } = progress;
+    const { waitedMs, admittedMeanwhile, storeCopyAgeMs } = progress;
     return {
       outcome,
       servers,
@@ -149,6 +149,7 @@
       hasUndeclaredEnd,
       softwareVersion: origin?.softwareVersion,
       originSource,
+      storeCopyAgeMs,
     };
   }
 
@@ -226,9 +227,11 @@
     const isTakenUp = route.kind === RequestKind.stream &&
       facts.lastEventId !== undefined;
     if (!isTakenUp) return true;
-    const { origin, source } = await this.#options.origins.find(request);
+    const found = await this.#options.origins.find(request);
+    const { origin, source, storeCopyAgeMs } = found;
     progress.origin = origin;
     progress.originSource = source;
+    progress.storeCopyAgeMs = storeCopyAgeMs;
     return source !== OriginSource.unknown;
   }
 
--- a/src/router/peer_network.ts
+++ b/src/router/peer_network.ts
@@ -72,6 +72,7 @@
       members: this.#members,
       versions: fleet.versions,
       isConfirmed: () => options.mirror.ageMs <= maxAgeMs,
+      storeCopyAgeMs: () => options.mirror.ageMs,
       send: (address, message) =>
         this.#socket.send(address, encodeOriginMessage(message)),
     });
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -143,6 +143,8 @@
   softwareVersion?: string;
   /** Who knew the origin of the stream, if the client takes it up. */
   originSource?: OriginSource;
+  /** How old this entry's copy of the store was when the origin was looked for. */
+  storeCopyAgeMs?: number;
 }
 
 /** Weights version of the server to which a request was sent. */
--- a/src/router/request_log.ts
+++ b/src/router/request_log.ts
@@ -83,6 +83,8 @@
       lastEventId: request.facts.lastEventId,
       resumedId: request.facts.resumedId,
       originSource: result.originSource,
+      // How old the knowledge is by which the origin was found.
+      storeCopyAgeMs: round(result.storeCopyAgeMs),
       softwareVersion: result.softwareVersion,
       servers: result.servers,
       ends: result.ends.length > 0 ? result.ends : undefined,
--- a/src/router/stream_origins.ts
+++ b/src/router/stream_origins.ts
@@ -55,6 +55,8 @@
   source: OriginSource;
   /** Absent if unknown, or if the only version of the service isn't stated. */
   origin?: StreamOrigin;
+  /** Time since this entry's copy of the store was confirmed, when the origin was looked for. */
+  storeCopyAgeMs: number;
 }
 
 /** Dependencies of {@link StreamOrigins}. */
@@ -68,6 +70,8 @@
   members: EntryMembers;
   /** Whether this entry's copy of the store is up to date, as the store or another entry confirms. */
   isConfirmed(): boolean;
+  /** Time since this entry's copy of the store was confirmed. */
+  storeCopyAgeMs(): number;
   /** Sends a message to another entry; it may be lost. */
   send(address: string, message: OriginMessage): void;
 }
@@ -161,7 +165,8 @@
    * @returns Which software began the stream.
    */
   async find(request: RoutedRequest): Promise<FoundOrigin> {
-    const found = await this.#find(request);
+    const storeCopyAgeMs = this.#options.storeCopyAgeMs();
+    const found = { ...await this.#find(request), storeCopyAgeMs };
     this.#options.metrics.counter("resumed_streams_total", {
       help: "Streams that clients took up, by who knew which software began it",
       labels: { source: found.source },
@@ -224,7 +229,9 @@
     for (const { done } of this.#questions.values()) done.abort();
   }
 
-  async #find({ facts, service }: RoutedRequest): Promise<FoundOrigin> {
+  async #find(
+    { facts, service }: RoutedRequest,
+  ): Promise<Omit<FoundOrigin, "storeCopyAgeMs">> {
     const { versions, isConfirmed } = this.#options;
     const id = facts.resumedId ?? "";
     const known = this.#table.get(id);
@@ -258,7 +265,7 @@
     return members.heardShare(clock.nowMs()) > 0.5;
   }
 
-  #onlyVersion(service: string): FoundOrigin {
+  #onlyVersion(service: string): Omit<FoundOrigin, "storeCopyAgeMs"> {
     const [softwareVersion] = this.#options.versions.current(service);
     const source = OriginSource.oneVersion;
     return softwareVersion === undefined
