Ask the store which versions a service has once a stream is taken up

Callers who took a stream up at an entry that was out of touch got its rest from servers of another software version (ORDER): of eight streams that began at a version which had joined after the cut, eight were joined when they were taken up 0.45, 0.6 and 1.6 s after it.

Cause: the entry concluded that a service has one version from a copy of the store that was confirmed within the last 2.4 s. That confirmation is older than the stream that is taken up, so it can't rule out a newer version: "not known" was taken for "not so". The age of what other entries replied had the same fault, and an entry that heard nobody still counted those heard 2 s before.

Now nothing is concluded from a fact that may be older than the stream. A version is recorded in the store before the first event of its streams is delivered, so a read that is sent after the take-up has arrived names it. An entry that doesn't reach the store asks others, who read it after the question and reply with the version. Only if all registered entries are heard, reply, and none reaches the store, nobody can have learned of another version; otherwise the stream is refused at once, so that its client begins anew.

Weighed: a lease, by which a new version gets no streams until all entries know it or their knowledge has expired. It costs no read, but rests on clocks, on confirmations that weren't held up on their way, and keeps new servers idle for seconds after an entry was lost.

A test of the virtual fleet expected that streams go on while the store is away for all and one entry is gone. The entry that is silent may be the one that reaches the store, so that was the fault itself; the test now has all entries alive, and two more demand a refusal while one is silent.

--- a/src/router/_origin_fleet.ts
+++ b/src/router/_origin_fleet.ts
@@ -5,6 +5,7 @@
 import { RequestKind } from "./model.ts";
 import { encodeOriginMessage } from "./origin_message.ts";
 import type { RoutedRequest } from "./request.ts";
+import type { SoftwareAnswer } from "./software_check.ts";
 import { originAt, SoftwareVersions } from "./software_versions.ts";
 import { StreamOrigins } from "./stream_origins.ts";
 
@@ -17,7 +18,7 @@
   members: EntryMembers;
   versions: SoftwareVersions;
   origins: StreamOrigins;
-  /** Whether it is in contact with the store. */
+  /** Whether it reaches the store. */
   isConfirmed: boolean;
 }
 
@@ -41,6 +42,8 @@
   readonly entries: OriginEntry[];
   readonly sent: Traffic = { datagrams: 0, bytes: 0 };
   readonly clock = new TestClock();
+  /** Software versions that the store has recorded. */
+  readonly recorded = new Set<string>();
   /** Addresses that neither send nor receive. */
   readonly gone = new Set<string>();
   /** Address of an entry that is blocked: it reads datagrams only after all timers that are due. */
@@ -74,6 +77,7 @@
    * @param id Id of the server.
    */
   join(softwareVersion: string, id: string): void {
+    this.recorded.add(softwareVersion);
     for (const { versions } of this.entries) {
       versions.joined(registration(id, { softwareVersion }));
     }
@@ -162,7 +166,7 @@
       random,
       versions,
       members,
-      isConfirmed: () => entry.isConfirmed,
+      check: { ask: () => Promise.resolve(this.#askStore(entry)) },
       storeCopyAgeMs: () => 0,
       send: (to, message) => {
         const bytes = encodeOriginMessage(message);
@@ -181,6 +185,14 @@
     return entry;
   }
 
+  #askStore({ isConfirmed }: OriginEntry): SoftwareAnswer {
+    if (!isConfirmed) return { kind: "no_answer" };
+    const [softwareVersion] = this.recorded;
+    return this.recorded.size === 1
+      ? { kind: "one_version", softwareVersion }
+      : { kind: "several_versions" };
+  }
+
   #deliver(from: string, to: string, bytes: Buffer): void {
     const { random = () => 0.5, lossShare = 0 } = this.#options;
     if (this.gone.has(from) || this.gone.has(to)) return;
--- a/src/router/origin_message.ts
+++ b/src/router/origin_message.ts
@@ -10,6 +10,11 @@
   | { kind: "ask"; sequence: number; id: string; service: string }
   | OriginReply;
 
+/** The version that all servers of a service have; undefined if they state none. */
+export interface OnlyVersion {
+  softwareVersion: string | undefined;
+}
+
 /** Reply to a question. */
 export interface OriginReply {
   kind: "reply";
@@ -19,8 +24,10 @@
   row?: OriginRow;
   /** Whether the service has several software versions, as far as the sender knows. */
   isMixed: boolean;
-  /** Whether the sender's copy of the store is up to date. */
-  isConfirmed: boolean;
+  /** Whether the store answered the sender after the question. */
+  reachesStore: boolean;
+  /** The service's only version by that answer; absent if it has several, or if that isn't known. */
+  onlyVersion?: OnlyVersion;
 }
 
 const FRAME = MessageFrame.create("origin");
@@ -61,9 +68,10 @@
     case "ask":
       return [kind, message.sequence, message.id, message.service];
     case "reply": {
-      const { sequence, row, isMixed, isConfirmed } = message;
+      const { sequence, row, isMixed, reachesStore, onlyVersion } = message;
       const wireRow = row ? toWireRow(row) : null;
-      return [kind, sequence, wireRow, isMixed, isConfirmed];
+      const only = onlyVersion ? [onlyVersion.softwareVersion ?? null] : null;
+      return [kind, sequence, wireRow, isMixed, reachesStore, only];
     }
   }
 }
@@ -85,11 +93,14 @@
         : undefined;
     }
     case "reply": {
-      const [sequence, wireRow, isMixed, isConfirmed] = values;
+      // Entries of an earlier release don't ask the store, and name no version.
+      const [sequence, wireRow, isMixed, reachesStore, only = null] = values;
       const row = wireRow === null ? undefined : fromWireRow(wireRow);
       if (wireRow !== null && !row) return undefined;
-      return isAmount(sequence) && isFlag(isMixed) && isFlag(isConfirmed)
-        ? { kind, sequence, row, isMixed, isConfirmed }
+      const onlyVersion = only === null ? undefined : fromWireVersion(only);
+      if (only !== null && !onlyVersion) return undefined;
+      return isAmount(sequence) && isFlag(isMixed) && isFlag(reachesStore)
+        ? { kind, sequence, row, isMixed, reachesStore, onlyVersion }
         : undefined;
     }
     default:
@@ -117,3 +128,10 @@
   };
   return { id, origin, leftMs };
 }
+
+function fromWireVersion(value: unknown): OnlyVersion | undefined {
+  if (!Array.isArray(value) || value.length !== 1) return undefined;
+  const [version] = value;
+  if (version === null) return { softwareVersion: undefined };
+  return isText(version) ? { softwareVersion: version } : undefined;
+}
--- a/src/router/origin_message_test.ts
+++ b/src/router/origin_message_test.ts
@@ -33,13 +33,29 @@
   const messages: OriginMessage[] = [
     { kind: "began", rows: [ROW, unstated] },
     { kind: "ask", sequence: 7, id: "a", service: "engines" },
-    { kind: "reply", sequence: 7, row: ROW, isMixed: true, isConfirmed: false },
+    {
+      kind: "reply",
+      sequence: 7,
+      row: ROW,
+      isMixed: true,
+      reachesStore: false,
+      onlyVersion: undefined,
+    },
     {
       kind: "reply",
       sequence: 8,
       row: undefined,
       isMixed: false,
-      isConfirmed: true,
+      reachesStore: true,
+      onlyVersion: { softwareVersion: "v1" },
+    },
+    {
+      kind: "reply",
+      sequence: 9,
+      row: undefined,
+      isMixed: false,
+      reachesStore: true,
+      onlyVersion: { softwareVersion: undefined },
     },
   ];
   for (const message of messages) {
--- a/src/router/peer_network.ts
+++ b/src/router/peer_network.ts
@@ -11,14 +11,9 @@
 import { Permits } from "./permits.ts";
 import { RateAnnouncements } from "./rate_announcements.ts";
 import type { Server } from "./server.ts";
+import type { SoftwareCheck } from "./software_check.ts";
 import { StreamOrigins } from "./stream_origins.ts";
 
-/**
- * Heartbeat intervals since an answer of the store for which the copy of the store counts as up to date;
- * a watch call waits for 1.3 of them.
- */
-const CONFIRMED_INTERVALS = 2;
-
 /** Options of a {@link PeerNetwork}. */
 export interface PeerNetworkOptions extends
   Omit<
@@ -30,8 +25,8 @@
   metrics: Metrics;
   /** The local copy of the store. */
   mirror: Pick<StoreMirror, "ageMs">;
-  /** Interval at which servers write their registration. */
-  heartbeatMs: number;
+  /** Asks the store for the software versions of services. */
+  check: SoftwareCheck;
   /** Time that requests wait before this process reads them. */
   lagMs(): number;
   /** IP addresses of the configured seeds; a seed may have gone. */
@@ -66,12 +61,10 @@
       send: (address, message) =>
         this.#socket.send(address, encodePermitMessage(message)),
     });
-    const maxAgeMs = CONFIRMED_INTERVALS * options.heartbeatMs;
     this.origins = StreamOrigins.create({
       ...options,
       members: this.#members,
       versions: fleet.versions,
-      isConfirmed: () => options.mirror.ageMs <= maxAgeMs,
       storeCopyAgeMs: () => options.mirror.ageMs,
       send: (address, message) =>
         this.#socket.send(address, encodeOriginMessage(message)),
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -260,6 +260,7 @@
       cacheOf: (id, bornAtMs) => this.#state.cacheOf(id, bornAtMs),
       storeServedMs: () => this.#follower.contact.lastAnswerAgeMs,
       wanted: this.#wanted,
+      check: this.#records.softwareCheck,
       quarantine: this.#quarantine,
       lagMs: () => this.#ingress.behindMs,
       quotas: this.#quotas,
--- a/src/router/server_records.ts
+++ b/src/router/server_records.ts
@@ -1,5 +1,5 @@
 /** What the platform's store records about servers, beside their registrations, and what ends them. */
-import type { Clock, Logger } from "../base/mod.ts";
+import type { Clock, Logger, Metrics } from "../base/mod.ts";
 import type { KeyValueStore } from "../store/store.ts";
 import type { Fleet } from "./fleet.ts";
 import type { StoreMirror } from "./mirror.ts";
@@ -7,15 +7,17 @@
 import { RATE_RECORD_PREFIX, RateRecord } from "./rate_record.ts";
 import type { RoutingTable } from "./routing_table.ts";
 import type { Quarantine } from "./quarantine.ts";
+import { SoftwareCheck } from "./software_check.ts";
 import { SOFTWARE_RECORD_PREFIX, SoftwareRecord } from "./software_record.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 import { SuspectRecords } from "./suspect_records.ts";
 
 /** Dependencies of {@link ServerRecords}. */
 export interface ServerRecordsOptions {
-  store: Pick<KeyValueStore, "commit">;
+  store: Pick<KeyValueStore, "commit" | "get">;
   clock: Clock;
   log: Logger;
+  metrics: Metrics;
   fleet: Fleet;
   quarantine: Quarantine;
   /** Returns a number from 0 to 1. */
@@ -39,6 +41,7 @@
 export class ServerRecords {
   readonly rates: RateRecord;
   readonly software: SoftwareRecord;
+  readonly softwareCheck: SoftwareCheck;
   readonly #origins: OriginRecord;
   readonly #suspects: SuspectRecords;
 
@@ -53,6 +56,7 @@
       isStoreServing: () =>
         options.table() !== undefined && options.isStoreServing(),
     });
+    this.softwareCheck = SoftwareCheck.create({ ...options, versions });
     this.#origins = OriginRecord.create({
       ...options,
       ownAddress: options.ipAddress,
--- a/src/router/software_record.ts
+++ b/src/router/software_record.ts
@@ -67,7 +67,7 @@
   onWritten(key: string): void {
     const { mirror, versions } = this.#options;
     const service = key.slice(SOFTWARE_RECORD_PREFIX.length);
-    for (const version of readVersions(mirror.entry(key)?.value)) {
+    for (const version of readRecordedVersions(mirror.entry(key)?.value)) {
       const softwareVersion = version ?? undefined;
       versions.hear({ service, softwareVersion, ageMs: 0 });
     }
@@ -123,7 +123,7 @@
 
   #isRecorded(key: string, version: string | null): boolean {
     const { value } = this.#options.mirror.entry(key) ?? {};
-    return readVersions(value).includes(version);
+    return readRecordedVersions(value).includes(version);
   }
 
   /** Writes the records of this entry that lack a version, and deletes the obsolete ones. */
@@ -138,7 +138,7 @@
       const current = versions.current(service).map((one) => one ?? null);
       if (!this.#needsRecord(service, current)) continue;
       const key = SOFTWARE_RECORD_PREFIX + service;
-      const recorded = readVersions(mirror.entry(key)?.value);
+      const recorded = readRecordedVersions(mirror.entry(key)?.value);
       if (!isOutdated(recorded, current) || !this.#mayPut(key)) continue;
       const value = new TextEncoder().encode(
         JSON.stringify({ versions: current }),
@@ -181,8 +181,13 @@
   return !isComplete || current.length === 1 && recorded.length > 1;
 }
 
-/** Versions in a record, null for servers that state none; empty if the record is malformed. */
-function readVersions(value: Uint8Array | undefined): (string | null)[] {
+/**
+ * @param value Value of a record; undefined if there is none.
+ * @returns Its versions, null for servers that state none; empty if it is missing or malformed.
+ */
+export function readRecordedVersions(
+  value: Uint8Array | undefined,
+): (string | null)[] {
   if (!value) return [];
   const { versions } = readJson(value);
   return Array.isArray(versions)
--- a/src/router/stream_origins.ts
+++ b/src/router/stream_origins.ts
@@ -4,21 +4,22 @@
  * versions, an entry tells a few others of each stream before its first event is delivered. They are
  * chosen by rendezvous hashing of the attempt's id, so that whoever is asked later asks the same ones.
  */
-import { setImmediate } from "node:timers/promises";
 import type { Clock, Logger, Metrics } from "../base/mod.ts";
 import { LRUMap } from "../placement/lru_map.ts";
 import type { EntryMembers } from "./entry_members.ts";
 import {
   decodeOriginMessage,
+  type OnlyVersion,
   type OriginMessage,
-  type OriginReply,
 } from "./origin_message.ts";
+import { OriginQuestions, type Replies } from "./origin_questions.ts";
 import {
   type OriginRow,
   OriginTable,
   type UnrecordedStreams,
 } from "./origin_table.ts";
 import type { RoutedRequest } from "./request.ts";
+import type { SoftwareAnswer, SoftwareCheck } from "./software_check.ts";
 import {
   OriginSource,
   type SoftwareVersions,
@@ -28,21 +29,10 @@
 
 /** Entries that are told of each stream. */
 const HOLDERS = 3;
-/** Entries that are asked: the holders, and those that are if the others' view differs by two. */
-const ASKED = 5;
-/**
- * Longest wait for replies; a round trip takes some ms, but entries that are behind need longer. A
- * client whose stream is refused waits for all of it again.
- */
-const REPLY_TIMEOUT_MS = 300;
-/** Interval at which a question is repeated to the entries that have not replied. */
-const REPEAT_INTERVAL_MS = 30;
 /** Time for which a client may take up a stream after the deadline of the attempt that began it. */
 const RETURN_MS = 5000;
-/** Streams per datagram, to stay below the usual packet size. */
+/** To stay below the usual packet size. */
 const MAX_ROWS_PER_DATAGRAM = 16;
-/** Questions start at a random number, so that no reply to an earlier process counts. */
-const MAX_FIRST_SEQUENCE = 2 ** 31;
 /** An entry that has just started says so several times, and is told once. */
 const TELL_STARTED_INTERVAL_MS = 2000;
 /** Number of started entries that are remembered. */
@@ -50,11 +40,15 @@
 /** Longer ids are not kept; a stream with one is not taken up while versions are mixed. */
 const MAX_ID_LENGTH = 128;
 
-/** Result of {@link StreamOrigins.find}. */
-export interface FoundOrigin {
+/** Origin of a stream, and who knew it. */
+interface Origin {
   source: OriginSource;
   /** Absent if unknown, or if the only version of the service isn't stated. */
   origin?: StreamOrigin;
+}
+
+/** Result of {@link StreamOrigins.find}. */
+export interface FoundOrigin extends Origin {
   /** Time since this entry's copy of the store was confirmed, when the origin was looked for. */
   storeCopyAgeMs: number;
 }
@@ -68,37 +62,29 @@
   random: () => number;
   versions: SoftwareVersions;
   members: EntryMembers;
-  /** Whether this entry's copy of the store is up to date, as the store or another entry confirms. */
-  isConfirmed(): boolean;
+  /** Asks the store for the versions of a service. */
+  check: Pick<SoftwareCheck, "ask">;
   /** Time since this entry's copy of the store was confirmed. */
   storeCopyAgeMs(): number;
   /** Sends a message to another entry; it may be lost. */
   send(address: string, message: OriginMessage): void;
 }
 
-/** A question to other entries. */
-interface Question {
-  /** Entries that have not replied. */
-  waiting: Set<string>;
-  replies: OriginReply[];
-  /** Ends the wait. */
-  done: AbortController;
-}
-
 /** Origins of the streams of this entry, and of those that other entries told it. */
 export class StreamOrigins {
   readonly #options: StreamOriginsOptions;
   readonly #table: OriginTable;
-  readonly #questions = new Map<number, Question>();
+  readonly #questions: OriginQuestions;
+  /** Questions of other entries, by entry and number, that wait for the store. */
+  readonly #unanswered = new Set<string>();
   /** When each entry that had just started was told the streams. */
   readonly #startedAtMs = LRUMap.create<string, number>(MAX_STARTED);
-  #lastSequence: number;
   /** Own streams that the entry's record in the store lacks. */
   readonly unrecordedCount = UnrecordedCount.create();
 
   private constructor(options: StreamOriginsOptions) {
     this.#options = options;
-    this.#lastSequence = Math.floor(options.random() * MAX_FIRST_SEQUENCE);
+    this.#questions = OriginQuestions.create(options);
     this.#table = OriginTable.create(options.clock);
     options.versions.onMixed((service) => this.#tellOpen(service));
   }
@@ -200,7 +186,7 @@
    * @param bytes The datagram.
    */
   receive(address: string, bytes: Buffer): void {
-    const { log, members, clock, versions, isConfirmed, send } = this.#options;
+    const { log, members, clock } = this.#options;
     const message = decodeOriginMessage(bytes);
     if (!message) {
       log.warn({ event: "peer_malformed", peer: address });
@@ -212,27 +198,20 @@
         for (const row of message.rows) this.#table.set(row, { isOwn: false });
         return;
       case "ask":
-        return send(address, {
-          kind: "reply",
-          sequence: message.sequence,
-          row: this.#table.get(message.id),
-          isMixed: versions.isMixed(message.service),
-          isConfirmed: isConfirmed(),
-        });
+        void this.#reply(address, message);
+        return;
       case "reply":
-        return this.#onReply(address, message);
+        return this.#questions.onReply(address, message);
     }
   }
 
   /** Ends the wait for all replies. */
   close(): void {
-    for (const { done } of this.#questions.values()) done.abort();
+    this.#questions.close();
   }
 
-  async #find(
-    { facts, service }: RoutedRequest,
-  ): Promise<Omit<FoundOrigin, "storeCopyAgeMs">> {
-    const { versions, isConfirmed } = this.#options;
+  async #find({ facts, route, service }: RoutedRequest): Promise<Origin> {
+    const { versions, check } = this.#options;
     const id = facts.resumedId ?? "";
     const known = this.#table.get(id);
     const isMixed = versions.isMixed(service);
@@ -240,37 +219,77 @@
     if (known && (isMixed || known.origin.service === service)) {
       return { source: OriginSource.own, origin: known.origin };
     }
-    if (!isMixed && isConfirmed()) return this.#onlyVersion(service);
+    // Nothing is recorded for streams that may not be taken up.
+    if (!isMixed && !route.resumable) {
+      return originOf(service, this.#knownVersion(service));
+    }
+    const answer = isMixed ? undefined : await check.ask(service);
+    if (answer?.kind === "one_version") return originOf(service, answer);
     if (!isUsableId(id)) return { source: OriginSource.unknown };
-    const replies = await this.#ask(id, service);
-    const row = replies.find(({ row }) => row)?.row;
+    const replies = await this.#questions.ask(id, service);
+    const row = replies.replies.find(({ row }) => row)?.row;
     if (row) {
       this.#table.set(row, { isOwn: false });
       return { source: OriginSource.entry, origin: row.origin };
     }
-    return versions.isMixed(service) || !this.#isOneVersion(replies)
-      ? { source: OriginSource.unknown }
-      : this.#onlyVersion(service);
+    const only = answer?.kind === "no_answer" &&
+      this.#agreedVersion(service, replies);
+    return only ? originOf(service, only) : { source: OriginSource.unknown };
   }
 
   /**
-   * Whether the service has one version, although this entry's copy of the store may be outdated. If
-   * most entries see one version and none has contact with the store, the store is down, and nobody
-   * learns of other versions.
+   * The only version of a service by the replies of other entries, as the store doesn't answer this
+   * one. If it answers none of all entries, nobody learns of other versions.
    */
-  #isOneVersion(replies: OriginReply[]): boolean {
-    const { members, clock } = this.#options;
-    if (replies.some(({ isMixed }) => isMixed)) return false;
-    if (replies.some(({ isConfirmed }) => isConfirmed)) return true;
-    return members.heardShare(clock.nowMs()) > 0.5;
+  #agreedVersion(
+    service: string,
+    { replies, missing }: Replies,
+  ): OnlyVersion | undefined {
+    const { members, clock, versions } = this.#options;
+    if (versions.isMixed(service)) return undefined;
+    if (replies.some(({ isMixed }) => isMixed)) return undefined;
+    const known = this.#knownVersion(service);
+    const told = replies.find(({ onlyVersion }) => onlyVersion)?.onlyVersion;
+    if (told) {
+      return told.softwareVersion === known.softwareVersion ? known : undefined;
+    }
+    const isStoreDown = missing === 0 &&
+      !replies.some(({ reachesStore }) => reachesStore) &&
+      members.heardShare(clock.nowMs()) === 1;
+    return isStoreDown ? known : undefined;
   }
 
-  #onlyVersion(service: string): Omit<FoundOrigin, "storeCopyAgeMs"> {
+  /** The version of a service that isn't mixed, as far as this entry knows. */
+  #knownVersion(service: string): OnlyVersion {
     const [softwareVersion] = this.#options.versions.current(service);
-    const source = OriginSource.oneVersion;
-    return softwareVersion === undefined
-      ? { source }
-      : { source, origin: { service, softwareVersion } };
+    return { softwareVersion };
+  }
+
+  /** Replies to another entry; the reply tells how things are after its question was sent. */
+  async #reply(
+    address: string,
+    { sequence, id, service }: Extract<OriginMessage, { kind: "ask" }>,
+  ): Promise<void> {
+    const { versions, check, send } = this.#options;
+    const question = `${address} ${sequence}`;
+    if (this.#unanswered.has(question)) return;
+    const known = this.#table.get(id);
+    let answer: SoftwareAnswer | undefined;
+    if (!known && !versions.isMixed(service)) {
+      this.#unanswered.add(question);
+      answer = await check.ask(service);
+      this.#unanswered.delete(question);
+    }
+    send(address, {
+      kind: "reply",
+      sequence,
+      row: known ?? this.#table.get(id),
+      isMixed: versions.isMixed(service),
+      reachesStore: answer !== undefined && answer.kind !== "no_answer",
+      onlyVersion: answer?.kind === "one_version"
+        ? { softwareVersion: answer.softwareVersion }
+        : undefined,
+    });
   }
 
   #mixedRows(): OriginRow[] {
@@ -307,36 +326,6 @@
     this.#tell(rows.filter(({ origin }) => origin.service === service));
     this.unrecordedCount.add({ isDue: true });
   }
-
-  /** Asks until an entry knows the stream, all have replied, or the time is over. */
-  async #ask(id: string, service: string): Promise<OriginReply[]> {
-    const { members, clock, send } = this.#options;
-    const nowMs = clock.nowMs();
-    const waiting = new Set(members.mayKnow(id, nowMs, ASKED));
-    if (waiting.size === 0) return [];
-    const sequence = ++this.#lastSequence;
-    const question = { waiting, replies: [], done: new AbortController() };
-    this.#questions.set(sequence, question);
-    const { signal } = question.done;
-    const endMs = nowMs + REPLY_TIMEOUT_MS;
-    while (!signal.aborted && clock.nowMs() < endMs) {
-      for (const address of waiting) {
-        send(address, { kind: "ask", sequence, id, service });
-      }
-      await clock.sleep(REPEAT_INTERVAL_MS, signal);
-    }
-    // Replies may have arrived unread while the event loop was blocked.
-    if (!signal.aborted) await setImmediate();
-    this.#questions.delete(sequence);
-    return question.replies;
-  }
-
-  #onReply(address: string, reply: OriginReply): void {
-    const question = this.#questions.get(reply.sequence);
-    if (!question?.waiting.delete(address)) return;
-    question.replies.push(reply);
-    if (reply.row || question.waiting.size === 0) question.done.abort();
-  }
 }
 
 /** Id of the attempt that brought the first event of the request's stream. */
@@ -349,3 +338,13 @@
 function isUsableId(id: string): boolean {
   return id.length > 0 && id.length <= MAX_ID_LENGTH;
 }
+
+function originOf(
+  service: string,
+  { softwareVersion }: OnlyVersion,
+): Origin {
+  const source = OriginSource.oneVersion;
+  return softwareVersion === undefined
+    ? { source }
+    : { source, origin: { service, softwareVersion } };
+}
--- a/src/router/stream_origins_test.ts
+++ b/src/router/stream_origins_test.ts
@@ -97,11 +97,38 @@
   const fleet = OriginFleet.create({ entryCount: 5 });
   fleet.join("v1", "i-1");
   for (const entry of fleet.entries) entry.isConfirmed = false;
-  fleet.gone.add(fleet.entries[4]!.address);
   fleet.pass(3000);
   assert.equal(await fleet.takeUp(fleet.entries[0]!, "a"), "one_version v1");
 });
 
+for (const silentForMs of [0, 3000]) {
+  test(`entry that is silent for ${silentForMs} ms may know of a version while the store is away`, async () => {
+    const fleet = OriginFleet.create({ entryCount: 5 });
+    fleet.join("v1", "i-1");
+    const [first, ...others] = fleet.entries;
+    for (const entry of fleet.entries) entry.isConfirmed = false;
+    const apart = others.at(-1)!;
+    apart.versions.hear({
+      service: "engines",
+      softwareVersion: "v2",
+      ageMs: 0,
+    });
+    fleet.gone.add(apart.address);
+    fleet.pass(silentForMs);
+    assert.equal(await fleet.takeUp(first!, "a"), "unknown undefined");
+  });
+}
+
+test("entry whose peer reads another version than its own trusts neither", async () => {
+  const fleet = OriginFleet.create({ entryCount: 2 });
+  fleet.join("v1", "i-1");
+  fleet.recorded.clear();
+  fleet.recorded.add("v2");
+  fleet.entries[0]!.isConfirmed = false;
+  const found = await fleet.takeUp(fleet.entries[0]!, "a");
+  assert.equal(found, "unknown undefined");
+});
+
 test("entry that stops tells the entries which follow it", async () => {
   const fleet = mixedFleet(8);
   const { entries } = fleet;
