Write records of software versions only over what the entry has read

By reading, with a test: an entry whose copy of the store is some ms old replaced the record that another one had just extended, and dropped the new version from it for half a second. A stream of that version that was taken up then could go on at another one, as the record decides where a stream goes on.

Cause: the records were written without a condition, by the responsible entry and by any whose streams wait.

Evidence: "entry with an old copy of a record doesn't overwrite what another one added" failed before ({"versions":["v1"]} in place of v1 and v2).

--- a/src/router/_record_store.ts
+++ b/src/router/_record_store.ts
@@ -1,16 +1,19 @@
 /** A store that takes the writes of records at once, and the replica of it, for tests. */
 import { Result } from "true-myth";
-import type { KeyValueEntry, Write } from "../store/store.ts";
+import { positionAt } from "../store/position.ts";
+import type { Expectation, KeyValueEntry, Write } from "../store/store.ts";
 
 /** Content of the store, calls to it, and whether they fail. */
 export class RecordStore {
   readonly stored = new Map<string, KeyValueEntry>();
   calls = 0;
   fails = false;
+  #writes = 0;
   /** Options of a record. */
   readonly parts = {
     store: {
-      commit: (_: unknown, writes: readonly Write[]) => this.#commit(writes),
+      commit: (expect: readonly Expectation[], writes: readonly Write[]) =>
+        this.#commit(expect, writes),
     } as never,
     mirror: {
       entry: (key: string) => this.stored.get(key),
@@ -20,7 +23,7 @@
 
   /** Puts a text under a key. */
   put(key: string, text: string): void {
-    this.stored.set(key, { key, value: Buffer.from(text) } as never);
+    this.#put(key, Buffer.from(text));
   }
 
   /** Returns the text under a key. */
@@ -28,15 +31,28 @@
     return Buffer.from(this.stored.get(key)!.value).toString();
   }
 
-  #commit(writes: readonly Write[]) {
+  #commit(expect: readonly Expectation[], writes: readonly Write[]) {
     this.calls++;
     if (this.fails) return Promise.resolve(Result.err({ kind: "down" }));
+    const isMet = expect.every(({ key, modPosition }) =>
+      this.stored.get(key)?.modPosition === modPosition
+    );
+    if (!isMet) return Promise.resolve(Result.ok({ kind: "conflict" }));
     for (const write of writes) {
       if (write.kind === "delete") this.stored.delete(write.key);
       if (write.kind !== "put") continue;
-      const { key, value } = write;
-      this.stored.set(key, { key, value } as KeyValueEntry);
+      this.#put(write.key, write.value);
     }
-    return Promise.resolve(Result.ok({ revision: 1n }));
+    return Promise.resolve(Result.ok({ kind: "committed" }));
+  }
+
+  #put(key: string, value: Uint8Array): void {
+    const modPosition = positionAt(0, BigInt(++this.#writes));
+    this.stored.set(key, {
+      key,
+      value,
+      modPosition,
+      createPosition: modPosition,
+    });
   }
 }
--- a/src/router/record_writer.ts
+++ b/src/router/record_writer.ts
@@ -1,14 +1,15 @@
 /** Keeps records of the entries in the platform's store up to date. */
 import type { Clock, Logger } from "../base/mod.ts";
-import type { KeyValueStore, Write } from "../store/store.ts";
+import type { StorePosition } from "../store/position.ts";
+import type { Expectation, KeyValueStore, Write } from "../store/store.ts";
 import { WakeSignal } from "./wake_signal.ts";
 
 /** Interval at which the records are compared with what is known. */
 const CHECK_INTERVAL_MS = 500;
 /** Default of {@link RecordWriterOptions.rewriteIntervalMs}. */
 const REWRITE_INTERVAL_MS = 5000;
-/** Writes in one call. */
-const MAX_WRITES = 32;
+/** Writes in one call, each with its condition. */
+const MAX_WRITES = 16;
 
 /** A write of one record. */
 export type RecordWrite = Extract<Write, { kind: "put" | "delete" }>;
@@ -24,6 +25,11 @@
   event: string;
   /** Least time between two writes of one record by this entry. */
   rewriteIntervalMs?: number;
+  /**
+   * Position of a record in the local copy of the store, undefined if it isn't there. If given, a
+   * record that has changed since is not written, and may be written again at once.
+   */
+  positionOf?(key: string): StorePosition | undefined;
   /** Returns the records that are missing, differ or are obsolete, as far as this entry writes them. */
   dueWrites(nowMs: number): RecordWrite[];
 }
@@ -76,14 +82,24 @@
       .slice(0, MAX_WRITES);
     if (writes.length === 0) return;
     for (const { key } of writes) this.#writtenAtMs.set(key, nowMs);
-    const committed = await store.commit([], writes);
+    const committed = await store.commit(this.#conditionsOf(writes), writes);
+    const isConflict = committed.isOk && committed.value.kind === "conflict";
+    if (isConflict) {
+      for (const { key } of writes) this.#writtenAtMs.delete(key);
+    }
     log.info({
       event,
       keys: writes.map(({ kind, key }) => `${kind} ${key}`),
-      isWritten: committed.isOk,
+      isWritten: committed.isOk && !isConflict,
     });
   }
 
+  #conditionsOf(writes: RecordWrite[]): Expectation[] {
+    const { positionOf } = this.#options;
+    if (!positionOf) return [];
+    return writes.map(({ key }) => ({ key, modPosition: positionOf(key) }));
+  }
+
   #mayWrite(key: string, nowMs: number): boolean {
     const { rewriteIntervalMs = REWRITE_INTERVAL_MS } = this.#options;
     const writtenAtMs = this.#writtenAtMs.get(key) ?? -Infinity;
--- a/src/router/software_record.ts
+++ b/src/router/software_record.ts
@@ -51,6 +51,8 @@
       ...options,
       event: "software_versions_recorded",
       rewriteIntervalMs: REWRITE_INTERVAL_MS,
+      // Another entry may have added a version that this one doesn't know yet.
+      positionOf: (key) => options.mirror.entry(key)?.modPosition,
       dueWrites: () => [...this.#puts(), ...this.#deletes()],
     });
   }
--- a/src/router/software_record_test.ts
+++ b/src/router/software_record_test.ts
@@ -11,12 +11,21 @@
 
 /** An entry and a store that takes its writes at once. */
 function create() {
+  return createEntry(new RecordStore());
+}
+
+/** An entry, whose copy of the store is up to date unless the test gives it another one. */
+function createEntry(
+  store: RecordStore,
+  { mirror = store.parts.mirror }: {
+    mirror?: Partial<RecordStore["parts"]["mirror"]>;
+  } = {},
+) {
   const clock = new TestClock();
   const versions = SoftwareVersions.create({
     clock,
     streamLifetimeMs: () => 0,
   });
-  const store = new RecordStore();
   const setup = { isWriter: true, isResumable: false, isServing: true };
   clock.sleep = async (ms = 0) => {
     clock.advance(ms);
@@ -24,6 +33,7 @@
   };
   const record = SoftwareRecord.create({
     ...store.parts,
+    mirror: { ...store.parts.mirror, ...mirror },
     clock,
     log: silentLog,
     versions,
@@ -68,6 +78,25 @@
   assert.equal(stored.size, 0);
 });
 
+// Guards against a record that loses a version, so that a stream of it goes on at another one.
+test("entry with an old copy of a record doesn't overwrite what another one added", async () => {
+  const { versions, record, store } = create();
+  const old = new Map(store.stored);
+  const late = createEntry(store, { mirror: { entry: (key) => old.get(key) } });
+  join(versions, "v1", "v2");
+  join(late.versions, "v1");
+  late.setup.isResumable = true;
+  await record.update();
+  await late.record.update();
+  assert.equal(store.text(KEY), '{"versions":["v1","v2"]}');
+  // It goes on as soon as its copy is up to date.
+  old.set(KEY, store.stored.get(KEY)!);
+  join(late.versions, "v3");
+  late.record.onWritten(KEY);
+  await late.record.update();
+  assert.equal(store.text(KEY), '{"versions":["v1","v3","v2"]}');
+});
+
 test("entry that starts learns from the record which versions had streams", () => {
   const { versions, record, store } = create();
   join(versions, "v2");
