--- a/src/router/record_writer.ts
+++ b/src/router/record_writer.ts
@@ -8,6 +8,8 @@
 const CHECK_INTERVAL_MS = 500;
 /** Default of {@link RecordWriterOptions.rewriteIntervalMs}. */
 const REWRITE_INTERVAL_MS = 5000;
+/** Time after a conflict in which the local copy of the store catches up. */
+const CONFLICT_PAUSE_MS = 50;
 /** Writes in one call, each with its condition. */
 const MAX_WRITES = 16;
 
@@ -27,7 +29,7 @@
   rewriteIntervalMs?: number;
   /**
    * Position of a record in the local copy of the store, undefined if it isn't there. If given, a
-   * record that has changed since is not written, and may be written again at once.
+   * record that has changed since is not written, and may be written again soon.
    */
   positionOf?(key: string): StorePosition | undefined;
   /** Returns the records that are missing, differ or are obsolete, as far as this entry writes them. */
@@ -84,9 +86,7 @@
     for (const { key } of writes) this.#writtenAtMs.set(key, nowMs);
     const committed = await store.commit(this.#conditionsOf(writes), writes);
     const isConflict = committed.isOk && committed.value.kind === "conflict";
-    if (isConflict) {
-      for (const { key } of writes) this.#writtenAtMs.delete(key);
-    }
+    if (isConflict) this.#allowAgain(writes, nowMs + CONFLICT_PAUSE_MS);
     log.info({
       event,
       keys: writes.map(({ kind, key }) => `${kind} ${key}`),
@@ -94,6 +94,12 @@
     });
   }
 
+  #allowAgain(writes: RecordWrite[], fromMs: number): void {
+    const { rewriteIntervalMs = REWRITE_INTERVAL_MS } = this.#options;
+    const writtenAtMs = fromMs - rewriteIntervalMs;
+    for (const { key } of writes) this.#writtenAtMs.set(key, writtenAtMs);
+  }
+
   #conditionsOf(writes: RecordWrite[]): Expectation[] {
     const { positionOf } = this.#options;
     if (!positionOf) return [];
--- a/src/router/software_record_test.ts
+++ b/src/router/software_record_test.ts
@@ -90,6 +90,7 @@
   await late.record.update();
   assert.equal(store.text(KEY), '{"versions":["v1","v2"]}');
   // It goes on as soon as its copy is up to date.
+  late.clock.advance(50);
   old.set(KEY, store.stored.get(KEY)!);
   join(late.versions, "v3");
   late.record.onWritten(KEY);
