Answer requests when the grace time ends during a step of theirs

What callers saw: in a planned stop, in calm, the connection of a request that a server ran was closed 0.2 s after the end of the grace time without any answer, in place of 502; among them calls that may not be repeated.

Cause: a step of a request checks its end, the deadline or the end of the grace time, and then computes when to wake up next. An end that passed in between was left out of that, as a time in the past, so the request slept for another poll of 250 ms; the ingress closes what is unanswered after 200 ms. At a deadline, the answer came up to 250 ms late in the same way.

The end is now always part of the wake time, so a request wakes at once if it has passed.

Evidence: the new test fails without the change.

--- a/src/router/request_forwarder.ts
+++ b/src/router/request_forwarder.ts
@@ -336,15 +336,15 @@
   }
 
   #wakeAtMs(): number {
-    const { wanted } = this.#parts;
     const nowMs = this.#nowMs;
-    const times = [this.#endAtMs, this.#backoff.nextAtMs];
+    const times = [this.#backoff.nextAtMs];
     for (const send of this.#runs.all) {
-      times.push(nextCheckAtMs(send, { wanted, nowMs }));
+      times.push(nextCheckAtMs(send, { wanted: this.#parts.wanted, nowMs }));
     }
+    // An end that has passed since this step checked it is due at once.
     return times.reduce(
       (first, atMs) => atMs > nowMs ? Math.min(first, atMs) : first,
-      nowMs + POLL_MS,
+      Math.min(this.#endAtMs, nowMs + POLL_MS),
     );
   }
 }
--- a/src/router/request_forwarder_test.ts
+++ b/src/router/request_forwarder_test.ts
@@ -118,6 +118,26 @@
   assert.equal(ended.reason, "shutdown");
 });
 
+// Guards against noticing an end that passes within a step at the next poll only, when connections are closed.
+test("request gets its answer at once if the grace time ends during a step", async (t) => {
+  const setup = createForwarderSetup(t);
+  setup.parts.mover = fakeMover({
+    isDue: () => {
+      setup.drainEndMs = setup.clock.nowMs();
+      return false;
+    },
+  });
+  let end: ForwardEnd | undefined;
+  void RequestForwarder.create(setup.parts, setup.task).run().then((ended) => {
+    end = ended;
+  });
+  await setup.advance(0);
+  setup.deliver(0, { kind: "began" });
+  await setup.advance(2);
+  assert.ok(end?.kind === "given_up");
+  assert.equal(end.reason, "shutdown");
+});
+
 // Guards against counting a run that a shutdown closes as a failure of its server.
 test("run that a shutdown closes is no failure of its server", async (t) => {
   const setup = createForwarderSetup(t);
