Refuse requests whose answers would outlast a stop's grace time

What callers saw: an entry that was stopping passed on streams whose answers were expected to begin before the end of its grace time, however long they were expected to last. The end of the grace time cut them, also those that may not be taken up or repeated, though another entry could have served them whole.

Cause: before the first send, the expected time to the first byte was compared with the time left, without the time from the first byte to the last.

The expected end of the answer counts now: the time to the first byte and the time for the declared tokens, at the rate learned from complete answers. The refusal is the 503 of before, at once, with a short Retry-After and Connection: close, so that the client can ask elsewhere. A stream that is taken up counts by its first byte, as what is left of it is unknown.

Evidence: the new test fails without the change: a stream of 400 tokens, 6 s by the initial rate, was begun with 3.3 s left (status 200 in place of 503); a stream of 80 tokens in the same stop is served whole.

--- a/src/router/choose.ts
+++ b/src/router/choose.ts
@@ -9,6 +9,7 @@
 import type { ServerLoad } from "./peer_load_sum.ts";
 import type { Caller } from "./permit_bucket.ts";
 import { type PromptStore, selectStore } from "./prompt_store.ts";
+import type { RoutedRequest } from "./request.ts";
 import type { Server } from "./server.ts";
 import { callsHeldBy, dividedCostMs } from "./service_room.ts";
 import { assessWeights, type ReplacedWeights } from "./replaced_weights.ts";
@@ -137,6 +138,22 @@
   return best;
 }
 
+/**
+ * @param request A request.
+ * @param choice The server that it is about to be sent to.
+ * @returns Expected time until its answer is complete.
+ */
+export function expectedAnswerMs(
+  { facts }: RoutedRequest,
+  { server, expectedMs }: Choice,
+): number {
+  // How much of its answer a run that is taken up has generated already is unknown.
+  const outputTokens = facts.lastEventId === undefined
+    ? facts.prompt?.outputTokens ?? 0
+    : 0;
+  return expectedMs + server.outputTimes.expectedMs(outputTokens);
+}
+
 function evaluateCall(placement: Placement, server: Server): Candidate {
   const { nowMs } = placement;
   const { running } = server.load(nowMs);
--- a/src/router/graceful_shutdown_test.ts
+++ b/src/router/graceful_shutdown_test.ts
@@ -25,6 +25,9 @@
 const STALL_MS = 300;
 const STALL_BEFORE_MS = 50;
 
+/** Takes an engine without other answers 6 s as far as its entry knows: longer than the grace time. */
+const LONG_OUTPUT = { "token-usage": "1200,400" };
+
 /** Starts an entry whose requests have more time than its stop, and its only engine. */
 async function openSetup(t: Parameters<typeof openWorld>[0]) {
   const { log, lines } = recordedLog();
@@ -99,3 +102,22 @@
   assert.ok(!lines.some(({ event }) => event === "stopped"));
   await stopped;
 });
+
+// Guards against beginning streams that the end of the grace time will cut.
+test("request whose answer would outlast the grace time is refused at once during a stop", async (t) => {
+  const { world, engine } = await openSetup(t);
+  engine.faults.stall = { afterEvent: 1, pauseMs: GONE_MS };
+  const stopped = world.router.drain();
+  const headers = { ...LONG_TIMEOUT_HEADERS, ...LONG_OUTPUT };
+  for (const path of ["/stream/a", "/once/a"]) {
+    const answer = await sendClientRequest(world, path, headers);
+    assert.equal(answer.status, 503);
+    assert.equal(answer.headers.connection, "close");
+    assert.ok(Number(answer.headers["retry-after"]) < 1);
+  }
+  assert.equal(engine.runs.length, 0);
+  engine.faults.stall = undefined;
+  const short = await ask(world);
+  assert.ok(short.isComplete && short.status === 200);
+  await stopped;
+});
--- a/src/router/refusal_reason.ts
+++ b/src/router/refusal_reason.ts
@@ -16,7 +16,7 @@
   paused: "paused",
   /** All servers of the service have reached the rate of requests that they take. */
   overRate: "over_rate",
-  /** The entry is shutting down, and the response would come after its grace time. */
+  /** The entry is shutting down, and the response would end after its grace time. */
   shutdown: "shutdown",
   /** Its service has no room to serve it in time. */
   noRoom: "no_room",
--- a/src/router/request_forwarder.ts
+++ b/src/router/request_forwarder.ts
@@ -16,7 +16,7 @@
 import { applyVerdict } from "./send_verdict.ts";
 import { AnswerWriter, type AnswerWriterParts } from "./answer_writer.ts";
 import { closedEnd, CloseReason, type Send, type SendEnd } from "./attempt.ts";
-import type { Choice } from "./choose.ts";
+import { type Choice, expectedAnswerMs } from "./choose.ts";
 import { SendBackoff } from "./send_backoff.ts";
 import type { SendGate } from "./send_gate.ts";
 import { type ForwardTask, OpenRuns, type OpenRunsParts } from "./open_runs.ts";
@@ -273,8 +273,8 @@
       progress.tooLate = choice;
       return ResendRefusal.noTime;
     }
-    const expectedAtMs = this.#nowMs + choice.expectedMs;
-    if (progress.sends === 0 && expectedAtMs >= drainEndMs()) {
+    const expectedEndMs = this.#nowMs + expectedAnswerMs(request, choice);
+    if (progress.sends === 0 && expectedEndMs >= drainEndMs()) {
       this.#reason = RefusalReason.shutdown;
       return ResendRefusal.noTime;
     }
