Resume moved streams that have no declared end

What callers saw: a stream without a length and without chunks ended in order, as if complete, when its engine stopped the run to move it before its weights changed.

Cause: the engine closes a stopped run's stream without its end. With chunks the missing last one shows that; without a declared end the close looks like the end of a whole stream, and the reader didn't ask whether the run was to be stopped. It was the same with a call that got no answer, which may have stopped the run all the same.

The fix: an undeclared end of a run that was stopped, or may have been, is not the end of its stream. It goes on from the copy, or at another engine. A call without an answer has its own result ("unanswered"); one that could not be sent doesn't count. A broken connection after it still counts as the server's failure.

--- a/src/router/_long_timeout_kit.ts
+++ b/src/router/_long_timeout_kit.ts
@@ -11,8 +11,10 @@
   completeStreamBody,
   configWith,
   MODEL_REQUEST_HEADERS,
+  NO_FAULTS,
   sendClientRequest,
   type StandinBackendServer,
+  type StandinBackendServerFaults,
   toRequestHeaders,
 } from "../standin/mod.ts";
 import { type LogLine, recordedLog } from "./_kit.ts";
@@ -212,12 +214,19 @@
  */
 export async function startStreamPerEngine(
   world: World,
-  { route = "stream", headers = MODEL_REQUEST_HEADERS }: {
+  { route = "stream", headers = MODEL_REQUEST_HEADERS, faults = {} }: {
     route?: string;
     headers?: Record<string, string>;
+    /** Faults of both engines. */
+    faults?: Partial<StandinBackendServerFaults>;
   } = {},
 ): Promise<StreamPerEngine> {
-  const slow = { model: "m", events: LONG_EVENTS, eventMs: 25 };
+  const slow = () => ({
+    model: "m",
+    events: LONG_EVENTS,
+    eventMs: 25,
+    faults: { ...NO_FAULTS, ...faults },
+  });
   const askAt = async (engine: StandinBackendServer, prompt: number) => {
     const own = toRequestHeaders({ id: `long-${prompt}`, prompt });
     const answer = askUntilAccepted(world, `/${route}/${prompt}`, {
@@ -226,9 +235,9 @@
     await until(() => engine.runs.length > 0);
     return { answer };
   };
-  const first = await world.worker("i-1", slow);
+  const first = await world.worker("i-1", slow());
   const atFirst = await askAt(first, 0);
-  const second = await world.worker("i-2", slow);
+  const second = await world.worker("i-2", slow());
   const key = "servers/i-1";
   const isLeaving = (entry: TestEntry) =>
     stateContains(entry, '"leaving":true');
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -133,6 +133,8 @@
   | { kind: "copied"; choice: Choice }
   /** The run stops, and its KV cache could not be copied. */
   | { kind: "stopped" }
+  /** The call brought no answer: the run continues at its server, or it stops. */
+  | { kind: "unanswered" }
   /** As far as known, the run continues at its server. */
   | { kind: "not_moved" };
 
@@ -225,6 +227,23 @@
     : { kind: "not_run", reason: "no_connection", isUnsent: true };
 }
 
+/**
+ * @param send A send.
+ * @returns How it ended if its server stopped the run, or may have, in order to move it.
+ */
+export function stoppedEnd({ move }: Send): SendEnd | undefined {
+  switch (move?.kind) {
+    case "copied":
+      return { kind: "moved", choice: move.choice };
+    case "stopped":
+    case "unanswered":
+      return { kind: "unknown", reason: "run_stopped" };
+    case "not_moved":
+    case undefined:
+      return undefined;
+  }
+}
+
 /**
  * Records the failure in the server's health, unless the run was stopped in order to move it.
  *
@@ -234,19 +253,15 @@
  * @returns How the send ended.
  */
 export function brokenEnd(
-  { choice, move }: Send,
+  send: Send,
   reason: string,
   nowMs: number,
 ): SendEnd {
-  switch (move?.kind) {
-    case "copied":
-      return { kind: "moved", choice: move.choice };
-    case "stopped":
-      return { kind: "unknown", reason: "run_stopped" };
-    case "not_moved":
-    case undefined:
-      choice.server.health.failed(nowMs);
-      choice.server.health.connectionBroke(nowMs);
-      return { kind: "unknown", reason, isBroken: true };
-  }
+  const stopped = stoppedEnd(send);
+  // A server that crashed doesn't answer the call, either.
+  if (stopped && send.move?.kind !== "unanswered") return stopped;
+  const { health } = send.choice.server;
+  health.failed(nowMs);
+  health.connectionBroke(nowMs);
+  return { kind: "unknown", reason, isBroken: true };
 }
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -14,6 +14,7 @@
   type PartialBody,
   type Send,
   type SendEnd,
+  stoppedEnd,
 } from "./attempt.ts";
 import type { AnswerHead, AnswerStep, ChannelFailure } from "./channel.ts";
 import { EventSplitter } from "./event_splitter.ts";
@@ -284,9 +285,13 @@
 }
 
 function endOfStream(
-  { firstEventAtMs, progress }: Send,
+  send: Send,
   { head: { isFramed }, body }: PartialAnswer,
 ): AnswerPart {
+  const { firstEventAtMs, progress } = send;
+  // A stopped run's stream is closed without its end, and without a declared end looks complete.
+  const stopped = isFramed ? undefined : stoppedEnd(send);
+  if (stopped) return over(stopped);
   if (body.kind === "stream" && body.splitter.remainder.length > 0) {
     return over({ kind: "unknown", reason: "cut_event", isBroken: true });
   }
--- a/src/router/run_mover.ts
+++ b/src/router/run_mover.ts
@@ -3,7 +3,12 @@
  * about to change. The change waits for open runs, and the engine takes no new requests meanwhile.
  */
 import type { Clock, Logger } from "../base/mod.ts";
-import { dropCopy, type MoveAnswer, moveRun } from "../platform/mod.ts";
+import {
+  type CallFailure,
+  dropCopy,
+  type MoveAnswer,
+  moveRun,
+} from "../platform/mod.ts";
 import { isIdempotent } from "./answer_rules.ts";
 import type { Progress, RunMove, Send } from "./attempt.ts";
 import type { Choice } from "./choose.ts";
@@ -102,18 +107,17 @@
       requestId: request.facts.requestId,
       targetAddress: target.entry.address,
     }, { callMs: MOVE_TIMEOUT_MS });
-    const reply = answer.isOk ? answer.value : undefined;
     log.info({
       event: "run_moved",
       id: request.facts.requestId,
       from: choice.server.id,
       to: target.id,
-      answer: reply?.kind ?? (answer.isErr ? answer.error.kind : undefined),
+      answer: answer.isOk ? answer.value.kind : answer.error.kind,
       tookMs: Math.round(clock.nowMs() - startMs),
     });
-    const move: RunMove = reply
-      ? this.#applyReply(send, reserved, reply)
-      : { kind: "not_moved" };
+    const move = answer.isOk
+      ? this.#applyReply(send, reserved, answer.value)
+      : moveAfterFailure(answer.error);
     if (move.kind !== "copied") this.#giveBack(reserved);
     return move;
   }
@@ -216,3 +220,14 @@
     return best?.server;
   }
 }
+
+/** Without an answer, the engine may have stopped the run all the same, or may do so later. */
+function moveAfterFailure({ kind }: CallFailure): RunMove {
+  switch (kind) {
+    case "unreachable":
+      return { kind: "not_moved" };
+    case "no_answer":
+    case "malformed":
+      return { kind: "unanswered" };
+  }
+}
--- a/src/standin/backend_server.ts
+++ b/src/standin/backend_server.ts
@@ -217,6 +217,7 @@
     if (!stream) return answerEmpty(response, 404);
     this.#streams.delete(id);
     stream.response.destroy();
+    if (consumeFault(this.faults, "loseMove")) return void response.destroy();
     const copyId = `copy-${id}`;
     const isFull = consumeFault(this.faults, "moveFull");
     if (!isFull) addCopy({ source: this.address, copyId }, target);
--- a/src/standin/backend_server_options.ts
+++ b/src/standin/backend_server_options.ts
@@ -92,6 +92,8 @@
   hang: number;
   /** Moves that stop the run but fail to copy it, as if the target were full. */
   moveFull: number;
+  /** Moves that stop the run, and whose call gets no answer. */
+  loseMove: number;
   /** Runs whose backup is never made, as if their target were full. */
   noBackup: number;
   /** Requests that are rejected for a version mismatch, without stating the loaded versions. */
@@ -141,6 +143,7 @@
   foreign: 0,
   hang: 0,
   moveFull: 0,
+  loseMove: 0,
   noBackup: 0,
   refuseWeights: 0,
   refuseOrder: 0,
