Don't take a connection with unread data for a sign of life

What callers saw: a server was killed with SIGKILL, and a stream without a length and without chunks ended in order after 2 of 4 events. The entry took the server for alive, as another connection to it was open, and asked nothing further.

Cause: that connection carried an answer that its client read slowly, so that reading it was paused. Its end stood behind unread data, where it can't be seen; the connection stayed "open". Connections that are reset don't show this, as the stream's own connection tells of its reset; the kernel closes those of a killed process in order.

The fix: a connection with unread data tells nothing about its server. If no other one is open, the address is asked, as without it.

--- a/src/router/server_connections.ts
+++ b/src/router/server_connections.ts
@@ -1,6 +1,9 @@
 /** Determines from the connections to a server whether it lives on after one of them has ended. */
 import type { Socket } from "node:net";
-import { setTimeout as sleep } from "node:timers/promises";
+import {
+  setImmediate as turn,
+  setTimeout as sleep,
+} from "node:timers/promises";
 import { isReset } from "../base/socket_reset.ts";
 import { CRASH_SETTLE_MS, tryConnect } from "./try_connect.ts";
 
@@ -46,7 +49,11 @@
    */
   watchOpen(): () => boolean {
     const open = [...this.#open].filter((socket) => !this.#hasEnded(socket));
-    return () => open.some((socket) => !this.#hasEnded(socket));
+    // Behind unread data, the end of a connection can't be seen.
+    return () =>
+      open.some((socket) =>
+        !this.#hasEnded(socket) && socket.readableLength === 0
+      );
   }
 
   /**
--- a/src/router/server_connections_test.ts
+++ b/src/router/server_connections_test.ts
@@ -2,10 +2,13 @@
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
+import { until } from "./_world.ts";
 import { ServerConnections } from "./server_connections.ts";
 
 interface Setup {
   connections: ServerConnections;
+  /** This end of the connections. */
+  sockets: Socket[];
   /** The server's ends of the connections, in the order in which they were opened. */
   ends: Socket[];
   stopListening(): void;
@@ -34,7 +37,7 @@
   const ended = once(sockets[0]!, "end");
   ends[0]!.end();
   await ended;
-  return { connections, ends, stopListening: () => server.close() };
+  return { connections, sockets, ends, stopListening: () => server.close() };
 }
 
 test("server whose other connection stays open lives on", async (t) => {
@@ -67,3 +70,14 @@
   stopListening();
   assert.equal(await connections.stateAfterEnd(), "ended");
 });
+
+// Guards against taking a connection for a sign of life whose end is behind unread data.
+test("server that has ended isn't alive for a connection with unread data", async (t) => {
+  const { connections, sockets, ends, stopListening } = await open(t, 2);
+  sockets[1]!.pause();
+  ends[1]!.write("x");
+  await until(() => sockets[1]!.readableLength > 0);
+  stopListening();
+  ends[1]!.end();
+  assert.equal(await connections.stateAfterEnd(), "ended");
+});
