Read what has arrived before judging whether a server lives

An entry that stalls for longer than 20 ms behind the end of an answer without a declared end took its killed server for alive, and ended the answer as if complete.

Cause: an end is judged 20 ms after it. The event loop runs timers before it reads from connections, so that after a stall, the ends of the server's other connections that have arrived meanwhile are not read yet.

The fix: two turns of the event loop before the judgement. The first reads data that arrived, and the second an end behind it.

Evidence: server_connections_test.ts, "server that ends while this process stalls has ended" failed in 3 of 3 runs before (alive), and passes in 3 of 3.

--- a/src/router/server_connections.ts
+++ b/src/router/server_connections.ts
@@ -65,6 +65,9 @@
   async stateAfterEnd(): Promise<StateAfterEnd> {
     const isOneOpen = this.watchOpen();
     await sleep(CRASH_SETTLE_MS);
+    // After a stall, timers run before ends that have arrived are read: data first, then the end.
+    await turn();
+    await turn();
     if (isOneOpen()) return "alive";
     const isRefused = await tryConnect(this.#address) === "refused";
     return isRefused ? "ended" : "unclear";
--- a/src/router/server_connections_test.ts
+++ b/src/router/server_connections_test.ts
@@ -4,6 +4,7 @@
 import { test, type TestContext } from "node:test";
 import { until } from "./_world.ts";
 import { ServerConnections } from "./server_connections.ts";
+import { CRASH_SETTLE_MS } from "./try_connect.ts";
 
 interface Setup {
   connections: ServerConnections;
@@ -81,3 +82,14 @@
   ends[1]!.end();
   assert.equal(await connections.stateAfterEnd(), "ended");
 });
+
+// Guards against taking a connection for a sign of life whose end arrived during a stall.
+test("server that ends while this process stalls has ended", async (t) => {
+  const { connections, ends, stopListening } = await open(t, 2);
+  const state = connections.stateAfterEnd();
+  ends[1]!.destroy();
+  stopListening();
+  const stalled = new Int32Array(new SharedArrayBuffer(4));
+  Atomics.wait(stalled, 0, 0, 2 * CRASH_SETTLE_MS);
+  assert.equal(await state, "ended");
+});
