Protect answers to pipelined requests from the entry's end

What callers saw: a client sent two requests at once on a connection. The second answer had neither a length nor chunks, and its first events came before the first answer. When the entry was killed in the middle of it, the connection was closed in order, so that the part looked complete.

Cause: the connection of such an answer is reset by the kernel when the process ends (SO_LINGER). A response that waits behind another one has no connection yet when it begins; it was left without this protection, also when it got the connection later.

The fix: the answer waits for its connection and is protected then. Node wouldn't have sent its bytes earlier, either. Where the connection closes before, nothing is protected, and nothing was sent.

--- a/src/router/killed_entry_test.ts
+++ b/src/router/killed_entry_test.ts
@@ -27,6 +27,8 @@
   service: "engines" | "plain";
   path: string;
   version?: "1.0" | "1.1";
+  /** Ids of the requests, which are sent at once. */
+  ids?: string[];
   /** Whether the client reads before the entry is killed. */
   isReading: boolean;
   answer: RawResponder;
@@ -35,7 +37,8 @@
 /** Asks an entry that runs as a process of its own, and kills it. */
 async function askAndKill(
   t: TestContext,
-  { service, path, version = "1.1", isReading, answer }: AskOptions,
+  { service, path, version = "1.1", ids = ["a1"], isReading, answer }:
+    AskOptions,
 ) {
   const store = await StandinPlatformStore.create();
   t.after(() => store.close());
@@ -47,12 +50,13 @@
   const socket = connect({ host: ADDRESS.ipAddress, port: ADDRESS.clientPort });
   const read = watch(socket);
   if (!isReading) socket.pause();
-  socket.write(
-    `POST ${path} HTTP/${version}\r\nhost: ${HOST}\r\nattempt-id: a1\r\n` +
-      `deadline-ms: 4000\r\nauthorization: Bearer ${KEY}\r\nmodel: m\r\n` +
-      "content-length: 1\r\n\r\nx",
+  const requests = ids.map((id) =>
+    `POST ${path} HTTP/${version}\r\nhost: ${HOST}\r\nattempt-id: ${id}\r\n` +
+    `deadline-ms: 4000\r\nauthorization: Bearer ${KEY}\r\nmodel: m\r\n` +
+    "content-length: 1\r\n\r\nx"
   );
-  await until(() => server.requests.length > 0);
+  socket.write(requests.join(""));
+  await until(() => server.requests.length === ids.length);
   await sleep(SETTLE_MS);
   entry.kill("SIGKILL");
   await once(entry, "exit");
@@ -96,6 +100,24 @@
   assert.ok(isReset, "closed in order");
 });
 
+// Guards against an orderly end of an answer that began before the connection was free for it.
+test("killed entry resets a stream that waited behind a pipelined request", async (t) => {
+  const events = completeStreamBody(2);
+  const { body, isReset } = await askAndKill(t, {
+    service: "engines",
+    path: "/once/a",
+    ids: ["a1", "a2"],
+    isReading: true,
+    answer: (socket, id) => {
+      if (id === "a2") return socket.write(headWithoutLength(id) + events);
+      const head = `${SEALED_HEAD}attempt-id: ${id}\r\ncontent-length: 0\r\n`;
+      setTimeout(() => socket.write(`${head}\r\n`), SETTLE_MS / 2);
+    },
+  });
+  assert.ok(body.endsWith(events));
+  assert.ok(isReset, "closed in order");
+});
+
 // Guards against an orderly end of a whole answer of which the process still holds a part.
 test("killed entry resets an answer that its client has not taken", async (t) => {
   const whole = "x".repeat(14 * 1024 * 1024);
--- a/src/router/response_sink.ts
+++ b/src/router/response_sink.ts
@@ -1,5 +1,6 @@
 /** Writes a response to a client's connection. */
 import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { ExitReset } from "../base/exit_reset.ts";
 import { HeldAnswers } from "./held_answers.ts";
 import type { AnswerSink, SinkHead } from "./request.ts";
@@ -127,10 +128,12 @@
   /** The response ends with its connection. */
   #endWithConnection(): void {
     withoutDeclaredEnd.add(this.#response);
-    const { socket } = this.#response;
-    this.#protection ??= socket
-      ? ExitReset.create(socket)
-      : Promise.resolve(undefined);
+    this.#protection ??= this.#protect();
+  }
+
+  async #protect(): Promise<ExitReset | undefined> {
+    const socket = await connectionOf(this.#response);
+    return socket && ExitReset.create(socket);
   }
 
   async #sendProtected(body: Buffer): Promise<void> {
@@ -173,3 +176,16 @@
     if (!isFramed) this.#endWithConnection();
   }
 }
+
+/**
+ * Returns the connection once the response is its next one: a pipelined request's response waits for
+ * those before it, and is never closed if the connection closes first.
+ */
+function connectionOf(response: ServerResponse): Promise<Socket | undefined> {
+  const { socket, req } = response;
+  if (socket) return Promise.resolve(socket);
+  return new Promise((resolve) => {
+    response.once("socket", resolve);
+    req.socket.once("close", () => resolve(undefined));
+  });
+}
