Bound the answers to control calls and calls of the store

What callers saw: an entry that ran out of memory, with the requests of all its clients, after it had called one faulty server, store or other entry whose answer to a report, order, move, page, watch, relay or cache transfer had no end.

Cause: HttpCaller kept every chunk of an answer until the call's total timeout, four times its idle timeout: 4 s for a report, minutes for a watch. Each chunk was an object of its own and held the buffer that it was a view of.

Change: an answer ends as malformed above 32 MB (the state of a fleet, which entries send each other), and above 1 MB from a server, many of which may be called at once. ByteCollector copies chunks into blocks, so that the memory follows the bytes.

--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -1,4 +1,5 @@
-/** Clock, lifecycle, logging and metrics, used by all parts of cicadahitch. */
+/** Clock, lifecycle, logging, metrics and byte buffers, used by all parts of cicadahitch. */
+export { ByteCollector } from "./byte_collector.ts";
 export { type Clock, systemClock } from "./clock.ts";
 export { Lifecycle, type Owned } from "./lifecycle.ts";
 export {
--- a/src/platform/http_call.ts
+++ b/src/platform/http_call.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { Result } from "true-myth";
 import { Pool } from "undici";
+import { ByteCollector } from "../base/mod.ts";
 
 /** Why a call failed. */
 export type CallFailure =
@@ -30,9 +31,14 @@
    * take longer in total.
    */
   idleTimeoutMs: number;
+  /** Largest body of an answer; defaults to {@link MAX_ANSWER_BYTES}. */
+  maxAnswerBytes?: number;
   signal?: AbortSignal;
 }
 
+/** Largest body of an answer: the state of the whole fleet, which entries send each other. */
+const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
+
 /** Bounds the total duration of a call, as a multiple of its idle timeout. */
 export const TOTAL_TIMEOUT_FACTOR = 4;
 
@@ -82,12 +88,15 @@
         body: call.body === undefined ? null : JSON.stringify(call.body),
         signal: controller.signal,
       });
-      const chunks: Buffer[] = [];
+      const { maxAnswerBytes = MAX_ANSWER_BYTES } = call;
+      const collector = ByteCollector.create();
       for await (const chunk of body) {
         idleTimer.refresh();
-        chunks.push(chunk);
+        collector.push(chunk);
+        // Leaving the loop closes the connection.
+        if (collector.sizeBytes > maxAnswerBytes) return tooLarge();
       }
-      const text = Buffer.concat(chunks).toString();
+      const text = collector.take().toString();
       return parseBody(statusCode, text).map((parsed) => ({
         status: statusCode,
         headers,
@@ -108,6 +117,10 @@
   }
 }
 
+function tooLarge(): Result<CallAnswer, CallFailure> {
+  return Result.err({ kind: "malformed", message: "Answer is too large" });
+}
+
 function contentType(body: unknown): Record<string, string> {
   return body === undefined ? {} : { "content-type": "application/json" };
 }
--- a/src/platform/server_calls.ts
+++ b/src/platform/server_calls.ts
@@ -5,6 +5,9 @@
 import { type CallFailure, HttpCaller } from "./http_call.ts";
 import { Header, ServerPath } from "./names.ts";
 
+/** Largest body of a server's answer; many servers may be called at once. */
+const MAX_ANSWER_BYTES = 1024 * 1024;
+
 /** An order to load another version of a model's weights. */
 export interface WeightsOrder {
   model: string;
@@ -56,6 +59,7 @@
       path: ServerPath.report,
       headers: { [Header.expectedServer]: server.id },
       idleTimeoutMs: callMs,
+      maxAnswerBytes: MAX_ANSWER_BYTES,
     });
     if (answer.isErr) return Result.err(answer.error);
     const { status, body } = answer.value;
@@ -96,6 +100,7 @@
       expected: order.orderSequence,
     },
     idleTimeoutMs: callMs,
+    maxAnswerBytes: MAX_ANSWER_BYTES,
   });
   await caller.close();
   return answer.map(({ status }) => readOrderAnswer(status));
@@ -139,6 +144,7 @@
     headers: { [Header.expectedServer]: server.id },
     body: { id: requestId, target: targetAddress, last: true },
     idleTimeoutMs: callMs,
+    maxAnswerBytes: MAX_ANSWER_BYTES,
   });
   await caller.close();
   return answer.map(({ status, body }) => readMoveAnswer(status, body));
@@ -163,6 +169,7 @@
     path: ServerPath.dropCopy + encodeURIComponent(copyId),
     headers: { [Header.expectedServer]: server.id },
     idleTimeoutMs: callMs,
+    maxAnswerBytes: MAX_ANSWER_BYTES,
   });
   await caller.close();
   return answer.map(({ status }) => status);
