Copy an answer's small chunks in place of keeping them

What callers saw: an entry that ran out of memory, with the requests of all its clients, while one faulty server answered one call in chunks of a single byte without end.

Cause: the bytes of an answer were bounded at 16 MB, but each chunk was kept as an object of its own, so that one byte cost about a hundred.

Change: chunks are copied into the blocks of a ByteCollector.

--- a/src/base/byte_collector.ts
+++ b/src/base/byte_collector.ts
@@ -30,6 +30,14 @@
     return this.#blocks.reduce((sum, block) => sum + block.length, 0);
   }
 
+  /** All bytes; valid until the next change. */
+  get bytes(): Buffer {
+    const [first] = this.#blocks;
+    return first && this.#blocks.length === 1
+      ? first.subarray(0, this.#sizeBytes)
+      : Buffer.concat(this.#blocks, this.#sizeBytes);
+  }
+
   /** @param chunk Bytes to add; they are copied. */
   push(chunk: Buffer): void {
     let at = 0;
@@ -44,10 +52,7 @@
 
   /** @returns All bytes, of which none are collected any more. */
   take(): Buffer {
-    const [first] = this.#blocks;
-    const bytes = first && this.#blocks.length === 1
-      ? first.subarray(0, this.#sizeBytes)
-      : Buffer.concat(this.#blocks, this.#sizeBytes);
+    const { bytes } = this;
     this.clear();
     return bytes;
   }
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -1,4 +1,5 @@
 /** One send of a request to a backend server: its state and its possible results. */
+import type { ByteCollector } from "../base/mod.ts";
 import type { AnswerHead, Exchange } from "./channel.ts";
 import type { Choice } from "./choose.ts";
 import type { EventSplitter } from "./event_splitter.ts";
@@ -146,7 +147,7 @@
 /** Body of a {@link PartialAnswer}. */
 export type PartialBody =
   | { kind: "stream"; splitter: EventSplitter }
-  | { kind: "whole"; chunks: Buffer[]; sizeBytes: number };
+  | { kind: "whole"; collector: ByteCollector };
 
 /** One send of a request to one server. */
 export interface Send {
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -1,5 +1,5 @@
 /** Reads and validates a backend server's response, and updates the server's state from it. */
-import type { Clock } from "../base/mod.ts";
+import { ByteCollector, type Clock } from "../base/mod.ts";
 import { readAnswer } from "../platform/mod.ts";
 import { expectedTtftMs, INITIAL_RATES } from "../service_rates/mod.ts";
 import {
@@ -123,7 +123,7 @@
       facts.status === 200;
     const body: PartialBody = isStream
       ? { kind: "stream", splitter: EventSplitter.create() }
-      : { kind: "whole", chunks: [], sizeBytes: 0 };
+      : { kind: "whole", collector: ByteCollector.create() };
     send.answer = { head, facts, body };
     if (!isStream) return undefined;
     const problem = rejectionReason(facts);
@@ -152,9 +152,8 @@
           tooLargeEvent(body.splitter);
       case "whole":
         if (step.kind === "end") return this.#endWhole(send, facts, body);
-        body.chunks.push(step.bytes);
-        body.sizeBytes += step.bytes.length;
-        return body.sizeBytes > MAX_ANSWER_BYTES
+        body.collector.push(step.bytes);
+        return body.collector.sizeBytes > MAX_ANSWER_BYTES
           ? over({ kind: "unknown", reason: "answer_too_large" })
           : undefined;
     }
@@ -175,7 +174,7 @@
   #endWhole(
     { choice }: Send,
     facts: AnswerFacts,
-    { chunks }: Extract<PartialBody, { kind: "whole" }>,
+    { collector }: Extract<PartialBody, { kind: "whole" }>,
   ): AnswerPart {
     const problem = rejectionReason(facts);
     if (problem || facts.status >= 500) {
@@ -183,7 +182,7 @@
     }
     return problem
       ? over({ kind: "unknown", reason: problem })
-      : { kind: "whole", body: Buffer.concat(chunks) };
+      : { kind: "whole", body: collector.take() };
   }
 
   #endOfFailure(send: Send, { kind, message }: ChannelFailure): SendEnd {
