Search an incomplete event only in its new bytes

What callers saw: streams and calls of all clients that stood still for seconds, while one faulty server sent an event in small chunks without end.

Cause: with each chunk, the whole incomplete event was copied and searched for its end, so that the time grew with the square of its size, up to 4 MB.

Change: the splitter collects the chunks and searches the new bytes and the two before them. Chunks that begin and end with an event are passed on without a copy, as before.

--- a/src/router/event_splitter.ts
+++ b/src/router/event_splitter.ts
@@ -1,7 +1,10 @@
 /** Splits a stream of server-sent events, so that only complete events are forwarded. */
+import { ByteCollector } from "../base/mod.ts";
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+/** Bytes of a line's end before the line feed that makes it an empty line. */
+const MAX_TAIL_BYTES = 2;
 const ID_FIELD = Buffer.from("id:");
 
 /** Complete events that were read from the stream. */
@@ -13,7 +16,9 @@
 
 /** Buffers bytes until an event is complete. */
 export class EventSplitter {
-  #remainder: Buffer = Buffer.alloc(0);
+  readonly #remainder = ByteCollector.create();
+  /** The last bytes of the remainder, with which an empty line may have begun. */
+  #tail: Buffer = Buffer.alloc(0);
 
   private constructor() {}
 
@@ -24,7 +29,12 @@
 
   /** Buffered bytes of an incomplete event. */
   get remainder(): Buffer {
-    return this.#remainder;
+    return this.#remainder.bytes;
+  }
+
+  /** Number of {@link EventSplitter.remainder} bytes. */
+  get remainderBytes(): number {
+    return this.#remainder.sizeBytes;
   }
 
   /**
@@ -32,14 +42,23 @@
    * @returns All events that are complete now.
    */
   push(chunk: Buffer): CompleteEvents {
-    const all = this.#remainder.length === 0
-      ? chunk
-      : Buffer.concat([this.#remainder, chunk]);
-    const end = endOfLastEvent(all);
-    this.#remainder = all.subarray(end);
-    const bytes = all.subarray(0, end);
+    // The remainder is not searched again: an event may arrive in millions of small chunks.
+    const tailBytes = this.#tail.length;
+    const searched = tailBytes > 0 ? Buffer.concat([this.#tail, chunk]) : chunk;
+    const end = Math.max(0, endOfLastEvent(searched) - tailBytes);
+    const bytes = this.#complete(chunk.subarray(0, end));
+    this.#remainder.push(chunk.subarray(end));
+    const keptBytes = Math.min(MAX_TAIL_BYTES, this.remainderBytes);
+    this.#tail = Buffer.from(searched.subarray(searched.length - keptBytes));
     return { bytes, ids: readIds(bytes) };
   }
+
+  /** Returns the remainder with the bytes that complete it. */
+  #complete(bytes: Buffer): Buffer {
+    if (bytes.length === 0 || this.remainderBytes === 0) return bytes;
+    this.#remainder.push(bytes);
+    return this.#remainder.take();
+  }
 }
 
 /** Returns the offset after the last empty line, or 0 if there is none. */
--- a/src/router/event_splitter_test.ts
+++ b/src/router/event_splitter_test.ts
@@ -61,3 +61,16 @@
     { seed: SEED },
   );
 });
+
+// Guards against a search of the whole event for each chunk: this test then takes many minutes.
+test("event of millions of chunks is returned once it is complete", () => {
+  const event = Buffer.from(`data: ${"x".repeat(2_000_000)}\r\n\r\n`);
+  const splitter = EventSplitter.create();
+  const returned: Buffer[] = [];
+  for (let at = 0; at < event.length; at++) {
+    const { bytes } = splitter.push(event.subarray(at, at + 1));
+    if (bytes.length > 0) returned.push(bytes);
+  }
+  assert.equal(returned.length, 1);
+  assert.ok(event.equals(returned[0]!));
+});
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -286,7 +286,7 @@
   { firstEventAtMs, progress }: Send,
   { head: { isFramed }, body }: PartialAnswer,
 ): AnswerPart {
-  if (body.kind === "stream" && body.splitter.remainder.length > 0) {
+  if (body.kind === "stream" && body.splitter.remainderBytes > 0) {
     return over({ kind: "unknown", reason: "cut_event", isBroken: true });
   }
   const isEmpty = firstEventAtMs === undefined &&
@@ -309,8 +309,10 @@
   return !notRun && ownId !== "";
 }
 
-function tooLargeEvent({ remainder }: EventSplitter): AnswerPart | undefined {
-  return remainder.length > MAX_EVENT_BYTES
+function tooLargeEvent(
+  { remainderBytes }: EventSplitter,
+): AnswerPart | undefined {
+  return remainderBytes > MAX_EVENT_BYTES
     ? over({ kind: "unknown", reason: "event_too_large" })
     : undefined;
 }
