Bound the incomplete answers of all requests together

What callers saw: an entry that ran out of memory, with the requests of all its clients, while faulty servers answered many calls or streams at once with bodies that began right and never ended.

Cause: each answer was bounded, at 16 MB, and each event, at 4 MB, but not their sum, so that an entry with 200 MB held 13 answers or 50 events at most.

Evidence: the test failed before, with 315,000,000 bytes buffered for 21 calls and 404,000,000 for 101 streams.

Change: AnswerBuffers counts what is buffered for all requests. Above 64 MB the largest answer of the server that has most bytes there ends as answer_too_large, so that a faulty server costs its own answers first. The bytes count until their run is removed from its request.

After: at most 64 MB in the same tests; the answer of another server goes on.

--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -1,5 +1,6 @@
 /** One send of a request to a backend server: its state and its possible results. */
 import type { ByteCollector } from "../base/mod.ts";
+import type { AnswerBuffer } from "./answer_buffers.ts";
 import type { AnswerHead, Exchange } from "./channel.ts";
 import type { Choice } from "./choose.ts";
 import type { EventSplitter } from "./event_splitter.ts";
@@ -170,6 +171,8 @@
   isSuspected: boolean;
   /** Set once the server has started to answer. */
   answer?: PartialAnswer;
+  /** Counts the bytes that {@link Send.answer} buffers. */
+  buffer?: AnswerBuffer;
   /** When the head of the answer was received. */
   headAtMs?: number;
   /** When the first event of the answer was received. */
@@ -182,6 +185,29 @@
   backup?: Server;
 }
 
+/**
+ * @param body Body that is being read.
+ * @returns Number of bytes that it buffers.
+ */
+export function bufferedBytes(body: PartialBody): number {
+  switch (body.kind) {
+    case "stream":
+      return body.splitter.remainderBytes;
+    case "whole":
+      return body.collector.sizeBytes;
+  }
+}
+
+/** @param body Body whose buffered bytes are dropped. */
+export function clearBody(body: PartialBody): void {
+  switch (body.kind) {
+    case "stream":
+      return body.splitter.clear();
+    case "whole":
+      return body.collector.clear();
+  }
+}
+
 /**
  * @param send A send.
  * @returns Whether it continues a lost run from its backup.
--- a/src/router/event_splitter.ts
+++ b/src/router/event_splitter.ts
@@ -53,6 +53,12 @@
     return { bytes, ids: readIds(bytes) };
   }
 
+  /** Drops the remainder. */
+  clear(): void {
+    this.#remainder.clear();
+    this.#tail = Buffer.alloc(0);
+  }
+
   /** Returns the remainder with the bytes that complete it. */
   #complete(bytes: Buffer): Buffer {
     if (bytes.length === 0 || this.remainderBytes === 0) return bytes;
--- a/src/router/open_runs.ts
+++ b/src/router/open_runs.ts
@@ -277,6 +277,7 @@
     this.#parts.runBackups.release(send);
     send.ticket.ended();
     send.exchange.abort();
+    send.buffer?.resize(0);
   }
 }
 
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -2,6 +2,7 @@
 import { ByteCollector, type Clock } from "../base/mod.ts";
 import { readAnswer } from "../platform/mod.ts";
 import { expectedTtftMs, INITIAL_RATES } from "../service_rates/mod.ts";
+import { AnswerBuffers } from "./answer_buffers.ts";
 import {
   areIdsAscending,
   isIdempotent,
@@ -9,6 +10,8 @@
 } from "./answer_rules.ts";
 import {
   brokenEnd,
+  bufferedBytes,
+  clearBody,
   type NotRun,
   type PartialAnswer,
   type PartialBody,
@@ -34,6 +37,9 @@
 /** Largest event of a stream; its bytes are buffered until it is complete. */
 const MAX_EVENT_BYTES = 4 * 1024 * 1024;
 
+/** End of a send whose answer is too large, alone or together with other incomplete answers. */
+const TOO_LARGE: SendEnd = { kind: "unknown", reason: "answer_too_large" };
+
 /** One part of a response. */
 export type AnswerPart =
   /** The server runs the request and has started the stream. */
@@ -60,6 +66,7 @@
 /** Reads the responses of backend servers. */
 export class AnswerReader {
   readonly #options: AnswerReaderOptions;
+  readonly #buffers = AnswerBuffers.create();
 
   private constructor(options: AnswerReaderOptions) {
     this.#options = options;
@@ -79,6 +86,7 @@
    */
   read(send: Send): AnswerPart | undefined {
     while (true) {
+      if (send.buffer?.isDropped) return over(TOO_LARGE);
       const step = send.exchange.take();
       if (!step) return undefined;
       const part = this.#handleStep(send, step);
@@ -93,8 +101,11 @@
       case "head":
         return this.#handleHead(send, step.head);
       case "data":
-      case "end":
-        return this.#handleBody(send, step);
+      case "end": {
+        const part = this.#handleBody(send, step);
+        if (send.answer) send.buffer?.resize(bufferedBytes(send.answer.body));
+        return part;
+      }
     }
   }
 
@@ -125,6 +136,13 @@
       ? { kind: "stream", splitter: EventSplitter.create() }
       : { kind: "whole", collector: ByteCollector.create() };
     send.answer = { head, facts, body };
+    send.buffer = this.#buffers.open({
+      serverId: choice.server.id,
+      onDropped: () => {
+        clearBody(body);
+        send.exchange.abort();
+      },
+    });
     if (!isStream) return undefined;
     const problem = rejectionReason(facts);
     return problem
@@ -154,7 +172,7 @@
         if (step.kind === "end") return this.#endWhole(send, facts, body);
         body.collector.push(step.bytes);
         return body.collector.sizeBytes > MAX_ANSWER_BYTES
-          ? over({ kind: "unknown", reason: "answer_too_large" })
+          ? over(TOO_LARGE)
           : undefined;
     }
   }
