Merge the unread small chunks of an answer

What callers saw: an entry that ran out of memory while a few clients did not read streams that a faulty server sent in chunks of one byte.

Cause: unread chunks were bounded by their bytes, 64 KB per answer, but each was kept as a step of its own.

Change: a chunk that arrives while the one before is unread is added to it, up to 64 KB. What counts as unread, and when reading is paused, stay the same.

--- a/src/router/exchange.ts
+++ b/src/router/exchange.ts
@@ -1,6 +1,7 @@
 /** One request on a connection to a backend server, and its response. */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
+import { ByteCollector } from "../base/mod.ts";
 import { isFramed, isLastAnswer } from "./framing.ts";
 import type { ServerConnections } from "./server_connections.ts";
 import type { UnreadBudget } from "./unread_budget.ts";
@@ -61,7 +62,7 @@
 /** One request and its response, which is read step by step. */
 export class Exchange implements Dispatcher.DispatchHandler {
   readonly #channel: ExchangeChannel;
-  #steps: AnswerStep[] = [];
+  readonly #steps = new StepQueue();
   #controller: Dispatcher.DispatchController | undefined;
   #unreadBytes = 0;
   #bodyBytes = 0;
@@ -93,13 +94,13 @@
    * @returns The step, or undefined after the timeout.
    */
   async next(waitMs: number): Promise<AnswerStep | undefined> {
-    if (this.#steps.length === 0) await this.#wake.wait(waitMs);
+    if (this.#steps.isEmpty) await this.#wake.wait(waitMs);
     return this.take();
   }
 
   /** @returns The next step, if it has arrived. */
   take(): AnswerStep | undefined {
-    const step = this.#steps.shift();
+    const step = this.#steps.take();
     if (step?.kind === "data") this.#consumed(step.bytes.length);
     return step;
   }
@@ -172,7 +173,7 @@
     unread.add(chunk.length);
     if (!unread.isExceededBy(this.#unreadBytes)) return;
     this.#stopCounting();
-    this.#steps = this.#steps.filter(({ kind }) => kind !== "data");
+    this.#steps.dropData();
     // Before the end may arrive, which would complete an answer that lacks the dropped data.
     this.#abort(new UnreadExceeded());
   }
@@ -234,6 +235,57 @@
   }
 }
 
+/** Steps that were not read yet. */
+class StepQueue {
+  #steps: AnswerStep[] = [];
+  /** Bytes of the last step if it has those of several chunks. */
+  #merged: ByteCollector | undefined;
+
+  get isEmpty(): boolean {
+    return this.#steps.length === 0;
+  }
+
+  /** @param step Next step; small chunks are merged, as each step would use far more memory. */
+  push(step: AnswerStep): void {
+    const last = this.#steps.at(-1);
+    if (step.kind === "data" && last?.kind === "data") {
+      const mergedBytes = this.#merged?.sizeBytes ?? last.bytes.length;
+      if (mergedBytes + step.bytes.length <= MAX_UNREAD_BYTES) {
+        return this.#merge(last.bytes, step.bytes);
+      }
+    }
+    this.#endMerge();
+    this.#steps.push(step);
+  }
+
+  /** @returns The first step, if there is one. */
+  take(): AnswerStep | undefined {
+    if (this.#steps.length === 1) this.#endMerge();
+    return this.#steps.shift();
+  }
+
+  /** Drops all unread bytes of the body. */
+  dropData(): void {
+    this.#merged = undefined;
+    this.#steps = this.#steps.filter(({ kind }) => kind !== "data");
+  }
+
+  #merge(lastBytes: Buffer, bytes: Buffer): void {
+    if (!this.#merged) {
+      this.#merged = ByteCollector.create();
+      this.#merged.push(lastBytes);
+    }
+    this.#merged.push(bytes);
+  }
+
+  #endMerge(): void {
+    const last = this.#steps.at(-1);
+    if (!this.#merged || last?.kind !== "data") return;
+    last.bytes = this.#merged.take();
+    this.#merged = undefined;
+  }
+}
+
 /** A body without a length ends when the connection closes; after a reset it may be incomplete. */
 const WAS_RESET = failed("broken", "Connection reset before the end");
 
--- a/src/router/unread_answer_test.ts
+++ b/src/router/unread_answer_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
+import process from "node:process";
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type AnswerStep, ChannelPool, type Exchange } from "./channel.ts";
@@ -15,6 +16,10 @@
 const REQUEST = { method: "GET", target: "/", headers: [], body: undefined };
 const LIMITS = { responseBytes: 8000, totalBytes: 20_000, freeBytes: 2000 };
 
+const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const SMALL_CHUNKS = "1\r\nx\r\n".repeat(100_000);
+const MAX_HEAP_GROWTH_BYTES = 50 * 1024 * 1024;
+
 interface Setup {
   pool: ChannelPool;
   unread: UnreadBudget;
@@ -144,3 +149,18 @@
   ended.abort();
   assert.equal(setup.unread.totalBytes, 0);
 });
+
+// Chunks were counted by their bytes alone, and are kept as objects: 20 slow clients filled the heap.
+test("unread chunks of one byte use little memory", async (t) => {
+  const setup = await setUp(t, CHUNKED_HEAD);
+  const exchanges = [];
+  const heapBytes = process.memoryUsage().heapUsed;
+  for (let i = 0; i < 20; i++) {
+    exchanges.push(await begin(setup));
+    setup.sockets[i]!.write(SMALL_CHUNKS);
+  }
+  await sleep(1000);
+  const grownBytes = process.memoryUsage().heapUsed - heapBytes;
+  assert.ok(grownBytes <= MAX_HEAP_GROWTH_BYTES, `${grownBytes} bytes`);
+  for (const exchange of exchanges) assert.equal(exchange.take()?.kind, "data");
+});
