Keep only small error responses while other servers are tried

What callers saw: an entry whose memory grew with each request that a faulty server answered with a large error, until the process ended with the requests of all its clients.

Cause: the error response is kept while the request is sent again, in case no other one arrives. It may have 16 MB, is no longer counted with the incomplete answers, and stays until the request ends.

Change: an error response above 64 KB isn't kept. If no server answers, the client gets the router's own refusal in its place. An error response that no other server may replace is passed on whole, as before.

No run with many such requests was made.

--- a/src/router/answer_writer.ts
+++ b/src/router/answer_writer.ts
@@ -7,6 +7,9 @@
 import { originAt } from "./software_versions.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 
+/** Largest error response that is kept while other servers are tried: many requests may keep one. */
+const MAX_KEPT_FAILURE_BYTES = 64 * 1024;
+
 /** Dependencies of {@link AnswerWriter}. */
 export interface AnswerWriterParts {
   origins: Pick<StreamOrigins, "began" | "completed">;
@@ -92,10 +95,11 @@
   }
 
   /**
-   * @param send Send whose error response is kept in case no other response arrives.
+   * @param send Send whose error response is kept, unless it is large, in case no other one arrives.
    * @param body Its complete body.
    */
   keepFailure(send: Send, body: Buffer): void {
+    if (body.length > MAX_KEPT_FAILURE_BYTES) return;
     this.#failure = { send, body };
   }
 
