Bound an agent's incomplete events and lines

What callers saw: by reading, an agent that ran out of memory, with all runs on its server, when the engine sent an event or a line of its event feed without end; many small chunks of one line kept the process busy for minutes.

The event of a million one-byte chunks had not been read after 60 s.

Change: above 4 MB the stream ends as broken, and ByteCollector keeps the incomplete bytes.

After: the tests pass. No agent process was run against such an engine.

--- a/src/backends/_sse.ts
+++ b/src/backends/_sse.ts
@@ -1,18 +1,28 @@
 /** Parser for server-sent events. */
+import { ByteCollector } from "../base/mod.ts";
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const SPACE = 0x20;
 const DATA_FIELD = Buffer.from("data:");
-const EMPTY_BUFFER = Buffer.alloc(0);
 const LINE_BREAK = Buffer.from("\n");
 
+/** Largest event; its bytes are buffered until it is complete. */
+export const MAX_EVENT_BYTES = 4 * 1024 * 1024;
+
+/** An event is larger than {@link MAX_EVENT_BYTES}. */
+export class EventTooLarge extends Error {
+  override readonly name = "EventTooLarge";
+}
+
 /** Extracts the data of server-sent events from a byte stream that arrives in chunks. */
 export class SseParser {
   /** Bytes of the last line, whose line feed has not arrived yet. */
-  #partialLine: Buffer = EMPTY_BUFFER;
-  /** Data of the current event; absent until its first data field. */
-  #eventData: Buffer | undefined;
+  readonly #partialLine = ByteCollector.create();
+  /** Data of the current event. */
+  readonly #eventData = ByteCollector.create();
+  /** The current event has a data field. */
+  #hasData = false;
 
   private constructor() {}
 
@@ -24,40 +34,47 @@
   /**
    * @param chunk Next chunk of the stream.
    * @returns Data of all events that this chunk completes.
+   * @throws {EventTooLarge} If the event that this chunk begins or continues is too large.
    */
   push(chunk: Buffer): Buffer[] {
-    const bytes = this.#partialLine.length === 0
-      ? chunk
-      : Buffer.concat([this.#partialLine, chunk]);
     const events: Buffer[] = [];
     let start = 0;
-    let end = bytes.indexOf(LINE_FEED, start);
+    let end = chunk.indexOf(LINE_FEED, start);
     while (end >= 0) {
-      this.#parseLine(trimCarriageReturn(bytes, start, end), events);
+      const line = this.#completeLine(chunk.subarray(start, end));
+      this.#parseLine(trimCarriageReturn(line), events);
       start = end + 1;
-      end = bytes.indexOf(LINE_FEED, start);
+      end = chunk.indexOf(LINE_FEED, start);
     }
-    this.#partialLine = bytes.subarray(start);
+    this.#partialLine.push(chunk.subarray(start));
+    const bufferedBytes = this.#partialLine.sizeBytes +
+      this.#eventData.sizeBytes;
+    if (bufferedBytes > MAX_EVENT_BYTES) throw new EventTooLarge();
     return events;
   }
 
+  #completeLine(bytes: Buffer): Buffer {
+    if (this.#partialLine.sizeBytes === 0) return bytes;
+    this.#partialLine.push(bytes);
+    return this.#partialLine.take();
+  }
+
   #parseLine(line: Buffer, events: Buffer[]): void {
     if (line.length === 0) {
-      if (this.#eventData) events.push(this.#eventData);
-      this.#eventData = undefined;
+      if (this.#hasData) events.push(this.#eventData.take());
+      this.#hasData = false;
       return;
     }
     if (!isDataField(line)) return;
-    const value = fieldValue(line);
-    this.#eventData = this.#eventData
-      ? Buffer.concat([this.#eventData, LINE_BREAK, value])
-      : value;
+    if (this.#hasData) this.#eventData.push(LINE_BREAK);
+    this.#eventData.push(fieldValue(line));
+    this.#hasData = true;
   }
 }
 
-function trimCarriageReturn(bytes: Buffer, start: number, end: number): Buffer {
-  const hasReturn = end > start && bytes[end - 1] === CARRIAGE_RETURN;
-  return bytes.subarray(start, hasReturn ? end - 1 : end);
+function trimCarriageReturn(line: Buffer): Buffer {
+  const hasReturn = line.at(-1) === CARRIAGE_RETURN;
+  return hasReturn ? line.subarray(0, -1) : line;
 }
 
 function isDataField(line: Buffer): boolean {
--- a/src/backends/sse_test.ts
+++ b/src/backends/sse_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { SseParser } from "./_sse.ts";
+import { EventTooLarge, MAX_EVENT_BYTES, SseParser } from "./_sse.ts";
 
 const SEED = 20_261_203;
 
@@ -44,3 +44,27 @@
     ": hello\n\nevent: x\nid: 1\ndata:a\ndata: b\n\ndata: unfinished\n";
   assert.deepEqual(parse([Buffer.from(text)]), ["a\nb"]);
 });
+
+// Guards against an event without end that fills the memory of the process, by one line or by many.
+test("event that is too large ends the stream", () => {
+  for (const piece of ["x".repeat(65_536), `data: ${"x".repeat(1000)}\n`]) {
+    const parser = SseParser.create();
+    parser.push(Buffer.from("data: "));
+    const pushEndlessly = () => {
+      for (let bytes = 0; bytes <= 2 * MAX_EVENT_BYTES; bytes += piece.length) {
+        parser.push(Buffer.from(piece));
+      }
+    };
+    assert.throws(pushEndlessly, EventTooLarge);
+  }
+});
+
+// Guards against a copy of the whole line for each chunk: this test then takes minutes.
+test("event of a million chunks is returned once it is complete", () => {
+  const data = "x".repeat(1_000_000);
+  const parser = SseParser.create();
+  for (const byte of Buffer.from(`data: ${data}\r\n`)) {
+    assert.equal(parser.push(Buffer.of(byte)).length, 0);
+  }
+  assert.deepEqual(parser.push(Buffer.from("\n")).map(String), [data]);
+});
