Close unused connections on which a server sends bytes

What callers saw: nothing until the processor was short. An entry read line breaks that a faulty server sent after a complete answer for as long as they came, and held the connection open for them.

Cause: what is no part of a body was bounded only while a connection carried a request. undici ends an unused connection at most bytes, but skips line breaks.

Change: any byte on a connection without a request closes it. The next request opens another one, as after a close by the server.

--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -40,6 +40,8 @@
   /** The current connection has carried a request. */
   #isUsed = false;
   #exchange: Exchange | undefined;
+  /** Bytes that were received on the current connection when its last exchange ended. */
+  #releasedAtBytes = 0;
 
   constructor(
     options: ChannelOptions & { unread: UnreadBudget },
@@ -62,6 +64,7 @@
             this.#detectReset(socket);
             this.#limitOverhead(socket);
             this.#isUsed = false;
+            this.#releasedAtBytes = 0;
           }
           callback(...result);
         }),
@@ -105,6 +108,7 @@
   /** @param isReusable Whether the connection may carry another request. */
   release(isReusable: boolean): void {
     this.#exchange = undefined;
+    this.#releasedAtBytes = this.receivedBytes;
     this.#onRelease(this, isReusable);
   }
 
@@ -118,7 +122,11 @@
     this.#socket = socket;
     // undici reads from the socket in the same event; the exchange is aborted only after that.
     socket.on("readable", () => {
-      queueMicrotask(() => this.#exchange?.checkOverhead());
+      queueMicrotask(() => {
+        if (this.#exchange) this.#exchange.checkOverhead();
+        // undici skips line breaks between answers, without end.
+        else if (socket.bytesRead > this.#releasedAtBytes) socket.destroy();
+      });
     });
   }
 
--- a/src/router/endless_answer_test.ts
+++ b/src/router/endless_answer_test.ts
@@ -22,6 +22,8 @@
 /** Most that an entry reads of an event, or of what is no part of a body, and what is on the way. */
 const MAX_OVERHEAD_BYTES = 12 * 1024 * 1024;
 const PIECE_BYTES = 64 * 1024;
+/** Time after which an answer has been read and its connection is unused. */
+const LATER_MS = 50;
 /** Most time to wait for a blocked connection before it is checked again. */
 const CLOSE_MS = 2000;
 
@@ -206,3 +208,25 @@
     assert.ok(bytes <= MAX_WRITTEN_BYTES, `${bytes} bytes`);
   }
 });
+
+// Guards against an unused connection on which the entry reads line breaks for as long as they come.
+test("line breaks without end after an answer close its connection, others are served", async (t) => {
+  const world = await openWorld(t);
+  const written: number[] = [];
+  await serveBytes(t, world, {
+    id: "i-raw",
+    service: "plain",
+    answer: (socket, attemptId) => {
+      socket.write(`${headOf(attemptId)}content-length: 1\r\n\r\nx`);
+      const piece = "\r\n".repeat(PIECE_BYTES / 2);
+      setTimeout(async () => {
+        written.push(await writeEndlessly(socket, piece));
+      }, LATER_MS);
+    },
+  });
+  for (let i = 1; i <= 3; i++) {
+    assert.equal((await askUntilAccepted(world, "/book/a")).status, 200);
+    await until(() => written.length === i);
+    assert.ok(written[i - 1]! <= MAX_OVERHEAD_BYTES, `${written} bytes`);
+  }
+});
