Refuse waiting requests once they can't be answered before a stop ends

What callers saw: a request that waited for room of its service at a stopping entry was held until its own deadline or the end of the grace time, whichever came first. It was then refused seconds after that was certain, or sent so late that the end of the grace time ended it at its server, with 502 also where it may not be repeated.

Cause: the admission queue compared the expected and the slow wait and answer with the request's deadline only; at the end of the grace time it refused all.

The queue now takes the end of the process for a second deadline of all requests, also of those that waited already when the stop began. The retry delay doesn't count it, since other entries may have room.

--- a/src/router/load_scheduling.ts
+++ b/src/router/load_scheduling.ts
@@ -269,7 +269,7 @@
   }
 
   #createScheduler(service: string, nowMs: number): ServiceScheduler {
-    const { random, priorityFloor, entryCount } = this.#options;
+    const { random, priorityFloor, entryCount, drainEndMs } = this.#options;
     const isEngine = this.#isEngine(service);
     return ServiceScheduler.create({
       service,
@@ -282,6 +282,7 @@
       entryCount,
       startedAtMs: this.#startedAtMs,
       reportIntervalMs: this.#options.gossipIntervalMs,
+      endAtMs: drainEndMs,
       nowMs,
     });
   }
--- a/src/scheduling/admission_queue.ts
+++ b/src/scheduling/admission_queue.ts
@@ -37,6 +37,8 @@
   held: HeldRequests;
   /** Time between two reports of demand to the other entries. */
   reportIntervalMs(): number;
+  /** When the process ends all requests; default: it doesn't. */
+  endAtMs?(): number;
   nowMs: number;
 }
 
--- a/src/scheduling/service_scheduler.ts
+++ b/src/scheduling/service_scheduler.ts
@@ -42,6 +42,8 @@
   startedAtMs: number;
   /** Time between two reports of demand to the other entries. */
   reportIntervalMs(): number;
+  /** When the process ends all requests; default: it doesn't. */
+  endAtMs?(): number;
   nowMs: number;
 }
 
--- a/src/scheduling/wait_estimate.ts
+++ b/src/scheduling/wait_estimate.ts
@@ -1,4 +1,4 @@
-/** Estimates how long requests wait, and whether they can still be served before their deadlines. */
+/** Estimates how long requests wait, and whether they can still be served in time. */
 import { ForecastError } from "./forecast_error.ts";
 import type { HoldTime } from "./hold_time.ts";
 import type { OfferedRequest, WaitingRequest } from "./ticket.ts";
@@ -19,6 +19,8 @@
   answerTime(priority: number): Pick<HoldTime, "meanMs" | "slowMs">;
   /** Expected time until there is room for the next request of a flow. */
   roomInMs(flow: WaitingFlow, units: number, nowMs: number): number;
+  /** When the process ends all requests; default: it doesn't. */
+  endAtMs?(): number;
 }
 
 /** Estimates for the requests of one service at one entry. */
@@ -77,7 +79,8 @@
   /**
    * @param flow A flow.
    * @param nowMs Current time.
-   * @returns Its requests that probably can't be answered before their deadlines any more.
+   * @returns Its requests that probably can't be answered any more before their deadlines or the end of
+   *   the process.
    */
   hopeless(flow: WaitingFlow, nowMs: number): WaitingRequest[] {
     const hopeless: WaitingRequest[] = [];
@@ -85,8 +88,9 @@
     for (const request of flow.requests()) {
       const waitMs = this.#waitMs(flow, request, { units, nowMs });
       const answerMs = this.#error.fastMs(waitMs) + this.#answerMs(request);
-      if (answerMs > timeToAnswerMs(request, nowMs)) hopeless.push(request);
-      else units += request.units;
+      if (answerMs > this.#timeToAnswerMs(request, nowMs)) {
+        hopeless.push(request);
+      } else units += request.units;
     }
     return hopeless;
   }
@@ -135,6 +139,7 @@
     // Without room, nothing is known about when there will be some.
     if (!Number.isFinite(waitMs)) return maxMs * jitter;
     const answerMs = this.#options.answerTime(request.priority).meanMs;
+    // Another process may have room, so the end of this one doesn't count.
     const isHopeless = waitMs + answerMs > timeToAnswerMs(request, nowMs);
     if (isHopeless) return Math.max(leftMs, waitMs);
     return Math.min(maxMs, waitMs) * jitter;
@@ -147,7 +152,7 @@
   ): boolean {
     const waitMs = this.#waitMs(flow, request, { units, nowMs });
     const answerMs = this.#error.slowMs(waitMs) + this.#answerMs(request);
-    return answerMs <= timeToAnswerMs(request, nowMs);
+    return answerMs <= this.#timeToAnswerMs(request, nowMs);
   }
 
   /**
@@ -156,10 +161,18 @@
    */
   #answerMs(request: WaitingRequest): number {
     const { meanMs, slowMs } = this.#options.answerTime(request.priority);
-    const isTooSlow = slowMs > timeToAnswerMs(request, request.offeredAtMs);
+    const isTooSlow =
+      slowMs > this.#timeToAnswerMs(request, request.offeredAtMs);
     return isTooSlow ? meanMs : slowMs;
   }
 
+  /** The same as {@link timeToAnswerMs}, but at most until the process ends. */
+  #timeToAnswerMs(request: WaitingRequest, nowMs: number): number {
+    const endAtMs = this.#options.endAtMs?.() ?? Infinity;
+    const untilEndMs = endAtMs - nowMs - request.outputMs;
+    return Math.min(timeToAnswerMs(request, nowMs), untilEndMs);
+  }
+
   /** Time until there is room, and then the work ahead by the rate of the flow. */
   #waitMs(
     flow: WaitingFlow,
