Answer 502 to what is still unanswered when a stop closes its connections

What callers saw: by reading, a request that is held up at the end of the grace time, by a permit of another entry, a call to move its run or the record of its stream's software, for more than the 200 ms that its last answer has, lost its connection without an answer.

Cause: at the end of a stop the ingress closed the connections of all requests that were left, also of those whose answer had not begun.

It now answers 502 to them, with Connection: close; an answer that was begun is cut as before, and the line of the request still says "aborted". Whoever serves the request sees it as gone. A stop without a grace time aborts all as before.

Evidence: the new test fails without the change (no bytes in place of 502). The client of ingress_test.ts now reads what it gets, since a client that doesn't read an answer doesn't notice the close behind it; what the tests ask is unchanged.

--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -19,7 +19,7 @@
 import { Intake } from "./intake.ts";
 import type { LoopLag } from "./loop_lag.ts";
 import { readBody } from "./read_body.ts";
-import { abortResponse, ResponseSink } from "./response_sink.ts";
+import { abortResponse, endUnanswered, ResponseSink } from "./response_sink.ts";
 import type {
   AnswerSink,
   LocalAnswer,
@@ -78,7 +78,7 @@
   #drainEndMs = Infinity;
   /** New requests are refused. */
   #isClosing = false;
-  /** The remaining connections are being closed without an answer. */
+  /** The remaining requests get no answer of a server, and connections are being closed. */
   #isAborting = false;
 
   private constructor(options: IngressOptions) {
@@ -184,16 +184,16 @@
     ) {
       await clock.sleep(DRAIN_POLL_MS);
     }
-    this.#abort();
+    this.#abort(endUnanswered);
     await closed;
   }
 
-  /** Closes all connections, and logs the requests that get no complete answer. */
-  #abort(): void {
+  /** Ends all requests and closes their connections; they get no answer of a server. */
+  #abort(end: typeof endUnanswered): void {
     this.#isAborting = true;
     for (const [response, facts] of this.#connections.requests) {
       this.#options.onLocalAnswer(facts, "aborted");
-      abortResponse(response);
+      end(response, facts.requestId);
     }
     this.#server.closeAllConnections();
   }
@@ -202,7 +202,7 @@
   async close(): Promise<void> {
     if (!this.#server.listening) return;
     const closed = new Promise((resolve) => this.#server.close(resolve));
-    this.#abort();
+    this.#abort(abortResponse);
     await closed;
   }
 
--- a/src/router/ingress_test.ts
+++ b/src/router/ingress_test.ts
@@ -64,6 +64,8 @@
   await ingress.listen("127.0.0.1", port);
   const client = connect(port, "127.0.0.1");
   client.on("error", () => {});
+  // A client that doesn't read an answer doesn't notice that its connection was closed after it.
+  client.resume();
   const ask = (target: string) =>
     client.write(`GET ${target} HTTP/1.1\r\nhost: a.example\r\n\r\n`);
   return { ingress, client, ask, answers, served, targets, port };
@@ -82,6 +84,18 @@
   assert.equal(ingress.active, 0);
 });
 
+// Guards against closing connections without an answer while something holds up those who serve them.
+test("request that is still served at the end of a stop gets 502", async () => {
+  const { ingress, client, ask, targets } = await openIngress();
+  let answer = "";
+  client.on("data", (bytes) => answer += bytes);
+  ask("/a");
+  await until(() => targets.length === 1);
+  await ingress.drain(50, () => false);
+  await until(() => client.closed);
+  assert.match(answer, /^HTTP\/1\.1 502 [^]*connection: close/i);
+});
+
 // Guards against counting them for good, which makes each stop last its whole grace time.
 test("pipelined requests of a client that disconnects are no longer in flight", async () => {
   const { ingress, client, ask, targets } = await openIngress();
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -175,5 +175,5 @@
   | "overloaded"
   | "expired"
   | "client_gone"
-  /** The entry closed the connection at the end of a shutdown, without a complete answer. */
+  /** The entry ended the request at the end of a shutdown: with 502, or in the middle of its answer. */
   | "aborted";
--- a/src/router/response_sink.ts
+++ b/src/router/response_sink.ts
@@ -1,6 +1,7 @@
 /** Writes a response to a client's connection. */
 import type { ServerResponse } from "node:http";
 import { ExitReset } from "../base/exit_reset.ts";
+import { echoHeaders } from "../platform/mod.ts";
 import { HeldAnswers } from "./held_answers.ts";
 import type { AnswerSink, SinkHead } from "./request.ts";
 
@@ -27,6 +28,23 @@
   response.destroy();
 }
 
+/**
+ * Answers 502 to a request that nothing has answered, and closes its connection; a response that was
+ * begun is aborted.
+ *
+ * @param response The response.
+ * @param requestId Id of the request.
+ */
+export function endUnanswered(
+  response: ServerResponse,
+  requestId: string,
+): void {
+  if (response.headersSent) return abortResponse(response);
+  response.shouldKeepAlive = false;
+  const headers = [...echoHeaders(requestId), "content-length", "0"];
+  response.writeHead(502, headers).end();
+}
+
 const heldAnswers = HeldAnswers.create({
   maxBytes: MAX_HELD_BYTES,
   abort: abortResponse,
@@ -37,6 +55,8 @@
   readonly #response: ServerResponse;
   readonly #isDraining: () => boolean;
   #gone = false;
+  /** The whole response was handed over through this object. */
+  #isEnded = false;
   /** Protects a response without a declared end; its bytes are written only after that. */
   #protection: Promise<ExitReset | undefined> | undefined;
   /** Resolves when the last part that was written is with the kernel. */
@@ -57,8 +77,9 @@
     });
   }
 
+  /** Also true once the response was ended in place of this object, see {@link endUnanswered}. */
   get gone(): boolean {
-    return this.#gone;
+    return this.#gone || (this.#response.writableEnded && !this.#isEnded);
   }
 
   onGone(listener: () => void): void {
@@ -95,6 +116,7 @@
   }
 
   end(): void {
+    this.#isEnded = true;
     if (this.#protection) void this.#endProtected(this.#protection);
     else this.#response.end();
   }
@@ -110,7 +132,8 @@
   }
 
   send(head: SinkHead, body: Buffer): void {
-    if (this.#gone) return;
+    if (this.gone) return;
+    this.#isEnded = true;
     const { status, headers, isFramed = true } = head;
     // Responses with these statuses have no body and must not declare a length.
     const isBodiless = status === 204 || status === 304;
