Take a cut answer for a sign that its server's process has ended

What callers saw: a server's process ended while its address went on accepting connections (a new process, another process on the same listener, or a supervisor). A stream without a declared end that it was writing was closed in order, as if complete, after 2 of 4 events, though an answer with a length was cut at the same moment.

Cause: an end of a connection without a declared end was judged by the address and by connections that stay open. Others that end as well were left aside, since their own answers may end them; a connection that is cut in the middle of an answer, or before one, was treated alike.

Malformed answers and a wrong length don't count.

Left: if all answers under way at the process have no declared end and its address accepts connections, only the client can tell.

--- a/src/router/cut_answer_test.ts
+++ b/src/router/cut_answer_test.ts
@@ -16,6 +16,7 @@
   MODEL_REQUEST_HEADERS,
   NO_FAULTS,
   PLAIN_ANSWER_BODY,
+  toRequestHeaders,
 } from "../standin/mod.ts";
 import { askUntilAccepted, serveBytes } from "./_raw_server.ts";
 import { createClosedGate } from "./_long_timeout_kit.ts";
@@ -151,3 +152,30 @@
   assert.equal(asked.body, whole);
   assert.ok(asked.isComplete);
 });
+
+// Guards against taking an address that accepts connections for the process that cut two answers.
+test("stream without a declared end is resumed if a declared answer is cut with it", async (t) => {
+  const world = await openWorld(t);
+  const part = completeStreamBody(2);
+  const raw = await serveBytes(t, world, {
+    id: "i-raw",
+    service: "engines",
+    answer: (socket, id) => {
+      if (id === "unframed") return socket.write(headWithoutLength(id) + part);
+      const head = headWithoutLength(id).trimEnd();
+      socket.write(`${head}\r\ncontent-length: 999\r\n\r\n${part}`);
+    },
+  });
+  const answers = ["framed", "unframed"].map((id) =>
+    askUntilAccepted(world, "/stream/a", {
+      ...MODEL_REQUEST_HEADERS,
+      ...toRequestHeaders({ id }),
+    })
+  );
+  await until(() => raw.requests.length === 2);
+  await world.engine("i-2");
+  raw.end(AddressAfterEnd.silent);
+  for (const answer of answers) {
+    assert.equal((await answer).body, completeStreamBody(4));
+  }
+});
--- a/src/router/exchange.ts
+++ b/src/router/exchange.ts
@@ -42,10 +42,17 @@
 /** Chunks of a single byte have five other bytes; extensions may add some. */
 const MAX_OVERHEAD_PER_BODY_BYTE = 8;
 
+/** Codes of errors by which undici reports that the server has ended a connection. */
+const CUT_CODES: ReadonlySet<string> = new Set([
+  "UND_ERR_SOCKET",
+  "ECONNRESET",
+  "EPIPE",
+]);
+
 /** The connection that carries an exchange. */
 export interface ExchangeChannel {
   /** All connections to the server. */
-  readonly connections: Pick<ServerConnections, "stateAfterEnd">;
+  readonly connections: Pick<ServerConnections, "recordCut" | "stateAfterEnd">;
   /** Bytes that were received on the current connection. */
   readonly receivedBytes: number;
   /** Whether the current connection ended with a reset. */
@@ -209,6 +216,9 @@
   ): void {
     const code = (error as { code?: string }).code ?? error.name;
     const kind = this.#sent ? "broken" : "unreachable";
+    if (this.#sent && !this.#done && CUT_CODES.has(code)) {
+      this.#channel.connections.recordCut();
+    }
     this.#end(failed(kind, code));
   }
 
--- a/src/router/server_connections.ts
+++ b/src/router/server_connections.ts
@@ -19,6 +19,8 @@
   readonly #address: string;
   readonly #open = new Set<Socket>();
   readonly #endedByServer = new WeakSet<Socket>();
+  /** When a connection ended last before the answer on it was complete, by the process's clock. */
+  #cutAtMs = -Infinity;
 
   private constructor(address: string) {
     this.#address = address;
@@ -56,19 +58,27 @@
       );
   }
 
+  /** Records that the server's end of a connection cut an answer, or left a request without one. */
+  recordCut(): void {
+    this.#cutAtMs = performance.now();
+  }
+
   /**
    * Call it when a connection has ended. A connection that was open before and stays open shows that
-   * the process lives on. That others end as well shows nothing: their own answers may end them.
+   * the process lives on. That others end as well shows nothing if their own answers may end them; one
+   * that is cut at the same time shows that the process has ended.
    *
    * @returns State of the server.
    */
   async stateAfterEnd(): Promise<StateAfterEnd> {
+    const settledFromMs = performance.now() - CRASH_SETTLE_MS;
     const isOneOpen = this.watchOpen();
     await sleep(CRASH_SETTLE_MS);
     // After a stall, timers run before ends that have arrived are read: data first, then the end.
     await turn();
     await turn();
     if (isOneOpen()) return "alive";
+    if (this.#cutAtMs >= settledFromMs) return "ended";
     const isRefused = await tryConnect(this.#address) === "refused";
     return isRefused ? "ended" : "unclear";
   }
