Don't resume a stream behind events without an id

What callers saw: a stream of a route that allows resuming, whose server sent events without an id, was cut and resumed. The client got these events twice in one answer: all of them if no event had an id, else those behind the last id.

Cause: a run is resumed behind the last id that the client has. Whether the client had got anything behind it wasn't known.

The fix: the progress of a request says whether events with data were delivered behind the last id. Such a stream isn't sent again, moved or restored from a backup; it breaks off, and its client decides. Comments have no data, so that they change nothing. The platform's own servers give each event an id; for them nothing changes.

--- a/src/router/answer_writer.ts
+++ b/src/router/answer_writer.ts
@@ -1,6 +1,7 @@
 /** Writes the response of a request's runs to its client. */
 import { answerHeaders } from "../platform/mod.ts";
 import type { PartialAnswer, Progress, Send } from "./attempt.ts";
+import { hasDataBehindId } from "./event_splitter.ts";
 import type { AnswerPart } from "./read_answer.ts";
 import type { AnswerSink, RoutedRequest, SinkHead } from "./request.ts";
 import type { SoftwareRecord } from "./software_record.ts";
@@ -60,6 +61,8 @@
     const { sink, progress } = this.#task;
     if (!progress.streamStarted) await this.#recordOrigin(send);
     this.#writeHead(send);
+    const isBehind = lastEventId === undefined && progress.hasEventsBehindId;
+    progress.hasEventsBehindId = isBehind || hasDataBehindId(bytes);
     progress.lastEventId = lastEventId ?? progress.lastEventId;
     await sink.write(bytes);
   }
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -94,6 +94,8 @@
   streamStarted: boolean;
   /** Id of the last event that the client has received. */
   lastEventId: string | undefined;
+  /** The client has received events without an id after that one, which a further run would repeat. */
+  hasEventsBehindId?: boolean;
   /** Origin of the stream, once the client has its first event, from this attempt or an earlier one. */
   origin?: StreamOrigin;
   /** Who knew the origin, if the client takes up a stream. */
--- a/src/router/event_splitter.ts
+++ b/src/router/event_splitter.ts
@@ -3,6 +3,7 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = Buffer.from("id:");
+const DATA_FIELD = Buffer.from("data");
 
 /** Complete events that were read from the stream. */
 export interface CompleteEvents {
@@ -42,6 +43,27 @@
   }
 }
 
+/**
+ * @param bytes Complete events.
+ * @returns Whether one with data follows the last one with an id, so that a run that is resumed behind
+ *   that id repeats it.
+ */
+export function hasDataBehindId(bytes: Buffer): boolean {
+  const idAt = lastLineAt(bytes, ID_FIELD);
+  const dataAt = lastLineAt(bytes, DATA_FIELD);
+  return dataAt > idAt &&
+    (idAt < 0 || endOfLastEvent(bytes.subarray(idAt, dataAt)) > 0);
+}
+
+/** Returns the offset of the last line that starts with a text, or -1 if there is none. */
+function lastLineAt(bytes: Buffer, start: Buffer): number {
+  let at = bytes.lastIndexOf(start);
+  while (at > 0 && bytes[at - 1] !== LINE_FEED) {
+    at = bytes.lastIndexOf(start, at - 1);
+  }
+  return at;
+}
+
 /** Returns the offset after the last empty line, or 0 if there is none. */
 function endOfLastEvent(bytes: Buffer): number {
   for (let at = bytes.length - 1; at > 0; at--) {
--- a/src/router/event_splitter_test.ts
+++ b/src/router/event_splitter_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { EventSplitter } from "./event_splitter.ts";
+import { EventSplitter, hasDataBehindId } from "./event_splitter.ts";
 
 const SEED = 20_261_202;
 
@@ -61,3 +61,19 @@
     { seed: SEED },
   );
 });
+
+// Guards against resuming a stream behind an id when the client has later events, which come twice.
+test("data behind the last id is told from data of its event and from comments", () => {
+  const isBehind = (text: string) => hasDataBehindId(Buffer.from(text));
+  for (const line of ["\n", "\r\n"]) {
+    const numbered = `id: 1${line}data: a${line}data: b${line}${line}`;
+    const idLast = `data: a${line}id: 1${line}${line}`;
+    const comment = `: data${line}${line}`;
+    const unnumbered = `data: id:${line}${line}`;
+    for (const text of [numbered, idLast, comment, numbered + comment]) {
+      assert.ok(!isBehind(text), text);
+      assert.ok(isBehind(text + unnumbered), text);
+      assert.ok(!isBehind(text + unnumbered + numbered), text);
+    }
+  }
+});
--- a/src/router/resends.ts
+++ b/src/router/resends.ts
@@ -164,7 +164,7 @@
     // Most servers that refuse have not run the request, and a started stream would be cut otherwise.
     const unprovenRuns = isCut ? 0 : progress.unprovenRefusals;
     const runCount = runs + open.count;
-    if (runCount > 0 && !isIdempotent(route)) {
+    if (runCount > 0 && (!isIdempotent(route) || progress.hasEventsBehindId)) {
       return ResendRefusal.notRepeatable;
     }
     // Runs at servers that have ended don't count towards the route's maximum of attempts.
--- a/src/router/run_backups.ts
+++ b/src/router/run_backups.ts
@@ -206,7 +206,9 @@
   }
 
   /** Why a lost run can't continue from its backup; undefined if it can. */
-  #refusalOf({ request, choice, backup, sink }: Send): NoRestore | undefined {
+  #refusalOf(
+    { request, choice, backup, sink, progress }: Send,
+  ): NoRestore | undefined {
     const { clock, wanted, quarantine, fleet } = this.#options;
     const { weightsVersion, copy } = choice;
     const model = request.facts.prompt?.model ?? "";
@@ -216,6 +218,7 @@
       {
         isLost: true,
         isRestored: copy?.lostRun !== undefined,
+        isBehindEventId: progress.hasEventsBehindId ?? false,
         isClientGone: sink.gone,
         isQuarantined: verdict !== "clear" && verdict !== "suspected",
         leftMs: request.answerByMs - clock.nowMs(),
@@ -309,6 +312,7 @@
     case NoRestore.noBackup:
     case NoRestore.notLost:
     case NoRestore.alreadyRestored:
+    case NoRestore.behindEventId:
     case NoRestore.clientGone:
     case NoRestore.noTime:
     case NoRestore.quarantined:
--- a/src/router/run_mover.ts
+++ b/src/router/run_mover.ts
@@ -82,6 +82,7 @@
     const { facts, answerByMs } = request;
     return move === undefined && answer !== undefined &&
       progress.streamStarted && progress.lastEventId !== undefined &&
+      !progress.hasEventsBehindId &&
       // If the copy can't be used after all, the run is repeated from the last event on.
       isIdempotent(request.route) &&
       choice.server.isChangingWeights(nowMs) &&
--- a/src/run_backup/restore_step.ts
+++ b/src/run_backup/restore_step.ts
@@ -7,6 +7,8 @@
   notLost: "not_lost",
   /** The run itself continued from a backup. */
   alreadyRestored: "already_restored",
+  /** The client has received events behind the last id, which the run would repeat. */
+  behindEventId: "behind_event_id",
   clientGone: "client_gone",
   noTime: "no_time",
   quarantined: "quarantined",
@@ -33,6 +35,8 @@
   isLost: boolean;
   /** The run continued from a backup; a request is restored at most once. */
   isRestored: boolean;
+  /** The client has received events without an id after the last one with an id. */
+  isBehindEventId: boolean;
   isClientGone: boolean;
   /** The request, or a part of its prompt, is in quarantine. */
   isQuarantined: boolean;
@@ -81,6 +85,7 @@
   if (run.isRestored) return NoRestore.alreadyRestored;
   if (!run.isLost) return NoRestore.notLost;
   if (run.isClientGone) return NoRestore.clientGone;
+  if (run.isBehindEventId) return NoRestore.behindEventId;
   if (run.leftMs < MIN_LEFT_MS) return NoRestore.noTime;
   return run.isQuarantined ? NoRestore.quarantined : undefined;
 }
--- a/src/run_backup/restore_step_test.ts
+++ b/src/run_backup/restore_step_test.ts
@@ -10,6 +10,7 @@
 const LOST: LostRun = {
   isLost: true,
   isRestored: false,
+  isBehindEventId: false,
   isClientGone: false,
   isQuarantined: false,
   leftMs: 1000,
@@ -36,6 +37,7 @@
     [{ isLost: false }, NoRestore.notLost],
     [{ isRestored: true }, NoRestore.alreadyRestored],
     [{ isClientGone: true }, NoRestore.clientGone],
+    [{ isBehindEventId: true }, NoRestore.behindEventId],
     [{ isQuarantined: true }, NoRestore.quarantined],
     [{ leftMs: 39 }, NoRestore.noTime],
     [{ weightsVersion: 2 }, NoRestore.otherWeights],
