--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -1,4 +1,6 @@
 /** One send of a request to a backend server: its state and its possible results. */
+import type { ByteCollector } from "../base/mod.ts";
+import type { AnswerBuffer } from "./answer_buffers.ts";
 import type { AnswerHead, Exchange } from "./channel.ts";
 import type { Choice } from "./choose.ts";
 import type { EventSplitter } from "./event_splitter.ts";
@@ -100,6 +102,8 @@
   origin?: StreamOrigin;
   /** Who knew the origin, if the client takes up a stream. */
   originSource?: OriginSource;
+  /** How old the copy of the store was when the origin was looked for. */
+  storeCopyAgeMs?: number;
   ttftMs?: number;
   expectedMs?: number;
   /** Expected times of the best server, if the request was refused for them. */
@@ -150,7 +154,7 @@
 /** Body of a {@link PartialAnswer}. */
 export type PartialBody =
   | { kind: "stream"; splitter: EventSplitter }
-  | { kind: "whole"; chunks: Buffer[]; sizeBytes: number };
+  | { kind: "whole"; collector: ByteCollector };
 
 /** One send of a request to one server. */
 export interface Send {
@@ -173,6 +177,8 @@
   isSuspected: boolean;
   /** Set once the server has started to answer. */
   answer?: PartialAnswer;
+  /** Counts the bytes that {@link Send.answer} buffers. */
+  buffer?: AnswerBuffer;
   /** When the head of the answer was received. */
   headAtMs?: number;
   /** When the first event of the answer was received. */
@@ -185,6 +191,29 @@
   backup?: Server;
 }
 
+/**
+ * @param body Body that is being read.
+ * @returns Number of bytes that it buffers.
+ */
+export function bufferedBytes(body: PartialBody): number {
+  switch (body.kind) {
+    case "stream":
+      return body.splitter.remainderBytes;
+    case "whole":
+      return body.collector.sizeBytes;
+  }
+}
+
+/** @param body Body whose buffered bytes are dropped. */
+export function clearBody(body: PartialBody): void {
+  switch (body.kind) {
+    case "stream":
+      return body.splitter.clear();
+    case "whole":
+      return body.collector.clear();
+  }
+}
+
 /**
  * @param send A send.
  * @returns Whether it continues a lost run from its backup.
--- a/src/router/software_record.ts
+++ b/src/router/software_record.ts
@@ -51,6 +51,8 @@
       ...options,
       event: "software_versions_recorded",
       rewriteIntervalMs: REWRITE_INTERVAL_MS,
+      // Another entry may have added a version that this one doesn't know yet.
+      positionOf: (key) => options.mirror.entry(key)?.modPosition,
       dueWrites: () => [...this.#puts(), ...this.#deletes()],
     });
   }
@@ -67,7 +69,7 @@
   onWritten(key: string): void {
     const { mirror, versions } = this.#options;
     const service = key.slice(SOFTWARE_RECORD_PREFIX.length);
-    for (const version of readVersions(mirror.entry(key)?.value)) {
+    for (const version of readRecordedVersions(mirror.entry(key)?.value)) {
       const softwareVersion = version ?? undefined;
       versions.hear({ service, softwareVersion, ageMs: 0 });
     }
@@ -123,7 +125,7 @@
 
   #isRecorded(key: string, version: string | null): boolean {
     const { value } = this.#options.mirror.entry(key) ?? {};
-    return readVersions(value).includes(version);
+    return readRecordedVersions(value).includes(version);
   }
 
   /** Writes the records of this entry that lack a version, and deletes the obsolete ones. */
@@ -138,7 +140,7 @@
       const current = versions.current(service).map((one) => one ?? null);
       if (!this.#needsRecord(service, current)) continue;
       const key = SOFTWARE_RECORD_PREFIX + service;
-      const recorded = readVersions(mirror.entry(key)?.value);
+      const recorded = readRecordedVersions(mirror.entry(key)?.value);
       if (!isOutdated(recorded, current) || !this.#mayPut(key)) continue;
       const value = new TextEncoder().encode(
         JSON.stringify({ versions: current }),
@@ -181,8 +183,13 @@
   return !isComplete || current.length === 1 && recorded.length > 1;
 }
 
-/** Versions in a record, null for servers that state none; empty if the record is malformed. */
-function readVersions(value: Uint8Array | undefined): (string | null)[] {
+/**
+ * @param value Value of a record; undefined if there is none.
+ * @returns Its versions, null for servers that state none; empty if it is missing or malformed.
+ */
+export function readRecordedVersions(
+  value: Uint8Array | undefined,
+): (string | null)[] {
   if (!value) return [];
   const { versions } = readJson(value);
   return Array.isArray(versions)
