Trust one version while the store is away only if all entries reply

An entry that had announced that it stops wasn't counted at all.

While the store is away, up to 32 entries are asked, and only if each registered one replies is the only version trusted; larger fleets refuse. Also by the review: a service of which this entry knows no server has no version to trust, and an origin always names its service, so that a stream isn't continued at a server that joins while it waits; a check no longer counts as a sighting, which kept a service mixed for as long as streams were taken up; and entries may read a few times at once after a time without reads, as a read that the rate forbade looked like a store that is away.

--- a/src/router/entry_members.ts
+++ b/src/router/entry_members.ts
@@ -121,6 +121,12 @@
     return this.#first(count, candidates, textHash(key));
   }
 
+  /** Other registered entries, also those that have ended and ones that stop. */
+  registeredOthers(): string[] {
+    const { ownAddress, registeredAddresses } = this.#options;
+    return registeredAddresses().filter((address) => address !== ownAddress);
+  }
+
   /**
    * The part of the entries that this one hears. The others are gone, or on the other side of a network
    * partition, where they may share a limit among themselves.
--- a/src/router/origin_questions.ts
+++ b/src/router/origin_questions.ts
@@ -6,6 +6,8 @@
 
 /** Entries that are asked: the holders, and those that are if the others' view differs by two. */
 const ASKED = 5;
+/** Most entries that are asked while the store is away. */
+const MAX_ASKED = 32;
 /**
  * Longest wait for replies; a round trip takes some ms, but entries that are behind need longer, and
  * so do those that wait for the store. A client whose stream is refused waits for all of it again.
@@ -29,14 +31,15 @@
 /** Result of {@link OriginQuestions.ask}. */
 export interface Replies {
   replies: OriginReply[];
-  /** Number of entries that were asked and did not reply. */
-  missing: number;
+  /** Whether all registered entries have replied. */
+  isFromAll: boolean;
 }
 
 /** A question to other entries. */
 interface Question {
   /** Entries that have not replied. */
   waiting: Set<string>;
+  replied: Set<string>;
   replies: OriginReply[];
   /** Ends the wait. */
   done: AbortController;
@@ -66,16 +69,26 @@
    *
    * @param id Id of the attempt that began the stream.
    * @param service Its service.
-   * @returns The replies, each sent after this call, and the number of entries that did not reply.
+   * @param options Whether the store doesn't answer this entry, so that more of the others are asked.
+   * @returns The replies, each sent after this call.
    */
-  async ask(id: string, service: string): Promise<Replies> {
+  async ask(
+    id: string,
+    service: string,
+    { isStoreAway }: { isStoreAway: boolean },
+  ): Promise<Replies> {
     const { members, clock, send } = this.#options;
     const nowMs = clock.nowMs();
-    const waiting = new Set(members.mayKnow(id, nowMs, ASKED));
-    if (waiting.size === 0) return { replies: [], missing: 0 };
+    const registered = members.registeredOthers();
+    const count = isStoreAway ? MAX_ASKED : ASKED;
+    const waiting = new Set(members.mayKnow(id, nowMs, count));
+    const replied = new Set<string>();
+    const isFromAll = () => registered.every((one) => replied.has(one));
+    if (waiting.size === 0) return { replies: [], isFromAll: isFromAll() };
     const sequence = ++this.#lastSequence;
     const replies: OriginReply[] = [];
-    const question = { waiting, replies, done: new AbortController() };
+    const done = new AbortController();
+    const question = { waiting, replied, replies, done };
     this.#open.set(sequence, question);
     const { signal } = question.done;
     const endMs = nowMs + REPLY_TIMEOUT_MS;
@@ -88,7 +101,7 @@
     // Replies may have arrived unread while the event loop was blocked.
     if (!signal.aborted) await setImmediate();
     this.#open.delete(sequence);
-    return { replies, missing: waiting.size };
+    return { replies, isFromAll: isFromAll() };
   }
 
   /**
@@ -98,6 +111,7 @@
   onReply(address: string, reply: OriginReply): void {
     const question = this.#open.get(reply.sequence);
     if (!question?.waiting.delete(address)) return;
+    question.replied.add(address);
     question.replies.push(reply);
     if (reply.row || question.waiting.size === 0) question.done.abort();
   }
--- a/src/router/software_check.ts
+++ b/src/router/software_check.ts
@@ -16,6 +16,8 @@
 const MAX_WAIT_MS = 300;
 /** Most reads of all entries together; the platform bounds the calls to its store. */
 const MAX_READS_PER_S = 200;
+/** Most reads of all entries together after a time without any, beyond that rate. */
+const MAX_BURST_READS = 400;
 
 /** What the store says of a service. */
 export type SoftwareAnswer =
@@ -32,8 +34,8 @@
   store: Pick<KeyValueStore, "get">;
   clock: Clock;
   metrics: Metrics;
-  /** Learns the versions that the store names. */
-  versions: SoftwareVersions;
+  /** The versions that this entry knows. */
+  versions: Pick<SoftwareVersions, "current">;
   /** Number of entries that share the rate of reads. */
   entryCount(): number;
   /** Whether the store is answering. */
@@ -48,7 +50,7 @@
   readonly #options: SoftwareCheckOptions;
   /** Reads that are not sent yet, by service; checks that begin before one is sent share it. */
   readonly #unsent = new Map<string, Promise<Recorded>>();
-  /** When the next read may be sent. */
+  /** When the next read may be sent, by the rate. */
   #nextAtMs = -Infinity;
 
   private constructor(options: SoftwareCheckOptions) {
@@ -73,11 +75,7 @@
       this.#recorded(service),
       clock.sleep(MAX_WAIT_MS).then(() => undefined),
     ]);
-    for (const version of recorded ?? []) {
-      const softwareVersion = version ?? undefined;
-      versions.hear({ service, softwareVersion, ageMs: 0 });
-    }
-    const answer = answerOf(recorded, versions.isMixed(service));
+    const answer = answerOf(recorded, versions.current(service));
     metrics.counter("software_checks_total", {
       help: "Reads of a service's software versions for a stream, by result",
       labels: { result: answer.kind },
@@ -88,18 +86,30 @@
   #recorded(service: string): Promise<Recorded> {
     const unsent = this.#unsent.get(service);
     if (unsent) return unsent;
-    const { clock, isStoreServing, entryCount } = this.#options;
+    const { clock, isStoreServing } = this.#options;
     const nowMs = clock.nowMs();
-    const pauseMs = Math.max(0, this.#nextAtMs - nowMs);
+    const dueAtMs = this.#dueAtMs(nowMs);
+    const pauseMs = Math.max(0, dueAtMs - nowMs);
     if (!isStoreServing() || pauseMs >= MAX_WAIT_MS) {
       return Promise.resolve(undefined);
     }
-    this.#nextAtMs = nowMs + pauseMs + 1000 * entryCount() / MAX_READS_PER_S;
+    this.#nextAtMs = dueAtMs + this.#intervalMs;
     const read = this.#read(service, pauseMs);
     this.#unsent.set(service, read);
     return read;
   }
 
+  /** When the next read is due; it lies in the past after a time without reads. */
+  #dueAtMs(nowMs: number): number {
+    const entryCount = this.#options.entryCount();
+    const burst = Math.max(1, Math.floor(MAX_BURST_READS / entryCount));
+    return Math.max(this.#nextAtMs, nowMs - (burst - 1) * this.#intervalMs);
+  }
+
+  get #intervalMs(): number {
+    return 1000 * this.#options.entryCount() / MAX_READS_PER_S;
+  }
+
   async #read(service: string, pauseMs: number): Promise<Recorded> {
     const { store, clock } = this.#options;
     await clock.sleep(pauseMs);
@@ -109,11 +119,19 @@
   }
 }
 
-function answerOf(recorded: Recorded, isMixed: boolean): SoftwareAnswer {
+/** The service has several versions if the store names another one than this entry knows. */
+function answerOf(
+  recorded: Recorded,
+  known: (string | undefined)[],
+): SoftwareAnswer {
   if (!recorded) return { kind: "no_answer" };
-  const [version] = recorded;
-  if (version === undefined) return { kind: "not_recorded" };
-  return isMixed
+  if (recorded.length === 0) return { kind: "not_recorded" };
+  const versions = new Set([
+    ...recorded.map((version) => version ?? undefined),
+    ...known,
+  ]);
+  const [softwareVersion] = versions;
+  return versions.size > 1
     ? { kind: "several_versions" }
-    : { kind: "one_version", softwareVersion: version ?? undefined };
+    : { kind: "one_version", softwareVersion };
 }
--- a/src/router/stream_origins.ts
+++ b/src/router/stream_origins.ts
@@ -29,7 +29,7 @@
 
 /** Entries that are told of each stream. */
 const HOLDERS = 3;
-/** Time for which a client may take up a stream after the deadline of the attempt that began it. */
+/** Time to take up a stream after the deadline of the attempt that began it. */
 const RETURN_MS = 5000;
 /** To stay below the usual packet size. */
 const MAX_ROWS_PER_DATAGRAM = 16;
@@ -221,48 +221,50 @@
     }
     // Nothing is recorded for streams that may not be taken up.
     if (!isMixed && !route.resumable) {
-      return originOf(service, this.#knownVersion(service));
+      const only = this.#knownVersion(service);
+      return only
+        ? originOf(service, only)
+        : { source: OriginSource.oneVersion };
     }
     const answer = isMixed ? undefined : await check.ask(service);
     if (answer?.kind === "one_version") return originOf(service, answer);
     if (!isUsableId(id)) return { source: OriginSource.unknown };
-    const replies = await this.#questions.ask(id, service);
+    const isStoreAway = answer?.kind === "no_answer";
+    const replies = await this.#questions.ask(id, service, { isStoreAway });
     const row = replies.replies.find(({ row }) => row)?.row;
     if (row) {
       this.#table.set(row, { isOwn: false });
       return { source: OriginSource.entry, origin: row.origin };
     }
-    const only = answer?.kind === "no_answer" &&
-      this.#agreedVersion(service, replies);
+    const only = isStoreAway && this.#agreedVersion(service, replies);
     return only ? originOf(service, only) : { source: OriginSource.unknown };
   }
 
   /**
    * The only version of a service by the replies of other entries, as the store doesn't answer this
-   * one. If it answers none of all entries, nobody learns of other versions.
+   * one. If it answers none of the registered entries, none has learned of another version.
    */
   #agreedVersion(
     service: string,
-    { replies, missing }: Replies,
+    { replies, isFromAll }: Replies,
   ): OnlyVersion | undefined {
-    const { members, clock, versions } = this.#options;
+    const { versions } = this.#options;
     if (versions.isMixed(service)) return undefined;
     if (replies.some(({ isMixed }) => isMixed)) return undefined;
     const known = this.#knownVersion(service);
     const told = replies.find(({ onlyVersion }) => onlyVersion)?.onlyVersion;
-    if (told) {
-      return told.softwareVersion === known.softwareVersion ? known : undefined;
-    }
-    const isStoreDown = missing === 0 &&
-      !replies.some(({ reachesStore }) => reachesStore) &&
-      members.heardShare(clock.nowMs()) === 1;
-    return isStoreDown ? known : undefined;
+    const isStoreDown = isFromAll &&
+      !replies.some(({ reachesStore }) => reachesStore);
+    const isAgreed = told
+      ? told.softwareVersion === known?.softwareVersion
+      : isStoreDown;
+    return isAgreed ? known : undefined;
   }
 
-  /** The version of a service that isn't mixed, as far as this entry knows. */
-  #knownVersion(service: string): OnlyVersion {
-    const [softwareVersion] = this.#options.versions.current(service);
-    return { softwareVersion };
+  /** The version of a service if this entry knows one and no other. */
+  #knownVersion(service: string): OnlyVersion | undefined {
+    const known = this.#options.versions.current(service);
+    return known.length === 1 ? { softwareVersion: known[0] } : undefined;
   }
 
   /** Replies to another entry; the reply tells how things are after its question was sent. */
@@ -344,7 +346,5 @@
   { softwareVersion }: OnlyVersion,
 ): Origin {
   const source = OriginSource.oneVersion;
-  return softwareVersion === undefined
-    ? { source }
-    : { source, origin: { service, softwareVersion } };
+  return { source, origin: { service, softwareVersion } };
 }
