Cut entries off from store and entries during releases of the soak

A new kind of fault, cut_off, makes an entry's connections to the store silent and loses the datagrams from and to it; what it sends to itself arrives, as it measures its lag by that. Datagrams are lost in a file that the soak preloads into its entries, while a second file exists, so that the product has no hook and the loss outlasts a restart and a suspension. A plan with it also has releases during these faults and during suspensions, and clients that break off streams at the other entries and take them up at this one, again where it refuses.

--- a/src/e2e/_child.ts
+++ b/src/e2e/_child.ts
@@ -17,6 +17,8 @@
   /** File below `src` without its extension, such as `cli/main`. */
   program: string;
   args: string[];
+  /** File below `src` without its extension that the process loads first. */
+  preload?: string;
   /** Additional environment variables. */
   variables?: Record<string, string>;
 }
@@ -59,7 +61,7 @@
   static create(options: ProgramOptions): Child {
     const env = { ...process.env, ...options.variables };
     delete env["NODE_TEST_CONTEXT"];
-    const args = [...programArgs(options.program), ...options.args];
+    const args = [...programArgs(options), ...options.args];
     const stdio = ["ignore", "pipe", "pipe"] as const;
     return new Child(
       spawn(process.execPath, args, { env, stdio: [...stdio] }),
@@ -126,12 +128,19 @@
   }
 }
 
-function programArgs(program: string): string[] {
+function programArgs({ program, preload }: ProgramOptions): string[] {
   const isBuilt = import.meta.url.endsWith(".js");
   const extension = isBuilt ? "js" : "ts";
-  const url = new URL(`../${program}.${extension}`, import.meta.url);
-  const path = fileURLToPath(url);
-  return isBuilt ? [path] : ["--import", "tsx", path];
+  const urlOf = (name: string) =>
+    new URL(`../${name}.${extension}`, import.meta.url);
+  const imports = [
+    ...(isBuilt ? [] : ["tsx"]),
+    ...(preload === undefined ? [] : [urlOf(preload).href]),
+  ];
+  return [
+    ...imports.flatMap((name) => ["--import", name]),
+    fileURLToPath(urlOf(program)),
+  ];
 }
 
 function rejectAfter(
--- a/src/proof/_soak.ts
+++ b/src/proof/_soak.ts
@@ -3,11 +3,11 @@
 import { seededRandom } from "../base/random.ts";
 import { CONFIG_KEY, CutEnding, SERVERS_PREFIX } from "../standin/mod.ts";
 import { probeConfigs } from "./_config_probe.ts";
-import { runClient } from "./_soak_client.ts";
+import { runClient, runLeavers } from "./_soak_client.ts";
 import { CRASHING_PART, sendCrashingRequests } from "./_soak_crash_client.ts";
 import type { SoakEntry } from "./_soak_entry.ts";
 import { type CutEnd, SoakFleet } from "./_soak_fleet.ts";
-import { type Disruption, type SoakHistory, STORE } from "./_soak_history.ts";
+import { type SoakHistory, STORE } from "./_soak_history.ts";
 import { type Fault, FaultKind, type SoakPlan } from "./_soak_fault.ts";
 import type { StoreAck } from "./_store_writers.ts";
 import { addServerRecords, resultOf, type SoakResult } from "./_soak_result.ts";
@@ -175,11 +175,13 @@
           await store.up();
         });
       case FaultKind.storeSilent:
-        return await this.#disrupt(entry, false, async () => {
-          entry.link.silent();
-          await sleep(forMs);
-          entry.link.up();
-        });
+        return await this.#silence(entry, forMs);
+      case FaultKind.cutOff:
+        entry.loss.begin();
+        await this.#silence(entry, forMs);
+        return entry.loss.end();
+      case FaultKind.takeUps:
+        return await this.#takeUpAt(entry, fault);
       case FaultKind.rate:
         server.faults.rate = perSecond === undefined
           ? undefined
@@ -313,17 +315,30 @@
     this.#disrupted.delete(entry);
   }
 
+  async #takeUpAt(entry: SoakEntry, { atMs, forMs }: Fault): Promise<void> {
+    const { clients: records, streams } = this.#history;
+    const random = seededRandom(this.#plan.seed * 1000 + atMs);
+    const others = this.#fleet.entries.filter((one) => one !== entry);
+    const options = { name: `t${atMs}`, random, entries: [entry] };
+    const signal = AbortSignal.timeout(forMs);
+    await runLeavers(others, { ...options, records, streams }, signal);
+  }
+
+  async #silence(entry: SoakEntry, forMs: number): Promise<void> {
+    await this.#disrupt(entry, false, async () => {
+      entry.link.silent();
+      await sleep(forMs);
+      entry.link.up();
+    });
+  }
+
   async #disrupt(
-    { index }: Pick<SoakEntry, "index">,
+    { index: entry }: Pick<SoakEntry, "index">,
     isPlanned: boolean,
     body: () => Promise<void>,
   ): Promise<void> {
-    const disruption: Disruption = {
-      entry: index,
-      fromMs: performance.now(),
-      toMs: Infinity,
-      isPlanned,
-    };
+    const fromMs = performance.now();
+    const disruption = { entry, fromMs, toMs: Infinity, isPlanned };
     this.#history.disruptions.push(disruption);
     await body();
     disruption.toMs = performance.now();
--- a/src/proof/_soak_client.ts
+++ b/src/proof/_soak_client.ts
@@ -25,20 +25,22 @@
 
 /** Pause between two requests on a connection. */
 const PAUSE_MS = 60;
-/** Pause after a connection could not be made. */
+/** Pause after a connection could not be made, and of leavers after a refusal. */
 const RECONNECT_MS = 100;
 const DEADLINE_MS = 4000;
 /** After this, a request counts as never answered. */
 const GIVE_UP_MS = DEADLINE_MS + 2000;
 /** Number of events of a whole stream. */
 export const EVENTS = 6;
-/** Part of the streams that the client breaks off. */
+/** Part of the streams that a client breaks off. */
 const LEAVE_SHARE = 0.2;
 /** Events after which it does so. */
 const LEAVE_AFTER_EVENTS = 2;
 /** Of this many calls, a client sends one with bytes behind it that are no request. */
 const HASTY_CALLS = 12;
 const NO_REQUEST = "no request\r\n\r\n";
+/** Clients that break off streams at an entry and take them up at another one. */
+const LEAVERS_PER_ENTRY = 2;
 /** Further attempts at a stream. */
 const MAX_RETURNS = 3;
 
@@ -49,6 +51,8 @@
   { path: "/once/", isIdempotent: false, isResumable: false, isStream: true },
 ] as const;
 
+const RESUMABLE_ROUTES = ROUTES.filter(({ isResumable }) => isResumable);
+
 type Route = typeof ROUTES[number];
 
 /** Address of an entry, and its number. */
@@ -62,8 +66,13 @@
 export interface SoakClientOptions {
   name: string;
   random: () => number;
-  /** All entries; a stream is taken up at any of them. */
+  /** Entries at which a stream is taken up. */
   entries: readonly ClientTarget[];
+  /**
+   * The client sends streams alone, breaks off the first attempt at each, and takes it up again where
+   * that is refused.
+   */
+  isLeaver?: boolean;
   /** Receives each request that has ended. */
   records: ClientRecord[];
   /** Receives each stream that has ended. */
@@ -82,12 +91,13 @@
   options: SoakClientOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const { name, random } = options;
+  const { name, random, isLeaver = false } = options;
+  const routes = isLeaver ? RESUMABLE_ROUTES : ROUTES;
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
   for (let i = 0; !signal.aborted; i++) {
-    const route = ROUTES[Math.floor(random() * ROUTES.length)]!;
+    const route = routes[Math.floor(random() * routes.length)]!;
     const id = `${name}-${i}`;
-    const isLeft = route.isResumable && random() < LEAVE_SHARE;
+    const isLeft = isLeaver || (route.isResumable && random() < LEAVE_SHARE);
     const sentAtMs = performance.now();
     const events: MarkedEvent[] = [];
     const isHasty = !route.isStream && i % HASTY_CALLS === 0;
@@ -103,11 +113,33 @@
     if (route.isStream) {
       await followStream(options, { target, id, route, sentAtMs, end, events });
     }
-    await sleep(end.kind === "broken" ? RECONNECT_MS : PAUSE_MS * random());
+    const isDelayed = end.kind === "broken" || (isLeaver && isRefused(end));
+    await sleep(isDelayed ? RECONNECT_MS : PAUSE_MS * random());
   }
   agent.destroy();
 }
 
+/**
+ * Breaks off streams at entries, and takes them up elsewhere, until the signal is aborted.
+ *
+ * @param targets Entries at which the streams begin.
+ * @param options Entries at which they are taken up, randomness and records.
+ * @param signal Ends the clients after their current streams.
+ */
+export async function runLeavers(
+  targets: readonly ClientTarget[],
+  options: SoakClientOptions,
+  signal: AbortSignal,
+): Promise<void> {
+  const clients = targets.flatMap((target) =>
+    Array.from({ length: LEAVERS_PER_ENTRY }, (_, i) => {
+      const name = `${options.name}-${target.index}-${i}`;
+      return runClient(target, { ...options, name, isLeaver: true }, signal);
+    })
+  );
+  await Promise.all(clients);
+}
+
 /** An attempt that has ended. */
 interface EndedAttempt {
   target: ClientTarget;
@@ -139,7 +171,7 @@
   options: SoakClientOptions,
   first: EndedAttempt,
 ): Promise<void> {
-  const { entries, random, streams } = options;
+  const { entries, random, streams, isLeaver = false } = options;
   const { id, route, events } = first;
   const stream: StreamRecord = {
     id,
@@ -156,7 +188,9 @@
   streams.push(stream);
   let lastEnd = first.end;
   for (let i = 0; i < MAX_RETURNS && route.isResumable; i++) {
-    if (isFinal(lastEnd) || stream.events.length === 0) return;
+    const isOver = isFinal(lastEnd) && !(isLeaver && isRefused(lastEnd));
+    if (isOver || stream.events.length === 0) return;
+    if (isRefused(lastEnd)) await sleep(RECONNECT_MS);
     const target = entries[Math.floor(random() * entries.length)]!;
     const again = `${id}-${i}`;
     const sentAtMs = performance.now();
@@ -199,6 +233,10 @@
   return end.declaredEnd !== DeclaredEnd.connection || end.isOwnAnswer;
 }
 
+function isRefused(end: ClientEnd): boolean {
+  return end.kind === "answered" && end.status === 503;
+}
+
 function isWholeStream(end: ClientEnd): boolean {
   return isFinal(end) && end.kind === "answered" && end.status === 200;
 }
--- a/src/proof/_soak_entry.ts
+++ b/src/proof/_soak_entry.ts
@@ -1,5 +1,10 @@
 /** Entries of a soak, as processes of their own. */
 import { Child } from "../e2e/_child.ts";
+import {
+  type DatagramLoss,
+  LOSS_FILE_VARIABLE,
+  LOSS_PRELOAD,
+} from "./_datagram_loss.ts";
 import {
   fetchReadinessStatus,
   PortRange,
@@ -21,6 +26,7 @@
   clientPort: number;
   readinessPort: number;
   link: TcpRelay;
+  loss: DatagramLoss;
   child: Child;
 }
 
@@ -48,14 +54,16 @@
  * @returns Its process.
  */
 export function startEntry(
-  { index, ipAddress, link }: Omit<SoakEntry, "child">,
+  { index, ipAddress, link, loss }: Omit<SoakEntry, "child">,
   { client, readiness, control, peer }: EntryPorts,
 ): Child {
   const seeds = [1, 2, 3].map((host) => `127.0.1.${host}:${control}`);
   return Child.create({
     program: "router/main",
     args: [],
+    preload: LOSS_PRELOAD,
     variables: {
+      [LOSS_FILE_VARIABLE]: loss.path,
       CICADAHITCH_INSTANCE: `entry-${index}`,
       CICADAHITCH_ZONE: "a",
       CICADAHITCH_IP_ADDRESS: ipAddress,
--- a/src/proof/_soak_fault.ts
+++ b/src/proof/_soak_fault.ts
@@ -44,6 +44,10 @@
   leave: "leave",
   /** A server sends refusals of earlier requests a second time, while the next ones run. */
   lateRefusals: "late_refusals",
+  /** The entry's connections to the store are silent, and datagrams from and to it are lost. */
+  cutOff: "cut_off",
+  /** Clients break off streams at all other entries, and take them up at the entry. */
+  takeUps: "take_ups",
 } as const;
 
 /** One of {@link FaultKind}. */
--- a/src/proof/_soak_fleet.ts
+++ b/src/proof/_soak_fleet.ts
@@ -12,6 +12,7 @@
   StandinPlatformStore,
   TcpRelay,
 } from "../standin/mod.ts";
+import { DatagramLoss } from "./_datagram_loss.ts";
 import {
   claimPorts,
   entryAddress,
@@ -212,7 +213,10 @@
       child.kill("SIGCONT");
       await child.close();
     }
-    for (const { link } of this.entries) await link.close();
+    for (const { link, loss } of this.entries) {
+      await link.close();
+      loss.close();
+    }
     for (const server of this.servers) await server.close();
     for (const { server } of this.replaced) await server.close();
     await this.store.close();
@@ -328,6 +332,7 @@
       clientPort: client,
       readinessPort: readiness,
       link: await TcpRelay.create({ targetAddress, sourceAddress }),
+      loss: DatagramLoss.create(),
     };
     this.entries.push({ ...entry, child: startEntry(entry, this.#ports) });
   }
--- a/src/proof/_soak_plan.ts
+++ b/src/proof/_soak_plan.ts
@@ -10,6 +10,7 @@
   type SoakPlan,
   type SoakSizes,
 } from "./_soak_fault.ts";
+import { planCutOffs } from "./_cut_off_plan.ts";
 import { planRestores } from "./_store_plan.ts";
 
 /** Mean time between two faults that are planned one by one. */
@@ -94,6 +95,7 @@
     ...planUnframed(seed, sizes),
     ...planRestores(seed, sizes),
     ...planLateRefusals(seed, sizes),
+    ...planCutOffs(seed, sizes, enginesOf(sizes)),
   );
   const kept = faults.filter(({ kind }) => !sizes.without?.includes(kind));
   return { ...sizes, seed, faults: kept.sort((a, b) => a.atMs - b.atMs) };
@@ -107,11 +109,14 @@
   return index % 2 === 1;
 }
 
+function enginesOf({ serverCount }: SoakSizes): number[] {
+  return Array.from({ length: serverCount }, (_, i) => i).filter(isEngine);
+}
+
 /** Plans releases with random numbers of their own, so that the other faults of a seed don't change. */
 function planVersions(seed: number, sizes: SoakSizes): Fault[] {
   const random = seededRandom(seed + VERSIONS_SEED);
-  const engines = Array.from({ length: sizes.serverCount }, (_, i) => i)
-    .filter(isEngine);
+  const engines = enginesOf(sizes);
   const endMs = sizes.durationMs - QUIET_END_MS;
   const faults: Fault[] = [];
   let newest = 1;
@@ -248,6 +253,8 @@
     case FaultKind.storeRestore:
     case FaultKind.leave:
     case FaultKind.lateRefusals:
+    case FaultKind.cutOff:
+    case FaultKind.takeUps:
       return [{ kind, atMs, forMs, index: pick(serverCount) }];
   }
 }
--- a/src/proof/soak_plan_test.ts
+++ b/src/proof/soak_plan_test.ts
@@ -13,6 +13,7 @@
   FaultKind.answerCut,
   FaultKind.storeRestore,
   FaultKind.lateRefusals,
+  FaultKind.cutOff,
 ];
 
 test("same seed gives the same plan", () => {
@@ -33,10 +34,10 @@
 });
 
 // Guards against seeds that pass as they have none of the faults.
-test("first seeds draw restores, servers that leave, and all ends of cut answers", () => {
+test("first seeds draw restores, servers that leave, entries cut off, and all ends of cut answers", () => {
   const faults = [1, 2, 3, 4].flatMap((seed) => planSoak(seed, SIZES).faults);
   const kinds = new Set(faults.map(({ kind }) => kind));
-  for (const kind of [...LATER_KINDS, FaultKind.leave]) {
+  for (const kind of [...LATER_KINDS, FaultKind.leave, FaultKind.takeUps]) {
     assert.ok(kinds.has(kind), kind);
   }
   const cuts = new Set(
