Excuse a joined stream only by a restart in its time

A restart counts now if it began before the stream ended, and not more than 6 s before the stream began.

--- a/src/proof/_soak_stream_oracles.ts
+++ b/src/proof/_soak_stream_oracles.ts
@@ -12,6 +12,8 @@
 
 /** Streams that may be joined by servers that restarted under their ids with another version. */
 const ALLOWED_JOINED_BY_RESTART = 2;
+/** Time within which an entry knows of such a restart, also after most disruptions. */
+const RESTART_KNOWN_MS = 2 * STABLE_MS;
 /** Number of events of a whole stream. */
 const STREAM_EVENTS = 6;
 /** Fewer take-ups are not judged. */
@@ -31,7 +33,7 @@
 
 /** Streams that hold events of several software versions. */
 export interface JoinedStreams {
-  /** Some two consecutive events are of servers that had one version each under their ids. */
+  /** The version changes between two servers that didn't change theirs under their ids lately. */
   byOwnIds: Violation[];
   /** The version changes only at servers that restarted under their ids with another one. */
   byRestart: Violation[];
@@ -44,11 +46,11 @@
 export function joinedStreams(
   { streams, versions }: SoakHistory,
 ): JoinedStreams {
-  const restarted = idsOfSeveralVersions(versions);
   const joined: JoinedStreams = { byOwnIds: [], byRestart: [] };
   for (const stream of streams) {
     const { events } = stream;
     if (writersOf(events).length < 2) continue;
+    const restarted = restartedIds(versions, stream);
     const isByRestart = events.every((event, i) => {
       const next = events[i + 1] ?? event;
       return event.softwareVersion === next.softwareVersion ||
@@ -67,15 +69,21 @@
   return isAllowed ? byOwnIds : [...byOwnIds, ...byRestart];
 }
 
-function idsOfSeveralVersions(versions: readonly ServingVersion[]) {
-  const versionOf = new Map<string, string>();
-  const ids = new Set<string>();
-  for (const { serverId, softwareVersion } of versions) {
-    const first = versionOf.get(serverId) ?? softwareVersion;
-    versionOf.set(serverId, first);
-    if (first !== softwareVersion) ids.add(serverId);
-  }
-  return ids;
+/** Servers that restarted under their ids with another version during the stream, or shortly before. */
+function restartedIds(
+  versions: readonly ServingVersion[],
+  { attempts }: StreamRecord,
+): Set<string> {
+  const fromMs = attempts[0]!.atMs - RESTART_KNOWN_MS;
+  const toMs = attempts.at(-1)!.endedAtMs;
+  const after = versions.filter((one, i) => {
+    const before = versions.slice(0, i).findLast(({ serverId }) =>
+      serverId === one.serverId
+    );
+    return before && before.softwareVersion !== one.softwareVersion &&
+      before.toMs <= toMs && one.fromMs >= fromMs;
+  });
+  return new Set(after.map(({ serverId }) => serverId));
 }
 
 function describeJoined({ id, events, attempts }: StreamRecord): Violation {
--- a/src/proof/soak_oracles_test.ts
+++ b/src/proof/soak_oracles_test.ts
@@ -158,11 +158,18 @@
   ];
   assert.deepEqual(found(joined, versions), broken);
   assert.deepEqual(found(joined.slice(2), versions), broken.slice(2));
-  const restarted = [
-    ...versions,
-    { ...serving, serverId: "i-v2", softwareVersion: "v3" },
+  const restartedAt = (atMs: number) => [
+    versions[0]!,
+    { ...versions[1]!, toMs: atMs },
+    { ...versions[1]!, softwareVersion: "v3", fromMs: atMs },
   ];
+  const restarted = restartedAt(10_050);
   assert.deepEqual(found(joined, restarted), broken);
+  assert.deepEqual(
+    found(joined.slice(2), restartedAt(10_150)),
+    broken.slice(2),
+  );
+  assert.deepEqual(found(joined.slice(2), restartedAt(3900)), broken.slice(2));
   assert.deepEqual(found(joined.slice(1), restarted), []);
   // The restarted server excuses its own joins only.
   const twice = streamOf("d", { last: "v2" });
