Find answers whose server's reset reaches the client as an end in order

A part of an answer without a length or chunks was excused whenever a server had cut the answer, also where it had reset its connection, so that an entry that hides resets would have passed (rules MIXED and ORDER: "one that is reset on the way isn't complete"). The soak's servers record how they cut, and such a part is a violation if all cuts of the request were resets.

--- a/src/proof/_soak_answer_oracles.ts
+++ b/src/proof/_soak_answer_oracles.ts
@@ -34,7 +34,11 @@
  * @returns All broken promises about answers without a length or chunks.
  */
 export function findAnswerViolations(history: SoakHistory): Violation[] {
-  return [...findFramedCuts(history), ...findLostAnswers(history)];
+  return [
+    ...findFramedCuts(history),
+    ...findHiddenResets(history),
+    ...findLostAnswers(history),
+  ];
 }
 
 /**
@@ -92,6 +96,24 @@
   );
 }
 
+/** An end in order is only passed on from a server that ended its answer in order. */
+function findHiddenResets(history: SoakHistory): Violation[] {
+  const { cutAnswers } = history;
+  return clientsWithParts(history)
+    .filter((client) =>
+      !isFramed(client) &&
+      cutAnswers.every(({ requestId, isReset }) =>
+        requestId !== client.id || isReset
+      )
+    )
+    .map(({ id, entry, endedAtMs }) => ({
+      promise: "reset_answer_is_not_complete",
+      atMs: endedAtMs,
+      detail: `${id} got a part from entry ${entry}, whose connection ended ` +
+        `in order, and its servers reset theirs`,
+    }));
+}
+
 function findLostAnswers(history: SoakHistory): Violation[] {
   return deliveriesOf(history)
     .filter(({ client }) => !hasWholeAnswer(client))
--- a/src/proof/_soak_history.ts
+++ b/src/proof/_soak_history.ts
@@ -76,6 +76,12 @@
   serverId?: string;
 }
 
+/** An answer that a server cut. */
+export interface CutRecord extends ServerRecord {
+  /** Whether its connection was reset. */
+  isReset: boolean;
+}
+
 /** From when on a server named a rate; undefined: none. */
 export interface NamedRate {
   server: number;
@@ -168,7 +174,7 @@
   restarts: ServerRestart[];
   outages: ServerOutage[];
   /** Answers without a length or chunks that servers cut after a part. */
-  cutAnswers: ServerRecord[];
+  cutAnswers: CutRecord[];
   /** Successful answers without a length or chunks that servers sent whole. */
   wholeAnswers: ServerRecord[];
   eras: StoreEra[];
--- a/src/proof/_soak_result.ts
+++ b/src/proof/_soak_result.ts
@@ -84,8 +84,8 @@
     const atMs = atMsById.get(requestId) ?? 0;
     history.runs.push({ server, atMs, requestId });
   }
-  for (const { requestId, atMs } of unframedAnswers.cut) {
-    history.cutAnswers.push({ server, atMs, requestId });
+  for (const cut of unframedAnswers.cut) {
+    history.cutAnswers.push({ server, ...cut });
   }
   for (const { requestId, atMs } of unframedAnswers.whole) {
     history.wholeAnswers.push({ server, atMs, requestId });
--- a/src/proof/soak_answer_oracles_test.ts
+++ b/src/proof/soak_answer_oracles_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { DeclaredEnd } from "../standin/mod.ts";
-import type { ClientRecord, SoakHistory } from "./_soak_history.ts";
+import type { ClientRecord, CutRecord, SoakHistory } from "./_soak_history.ts";
 import { promisesBroken as brokenIn } from "./_soak_history_kit.ts";
 
 const ANSWERED = {
@@ -21,7 +21,7 @@
   end: ANSWERED,
 };
 const RUN = { requestId: "r-1", server: 0, atMs: 10_050 };
-const CUT = { requestId: "r-1", server: 0, atMs: 10_060 };
+const CUT = { requestId: "r-1", server: 0, atMs: 10_060, isReset: false };
 
 function promisesBroken(parts: Partial<SoakHistory>): string[] {
   return brokenIn({ clients: [CLIENT], ...parts });
@@ -49,6 +49,19 @@
   ]);
 });
 
+// Guards against a part of an answer that a server reset and that looks complete to its client.
+test("part of an answer is found that ends in order after its servers reset theirs", () => {
+  const end = { ...ANSWERED, isOwnAnswer: false };
+  const clients = [
+    { ...CLIENT, end: { ...end, declaredEnd: DeclaredEnd.connection } },
+  ];
+  const reset = { ...CUT, isReset: true };
+  const found = (cutAnswers: CutRecord[]) =>
+    promisesBroken({ clients, runs: [RUN], cutAnswers });
+  assert.deepEqual(found([reset]), ["reset_answer_is_not_complete"]);
+  assert.deepEqual(found([reset, CUT]), []);
+});
+
 test("cut answer to a request that may not run again does not excuse a second run", () => {
   const history = { runs: [RUN, RUN], cutAnswers: [CUT] };
   assert.deepEqual(promisesBroken(history), ["at_most_once"]);
--- a/src/standin/_unframed_answers.ts
+++ b/src/standin/_unframed_answers.ts
@@ -11,12 +11,18 @@
   atMs: number;
 }
 
+/** An answer that the server cut. */
+export interface CutAnswer extends EndedAnswer {
+  /** Whether its connection was reset, so that its end can't be taken for that of a whole answer. */
+  isReset: boolean;
+}
+
 /** Tracks how answers end whose end only their connection shows. */
 export class UnframedAnswers {
   /** Successful answers that were sent whole. */
   readonly whole: EndedAnswer[] = [];
   /** Answers that the server cut after a part. */
-  readonly cut: EndedAnswer[] = [];
+  readonly cut: CutAnswer[] = [];
   readonly #open = new Map<string, ServerResponse>();
 
   private constructor() {}
@@ -48,16 +54,23 @@
     });
   }
 
-  /** @param requestId Request whose answer the server cuts now. */
-  recordCut(requestId: string): void {
+  /**
+   * @param requestId Request whose answer the server cuts now.
+   * @param isReset Whether its connection is reset.
+   */
+  recordCut(requestId: string, isReset: boolean): void {
     if (!this.#open.delete(requestId)) return;
-    this.cut.push({ requestId, atMs: performance.now() });
+    this.cut.push({ requestId, atMs: performance.now(), isReset });
   }
 
-  /** Records a cut of all answers that have begun and not ended. */
-  recordEnd(): void {
+  /**
+   * Records a cut of all answers that have begun and not ended.
+   *
+   * @param isReset Whether their connections are reset.
+   */
+  recordEnd(isReset: boolean): void {
     for (const [requestId, { headersSent }] of this.#open) {
-      if (headersSent) this.recordCut(requestId);
+      if (headersSent) this.recordCut(requestId, isReset);
     }
     this.#open.clear();
   }
--- a/src/standin/backend_server.ts
+++ b/src/standin/backend_server.ts
@@ -143,7 +143,7 @@
 
   /** Cuts connections and refuses new ones until {@link up}. */
   down(): Promise<void> {
-    this.unframedAnswers.recordEnd();
+    this.unframedAnswers.recordEnd(false);
     return this.#host.down();
   }
 
@@ -304,9 +304,12 @@
     this.faults.cut = undefined;
     return () => {
       if (response.destroyed) return;
-      this.unframedAnswers.recordCut(String(headers["attempt-id"]));
+      this.unframedAnswers.recordCut(
+        String(headers["attempt-id"]),
+        cut.isReset,
+      );
       if (cut.ending === CutEnding.lives) return endAnswer(response, cut);
-      this.unframedAnswers.recordEnd();
+      this.unframedAnswers.recordEnd(cut.isReset);
       endHost(this.#host, cut);
       this.#options.onCutEnd?.(cut.ending);
     };
