--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -1,4 +1,6 @@
 /** One send of a request to a backend server: its state and its possible results. */
+import type { ByteCollector } from "../base/mod.ts";
+import type { AnswerBuffer } from "./answer_buffers.ts";
 import type { AnswerHead, Exchange } from "./channel.ts";
 import type { Choice } from "./choose.ts";
 import type { EventSplitter } from "./event_splitter.ts";
@@ -98,6 +100,8 @@
   origin?: StreamOrigin;
   /** Who knew the origin, if the client takes up a stream. */
   originSource?: OriginSource;
+  /** How old the copy of the store was when the origin was looked for. */
+  storeCopyAgeMs?: number;
   ttftMs?: number;
   expectedMs?: number;
   /** Expected times of the best server, if the request was refused for them. */
@@ -133,6 +137,8 @@
   | { kind: "copied"; choice: Choice }
   /** The run stops, and its KV cache could not be copied. */
   | { kind: "stopped" }
+  /** The call brought no answer: the run continues at its server, or it stops. */
+  | { kind: "unanswered" }
   /** As far as known, the run continues at its server. */
   | { kind: "not_moved" };
 
@@ -146,7 +152,7 @@
 /** Body of a {@link PartialAnswer}. */
 export type PartialBody =
   | { kind: "stream"; splitter: EventSplitter }
-  | { kind: "whole"; chunks: Buffer[]; sizeBytes: number };
+  | { kind: "whole"; collector: ByteCollector };
 
 /** One send of a request to one server. */
 export interface Send {
@@ -169,6 +175,8 @@
   isSuspected: boolean;
   /** Set once the server has started to answer. */
   answer?: PartialAnswer;
+  /** Counts the bytes that {@link Send.answer} buffers. */
+  buffer?: AnswerBuffer;
   /** When the head of the answer was received. */
   headAtMs?: number;
   /** When the first event of the answer was received. */
@@ -181,6 +189,29 @@
   backup?: Server;
 }
 
+/**
+ * @param body Body that is being read.
+ * @returns Number of bytes that it buffers.
+ */
+export function bufferedBytes(body: PartialBody): number {
+  switch (body.kind) {
+    case "stream":
+      return body.splitter.remainderBytes;
+    case "whole":
+      return body.collector.sizeBytes;
+  }
+}
+
+/** @param body Body whose buffered bytes are dropped. */
+export function clearBody(body: PartialBody): void {
+  switch (body.kind) {
+    case "stream":
+      return body.splitter.clear();
+    case "whole":
+      return body.collector.clear();
+  }
+}
+
 /**
  * @param send A send.
  * @returns Whether it continues a lost run from its backup.
@@ -225,6 +256,23 @@
     : { kind: "not_run", reason: "no_connection", isUnsent: true };
 }
 
+/**
+ * @param send A send.
+ * @returns How it ended if its server stopped the run, or may have, in order to move it.
+ */
+export function stoppedEnd({ move }: Send): SendEnd | undefined {
+  switch (move?.kind) {
+    case "copied":
+      return { kind: "moved", choice: move.choice };
+    case "stopped":
+    case "unanswered":
+      return { kind: "unknown", reason: "run_stopped" };
+    case "not_moved":
+    case undefined:
+      return undefined;
+  }
+}
+
 /**
  * Records the failure in the server's health, unless the run was stopped in order to move it.
  *
@@ -234,19 +282,15 @@
  * @returns How the send ended.
  */
 export function brokenEnd(
-  { choice, move }: Send,
+  send: Send,
   reason: string,
   nowMs: number,
 ): SendEnd {
-  switch (move?.kind) {
-    case "copied":
-      return { kind: "moved", choice: move.choice };
-    case "stopped":
-      return { kind: "unknown", reason: "run_stopped" };
-    case "not_moved":
-    case undefined:
-      choice.server.health.failed(nowMs);
-      choice.server.health.connectionBroke(nowMs);
-      return { kind: "unknown", reason, isBroken: true };
-  }
+  const stopped = stoppedEnd(send);
+  // A server that crashed doesn't answer the call, either.
+  if (stopped && send.move?.kind !== "unanswered") return stopped;
+  const { health } = send.choice.server;
+  health.failed(nowMs);
+  health.connectionBroke(nowMs);
+  return { kind: "unknown", reason, isBroken: true };
 }
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -1,7 +1,8 @@
 /** Reads and validates a backend server's response, and updates the server's state from it. */
-import type { Clock } from "../base/mod.ts";
+import { ByteCollector, type Clock } from "../base/mod.ts";
 import { readAnswer } from "../platform/mod.ts";
 import { expectedTtftMs, INITIAL_RATES } from "../service_rates/mod.ts";
+import { AnswerBuffers } from "./answer_buffers.ts";
 import {
   areIdsAscending,
   isIdempotent,
@@ -9,11 +10,14 @@
 } from "./answer_rules.ts";
 import {
   brokenEnd,
+  bufferedBytes,
+  clearBody,
   type NotRun,
   type PartialAnswer,
   type PartialBody,
   type Send,
   type SendEnd,
+  stoppedEnd,
 } from "./attempt.ts";
 import type { AnswerHead, AnswerStep, ChannelFailure } from "./channel.ts";
 import { EventSplitter } from "./event_splitter.ts";
@@ -34,6 +38,9 @@
 /** Largest event of a stream; its bytes are buffered until it is complete. */
 const MAX_EVENT_BYTES = 4 * 1024 * 1024;
 
+/** End of a send whose answer is too large, alone or together with other incomplete answers. */
+const TOO_LARGE: SendEnd = { kind: "unknown", reason: "answer_too_large" };
+
 /** One part of a response. */
 export type AnswerPart =
   /** The server runs the request and has started the stream. */
@@ -60,6 +67,7 @@
 /** Reads the responses of backend servers. */
 export class AnswerReader {
   readonly #options: AnswerReaderOptions;
+  readonly #buffers = AnswerBuffers.create();
 
   private constructor(options: AnswerReaderOptions) {
     this.#options = options;
@@ -79,6 +87,7 @@
    */
   read(send: Send): AnswerPart | undefined {
     while (true) {
+      if (send.buffer?.isDropped) return over(TOO_LARGE);
       const step = send.exchange.take();
       if (!step) return undefined;
       const part = this.#handleStep(send, step);
@@ -93,8 +102,11 @@
       case "head":
         return this.#handleHead(send, step.head);
       case "data":
-      case "end":
-        return this.#handleBody(send, step);
+      case "end": {
+        const part = this.#handleBody(send, step);
+        if (send.answer) send.buffer?.resize(bufferedBytes(send.answer.body));
+        return part;
+      }
     }
   }
 
@@ -123,8 +135,15 @@
       facts.status === 200;
     const body: PartialBody = isStream
       ? { kind: "stream", splitter: EventSplitter.create() }
-      : { kind: "whole", chunks: [], sizeBytes: 0 };
+      : { kind: "whole", collector: ByteCollector.create() };
     send.answer = { head, facts, body };
+    send.buffer = this.#buffers.open({
+      serverId: choice.server.id,
+      onDropped: () => {
+        clearBody(body);
+        send.exchange.abort();
+      },
+    });
     if (!isStream) return undefined;
     const problem = rejectionReason(facts);
     return problem
@@ -152,10 +171,9 @@
           tooLargeEvent(body.splitter);
       case "whole":
         if (step.kind === "end") return this.#endWhole(send, facts, body);
-        body.chunks.push(step.bytes);
-        body.sizeBytes += step.bytes.length;
-        return body.sizeBytes > MAX_ANSWER_BYTES
-          ? over({ kind: "unknown", reason: "answer_too_large" })
+        body.collector.push(step.bytes);
+        return body.collector.sizeBytes > MAX_ANSWER_BYTES
+          ? over(TOO_LARGE)
           : undefined;
     }
   }
@@ -175,7 +193,7 @@
   #endWhole(
     { choice }: Send,
     facts: AnswerFacts,
-    { chunks }: Extract<PartialBody, { kind: "whole" }>,
+    { collector }: Extract<PartialBody, { kind: "whole" }>,
   ): AnswerPart {
     const problem = rejectionReason(facts);
     if (problem || facts.status >= 500) {
@@ -183,7 +201,7 @@
     }
     return problem
       ? over({ kind: "unknown", reason: problem })
-      : { kind: "whole", body: Buffer.concat(chunks) };
+      : { kind: "whole", body: collector.take() };
   }
 
   #endOfFailure(send: Send, { kind, message }: ChannelFailure): SendEnd {
@@ -284,10 +302,14 @@
 }
 
 function endOfStream(
-  { firstEventAtMs, progress }: Send,
+  send: Send,
   { head: { isFramed }, body }: PartialAnswer,
 ): AnswerPart {
-  if (body.kind === "stream" && body.splitter.remainder.length > 0) {
+  const { firstEventAtMs, progress } = send;
+  // A stopped run's stream is closed without its end, and without a declared end looks complete.
+  const stopped = isFramed ? undefined : stoppedEnd(send);
+  if (stopped) return over(stopped);
+  if (body.kind === "stream" && body.splitter.remainderBytes > 0) {
     return over({ kind: "unknown", reason: "cut_event", isBroken: true });
   }
   const isEmpty = firstEventAtMs === undefined &&
@@ -310,8 +332,10 @@
   return !notRun && ownId !== "";
 }
 
-function tooLargeEvent({ remainder }: EventSplitter): AnswerPart | undefined {
-  return remainder.length > MAX_EVENT_BYTES
+function tooLargeEvent(
+  { remainderBytes }: EventSplitter,
+): AnswerPart | undefined {
+  return remainderBytes > MAX_EVENT_BYTES
     ? over({ kind: "unknown", reason: "event_too_large" })
     : undefined;
 }
--- a/src/router/request_forwarder.ts
+++ b/src/router/request_forwarder.ts
@@ -16,7 +16,7 @@
 import { applyVerdict } from "./send_verdict.ts";
 import { AnswerWriter, type AnswerWriterParts } from "./answer_writer.ts";
 import { closedEnd, CloseReason, type Send, type SendEnd } from "./attempt.ts";
-import type { Choice } from "./choose.ts";
+import { type Choice, expectedAnswerMs } from "./choose.ts";
 import { SendBackoff } from "./send_backoff.ts";
 import type { SendGate } from "./send_gate.ts";
 import { type ForwardTask, OpenRuns, type OpenRunsParts } from "./open_runs.ts";
@@ -273,8 +273,8 @@
       progress.tooLate = choice;
       return ResendRefusal.noTime;
     }
-    const expectedAtMs = this.#nowMs + choice.expectedMs;
-    if (progress.sends === 0 && expectedAtMs >= drainEndMs()) {
+    const expectedEndMs = this.#nowMs + expectedAnswerMs(request, choice);
+    if (progress.sends === 0 && expectedEndMs >= drainEndMs()) {
       this.#reason = RefusalReason.shutdown;
       return ResendRefusal.noTime;
     }
@@ -336,15 +336,15 @@
   }
 
   #wakeAtMs(): number {
-    const { wanted } = this.#parts;
     const nowMs = this.#nowMs;
-    const times = [this.#endAtMs, this.#backoff.nextAtMs];
+    const times = [this.#backoff.nextAtMs];
     for (const send of this.#runs.all) {
-      times.push(nextCheckAtMs(send, { wanted, nowMs }));
+      times.push(nextCheckAtMs(send, { wanted: this.#parts.wanted, nowMs }));
     }
+    // An end that has passed since this step checked it is due at once.
     return times.reduce(
       (first, atMs) => atMs > nowMs ? Math.min(first, atMs) : first,
-      nowMs + POLL_MS,
+      Math.min(this.#endAtMs, nowMs + POLL_MS),
     );
   }
 }
--- a/src/router/server_connections.ts
+++ b/src/router/server_connections.ts
@@ -1,6 +1,9 @@
 /** Determines from the connections to a server whether it lives on after one of them has ended. */
 import type { Socket } from "node:net";
-import { setTimeout as sleep } from "node:timers/promises";
+import {
+  setImmediate as turn,
+  setTimeout as sleep,
+} from "node:timers/promises";
 import { isReset } from "../base/socket_reset.ts";
 import { CRASH_SETTLE_MS, tryConnect } from "./try_connect.ts";
 
@@ -46,7 +49,11 @@
    */
   watchOpen(): () => boolean {
     const open = [...this.#open].filter((socket) => !this.#hasEnded(socket));
-    return () => open.some((socket) => !this.#hasEnded(socket));
+    // Behind unread data, the end of a connection can't be seen.
+    return () =>
+      open.some((socket) =>
+        !this.#hasEnded(socket) && socket.readableLength === 0
+      );
   }
 
   /**
@@ -58,6 +65,9 @@
   async stateAfterEnd(): Promise<StateAfterEnd> {
     const isOneOpen = this.watchOpen();
     await sleep(CRASH_SETTLE_MS);
+    // After a stall, timers run before ends that have arrived are read: data first, then the end.
+    await turn();
+    await turn();
     if (isOneOpen()) return "alive";
     const isRefused = await tryConnect(this.#address) === "refused";
     return isRefused ? "ended" : "unclear";
