Ask a server when it started before its software version is recorded

Callers saw a stream with events of two software versions: it began at a server that had started again under its id with other software, and was continued, resumed or taken up at a server of the version that was registered before.

Cause: the version of the process that answers was taken from a registration that is older than the process. The server that continues a stream was taken for the registered one in the same way, and a start that an order's report had shown kept the version of the earlier process.

While a service has several versions, the first event on a connection to a server that states its start time waits until the server's report has the registered start time. A process that answers now has answered on all connections that were established before and are open, so that one call covers them. If it isn't shown, the request is sent elsewhere once, if it may be; a stream whose origin stays uncertain is delivered and goes on nowhere. Servers that state no start time get another id at each start, which the request names, and are not asked.

--- a/src/router/_request_forwarder_kit.ts
+++ b/src/router/_request_forwarder_kit.ts
@@ -72,6 +72,7 @@
       log: silentLog,
       origins: { began: () => {}, completed: () => {} },
       versionRecord: { untilRecorded: () => Promise.resolve() },
+      processes: { isRegistered: () => Promise.resolve(true) },
       sender: engine.sender,
       reader: engine.reader,
       resends: Resends.create({
--- a/src/router/answer_writer.ts
+++ b/src/router/answer_writer.ts
@@ -1,6 +1,8 @@
 /** Writes the response of a request's runs to its client. */
 import { answerHeaders } from "../platform/mod.ts";
 import type { PartialAnswer, Progress, Send } from "./attempt.ts";
+import type { OpenRunsParts } from "./open_runs.ts";
+import type { ProcessCheck } from "./process_check.ts";
 import type { AnswerPart } from "./read_answer.ts";
 import type { AnswerSink, RoutedRequest, SinkHead } from "./request.ts";
 import type { SoftwareRecord } from "./software_record.ts";
@@ -8,9 +10,10 @@
 import type { StreamOrigins } from "./stream_origins.ts";
 
 /** Dependencies of {@link AnswerWriter}. */
-export interface AnswerWriterParts {
+export interface AnswerWriterParts extends Pick<OpenRunsParts, "resends"> {
   origins: Pick<StreamOrigins, "began" | "completed">;
   versionRecord: Pick<SoftwareRecord, "untilRecorded">;
+  processes: Pick<ProcessCheck, "isRegistered">;
 }
 
 /** Destination of a response and the state of its request. */
@@ -26,6 +29,10 @@
   readonly #task: AnswerWriterTask;
   /** Error response of a server, used if no run delivers a better one. */
   #failure: { send: Send; body: Buffer } | undefined;
+  /** The send whose events were written last. */
+  #writing: Send | undefined;
+  /** A run was given up before its first event, as its process was not known. */
+  #wasUncertain = false;
   /** The stream that was started declares its end. */
   #isFramed = true;
 
@@ -49,6 +56,23 @@
     return new AnswerWriter(parts, task);
   }
 
+  /**
+   * @param send Send whose answer is read.
+   * @param part The part that has arrived.
+   * @returns Whether it may follow what the client has of its stream: the software that wrote it is known
+   *   to have the same version. A stream that begins is sent elsewhere once if its software is not known.
+   */
+  async mayContinueWith(send: Send, { kind }: AnswerPart): Promise<boolean> {
+    if (kind !== "events" && kind !== "stream_end") return true;
+    if (this.#writing === send) return true;
+    const { request, progress } = this.#task;
+    const { processes, resends } = this.#parts;
+    if (progress.origin) return await processes.isRegistered(send);
+    if (this.#wasUncertain || await processes.isRegistered(send)) return true;
+    this.#wasUncertain = resends.mayResendElsewhere(request, progress);
+    return !this.#wasUncertain;
+  }
+
   /**
    * @param send Send whose run produced the events.
    * @param events Complete events that follow the last one written.
@@ -58,6 +82,7 @@
     { bytes, lastEventId }: Extract<AnswerPart, { kind: "events" }>,
   ): Promise<void> {
     const { sink, progress } = this.#task;
+    this.#writing = send;
     if (!progress.streamStarted) await this.#recordOrigin(send);
     this.#writeHead(send);
     progress.lastEventId = lastEventId ?? progress.lastEventId;
@@ -115,10 +140,16 @@
     this.#task.progress.hasUndeclaredEnd = !answer!.head.isFramed || undefined;
   }
 
-  async #recordOrigin({ choice }: Send): Promise<void> {
+  async #recordOrigin(send: Send): Promise<void> {
     const { request, progress } = this.#task;
-    const { origins, versionRecord } = this.#parts;
-    progress.origin ??= originAt(choice.server.entry);
+    const { origins, versionRecord, processes } = this.#parts;
+    if (!progress.origin) {
+      const origin = originAt(send.choice.server.entry);
+      const isCertain = await processes.isRegistered(send);
+      progress.origin = isCertain ? origin : { ...origin, isUncertain: true };
+    }
+    // A client that takes such a stream up is told that its origin is unknown.
+    if (progress.origin.isUncertain) return;
     origins.began(request, progress.origin);
     if (!request.route.resumable) return;
     await versionRecord.untilRecorded(progress.origin);
--- a/src/router/channel.ts
+++ b/src/router/channel.ts
@@ -36,6 +36,7 @@
   readonly #client: Client;
   readonly #onRelease: (channel: Channel, isReusable: boolean) => void;
   #wasReset = false;
+  #number = 0;
   #socket: Socket | undefined;
   /** The current connection has carried a request. */
   #isUsed = false;
@@ -58,7 +59,7 @@
         dial(options, (...result) => {
           const socket = result[1];
           if (socket) {
-            connections.add(socket);
+            this.#number = connections.add(socket);
             this.#detectReset(socket);
             this.#limitOverhead(socket);
             this.#isUsed = false;
@@ -73,6 +74,11 @@
     return this.#socket?.bytesRead ?? 0;
   }
 
+  /** Number of the current connection among those to the server. */
+  get connectionNumber(): number {
+    return this.#number;
+  }
+
   /** Whether the current connection ended with a reset. */
   get wasReset(): boolean {
     return this.#wasReset;
--- a/src/router/dispatch.ts
+++ b/src/router/dispatch.ts
@@ -2,11 +2,8 @@
 import { echoHeaders, retryHeaders } from "../platform/mod.ts";
 import { canMeetDeadline, hopelessRetryAfterMs } from "./admission.ts";
 import { RETRY_AFTER_SHARE, retryAfterMs } from "./retry_after.ts";
-import {
-  type ForwardEnd,
-  type ForwarderParts,
-  RequestForwarder,
-} from "./request_forwarder.ts";
+import type { ForwardEnd } from "./forward_end.ts";
+import { type ForwarderParts, RequestForwarder } from "./request_forwarder.ts";
 import { type Progress, startProgress } from "./attempt.ts";
 import type { Choice } from "./choose.ts";
 import {
@@ -17,6 +14,7 @@
 import { RequestKind } from "./model.ts";
 import type { ForwardTask } from "./open_runs.ts";
 import type { Permits } from "./permits.ts";
+import { ProcessCheck } from "./process_check.ts";
 import type { Quotas } from "./quotas.ts";
 import { AnswerReader, type AnswerReaderOptions } from "./read_answer.ts";
 import { RefusalReason } from "./refusal_reason.ts";
@@ -100,6 +98,7 @@
       ...options,
       sender: Sender.create(options),
       reader: AnswerReader.create(options),
+      processes: ProcessCheck.create(options),
       gate,
       resends: this.#resends,
       mover: this.#mover,
--- a/src/router/engine_orders.ts
+++ b/src/router/engine_orders.ts
@@ -243,7 +243,8 @@
       bornAtMs,
       knownBornAtMs: server.entry.bornAtMs,
     });
-    fleet.put({ ...server.entry, bornAtMs, weights });
+    const isVersionAssumed = true;
+    fleet.put({ ...server.entry, bornAtMs, weights, isVersionAssumed });
     return true;
   }
 
--- a/src/router/exchange.ts
+++ b/src/router/exchange.ts
@@ -48,6 +48,8 @@
   readonly connections: Pick<ServerConnections, "stateAfterEnd">;
   /** Bytes that were received on the current connection. */
   readonly receivedBytes: number;
+  /** Number of the current connection among those to the server. */
+  readonly connectionNumber: number;
   /** Whether the current connection ended with a reset. */
   readonly wasReset: boolean;
   /** Bounds unread bytes of responses whose reading can't be paused. */
@@ -73,6 +75,7 @@
   #aborted: Error | undefined;
   #isFramed = false;
   #isFirst = false;
+  #connectionNumber = 0;
   #sent = false;
   #done = false;
 
@@ -86,6 +89,11 @@
     return this.#sent;
   }
 
+  /** Number of the connection among those to the server; 0 until the request is sent. */
+  get connectionNumber(): number {
+    return this.#connectionNumber;
+  }
+
   /**
    * Waits for the next step.
    *
@@ -135,6 +143,7 @@
     }
     this.#sent = true;
     this.#isFirst = this.#channel.begin();
+    this.#connectionNumber = this.#channel.connectionNumber;
     this.#receivedBefore = this.#channel.receivedBytes;
   }
 
--- a/src/router/explain.ts
+++ b/src/router/explain.ts
@@ -61,6 +61,8 @@
   expired: "its deadline had passed before the entry handled it",
   foreign_answer: "the server sent the answer to another request",
   headers_too_large: "the request's headers exceeded the configured limit",
+  process_unknown:
+    "its server could not go on with the stream: its process may be another one than the registered one",
   engine_replaced: "its engine had started again, so that its run was lost",
   deadline: "its deadline passed before the answer was complete",
   no_event: "its stream paused, and another server could continue it",
--- a/src/router/health.ts
+++ b/src/router/health.ts
@@ -52,7 +52,7 @@
     return this.#hasEnded;
   }
 
-  /** Whether a connection to the server broke or was refused since it last registered. */
+  /** Whether another process may answer than the one that last registered. */
   get mayHaveEnded(): boolean {
     return this.#mayHaveEnded;
   }
@@ -143,6 +143,11 @@
     return !this.#hasEnded && nowMs - this.#brokeAtMs < UNDECIDED_MS;
   }
 
+  /** Records that another process answers than the one that has registered. */
+  processReplaced(): void {
+    this.#mayHaveEnded = true;
+  }
+
   /** Records that the server has registered. */
   registered(): void {
     this.#mayHaveEnded = false;
--- a/src/router/model.ts
+++ b/src/router/model.ts
@@ -159,6 +159,11 @@
   zone: string;
   /** Version of the server's software; absent if unknown. */
   softwareVersion?: string;
+  /**
+   * The process has not registered yet, and the software version is that of the earlier one under the
+   * server's id.
+   */
+  isVersionAssumed?: boolean;
   draining: boolean;
   slots: number;
   /** Loaded weights version, by model. */
--- a/src/router/request_forwarder.ts
+++ b/src/router/request_forwarder.ts
@@ -17,6 +17,7 @@
 import { AnswerWriter, type AnswerWriterParts } from "./answer_writer.ts";
 import { closedEnd, CloseReason, type Send, type SendEnd } from "./attempt.ts";
 import type { Choice } from "./choose.ts";
+import type { ForwardEnd } from "./forward_end.ts";
 import { SendBackoff } from "./send_backoff.ts";
 import type { SendGate } from "./send_gate.ts";
 import { type ForwardTask, OpenRuns, type OpenRunsParts } from "./open_runs.ts";
@@ -39,13 +40,6 @@
 /** Interval at which a started stream without an open run looks for a server. */
 const POLL_NO_RUN_MS = 100;
 
-/** Result of serving a request. */
-export type ForwardEnd =
-  | { kind: "answered"; status: number }
-  | { kind: "client_gone" }
-  /** The client has received no complete response and no server will deliver one. */
-  | { kind: "given_up"; reason: string; refusal: ResendRefusal };
-
 /** Dependencies of a {@link RequestForwarder}. */
 export interface ForwarderParts extends OpenRunsParts, AnswerWriterParts {
   log: Logger;
@@ -133,6 +127,9 @@
   }
 
   async #onPart(send: Send, part: AnswerPart): Promise<ForwardEnd | undefined> {
+    if (!await this.#writer.mayContinueWith(send, part)) {
+      return this.#endUnknown(send, "process_unknown");
+    }
     switch (part.kind) {
       case "began":
         this.#task.progress.onAnswerBegan?.();
@@ -145,9 +142,9 @@
         this.#runs.delivered(send);
         return undefined;
       case "stream_end":
-        if (this.#writer.mayEndWith(send)) return this.#endStream(send);
-        this.#endRun(send, { kind: "unknown", reason: "undeclared_end" });
-        return undefined;
+        return this.#writer.mayEndWith(send)
+          ? this.#endStream(send)
+          : this.#endUnknown(send, "undeclared_end");
       case "whole":
         return this.#handleWhole(send, part.body);
       case "over":
@@ -173,8 +170,7 @@
     if (isReplaced) this.#writer.keepFailure(send, body);
     // A started stream can be continued only by another stream.
     if (isReplaced || progress.streamStarted) {
-      this.#endRun(send, { kind: "unknown", reason: `status_${status}` });
-      return undefined;
+      return this.#endUnknown(send, `status_${status}`);
     }
     this.#continueWith(send);
     this.#writer.writeWhole(send, body);
@@ -317,6 +313,10 @@
     }
   }
 
+  #endUnknown(send: Send, reason: string): undefined {
+    this.#endRun(send, { kind: "unknown", reason });
+  }
+
   /** Delays the next send if the stream has started or another run is open. */
   #backOff(): void {
     const isOpen = this.#runs.count > 0;
--- a/src/router/request_forwarder_test.ts
+++ b/src/router/request_forwarder_test.ts
@@ -6,7 +6,8 @@
   fakeMover,
   type ForwarderSetup,
 } from "./_request_forwarder_kit.ts";
-import { type ForwardEnd, RequestForwarder } from "./request_forwarder.ts";
+import type { ForwardEnd } from "./forward_end.ts";
+import { RequestForwarder } from "./request_forwarder.ts";
 import type { AnswerPart } from "./read_answer.ts";
 
 const REFUSED: AnswerPart = {
--- a/src/router/run_backups.ts
+++ b/src/router/run_backups.ts
@@ -206,7 +206,9 @@
   }
 
   /** Why a lost run can't continue from its backup; undefined if it can. */
-  #refusalOf({ request, choice, backup, sink }: Send): NoRestore | undefined {
+  #refusalOf(
+    { request, choice, backup, sink, progress }: Send,
+  ): NoRestore | undefined {
     const { clock, wanted, quarantine, fleet } = this.#options;
     const { weightsVersion, copy } = choice;
     const model = request.facts.prompt?.model ?? "";
@@ -226,7 +228,7 @@
         isSameProcess: fleet.has(backup),
         isAvailable: this.#isAvailable(backup),
         isCompatible: fleet.versions.canContinue(
-          originAt(choice.server.entry),
+          progress.origin ?? originAt(choice.server.entry),
           backup.entry,
         ),
         weightsVersion: backup.weights(model),
--- a/src/router/server_connections.ts
+++ b/src/router/server_connections.ts
@@ -16,6 +16,7 @@
   readonly #address: string;
   readonly #open = new Set<Socket>();
   readonly #endedByServer = new WeakSet<Socket>();
+  #established = 0;
 
   private constructor(address: string) {
     this.#address = address;
@@ -29,8 +30,16 @@
     return new ServerConnections(address);
   }
 
-  /** @param socket A connection that was established. */
-  add(socket: Socket): void {
+  /** Number of connections that were established so far. */
+  get established(): number {
+    return this.#established;
+  }
+
+  /**
+   * @param socket A connection that was established.
+   * @returns Its number, from 1 on.
+   */
+  add(socket: Socket): number {
     this.#open.add(socket);
     const end = () => this.#endedByServer.add(socket);
     socket.once("end", end);
@@ -38,6 +47,7 @@
       if (isReset(error)) end();
     });
     socket.once("close", () => this.#open.delete(socket));
+    return ++this.#established;
   }
 
   /**
--- a/src/router/server_selector.ts
+++ b/src/router/server_selector.ts
@@ -220,5 +220,6 @@
  * that state no start time get another id when they start again.
  */
 function mayBeRestarted({ entry, health }: Server): boolean {
+  if (entry.isVersionAssumed) return true;
   return entry.bornAtMs !== undefined && health.mayHaveEnded;
 }
--- a/src/router/software_versions.ts
+++ b/src/router/software_versions.ts
@@ -16,6 +16,8 @@
   softwareVersion: string | undefined;
   /** The server process, if this entry knows it. */
   incarnation?: string;
+  /** Another process than the registered one may have written the event, with other software. */
+  isUncertain?: boolean;
 }
 
 /** Who knew the origin of a stream that a client takes up. */
@@ -191,6 +193,7 @@
     const { service, softwareVersion, incarnation } = origin;
     if (service !== entry.service) return false;
     if (softwareVersion !== entry.softwareVersion) return false;
+    if (origin.isUncertain && this.isMixed(service)) return false;
     // Two servers that state no version may have different ones.
     return softwareVersion !== undefined || !this.isMixed(service) ||
       incarnation === incarnationKey(entry);
