--- a/src/router/run_backups.ts
+++ b/src/router/run_backups.ts
@@ -229,7 +229,7 @@
         isSameProcess: fleet.has(backup),
         isAvailable: this.#isAvailable(backup),
         isCompatible: fleet.versions.canContinue(
-          originAt(choice.server.entry),
+          progress.origin ?? originAt(choice.server.entry),
           backup.entry,
         ),
         weightsVersion: backup.weights(model),
--- a/src/router/server_connections.ts
+++ b/src/router/server_connections.ts
@@ -21,6 +21,7 @@
   readonly #endedByServer = new WeakSet<Socket>();
   /** When a connection ended last before the answer on it was complete, by the process's clock. */
   #cutAtMs = -Infinity;
+  #established = 0;
 
   private constructor(address: string) {
     this.#address = address;
@@ -34,8 +35,16 @@
     return new ServerConnections(address);
   }
 
-  /** @param socket A connection that was established. */
-  add(socket: Socket): void {
+  /** Number of connections that were established so far. */
+  get established(): number {
+    return this.#established;
+  }
+
+  /**
+   * @param socket A connection that was established.
+   * @returns Its number, from 1 on.
+   */
+  add(socket: Socket): number {
     this.#open.add(socket);
     const end = () => this.#endedByServer.add(socket);
     socket.once("end", end);
@@ -43,6 +52,7 @@
       if (isReset(error)) end();
     });
     socket.once("close", () => this.#open.delete(socket));
+    return ++this.#established;
   }
 
   /**
