--- a/src/router/stream_origins.ts
+++ b/src/router/stream_origins.ts
@@ -230,13 +230,13 @@
     if (answer?.kind === "one_version") return originOf(service, answer);
     if (!isUsableId(id)) return { source: OriginSource.unknown };
     const isStoreAway = answer?.kind === "no_answer";
-    const replies = await this.#questions.ask(id, service, { isStoreAway });
-    const row = replies.replies.find(({ row }) => row)?.row;
+    const asked = await this.#questions.ask(id, service, { isStoreAway });
+    const row = asked.replies.find(({ row }) => row)?.row;
     if (row) {
       this.#table.set(row, { isOwn: false });
       return { source: OriginSource.entry, origin: row.origin };
     }
-    const only = isStoreAway && this.#agreedVersion(service, replies);
+    const only = isStoreAway && this.#agreedVersion(service, asked);
     return only ? originOf(service, only) : { source: OriginSource.unknown };
   }
 
