Bound reads for streams that are taken up to 40 a second

All entries together now read at most 40 times a second, each three at once after a time without reads; a take-up waits up to 100 ms for the next read of four entries.

--- a/src/router/software_check.ts
+++ b/src/router/software_check.ts
@@ -15,9 +15,11 @@
 /** Longest wait for an answer; a slow store takes 60 times the usual 4 ms. */
 const MAX_WAIT_MS = 300;
 /** Most reads of all entries together; the platform bounds the calls to its store. */
-const MAX_READS_PER_S = 200;
+const MAX_READS_PER_S = 40;
 /** Most reads of all entries together after a time without any, beyond that rate. */
-const MAX_BURST_READS = 400;
+const MAX_BURST_READS = 24;
+/** Reads of one entry after a time without any, however many entries there are. */
+const MIN_BURST_READS = 3;
 
 /** What the store says of a service. */
 export type SoftwareAnswer =
@@ -102,7 +104,8 @@
   /** When the next read is due; it lies in the past after a time without reads. */
   #dueAtMs(nowMs: number): number {
     const entryCount = this.#options.entryCount();
-    const burst = Math.max(1, Math.floor(MAX_BURST_READS / entryCount));
+    const share = Math.floor(MAX_BURST_READS / entryCount);
+    const burst = Math.max(MIN_BURST_READS, share);
     return Math.max(this.#nextAtMs, nowMs - (burst - 1) * this.#intervalMs);
   }
 
