Decide by its head whether a request's body is read

An entry read the whole body of each request before it looked at anything else: 150 bodies of 2 MB under an unknown key took 351 MB, 30 bodies of 16 MB took 523 MB before the entry had a configuration (the limit was infinite then). A body that was announced with 1 GB was neither answered nor closed until it was sent, and one that stopped stayed for as long as its client, past its deadline and its route's timeout.

Route, key, size of the head and announced length are known from the head, and without a configuration the request is refused whatever follows. The body of such a request is dropped as it arrives. The refusal is sent in the same turn as before, after the checks of load and of a stop, and closes the connection only if the request is not complete by then. A body that is not complete when its request can't be served any more is given up: 503, the request has not run. Route and key are looked up once more when the body is complete, as a newer configuration may be in force then. Expect: 100-continue is answered with the refusal itself.

--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -18,7 +18,7 @@
 import { retryAfterMs } from "./retry_after.ts";
 import { Intake } from "./intake.ts";
 import type { LoopLag } from "./loop_lag.ts";
-import { readBody } from "./read_body.ts";
+import { type ReadBody, readBody } from "./read_body.ts";
 import { abortResponse, endUnanswered, ResponseSink } from "./response_sink.ts";
 import type {
   AnswerSink,
@@ -102,6 +102,10 @@
     this.#server.requestTimeout = 0;
     // close() would call it, and cut answers that their clients have not read yet.
     this.#server.closeIdleConnections = () => {};
+    // Its body is read, or refused, in the same way as without the header.
+    this.#server.on("checkContinue", (request, response) => {
+      this.#server.emit("request", request, response);
+    });
     ClientErrors.create(this.#server, options);
     // Before Node's own listener, which reads from the connection.
     this.#server.prependListener("connection", (socket) => this.#open(socket));
@@ -239,18 +243,13 @@
     request.on("error", () => {
       // The client has disconnected; the response's close event notifies the request handler.
     });
-    const table = this.#options.table();
-    if (table && headBytes(request) > table.limits.headerBytes) {
-      request.resume();
-      response.shouldKeepAlive = false;
-      const why = "headers_too_large";
-      return this.#answer(facts, sink, { status: 431, why });
-    }
-    const maxBytes = table?.limits.bodyBytes ?? 0;
-    const body = await readBody(request, table ? maxBytes : Infinity);
+    const arrival = this.#check(request, facts, arrivedAtMs);
+    const body = await this.#receive(request, response, arrival);
     if (body.kind === "cut") return;
     const enteredAtMs = clock.nowMs();
     await this.#intake.waitForTurn();
+    // What the client still sends would be taken for its next request.
+    if (!request.complete) response.shouldKeepAlive = false;
     if (sink.gone) return this.#options.onLocalAnswer(facts, "client_gone");
     if (this.#isClosing) return this.#refuse(facts, sink, "stopping");
     const nowMs = clock.nowMs();
@@ -258,22 +257,31 @@
     if (shouldShed(behindMs, this.#options.random())) {
       return this.#refuse(facts, sink, "overloaded");
     }
-    if (!table) return this.#refuse(facts, sink, "not_ready");
-    if (body.kind === "too_large") {
-      response.shouldKeepAlive = false;
-      return this.#answer(facts, sink, { status: 413, why: "too_large" });
+    const table = this.#options.table();
+    if (!table || arrival.kind === "not_ready") {
+      return this.#refuse(facts, sink, "not_ready");
+    }
+    switch (arrival.kind) {
+      case "headers_too_large":
+        return this.#answer(facts, sink, { status: 431, why: arrival.kind });
+      case "unknown_route":
+      case "unknown_key":
+        return this.#rejectUnknown(facts, sink, arrival.kind);
+      case "expected":
+    }
+    switch (body.kind) {
+      case "too_large":
+        return this.#answer(facts, sink, { status: 413, why: body.kind });
+      case "late":
+        return this.#refuse(facts, sink, "expired");
+      case "whole":
     }
     // A newer configuration may have been loaded while the body was received.
-    const inForce = this.#options.table() ?? table;
-    const routed = this.#route(facts, inForce);
+    const routed = this.#route(facts, table);
     if (routed.kind === "refused") {
       return this.#rejectUnknown(facts, sink, routed.why);
     }
-    const timeLeftMs = Math.min(
-      (facts.deadlineMs ?? Infinity) - ANSWER_MARGIN_MS,
-      routed.route.timeoutMs,
-    );
-    const answerByMs = arrivedAtMs + timeLeftMs;
+    const answerByMs = arrivedAtMs + timeLeftMs(facts, routed.route);
     if (answerByMs <= nowMs) return this.#refuse(facts, sink, "expired");
     const { route, workspace } = routed;
     const service = pickService(route.shares, this.#options.random);
@@ -282,7 +290,7 @@
       route,
       service,
       workspace,
-      rank: inForce.urgency.rankOf(service, route, workspace),
+      rank: table.urgency.rankOf(service, route, workspace),
       rawHeaders: request.rawHeaders,
       body: body.bytes,
       arrivedAtMs,
@@ -294,6 +302,40 @@
     this.#options.onServed(ready, served);
   }
 
+  /** Decides by its head whether the body of a request is read. */
+  #check(
+    request: IncomingMessage,
+    facts: RequestFacts,
+    arrivedAtMs: number,
+  ): Arrival {
+    const table = this.#options.table();
+    if (!table) return { kind: "not_ready" };
+    const { headerBytes, bodyBytes } = table.limits;
+    if (headBytes(request) > headerBytes) return { kind: "headers_too_large" };
+    const routed = this.#route(facts, table);
+    if (routed.kind === "refused") return { kind: routed.why };
+    const endMs = arrivedAtMs + timeLeftMs(facts, routed.route);
+    const leftMs = Math.max(0, endMs - this.#options.clock.nowMs());
+    return { kind: "expected", maxBytes: bodyBytes, leftMs };
+  }
+
+  /** Reads the body of a request, or drops it if the request is refused by its head. */
+  #receive(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrival: Arrival,
+  ): Promise<ReadBody> {
+    if (arrival.kind !== "expected") {
+      request.resume();
+      return Promise.resolve({ kind: "whole", bytes: undefined });
+    }
+    const body = readBody(request, arrival);
+    const isRefused =
+      Number(request.headers["content-length"]) > arrival.maxBytes;
+    if (request.headers.expect && !isRefused) response.writeContinue();
+    return body;
+  }
+
   #route(facts: RequestFacts, table: RoutingTable): Routed {
     const route = table.findRoute(facts.host, facts.target);
     if (!route) return { kind: "refused", why: "unknown_route" };
@@ -324,7 +366,7 @@
   #refuse(
     facts: RequestFacts,
     sink: AnswerSink,
-    why: "not_ready" | "stopping" | "unsure" | "overloaded" | "expired",
+    why: RefusalReason,
   ): void {
     const leftMs = facts.deadlineMs ?? Infinity;
     const pauseMs = retryAfterMs(leftMs, this.#options.random);
@@ -343,6 +385,27 @@
   }
 }
 
+/** What the head of a request says about it. */
+type Arrival =
+  /** Its body is read, up to this size and for this time. */
+  | { kind: "expected"; maxBytes: number; leftMs: number }
+  | { kind: "not_ready" }
+  | { kind: "headers_too_large" }
+  | { kind: "unknown_route" }
+  | { kind: "unknown_key" };
+
+type RefusalReason =
+  | "not_ready"
+  | "stopping"
+  | "unsure"
+  | "overloaded"
+  | "expired";
+
+/** Returns the time from a request's arrival in which it is served. */
+function timeLeftMs({ deadlineMs }: RequestFacts, route: Route): number {
+  return Math.min((deadlineMs ?? Infinity) - ANSWER_MARGIN_MS, route.timeoutMs);
+}
+
 type Routed =
   | { kind: "routed"; route: Route; workspace?: RoutedRequest["workspace"] }
   | { kind: "refused"; why: "unknown_route" | "unknown_key" };
