Bound what all clients together make an entry hold

A crowd ended an entry, or took several times the memory of its instance: 150 bodies of 2 MB that stopped a byte short (362 MB) or were completed at once (562), bodies just over the limit (344), 50 connections with bodies of 64 KB one behind the other (1,383) or with small requests (SIGABRT), 1,500 heads of 60 KB without their end (SIGABRT). 600 connections took 629 descriptors of 500, and heads were open 15 s after a timeout of 1 s.

Cause: each part had a limit of its own, and nothing counted them together. Three limits for answers (64, 48 and 32 MB) stood beside the heap's, and requests had none. Node's parser reads past all streams: whole chunks of pipelined requests before the first is answered, and it checks the time of heads every 30 s.

memory_shares.ts now divides the instance's memory (CICADAHITCH_MEMORY_MB, from the platform) between the process, requests and the three kinds of answers; on 200 MB these are 104, 32, 32, 16 and 16 MB. ClientMemory is the budget of requests: each connection and request has an account, charged for its head, body and objects. Once it is used up, accounts go by size times age, so that a crowd that stays loses to newcomers, and one that returns at once competes with them on equal terms. Requests that may run are not evicted; large ones leave half of the budget to small ones. A connection is charged its share of the descriptors (CICADAHITCH_MAX_DESCRIPTORS), so that the same budget bounds their number.

ConnectionGuard has Node read connections itself and hands the parser one head at a time; at most eight requests of a connection are read before the first is answered. It counts the time of heads in checks, which a pause of the process doesn't add to. A connection that is refused while its client sends is closed after what arrives was read for 2 s or 4 MB, as a reset would take the refusal from the client.

--- a/src/base/byte_collector.ts
+++ b/src/base/byte_collector.ts
@@ -2,6 +2,8 @@
 
 /** Largest size of a block. */
 const MAX_BLOCK_BYTES = 64 * 1024;
+/** Largest size of a first block for a body of declared length. */
+const MAX_FIRST_BLOCK_BYTES = 256 * 1024;
 
 /**
  * Copies chunks into blocks, so that the memory in use is in proportion to the bytes collected. A kept
@@ -13,11 +15,18 @@
   #usedBytes = 0;
   #sizeBytes = 0;
 
-  private constructor() {}
+  readonly #firstBlockBytes: number;
 
-  /** @returns A collector without bytes. */
-  static create(): ByteCollector {
-    return new ByteCollector();
+  private constructor(expectedBytes: number) {
+    this.#firstBlockBytes = Math.min(expectedBytes, MAX_FIRST_BLOCK_BYTES);
+  }
+
+  /**
+   * @param expectedBytes Declared length of the body; its bytes are then copied once.
+   * @returns A collector without bytes.
+   */
+  static create(expectedBytes = 0): ByteCollector {
+    return new ByteCollector(expectedBytes);
   }
 
   /** Number of bytes collected. */
@@ -68,8 +77,9 @@
     const last = this.#blocks.at(-1);
     if (last && this.#usedBytes < last.length) return last;
     const wantedBytes = Math.max(chunkBytes, this.#sizeBytes);
+    const blockBytes = Math.min(wantedBytes, MAX_BLOCK_BYTES);
     const block = Buffer.allocUnsafeSlow(
-      Math.min(wantedBytes, MAX_BLOCK_BYTES),
+      last ? blockBytes : Math.max(blockBytes, this.#firstBlockBytes),
     );
     this.#blocks.push(block);
     this.#usedBytes = 0;
--- a/src/base/client_errors.ts
+++ b/src/base/client_errors.ts
@@ -16,11 +16,24 @@
 /** Status for bytes that are no request. */
 const BAD_REQUEST = 400;
 
-/** Statuses of other errors, by Node's error code. */
+/** Codes of errors that are reported as Node's parser does. */
+export const ClientErrorCode = {
+  requestTimeout: "ERR_HTTP_REQUEST_TIMEOUT",
+  headerOverflow: "HPE_HEADER_OVERFLOW",
+  /** The memory for clients is used up; none of Node's. */
+  noMemory: "ERR_CLIENT_MEMORY",
+} as const;
+
+/** One of {@link ClientErrorCode}. */
+export type ClientErrorCode =
+  typeof ClientErrorCode[keyof typeof ClientErrorCode];
+
+/** Statuses of other errors, by code. */
 const STATUSES: Readonly<Record<string, number>> = {
-  ERR_HTTP_REQUEST_TIMEOUT: 408,
+  [ClientErrorCode.requestTimeout]: 408,
   HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
-  HPE_HEADER_OVERFLOW: 431,
+  [ClientErrorCode.headerOverflow]: 431,
+  [ClientErrorCode.noMemory]: 503,
 };
 
 /** Minimum time between log lines. */
@@ -90,8 +103,10 @@
     this.#report(code, running.length);
     if (last) return this.#endBehind(last, socket);
     const isAnswering = exchanges.some(({ response }) => response.headersSent);
-    if (!isAnswering) socket.write(answerTo(code));
-    socket.destroy(error);
+    if (isAnswering) return void socket.destroy(error);
+    socket.write(answerTo(code));
+    // The client may still be sending; a reset would take the answer from it.
+    socket.destroySoon();
   }
 
   /** @param runningCount Requests that were received whole on the connection and are not answered. */
--- a/src/exhaustion/_check.ts
+++ b/src/exhaustion/_check.ts
@@ -34,6 +34,7 @@
   assertWithinInstance(entry);
   if (options.hasConfig !== false) await askOrdinary(entry);
   assertWithinInstance(entry);
+  t.diagnostic(`${toMegabytes(entry.process.peakBytes)} MB at the most`);
   return { entry, crowd };
 }
 
@@ -56,8 +57,9 @@
 export function assertWithinInstance({ process }: LimitedEntry): void {
   assert.equal(process.exit, undefined, process.output);
   const { peakBytes } = process;
-  assert.ok(
-    peakBytes <= INSTANCE_BYTES,
-    `${Math.round(peakBytes / 1024 / 1024)} MB`,
-  );
+  assert.ok(peakBytes <= INSTANCE_BYTES, `${toMegabytes(peakBytes)} MB`);
+}
+
+function toMegabytes(sizeBytes: number): number {
+  return Math.round(sizeBytes / 1024 / 1024);
 }
--- a/src/exhaustion/_crowd.ts
+++ b/src/exhaustion/_crowd.ts
@@ -1,7 +1,7 @@
 /** Clients that write bytes of their own choice, and most of which don't end their requests. */
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { type EntryAddress, HOST, KEY } from "../standin/mod.ts";
+import type { EntryAddress } from "../standin/mod.ts";
 
 /** Longest time in which a crowd writes before its effect is checked. */
 const WRITE_MS = 4000;
@@ -80,31 +80,6 @@
   }
 }
 
-/** Which headers a request has, beside those of a valid one. */
-export interface HeadOptions {
-  path?: string;
-  method?: string;
-  headers?: string[];
-}
-
-/**
- * @param options Headers of the request.
- * @returns Head of a valid request, with the empty line.
- */
-export function headOf(
-  { path = "/book/a", method = "POST", headers = [] }: HeadOptions,
-): string {
-  return [
-    `${method} ${path} HTTP/1.1`,
-    `host: ${HOST}`,
-    `authorization: Bearer ${KEY}`,
-    "deadline-ms: 60000",
-    ...headers,
-    "",
-    "",
-  ].join("\r\n");
-}
-
 /**
  * @param sizeBytes Size of the content.
  * @returns One chunk of a body, which is not the last.
--- a/src/exhaustion/_entry.ts
+++ b/src/exhaustion/_entry.ts
@@ -1,8 +1,7 @@
 /** An entry that runs as a process with the flags of the deploy file, before one plain server. */
 import { type ChildProcess, spawn } from "node:child_process";
 import { readdirSync, readFileSync } from "node:fs";
-import { createServer, type Server as HttpServer } from "node:http";
-import { type AddressInfo, connect } from "node:net";
+import { connect } from "node:net";
 import process from "node:process";
 import type { TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -11,7 +10,9 @@
   type EntryAddress,
   fetchReadinessStatus,
   sendClientRequest,
+  StandinCallServer,
   StandinPlatformStore,
+  toRequestHeaders,
 } from "../standin/mod.ts";
 
 /** Memory of the smallest entry instance of the first two deployments. */
@@ -101,14 +102,9 @@
 ): Promise<LimitedEntry> {
   const store = await StandinPlatformStore.create();
   t.after(() => store.close());
-  const bodies: number[] = [];
-  const server = await serveCalls(bodies);
-  t.after(() => {
-    server.closeAllConnections();
-    server.close();
-  });
-  const { port } = server.address() as AddressInfo;
-  await store.put("servers/i-1", registrationAt(`127.0.0.1:${port}`));
+  const server = await StandinCallServer.create();
+  t.after(() => server.close());
+  await store.put("servers/i-1", server.entry);
   if (hasConfig) {
     await store.putConfig({
       ...CONFIG,
@@ -117,7 +113,7 @@
   }
   const child = spawnEntry(store.address, variables);
   t.after(() => child.kill());
-  const entry = { address: ADDRESS, process: child, bodies };
+  const entry = { address: ADDRESS, process: child, bodies: server.bodies };
   const { ipAddress, clientPort } = ADDRESS;
   const readiness = () =>
     fetchReadinessStatus(clientPort + 1, ipAddress).catch(() => 0);
@@ -134,7 +130,7 @@
 export async function askOrdinary(
   { address, process: child }: LimitedEntry,
 ): Promise<void> {
-  const headers = { "deadline-ms": "4000" };
+  const headers = toRequestHeaders({ timeMs: 4000 });
   await eventually(async () => {
     if (child.exit) throw new Error(`Ended by ${child.exit}: ${child.output}`);
     const asked = await sendClientRequest(address, "/book/a", headers)
@@ -206,39 +202,3 @@
   if (!run) throw new Error(`${DEPLOY_FILE} has no line that starts Node`);
   return run.split(" ");
 }
-
-function registrationAt(address: string): object {
-  return {
-    service: "plain",
-    address,
-    zone: "a",
-    version: "v1",
-    slots: 64,
-    state: "ready",
-    models: [],
-    cold_left_ms: 0,
-    sequence: 0,
-    born: 1,
-  };
-}
-
-async function serveCalls(bodies: number[]): Promise<HttpServer> {
-  const server = createServer(async (request, response) => {
-    let sizeBytes = 0;
-    try {
-      for await (const chunk of request) sizeBytes += chunk.length;
-    } catch {
-      return;
-    }
-    bodies.push(sizeBytes);
-    const id = request.headers["attempt-id"];
-    response.writeHead(200, {
-      "server-seal": "s",
-      "content-length": "2",
-      ...(id === undefined ? {} : { "attempt-id": id }),
-    });
-    response.end("ok");
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  return server;
-}
--- a/src/exhaustion/bodies_serial_test.ts
+++ b/src/exhaustion/bodies_serial_test.ts
@@ -1,10 +1,10 @@
 /** Clients whose request bodies fill the memory of an entry. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { chunkOf, headOf } from "./_crowd.ts";
+import { headOf } from "../standin/mod.ts";
+import { chunkOf, Crowd } from "./_crowd.ts";
 import { assertServesAfter, assertSurvives } from "./_check.ts";
 import { eventually, startEntry } from "./_entry.ts";
-import { Crowd } from "./_crowd.ts";
 
 const MAX_BODY_BYTES = 2_000_000;
 const LIMITS = { max_body_bytes: MAX_BODY_BYTES };
--- a/src/exhaustion/connections_serial_test.ts
+++ b/src/exhaustion/connections_serial_test.ts
@@ -1,7 +1,8 @@
 /** Clients whose connections, heads or pipelined requests fill the memory of an entry. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { Crowd, headOf } from "./_crowd.ts";
+import { headOf } from "../standin/mod.ts";
+import { Crowd } from "./_crowd.ts";
 import { assertServesAfter, assertSurvives } from "./_check.ts";
 import { askOrdinary, eventually, startEntry } from "./_entry.ts";
 
--- a/src/router/_kit.ts
+++ b/src/router/_kit.ts
@@ -1,6 +1,13 @@
 /** Test doubles and factories shared by the router's tests. */
 import { pino } from "pino";
-import { type Clock, createSilentLogger, type Logger } from "../base/mod.ts";
+import { ClientMemory } from "../base/client_memory.ts";
+import { DEFAULT_SHARES } from "../base/memory_shares.ts";
+import {
+  type Clock,
+  createSilentLogger,
+  type Logger,
+  systemClock,
+} from "../base/mod.ts";
 import type { ServiceRates } from "../service_rates/mod.ts";
 import type { PromptPlacement } from "./choose.ts";
 import type { Chain } from "./expected_cache.ts";
@@ -23,6 +30,18 @@
   }
 }
 
+/** @returns Limits of an ingress that its clients don't reach. */
+export function testIngressLimits() {
+  return {
+    memory: ClientMemory.create({
+      clock: systemClock,
+      maxBytes: DEFAULT_SHARES.requestBytes,
+    }),
+    maxHeldBytes: DEFAULT_SHARES.heldBytes,
+    maxConnections: 1000,
+  };
+}
+
 export const silentLog = createSilentLogger();
 
 /** A parsed JSON log line. */
--- a/src/router/_world.ts
+++ b/src/router/_world.ts
@@ -1,5 +1,6 @@
 /** Starts routers, a fake platform store and fake backend servers in the test process. */
 import assert from "node:assert/strict";
+import { DEFAULT_INSTANCE_BYTES } from "../base/memory_shares.ts";
 import { createServer } from "node:http";
 import type { TestContext } from "node:test";
 import { type Clock, type Logger, systemClock } from "../base/mod.ts";
@@ -181,6 +182,8 @@
         engineRates,
         runBackups: RunBackupMode.auto,
         admission,
+        memoryBytes: DEFAULT_INSTANCE_BYTES,
+        maxDescriptors: 4096,
         priorityFloor: 0.05,
       },
     });
--- a/src/router/answer_buffers.ts
+++ b/src/router/answer_buffers.ts
@@ -1,7 +1,5 @@
 /** Bounds the bytes of incomplete answers that this process buffers for all requests together. */
-
-/** Four of the largest answers, which leaves room for the rest of the process on entries with 200 MB. */
-const MAX_TOTAL_BYTES = 64 * 1024 * 1024;
+import { DEFAULT_SHARES } from "../base/memory_shares.ts";
 
 /** Options of {@link AnswerBuffers}. */
 export interface AnswerBuffersOptions {
@@ -86,7 +84,8 @@
    * @returns An object without buffers.
    */
   static create(
-    { maxBytes = MAX_TOTAL_BYTES }: Partial<AnswerBuffersOptions> = {},
+    { maxBytes = DEFAULT_SHARES.answerBytes }: Partial<AnswerBuffersOptions> =
+      {},
   ): AnswerBuffers {
     return new AnswerBuffers(maxBytes);
   }
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -34,6 +34,7 @@
   recordedRate(entry: BackendServer): RateStatement | undefined;
   /** Called when an answer changed the rate that its server takes, to notify other entries. */
   onRate(server: Server): void;
+  maxUnreadBytes?: number;
 }
 
 /** Registry of all backend servers. */
@@ -47,12 +48,13 @@
   /** Servers whose registration may have lapsed in an outage and may be written again. */
   readonly #lapsed = new Set<string>();
   readonly #removed: RemovedServers;
-  readonly #unread = UnreadBudget.create();
+  readonly #unread: UnreadBudget;
 
   private constructor(options: FleetOptions) {
     this.#options = options;
     this.versions = SoftwareVersions.create(options);
     this.#removed = RemovedServers.create(options);
+    this.#unread = UnreadBudget.create({ totalBytes: options.maxUnreadBytes });
   }
 
   /**
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -10,15 +10,21 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { ClientErrors } from "../base/client_errors.ts";
+import type { ClientMemory } from "../base/client_memory.ts";
+import {
+  ConnectionGuard,
+  type ConnectionLimits,
+} from "../base/connection_guard.ts";
 import type { Clock, Logger, Metrics } from "../base/mod.ts";
-import { readRequest, retryHeaders } from "../platform/mod.ts";
+import { readRequest } from "../platform/mod.ts";
 import { shouldShed } from "./admission.ts";
+import { checkHead, findRoute, receiveBody, timeLeftMs } from "./arrival.ts";
 import { ClientConnections } from "./client_connections.ts";
 import { ConnectionGate } from "./connection_gate.ts";
-import { retryAfterMs } from "./retry_after.ts";
+import { HeldAnswers } from "./held_answers.ts";
 import { Intake } from "./intake.ts";
+import { LocalAnswers } from "./local_answers.ts";
 import type { LoopLag } from "./loop_lag.ts";
-import { type ReadBody, readBody } from "./read_body.ts";
 import { abortResponse, endUnanswered, ResponseSink } from "./response_sink.ts";
 import type {
   AnswerSink,
@@ -26,17 +32,16 @@
   RoutedRequest,
   ServeResult,
 } from "./request.ts";
-import type { RequestFacts, Route } from "./model.ts";
-import { headBytes } from "./head_bytes.ts";
+import type { RequestFacts } from "./model.ts";
 import { pickService } from "./pick_service.ts";
 import type { RoutingTable } from "./routing_table.ts";
 
-/** Maximum header size that the HTTP parser accepts; the configured limit is checked later. */
-const PARSED_HEADER_BYTES = 64 * 1024;
-/** Time reserved for an answer to reach the client before the client's deadline. */
-const ANSWER_MARGIN_MS = 15;
-/** If the configuration is older than this, an unknown route or key may have been added since. */
-const MAX_KNOWLEDGE_AGE_MS = 4000;
+/** Limits of connections until the first configuration is loaded. */
+const UNCONFIGURED_LIMITS: ConnectionLimits = {
+  headerBytes: 64 * 1024,
+  headerTimeoutMs: 10_000,
+  idleTimeoutMs: 60_000,
+};
 /** Connections are accepted this long after a stop begins: two readiness checks and a margin. */
 const DRAIN_LISTEN_MS = 2200;
 /** Interval at which a draining ingress checks whether all requests have ended. */
@@ -54,6 +59,12 @@
   random: () => number;
   /** Event-loop lag of the process. */
   lag: Pick<LoopLag, "ms">;
+  /** Budget for what clients make the process hold. */
+  memory: ClientMemory;
+  /** Most bytes of whole answers that clients have not taken. */
+  maxHeldBytes: number;
+  /** Most client connections that are open at the same time. */
+  maxConnections: number;
   /** Whether other entries have room for more requests. */
   peersHaveRoom(): boolean;
   /** The configuration in force; undefined until the first one is loaded. */
@@ -72,7 +83,10 @@
   readonly #options: IngressOptions;
   readonly #server: HttpServer;
   readonly #gate: ConnectionGate;
+  readonly #guard: ConnectionGuard;
+  readonly #held: HeldAnswers;
   readonly #intake: Intake;
+  readonly #answers: LocalAnswers;
   readonly #connections = ClientConnections.create();
   #isDraining = false;
   #drainEndMs = Infinity;
@@ -84,13 +98,22 @@
   private constructor(options: IngressOptions) {
     this.#options = options;
     this.#gate = ConnectionGate.create(options);
+    this.#held = HeldAnswers.create({
+      maxBytes: options.maxHeldBytes,
+      abort: abortResponse,
+    });
+    this.#answers = LocalAnswers.create(options);
     this.#intake = Intake.create({
       clock: options.clock,
       lagMs: () => options.lag.ms,
       isClosing: () => this.#gate.isClosing,
     });
     this.#server = createServer(
-      { maxHeaderSize: PARSED_HEADER_BYTES, noDelay: true, keepAlive: true },
+      {
+        maxHeaderSize: UNCONFIGURED_LIMITS.headerBytes,
+        noDelay: true,
+        keepAlive: true,
+      },
       (request, response) => {
         this.#handle(request, response).catch((error) => {
           // An exception in one request must not crash the process and fail the others.
@@ -107,6 +130,10 @@
       this.#server.emit("request", request, response);
     });
     ClientErrors.create(this.#server, options);
+    this.#guard = ConnectionGuard.create(this.#server, {
+      ...options,
+      limits: () => options.table()?.limits ?? UNCONFIGURED_LIMITS,
+    });
     // Before Node's own listener, which reads from the connection.
     this.#server.prependListener("connection", (socket) => this.#open(socket));
   }
@@ -150,12 +177,10 @@
     });
   }
 
-  /** Applies the configured header and idle timeouts to the HTTP server. */
+  /** Applies the configured idle timeout to the HTTP server. */
   applyLimits(): void {
     const limits = this.#options.table()?.limits;
-    if (!limits) return;
-    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
-    this.#server.headersTimeout = limits.headerTimeoutMs;
+    if (limits) this.#server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
   /**
@@ -190,6 +215,7 @@
     }
     this.#abort(endUnanswered);
     await closed;
+    this.#guard.close();
   }
 
   /** Ends all requests and closes their connections; they get no answer of a server. */
@@ -204,6 +230,7 @@
 
   /** Stops listening and aborts the requests in flight. */
   async close(): Promise<void> {
+    this.#guard.close();
     if (!this.#server.listening) return;
     const closed = new Promise((resolve) => this.#server.close(resolve));
     this.#abort(abortResponse);
@@ -239,50 +266,67 @@
       if (isLast()) socket.destroySoon();
     });
     response.sendDate = false;
-    const sink = new ResponseSink(response, isLast);
+    const sink = new ResponseSink(response, isLast, this.#held);
     request.on("error", () => {
       // The client has disconnected; the response's close event notifies the request handler.
     });
-    const arrival = this.#check(request, facts, arrivedAtMs);
-    const body = await this.#receive(request, response, arrival);
+    const account = this.#guard.accountOf(request);
+    // The connection was closed to free memory.
+    if (!account) return;
+    const arrival = checkHead(request, facts, {
+      table: this.#options.table(),
+      ageMs: readAtMs - arrivedAtMs,
+    });
+    const body = await receiveBody(request, response, {
+      arrival,
+      account,
+      memory: this.#options.memory,
+    });
     if (body.kind === "cut") return;
     const enteredAtMs = clock.nowMs();
     await this.#intake.waitForTurn();
     // What the client still sends would be taken for its next request.
     if (!request.complete) response.shouldKeepAlive = false;
     if (sink.gone) return this.#options.onLocalAnswer(facts, "client_gone");
-    if (this.#isClosing) return this.#refuse(facts, sink, "stopping");
+    if (this.#isClosing) return this.#answers.refuse(facts, sink, "stopping");
     const nowMs = clock.nowMs();
     const behindMs = Math.max(this.#intake.maxWaitMs, nowMs - enteredAtMs);
     if (shouldShed(behindMs, this.#options.random())) {
-      return this.#refuse(facts, sink, "overloaded");
+      return this.#answers.refuse(facts, sink, "overloaded");
     }
     const table = this.#options.table();
     if (!table || arrival.kind === "not_ready") {
-      return this.#refuse(facts, sink, "not_ready");
+      return this.#answers.refuse(facts, sink, "not_ready");
     }
     switch (arrival.kind) {
       case "headers_too_large":
-        return this.#answer(facts, sink, { status: 431, why: arrival.kind });
+        return this.#answers.send(facts, sink, {
+          status: 431,
+          why: arrival.kind,
+        });
       case "unknown_route":
       case "unknown_key":
-        return this.#rejectUnknown(facts, sink, arrival.kind);
+        return this.#answers.rejectUnknown(facts, sink, arrival.kind);
       case "expected":
     }
     switch (body.kind) {
       case "too_large":
-        return this.#answer(facts, sink, { status: 413, why: body.kind });
+        return this.#answers.send(facts, sink, { status: 413, why: body.kind });
       case "late":
-        return this.#refuse(facts, sink, "expired");
+        return this.#answers.refuse(facts, sink, "expired");
+      case "no_memory":
+        return this.#answers.refuse(facts, sink, body.kind);
       case "whole":
     }
     // A newer configuration may have been loaded while the body was received.
-    const routed = this.#route(facts, table);
+    const routed = findRoute(facts, table);
     if (routed.kind === "refused") {
-      return this.#rejectUnknown(facts, sink, routed.why);
+      return this.#answers.rejectUnknown(facts, sink, routed.why);
     }
     const answerByMs = arrivedAtMs + timeLeftMs(facts, routed.route);
-    if (answerByMs <= nowMs) return this.#refuse(facts, sink, "expired");
+    if (answerByMs <= nowMs) {
+      return this.#answers.refuse(facts, sink, "expired");
+    }
     const { route, workspace } = routed;
     const service = pickService(route.shares, this.#options.random);
     const ready: RoutedRequest = {
@@ -301,111 +345,4 @@
     if (this.#isAborting && served.outcome.kind === "client_gone") return;
     this.#options.onServed(ready, served);
   }
-
-  /** Decides by its head whether the body of a request is read. */
-  #check(
-    request: IncomingMessage,
-    facts: RequestFacts,
-    arrivedAtMs: number,
-  ): Arrival {
-    const table = this.#options.table();
-    if (!table) return { kind: "not_ready" };
-    const { headerBytes, bodyBytes } = table.limits;
-    if (headBytes(request) > headerBytes) return { kind: "headers_too_large" };
-    const routed = this.#route(facts, table);
-    if (routed.kind === "refused") return { kind: routed.why };
-    const endMs = arrivedAtMs + timeLeftMs(facts, routed.route);
-    const leftMs = Math.max(0, endMs - this.#options.clock.nowMs());
-    return { kind: "expected", maxBytes: bodyBytes, leftMs };
-  }
-
-  /** Reads the body of a request, or drops it if the request is refused by its head. */
-  #receive(
-    request: IncomingMessage,
-    response: ServerResponse,
-    arrival: Arrival,
-  ): Promise<ReadBody> {
-    if (arrival.kind !== "expected") {
-      request.resume();
-      return Promise.resolve({ kind: "whole", bytes: undefined });
-    }
-    const body = readBody(request, arrival);
-    const isRefused =
-      Number(request.headers["content-length"]) > arrival.maxBytes;
-    if (request.headers.expect && !isRefused) response.writeContinue();
-    return body;
-  }
-
-  #route(facts: RequestFacts, table: RoutingTable): Routed {
-    const route = table.findRoute(facts.host, facts.target);
-    if (!route) return { kind: "refused", why: "unknown_route" };
-    const who = table.authenticate(route, facts.key);
-    switch (who.kind) {
-      case "unknown_key":
-        return { kind: "refused", why: "unknown_key" };
-      case "anonymous":
-        return { kind: "routed", route };
-      case "workspace":
-        return { kind: "routed", route, workspace: who.workspace };
-    }
-  }
-
-  /** Answers 404 or 401, or refuses with 503 while a newer configuration may contain the route or key. */
-  #rejectUnknown(
-    facts: RequestFacts,
-    sink: AnswerSink,
-    why: "unknown_route" | "unknown_key",
-  ): void {
-    if (this.#options.knowledgeAgeMs() > MAX_KNOWLEDGE_AGE_MS) {
-      return this.#refuse(facts, sink, "unsure");
-    }
-    const status = why === "unknown_route" ? 404 : 401;
-    this.#answer(facts, sink, { status, why });
-  }
-
-  #refuse(
-    facts: RequestFacts,
-    sink: AnswerSink,
-    why: RefusalReason,
-  ): void {
-    const leftMs = facts.deadlineMs ?? Infinity;
-    const pauseMs = retryAfterMs(leftMs, this.#options.random);
-    const headers = retryHeaders(pauseMs);
-    sink.send({ status: 503, headers }, Buffer.alloc(0));
-    this.#options.onLocalAnswer(facts, why);
-  }
-
-  #answer(
-    facts: RequestFacts,
-    sink: AnswerSink,
-    { status, why }: { status: number; why: LocalAnswer },
-  ): void {
-    sink.send({ status, headers: [] }, Buffer.alloc(0));
-    this.#options.onLocalAnswer(facts, why);
-  }
-}
-
-/** What the head of a request says about it. */
-type Arrival =
-  /** Its body is read, up to this size and for this time. */
-  | { kind: "expected"; maxBytes: number; leftMs: number }
-  | { kind: "not_ready" }
-  | { kind: "headers_too_large" }
-  | { kind: "unknown_route" }
-  | { kind: "unknown_key" };
-
-type RefusalReason =
-  | "not_ready"
-  | "stopping"
-  | "unsure"
-  | "overloaded"
-  | "expired";
-
-/** Returns the time from a request's arrival in which it is served. */
-function timeLeftMs({ deadlineMs }: RequestFacts, route: Route): number {
-  return Math.min((deadlineMs ?? Infinity) - ANSWER_MARGIN_MS, route.timeoutMs);
 }
-
-type Routed =
-  | { kind: "routed"; route: Route; workspace?: RoutedRequest["workspace"] }
-  | { kind: "refused"; why: "unknown_route" | "unknown_key" };
--- a/src/router/ingress_test.ts
+++ b/src/router/ingress_test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Metrics, systemClock } from "../base/mod.ts";
-import { silentLog } from "./_kit.ts";
+import { silentLog, testIngressLimits } from "./_kit.ts";
 import { Ingress } from "./ingress.ts";
 import { RequestKind } from "./model.ts";
 import type { LocalAnswer } from "./request.ts";
@@ -44,6 +44,7 @@
   const targets: string[] = [];
   const ingress = Ingress.create({
     clock: systemClock,
+    ...testIngressLimits(),
     log: silentLog,
     // By default nothing is shed, whatever the load of the computer.
     random: () => random,
--- a/src/router/interrupted_call_test.ts
+++ b/src/router/interrupted_call_test.ts
@@ -4,7 +4,7 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Metrics, systemClock } from "../base/mod.ts";
-import { silentLog } from "./_kit.ts";
+import { silentLog, testIngressLimits } from "./_kit.ts";
 import { Ingress } from "./ingress.ts";
 import { type ClientLimits, RequestKind } from "./model.ts";
 import type { AnswerSink } from "./request.ts";
@@ -50,6 +50,7 @@
   const sinks = new Map<string, AnswerSink>();
   const ingress = Ingress.create({
     clock: systemClock,
+    ...testIngressLimits(),
     log: silentLog,
     // Nothing is shed, whatever the load of the computer.
     random: () => Infinity,
--- a/src/router/read_answer.ts
+++ b/src/router/read_answer.ts
@@ -62,15 +62,18 @@
   onSilent(serverId: string): void;
   /** Called when another server uses a server's address, to notify the other entries. */
   onGone(server: BackendServer): void;
+  /** Most bytes of incomplete answers; default: the share on the smallest instances. */
+  maxAnswerBytes?: number;
 }
 
 /** Reads the responses of backend servers. */
 export class AnswerReader {
   readonly #options: AnswerReaderOptions;
-  readonly #buffers = AnswerBuffers.create();
+  readonly #buffers: AnswerBuffers;
 
   private constructor(options: AnswerReaderOptions) {
     this.#options = options;
+    this.#buffers = AnswerBuffers.create({ maxBytes: options.maxAnswerBytes });
   }
 
   /**
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -176,6 +176,8 @@
   | "unsure"
   | "overloaded"
   | "expired"
+  /** The memory for clients is used up. */
+  | "no_memory"
   | "client_gone"
   /** The entry ended the request at the end of a shutdown: with 502, or in the middle of its answer. */
   | "aborted";
--- a/src/router/response_sink.ts
+++ b/src/router/response_sink.ts
@@ -9,12 +9,6 @@
 /** Time for a client to take what was written before its answer is aborted. */
 const FLUSH_TIMEOUT_MS = 1000;
 
-/**
- * Most bytes of whole answers that this process holds for clients that have not taken them: three of
- * the largest size, which leaves room for the rest of the process on entries with 200 MB.
- */
-const MAX_HELD_BYTES = 48 * 1024 * 1024;
-
 /** Responses without a declared end, which end with their connection. */
 const withoutDeclaredEnd = new WeakSet<ServerResponse>();
 
@@ -46,15 +40,11 @@
   response.writeHead(502, headers).end();
 }
 
-const heldAnswers = HeldAnswers.create({
-  maxBytes: MAX_HELD_BYTES,
-  abort: abortResponse,
-});
-
 /** Response to a client over HTTP. */
 export class ResponseSink implements AnswerSink {
   readonly #response: ServerResponse;
   readonly #isDraining: () => boolean;
+  readonly #held: HeldAnswers;
   #gone = false;
   /** The whole response was handed over through this object. */
   #isEnded = false;
@@ -66,10 +56,16 @@
   /**
    * @param response Node's response object, to which everything is written.
    * @param isDraining Whether the connection is to be closed after the response.
+   * @param held Whole answers that clients have not taken.
    */
-  constructor(response: ServerResponse, isDraining: () => boolean) {
+  constructor(
+    response: ServerResponse,
+    isDraining: () => boolean,
+    held: HeldAnswers,
+  ) {
     this.#response = response;
     this.#isDraining = isDraining;
+    this.#held = held;
     response.once("close", () => {
       if (!response.writableFinished) this.#gone = true;
     });
@@ -144,7 +140,7 @@
     this.#writeHead(head, [...headers, ...length]);
     if (isFramed) {
       this.#response.end(body);
-      heldAnswers.add(this.#response);
+      this.#held.add(this.#response);
     } else void this.#sendProtected(body);
   }
 
@@ -163,7 +159,7 @@
     await this.#protection;
     if (this.#gone) return;
     this.#writeTracked(body);
-    heldAnswers.add(this.#response);
+    this.#held.add(this.#response);
     this.end();
   }
 
--- a/src/router/response_sink_test.ts
+++ b/src/router/response_sink_test.ts
@@ -3,9 +3,16 @@
 import { createServer, type ServerResponse } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { test } from "node:test";
-import { ResponseSink } from "./response_sink.ts";
+import { DEFAULT_SHARES } from "../base/memory_shares.ts";
+import { HeldAnswers } from "./held_answers.ts";
+import { abortResponse, ResponseSink } from "./response_sink.ts";
 import { onReset } from "../base/socket_reset.ts";
 
+const HELD = HeldAnswers.create({
+  maxBytes: DEFAULT_SHARES.heldBytes,
+  abort: abortResponse,
+});
+
 // Guards against a listener leak: each write that waited for the client left its listeners behind.
 test("sink removes the listeners of completed writes", async () => {
   const response = Object.assign(new EventEmitter(), {
@@ -15,6 +22,7 @@
   const sink = new ResponseSink(
     response as unknown as ServerResponse,
     () => false,
+    HELD,
   );
   const listeners = () =>
     ["close", "drain", "error"].map((name) => response.listenerCount(name));
@@ -30,7 +38,7 @@
 // Guards against ending an answer without a declared end by a close, which would make it look whole.
 test("abort of an answer that ends with its connection resets the connection", async (t) => {
   const server = createServer((_request, response) => {
-    const sink = new ResponseSink(response, () => false);
+    const sink = new ResponseSink(response, () => false, HELD);
     sink.begin({ status: 200, headers: [], isFramed: false });
     void sink.write(Buffer.from("part"));
     setImmediate(() => sink.abortAnswer());
@@ -50,7 +58,7 @@
 
 test("answer that ends with its connection has neither a length nor chunks", async (t) => {
   const server = createServer((_request, response) => {
-    const sink = new ResponseSink(response, () => false);
+    const sink = new ResponseSink(response, () => false, HELD);
     const head = { status: 200, headers: [], isFramed: false };
     sink.send(head, Buffer.from("whole"));
   });
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -8,6 +8,7 @@
   systemClock,
 } from "../base/mod.ts";
 import type { PlatformStore } from "../platform/mod.ts";
+import { type ClientBudgets, createClientBudgets } from "./client_budgets.ts";
 import { Dispatcher } from "./dispatch.ts";
 import { PLATFORM_CALLS } from "./engine_orders.ts";
 import { Fleet } from "./fleet.ts";
@@ -27,6 +28,7 @@
 import {
   dumpState,
   type RouterComponents,
+  type RouterOptions,
   startComponents,
 } from "./router_components.ts";
 import { CONNECTION_TIMES, type ServerOptions } from "./server_options.ts";
@@ -41,15 +43,6 @@
 /** Part of the grace period that is reserved for the exit of the process. */
 const EXIT_MARGIN_MS = 700;
 
-/** Dependencies of a {@link Router}. */
-export interface RouterOptions {
-  settings: RouterSettings;
-  log: Logger;
-  clock?: Clock;
-  /** Returns a number from 0 to 1. */
-  random?: () => number;
-}
-
 /** A router process. */
 export class Router {
   readonly #settings: RouterSettings;
@@ -58,6 +51,7 @@
   readonly #random: () => number;
   readonly #lifecycle = Lifecycle.create("router");
   readonly #metrics = Metrics.create();
+  readonly #budgets: ClientBudgets;
   readonly #mirror: StoreMirror;
   readonly #store: PlatformStore;
   readonly #follower: StoreFollower;
@@ -82,6 +76,7 @@
     this.#settings = options.settings;
     this.#log = options.log;
     this.#clock = options.clock ?? systemClock;
+    this.#budgets = createClientBudgets(options.settings, this.#clock);
     this.#random = options.random ?? Math.random;
     this.#lag = LoopLag.create({ ...options.settings, log: options.log });
     this.#mirror = StoreMirror.create(this.#clock);
@@ -214,6 +209,7 @@
       log: this.#log,
       metrics: this.#metrics,
       random: this.#random,
+      ...this.#budgets,
       table: () => this.#state.table,
       isStoreServing: () => this.#follower.contact.connected,
       coalesceMs: () =>
--- a/src/router/router_components.ts
+++ b/src/router/router_components.ts
@@ -21,6 +21,15 @@
 import type { WantedVersions } from "./wanted_weights.ts";
 import type { WeightsRoll } from "./weights_roll.ts";
 
+/** Dependencies of a a router. */
+export interface RouterOptions {
+  settings: RouterSettings;
+  log: Logger;
+  clock?: Clock;
+  /** Returns a number from 0 to 1. */
+  random?: () => number;
+}
+
 /** Components of one process. */
 export interface RouterComponents {
   settings: RouterSettings;
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -1,6 +1,7 @@
 /** Reads the settings of a router process from environment variables and reports all invalid ones. */
 import { Result } from "true-myth";
 import { LOG_LEVELS, type LogLevel } from "../base/log.ts";
+import { BYTES_PER_MB, DEFAULT_INSTANCE_BYTES } from "../base/memory_shares.ts";
 import { ChoiceName } from "./choose.ts";
 import type { ResendLimits } from "./resend_budget.ts";
 
@@ -60,6 +61,10 @@
   /** Whether engines reject orders whose fencing number is lower than one that they have seen. */
   enginesCheckFences: boolean;
   resendLimits: ResendLimits;
+  /** Memory of the instance, of which what clients make the process hold is a part. */
+  memoryBytes: number;
+  /** Descriptors that the process may open. */
+  maxDescriptors: number;
   logLevel: LogLevel;
   choice: ChoiceName;
   /** Where the rates of engines come from. */
@@ -95,6 +100,7 @@
 const ORDER_TURN_MS = 3000;
 const WEIGHTS_BOUND_MS = 10_000;
 const HEARTBEAT_MS = 1200;
+const MAX_DESCRIPTORS = 4096;
 const PRIORITY_FLOOR = 0.05;
 const MAX_PRIORITY_FLOOR = 0.5;
 const RESEND_LIMITS: ResendLimits = { ratio: 0.2, slack: 54, windowMs: 10_000 };
@@ -168,6 +174,16 @@
         parsePositiveSeconds,
       ),
     },
+    memoryBytes: readNumberOr(
+      "MEMORY_MB",
+      DEFAULT_INSTANCE_BYTES,
+      parsePositiveMegabytes,
+    ),
+    maxDescriptors: readNumberOr(
+      "MAX_DESCRIPTORS",
+      MAX_DESCRIPTORS,
+      parsePositive,
+    ),
     logLevel: readOneOf(env, "LOG_LEVEL", { faults, values: LOG_LEVELS }) ??
       "info",
     choice: readOneOf(env, "CHOICE", {
@@ -263,6 +279,11 @@
   return parseNumber(value) || undefined;
 }
 
+function parsePositiveMegabytes(value: string): number | undefined {
+  const megabytes = parsePositive(value);
+  return megabytes === undefined ? undefined : megabytes * BYTES_PER_MB;
+}
+
 function parsePositiveSeconds(value: string): number | undefined {
   return parseSeconds(value) || undefined;
 }
--- a/src/router/unread_budget.ts
+++ b/src/router/unread_budget.ts
@@ -1,4 +1,5 @@
 /** Bounds the unread bytes of responses whose reading can't be paused. */
+import { DEFAULT_SHARES } from "../base/memory_shares.ts";
 
 /** Limits of an {@link UnreadBudget}. */
 export interface UnreadLimits {
@@ -11,13 +12,12 @@
 }
 
 /**
- * One response may be as large as the largest whole answer; the total leaves room for the rest of the
- * process on entries with 200 MB. Responses that declare their end are paused at 64 KB, which is free
+ * One response may be as large as the largest whole answer. Responses that declare their end are paused at 64 KB, which is free
  * here as well, so that clients that read are not affected.
  */
 const DEFAULT_LIMITS: UnreadLimits = {
   responseBytes: 16 * 1024 * 1024,
-  totalBytes: 32 * 1024 * 1024,
+  totalBytes: DEFAULT_SHARES.unreadBytes,
   freeBytes: 64 * 1024,
 };
 
@@ -34,8 +34,12 @@
    * @param limits Limits that differ from the defaults.
    * @returns A budget of which nothing is used.
    */
-  static create(limits: Partial<UnreadLimits> = {}): UnreadBudget {
-    return new UnreadBudget({ ...DEFAULT_LIMITS, ...limits });
+  static create({
+    responseBytes = DEFAULT_LIMITS.responseBytes,
+    totalBytes = DEFAULT_LIMITS.totalBytes,
+    freeBytes = DEFAULT_LIMITS.freeBytes,
+  }: Partial<UnreadLimits> = {}): UnreadBudget {
+    return new UnreadBudget({ responseBytes, totalBytes, freeBytes });
   }
 
   /** Unread bytes of all responses. */
--- a/src/standin/mod.ts
+++ b/src/standin/mod.ts
@@ -104,3 +104,5 @@
   PortRangeError,
   type PortRangeOptions,
 } from "./port_range.ts";
+export { StandinCallServer } from "./call_server.ts";
+export { headOf, type RequestHeadOptions } from "./request_head.ts";
