Bound what callers make an entry with its own interface hold

The same crowds filled cicadahitch dev (heap of 128 MB, instance of 320 MB in the test): 100 bodies of 4 MB that stopped a byte short took 509 MB; 30 bodies in chunks of one byte, and 1,500 heads of 14 KB without their end, ended it with SIGABRT.

Its HTTP server and the one of administration kept chunks as objects, checked the time of a request every 30 s, and had no limit over all callers. Both now use ConnectionGuard with one budget, half of what the instance has beside the process (--memory-mb, 512 by default). Bodies that are parsed are charged four times their size, less if the largest body of the branch would not fit: that one is received in any case.

--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -1,10 +1,15 @@
 /** HTTP server of the administration API. It has its own listener and its own bearer key. */
 import { createHash, timingSafeEqual } from "node:crypto";
-import { createServer, type Server } from "node:http";
+import { createServer, maxHeaderSize, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { H3, type H3Event, toNodeHandler } from "h3";
 import { Result } from "true-myth";
 import { ClientErrors } from "../base/client_errors.ts";
+import { ClientMemory } from "../base/client_memory.ts";
+import {
+  ConnectionGuard,
+  type ConnectionLimits,
+} from "../base/connection_guard.ts";
 import type { Clock, Logger, Owned } from "../base/mod.ts";
 import type { BranchSet, ConfigSync } from "../config/mod.ts";
 import type { KeyValueStore } from "../store/store.ts";
@@ -28,6 +33,8 @@
   address: string;
   /** Hex-encoded SHA-256 of the administrators' bearer key. */
   keySha256: string;
+  /** Budget for what clients make the process hold; by default one of its own. */
+  memory?: ClientMemory;
   store: KeyValueStore;
   branches: BranchSet;
   sync: ConfigSync;
@@ -43,6 +50,20 @@
 
 /** Maximum size of a request body; a branch is smaller. */
 const MAX_BODY_BYTES = 1_048_576;
+/** Longest time for a request to arrive. */
+const REQUEST_TIMEOUT_MS = 30_000;
+/** Interval at which that time is checked. */
+const TIMEOUT_CHECK_MS = 1000;
+/** Most connections of administrators. */
+const MAX_CONNECTIONS = 1024;
+/** Budget of a server that shares none. */
+const MAX_OWN_BYTES = 32 * MAX_BODY_BYTES;
+/** Limits of each connection. */
+const CONNECTION_LIMITS: ConnectionLimits = {
+  headerBytes: maxHeaderSize,
+  headerTimeoutMs: REQUEST_TIMEOUT_MS,
+  idleTimeoutMs: REQUEST_TIMEOUT_MS,
+};
 
 /** Serves the administration API over HTTP. */
 export class AdminServer implements Owned {
@@ -51,6 +72,7 @@
   readonly queries: AdminQueries;
   readonly #options: AdminServerOptions;
   readonly #server: Server;
+  readonly #guard: ConnectionGuard;
   readonly #keyHash: Buffer;
   #address: string;
 
@@ -80,8 +102,18 @@
       processId,
       address: options.peerAddress,
     });
-    this.#server = createServer(toNodeHandler(this.#createApp()));
+    this.#server = createServer(
+      { connectionsCheckingInterval: TIMEOUT_CHECK_MS },
+      toNodeHandler(this.#createApp()),
+    );
+    this.#server.requestTimeout = REQUEST_TIMEOUT_MS;
     ClientErrors.create(this.#server, { clock, log: options.log });
+    this.#guard = ConnectionGuard.create(this.#server, {
+      memory: options.memory ??
+        ClientMemory.create({ clock, maxBytes: MAX_OWN_BYTES }),
+      maxConnections: MAX_CONNECTIONS,
+      limits: () => CONNECTION_LIMITS,
+    });
   }
 
   /**
@@ -117,6 +149,7 @@
 
   /** Stops accepting connections and waits for the requests in flight. */
   close(): Promise<void> {
+    this.#guard.close();
     return new Promise((resolve) => {
       this.#server.close(() => resolve());
       this.#server.closeIdleConnections();
--- a/src/cli/daemon_options.ts
+++ b/src/cli/daemon_options.ts
@@ -1,6 +1,7 @@
 /** Builds the options of the entry and agent daemons from validated settings. */
 import { Result } from "true-myth/result";
 import type { AgentOptions, BackendServer } from "../agent/options.ts";
+import { BYTES_PER_MB } from "../base/memory_shares.ts";
 import { createLogger, systemClock } from "../base/mod.ts";
 import type { EntryOptions } from "../entry/options.ts";
 import { readSecurity } from "./security.ts";
@@ -50,6 +51,7 @@
     planning: value.planPools ? {} : undefined,
     drainMs: value.drainMs,
     unreadyMs: value.unreadyMs,
+    memoryBytes: value.memoryMb * BYTES_PER_MB,
     log: createLogger({
       level: value.logLevel,
       role: "entry",
--- a/src/cli/schemas.ts
+++ b/src/cli/schemas.ts
@@ -49,6 +49,11 @@
   error: `Expected a whole number of ms, 0 to ${MAX_DURATION_MS}`,
 });
 
+/** Memory of an instance in MB. */
+export const MEMORY_MB = z.string().regex(/^[1-9]\d{0,6}$/, {
+  error: "Expected a whole number of MB, 1 to 9999999",
+}).transform(Number);
+
 /** Number of models that an engine holds at once. */
 export const MODEL_SLOTS = z.string().regex(/^[1-9]\d{0,2}$/, {
   error: "Expected a whole number from 1 to 999",
--- a/src/cli/serve_dev.ts
+++ b/src/cli/serve_dev.ts
@@ -1,4 +1,5 @@
 /** `cicadahitch dev`: all daemons in one process on loopback, with stand-ins and a sample team. */
+import { BYTES_PER_MB } from "../base/memory_shares.ts";
 import { Agent, type BackendServer } from "../agent/mod.ts";
 import {
   createLogger,
@@ -209,6 +210,7 @@
     zoneRttMs: {},
     drainMs: DRAIN_MS,
     unreadyMs: 0,
+    memoryBytes: options.memoryMb * BYTES_PER_MB,
     log: options.log.child({ role: "entry", processId: ENTRY_ID }),
     clock: systemClock,
   });
--- a/src/cli/setting_tables.ts
+++ b/src/cli/setting_tables.ts
@@ -67,6 +67,14 @@
   }),
 } satisfies SettingTable;
 
+const MEMORY_SETTINGS = {
+  memoryMb: setting("Memory of the instance; bounds what callers can hold", {
+    unit: "MB",
+    schema: schemas.MEMORY_MB,
+    default: "512",
+  }),
+} satisfies SettingTable;
+
 /** Settings of `cicadahitch entry`. */
 export const ENTRY_SETTINGS = {
   ...INSTANCE_SETTINGS,
@@ -115,6 +123,7 @@
     schema: schemas.DURATION_MS,
     default: "3000",
   }),
+  ...MEMORY_SETTINGS,
   ...SECURITY_SETTINGS,
 } satisfies SettingTable;
 
@@ -177,6 +186,7 @@
     schema: schemas.ADDRESS,
     default: "127.0.0.1:7720",
   }),
+  ...MEMORY_SETTINGS,
   logLevel: setting("Lowest severity that is logged", {
     unit: "level",
     schema: schemas.LOG_LEVEL,
--- a/src/e2e/_child.ts
+++ b/src/e2e/_child.ts
@@ -123,8 +123,19 @@
 
   /** @returns Resident memory, in bytes. */
   residentBytes(): number {
+    return this.#memoryBytes("VmRSS");
+  }
+
+  /** @returns Largest resident memory so far, in bytes. */
+  peakBytes(): number {
+    return this.#memoryBytes("VmHWM");
+  }
+
+  #memoryBytes(field: string): number {
     const status = readFileSync(`/proc/${this.pid}/status`, "utf8");
-    return Number(/VmRSS:\s+(\d+) kB/.exec(status)?.[1] ?? 0) * 1024;
+    const [, kilobytes] = new RegExp(`${field}:\\s+(\\d+) kB`).exec(status) ??
+      [];
+    return Number(kilobytes ?? 0) * 1024;
   }
 }
 
--- a/src/entry/_fixture.ts
+++ b/src/entry/_fixture.ts
@@ -1,4 +1,5 @@
 /** Test fixture: an entry with scripted agents, requests to send and helpers to read answers. */
+import { ClientMemory } from "../base/client_memory.ts";
 import { createSilentLogger, systemClock } from "../base/mod.ts";
 import type { ErrorBody } from "./errors.ts";
 import { Entry, type EntryTuning } from "./mod.ts";
@@ -11,6 +12,11 @@
   cancelTimeoutMs: 200,
 };
 
+/** @returns A budget that no test uses up. */
+export function testClientMemory(): ClientMemory {
+  return ClientMemory.create({ clock: systemClock, maxBytes: 2 ** 26 });
+}
+
 /**
  * @param agents Seed addresses of the entry.
  * @param tuning Overrides of {@link TEST_TUNING}.
--- a/src/entry/early_disconnect_test.ts
+++ b/src/entry/early_disconnect_test.ts
@@ -3,6 +3,7 @@
 import { setImmediate as nextTurn } from "node:timers/promises";
 import { createSilentLogger, systemClock } from "../base/mod.ts";
 import { blockEventLoop, sendAndDisconnect } from "../standin/mod.ts";
+import { testClientMemory } from "./_fixture.ts";
 import { HttpServer, type RequestHandler } from "./http_server.ts";
 
 const CALLERS = 40;
@@ -25,6 +26,7 @@
     clock: systemClock,
     log: createSilentLogger(),
     requestTimeoutMs: 5000,
+    memory: testClientMemory(),
     chat: serve,
     text: serve,
     service: serve,
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -163,6 +163,7 @@
       clock: options.clock,
       log: options.log,
       requestTimeoutMs: tuning.bodyTimeoutMs,
+      memory: this.#deps.body.memory,
       chat: this.#handle(
         "chat",
         (deps, exchange) => serveModel(deps, exchange, { api: "chat" }),
@@ -187,6 +188,7 @@
         requestId: randomUUID(),
         kind,
         clock: this.#parts.options.clock,
+        account: this.#http.accountOf(request),
       });
       return this.#serve(exchange, handler);
     };
--- a/src/entry/entry_parts.ts
+++ b/src/entry/entry_parts.ts
@@ -1,4 +1,9 @@
 /** Builds the parts of an entry and registers them with its {@link Lifecycle}. */
+import { ClientMemory } from "../base/client_memory.ts";
+import {
+  DAEMON_INSTANCE_BYTES,
+  daemonRequestBytes,
+} from "../base/memory_shares.ts";
 import type { Lifecycle } from "../base/mod.ts";
 import { Metrics } from "../base/metrics.ts";
 import { AdminServer } from "../admin/mod.ts";
@@ -32,6 +37,8 @@
 export interface EntryParts {
   options: EntryOptions;
   tuning: EntryTuning;
+  /** Budget for what callers and administrators make the process hold. */
+  memory: ClientMemory;
   branches: BranchSet;
   metrics: EntryMetrics;
   members: Members;
@@ -60,6 +67,9 @@
 ): EntryParts {
   const { clock, security, instanceId } = options;
   const tuning = { ...DEFAULT_TUNING, ...options.tuning };
+  const { memoryBytes = DAEMON_INSTANCE_BYTES } = options;
+  const maxBytes = daemonRequestBytes(memoryBytes);
+  const memory = ClientMemory.create({ clock, maxBytes });
   const branches = BranchSet.create();
   const members = Members.create(clock);
   const channels = lifecycle.own(ChannelPool.create({
@@ -86,6 +96,7 @@
   const base = {
     options,
     tuning,
+    memory,
     branches,
     members,
     channels,
@@ -155,6 +166,7 @@
       versions: MissingVersions.create(clock),
       demand: parts.demand,
     },
+    body: { memory: parts.memory, timeoutMs: tuning.bodyTimeoutMs },
     knowsAllTeams: () => sync.knowsAllTeams,
   };
 }
@@ -183,6 +195,7 @@
   EntryParts,
   | "options"
   | "tuning"
+  | "memory"
   | "branches"
   | "members"
   | "channels"
@@ -277,7 +290,7 @@
 }
 
 function buildAdmin(
-  { options, branches, listener }: BaseParts,
+  { options, memory, branches, listener }: BaseParts,
   store: KeyValueStore | undefined,
   { sync, lifecycle }: { sync: ConfigSync; lifecycle: Lifecycle },
 ): AdminServer | undefined {
@@ -286,6 +299,7 @@
   return lifecycle.own(AdminServer.create({
     address: adminAddress,
     keySha256: adminKeySha256,
+    memory,
     store,
     branches,
     sync,
--- a/src/entry/handler_deps.ts
+++ b/src/entry/handler_deps.ts
@@ -6,7 +6,7 @@
 import { authenticate, claimedTeam, type Identity } from "./auth.ts";
 import type { Dispatcher } from "./dispatch.ts";
 import { notRun, type RequestFailure } from "./errors.ts";
-import type { Exchange } from "./exchange.ts";
+import type { Exchange, ReceiveOptions } from "./exchange.ts";
 import type { OfferRouteOptions } from "./routes.ts";
 
 /** Options that all routes of an entry share. */
@@ -29,6 +29,8 @@
   limiter: TeamLimiter;
   dispatcher: Dispatcher;
   routing: Routing;
+  /** Bounds of request bodies. */
+  body: Pick<ReceiveOptions, "memory" | "timeoutMs">;
   /** False while branches may be missing here, so that an unknown team may still exist. */
   knowsAllTeams: () => boolean;
 }
--- a/src/entry/http_server.ts
+++ b/src/entry/http_server.ts
@@ -2,6 +2,7 @@
 import {
   createServer,
   type IncomingMessage,
+  maxHeaderSize,
   type Server,
   type ServerResponse,
 } from "node:http";
@@ -10,6 +11,11 @@
 import { toNodeHandler } from "h3/node";
 import { Result } from "true-myth";
 import { ClientErrors } from "../base/client_errors.ts";
+import type { ClientMemory, MemoryAccount } from "../base/client_memory.ts";
+import {
+  ConnectionGuard,
+  type ConnectionLimits,
+} from "../base/connection_guard.ts";
 import type { Clock, Logger, Owned } from "../base/mod.ts";
 import { Intake } from "../router/intake.ts";
 import type { ListenFailure } from "../wire/mod.ts";
@@ -30,6 +36,8 @@
   log: Logger;
   /** How long the head and body of a request may take to arrive, in ms. */
   requestTimeoutMs: number;
+  /** Budget for what callers make the process hold. */
+  memory: ClientMemory;
   chat: RequestHandler;
   text: RequestHandler;
   service: RequestHandler;
@@ -46,6 +54,15 @@
 const DRAIN_POLL_MS = 10;
 /** How long an idle keep-alive connection stays open. */
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+/** Interval at which the time of requests is checked. */
+const TIMEOUT_CHECK_MS = 1000;
+const MAX_CONNECTIONS = 8192;
+/** Limits of each connection. */
+const CONNECTION_LIMITS: ConnectionLimits = {
+  headerBytes: maxHeaderSize,
+  headerTimeoutMs: 30_000,
+  idleTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
+};
 
 /** HTTP server for callers. */
 export class HttpServer implements Owned {
@@ -53,6 +70,7 @@
   readonly #options: HttpServerOptions;
   readonly #server: Server;
   readonly #intake: Intake;
+  readonly #guard: ConnectionGuard;
   #address: string;
   #inFlight = 0;
   #isStopping = false;
@@ -63,7 +81,8 @@
     this.#intake = Intake.create({ clock: options.clock, lagMs: () => 0 });
     const handle = toNodeHandler(this.#routes());
     const direct = this.#directRoutes();
-    this.#server = createServer((request, response) => {
+    const checks = { connectionsCheckingInterval: TIMEOUT_CHECK_MS };
+    this.#server = createServer(checks, (request, response) => {
       const route = request.method === "POST"
         ? direct.get(request.url ?? "")
         : undefined;
@@ -73,6 +92,11 @@
     });
     const { clock, log } = options;
     ClientErrors.create(this.#server, { clock, log });
+    this.#guard = ConnectionGuard.create(this.#server, {
+      memory: options.memory,
+      maxConnections: MAX_CONNECTIONS,
+      limits: () => CONNECTION_LIMITS,
+    });
     this.#server.on("connection", () => this.#intake.accepted());
     this.#server.requestTimeout = options.requestTimeoutMs;
     this.#server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
@@ -134,8 +158,17 @@
     }
   }
 
+  /**
+   * @param request A request of this server.
+   * @returns Its account; undefined if its connection is closed.
+   */
+  accountOf(request: IncomingMessage): MemoryAccount | undefined {
+    return this.#guard.accountOf(request);
+  }
+
   /** Closes the listener and all connections at once. */
   close(): void {
+    this.#guard.close();
     this.#server.close();
     this.#server.closeAllConnections();
   }
--- a/src/entry/interrupted_call_test.ts
+++ b/src/entry/interrupted_call_test.ts
@@ -4,6 +4,7 @@
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createSilentLogger, systemClock } from "../base/mod.ts";
+import { testClientMemory } from "./_fixture.ts";
 import { HttpServer, type RequestHandler } from "./http_server.ts";
 
 /** Time for a server to react to what it was sent. */
@@ -29,6 +30,7 @@
       clock: systemClock,
       log: createSilentLogger(),
       requestTimeoutMs: 5000,
+      memory: testClientMemory(),
       chat: serve,
       text: serve,
       service: serve,
--- a/src/entry/model_handler.ts
+++ b/src/entry/model_handler.ts
@@ -9,7 +9,7 @@
 import { type AnswerSink, writeFailure } from "./answer_sink.ts";
 import type { Identity } from "./auth.ts";
 import type { RequestFailure } from "./errors.ts";
-import { type Exchange, readBody } from "./exchange.ts";
+import { type Exchange, receiveBody } from "./exchange.ts";
 import { admit, type HandlerDeps, identify } from "./handler_deps.ts";
 import {
   DEFAULT_MAX_TOKENS,
@@ -77,7 +77,11 @@
   if (settings.isErr) return Result.err(settings.error);
   exchange.caller.setDeadline(settings.value.deadlineMs);
   exchange.record.className = settings.value.className;
-  const body = await readBody(exchange.request, branch.limits.maxBodyBytes);
+  const body = await receiveBody(exchange, {
+    ...deps.body,
+    maxBytes: branch.limits.maxBodyBytes,
+    isParsed: true,
+  });
   return body.andThen((bytes) => readModelRequest(api, bytes, { branch }))
     .map((model) => {
       const { model: name, adapter, weightsVersion } = model;
--- a/src/entry/options.ts
+++ b/src/entry/options.ts
@@ -32,6 +32,8 @@
   drainMs: number;
   /** How long `/readyz` fails before a graceful shutdown closes the listener, in ms. */
   unreadyMs: number;
+  /** Memory of the instance, in bytes, of which what callers make the entry hold is a part. */
+  memoryBytes?: number;
   /** Planning settings that differ from the defaults; undefined turns planning off. */
   planning?: Partial<PlanningTuning> | undefined;
   log: Logger;
--- a/src/entry/service_handler.ts
+++ b/src/entry/service_handler.ts
@@ -8,7 +8,7 @@
 import { writeFailure } from "./answer_sink.ts";
 import type { Identity } from "./auth.ts";
 import type { RequestFailure } from "./errors.ts";
-import { type Exchange, readBody } from "./exchange.ts";
+import { type Exchange, receiveBody } from "./exchange.ts";
 import { admit, type HandlerDeps, identify } from "./handler_deps.ts";
 import { finishAnswer } from "./model_handler.ts";
 import { HeaderName, readSettings } from "./request_headers.ts";
@@ -85,7 +85,11 @@
   caller.setDeadline(
     hasDeadline ? Math.min(settings.value.deadlineMs, timeoutMs) : timeoutMs,
   );
-  const body = await readBody(request, branch.limits.maxBodyBytes);
+  const body = await receiveBody(exchange, {
+    ...deps.body,
+    maxBytes: branch.limits.maxBodyBytes,
+    isParsed: false,
+  });
   return body.map((bytes) => ({
     identity,
     target,
