Bound the connections of the readiness and control listeners

Both listeners had Node's defaults: no limit over all connections, requests of any length, and all pipelined answers kept for a client that doesn't read. Both now use ConnectionGuard with a budget of their own, 8 MB, so that a crowd at the client address doesn't keep load balancer and entries away. An untaken answer is charged with its size; one is sent in any case.

--- a/src/base/connection_guard.ts
+++ b/src/base/connection_guard.ts
@@ -72,6 +72,8 @@
     });
     server.prependListener("clientError", (_error, socket) => {
       this.#connections.get(socket as Socket)?.fail();
+      // Node leaves the connection to whoever listens.
+      if (server.listenerCount("clientError") === 1) socket.destroy();
     });
     this.#sweep = setInterval(() => this.#check(), SWEEP_MS);
     this.#sweep.unref();
--- a/src/base/memory_shares.ts
+++ b/src/base/memory_shares.ts
@@ -14,6 +14,8 @@
 
 /** Least memory for clients, on instances that are smaller than the process needs. */
 const MIN_CLIENT_BYTES = 32 * MB;
+/** For readiness checks, operators and other entries; taken from the process's own. */
+const CONTROL_BYTES = 8 * MB;
 /** Parts of the memory for clients. */
 const REQUEST_SHARE = 1 / 3;
 const ANSWER_SHARE = 1 / 3;
@@ -38,6 +40,8 @@
 export interface MemoryShares {
   /** Connections, heads and bodies of requests. */
   requestBytes: number;
+  /** Connections, requests and untaken answers of the readiness and control listeners. */
+  controlBytes: number;
   /** Answers that servers have not completed. */
   answerBytes: number;
   /** Whole answers that clients have not taken. */
@@ -60,6 +64,7 @@
       MAX_ROUTER_REQUEST_BYTES,
       clientBytes * REQUEST_SHARE,
     ),
+    controlBytes: CONTROL_BYTES,
     answerBytes: Math.min(MAX_ANSWER_BYTES, clientBytes * ANSWER_SHARE),
     heldBytes: Math.min(MAX_HELD_BYTES, clientBytes * HELD_SHARE),
     unreadBytes: Math.min(MAX_UNREAD_BYTES, clientBytes * UNREAD_SHARE),
--- a/src/exhaustion/_crowd.ts
+++ b/src/exhaustion/_crowd.ts
@@ -16,6 +16,8 @@
   reads?: boolean;
   /** Whether each piece is sent in a packet of its own; default: false. */
   isPaced?: boolean;
+  /** Whether a client whose connection was closed connects again at once; default: false. */
+  returns?: boolean;
 }
 
 /** One client of a {@link Crowd}. */
@@ -27,6 +29,7 @@
 /** Clients that are connected at the same time. */
 export class Crowd {
   readonly #clients: CrowdClient[] = [];
+  #isClosed = false;
 
   private constructor() {}
 
@@ -44,22 +47,13 @@
     script: ClientScript,
   ): Promise<Crowd> {
     const crowd = new Crowd();
-    const written: Promise<void>[] = [];
-    for (let index = 0; index < count; index++) {
-      const socket = connect({ host: ipAddress, port: clientPort });
-      const client: CrowdClient = { socket, text: "" };
-      socket.setNoDelay(true);
-      socket.on("error", () => {});
-      if (script.reads === false) socket.pause();
-      else {
-        socket.on("data", (bytes) => {
-          if (client.text.length < 4096) client.text += bytes;
-        });
-      }
-      crowd.#clients.push(client);
-      written.push(write(socket, script, index));
-    }
-    await Promise.race([Promise.all(written), sleep(WRITE_MS)]);
+    const address = { host: ipAddress, port: clientPort };
+    const written = Array.from(
+      { length: count },
+      (_, index) => crowd.#open(address, script, index),
+    );
+    const all = script.returns ? sleep(WRITE_MS) : Promise.all(written);
+    await Promise.race([all, sleep(WRITE_MS)]);
     await sleep(SETTLE_MS);
     return crowd;
   }
@@ -74,8 +68,35 @@
     return this.#clients.map(({ text }) => text.split("\r\n", 1)[0]!);
   }
 
+  #open(
+    address: { host: string; port: number },
+    script: ClientScript,
+    index: number,
+  ): Promise<void> {
+    const socket = connect(address);
+    const client: CrowdClient = { socket, text: "" };
+    this.#clients[index] = client;
+    socket.setNoDelay(true);
+    socket.on("error", () => {});
+    if (script.reads === false) socket.pause();
+    else {
+      socket.on("data", (bytes) => {
+        if (client.text.length < 4096) client.text += bytes;
+      });
+    }
+    if (script.returns) {
+      socket.once("close", () => {
+        if (!this.#isClosed) {
+          setTimeout(() => this.#open(address, script, index));
+        }
+      });
+    }
+    return write(socket, script, index);
+  }
+
   /** Closes all connections. */
   close(): void {
+    this.#isClosed = true;
     for (const { socket } of this.#clients) socket.resetAndDestroy();
   }
 }
--- a/src/exhaustion/bodies_serial_test.ts
+++ b/src/exhaustion/bodies_serial_test.ts
@@ -15,6 +15,7 @@
 const DECLARED_HEAD = headOf({
   headers: [`content-length: ${MAX_BODY_BYTES}`],
 });
+const SMALL = FILLER.subarray(0, 15_999);
 /** A chunk of one byte. */
 const SMALL_CHUNK = "1\r\nx\r\n";
 /** Ten of them; more would leave no body of legal size without its end. */
@@ -75,6 +76,28 @@
   await assertServesAfter(entry, crowd);
 });
 
+// Guards against memory that was freed and is taken again before it is collected.
+test("crowd with whole bodies that returns at once", async (t) => {
+  const { entry, crowd } = await assertSurvives(t, {
+    count: 60,
+    limits: LIMITS,
+    script: { returns: true, pieces: () => [DECLARED_HEAD, FILLER] },
+  });
+  await assertServesAfter(entry, crowd);
+});
+
+// Guards against a crowd that knows which bodies go first, and holds a little on each connection.
+test("crowd with small bodies on many connections, all but a byte", async (t) => {
+  const { entry, crowd } = await assertSurvives(t, {
+    count: 2500,
+    script: {
+      pieces: () => [headOf({ headers: ["content-length: 16000"] }), SMALL],
+    },
+    limits: { max_body_bytes: 1_000_000 },
+  });
+  await assertServesAfter(entry, crowd);
+});
+
 // Guards against an object for each chunk: they fill the heap with a body of legal size.
 test("crowd with chunks of one byte without end", async (t) => {
   const { entry, crowd } = await assertSurvives(t, {
--- a/src/exhaustion/connections_serial_test.ts
+++ b/src/exhaustion/connections_serial_test.ts
@@ -1,9 +1,13 @@
 /** Clients whose connections, heads or pipelined requests fill the memory of an entry. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { headOf } from "../standin/mod.ts";
+import { type EntryAddress, headOf } from "../standin/mod.ts";
 import { Crowd } from "./_crowd.ts";
-import { assertServesAfter, assertSurvives } from "./_check.ts";
+import {
+  assertServesAfter,
+  assertSurvives,
+  assertWithinInstance,
+} from "./_check.ts";
 import { askOrdinary, eventually, startEntry } from "./_entry.ts";
 
 /** Header lines that take far more memory than bytes on the wire. */
@@ -89,3 +93,42 @@
   assert.ok(descriptors <= maxDescriptors, `${descriptors} descriptors`);
   await assertServesAfter(entry, crowd);
 });
+
+/** Listeners beside that for clients, by the offset of their ports. */
+const OTHER_LISTENERS = { readiness: 1, control: 2 };
+
+for (const [name, offset] of Object.entries(OTHER_LISTENERS)) {
+  // Guards against listeners without the limits of that for clients.
+  test(`crowd with heads without their end at the ${name} listener`, async (t) => {
+    const entry = await startEntry(t);
+    const address = atOffset(entry.address, offset);
+    const crowd = await Crowd.create(1500, address, {
+      pieces: () => head(14_000),
+    });
+    t.after(() => crowd.close());
+    await askOrdinary(entry);
+    assertWithinInstance(entry);
+    await assertServesAfter(entry, crowd);
+  });
+}
+
+// Guards against answers that are kept for clients which don't read them.
+test("crowd that asks for the state one behind the other and doesn't read", async (t) => {
+  const entry = await startEntry(t);
+  const ask = "GET /state HTTP/1.1\r\nhost: a\r\n\r\n".repeat(20);
+  const crowd = await Crowd.create(200, atOffset(entry.address, 2), {
+    reads: false,
+    pieces: () => repeated(ask, 100),
+  });
+  t.after(() => crowd.close());
+  await askOrdinary(entry);
+  assertWithinInstance(entry);
+  await assertServesAfter(entry, crowd);
+});
+
+function atOffset(
+  { ipAddress, clientPort }: EntryAddress,
+  offset: number,
+): EntryAddress {
+  return { ipAddress, clientPort: clientPort + offset };
+}
--- a/src/router/client_budgets.ts
+++ b/src/router/client_budgets.ts
@@ -13,6 +13,8 @@
 export interface ClientBudgets {
   /** Budget of connections and requests. */
   memory: ClientMemory;
+  /** Budget of the readiness and control listeners. */
+  controlMemory: ClientMemory;
   /** Most client connections that are open at the same time. */
   maxConnections: number;
   /** Most bytes of whole answers that clients have not taken. */
@@ -36,6 +38,10 @@
   const sockets = Math.max(maxDescriptors - FILE_DESCRIPTORS, 1);
   return {
     memory: ClientMemory.create({ clock, maxBytes: shares.requestBytes }),
+    controlMemory: ClientMemory.create({
+      clock,
+      maxBytes: shares.controlBytes,
+    }),
     maxConnections: Math.ceil(sockets * CLIENT_DESCRIPTOR_SHARE),
     maxHeldBytes: shares.heldBytes,
     maxAnswerBytes: shares.answerBytes,
--- a/src/router/control.ts
+++ b/src/router/control.ts
@@ -1,12 +1,40 @@
 /** HTTP servers of the control address (for other routers and operators) and of the readiness check. */
 import { parsePosition, type StorePosition } from "../store/position.ts";
-import { createServer, type Server as HttpServer } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  maxHeaderSize,
+  type Server as HttpServer,
+  type ServerResponse,
+} from "node:http";
+import { ClientMemory, type MemoryAccount } from "../base/client_memory.ts";
+import { DEFAULT_SHARES } from "../base/memory_shares.ts";
+import { systemClock } from "../base/mod.ts";
+import {
+  ConnectionGuard,
+  type ConnectionLimits,
+} from "../base/connection_guard.ts";
 import { CACHE_TRANSFER_PATH } from "./cache_transfer.ts";
 import { RELAY_PATH } from "./relay.ts";
 import type { SocketAddress } from "./settings.ts";
 
+/** Most connections of a listener. */
+const MAX_CONNECTIONS = 512;
+/** Longest time for a request to arrive. */
+const REQUEST_TIMEOUT_MS = 10_000;
+/** Interval at which that time is checked. */
+const TIMEOUT_CHECK_MS = 1000;
+/** Limits of each connection. */
+const CONNECTION_LIMITS: ConnectionLimits = {
+  headerBytes: maxHeaderSize,
+  headerTimeoutMs: REQUEST_TIMEOUT_MS,
+  idleTimeoutMs: REQUEST_TIMEOUT_MS,
+};
+
 /** Content that the control address serves. */
 export interface ControlOptions {
+  /** Budget of the listeners; by default one of its own. */
+  memory?: ClientMemory;
   /** Changes of the store's content after a position, for another entry, as JSON. */
   relay(after: StorePosition): string;
   /** Prompts that the servers' caches are expected to hold, as JSON. */
@@ -33,14 +61,19 @@
   address: SocketAddress,
   options: ControlOptions,
 ): Promise<HttpServer> {
-  const server = createServer((request, response) => {
+  const { memory = createMemory() } = options;
+  return listen(address, memory, (request, response, account) => {
     const answer = answerOf(request.url ?? "/", options);
+    const text = answer?.text ?? "";
+    account.onEvicted = () => response.destroy();
+    // One answer is sent in any case.
+    account.resize(Math.min(text.length, memory.maxBytes / 2));
+    if (account.isClosed) return;
     response.writeHead(answer ? 200 : 404, {
       "content-type": answer?.type ?? "text/plain",
     });
-    response.end(answer?.text ?? "");
+    response.end(text);
   });
-  return listen(server, address);
 }
 
 /**
@@ -54,14 +87,17 @@
 export function serveReadiness(
   address: SocketAddress,
   path: string,
-  { isReady }: { isReady: () => boolean },
+  { isReady, memory = createMemory() }: {
+    isReady: () => boolean;
+    /** Budget of the listeners; by default one of its own. */
+    memory?: ClientMemory;
+  },
 ): Promise<HttpServer> {
-  const server = createServer((request, response) => {
+  return listen(address, memory, (request, response) => {
     const isKnown = request.url === path;
     response.writeHead(!isKnown ? 404 : isReady() ? 200 : 503);
     response.end();
   });
-  return listen(server, address);
 }
 
 /**
@@ -111,10 +147,34 @@
   return parsePosition(`${query.get("era") ?? 0}.${revision}`);
 }
 
+function createMemory(): ClientMemory {
+  const maxBytes = DEFAULT_SHARES.controlBytes;
+  return ClientMemory.create({ clock: systemClock, maxBytes });
+}
+
+type Handler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  account: MemoryAccount,
+) => void;
+
 function listen(
-  server: HttpServer,
   address: SocketAddress,
+  memory: ClientMemory,
+  handle: Handler,
 ): Promise<HttpServer> {
+  const checks = { connectionsCheckingInterval: TIMEOUT_CHECK_MS };
+  const server = createServer(checks, (request, response) => {
+    const account = guard.accountOf(request);
+    if (account) handle(request, response, account);
+  });
+  server.requestTimeout = REQUEST_TIMEOUT_MS;
+  const guard = ConnectionGuard.create(server, {
+    memory,
+    maxConnections: MAX_CONNECTIONS,
+    limits: () => CONNECTION_LIMITS,
+  });
+  server.once("close", () => guard.close());
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(address.port, address.ipAddress, () => resolve(server));
--- a/src/router/router_components.ts
+++ b/src/router/router_components.ts
@@ -1,4 +1,5 @@
 /** The components of a router process: starts them, and describes their state. */
+import type { ClientMemory } from "../base/client_memory.ts";
 import type { Clock, Lifecycle, Logger, Metrics } from "../base/mod.ts";
 import type { PlatformStore } from "../platform/mod.ts";
 import type { CacheTransfer } from "./cache_transfer.ts";
@@ -53,6 +54,8 @@
   ingress: Ingress;
   wanted: WantedVersions;
   state: EffectiveState;
+  /** Budget of the readiness and control listeners. */
+  controlMemory: ClientMemory;
 }
 
 /**
@@ -69,6 +72,7 @@
   const { network, follower, mirror, cacheTransfer } = components;
   lifecycle.own({ name: "store", close: () => store.close() });
   await openListeners(lifecycle, settings, {
+    memory: components.controlMemory,
     relay: (after) => relayAnswer(mirror, after),
     expectedCaches: () => cacheTransfer.answer(state.caches()),
     metrics: () => components.metrics.render(),
