--- a/src/base/byte_collector.ts
+++ b/src/base/byte_collector.ts
@@ -2,8 +2,6 @@
 
 /** Largest size of a block. */
 const MAX_BLOCK_BYTES = 64 * 1024;
-/** Largest size of a first block for a body of declared length. */
-const MAX_FIRST_BLOCK_BYTES = 256 * 1024;
 
 /**
  * Copies chunks into blocks, so that the memory in use is in proportion to the bytes collected. A kept
@@ -15,18 +13,11 @@
   #usedBytes = 0;
   #sizeBytes = 0;
 
-  readonly #firstBlockBytes: number;
+  private constructor() {}
 
-  private constructor(expectedBytes: number) {
-    this.#firstBlockBytes = Math.min(expectedBytes, MAX_FIRST_BLOCK_BYTES);
-  }
-
-  /**
-   * @param expectedBytes Declared length of the body; its bytes are then copied once.
-   * @returns A collector without bytes.
-   */
-  static create(expectedBytes = 0): ByteCollector {
-    return new ByteCollector(expectedBytes);
+  /** @returns A collector without bytes. */
+  static create(): ByteCollector {
+    return new ByteCollector();
   }
 
   /** Number of bytes collected. */
@@ -77,9 +68,8 @@
     const last = this.#blocks.at(-1);
     if (last && this.#usedBytes < last.length) return last;
     const wantedBytes = Math.max(chunkBytes, this.#sizeBytes);
-    const blockBytes = Math.min(wantedBytes, MAX_BLOCK_BYTES);
     const block = Buffer.allocUnsafeSlow(
-      last ? blockBytes : Math.max(blockBytes, this.#firstBlockBytes),
+      Math.min(wantedBytes, MAX_BLOCK_BYTES),
     );
     this.#blocks.push(block);
     this.#usedBytes = 0;
--- a/src/base/client_memory.ts
+++ b/src/base/client_memory.ts
@@ -23,18 +23,20 @@
 
 /** Memory held for one connection or request. */
 export class MemoryAccount {
-  readonly #onChange: (account: MemoryAccount, change: AccountChange) => void;
+  readonly #onChange: (account: MemoryAccount, addedBytes: number) => void;
   /** Since when the memory is held. */
   sinceMs: number;
   /** Called once if the account is evicted; the owner drops what it holds. */
   onEvicted: () => void = () => {};
+  /** Whether the owner can't drop what it holds now; asked before an eviction. */
+  isBusy: () => boolean = () => false;
   #sizeBytes = 0;
   #isPinned = false;
   #isClosed = false;
 
   private constructor(
     sinceMs: number,
-    onChange: (account: MemoryAccount, change: AccountChange) => void,
+    onChange: (account: MemoryAccount, addedBytes: number) => void,
   ) {
     this.sinceMs = sinceMs;
     this.#onChange = onChange;
@@ -47,7 +49,7 @@
    */
   static create(
     sinceMs: number,
-    onChange: (account: MemoryAccount, change: AccountChange) => void,
+    onChange: (account: MemoryAccount, addedBytes: number) => void,
   ): MemoryAccount {
     return new MemoryAccount(sinceMs, onChange);
   }
@@ -57,7 +59,7 @@
     return this.#sizeBytes;
   }
 
-  /** Whether the account can't be evicted. */
+  /** Whether the account belongs to a request that may run, and is never evicted. */
   get isPinned(): boolean {
     return this.#isPinned;
   }
@@ -72,15 +74,14 @@
     if (this.#isClosed) return;
     const addedBytes = sizeBytes - this.#sizeBytes;
     this.#sizeBytes = sizeBytes;
-    this.#onChange(this, { addedBytes, isPinned: this.#isPinned });
+    this.#onChange(this, addedBytes);
   }
 
-  /** @param isPinned Whether the account is kept from being evicted. */
-  setPinned(isPinned: boolean): void {
-    if (this.#isClosed || this.#isPinned === isPinned) return;
+  /** Keeps the account from being evicted. */
+  pin(): void {
     const { sizeBytes } = this;
     this.resize(0);
-    this.#isPinned = isPinned;
+    this.#isPinned = true;
     this.resize(sizeBytes);
   }
 
@@ -97,11 +98,6 @@
   }
 }
 
-interface AccountChange {
-  addedBytes: number;
-  isPinned: boolean;
-}
-
 /** The accounts of all clients. */
 export class ClientMemory {
   readonly #options: ClientMemoryOptions;
@@ -139,16 +135,17 @@
     return this.#options.clock.nowMs();
   }
 
-  /** Number of accounts that were evicted so far. */
-  get evictions(): number {
-    return this.#evictions;
+  /** @returns Use of the budget, and the number of evictions so far, for the state dump. */
+  state(): { totalBytes: number; maxBytes: number; evictions: number } {
+    const { totalBytes, maxBytes } = this;
+    return { totalBytes, maxBytes, evictions: this.#evictions };
   }
 
   /** @returns An empty account, which its owner closes. */
   open(): MemoryAccount {
     return MemoryAccount.create(
       this.nowMs,
-      (account, change) => this.#apply(account, change),
+      (account, addedBytes) => this.#apply(account, addedBytes),
     );
   }
 
@@ -165,14 +162,14 @@
     const largeBytes = this.#largePinnedBytes + account.sizeBytes;
     const isAdmitted = !isLarge(account.sizeBytes) ||
       this.#largePinnedBytes === 0 || largeBytes <= maxLargeBytes;
-    if (isAdmitted) account.setPinned(true);
+    if (isAdmitted) account.pin();
     return isAdmitted;
   }
 
-  #apply(account: MemoryAccount, { addedBytes, isPinned }: AccountChange) {
+  #apply(account: MemoryAccount, addedBytes: number): void {
     this.#totalBytes += addedBytes;
     const { sizeBytes } = account;
-    if (isPinned) {
+    if (account.isPinned) {
       const beforeBytes = sizeBytes - addedBytes;
       if (isLarge(beforeBytes)) this.#largePinnedBytes -= beforeBytes;
       if (isLarge(sizeBytes)) this.#largePinnedBytes += sizeBytes;
@@ -189,7 +186,7 @@
     const keptBytes = this.#options.maxBytes * SHARE_AFTER_EVICTION;
     for (const account of byCost) {
       if (this.#totalBytes <= keptBytes) return;
-      if (account.isClosed) continue;
+      if (account.isClosed || account.isBusy()) continue;
       this.#evictions++;
       account.evict();
     }
--- a/src/base/connection_guard.ts
+++ b/src/base/connection_guard.ts
@@ -181,6 +181,9 @@
     this.#options = options;
     this.#account = options.memory.open();
     this.#account.onEvicted = () => this.#evict();
+    this.#account.isBusy = () =>
+      this.#requests.size > 0 && !this.#input.isHeldBack &&
+      this.#lingerChecks === undefined;
     this.#input = PacedInput.create(socket, {
       mayRead: () => this.#requests.size < MAX_UNANSWERED,
       onRead: () => this.#inspect(),
@@ -198,8 +201,6 @@
     const sizeBytes = this.#options.ownBytes + HEAD_FACTOR * headBytes +
       waitingBytes +
       unreadBytes;
-    const isServed = this.#requests.size > 0 && !isHeldBack;
-    this.#account.setPinned(isServed && this.#lingerChecks === undefined);
     if (sizeBytes !== this.#account.sizeBytes) this.#account.resize(sizeBytes);
   }
 
--- a/src/base/request_body.ts
+++ b/src/base/request_body.ts
@@ -60,9 +60,7 @@
   return new Promise((resolve) => {
     const baseBytes = account.sizeBytes;
     let chargedBytes = 0;
-    let collector: ByteCollector | undefined = ByteCollector.create(
-      declaredBytes,
-    );
+    let collector: BodyCollector | undefined = BodyCollector.create();
     const settle = (read: ReadBody) => {
       collector = undefined;
       clearTimeout(timer);
@@ -99,6 +97,38 @@
   });
 }
 
+/** Keeps the only chunk of a body as it is, and copies those of others. */
+class BodyCollector {
+  #first: Buffer | undefined;
+  #rest: ByteCollector | undefined;
+
+  private constructor() {}
+
+  static create(): BodyCollector {
+    return new BodyCollector();
+  }
+
+  get sizeBytes(): number {
+    return this.#rest?.sizeBytes ?? this.#first?.length ?? 0;
+  }
+
+  push(chunk: Buffer): void {
+    if (!this.#first) {
+      this.#first = chunk;
+      return;
+    }
+    if (!this.#rest) {
+      this.#rest = ByteCollector.create();
+      this.#rest.push(this.#first);
+    }
+    this.#rest.push(chunk);
+  }
+
+  take(): Buffer {
+    return this.#rest?.take() ?? this.#first ?? Buffer.alloc(0);
+  }
+}
+
 /** Drops the body as it arrives. */
 function settleUnread(
   request: IncomingMessage,
--- a/src/router/router_components.ts
+++ b/src/router/router_components.ts
@@ -54,6 +54,8 @@
   ingress: Ingress;
   wanted: WantedVersions;
   state: EffectiveState;
+  /** Budget of clients' connections and requests. */
+  memory: ClientMemory;
   /** Budget of the readiness and control listeners. */
   controlMemory: ClientMemory;
 }
@@ -115,6 +117,7 @@
     entries: network.gossip.count,
     holdsRollLease: components.roll.holdsLease,
     active: ingress.active,
+    clientMemory: components.memory.state(),
     wanted: components.wanted.all(),
     lagMs: Math.round(components.lag.ms),
     suspects: components.quarantine.state(),
