--- a/src/router/arrival.ts
+++ b/src/router/arrival.ts
@@ -47,9 +47,14 @@
   const { headerBytes, bodyBytes } = table.limits;
   if (headBytes(request) > headerBytes) return { kind: "headers_too_large" };
   const routed = findRoute(facts, table);
-  if (routed.kind === "refused") return { kind: routed.why };
-  const leftMs = Math.max(0, timeLeftMs(facts, routed.route) - ageMs);
-  return { kind: "expected", maxBytes: bodyBytes, leftMs };
+  if (routed.kind === "routed") {
+    const leftMs = Math.max(0, timeLeftMs(facts, routed.route) - ageMs);
+    return { kind: "expected", maxBytes: bodyBytes, leftMs };
+  }
+  // Without a body nothing has to be decided before the request is served.
+  return hasBody(request)
+    ? { kind: routed.why }
+    : { kind: "expected", maxBytes: 0, leftMs: Infinity };
 }
 
 /**
@@ -107,3 +112,8 @@
 export function timeLeftMs({ deadlineMs }: RequestFacts, route: Route): number {
   return Math.min((deadlineMs ?? Infinity) - ANSWER_MARGIN_MS, route.timeoutMs);
 }
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined ||
+    Number(headers["content-length"] ?? 0) > 0;
+}
--- a/src/router/ingress.ts
+++ b/src/router/ingress.ts
@@ -298,28 +298,23 @@
     if (!table || arrival.kind === "not_ready") {
       return this.#answers.refuse(facts, sink, "not_ready");
     }
-    switch (arrival.kind) {
-      case "headers_too_large":
-        return this.#answers.send(facts, sink, {
-          status: 431,
-          why: arrival.kind,
-        });
-      case "unknown_route":
-      case "unknown_key":
-        return this.#answers.rejectUnknown(facts, sink, arrival.kind);
-      case "expected":
+    // A newer configuration may have been loaded while the body was received.
+    const routed = findRoute(facts, table);
+    if (arrival.kind !== "expected") {
+      return this.#answers.reject(facts, sink, { arrival, routed });
     }
     switch (body.kind) {
       case "too_large":
-        return this.#answers.send(facts, sink, { status: 413, why: body.kind });
+        return this.#answers.send(facts, sink, {
+          status: 413,
+          why: body.kind,
+        });
       case "late":
         return this.#answers.refuse(facts, sink, "expired");
       case "no_memory":
         return this.#answers.refuse(facts, sink, body.kind);
       case "whole":
     }
-    // A newer configuration may have been loaded while the body was received.
-    const routed = findRoute(facts, table);
     if (routed.kind === "refused") {
       return this.#answers.rejectUnknown(facts, sink, routed.why);
     }
--- a/src/router/local_answers.ts
+++ b/src/router/local_answers.ts
@@ -1,5 +1,6 @@
 /** Answers that an entry gives itself, without a backend server. */
 import { retryHeaders } from "../platform/mod.ts";
+import type { Arrival, Routed } from "./arrival.ts";
 import type { RequestFacts } from "./model.ts";
 import type { AnswerSink, LocalAnswer } from "./request.ts";
 import { retryAfterMs } from "./retry_after.ts";
@@ -47,6 +48,27 @@
     this.#options.onLocalAnswer(facts, why);
   }
 
+  /** Answers a request whose body was dropped because of its head. */
+  reject(
+    facts: RequestFacts,
+    sink: AnswerSink,
+    { arrival, routed }: {
+      arrival: Exclude<Arrival, { kind: "expected" | "not_ready" }>;
+      /** Its route by the newest configuration. */
+      routed: Routed;
+    },
+  ): void {
+    switch (arrival.kind) {
+      case "headers_too_large":
+        return this.send(facts, sink, { status: 431, why: arrival.kind });
+      case "unknown_route":
+      case "unknown_key":
+        return routed.kind === "routed"
+          ? this.refuse(facts, sink, "unsure")
+          : this.rejectUnknown(facts, sink, routed.why);
+    }
+  }
+
   /** Answers 404 or 401, or refuses with 503 while a newer configuration may contain the route or key. */
   rejectUnknown(
     facts: RequestFacts,
