--- a/src/base/connection_guard.ts
+++ b/src/base/connection_guard.ts
@@ -91,11 +91,6 @@
     return new ConnectionGuard(server, options);
   }
 
-  /** Number of open connections. */
-  get count(): number {
-    return this.#connections.size;
-  }
-
   /**
    * @param request A request of the server.
    * @returns Its account, to which its body is charged; undefined if its connection is closed.
@@ -223,7 +218,7 @@
     return this.#requests.get(request);
   }
 
-  /** Reports bytes that are no request; no further ones are parsed. */
+  /** Reports bytes that are no request; the client may be sending more of them. */
   fail(): void {
     this.#hasFailed = true;
   }
--- a/src/exhaustion/_entry.ts
+++ b/src/exhaustion/_entry.ts
@@ -5,6 +5,7 @@
 import process from "node:process";
 import type { TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { entryVariables } from "../router/_entry_process.ts";
 import {
   CONFIG,
   type EntryAddress,
@@ -173,24 +174,9 @@
   storeAddress: string,
   variables: Record<string, string> = {},
 ): ObservedProcess {
-  const { ipAddress, clientPort } = ADDRESS;
-  const at = (offset: number) => `${ipAddress}:${clientPort + offset}`;
   const child = spawn(process.execPath, deployedArguments(), {
     stdio: ["ignore", "pipe", "pipe"],
-    env: {
-      CICADAHITCH_INSTANCE: "e-1",
-      CICADAHITCH_ZONE: "a",
-      CICADAHITCH_IP_ADDRESS: ipAddress,
-      CICADAHITCH_CLIENT_ADDRESS: at(0),
-      CICADAHITCH_READINESS_ADDRESS: at(1),
-      CICADAHITCH_CONTROL_ADDRESS: at(2),
-      CICADAHITCH_PEER_PORT: String(clientPort + 3),
-      CICADAHITCH_STORE_ADDRESS: storeAddress,
-      CICADAHITCH_GRACE_S: "1",
-      CICADAHITCH_SEED_ADDRESSES: "",
-      CICADAHITCH_ENGINES_CHECK_FENCES: "",
-      ...variables,
-    },
+    env: { ...entryVariables(ADDRESS, storeAddress), ...variables },
   });
   return ObservedProcess.create(child);
 }
--- a/src/router/_entry_process.ts
+++ b/src/router/_entry_process.ts
@@ -13,26 +13,14 @@
  */
 export async function startEntryProcess(
   t: TestContext,
-  { ipAddress, clientPort }: EntryAddress,
+  address: EntryAddress,
   storeAddress: string,
 ): Promise<ChildProcess> {
-  const at = (offset: number) => `${ipAddress}:${clientPort + offset}`;
+  const { ipAddress, clientPort } = address;
   const args = ["--import", "tsx", "src/router/main.ts"];
   const entry = spawn(process.execPath, args, {
     stdio: "ignore",
-    env: {
-      CICADAHITCH_INSTANCE: `e-${ipAddress}`,
-      CICADAHITCH_ZONE: "a",
-      CICADAHITCH_IP_ADDRESS: ipAddress,
-      CICADAHITCH_CLIENT_ADDRESS: at(0),
-      CICADAHITCH_READINESS_ADDRESS: at(1),
-      CICADAHITCH_CONTROL_ADDRESS: at(2),
-      CICADAHITCH_PEER_PORT: String(clientPort + 3),
-      CICADAHITCH_STORE_ADDRESS: storeAddress,
-      CICADAHITCH_GRACE_S: "1",
-      CICADAHITCH_SEED_ADDRESSES: "",
-      CICADAHITCH_ENGINES_CHECK_FENCES: "",
-    },
+    env: entryVariables(address, storeAddress),
   });
   t.after(() => entry.kill("SIGKILL"));
   const status = () =>
@@ -40,3 +28,28 @@
   await until(async () => await status() === 200);
   return entry;
 }
+
+/**
+ * @param address Where the entry listens; it uses the three ports after the client port, too.
+ * @param storeAddress `ip:port` of the store.
+ * @returns Environment variables of the entry's process.
+ */
+export function entryVariables(
+  { ipAddress, clientPort }: EntryAddress,
+  storeAddress: string,
+): Record<string, string> {
+  const at = (offset: number) => `${ipAddress}:${clientPort + offset}`;
+  return {
+    CICADAHITCH_INSTANCE: `e-${ipAddress}`,
+    CICADAHITCH_ZONE: "a",
+    CICADAHITCH_IP_ADDRESS: ipAddress,
+    CICADAHITCH_CLIENT_ADDRESS: at(0),
+    CICADAHITCH_READINESS_ADDRESS: at(1),
+    CICADAHITCH_CONTROL_ADDRESS: at(2),
+    CICADAHITCH_PEER_PORT: String(clientPort + 3),
+    CICADAHITCH_STORE_ADDRESS: storeAddress,
+    CICADAHITCH_GRACE_S: "1",
+    CICADAHITCH_SEED_ADDRESSES: "",
+    CICADAHITCH_ENGINES_CHECK_FENCES: "",
+  };
+}
