Read a connection on only once its waiting requests are parsed

Each piece that is handed to the parser had the stream read on, so that 64 KB more waited with each answer, and were copied behind those that waited already. Now the stream reads on once nothing waits.

--- a/src/base/connection_guard_test.ts
+++ b/src/base/connection_guard_test.ts
@@ -105,6 +105,23 @@
   socket.destroy();
 });
 
+// Guards against a connection that is read on with each answer, although many requests wait already.
+test("bytes of a connection don't pile up while its requests are answered", async (t) => {
+  let answered = 0;
+  let readBytes = 0;
+  const port = await serve(t, async (request, response) => {
+    await sleep(1);
+    answered++;
+    readBytes = request.socket.bytesRead;
+    response.end();
+  });
+  const socket = connect(port, "127.0.0.1").resume();
+  socket.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n".repeat(100_000));
+  while (answered < 100) await sleep(5);
+  assert.ok(readBytes < 500_000, `${readBytes} bytes`);
+  socket.destroy();
+});
+
 // Guards against a reset that takes the refusal from a client which is still sending.
 test("client reads its refusal although it sends on", async (t) => {
   const port = await serve(t, (_request, response) => {
--- a/src/base/paced_input.ts
+++ b/src/base/paced_input.ts
@@ -57,6 +57,11 @@
     this.#options = options;
     this.#push = socket.push.bind(socket);
     socket.push = (chunk: Buffer | null) => this.#receive(chunk);
+    // Each piece would have the stream read on, and more bytes would wait with each.
+    const read = socket._read.bind(socket);
+    socket._read = (sizeBytes) => {
+      if (this.#waiting.length === 0) read(sizeBytes);
+    };
     // Has Node read the connection itself; else its parser does, past all streams.
     socket.on("data", () => {});
     socket.on("resume", () => this.continue());
--- a/src/exhaustion/_crowd.ts
+++ b/src/exhaustion/_crowd.ts
@@ -97,7 +97,7 @@
   /** Closes all connections. */
   close(): void {
     this.#isClosed = true;
-    for (const { socket } of this.#clients) socket.resetAndDestroy();
+    for (const { socket } of this.#clients) socket.destroy();
   }
 }
 
