--- a/src/exhaustion/bodies_serial_test.ts
+++ b/src/exhaustion/bodies_serial_test.ts
@@ -98,6 +98,19 @@
   await assertServesAfter(entry, crowd);
 });
 
+// Guards against the same crowd if each client connects again as soon as it is refused.
+test("crowd with small bodies on many connections that returns at once", async (t) => {
+  const { entry, crowd } = await assertSurvives(t, {
+    count: 2500,
+    script: {
+      returns: true,
+      pieces: () => [headOf({ headers: ["content-length: 16000"] }), SMALL],
+    },
+    limits: { max_body_bytes: 1_000_000 },
+  });
+  await assertServesAfter(entry, crowd);
+});
+
 // Guards against an object for each chunk: they fill the heap with a body of legal size.
 test("crowd with chunks of one byte without end", async (t) => {
   const { entry, crowd } = await assertSurvives(t, {
