--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -35,13 +35,14 @@
   };
 }
 
-/** Writes lines to `record.txt` in the folder of a case. */
+/** Writes lines to the record of a case. */
 export class Record {
   #path;
   #startMs = performance.now();
 
-  constructor(folder) {
-    this.#path = join(folder, "record.txt");
+  /** @param path Path of the case's `record.txt`, which is begun anew. */
+  constructor(path) {
+    this.#path = path;
     writeFileSync(this.#path, "");
   }
 
@@ -198,8 +199,8 @@
 }
 
 /** Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
-export async function runCase(folder, play) {
-  const record = new Record(folder);
+export async function runCase(recordPath, play) {
+  const record = new Record(recordPath);
   record.line(`TROUBLE=${hasTrouble ? 1 : 0}`);
   let deployment;
   let code = 2;
